--- /dev/null
+++ b/common/config.c
@@ -0,0 +1,101 @@
+#include "common/config.h"
+
+#include "common/file.h"
+#include "kernel/clock.h"
+
+enum
+{
+  DEFAULT_WORKERS = 2,
+  MAX_WORKERS = 64,
+  DEFAULT_STORE_TIMEOUT_MS = 1000,
+  DEFAULT_STOP_TIMEOUT_MS = 60000
+};
+
+static const schema_field_t config_fields[] = {
+  { "name", SCHEMA_STRING, offsetof (config_t, name), .is_required = true },
+  { "zone", SCHEMA_STRING, offsetof (config_t, zone), .is_required = true },
+  { "listen", SCHEMA_STRING, offsetof (config_t, listen) },
+  { "admin", SCHEMA_STRING, offsetof (config_t, admin) },
+  { "upstream", SCHEMA_STRING, offsetof (config_t, upstream) },
+  { "workers", SCHEMA_INTEGER, offsetof (config_t, workers), .minimum = 1,
+    .maximum = MAX_WORKERS },
+  { "store", SCHEMA_STRINGS, offsetof (config_t, store), .is_required = true },
+  { "peers", SCHEMA_STRINGS, offsetof (config_t, peers) },
+  { "store_timeout", SCHEMA_DURATION, offsetof (config_t, store_timeout),
+    .minimum = 10, .maximum = 60000 },
+  { "stop_timeout", SCHEMA_DURATION, offsetof (config_t, stop_timeout),
+    .minimum = 100, .maximum = 3600000 },
+  { NULL, SCHEMA_END, 0 },
+};
+
+/* Create a config with default values.  */
+config_t *
+config_create (TALLOC_CTX *parent)
+{
+  config_t *config = talloc_zero (parent, config_t);
+
+  if (config == NULL)
+    return NULL;
+  STAILQ_INIT (&config->store);
+  STAILQ_INIT (&config->peers);
+  config->listen = "127.0.0.1:0";
+  config->admin = "127.0.0.1:0";
+  config->upstream = "";
+  config->workers = DEFAULT_WORKERS;
+  config->store_timeout = timespec_from_ms (DEFAULT_STORE_TIMEOUT_MS);
+  config->stop_timeout = timespec_from_ms (DEFAULT_STOP_TIMEOUT_MS);
+  return config;
+}
+
+/* Free CONFIG.  */
+void
+config_destroy (config_t *config)
+{
+  talloc_free (config);
+}
+
+/* Read FILE.  Every fault goes to FINDINGS; returns NULL when there is
+   any.  */
+config_t *
+config_load (TALLOC_CTX *parent, const char *file, findings_t *findings)
+{
+  config_t *config = config_create (parent);
+  schema_source_t source = { .file = file, .findings = findings };
+  toml_node_t *root;
+  size_t size;
+  char *text;
+
+  if (config == NULL)
+    return NULL;
+  text = file_read (config, file, &size);
+  if (text == NULL)
+    findings_add (findings, file, 0, 0, "%s", status_message ());
+  else
+    {
+      root = toml_parse (config, text, size, file, findings);
+      if (root != NULL)
+        schema_read (&source, root, config_fields, config);
+    }
+  if (findings_count (findings) == 0)
+    return config;
+  config_destroy (config);
+  return NULL;
+}
+
+/* Return the store's addresses as a NULL-terminated array owned by
+   CONFIG.  */
+const char *const *
+config_store_urls (const config_t *config)
+{
+  const schema_string_t *url;
+  unsigned count = 0;
+  const char **urls;
+
+  STAILQ_FOREACH (url, &config->store, link)
+    count++;
+  urls = talloc_zero_array (config, const char *, count + 1);
+  count = 0;
+  STAILQ_FOREACH (url, &config->store, link)
+    urls[count++] = url->text;
+  return urls;
+}
--- /dev/null
+++ b/common/daemon.c
@@ -0,0 +1,286 @@
+#include "common/daemon.h"
+
+#include "common/http_server.h"
+#include "kernel/counter.h"
+#include "kernel/log.h"
+#include "kernel/table.h"
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  ADMIN_BODY_BYTES = 4096,
+  EXIT_USAGE = 64,
+  EXIT_CUT_OFF = 3 /* a planned stop ran out of time */
+};
+
+struct daemon
+{
+  const daemon_program_t *program;
+  config_t *config;
+  clock_source_t *clock;
+  node_t *node;
+  pool_t *pool;
+  http_server_t *admin;
+  void *state;
+  task_t stop_task;
+};
+
+typedef struct daemon_arguments
+{
+  const char *config_file;
+  log_level_t log_level;
+} daemon_arguments_t;
+
+static const struct argp_option daemon_options[] = {
+  { "config", 'c', "FILE", 0, "Read this process's own settings from FILE",
+    0 },
+  { "verbose", 'v', NULL, 0, "Log debug lines too", 0 },
+  { NULL, 0, NULL, 0, NULL, 0 },
+};
+
+static error_t
+daemon_parse_option (int key, char *argument, struct argp_state *state)
+{
+  daemon_arguments_t *arguments = state->input;
+
+  switch (key)
+    {
+    case 'c':
+      arguments->config_file = argument;
+      return 0;
+    case 'v':
+      arguments->log_level = LOG_LEVEL_DEBUG;
+      return 0;
+    case ARGP_KEY_ARG:
+      argp_error (state, "unexpected argument '%s'", argument);
+      return EINVAL;
+    case ARGP_KEY_END:
+      if (arguments->config_file == NULL)
+        argp_error (state, "--config is missing");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+admin_on_request (http_exchange_t *exchange, void *data)
+{
+  daemon_t *daemon = data;
+  const char *path = http_exchange_path (exchange);
+  char *text;
+
+  if (strcmp (path, "/metrics") == 0)
+    {
+      text = counter_render_all (exchange);
+      http_reply_text (exchange, 200, "text/plain; version=0.0.4", text);
+      return;
+    }
+  if (strcmp (path, "/health") == 0)
+    {
+      settings_t *settings = node_settings (daemon->node);
+
+      text = talloc_asprintf (
+          exchange,
+          "{\"name\":\"%s\",\"zone\":\"%s\",\"revision\":%llu,"
+          "\"confirmed_age_ms\":%llu}\n",
+          node_name (daemon->node), node_zone (daemon->node),
+          settings == NULL ? 0ULL : (unsigned long long)settings->revision,
+          (unsigned long long)node_confirmed_age_ms (daemon->node));
+      http_reply_text (exchange, settings == NULL ? 503 : 200,
+                       "application/json", text);
+      if (settings != NULL)
+        settings_release (settings);
+      return;
+    }
+  http_reply_text (exchange, 404, "text/plain", "not found\n");
+}
+
+static void
+admin_on_end (http_exchange_t *exchange, void *data)
+{
+  (void)exchange;
+  (void)data;
+}
+
+static const http_server_ops_t admin_ops = {
+  .on_request = admin_on_request,
+  .on_gone = admin_on_end,
+  .on_finished = admin_on_end,
+};
+
+static status_t
+daemon_start_admin (daemon_t *daemon)
+{
+  net_address_t address;
+  status_t status
+      = net_address_parse (daemon, daemon->config->admin, &address);
+
+  if (status != STATUS_OK)
+    return status;
+  daemon->admin = http_server_create (pool_worker (daemon->pool, 0), &address,
+                                      ADMIN_BODY_BYTES, &admin_ops, daemon);
+  if (daemon->admin == NULL)
+    return STATUS_IO;
+  log_event (LOG_LEVEL_INFO, "admin-listening", "port=%u",
+             http_server_port (daemon->admin));
+  return STATUS_OK;
+}
+
+static void
+daemon_run_stop (task_t *task, worker_t *worker)
+{
+  daemon_t *daemon = CONTAINER_OF (task, daemon_t, stop_task);
+
+  (void)worker;
+  daemon->program->stop (daemon->state);
+}
+
+static void
+daemon_block_signals (sigset_t *signals)
+{
+  sigemptyset (signals);
+  sigaddset (signals, SIGTERM);
+  sigaddset (signals, SIGINT);
+  sigaddset (signals, SIGUSR1);
+  pthread_sigmask (SIG_BLOCK, signals, NULL);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+/* Wait for a signal to stop, then for the planned stop's end, a second signal
+   or the end of the time allowed.  Returns the exit status.  */
+static int
+daemon_wait (daemon_t *daemon, const sigset_t *signals)
+{
+  int received;
+
+  do
+    received = sigwaitinfo (signals, NULL);
+  while (received != SIGTERM && received != SIGINT);
+  log_event (LOG_LEVEL_INFO, "stopping", "signal=%d", received);
+  daemon->stop_task.run = daemon_run_stop;
+  worker_post (pool_worker (daemon->pool, 0), &daemon->stop_task);
+  received = sigtimedwait (signals, NULL, &daemon->config->stop_timeout);
+  if (received == SIGUSR1)
+    return EXIT_SUCCESS;
+  log_event (LOG_LEVEL_WARN, "stop-cut-short", "reason=%s",
+             received < 0 ? "timeout" : "second-signal");
+  return EXIT_CUT_OFF;
+}
+
+static status_t
+daemon_set_up (daemon_t *daemon)
+{
+  status_t status;
+
+  daemon->clock = clock_create_system (daemon);
+  daemon->node
+      = node_create (daemon, daemon->program->role, daemon->config->name,
+                     daemon->config->zone, daemon->clock);
+  daemon->pool
+      = pool_create (daemon, (unsigned)daemon->config->workers, daemon->clock);
+  if (daemon->node == NULL || daemon->pool == NULL)
+    return STATUS_NO_MEMORY;
+  status = daemon_start_admin (daemon);
+  if (status != STATUS_OK)
+    return status;
+  return daemon->program->start (daemon, &daemon->state);
+}
+
+static int
+daemon_run (daemon_t *daemon)
+{
+  sigset_t signals;
+  status_t status;
+  int exit_status = EXIT_FAILURE;
+
+  daemon_block_signals (&signals);
+  status = daemon_set_up (daemon);
+  if (status == STATUS_OK)
+    status = pool_start (daemon->pool);
+  if (status == STATUS_OK)
+    exit_status = daemon_wait (daemon, &signals);
+  else
+    log_event (LOG_LEVEL_ERROR, "start-failed", "error=\"%s\"",
+               status_message ());
+  if (daemon->pool != NULL)
+    {
+      pool_stop (daemon->pool);
+      pool_join (daemon->pool);
+    }
+  if (daemon->state != NULL)
+    daemon->program->destroy (daemon->state);
+  return exit_status;
+}
+
+/* Run PROGRAM: read the command line and the process's own settings, start
+   the workers and wait for the signal to stop.  Returns the exit status: 0
+   after a planned stop, 1 when the program cannot start, 3 when a planned stop
+   ran out of time or was cut short, 64 for a wrong command line.  */
+int
+daemon_main (const daemon_program_t *program, int argc, char **argv)
+{
+  daemon_arguments_t arguments = { .log_level = LOG_LEVEL_INFO };
+  struct argp argp = { .options = daemon_options,
+                       .parser = daemon_parse_option,
+                       .doc = program->summary };
+  daemon_t *daemon = talloc_zero (NULL, daemon_t);
+  findings_t *findings = findings_create (daemon);
+  int exit_status;
+
+  argp_err_exit_status = EXIT_USAGE;
+  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  daemon->program = program;
+  daemon->config = config_load (daemon, arguments.config_file, findings);
+  if (daemon->config == NULL)
+    {
+      findings_print (findings, stderr);
+      talloc_free (daemon);
+      return EXIT_FAILURE;
+    }
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  log_init (program->name, arguments.log_level);
+  exit_status = daemon_run (daemon);
+  log_event (LOG_LEVEL_INFO, "stopped", "status=%d", exit_status);
+  talloc_free (daemon);
+  log_close ();
+  curl_global_cleanup ();
+  return exit_status;
+}
+
+/* Return the process's own settings.  */
+const config_t *
+daemon_config (const daemon_t *daemon)
+{
+  return daemon->config;
+}
+
+/* Return the process's identity and settings.  */
+node_t *
+daemon_node (const daemon_t *daemon)
+{
+  return daemon->node;
+}
+
+/* Return the workers.  */
+pool_t *
+daemon_pool (const daemon_t *daemon)
+{
+  return daemon->pool;
+}
+
+/* Report that the planned stop is done; callable from any worker.  */
+void
+daemon_finish (daemon_t *daemon)
+{
+  (void)daemon;
+  kill (getpid (), SIGUSR1);
+}
--- /dev/null
+++ b/common/frame.c
@@ -0,0 +1,316 @@
+#include "common/frame.h"
+
+#include <arpa/inet.h>
+#include <msgpack.h>
+#include <string.h>
+
+enum
+{
+  HEADER_FIELDS = 7, /* items before the body's fields */
+  MAX_BODY_FIELDS = 12,
+  MAX_SHORT_STRING = 4096
+};
+
+typedef enum field_kind
+{
+  FIELD_NONE,
+  FIELD_UNSIGNED,
+  FIELD_BOOLEAN,
+  FIELD_STRING,
+  FIELD_BLOB
+} field_kind_t;
+
+/* One member of a frame's body.  MAXIMUM bounds the value of a number and the
+   size of a string or blob; 0 leaves a number unbounded.  */
+typedef struct field
+{
+  field_kind_t kind;
+  size_t offset;
+  uint64_t maximum;
+} field_t;
+
+typedef struct frame_layout
+{
+  const char *name;
+  field_t fields[MAX_BODY_FIELDS];
+} frame_layout_t;
+
+#define UNSIGNED(member, maximum)                                             \
+  {                                                                           \
+    FIELD_UNSIGNED, offsetof (frame_t, body.member), (maximum)                \
+  }
+#define BOOLEAN(member)                                                       \
+  {                                                                           \
+    FIELD_BOOLEAN, offsetof (frame_t, body.member), 0                         \
+  }
+#define STRING(member)                                                        \
+  {                                                                           \
+    FIELD_STRING, offsetof (frame_t, body.member), MAX_SHORT_STRING           \
+  }
+#define BLOB(member)                                                          \
+  {                                                                           \
+    FIELD_BLOB, offsetof (frame_t, body.member), FRAME_MAX_BYTES              \
+  }
+
+static const frame_layout_t layouts[FRAME_TYPE_COUNT] = {
+  [FRAME_HELLO] = { "hello",
+                    { UNSIGNED (hello.version, 0), UNSIGNED (hello.role, 0),
+                      STRING (hello.name), STRING (hello.zone) } },
+  [FRAME_PING] = { "ping", { { FIELD_NONE, 0, 0 } } },
+  [FRAME_SUBMIT]
+  = { "submit",
+      { STRING (submit.account), STRING (submit.service),
+        STRING (submit.method), STRING (submit.path),
+        STRING (submit.content_type), STRING (submit.key),
+        UNSIGNED (submit.deadline_ms, 0), UNSIGNED (submit.prompt_tokens, 0),
+        UNSIGNED (submit.output_tokens, 0), BOOLEAN (submit.is_repeatable),
+        BLOB (submit.body) } },
+  [FRAME_HEAD]
+  = { "head",
+      { UNSIGNED (head.http_status, 999), STRING (head.content_type) } },
+  [FRAME_CHUNK]
+  = { "chunk", { UNSIGNED (chunk.offset, 0), BLOB (chunk.data) } },
+  [FRAME_ACK]
+  = { "ack", { UNSIGNED (offset.offset, 0), BOOLEAN (offset.is_final) } },
+  [FRAME_END]
+  = { "end",
+      { UNSIGNED (end.outcome, OUTCOME_COUNT - 1), UNSIGNED (end.length, 0),
+        BOOLEAN (end.is_complete), STRING (end.detail) } },
+  [FRAME_REFUSE]
+  = { "refuse",
+      { UNSIGNED (refuse.refusal, REFUSAL_COUNT - 1),
+        UNSIGNED (refuse.outcome, OUTCOME_COUNT - 1),
+        UNSIGNED (refuse.retry_after_ms, 0), STRING (refuse.detail) } },
+  [FRAME_CANCEL] = { "cancel", { { FIELD_NONE, 0, 0 } } },
+  [FRAME_RESUME]
+  = { "resume", { UNSIGNED (offset.offset, 0), UNSIGNED (offset.age_ms, 0) } },
+  [FRAME_LOAD]
+  = { "load",
+      { UNSIGNED (load.outstanding_requests, 0),
+        UNSIGNED (load.outstanding_tokens, 0),
+        UNSIGNED (load.limit_requests, 0), UNSIGNED (load.limit_tokens, 0),
+        UNSIGNED (load.queued_requests, 0), BOOLEAN (load.is_cold),
+        BOOLEAN (load.is_leaving) } },
+  [FRAME_SETTINGS_WANT] = { "settings-want", { { FIELD_NONE, 0, 0 } } },
+  [FRAME_SETTINGS]
+  = { "settings",
+      { UNSIGNED (settings.revision, 0), BLOB (settings.document) } },
+  [FRAME_MAP_ORDER]
+  = { "map-order",
+      { UNSIGNED (map.kind, 0), STRING (map.group), UNSIGNED (map.rank, 0),
+        UNSIGNED (map.rank_incarnation, 0), UNSIGNED (map.epoch, 0),
+        UNSIGNED (map.version, 0), UNSIGNED (map.step, 0),
+        UNSIGNED (map.state, 0), BLOB (map.map) } },
+  [FRAME_MAP_REPLY]
+  = { "map-reply",
+      { UNSIGNED (map.kind, 0), STRING (map.group), UNSIGNED (map.rank, 0),
+        UNSIGNED (map.rank_incarnation, 0), UNSIGNED (map.epoch, 0),
+        UNSIGNED (map.version, 0), UNSIGNED (map.step, 0),
+        UNSIGNED (map.state, 0), BLOB (map.map) } },
+};
+
+static unsigned
+layout_field_count (const frame_layout_t *layout)
+{
+  unsigned count = 0;
+
+  while (count < MAX_BODY_FIELDS && layout->fields[count].kind != FIELD_NONE)
+    count++;
+  return count;
+}
+
+static void
+pack_text (msgpack_packer *packer, const char *text)
+{
+  size_t size = text == NULL ? 0 : strlen (text);
+
+  msgpack_pack_str (packer, size);
+  msgpack_pack_str_body (packer, text == NULL ? "" : text, size);
+}
+
+static void
+pack_field (msgpack_packer *packer, const field_t *field, const frame_t *frame)
+{
+  const char *place = (const char *)frame + field->offset;
+  const blob_t *blob = (const blob_t *)(const void *)place;
+
+  switch (field->kind)
+    {
+    case FIELD_UNSIGNED:
+      msgpack_pack_uint64 (packer, *(const uint64_t *)(const void *)place);
+      break;
+    case FIELD_BOOLEAN:
+      if (*(const bool *)place)
+        msgpack_pack_true (packer);
+      else
+        msgpack_pack_false (packer);
+      break;
+    case FIELD_STRING:
+      pack_text (packer, *(const char *const *)(const void *)place);
+      break;
+    case FIELD_BLOB:
+      msgpack_pack_bin (packer, blob->size);
+      msgpack_pack_bin_body (packer, blob->data, blob->size);
+      break;
+    case FIELD_NONE:
+      break;
+    }
+}
+
+/* Encode FRAME with its length prefix.  Returns a buffer owned by PARENT and
+   sets *ENCODED_SIZE; returns NULL when the frame is over FRAME_MAX_BYTES or
+   memory is exhausted.  */
+char *
+frame_encode (TALLOC_CTX *parent, const frame_t *frame, size_t *encoded_size)
+{
+  const frame_layout_t *layout = &layouts[frame->header.type];
+  unsigned field_count = layout_field_count (layout);
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  char *encoded = NULL;
+  uint32_t prefix;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, HEADER_FIELDS + field_count);
+  msgpack_pack_uint64 (&packer, FRAME_PROTOCOL_VERSION);
+  msgpack_pack_uint64 (&packer, frame->header.type);
+  msgpack_pack_uint64 (&packer, frame->header.incarnation);
+  msgpack_pack_uint64 (&packer, frame->header.settings_revision);
+  msgpack_pack_uint64 (&packer, frame->header.confirmed_age_ms);
+  msgpack_pack_uint64 (&packer, frame->header.request.incarnation);
+  msgpack_pack_uint64 (&packer, frame->header.request.sequence);
+  for (unsigned i = 0; i < field_count; i++)
+    pack_field (&packer, &layout->fields[i], frame);
+  if (buffer.size <= FRAME_MAX_BYTES)
+    encoded = talloc_array (parent, char, FRAME_PREFIX_BYTES + buffer.size);
+  if (encoded != NULL)
+    {
+      prefix = htonl ((uint32_t)buffer.size);
+      memcpy (encoded, &prefix, FRAME_PREFIX_BYTES);
+      memcpy (encoded + FRAME_PREFIX_BYTES, buffer.data, buffer.size);
+      *encoded_size = FRAME_PREFIX_BYTES + buffer.size;
+    }
+  msgpack_sbuffer_destroy (&buffer);
+  return encoded;
+}
+
+static bool
+unpack_field (TALLOC_CTX *parent, const field_t *field,
+              const msgpack_object *object, frame_t *frame)
+{
+  char *place = (char *)frame + field->offset;
+  blob_t *blob = (blob_t *)(void *)place;
+  char *text;
+
+  switch (field->kind)
+    {
+    case FIELD_UNSIGNED:
+      if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER
+          || (field->maximum != 0 && object->via.u64 > field->maximum))
+        return false;
+      *(uint64_t *)(void *)place = object->via.u64;
+      return true;
+    case FIELD_BOOLEAN:
+      if (object->type != MSGPACK_OBJECT_BOOLEAN)
+        return false;
+      *(bool *)place = object->via.boolean;
+      return true;
+    case FIELD_STRING:
+      if (object->type != MSGPACK_OBJECT_STR
+          || object->via.str.size > field->maximum
+          || memchr (object->via.str.ptr, '\0', object->via.str.size) != NULL)
+        return false;
+      text
+          = talloc_strndup (parent, object->via.str.ptr, object->via.str.size);
+      *(const char **)(void *)place = text;
+      return text != NULL;
+    case FIELD_BLOB:
+      if (object->type != MSGPACK_OBJECT_BIN)
+        return false;
+      blob->size = object->via.bin.size;
+      blob->data = talloc_memdup (parent, object->via.bin.ptr, blob->size);
+      return blob->data != NULL || blob->size == 0;
+    case FIELD_NONE:
+      break;
+    }
+  return false;
+}
+
+static bool
+unpack_header (const msgpack_object *items, frame_header_t *header)
+{
+  for (unsigned i = 0; i < HEADER_FIELDS; i++)
+    {
+      if (items[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+        return false;
+    }
+  if (items[0].via.u64 != FRAME_PROTOCOL_VERSION
+      || items[1].via.u64 < FRAME_HELLO
+      || items[1].via.u64 >= FRAME_TYPE_COUNT)
+    return false;
+  header->type = (frame_type_t)items[1].via.u64;
+  header->incarnation = items[2].via.u64;
+  header->settings_revision = items[3].via.u64;
+  header->confirmed_age_ms = items[4].via.u64;
+  header->request.incarnation = items[5].via.u64;
+  header->request.sequence = items[6].via.u64;
+  return true;
+}
+
+static status_t
+unpack_frame (TALLOC_CTX *parent, const msgpack_object *root, frame_t *frame)
+{
+  const frame_layout_t *layout;
+  const msgpack_object *items;
+
+  if (root->type != MSGPACK_OBJECT_ARRAY
+      || root->via.array.size < HEADER_FIELDS)
+    return status_set (STATUS_PROTOCOL, "frame is not an array of %d or more",
+                       HEADER_FIELDS);
+  items = root->via.array.ptr;
+  if (!unpack_header (items, &frame->header))
+    return status_set (STATUS_PROTOCOL, "frame header is malformed");
+  layout = &layouts[frame->header.type];
+  if (root->via.array.size != HEADER_FIELDS + layout_field_count (layout))
+    return status_set (STATUS_PROTOCOL, "%s frame has %u items", layout->name,
+                       root->via.array.size);
+  for (unsigned i = 0; i < layout_field_count (layout); i++)
+    {
+      if (!unpack_field (parent, &layout->fields[i], &items[HEADER_FIELDS + i],
+                         frame))
+        return status_set (STATUS_PROTOCOL, "%s frame: field %u is malformed",
+                           layout->name, i);
+    }
+  return STATUS_OK;
+}
+
+/* Decode PAYLOAD, which is one frame without its length prefix, into FRAME.
+   Strings and blobs of the frame belong to PARENT.  Returns STATUS_PROTOCOL
+   when any item is missing, of the wrong type or out of range.  */
+status_t
+frame_decode (TALLOC_CTX *parent, const char *payload, size_t size,
+              frame_t *frame)
+{
+  msgpack_unpacked unpacked;
+  size_t offset = 0;
+  status_t status;
+
+  memset (frame, 0, sizeof *frame);
+  msgpack_unpacked_init (&unpacked);
+  if (msgpack_unpack_next (&unpacked, payload, size, &offset)
+          != MSGPACK_UNPACK_SUCCESS
+      || offset != size)
+    status = status_set (STATUS_PROTOCOL, "frame is not valid msgpack");
+  else
+    status = unpack_frame (parent, &unpacked.data, frame);
+  msgpack_unpacked_destroy (&unpacked);
+  return status;
+}
+
+/* Return the name of TYPE for logs.  */
+const char *
+frame_type_name (frame_type_t type)
+{
+  return layouts[type].name;
+}
--- /dev/null
+++ b/common/http_client.c
@@ -0,0 +1,352 @@
+#include "common/http_client.h"
+
+#include "kernel/clock.h"
+
+#include <curl/curl.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/queue.h>
+
+enum
+{
+  CONNECT_TIMEOUT_MS = 2000,
+  ERROR_CONTEXT_BYTES = CURL_ERROR_SIZE
+};
+
+struct http_client
+{
+  worker_t *worker;
+  CURLM *multi;
+  struct tevent_timer *timer;
+  LIST_HEAD (, http_call) calls;
+};
+
+struct http_call
+{
+  LIST_ENTRY (http_call) link;
+  http_client_t *client;
+  CURL *easy;
+  const http_call_ops_t *ops;
+  void *data;
+  struct curl_slist *headers;
+  char *body;
+  bool is_head_seen;
+  bool is_paused;
+  char error[ERROR_CONTEXT_BYTES];
+};
+
+typedef struct watched_socket
+{
+  http_client_t *client;
+  curl_socket_t fd;
+  struct tevent_fd *event;
+} watched_socket_t;
+
+static void
+client_collect (http_client_t *client)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      http_call_t *call;
+      status_t status = STATUS_OK;
+      CURLcode result = message->data.result;
+      long sent = 0;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE,
+                         (char **)&call);
+      curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &sent);
+      if (result == CURLE_OPERATION_TIMEDOUT)
+        status = status_set (STATUS_TIMEOUT, "%s", call->error);
+      else if (result != CURLE_OK)
+        status = status_set (STATUS_UNAVAILABLE, "%s", call->error);
+      call->ops->on_done (call, status, sent > 0, call->data);
+      talloc_free (call);
+    }
+}
+
+static void
+client_act (http_client_t *client, curl_socket_t fd, int action)
+{
+  int running;
+
+  curl_multi_socket_action (client->multi, fd, action, &running);
+  client_collect (client);
+}
+
+static void
+client_handle_event (struct tevent_context *events, struct tevent_fd *event,
+                     uint16_t flags, void *data)
+{
+  watched_socket_t *watched = data;
+  int action = 0;
+
+  (void)events;
+  (void)event;
+  if ((flags & TEVENT_FD_READ) != 0)
+    action |= CURL_CSELECT_IN;
+  if ((flags & TEVENT_FD_WRITE) != 0)
+    action |= CURL_CSELECT_OUT;
+  client_act (watched->client, watched->fd, action);
+}
+
+static int
+client_watch_socket (CURL *easy, curl_socket_t fd, int what, void *data,
+                     void *socket_data)
+{
+  http_client_t *client = data;
+  watched_socket_t *watched = socket_data;
+  uint16_t flags = 0;
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      curl_multi_assign (client->multi, fd, NULL);
+      talloc_free (watched);
+      return 0;
+    }
+  if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+    flags |= TEVENT_FD_READ;
+  if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+    flags |= TEVENT_FD_WRITE;
+  if (watched == NULL)
+    {
+      watched = talloc_zero (client, watched_socket_t);
+      watched->client = client;
+      watched->fd = fd;
+      watched->event = tevent_add_fd (worker_events (client->worker), watched,
+                                      fd, flags, client_handle_event, watched);
+      curl_multi_assign (client->multi, fd, watched);
+      return 0;
+    }
+  tevent_fd_set_flags (watched->event, flags);
+  return 0;
+}
+
+static void
+client_handle_timer (struct tevent_context *events, struct tevent_timer *timer,
+                     struct timeval now, void *data)
+{
+  http_client_t *client = data;
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  client->timer = NULL;
+  client_act (client, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int
+client_set_timer (CURLM *multi, long timeout_ms, void *data)
+{
+  http_client_t *client = data;
+
+  (void)multi;
+  TALLOC_FREE (client->timer);
+  if (timeout_ms < 0)
+    return 0;
+  client->timer = tevent_add_timer (
+      worker_events (client->worker), client,
+      tevent_timeval_current_ofs ((uint32_t)(timeout_ms / 1000),
+                                  (uint32_t)(timeout_ms % 1000) * 1000),
+      client_handle_timer, client);
+  return 0;
+}
+
+static int
+client_free (http_client_t *client)
+{
+  http_call_t *call;
+
+  while ((call = LIST_FIRST (&client->calls)) != NULL)
+    talloc_free (call);
+  curl_multi_cleanup (client->multi);
+  return 0;
+}
+
+/* Create a client on WORKER's loop, owned by PARENT, or return NULL.  */
+http_client_t *
+http_client_create (TALLOC_CTX *parent, worker_t *worker)
+{
+  http_client_t *client = talloc_zero (parent, http_client_t);
+
+  if (client == NULL)
+    return NULL;
+  client->worker = worker;
+  client->multi = curl_multi_init ();
+  LIST_INIT (&client->calls);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION,
+                     client_watch_socket);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, client_set_timer);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  talloc_set_destructor (client, client_free);
+  return client;
+}
+
+/* Free CLIENT; its calls end without on_done.  */
+void
+http_client_destroy (http_client_t *client)
+{
+  talloc_free (client);
+}
+
+/* Report the head of the answer once, before its first byte.  */
+static void
+call_note_head (http_call_t *call)
+{
+  long http_status = 0;
+  const char *content_type = NULL;
+
+  if (call->is_head_seen)
+    return;
+  call->is_head_seen = true;
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &http_status);
+  curl_easy_getinfo (call->easy, CURLINFO_CONTENT_TYPE, &content_type);
+  call->ops->on_head (call, (unsigned)http_status,
+                      content_type == NULL ? "" : content_type, call->data);
+}
+
+static size_t
+call_take_header (char *bytes, size_t size, size_t count, void *data)
+{
+  http_call_t *call = data;
+  long http_status = 0;
+  size_t length = size * count;
+
+  if (length <= 2 && (bytes[0] == '\r' || bytes[0] == '\n'))
+    {
+      curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &http_status);
+      if (http_status >= 200)
+        call_note_head (call);
+    }
+  return length;
+}
+
+static size_t
+call_take_data (char *bytes, size_t size, size_t count, void *data)
+{
+  http_call_t *call = data;
+
+  if (!call->ops->on_data (call, bytes, size * count, call->data))
+    {
+      call->is_paused = true;
+      return CURL_WRITEFUNC_PAUSE;
+    }
+  return size * count;
+}
+
+static int
+call_free (http_call_t *call)
+{
+  LIST_REMOVE (call, link);
+  if (call->easy != NULL)
+    {
+      curl_multi_remove_handle (call->client->multi, call->easy);
+      curl_easy_cleanup (call->easy);
+    }
+  curl_slist_free_all (call->headers);
+  return 0;
+}
+
+static void
+call_set_headers (http_call_t *call, const http_call_options_t *options)
+{
+  char *line;
+
+  call->headers = curl_slist_append (NULL, "Expect:");
+  if (options->content_type != NULL && options->content_type[0] != '\0')
+    {
+      line = talloc_asprintf (call, "Content-Type: %s", options->content_type);
+      call->headers = curl_slist_append (call->headers, line);
+    }
+  if (options->extra_header != NULL)
+    call->headers = curl_slist_append (call->headers, options->extra_header);
+  curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
+}
+
+static void
+call_set_body (http_call_t *call, const http_call_options_t *options)
+{
+  if (options->body_size == 0 && strcasecmp (options->method, "POST") != 0
+      && strcasecmp (options->method, "PUT") != 0)
+    return;
+  call->body = talloc_memdup (call, options->body, options->body_size);
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                    (curl_off_t)options->body_size);
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS,
+                    call->body == NULL ? "" : call->body);
+}
+
+/* Start a call.  The callbacks come from the loop, never within this
+   function.  Returns NULL with the status message set when the call cannot
+   start; nothing was sent then.  */
+http_call_t *
+http_call_start (http_client_t *client, const http_call_options_t *options,
+                 const http_call_ops_t *ops, void *data)
+{
+  http_call_t *call = talloc_zero (client, http_call_t);
+  CURL *easy;
+
+  if (call == NULL)
+    return NULL;
+  call->client = client;
+  call->ops = ops;
+  call->data = data;
+  LIST_INSERT_HEAD (&client->calls, call, link);
+  talloc_set_destructor (call, call_free);
+  easy = call->easy = curl_easy_init ();
+  curl_easy_setopt (easy, CURLOPT_URL, options->url);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  call_set_body (call, options);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, options->method);
+  if (strcasecmp (options->method, "HEAD") == 0)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+  call_set_headers (call, options);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, call->error);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
+                    (long)timespec_to_ms (options->timeout));
+  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, call_take_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, call_take_data);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  if (options->is_sent_once)
+    {
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+  if (curl_multi_add_handle (client->multi, easy) != CURLM_OK)
+    {
+      talloc_free (call);
+      status_set (STATUS_IO, "cannot start an HTTP call");
+      return NULL;
+    }
+  return call;
+}
+
+/* Break CALL off and free it; on_done does not run.  Not to be called from
+   within the call's own callbacks.  */
+void
+http_call_cancel (http_call_t *call)
+{
+  talloc_free (call);
+}
+
+/* Continue a call that on_data has paused.  */
+void
+http_call_continue (http_call_t *call)
+{
+  if (!call->is_paused)
+    return;
+  call->is_paused = false;
+  curl_easy_pause (call->easy, CURLPAUSE_CONT);
+}
--- /dev/null
+++ b/common/link.c
@@ -0,0 +1,535 @@
+#include "common/link.h"
+
+#include "kernel/counter.h"
+#include "kernel/log.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  LINK_READ_BYTES = 64 * 1024,
+  LINK_SHRINK_BYTES = 128 * 1024,
+  LINK_PENDING_MAX_BYTES = 32 * 1024 * 1024,
+  LINK_HELLO_TIMEOUT_MS = 3000,
+  LINK_PING_MS = 1000,
+  LINK_SILENCE_MS = 4000 /* without any frame: the peer is gone */
+};
+
+COUNTER_DEFINE (frames_sent, "siskin_frames_sent_total", "Frames sent");
+COUNTER_DEFINE (frames_received, "siskin_frames_received_total",
+                "Frames received");
+COUNTER_DEFINE (frame_bytes_sent, "siskin_frame_bytes_sent_total",
+                "Bytes of frames sent");
+COUNTER_DEFINE (bad_peers, "siskin_bad_peers_total",
+                "Connections ended for a frame outside the protocol");
+
+typedef struct outgoing
+{
+  STAILQ_ENTRY (outgoing) link;
+  char *data;
+  size_t size;
+  size_t written;
+} outgoing_t;
+
+struct link
+{
+  worker_t *worker;
+  node_t *node;
+  const link_ops_t *ops;
+  void *data;
+  int fd;
+  struct tevent_fd *event;
+  struct tevent_timer *timer;
+  struct tevent_immediate *closing;
+  bool is_connected; /* the TCP connection stands */
+  bool is_greeted;   /* the peer's hello has come */
+  bool is_closed;
+  const char *close_reason;
+  char *peer_name;
+  char *peer_zone;
+  node_role_t peer_role;
+  uint64_t peer_incarnation;
+  struct timespec last_received;
+  struct timespec last_sent;
+  uint64_t wanted_revision; /* newest revision asked for on this link */
+  char *input;
+  size_t input_used;
+  STAILQ_HEAD (, outgoing) output;
+  size_t output_bytes;
+};
+
+static void
+link_finish_close (struct tevent_context *events,
+                   struct tevent_immediate *immediate, void *data)
+{
+  link_t *link = data;
+
+  (void)events;
+  (void)immediate;
+  link->ops->on_closed (link, link->close_reason, link->data);
+  talloc_free (link);
+}
+
+/* End the connection.  The owner's on_closed runs from the event loop soon
+   afterwards, never within this call; REASON is kept by reference.  */
+void
+link_close (link_t *link, const char *reason)
+{
+  if (link->is_closed)
+    return;
+  link->is_closed = true;
+  link->close_reason = reason;
+  TALLOC_FREE (link->event);
+  TALLOC_FREE (link->timer);
+  if (link->fd >= 0)
+    close (link->fd);
+  link->fd = -1;
+  tevent_schedule_immediate (link->closing, worker_events (link->worker),
+                             link_finish_close, link);
+}
+
+static void
+link_flush (link_t *link)
+{
+  outgoing_t *first;
+
+  while ((first = STAILQ_FIRST (&link->output)) != NULL)
+    {
+      ssize_t written = send (link->fd, first->data + first->written,
+                              first->size - first->written, MSG_NOSIGNAL);
+
+      if (written < 0 && errno == EINTR)
+        continue;
+      if (written < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        break;
+      if (written < 0)
+        {
+          link_close (link, "write-failed");
+          return;
+        }
+      first->written += (size_t)written;
+      link->output_bytes -= (size_t)written;
+      if (first->written < first->size)
+        break;
+      STAILQ_REMOVE_HEAD (&link->output, link);
+      talloc_free (first);
+    }
+  if (STAILQ_EMPTY (&link->output))
+    TEVENT_FD_NOT_WRITEABLE (link->event);
+  else
+    TEVENT_FD_WRITEABLE (link->event);
+}
+
+/* Queue FRAME for the peer; the sender's part of the header is filled in
+   here.  Returns STATUS_UNAVAILABLE on a closed link, and STATUS_TOO_LARGE
+   for an oversized frame or a peer that does not read.  After an error the
+   frame was not sent; after STATUS_OK it may or may not arrive.  */
+status_t
+link_send (link_t *link, const frame_t *frame)
+{
+  frame_t stamped = *frame;
+  outgoing_t *out;
+
+  if (link->is_closed)
+    return status_set (STATUS_UNAVAILABLE, "link is closed");
+  if (link->output_bytes > LINK_PENDING_MAX_BYTES)
+    {
+      link_close (link, "peer-does-not-read");
+      return status_set (STATUS_TOO_LARGE, "peer does not read");
+    }
+  node_fill_header (link->node, &stamped.header);
+  out = talloc_zero (link, outgoing_t);
+  if (out == NULL)
+    return status_set (STATUS_NO_MEMORY, "no memory for a frame");
+  out->data = frame_encode (out, &stamped, &out->size);
+  if (out->data == NULL)
+    {
+      talloc_free (out);
+      return status_set (STATUS_TOO_LARGE, "frame is over %d bytes",
+                         FRAME_MAX_BYTES);
+    }
+  counter_add (&frames_sent, 1);
+  counter_add (&frame_bytes_sent, (int64_t)out->size);
+  STAILQ_INSERT_TAIL (&link->output, out, link);
+  link->output_bytes += out->size;
+  link->last_sent = clock_monotonic (worker_clock (link->worker));
+  if (link->is_connected)
+    link_flush (link);
+  return STATUS_OK;
+}
+
+static void
+link_send_settings (link_t *link)
+{
+  settings_t *settings = node_settings (link->node);
+  frame_t frame = { .header = { .type = FRAME_SETTINGS } };
+
+  if (settings == NULL)
+    return;
+  frame.body.settings.revision = settings->revision;
+  frame.body.settings.document
+      = (blob_t){ settings->document, settings->document_size };
+  link_send (link, &frame);
+  settings_release (settings);
+}
+
+static void
+link_note_revision (link_t *link, const frame_header_t *header)
+{
+  settings_t *settings = node_settings (link->node);
+  uint64_t revision = settings == NULL ? 0 : settings->revision;
+  frame_t want = { .header = { .type = FRAME_SETTINGS_WANT } };
+
+  if (settings != NULL)
+    settings_release (settings);
+  if (header->settings_revision == revision)
+    node_confirm (link->node, revision, header->confirmed_age_ms);
+  if (header->settings_revision <= revision
+      || header->settings_revision <= link->wanted_revision)
+    return;
+  link->wanted_revision = header->settings_revision;
+  link_send (link, &want);
+}
+
+static void
+link_adopt_settings (link_t *link, const frame_t *frame)
+{
+  const frame_settings_t *body = &frame->body.settings;
+
+  if (node_adopt (link->node, body->document.data, body->document.size)
+      != STATUS_OK)
+    {
+      log_event (LOG_LEVEL_WARN, "settings-refused", "peer=%s error=\"%s\"",
+                 link_peer_name (link), status_message ());
+      return;
+    }
+  link_note_revision (link, &frame->header);
+}
+
+static void
+link_greet (link_t *link, const frame_t *frame)
+{
+  const frame_hello_t *hello = &frame->body.hello;
+
+  if (hello->version != FRAME_PROTOCOL_VERSION
+      || hello->role >= NODE_ROLE_COUNT)
+    {
+      counter_add (&bad_peers, 1);
+      link_close (link, "bad-hello");
+      return;
+    }
+  link->is_greeted = true;
+  link->peer_name = talloc_strdup (link, hello->name);
+  link->peer_zone = talloc_strdup (link, hello->zone);
+  link->peer_role = (node_role_t)hello->role;
+  link->peer_incarnation = frame->header.incarnation;
+  link->ops->on_open (link, hello, link->data);
+}
+
+static void
+link_dispatch (link_t *link, const frame_t *frame)
+{
+  if (!link->is_greeted && frame->header.type != FRAME_HELLO)
+    {
+      counter_add (&bad_peers, 1);
+      link_close (link, "no-hello");
+      return;
+    }
+  switch (frame->header.type)
+    {
+    case FRAME_HELLO:
+      link_greet (link, frame);
+      break;
+    case FRAME_PING:
+      break;
+    case FRAME_SETTINGS_WANT:
+      link_send_settings (link);
+      break;
+    case FRAME_SETTINGS:
+      link_adopt_settings (link, frame);
+      break;
+    default:
+      link->ops->on_frame (link, frame, link->data);
+      break;
+    }
+  if (!link->is_closed)
+    link_note_revision (link, &frame->header);
+}
+
+static bool
+link_handle_payload (link_t *link, const char *payload, size_t size)
+{
+  TALLOC_CTX *scratch = talloc_new (link);
+  frame_t frame;
+  status_t status = frame_decode (scratch, payload, size, &frame);
+
+  if (status != STATUS_OK)
+    {
+      counter_add (&bad_peers, 1);
+      log_event (LOG_LEVEL_WARN, "bad-peer", "peer=%s error=\"%s\"",
+                 link_peer_name (link), status_message ());
+      link_close (link, "bad-frame");
+    }
+  else
+    {
+      counter_add (&frames_received, 1);
+      link_dispatch (link, &frame);
+    }
+  talloc_free (scratch);
+  return !link->is_closed;
+}
+
+/* Take complete frames off the input.  Returns false once the link is
+   closed.  */
+static bool
+link_parse_input (link_t *link)
+{
+  size_t taken = 0;
+
+  while (link->input_used - taken >= FRAME_PREFIX_BYTES)
+    {
+      uint32_t prefix;
+      size_t size;
+
+      memcpy (&prefix, link->input + taken, FRAME_PREFIX_BYTES);
+      size = ntohl (prefix);
+      if (size > FRAME_MAX_BYTES)
+        {
+          counter_add (&bad_peers, 1);
+          link_close (link, "oversized-frame");
+          return false;
+        }
+      if (link->input_used - taken < FRAME_PREFIX_BYTES + size)
+        break;
+      if (!link_handle_payload (link, link->input + taken + FRAME_PREFIX_BYTES,
+                                size))
+        return false;
+      taken += FRAME_PREFIX_BYTES + size;
+    }
+  if (taken > 0)
+    {
+      memmove (link->input, link->input + taken, link->input_used - taken);
+      link->input_used -= taken;
+    }
+  return true;
+}
+
+static void
+link_read (link_t *link)
+{
+  ssize_t got;
+
+  if (talloc_get_size (link->input) < link->input_used + LINK_READ_BYTES)
+    {
+      size_t wanted = link->input_used * 2 + LINK_READ_BYTES;
+      char *larger = talloc_realloc (link, link->input, char, wanted);
+
+      if (larger == NULL)
+        {
+          link_close (link, "no-memory");
+          return;
+        }
+      link->input = larger;
+    }
+  got = recv (link->fd, link->input + link->input_used, LINK_READ_BYTES, 0);
+  if (got < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (got <= 0)
+    {
+      link_close (link, got == 0 ? "peer-closed" : "read-failed");
+      return;
+    }
+  link->last_received = clock_monotonic (worker_clock (link->worker));
+  link->input_used += (size_t)got;
+  if (link_parse_input (link) && link->input_used == 0
+      && talloc_get_size (link->input) > LINK_SHRINK_BYTES)
+    TALLOC_FREE (link->input);
+}
+
+static bool
+link_finish_connect (link_t *link)
+{
+  int error = 0;
+  socklen_t length = sizeof error;
+
+  if (getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &error, &length) != 0
+      || error != 0)
+    {
+      link_close (link, "connect-failed");
+      return false;
+    }
+  link->is_connected = true;
+  link->last_received = clock_monotonic (worker_clock (link->worker));
+  return true;
+}
+
+static void
+link_handle_event (struct tevent_context *events, struct tevent_fd *event,
+                   uint16_t flags, void *data)
+{
+  link_t *link = data;
+
+  (void)events;
+  (void)event;
+  if (!link->is_connected && !link_finish_connect (link))
+    return;
+  if ((flags & TEVENT_FD_WRITE) != 0)
+    link_flush (link);
+  if (!link->is_closed && (flags & TEVENT_FD_READ) != 0)
+    link_read (link);
+}
+
+static void link_arm_timer (link_t *link);
+
+static void
+link_handle_timer (struct tevent_context *events, struct tevent_timer *timer,
+                   struct timeval now, void *data)
+{
+  link_t *link = data;
+  struct timespec current = clock_monotonic (worker_clock (link->worker));
+  frame_t ping = { .header = { .type = FRAME_PING } };
+  int64_t silence;
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  link->timer = NULL;
+  silence = timespec_to_ms (timespec_subtract (current, link->last_received));
+  if (silence >= (link->is_greeted ? LINK_SILENCE_MS : LINK_HELLO_TIMEOUT_MS))
+    {
+      link_close (link, "peer-silent");
+      return;
+    }
+  if (timespec_to_ms (timespec_subtract (current, link->last_sent))
+      >= LINK_PING_MS)
+    link_send (link, &ping);
+  if (!link->is_closed)
+    link_arm_timer (link);
+}
+
+static void
+link_arm_timer (link_t *link)
+{
+  link->timer
+      = tevent_add_timer (worker_events (link->worker), link,
+                          tevent_timeval_current_ofs (0, LINK_PING_MS * 1000),
+                          link_handle_timer, link);
+}
+
+static int
+link_free (link_t *link)
+{
+  if (link->fd >= 0)
+    close (link->fd);
+  return 0;
+}
+
+static link_t *
+link_create (worker_t *worker, node_t *node, int fd, const link_ops_t *ops,
+             void *data)
+{
+  link_t *link = talloc_zero (worker_events (worker), link_t);
+  frame_t hello;
+
+  if (link == NULL)
+    return NULL;
+  link->worker = worker;
+  link->node = node;
+  link->ops = ops;
+  link->data = data;
+  link->fd = fd;
+  STAILQ_INIT (&link->output);
+  link->last_received = clock_monotonic (worker_clock (worker));
+  link->closing = tevent_create_immediate (link);
+  link->event = tevent_add_fd (worker_events (worker), link, fd,
+                               TEVENT_FD_READ | TEVENT_FD_WRITE,
+                               link_handle_event, link);
+  talloc_set_destructor (link, link_free);
+  link_arm_timer (link);
+  node_hello (node, &hello);
+  link_send (link, &hello);
+  return link;
+}
+
+/* Take over FD, a connection that a peer opened.  To be called on WORKER's
+   thread, like all functions of a link.  Returns NULL when memory is
+   exhausted; FD is then still the caller's.  */
+link_t *
+link_accept (worker_t *worker, node_t *node, int fd, const link_ops_t *ops,
+             void *data)
+{
+  net_tune (fd);
+  return link_create (worker, node, fd, ops, data);
+}
+
+/* Connect to ADDRESS.  Frames sent before the connection stands are queued.
+   Returns NULL with the status message set when it cannot even start; later
+   failures end in on_closed.  */
+link_t *
+link_connect (worker_t *worker, node_t *node, const net_address_t *address,
+              const link_ops_t *ops, void *data)
+{
+  int fd;
+  link_t *link;
+
+  if (net_connect (address, &fd) != STATUS_OK)
+    return NULL;
+  link = link_create (worker, node, fd, ops, data);
+  if (link == NULL)
+    close (fd);
+  return link;
+}
+
+/* Return whether the peer has greeted and the link stands.  */
+bool
+link_is_open (const link_t *link)
+{
+  return link->is_greeted && !link->is_closed;
+}
+
+/* Return the peer's name, or "?" before it has greeted.  */
+const char *
+link_peer_name (const link_t *link)
+{
+  return link->peer_name == NULL ? "?" : link->peer_name;
+}
+
+/* Return the peer's availability zone, or "?" before it has greeted.  */
+const char *
+link_peer_zone (const link_t *link)
+{
+  return link->peer_zone == NULL ? "?" : link->peer_zone;
+}
+
+/* Return the peer's incarnation, 0 before it has greeted.  */
+uint64_t
+link_peer_incarnation (const link_t *link)
+{
+  return link->peer_incarnation;
+}
+
+/* Return the peer's role; meaningful once the link is open.  */
+node_role_t
+link_peer_role (const link_t *link)
+{
+  return link->peer_role;
+}
+
+/* Return the worker that owns LINK.  */
+worker_t *
+link_worker (const link_t *link)
+{
+  return link->worker;
+}
+
+/* Return how many bytes wait to be written.  */
+size_t
+link_pending_bytes (const link_t *link)
+{
+  return link->output_bytes;
+}
--- /dev/null
+++ b/common/node.c
@@ -0,0 +1,231 @@
+#include "common/node.h"
+
+#include "kernel/counter.h"
+#include "kernel/invariant.h"
+#include "kernel/lock.h"
+#include "kernel/log.h"
+
+#include <string.h>
+#include <sys/random.h>
+
+/* Reported while no revision has been confirmed at all.  */
+#define AGE_UNCONFIRMED_MS ((uint64_t)INT32_MAX)
+
+GAUGE_DEFINE (settings_revision, "siskin_settings_revision",
+              "Revision of the settings in force");
+COUNTER_DEFINE (settings_adopted, "siskin_settings_adopted_total",
+                "Settings revisions put in force");
+
+struct node
+{
+  node_role_t role;
+  char *name;
+  char *zone;
+  uint64_t incarnation;
+  const clock_source_t *clock;
+  lock_t *lock;
+  settings_t *settings; /* NULL until the first revision is known */
+  bool is_confirmed;
+  struct timespec confirmed_at;
+};
+
+static int
+node_free (node_t *node)
+{
+  if (node->settings != NULL)
+    settings_release (node->settings);
+  return 0;
+}
+
+/* Create the identity of this process.  The incarnation is drawn at random,
+   so that no two runs share one.  */
+node_t *
+node_create (TALLOC_CTX *parent, node_role_t role, const char *name,
+             const char *zone, const clock_source_t *clock)
+{
+  node_t *node = talloc_zero (parent, node_t);
+
+  if (node == NULL)
+    return NULL;
+  node->role = role;
+  node->name = talloc_strdup (node, name);
+  node->zone = talloc_strdup (node, zone);
+  node->clock = clock;
+  node->lock = lock_create (node, LOCK_SETTINGS, "settings");
+  if (getrandom (&node->incarnation, sizeof node->incarnation, 0)
+          != sizeof node->incarnation
+      || node->incarnation == 0)
+    node->incarnation = (uint64_t)timespec_to_us (clock_realtime (clock));
+  talloc_set_destructor (node, node_free);
+  return node;
+}
+
+/* Free NODE and drop its settings.  */
+void
+node_destroy (node_t *node)
+{
+  talloc_free (node);
+}
+
+/* Return what this process is.  */
+node_role_t
+node_role (const node_t *node)
+{
+  return node->role;
+}
+
+/* Return the process's name in the inventory.  */
+const char *
+node_name (const node_t *node)
+{
+  return node->name;
+}
+
+/* Return the availability zone the process runs in.  */
+const char *
+node_zone (const node_t *node)
+{
+  return node->zone;
+}
+
+/* Return the number that tells this run from all others.  */
+uint64_t
+node_incarnation (const node_t *node)
+{
+  return node->incarnation;
+}
+
+/* Return the clock given to node_create.  */
+const clock_source_t *
+node_clock (const node_t *node)
+{
+  return node->clock;
+}
+
+/* Return the settings in force with a reference that the caller gives back
+   with settings_release, or NULL when none are known yet.  */
+settings_t *
+node_settings (node_t *node)
+{
+  settings_t *settings;
+
+  lock_acquire (node->lock);
+  settings = node->settings;
+  if (settings != NULL)
+    settings_retain (settings);
+  lock_release (node->lock);
+  return settings;
+}
+
+/* Put the settings in DOCUMENT in force when their revision is higher than
+   the present one; an older or equal document changes nothing and is no
+   error.  Returns STATUS_INVALID when the document cannot be read.  */
+status_t
+node_adopt (node_t *node, const char *document, size_t size)
+{
+  settings_t *settings;
+  settings_t *previous = NULL;
+  uint64_t old_revision = 0;
+  status_t status = settings_from_document (document, size, &settings);
+
+  if (status != STATUS_OK)
+    return status;
+  lock_acquire (node->lock);
+  if (node->settings != NULL)
+    old_revision = node->settings->revision;
+  if (settings->revision > old_revision)
+    {
+      previous = node->settings;
+      node->settings = settings;
+      node->is_confirmed = false;
+    }
+  else
+    previous = settings;
+  INVARIANT (node->settings != NULL
+                 && node->settings->revision >= old_revision,
+             "settings-monotonic");
+  lock_release (node->lock);
+  if (previous != settings)
+    {
+      counter_set (&settings_revision, (int64_t)settings->revision);
+      counter_add (&settings_adopted, 1);
+      log_event (LOG_LEVEL_INFO, "settings-adopted",
+                 "revision=%llu previous=%llu",
+                 (unsigned long long)settings->revision,
+                 (unsigned long long)old_revision);
+    }
+  if (previous != NULL)
+    settings_release (previous);
+  return STATUS_OK;
+}
+
+/* Note that AGE_MS ago somebody saw in the store that REVISION is the newest.
+   Ignored unless REVISION is the one in force here.  */
+void
+node_confirm (node_t *node, uint64_t revision, uint64_t age_ms)
+{
+  struct timespec seen;
+
+  if (age_ms >= AGE_UNCONFIRMED_MS)
+    return;
+  seen = timespec_subtract (clock_monotonic (node->clock),
+                            timespec_from_ms ((int64_t)age_ms));
+  lock_acquire (node->lock);
+  if (node->settings != NULL && node->settings->revision == revision
+      && (!node->is_confirmed
+          || timespec_compare (seen, node->confirmed_at) > 0))
+    {
+      node->is_confirmed = true;
+      node->confirmed_at = seen;
+    }
+  lock_release (node->lock);
+}
+
+static uint64_t
+node_age_locked (const node_t *node)
+{
+  int64_t age;
+
+  if (!node->is_confirmed)
+    return AGE_UNCONFIRMED_MS;
+  age = timespec_to_ms (
+      timespec_subtract (clock_monotonic (node->clock), node->confirmed_at));
+  return age < 0 ? 0 : (uint64_t)age;
+}
+
+/* Return the milliseconds since the settings in force were last known to be
+   the newest in the store.  */
+uint64_t
+node_confirmed_age_ms (node_t *node)
+{
+  uint64_t age;
+
+  lock_acquire (node->lock);
+  age = node_age_locked (node);
+  lock_release (node->lock);
+  return age;
+}
+
+/* Set the members of HEADER that every frame carries.  */
+void
+node_fill_header (node_t *node, frame_header_t *header)
+{
+  lock_acquire (node->lock);
+  header->incarnation = node->incarnation;
+  header->settings_revision
+      = node->settings == NULL ? 0 : node->settings->revision;
+  header->confirmed_age_ms = node_age_locked (node);
+  lock_release (node->lock);
+}
+
+/* Make FRAME the greeting that opens every connection.  */
+void
+node_hello (const node_t *node, frame_t *frame)
+{
+  memset (frame, 0, sizeof *frame);
+  frame->header.type = FRAME_HELLO;
+  frame->body.hello.version = FRAME_PROTOCOL_VERSION;
+  frame->body.hello.role = node->role;
+  frame->body.hello.name = node->name;
+  frame->body.hello.zone = node->zone;
+}
--- /dev/null
+++ b/common/settings_source.c
@@ -0,0 +1,100 @@
+#include "common/settings_source.h"
+
+#include "kernel/log.h"
+
+#include <string.h>
+
+enum
+{
+  POLL_INTERVAL_MS = 1000
+};
+
+struct settings_source
+{
+  worker_t *worker;
+  node_t *node;
+  const store_ops_t *store_ops;
+  store_t *store;
+  bool is_reading;
+  struct tevent_timer *timer;
+};
+
+static void source_arm (settings_source_t *source, int64_t delay_ms);
+
+static void
+source_handle_read (status_t status, const store_result_t *result, void *data)
+{
+  settings_source_t *source = data;
+  const store_entry_t *entry;
+  settings_t *settings;
+
+  source->is_reading = false;
+  entry = status == STATUS_OK ? store_result_entry (result, 0) : NULL;
+  if (entry != NULL)
+    {
+      if (node_adopt (source->node, entry->value, strlen (entry->value))
+          != STATUS_OK)
+        log_event (LOG_LEVEL_ERROR, "settings-refused", "error=\"%s\"",
+                   status_message ());
+      settings = node_settings (source->node);
+      if (settings != NULL)
+        {
+          node_confirm (source->node, settings->revision, 0);
+          settings_release (settings);
+        }
+    }
+  source_arm (source, POLL_INTERVAL_MS);
+}
+
+static void
+source_handle_timer (struct tevent_context *events, struct tevent_timer *timer,
+                     struct timeval now, void *data)
+{
+  settings_source_t *source = data;
+  store_txn_t *txn = store_txn_create (source);
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  source->timer = NULL;
+  store_txn_then (txn, STORE_GET, STORE_KEY_SETTINGS, NULL);
+  if (source->store_ops->transact (source->store, txn, source_handle_read,
+                                   source)
+      != STATUS_OK)
+    source_arm (source, POLL_INTERVAL_MS);
+  store_txn_destroy (txn);
+}
+
+static void
+source_arm (settings_source_t *source, int64_t delay_ms)
+{
+  source->timer = tevent_add_timer (
+      worker_events (source->worker), source,
+      tevent_timeval_current_ofs (0, (uint32_t)(delay_ms * 1000)),
+      source_handle_timer, source);
+}
+
+/* Start keeping NODE's settings up to date on WORKER's loop.  */
+settings_source_t *
+settings_source_create (worker_t *worker, node_t *node,
+                        const store_ops_t *store_ops, store_t *store)
+{
+  settings_source_t *source
+      = talloc_zero (worker_events (worker), settings_source_t);
+
+  if (source == NULL)
+    return NULL;
+  source->worker = worker;
+  source->node = node;
+  source->store_ops = store_ops;
+  source->store = store;
+  source_arm (source, 0);
+  return source;
+}
+
+/* Stop and free SOURCE.  */
+void
+settings_source_destroy (settings_source_t *source)
+{
+  talloc_free (source);
+}
--- /dev/null
+++ b/ctl/commands/check.c
@@ -0,0 +1,29 @@
+#include "common/file.h"
+#include "ctl/command.h"
+#include "ctl/rules.h"
+#include "kernel/plugin.h"
+
+#include <stdio.h>
+
+static int
+check_run (ctl_t *ctl, int argc, char **argv)
+{
+  settings_parts_t *parts;
+
+  if (argc != 3)
+    return CTL_USAGE;
+  parts = settings_parts_create (ctl->memory);
+  if (!rules_load (ctl, argv[1], argv[2], parts))
+    return CTL_FAULTS;
+  printf ("%s and %s are good\n", argv[1], argv[2]);
+  return CTL_OK;
+}
+
+static const command_ops_t check_ops = {
+  .usage = "RULES.toml INVENTORY.csv",
+  .run = check_run,
+};
+
+PLUGIN_REGISTER (check, PLUGIN_COMMAND, "check",
+                 "check rules and inventory without applying them",
+                 &check_ops);
--- /dev/null
+++ b/entry/entry.c
@@ -0,0 +1,173 @@
+#include "entry/entry.h"
+
+#include "common/settings_source.h"
+#include "entry/program.h"
+#include "kernel/log.h"
+#include "kernel/plugin.h"
+
+enum
+{
+  TICK_MS = 100,
+  STOP_POLL_MS = 50
+};
+
+/* Put newly learned settings in force at the router.  */
+static void
+entry_apply_settings (entry_t *entry, const settings_t *settings)
+{
+  if (settings->revision == entry->configured_revision)
+    return;
+  if (router_configure (entry->router, settings) != STATUS_OK)
+    log_event (LOG_LEVEL_ERROR, "router-not-configured", "error=\"%s\"",
+               status_message ());
+  entry->configured_revision = settings->revision;
+}
+
+static void entry_arm_tick (entry_worker_t *share);
+
+static void
+entry_tick (struct tevent_context *events, struct tevent_timer *timer,
+            struct timeval now, void *data)
+{
+  entry_worker_t *share = data;
+  settings_t *settings = node_settings (share->entry->node);
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  if (settings != NULL)
+    {
+      if (worker_index (share->worker) == 0)
+        entry_apply_settings (share->entry, settings);
+      if (share->linked_revision != settings->revision)
+        {
+          agent_link_refresh (share);
+          share->linked_revision = settings->revision;
+        }
+      settings_release (settings);
+    }
+  entry_arm_tick (share);
+}
+
+static void
+entry_arm_tick (entry_worker_t *share)
+{
+  share->timer = tevent_add_timer (
+      worker_events (share->worker), worker_events (share->worker),
+      tevent_timeval_current_ofs (0, TICK_MS * 1000), entry_tick, share);
+}
+
+static status_t
+entry_set_up (entry_t *entry)
+{
+  const config_t *config = daemon_config (entry->daemon);
+  store_options_t store_options = { .urls = config_store_urls (config),
+                                    .timeout = config->store_timeout };
+  uint16_t port = 0;
+
+  entry->store_ops = plugin_ops (PLUGIN_STORE, "etcd");
+  entry->frontend_ops = plugin_ops (PLUGIN_FRONTEND, "http");
+  if (entry->store_ops == NULL || entry->frontend_ops == NULL)
+    return STATUS_NOT_FOUND;
+  for (unsigned i = 0; i < entry->worker_count; i++)
+    {
+      entry_worker_t *share = &entry->workers[i];
+
+      share->entry = entry;
+      share->worker = pool_worker (daemon_pool (entry->daemon), i);
+      LIST_INIT (&share->links);
+      share->frontend
+          = entry->frontend_ops->create (share, config->listen, &port);
+      if (share->frontend == NULL)
+        return STATUS_IO;
+      entry_arm_tick (share);
+    }
+  log_event (LOG_LEVEL_INFO, "http-listening", "port=%u", port);
+  entry->workers[0].store
+      = entry->store_ops->create (entry->workers[0].worker, &store_options);
+  if (entry->workers[0].store == NULL)
+    return STATUS_INVALID;
+  settings_source_create (entry->workers[0].worker, entry->node,
+                          entry->store_ops, entry->workers[0].store);
+  return STATUS_OK;
+}
+
+static status_t
+entry_start (daemon_t *daemon, void **state)
+{
+  entry_t *entry = talloc_zero (NULL, entry_t);
+
+  if (entry == NULL)
+    return STATUS_NO_MEMORY;
+  *state = entry;
+  entry->daemon = daemon;
+  entry->node = daemon_node (daemon);
+  entry->worker_count = pool_worker_count (daemon_pool (daemon));
+  entry->workers
+      = talloc_zero_array (entry, entry_worker_t, entry->worker_count);
+  entry->calls = table_create (entry, LOCK_REQUESTS, "calls");
+  entry->router = router_create (
+      entry, node_zone (entry->node), node_clock (entry->node),
+      node_incarnation (entry->node), entry->worker_count);
+  return entry_set_up (entry);
+}
+
+static void
+entry_check_stopped (struct tevent_context *events, struct tevent_timer *timer,
+                     struct timeval now, void *data)
+{
+  entry_t *entry = data;
+  unsigned open = atomic_load (&entry->open_calls);
+
+  (void)timer;
+  (void)now;
+  for (unsigned i = 0; i < entry->worker_count; i++)
+    open += entry->frontend_ops->open_count (entry->workers[i].frontend);
+  if (open == 0)
+    {
+      daemon_finish (entry->daemon);
+      return;
+    }
+  tevent_add_timer (events, events,
+                    tevent_timeval_current_ofs (0, STOP_POLL_MS * 1000),
+                    entry_check_stopped, entry);
+}
+
+/* Planned stop: take no new connections and finish the open requests.  */
+static void
+entry_stop (void *state)
+{
+  entry_t *entry = state;
+  struct tevent_context *events = worker_events (entry->workers[0].worker);
+
+  for (unsigned i = 0; i < entry->worker_count; i++)
+    entry->frontend_ops->stop_listening (entry->workers[i].frontend);
+  tevent_add_timer (events, events,
+                    tevent_timeval_current_ofs (0, STOP_POLL_MS * 1000),
+                    entry_check_stopped, entry);
+}
+
+static void
+entry_destroy (void *state)
+{
+  entry_t *entry = state;
+
+  for (unsigned i = 0; i < entry->worker_count; i++)
+    {
+      if (entry->workers[i].frontend != NULL)
+        entry->frontend_ops->destroy (entry->workers[i].frontend);
+      if (entry->workers[i].worker != NULL)
+        agent_link_close_all (&entry->workers[i]);
+    }
+  talloc_free (entry);
+}
+
+/* The entry as a program.  */
+const daemon_program_t entry_program = {
+  .name = "siskin-entry",
+  .summary = "Takes callers' requests over HTTP and chooses upstreams",
+  .role = NODE_ENTRY,
+  .start = entry_start,
+  .stop = entry_stop,
+  .destroy = entry_destroy,
+};
--- /dev/null
+++ b/include/agent/agent.h
@@ -0,0 +1,61 @@
+#ifndef SISKIN_AGENT_AGENT_H
+#define SISKIN_AGENT_AGENT_H
+
+#include "agent/gate.h"
+#include "common/daemon.h"
+#include "common/link.h"
+#include "kernel/table.h"
+#include "plugins/journal.h"
+#include "plugins/store.h"
+#include "plugins/upstream.h"
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <sys/queue.h>
+
+typedef struct agent agent_t;
+
+/* A connection from an entry; owned by one worker.  */
+typedef struct agent_peer
+{
+  LIST_ENTRY (agent_peer) peer_link;
+  agent_t *agent;
+  link_t *link;
+} agent_peer_t;
+
+/* One worker's share of the agent.  */
+typedef struct agent_worker
+{
+  agent_t *agent;
+  worker_t *worker;
+  upstream_transport_t *transport;
+  store_t *store;
+  const journal_ops_t *journal_ops;
+  journal_t *journal;
+  struct tevent_timer *timer;
+  LIST_HEAD (, agent_peer) peers;
+} agent_worker_t;
+
+struct agent
+{
+  daemon_t *daemon;
+  node_t *node;
+  gate_t *gate;
+  const upstream_ops_t *upstream_ops;
+  const store_ops_t *store_ops;
+  unsigned worker_count;
+  agent_worker_t *workers;
+  table_t *jobs;                /* job_t by request id */
+  atomic_uint open_jobs;        /* not ended yet */
+  uint64_t configured_revision; /* worker 0 only */
+  int listen_fd;
+  struct tevent_fd *listen_event;
+  uint64_t next_worker; /* worker 0 only */
+  bool is_stopping;     /* worker 0 only */
+};
+
+agent_worker_t *agent_worker_of (agent_t *agent, const worker_t *worker);
+void agent_announce_load (agent_worker_t *share);
+void agent_start_ready (agent_t *agent);
+
+#endif
--- /dev/null
+++ b/include/common/config.h
@@ -0,0 +1,32 @@
+#ifndef SISKIN_COMMON_CONFIG_H
+#define SISKIN_COMMON_CONFIG_H
+
+#include "common/schema.h"
+#include "kernel/findings.h"
+
+#include <stdint.h>
+#include <talloc.h>
+
+/* What one process learns from its own file: who and where it is.  The
+   settings of the whole system are in the store.  */
+typedef struct config
+{
+  const char *name;
+  const char *zone;
+  const char *listen;   /* frames from peers (agent) or HTTP (entry) */
+  const char *admin;    /* counters and health, by HTTP */
+  const char *upstream; /* agent only: URL of the upstream beside it */
+  int64_t workers;
+  schema_strings_t store; /* URLs */
+  schema_strings_t peers; /* ADDRESS:PORT of other processes */
+  struct timespec store_timeout;
+  struct timespec stop_timeout; /* a planned stop waits this long */
+} config_t;
+
+config_t *config_create (TALLOC_CTX *parent);
+void config_destroy (config_t *config);
+config_t *config_load (TALLOC_CTX *parent, const char *file,
+                       findings_t *findings);
+const char *const *config_store_urls (const config_t *config);
+
+#endif
--- /dev/null
+++ b/include/common/frame.h
@@ -0,0 +1,172 @@
+#ifndef SISKIN_COMMON_FRAME_H
+#define SISKIN_COMMON_FRAME_H
+
+#include "common/outcome.h"
+#include "kernel/status.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <talloc.h>
+
+enum
+{
+  FRAME_PROTOCOL_VERSION = 1,
+  FRAME_PREFIX_BYTES = 4,
+  FRAME_MAX_BYTES = 4 * 1024 * 1024,
+  FRAME_CHUNK_BYTES = 64 * 1024
+};
+
+/* Bytes that belong to someone else.  */
+typedef struct blob
+{
+  const char *data;
+  size_t size;
+} blob_t;
+
+typedef enum frame_type
+{
+  FRAME_HELLO = 1,
+  FRAME_PING,
+  FRAME_SUBMIT,
+  FRAME_HEAD,
+  FRAME_CHUNK,
+  FRAME_ACK,
+  FRAME_END,
+  FRAME_REFUSE,
+  FRAME_CANCEL,
+  FRAME_RESUME,
+  FRAME_LOAD,
+  FRAME_SETTINGS_WANT,
+  FRAME_SETTINGS,
+  FRAME_MAP_ORDER,
+  FRAME_MAP_REPLY,
+  FRAME_TYPE_COUNT
+} frame_type_t;
+
+/* On every frame: who sent it, and the newest settings the sender knows.  */
+typedef struct frame_header
+{
+  frame_type_t type;
+  uint64_t incarnation;
+  uint64_t settings_revision;
+  uint64_t confirmed_age_ms; /* since the revision was seen in the store */
+  request_id_t request;      /* zero when the frame concerns none */
+} frame_header_t;
+
+typedef struct frame_hello
+{
+  uint64_t version;
+  uint64_t role; /* node_role_t */
+  const char *name;
+  const char *zone;
+} frame_hello_t;
+
+typedef struct frame_submit
+{
+  const char *account;
+  const char *service;
+  const char *method;
+  const char *path;
+  const char *content_type;
+  const char *key;      /* idempotency key, or "" */
+  uint64_t deadline_ms; /* from receipt */
+  uint64_t prompt_tokens;
+  uint64_t output_tokens;
+  bool is_repeatable;
+  blob_t body;
+} frame_submit_t;
+
+typedef struct frame_head
+{
+  uint64_t http_status;
+  const char *content_type;
+} frame_head_t;
+
+typedef struct frame_chunk
+{
+  uint64_t offset;
+  blob_t data;
+} frame_chunk_t;
+
+/* Offset up to which the receiver has passed the answer on (ACK), or from
+   which it wants it again (RESUME).  */
+typedef struct frame_offset
+{
+  uint64_t offset;
+  bool is_final;   /* ACK: the end was received too */
+  uint64_t age_ms; /* RESUME: since the entry sent the SUBMIT */
+} frame_offset_t;
+
+typedef struct frame_end
+{
+  uint64_t outcome; /* outcome_t */
+  uint64_t length;  /* of the whole answer, in bytes */
+  bool is_complete; /* false: the answer broke off */
+  const char *detail;
+} frame_end_t;
+
+typedef struct frame_refuse
+{
+  uint64_t refusal; /* refusal_t */
+  uint64_t outcome; /* outcome_t */
+  uint64_t retry_after_ms;
+  const char *detail;
+} frame_refuse_t;
+
+typedef struct frame_load
+{
+  uint64_t outstanding_requests;
+  uint64_t outstanding_tokens;
+  uint64_t limit_requests;
+  uint64_t limit_tokens;
+  uint64_t queued_requests;
+  bool is_cold;
+  bool is_leaving;
+} frame_load_t;
+
+typedef struct frame_settings
+{
+  uint64_t revision;
+  blob_t document;
+} frame_settings_t;
+
+/* Orders and replies of the expert-map switch; see docs/DESIGN.md.  */
+typedef struct frame_map
+{
+  uint64_t kind; /* map_message_kind_t */
+  const char *group;
+  uint64_t rank;
+  uint64_t rank_incarnation;
+  uint64_t epoch;
+  uint64_t version;
+  uint64_t step;
+  uint64_t state;
+  blob_t map;
+} frame_map_t;
+
+typedef struct frame
+{
+  frame_header_t header;
+  union
+  {
+    frame_hello_t hello;
+    frame_submit_t submit;
+    frame_head_t head;
+    frame_chunk_t chunk;
+    frame_offset_t offset;
+    frame_end_t end;
+    frame_refuse_t refuse;
+    frame_load_t load;
+    frame_settings_t settings;
+    frame_map_t map;
+  } body;
+} frame_t;
+
+char *frame_encode (TALLOC_CTX *parent, const frame_t *frame,
+                    size_t *encoded_size);
+status_t frame_decode (TALLOC_CTX *parent, const char *payload, size_t size,
+                       frame_t *frame);
+const char *frame_type_name (frame_type_t type);
+
+#endif
--- /dev/null
+++ b/include/common/http_server.h
@@ -0,0 +1,61 @@
+#ifndef SISKIN_COMMON_HTTP_SERVER_H
+#define SISKIN_COMMON_HTTP_SERVER_H
+
+#include "common/net.h"
+#include "kernel/pool.h"
+#include "kernel/status.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* An HTTP server on one worker's loop.  Several workers may serve the same
+   port, each with a server of its own.  */
+typedef struct http_server http_server_t;
+
+/* One request and its answer, from on_request until on_finished.  */
+typedef struct http_exchange http_exchange_t;
+
+typedef struct http_server_ops
+{
+  /* A whole request has come.  Answer now or later with http_reply_*.  */
+  void (*on_request) (http_exchange_t *exchange, void *data);
+  /* The caller went away before the answer's end.  No reply calls after
+     this; on_finished follows.  */
+  void (*on_gone) (http_exchange_t *exchange, void *data);
+  /* The caller took data; http_reply_pending has fallen.  May be NULL.  */
+  void (*on_drained) (http_exchange_t *exchange, void *data);
+  /* The exchange is freed after this call.  */
+  void (*on_finished) (http_exchange_t *exchange, void *data);
+} http_server_ops_t;
+
+http_server_t *http_server_create (worker_t *worker,
+                                   const net_address_t *address,
+                                   size_t body_limit,
+                                   const http_server_ops_t *ops, void *data);
+void http_server_destroy (http_server_t *server);
+void http_server_stop_listening (http_server_t *server);
+uint16_t http_server_port (const http_server_t *server);
+unsigned http_server_open_exchanges (const http_server_t *server);
+
+const char *http_exchange_method (const http_exchange_t *exchange);
+const char *http_exchange_path (const http_exchange_t *exchange);
+const char *http_exchange_header (http_exchange_t *exchange, const char *name);
+const char *http_exchange_query (http_exchange_t *exchange, const char *name);
+const char *http_exchange_body (const http_exchange_t *exchange, size_t *size);
+void http_exchange_set_data (http_exchange_t *exchange, void *data);
+void *http_exchange_data (const http_exchange_t *exchange);
+
+void http_reply_header (http_exchange_t *exchange, const char *name,
+                        const char *value);
+void http_reply_begin (http_exchange_t *exchange, unsigned http_status,
+                       const char *content_type);
+status_t http_reply_data (http_exchange_t *exchange, const char *data,
+                          size_t size);
+void http_reply_end (http_exchange_t *exchange);
+void http_reply_abort (http_exchange_t *exchange);
+void http_reply_text (http_exchange_t *exchange, unsigned http_status,
+                      const char *content_type, const char *text);
+size_t http_reply_pending (const http_exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/include/common/net.h
@@ -0,0 +1,22 @@
+#ifndef SISKIN_COMMON_NET_H
+#define SISKIN_COMMON_NET_H
+
+#include "kernel/status.h"
+
+#include <stdint.h>
+#include <talloc.h>
+
+/* An IP number and port, as "127.0.0.1:8080" or "[::1]:8080".  */
+typedef struct net_address
+{
+  const char *host;
+  uint16_t port;
+} net_address_t;
+
+status_t net_address_parse (TALLOC_CTX *parent, const char *text,
+                            net_address_t *address);
+status_t net_listen (const net_address_t *address, int *fd, uint16_t *port);
+status_t net_connect (const net_address_t *address, int *fd);
+void net_tune (int fd);
+
+#endif
--- /dev/null
+++ b/include/common/node.h
@@ -0,0 +1,39 @@
+#ifndef SISKIN_COMMON_NODE_H
+#define SISKIN_COMMON_NODE_H
+
+#include "common/frame.h"
+#include "common/settings.h"
+#include "kernel/clock.h"
+
+#include <stdint.h>
+#include <talloc.h>
+
+typedef enum node_role
+{
+  NODE_ENTRY,
+  NODE_AGENT,
+  NODE_CTL,
+  NODE_ROLE_COUNT
+} node_role_t;
+
+/* This process as its peers see it, with the newest settings it knows.  The
+   functions are safe to call from every worker.  */
+typedef struct node node_t;
+
+node_t *node_create (TALLOC_CTX *parent, node_role_t role, const char *name,
+                     const char *zone, const clock_source_t *clock);
+void node_destroy (node_t *node);
+node_role_t node_role (const node_t *node);
+const char *node_name (const node_t *node);
+const char *node_zone (const node_t *node);
+uint64_t node_incarnation (const node_t *node);
+const clock_source_t *node_clock (const node_t *node);
+
+settings_t *node_settings (node_t *node);
+status_t node_adopt (node_t *node, const char *document, size_t size);
+void node_confirm (node_t *node, uint64_t revision, uint64_t age_ms);
+uint64_t node_confirmed_age_ms (node_t *node);
+void node_fill_header (node_t *node, frame_header_t *header);
+void node_hello (const node_t *node, frame_t *frame);
+
+#endif
--- /dev/null
+++ b/include/ctl/command.h
@@ -0,0 +1,42 @@
+#ifndef SISKIN_CTL_COMMAND_H
+#define SISKIN_CTL_COMMAND_H
+
+#include "common/settings.h"
+#include "kernel/clock.h"
+#include "kernel/pool.h"
+#include "plugins/store.h"
+
+#include <stdbool.h>
+
+enum
+{
+  CTL_OK = 0,
+  CTL_FAULTS = 1,      /* findings, or a request that makes no sense */
+  CTL_CONFLICT = 2,    /* somebody else changed the settings first */
+  CTL_UNAVAILABLE = 3, /* the store did not answer */
+  CTL_UNKNOWN = 4,     /* whether the change took effect is not known */
+  CTL_USAGE = 64
+};
+
+/* What every command of siskinctl gets.  */
+typedef struct ctl
+{
+  TALLOC_CTX *memory;
+  const clock_source_t *clock;
+  worker_t *worker;
+  const store_ops_t *store_ops;
+  store_t *store; /* NULL when no --store was given */
+  const char *who;
+  const char *why;
+  bool is_json;
+} ctl_t;
+
+typedef struct command_ops
+{
+  const char *usage; /* of the arguments after the command's name */
+  bool needs_store;
+  /* ARGV[0] is the command's name.  Returns the exit status.  */
+  int (*run) (ctl_t *ctl, int argc, char **argv);
+} command_ops_t;
+
+#endif
--- /dev/null
+++ b/include/entry/router.h
@@ -0,0 +1,71 @@
+#ifndef SISKIN_ENTRY_ROUTER_H
+#define SISKIN_ENTRY_ROUTER_H
+
+#include "common/outcome.h"
+#include "common/settings.h"
+#include "kernel/clock.h"
+#include "kernel/table.h"
+#include "plugins/pick.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* The entry's table of upstreams and the choice among them.  Safe to call from
+   every worker; it knows no messages.  */
+typedef struct router router_t;
+
+enum
+{
+  ROUTER_MAX_ATTEMPTS = 10
+};
+
+/* What the router has to know of a request.  */
+typedef struct router_request
+{
+  const char *service;
+  const char *model; /* "" for any */
+  pick_work_t work;
+  const char *tried[ROUTER_MAX_ATTEMPTS]; /* names of upstreams to leave out */
+  unsigned tried_count;
+} router_request_t;
+
+/* Where a request goes; strings belong to the caller's talloc context.  */
+typedef struct router_route
+{
+  const char *upstream;
+  const char *zone;
+  const char *policy;
+  const char *reason;
+  unsigned candidates;
+} router_route_t;
+
+/* An upstream to be connected to.  */
+typedef struct router_target
+{
+  SLIST_ENTRY (router_target) link;
+  const char *upstream;
+  const char *address;
+} router_target_t;
+
+SLIST_HEAD (router_targets, router_target);
+typedef struct router_targets router_targets_t;
+
+router_t *router_create (TALLOC_CTX *parent, const char *zone,
+                         const clock_source_t *clock, uint64_t seed,
+                         unsigned worker_count);
+void router_destroy (router_t *router);
+status_t router_configure (router_t *router, const settings_t *settings);
+void router_targets (router_t *router, TALLOC_CTX *parent,
+                     router_targets_t *targets);
+void router_set_reachable (router_t *router, const char *name, unsigned worker,
+                           bool is_reachable);
+void router_note_report (router_t *router, const char *name,
+                         const pick_report_t *report, bool is_leaving);
+status_t router_choose (router_t *router, TALLOC_CTX *parent, unsigned worker,
+                        const router_request_t *request,
+                        router_route_t *route);
+void router_release (router_t *router, const char *name,
+                     const pick_work_t *work);
+bool router_take_retry (router_t *router);
+
+#endif
--- /dev/null
+++ b/include/kernel/clock.h
@@ -0,0 +1,36 @@
+#ifndef SISKIN_KERNEL_CLOCK_H
+#define SISKIN_KERNEL_CLOCK_H
+
+#include <stdint.h>
+#include <talloc.h>
+#include <time.h>
+
+/* Source of time.  Everything that decides takes one, so that tests and
+   measurements run on a virtual clock.  */
+typedef struct clock_source clock_source_t;
+
+typedef struct clock_ops
+{
+  struct timespec (*monotonic) (const clock_source_t *clock);
+  struct timespec (*realtime) (const clock_source_t *clock);
+} clock_ops_t;
+
+clock_source_t *clock_create_system (TALLOC_CTX *parent);
+clock_source_t *clock_create_virtual (TALLOC_CTX *parent,
+                                      struct timespec start);
+void clock_destroy (clock_source_t *clock);
+struct timespec clock_monotonic (const clock_source_t *clock);
+struct timespec clock_realtime (const clock_source_t *clock);
+void clock_advance (clock_source_t *clock, struct timespec step);
+
+struct timespec timespec_add (struct timespec left, struct timespec right);
+struct timespec timespec_subtract (struct timespec left,
+                                   struct timespec right);
+int timespec_compare (struct timespec left, struct timespec right);
+struct timespec timespec_from_ms (int64_t milliseconds);
+int64_t timespec_to_ms (struct timespec value);
+struct timespec timespec_from_us (int64_t microseconds);
+int64_t timespec_to_us (struct timespec value);
+struct timeval timespec_to_timeval (struct timespec value);
+
+#endif
--- /dev/null
+++ b/include/kernel/pool.h
@@ -0,0 +1,40 @@
+#ifndef SISKIN_KERNEL_POOL_H
+#define SISKIN_KERNEL_POOL_H
+
+#include "kernel/clock.h"
+#include "kernel/status.h"
+
+#include <stdbool.h>
+#include <sys/queue.h>
+#include <talloc.h>
+#include <tevent.h>
+
+typedef struct pool pool_t;
+typedef struct worker worker_t;
+typedef struct task task_t;
+
+/* A piece of work handed to a worker; embedded in the object it concerns.  A
+   task may be posted again once it has started to run.  */
+struct task
+{
+  STAILQ_ENTRY (task) link;
+  void (*run) (task_t *task, worker_t *worker);
+};
+
+pool_t *pool_create (TALLOC_CTX *parent, unsigned worker_count,
+                     const clock_source_t *clock);
+void pool_destroy (pool_t *pool);
+status_t pool_start (pool_t *pool);
+void pool_stop (pool_t *pool);
+void pool_join (pool_t *pool);
+unsigned pool_worker_count (const pool_t *pool);
+worker_t *pool_worker (pool_t *pool, unsigned index);
+
+unsigned worker_index (const worker_t *worker);
+pool_t *worker_pool (const worker_t *worker);
+struct tevent_context *worker_events (const worker_t *worker);
+const clock_source_t *worker_clock (const worker_t *worker);
+void worker_post (worker_t *worker, task_t *task);
+void worker_run_until (worker_t *worker, const bool *is_done);
+
+#endif
--- /dev/null
+++ b/include/kernel/status.h
@@ -0,0 +1,26 @@
+#ifndef SISKIN_KERNEL_STATUS_H
+#define SISKIN_KERNEL_STATUS_H
+
+/* Result of an operation that can fail.  Zero is success.  */
+typedef enum status
+{
+  STATUS_OK = 0,
+  STATUS_NO_MEMORY,
+  STATUS_INVALID, /* malformed or out-of-range input */
+  STATUS_NOT_FOUND,
+  STATUS_CONFLICT,    /* a compare-and-swap lost, or a duplicate */
+  STATUS_UNAVAILABLE, /* the other side cannot be reached or is closing */
+  STATUS_TIMEOUT,
+  STATUS_PROTOCOL, /* a peer sent something outside the protocol */
+  STATUS_TOO_LARGE,
+  STATUS_REFUSED, /* a policy declined the work */
+  STATUS_IO,
+  STATUS_COUNT
+} status_t;
+
+const char *status_name (status_t status);
+status_t status_set (status_t status, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+const char *status_message (void);
+
+#endif
--- /dev/null
+++ b/kernel/clock.c
@@ -0,0 +1,195 @@
+#include "kernel/clock.h"
+
+#include <sys/time.h>
+
+enum
+{
+  NS_PER_S = 1000000000,
+  NS_PER_MS = 1000000,
+  NS_PER_US = 1000,
+  MS_PER_S = 1000,
+  US_PER_S = 1000000
+};
+
+struct clock_source
+{
+  const clock_ops_t *ops;
+  struct timespec now; /* virtual clocks only */
+};
+
+static struct timespec
+system_monotonic (const clock_source_t *clock)
+{
+  struct timespec now;
+
+  (void)clock;
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return now;
+}
+
+static struct timespec
+system_realtime (const clock_source_t *clock)
+{
+  struct timespec now;
+
+  (void)clock;
+  clock_gettime (CLOCK_REALTIME, &now);
+  return now;
+}
+
+static struct timespec
+virtual_now (const clock_source_t *clock)
+{
+  return clock->now;
+}
+
+static const clock_ops_t system_ops = {
+  .monotonic = system_monotonic,
+  .realtime = system_realtime,
+};
+
+static const clock_ops_t virtual_ops = {
+  .monotonic = virtual_now,
+  .realtime = virtual_now,
+};
+
+static clock_source_t *
+clock_create (TALLOC_CTX *parent, const clock_ops_t *ops)
+{
+  clock_source_t *clock = talloc_zero (parent, clock_source_t);
+
+  if (clock != NULL)
+    clock->ops = ops;
+  return clock;
+}
+
+/* Create a clock that reads the operating system's clocks.  */
+clock_source_t *
+clock_create_system (TALLOC_CTX *parent)
+{
+  return clock_create (parent, &system_ops);
+}
+
+/* Create a clock that stands at START until clock_advance moves it.  */
+clock_source_t *
+clock_create_virtual (TALLOC_CTX *parent, struct timespec start)
+{
+  clock_source_t *clock = clock_create (parent, &virtual_ops);
+
+  if (clock != NULL)
+    clock->now = start;
+  return clock;
+}
+
+/* Free CLOCK.  */
+void
+clock_destroy (clock_source_t *clock)
+{
+  talloc_free (clock);
+}
+
+/* Return the time since an arbitrary start; it never steps back.  */
+struct timespec
+clock_monotonic (const clock_source_t *clock)
+{
+  return clock->ops->monotonic (clock);
+}
+
+/* Return the wall-clock time since the Unix epoch.  */
+struct timespec
+clock_realtime (const clock_source_t *clock)
+{
+  return clock->ops->realtime (clock);
+}
+
+/* Move a virtual CLOCK forward by STEP.  A system clock is not affected.  */
+void
+clock_advance (clock_source_t *clock, struct timespec step)
+{
+  clock->now = timespec_add (clock->now, step);
+}
+
+/* Return LEFT + RIGHT.  */
+struct timespec
+timespec_add (struct timespec left, struct timespec right)
+{
+  struct timespec sum = { .tv_sec = left.tv_sec + right.tv_sec,
+                          .tv_nsec = left.tv_nsec + right.tv_nsec };
+
+  if (sum.tv_nsec >= NS_PER_S)
+    {
+      sum.tv_sec++;
+      sum.tv_nsec -= NS_PER_S;
+    }
+  return sum;
+}
+
+/* Return LEFT - RIGHT; the seconds are negative when RIGHT is later.  */
+struct timespec
+timespec_subtract (struct timespec left, struct timespec right)
+{
+  struct timespec difference = { .tv_sec = left.tv_sec - right.tv_sec,
+                                 .tv_nsec = left.tv_nsec - right.tv_nsec };
+
+  if (difference.tv_nsec < 0)
+    {
+      difference.tv_sec--;
+      difference.tv_nsec += NS_PER_S;
+    }
+  return difference;
+}
+
+/* Return -1, 0 or 1 as LEFT is before, at or after RIGHT.  */
+int
+timespec_compare (struct timespec left, struct timespec right)
+{
+  if (left.tv_sec != right.tv_sec)
+    return left.tv_sec < right.tv_sec ? -1 : 1;
+  if (left.tv_nsec != right.tv_nsec)
+    return left.tv_nsec < right.tv_nsec ? -1 : 1;
+  return 0;
+}
+
+/* Return MILLISECONDS as a time; negative values are allowed.  */
+struct timespec
+timespec_from_ms (int64_t milliseconds)
+{
+  return timespec_from_us (milliseconds * MS_PER_S);
+}
+
+/* Return VALUE in whole milliseconds, rounded down.  */
+int64_t
+timespec_to_ms (struct timespec value)
+{
+  return (int64_t)value.tv_sec * MS_PER_S + value.tv_nsec / NS_PER_MS;
+}
+
+/* Return MICROSECONDS as a time; negative values are allowed.  */
+struct timespec
+timespec_from_us (int64_t microseconds)
+{
+  int64_t seconds = microseconds / US_PER_S;
+  int64_t rest = microseconds % US_PER_S;
+
+  if (rest < 0)
+    {
+      seconds--;
+      rest += US_PER_S;
+    }
+  return (struct timespec){ .tv_sec = seconds, .tv_nsec = rest * NS_PER_US };
+}
+
+/* Return VALUE in whole microseconds, rounded down.  */
+int64_t
+timespec_to_us (struct timespec value)
+{
+  return (int64_t)value.tv_sec * US_PER_S + value.tv_nsec / NS_PER_US;
+}
+
+/* Return VALUE as a timeval, rounded down to the microsecond.  */
+struct timeval
+timespec_to_timeval (struct timespec value)
+{
+  return (struct timeval){ .tv_sec = value.tv_sec,
+                           .tv_usec = value.tv_nsec / NS_PER_US };
+}
--- /dev/null
+++ b/plugins/admission/fixed.c
@@ -0,0 +1,73 @@
+#include "kernel/plugin.h"
+#include "plugins/admission.h"
+
+struct admission
+{
+  admission_config_t config;
+};
+
+static admission_t *
+fixed_create (TALLOC_CTX *parent, const admission_config_t *config,
+              struct timespec now)
+{
+  admission_t *admission = talloc_zero (parent, admission_t);
+
+  (void)now;
+  if (admission != NULL)
+    admission->config = *config;
+  return admission;
+}
+
+static void
+fixed_destroy (admission_t *admission)
+{
+  talloc_free (admission);
+}
+
+static void
+fixed_configure (admission_t *admission, const admission_config_t *config)
+{
+  admission->config = *config;
+}
+
+static void
+fixed_limit (const admission_t *admission, struct timespec now,
+             admission_limit_t *limit)
+{
+  (void)now;
+  limit->requests = admission->config.maximum_requests;
+  limit->tokens = admission->config.maximum_tokens;
+  limit->is_cold = false;
+}
+
+static void
+fixed_note_end (admission_t *admission, const admission_sample_t *sample,
+                uint64_t outstanding_requests, struct timespec now)
+{
+  (void)admission;
+  (void)sample;
+  (void)outstanding_requests;
+  (void)now;
+}
+
+static void
+fixed_note_cold (admission_t *admission, struct timespec now,
+                 const char *reason)
+{
+  (void)admission;
+  (void)now;
+  (void)reason;
+}
+
+static const admission_ops_t fixed_ops = {
+  .create = fixed_create,
+  .destroy = fixed_destroy,
+  .configure = fixed_configure,
+  .limit = fixed_limit,
+  .note_end = fixed_note_end,
+  .note_cold = fixed_note_cold,
+};
+
+PLUGIN_REGISTER (fixed, PLUGIN_ADMISSION, "fixed",
+                 "always the maximum, also in cold start; a baseline",
+                 &fixed_ops);
--- /dev/null
+++ b/plugins/order/fifo.c
@@ -0,0 +1,65 @@
+#include "kernel/plugin.h"
+#include "plugins/order.h"
+
+struct order
+{
+  TAILQ_HEAD (, order_item) items;
+};
+
+static order_t *
+fifo_create (TALLOC_CTX *parent)
+{
+  order_t *order = talloc_zero (parent, order_t);
+
+  if (order != NULL)
+    TAILQ_INIT (&order->items);
+  return order;
+}
+
+static void
+fifo_destroy (order_t *order)
+{
+  talloc_free (order);
+}
+
+static void
+fifo_push (order_t *order, order_item_t *item, struct timespec now)
+{
+  (void)now;
+  TAILQ_INSERT_TAIL (&order->items, item, link);
+}
+
+static order_item_t *
+fifo_peek (order_t *order, struct timespec now)
+{
+  (void)now;
+  return TAILQ_FIRST (&order->items);
+}
+
+static void
+fifo_remove (order_t *order, order_item_t *item, struct timespec now,
+             bool is_served)
+{
+  (void)now;
+  (void)is_served;
+  TAILQ_REMOVE (&order->items, item, link);
+}
+
+static order_item_t *
+fifo_victim (order_t *order, order_item_t *item)
+{
+  (void)order;
+  return item;
+}
+
+static const order_ops_t fifo_ops = {
+  .create = fifo_create,
+  .destroy = fifo_destroy,
+  .push = fifo_push,
+  .peek = fifo_peek,
+  .remove = fifo_remove,
+  .victim = fifo_victim,
+};
+
+PLUGIN_REGISTER (fifo, PLUGIN_ORDER, "fifo",
+                 "first come, first served; a baseline", &fifo_ops);
--- /dev/null
+++ b/plugins/pick/by_key.c
@@ -0,0 +1,66 @@
+#include "kernel/plugin.h"
+#include "plugins/pick.h"
+
+#include <xxhash.h>
+
+struct pick
+{
+  uint64_t next; /* for requests without a key */
+};
+
+static pick_t *
+by_key_create (TALLOC_CTX *parent, uint64_t seed)
+{
+  pick_t *pick = talloc_zero (parent, pick_t);
+
+  if (pick != NULL)
+    pick->next = seed;
+  return pick;
+}
+
+static void
+by_key_destroy (pick_t *pick)
+{
+  talloc_free (pick);
+}
+
+/* Rendezvous hashing: every entry sends the same key to the same upstream,
+   where a repeat finds the first run, and a change of the fleet moves only
+   the keys of the upstreams concerned.  */
+static void
+by_key_choose (pick_t *pick, const pick_work_t *work,
+               const pick_candidate_t *candidates, size_t count,
+               struct timespec now, pick_choice_t *choice)
+{
+  uint64_t best = 0;
+
+  (void)now;
+  if (work->key_hash == 0)
+    {
+      choice->index = (size_t)(pick->next++ % count);
+      choice->reason = "no-key";
+      return;
+    }
+  choice->index = 0;
+  choice->reason = "key-hash";
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t pair[2] = { work->key_hash, candidates[i].name_hash };
+      uint64_t weight = XXH3_64bits (pair, sizeof pair);
+
+      if (weight >= best)
+        {
+          best = weight;
+          choice->index = i;
+        }
+    }
+}
+
+static const pick_ops_t by_key_ops = {
+  .create = by_key_create,
+  .destroy = by_key_destroy,
+  .choose = by_key_choose,
+};
+
+PLUGIN_REGISTER (by_key, PLUGIN_PICK, "by-key",
+                 "rendezvous hashing of the idempotency key", &by_key_ops);
--- /dev/null
+++ b/plugins/pick/round_robin.c
@@ -0,0 +1,45 @@
+#include "kernel/plugin.h"
+#include "plugins/pick.h"
+
+struct pick
+{
+  uint64_t next;
+};
+
+static pick_t *
+round_robin_create (TALLOC_CTX *parent, uint64_t seed)
+{
+  pick_t *pick = talloc_zero (parent, pick_t);
+
+  if (pick != NULL)
+    pick->next = seed;
+  return pick;
+}
+
+static void
+round_robin_destroy (pick_t *pick)
+{
+  talloc_free (pick);
+}
+
+static void
+round_robin_choose (pick_t *pick, const pick_work_t *work,
+                    const pick_candidate_t *candidates, size_t count,
+                    struct timespec now, pick_choice_t *choice)
+{
+  (void)work;
+  (void)candidates;
+  (void)now;
+  choice->index = (size_t)(pick->next++ % count);
+  choice->reason = "round-robin";
+}
+
+static const pick_ops_t round_robin_ops = {
+  .create = round_robin_create,
+  .destroy = round_robin_destroy,
+  .choose = round_robin_choose,
+};
+
+PLUGIN_REGISTER (round_robin, PLUGIN_PICK, "round-robin",
+                 "each candidate in turn, whatever its load",
+                 &round_robin_ops);
--- /dev/null
+++ b/plugins/upstream/http.c
@@ -0,0 +1,123 @@
+#include "common/http_client.h"
+#include "kernel/plugin.h"
+#include "plugins/upstream.h"
+
+#include <talloc.h>
+
+struct upstream_transport
+{
+  http_client_t *client;
+  char *url;
+};
+
+struct upstream_call
+{
+  http_call_t *http;
+  const upstream_call_ops_t *ops;
+  void *data;
+};
+
+static void
+call_on_head (http_call_t *http, unsigned http_status,
+              const char *content_type, void *data)
+{
+  upstream_call_t *call = data;
+
+  (void)http;
+  call->ops->on_head (http_status, content_type, call->data);
+}
+
+static bool
+call_on_data (http_call_t *http, const char *bytes, size_t size, void *data)
+{
+  upstream_call_t *call = data;
+
+  (void)http;
+  return call->ops->on_data (bytes, size, call->data);
+}
+
+static void
+call_on_done (http_call_t *http, status_t status, bool may_have_run,
+              void *data)
+{
+  upstream_call_t *call = data;
+
+  (void)http;
+  call->ops->on_done (status, may_have_run, call->data);
+  talloc_free (call);
+}
+
+static const http_call_ops_t call_ops = {
+  .on_head = call_on_head,
+  .on_data = call_on_data,
+  .on_done = call_on_done,
+};
+
+static upstream_transport_t *
+transport_create (worker_t *worker, const char *url)
+{
+  upstream_transport_t *transport
+      = talloc_zero (worker_events (worker), upstream_transport_t);
+
+  if (transport == NULL)
+    return NULL;
+  transport->url = talloc_strdup (transport, url);
+  transport->client = http_client_create (transport, worker);
+  return transport;
+}
+
+static void
+transport_destroy (upstream_transport_t *transport)
+{
+  talloc_free (transport);
+}
+
+static upstream_call_t *
+transport_start (upstream_transport_t *transport,
+                 const upstream_request_t *request,
+                 const upstream_call_ops_t *ops, void *data)
+{
+  upstream_call_t *call = talloc_zero (transport, upstream_call_t);
+  http_call_options_t options = { .method = request->method,
+                                  .content_type = request->content_type,
+                                  .body = request->body,
+                                  .body_size = request->body_size,
+                                  .timeout = request->timeout,
+                                  .is_sent_once = request->is_sent_once };
+
+  if (call == NULL)
+    return NULL;
+  call->ops = ops;
+  call->data = data;
+  options.url = talloc_asprintf (call, "%s%s", transport->url, request->path);
+  if (request->key[0] != '\0')
+    options.extra_header
+        = talloc_asprintf (call, "Idempotency-Key: %s", request->key);
+  call->http = http_call_start (transport->client, &options, &call_ops, call);
+  if (call->http == NULL)
+    TALLOC_FREE (call);
+  return call;
+}
+
+static void
+transport_cancel (upstream_call_t *call)
+{
+  http_call_cancel (call->http);
+  talloc_free (call);
+}
+
+static void
+transport_proceed (upstream_call_t *call)
+{
+  http_call_continue (call->http);
+}
+
+static const upstream_ops_t http_ops = {
+  .create = transport_create,
+  .destroy = transport_destroy,
+  .start = transport_start,
+  .cancel = transport_cancel,
+  .proceed = transport_proceed,
+};
+
+PLUGIN_REGISTER (http, PLUGIN_UPSTREAM, "http", "HTTP by libcurl", &http_ops);
--- /dev/null
+++ b/tests/process/cluster.py
@@ -0,0 +1,230 @@
+"""Starts the programs of siskinspur and the stand-ins on free loopback ports.
+
+Everything started is ended by its process id when the cluster is closed.
+"""
+
+import http.client
+import json
+import os
+import re
+import shutil
+import signal
+import subprocess
+import tempfile
+import time
+
+BUILD = os.environ.get("SISKIN_BUILD", "build")
+START_TIMEOUT_S = 20
+STOP_TIMEOUT_S = 30
+
+
+class Answer:
+    def __init__(self, status, headers, body, is_whole):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.is_whole = is_whole
+
+    @property
+    def outcome(self):
+        return self.headers.get("Siskin-Outcome", "none")
+
+    @property
+    def refusal(self):
+        return self.headers.get("Siskin-Refusal", "none")
+
+
+class Program:
+    """A process and the ports that it reports."""
+
+    def __init__(self, name, arguments, folder):
+        self.name = name
+        self.log_name = os.path.join(folder, name + ".log")
+        self.log = open(self.log_name, "w")
+        self.process = subprocess.Popen(
+            arguments, stdout=self.log, stderr=subprocess.STDOUT)
+
+    def text(self):
+        with open(self.log_name) as stream:
+            return stream.read()
+
+    def port(self, pattern):
+        return int(wait_until(
+            lambda: (m := re.search(pattern, self.text())) and m.group(1),
+            START_TIMEOUT_S, self.name + " to listen"))
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def stop(self):
+        """Planned stop; returns the exit status."""
+        self.signal(signal.SIGTERM)
+        return self.process.wait(STOP_TIMEOUT_S)
+
+    def kill(self):
+        if self.process.poll() is None:
+            self.signal(signal.SIGCONT)
+            self.process.kill()
+        self.process.wait()
+        self.log.close()
+
+
+def wait_until(condition, timeout_s, what):
+    """Returns the first true value of condition()."""
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError("waited %s s in vain for %s" % (timeout_s, what))
+
+
+class Cluster:
+    """A store, upstreams with their agents, and entries."""
+
+    ZONES = ["tt-south-1", "tt-south-2", "tt-south-3"]
+
+    def __init__(self, rules):
+        self.folder = tempfile.mkdtemp(prefix="siskin-")
+        with open(rules) as stream:
+            self.rules = stream.read()
+        self.programs = {}
+        self.ports = {}
+        self.inventory = ["name,address,zone,kind,service,model,group,rank"]
+        self.revision = 0
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, value, trace):
+        if kind is not None:
+            for program in self.programs.values():
+                print("---", program.name)
+                print("\n".join(program.text().splitlines()[-15:]))
+        for program in reversed(list(self.programs.values())):
+            program.kill()
+        shutil.rmtree(self.folder)
+
+    def _start(self, name, arguments):
+        program = Program(name, arguments, self.folder)
+        self.programs[name] = program
+        return program
+
+    def _write(self, name, text):
+        path = os.path.join(self.folder, name)
+        with open(path, "w") as stream:
+            stream.write(text)
+        return path
+
+    def start_store(self):
+        program = self._start(
+            "store", [BUILD + "/tests/standin-store", "127.0.0.1:0"])
+        self.ports["store"] = program.port(r"port=(\d+)")
+
+    def store_url(self):
+        return "http://127.0.0.1:%d" % self.ports["store"]
+
+    def start_upstream(self, name, zone, kind, service, model="", group="",
+                       rank=""):
+        """A stand-in upstream with the agent beside it."""
+        upstream = self._start(
+            name, [BUILD + "/tests/standin-upstream", "127.0.0.1:0", name])
+        self.ports[name] = upstream.port(r"port=(\d+)")
+        port = self.start_agent(name, zone)
+        self.inventory.append("%s,127.0.0.1:%d,%s,%s,%s,%s,%s,%s" % (
+            name, port, zone, kind, service, model, group, rank))
+
+    def start_agent(self, name, zone, port=0):
+        config = self._write(name + ".toml", (
+            'name = "%s"\nzone = "%s"\nlisten = "127.0.0.1:%d"\n'
+            'upstream = "http://127.0.0.1:%d"\nstore = ["%s"]\n') % (
+                name, zone, port, self.ports[name], self.store_url()))
+        agent = self._start(
+            name + "-agent",
+            [BUILD + "/agent/siskin-agent", "--config", config])
+        self.ports[name + "-admin"] = agent.port(r"admin-listening port=(\d+)")
+        return agent.port(r"frames-listening port=(\d+)")
+
+    def start_entry(self, name, zone):
+        config = self._write(name + ".toml", (
+            'name = "%s"\nzone = "%s"\nstore = ["%s"]\n') % (
+                name, zone, self.store_url()))
+        entry = self._start(
+            name, [BUILD + "/entry/siskin-entry", "--config", config])
+        self.ports[name + "-admin"] = entry.port(r"admin-listening port=(\d+)")
+        self.ports[name] = entry.port(r"http-listening port=(\d+)")
+
+    def ctl(self, *arguments):
+        return subprocess.run(
+            [BUILD + "/ctl/siskinctl", "--store", self.store_url(),
+             "--who", "test", "--why", "test"] + list(arguments),
+            capture_output=True, text=True, timeout=60)
+
+    def apply(self):
+        rules = self._write("rules.toml", self.rules)
+        inventory = self._write(
+            "inventory.csv", "\n".join(self.inventory) + "\n")
+        result = self.ctl("apply", rules, inventory, str(self.revision))
+        assert result.returncode == 0, result.stderr
+        self.revision += 1
+
+    def health(self, name):
+        status, _, body = self.raw("GET", self.ports[name + "-admin"],
+                                   "/health")
+        return json.loads(body) if status == 200 else None
+
+    def metrics(self, name):
+        _, _, body = self.raw("GET", self.ports[name + "-admin"], "/metrics")
+        return {line.rsplit(" ", 1)[0]: int(line.rsplit(" ", 1)[1])
+                for line in body.decode().splitlines() if line[0] != "#"}
+
+    def wait_for_settings(self, names, revision):
+        for name in names:
+            wait_until(
+                lambda: (h := self.health(name)) and h["revision"] >= revision,
+                START_TIMEOUT_S, "%s at revision %d" % (name, revision))
+
+    def control(self, name, query=""):
+        """Read or set a stand-in's account."""
+        _, _, body = self.raw("POST" if query else "GET", self.ports[name],
+                              "/control" + ("?" + query if query else ""))
+        return json.loads(body)
+
+    @staticmethod
+    def raw(method, port, path, body=None, headers=None, timeout=30):
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", port, timeout=timeout)
+        try:
+            connection.request(method, path, body, headers or {})
+            answer = connection.getresponse()
+            return answer.status, dict(answer.getheaders()), answer.read()
+        finally:
+            connection.close()
+
+    def call(self, entry, path, body, account="style-app", timeout=60,
+             **headers):
+        """A caller's request; underscores in header names become dashes."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.ports[entry], timeout=timeout)
+        all_headers = {"Content-Type": "application/json",
+                       "Siskin-Account": account}
+        all_headers.update(
+            {k.replace("_", "-"): v for k, v in headers.items()})
+        try:
+            connection.request("POST", path, json.dumps(body), all_headers)
+            answer = connection.getresponse()
+            try:
+                data, is_whole = answer.read(), True
+            except http.client.IncompleteRead as error:
+                data, is_whole = error.partial, False
+            return Answer(answer.status, dict(answer.getheaders()), data,
+                          is_whole)
+        finally:
+            connection.close()
+
+    def chat(self, entry, tokens=16, **headers):
+        return self.call(entry, "/v1/chat/completions", {
+            "model": "style-assistant", "max_tokens": tokens, "stream": True,
+            "messages": [{"role": "user", "content": "an outfit"}]},
+            **headers)
--- /dev/null
+++ b/tests/standin/upstream.c
@@ -0,0 +1,281 @@
+/* A stand-in for an upstream: a model engine's chat completions with a
+   streamed answer, and a plain booking service.  It keeps the account that
+   judges the system: GET /control shows what it received, how many requests it
+   had at once and how often each idempotency key ran.  POST /control?... sets
+   cold=N (what it bears; 0 for warm), first_ms, token_ms and work_ms.  */
+
+#include "standin.h"
+
+#include "kernel/clock.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+enum
+{
+  DEFAULT_TOKENS = 16
+};
+
+typedef struct key_run
+{
+  STAILQ_ENTRY (key_run) link;
+  char *key;
+  int64_t runs;
+} key_run_t;
+
+typedef struct upstream_state
+{
+  standin_t *standin;
+  const char *name;
+  STAILQ_HEAD (, key_run) keys;
+  int64_t received;
+  int64_t finished;
+  int64_t cancelled;
+  int64_t open;
+  int64_t most_open;
+  int64_t cold_limit; /* 0: warm */
+  int64_t over_limit; /* requests received above it */
+  int64_t first_ms;
+  int64_t token_ms;
+  int64_t work_ms;
+  struct timespec last_received;
+} upstream_state_t;
+
+typedef struct answer
+{
+  upstream_state_t *state;
+  http_exchange_t *exchange;
+  struct tevent_timer *timer;
+  int64_t left;
+  int64_t made;
+  bool is_plain;
+  bool is_over;
+} answer_t;
+
+static void answer_arm (answer_t *answer, int64_t delay_ms);
+
+static key_run_t *
+key_run_of (upstream_state_t *state, const char *key)
+{
+  key_run_t *run;
+
+  STAILQ_FOREACH (run, &state->keys, link)
+    {
+      if (strcmp (run->key, key) == 0)
+        return run;
+    }
+  run = talloc_zero (state, key_run_t);
+  run->key = talloc_strdup (run, key);
+  STAILQ_INSERT_TAIL (&state->keys, run, link);
+  return run;
+}
+
+static void
+answer_finish (answer_t *answer)
+{
+  if (answer->is_over)
+    return;
+  answer->is_over = true;
+  answer->state->open--;
+}
+
+static void
+answer_plain (answer_t *answer)
+{
+  char *text = talloc_asprintf (
+      answer, "{\"confirmed\":true,\"by\":\"%s\",\"number\":%lld}\n",
+      answer->state->name, (long long)answer->state->finished + 1);
+
+  answer->state->finished++;
+  answer_finish (answer);
+  http_reply_text (answer->exchange, 201, "application/json", text);
+}
+
+static void
+answer_token (answer_t *answer)
+{
+  char *text;
+
+  if (answer->made == 0)
+    http_reply_begin (answer->exchange, 200, "text/event-stream");
+  answer->made++;
+  text = talloc_asprintf (
+      answer, "data: {\"choices\":[{\"delta\":{\"content\":\"t%lld \"}}]}\n\n",
+      (long long)answer->made);
+  http_reply_data (answer->exchange, text, strlen (text));
+  talloc_free (text);
+  if (--answer->left > 0)
+    {
+      answer_arm (answer, answer->state->token_ms);
+      return;
+    }
+  answer->state->finished++;
+  answer_finish (answer);
+  http_reply_data (answer->exchange, "data: [DONE]\n\n", 14);
+  http_reply_end (answer->exchange);
+}
+
+static void
+answer_handle_timer (struct tevent_context *events, struct tevent_timer *timer,
+                     struct timeval now, void *data)
+{
+  answer_t *answer = data;
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  answer->timer = NULL;
+  if (answer->is_plain)
+    answer_plain (answer);
+  else
+    answer_token (answer);
+}
+
+static void
+answer_arm (answer_t *answer, int64_t delay_ms)
+{
+  answer->timer = tevent_add_timer (
+      worker_events (answer->state->standin->worker), answer,
+      tevent_timeval_current_ofs ((uint32_t)(delay_ms / 1000),
+                                  (uint32_t)(delay_ms % 1000) * 1000),
+      answer_handle_timer, answer);
+}
+
+static void
+upstream_account (upstream_state_t *state, http_exchange_t *exchange)
+{
+  const char *key = http_exchange_header (exchange, "Idempotency-Key");
+
+  state->received++;
+  state->open++;
+  state->last_received = clock_monotonic (state->standin->clock);
+  if (state->open > state->most_open)
+    state->most_open = state->open;
+  if (state->cold_limit > 0 && state->open > state->cold_limit)
+    state->over_limit++;
+  if (key != NULL)
+    key_run_of (state, key)->runs++;
+}
+
+static void
+upstream_serve (upstream_state_t *state, http_exchange_t *exchange)
+{
+  answer_t *answer = talloc_zero (exchange, answer_t);
+  size_t size;
+  const char *body = http_exchange_body (exchange, &size);
+  json_t *root = json_loadb (body, size, 0, NULL);
+  json_t *limit = json_object_get (root, "max_tokens");
+
+  upstream_account (state, exchange);
+  answer->state = state;
+  answer->exchange = exchange;
+  answer->left
+      = json_is_integer (limit) ? json_integer_value (limit) : DEFAULT_TOKENS;
+  answer->is_plain = strncmp (http_exchange_path (exchange), "/v1/", 4) != 0;
+  json_decref (root);
+  http_exchange_set_data (exchange, answer);
+  answer_arm (answer, answer->is_plain ? state->work_ms : state->first_ms);
+}
+
+static void
+control_number (http_exchange_t *exchange, const char *name, int64_t *number)
+{
+  const char *text = http_exchange_query (exchange, name);
+
+  if (text != NULL)
+    *number = strtoll (text, NULL, 10);
+}
+
+static void
+control_reply (upstream_state_t *state, http_exchange_t *exchange)
+{
+  json_t *root = json_object ();
+  json_t *keys = json_object ();
+  key_run_t *run;
+  char *text;
+  struct timespec idle = timespec_subtract (
+      clock_monotonic (state->standin->clock), state->last_received);
+
+  STAILQ_FOREACH (run, &state->keys, link)
+    json_object_set_new (keys, run->key, json_integer (run->runs));
+  json_object_set_new (root, "name", json_string (state->name));
+  json_object_set_new (root, "received", json_integer (state->received));
+  json_object_set_new (root, "finished", json_integer (state->finished));
+  json_object_set_new (root, "cancelled", json_integer (state->cancelled));
+  json_object_set_new (root, "open", json_integer (state->open));
+  json_object_set_new (root, "most_open", json_integer (state->most_open));
+  json_object_set_new (root, "over_limit", json_integer (state->over_limit));
+  json_object_set_new (root, "idle_ms", json_integer (timespec_to_ms (idle)));
+  json_object_set_new (root, "keys", keys);
+  text = json_dumps (root, JSON_COMPACT);
+  http_reply_text (exchange, 200, "application/json", text);
+  free (text);
+  json_decref (root);
+}
+
+static void
+upstream_on_request (http_exchange_t *exchange, void *data)
+{
+  upstream_state_t *state = data;
+
+  if (strcmp (http_exchange_path (exchange), "/control") != 0)
+    {
+      upstream_serve (state, exchange);
+      return;
+    }
+  control_number (exchange, "cold", &state->cold_limit);
+  control_number (exchange, "first_ms", &state->first_ms);
+  control_number (exchange, "token_ms", &state->token_ms);
+  control_number (exchange, "work_ms", &state->work_ms);
+  control_reply (state, exchange);
+}
+
+static void
+upstream_on_gone (http_exchange_t *exchange, void *data)
+{
+  upstream_state_t *state = data;
+  answer_t *answer = http_exchange_data (exchange);
+
+  if (answer == NULL || answer->is_over)
+    return;
+  TALLOC_FREE (answer->timer);
+  state->cancelled++;
+  answer_finish (answer);
+}
+
+static void
+upstream_on_finished (http_exchange_t *exchange, void *data)
+{
+  (void)exchange;
+  (void)data;
+}
+
+static const http_server_ops_t upstream_server_ops = {
+  .on_request = upstream_on_request,
+  .on_gone = upstream_on_gone,
+  .on_finished = upstream_on_finished,
+};
+
+static void *
+upstream_create_state (standin_t *standin, int argc, char **argv)
+{
+  upstream_state_t *state = talloc_zero (standin, upstream_state_t);
+
+  state->standin = standin;
+  state->name = argc > 2 ? argv[2] : "upstream";
+  state->first_ms = 5;
+  state->token_ms = 2;
+  state->work_ms = 5;
+  STAILQ_INIT (&state->keys);
+  return state;
+}
+
+int
+main (int argc, char **argv)
+{
+  return standin_main (argc, argv, &upstream_server_ops,
+                       upstream_create_state);
+}
