--- a/common/net.c
+++ b/common/net.c
@@ -65,14 +65,18 @@
 static uint16_t
 net_bound_port (int fd)
 {
-  struct sockaddr_storage bound = { 0 };
+  union
+  {
+    struct sockaddr any;
+    struct sockaddr_in four;
+    struct sockaddr_in6 six;
+  } bound = { .six = { 0 } };
   socklen_t length = sizeof bound;
 
-  if (getsockname (fd, (struct sockaddr *)&bound, &length) != 0)
+  if (getsockname (fd, &bound.any, &length) != 0)
     return 0;
-  if (bound.ss_family == AF_INET6)
-    return ntohs (((struct sockaddr_in6 *)&bound)->sin6_port);
-  return ntohs (((struct sockaddr_in *)&bound)->sin_port);
+  return ntohs (bound.any.sa_family == AF_INET6 ? bound.six.sin6_port
+                                                : bound.four.sin_port);
 }
 
 /* Disable Nagle's algorithm on FD, so that small frames leave at once.  */
