Give workers timers of their own

Timers were tevent's, armed at a dozen places with the wall clock. They now go through worker_timer_start, so that another kind of worker can run them on a virtual clock. Timers owned by the loop's memory were freed twice at the end; workers keep a list of their timers and free them first (seen as an abort at exit, gone in tests/process/test_path.py).

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -16,7 +16,8 @@
 
 enum
 {
-  TICK_MS = 1000,
+  TICK_MS = 200,
+  AGE_TICKS = 5, /* ticks a second, for the jobs' age */
   STOP_POLL_MS = 50,
   LEAVING_NOTICE_MS = 300 /* time for the entries to hear of a planned stop */
 };
@@ -225,18 +226,16 @@
 static void agent_arm_tick (agent_worker_t *share);
 
 static void
-agent_tick (struct tevent_context *events, struct tevent_timer *timer,
-            struct timeval now, void *data)
+agent_tick (worker_t *worker, void *data)
 {
   agent_worker_t *share = data;
 
-  (void)events;
-  (void)timer;
-  (void)now;
+  (void)worker;
   if (worker_index (share->worker) == 0)
     {
       agent_apply_settings (share->agent);
-      job_age_all (share->agent);
+      if (++share->agent->ticks % AGE_TICKS == 0)
+        job_age_all (share->agent);
     }
   agent_start_ready (share->agent);
   agent_announce_load (share);
@@ -246,9 +245,9 @@
 static void
 agent_arm_tick (agent_worker_t *share)
 {
-  share->timer = tevent_add_timer (
-      worker_events (share->worker), worker_events (share->worker),
-      tevent_timeval_current_ofs (0, TICK_MS * 1000 / 5), agent_tick, share);
+  share->timer
+      = worker_timer_start (share->worker, worker_events (share->worker),
+                            timespec_from_ms (TICK_MS), agent_tick, share);
 }
 
 static status_t
@@ -333,21 +332,19 @@
 }
 
 static void
-agent_check_stopped (struct tevent_context *events, struct tevent_timer *timer,
-                     struct timeval now, void *data)
+agent_check_stopped (worker_t *worker, void *data)
 {
   agent_t *agent = data;
 
-  (void)timer;
-  (void)now;
+  (void)worker;
   if (atomic_load (&agent->open_jobs) == 0)
     {
       daemon_finish (agent->daemon);
       return;
     }
-  tevent_add_timer (events, events,
-                    tevent_timeval_current_ofs (0, STOP_POLL_MS * 1000),
-                    agent_check_stopped, agent);
+  worker_timer_start (agent->workers[0].worker, agent,
+                      timespec_from_ms (STOP_POLL_MS), agent_check_stopped,
+                      agent);
 }
 
 /* Planned stop: refuse new work, hand queued work back, tell the entries, and
@@ -356,15 +353,13 @@
 agent_stop (void *state)
 {
   agent_t *agent = state;
-  struct tevent_context *events
-      = worker_events (pool_worker (daemon_pool (agent->daemon), 0));
 
   gate_set_leaving (agent->gate);
   agent_start_ready (agent);
   agent_announce_load (&agent->workers[0]);
-  tevent_add_timer (events, events,
-                    tevent_timeval_current_ofs (0, LEAVING_NOTICE_MS * 1000),
-                    agent_check_stopped, agent);
+  worker_timer_start (agent->workers[0].worker, agent,
+                      timespec_from_ms (LEAVING_NOTICE_MS),
+                      agent_check_stopped, agent);
 }
 
 static void
--- a/common/link.c
+++ b/common/link.c
@@ -44,8 +44,7 @@
   void *data;
   int fd;
   struct tevent_fd *event;
-  struct tevent_timer *timer;
-  struct tevent_immediate *closing;
+  worker_timer_t *timer;
   bool is_connected; /* the TCP connection stands */
   bool is_greeted;   /* the peer's hello has come */
   bool is_closed;
@@ -64,13 +63,11 @@
 };
 
 static void
-link_finish_close (struct tevent_context *events,
-                   struct tevent_immediate *immediate, void *data)
+link_finish_close (worker_t *worker, void *data)
 {
   link_t *link = data;
 
-  (void)events;
-  (void)immediate;
+  (void)worker;
   link->ops->on_closed (link, link->close_reason, link->data);
   talloc_free (link);
 }
@@ -89,8 +86,8 @@
   if (link->fd >= 0)
     close (link->fd);
   link->fd = -1;
-  tevent_schedule_immediate (link->closing, worker_events (link->worker),
-                             link_finish_close, link);
+  worker_timer_start (link->worker, link, timespec_from_ms (0),
+                      link_finish_close, link);
 }
 
 static void
@@ -387,17 +384,14 @@
 static void link_arm_timer (link_t *link);
 
 static void
-link_handle_timer (struct tevent_context *events, struct tevent_timer *timer,
-                   struct timeval now, void *data)
+link_handle_timer (worker_t *worker, void *data)
 {
   link_t *link = data;
   struct timespec current = clock_monotonic (worker_clock (link->worker));
   frame_t ping = { .header = { .type = FRAME_PING } };
   int64_t silence;
 
-  (void)events;
-  (void)timer;
-  (void)now;
+  (void)worker;
   link->timer = NULL;
   silence = timespec_to_ms (timespec_subtract (current, link->last_received));
   if (silence >= (link->is_greeted ? LINK_SILENCE_MS : LINK_HELLO_TIMEOUT_MS))
@@ -415,10 +409,9 @@
 static void
 link_arm_timer (link_t *link)
 {
-  link->timer
-      = tevent_add_timer (worker_events (link->worker), link,
-                          tevent_timeval_current_ofs (0, LINK_PING_MS * 1000),
-                          link_handle_timer, link);
+  link->timer = worker_timer_start (link->worker, link,
+                                    timespec_from_ms (LINK_PING_MS),
+                                    link_handle_timer, link);
 }
 
 static int
@@ -445,7 +438,6 @@
   link->fd = fd;
   STAILQ_INIT (&link->output);
   link->last_received = clock_monotonic (worker_clock (worker));
-  link->closing = tevent_create_immediate (link);
   link->event = tevent_add_fd (worker_events (worker), link, fd,
                                TEVENT_FD_READ | TEVENT_FD_WRITE,
                                link_handle_event, link);
--- a/common/settings_source.c
+++ b/common/settings_source.c
@@ -16,7 +16,7 @@
   const store_ops_t *store_ops;
   store_t *store;
   bool is_reading;
-  struct tevent_timer *timer;
+  worker_timer_t *timer;
 };
 
 static void source_arm (settings_source_t *source, int64_t delay_ms);
@@ -47,15 +47,12 @@
 }
 
 static void
-source_handle_timer (struct tevent_context *events, struct tevent_timer *timer,
-                     struct timeval now, void *data)
+source_handle_timer (worker_t *worker, void *data)
 {
   settings_source_t *source = data;
   store_txn_t *txn = store_txn_create (source);
 
-  (void)events;
-  (void)timer;
-  (void)now;
+  (void)worker;
   source->timer = NULL;
   store_txn_then (txn, STORE_GET, STORE_KEY_SETTINGS, NULL);
   if (source->store_ops->transact (source->store, txn, source_handle_read,
@@ -68,10 +65,9 @@
 static void
 source_arm (settings_source_t *source, int64_t delay_ms)
 {
-  source->timer = tevent_add_timer (
-      worker_events (source->worker), source,
-      tevent_timeval_current_ofs (0, (uint32_t)(delay_ms * 1000)),
-      source_handle_timer, source);
+  source->timer = worker_timer_start (source->worker, source,
+                                      timespec_from_ms (delay_ms),
+                                      source_handle_timer, source);
 }
 
 /* Start keeping NODE's settings up to date on WORKER's loop.  */
--- a/entry/agent_link.c
+++ b/entry/agent_link.c
@@ -21,7 +21,7 @@
   char *address_text;
   net_address_t address;
   link_t *link;
-  struct tevent_timer *timer;
+  worker_timer_t *timer;
   int64_t delay_ms;
   bool is_wanted; /* still in the settings */
 };
@@ -122,15 +122,11 @@
 }
 
 static void
-agent_link_handle_timer (struct tevent_context *events,
-                         struct tevent_timer *timer, struct timeval now,
-                         void *data)
+agent_link_handle_timer (worker_t *worker, void *data)
 {
   agent_link_t *agent_link = data;
 
-  (void)events;
-  (void)timer;
-  (void)now;
+  (void)worker;
   agent_link->timer = NULL;
   agent_link_connect (agent_link);
 }
@@ -141,11 +137,9 @@
 {
   int64_t delay = agent_link->delay_ms;
 
-  agent_link->timer = tevent_add_timer (
-      worker_events (agent_link->share->worker), agent_link,
-      tevent_timeval_current_ofs ((uint32_t)(delay / 1000),
-                                  (uint32_t)(delay % 1000) * 1000),
-      agent_link_handle_timer, agent_link);
+  agent_link->timer = worker_timer_start (agent_link->share->worker,
+                                          agent_link, timespec_from_ms (delay),
+                                          agent_link_handle_timer, agent_link);
   agent_link->delay_ms
       = delay * 2 > RECONNECT_MAX_MS ? RECONNECT_MAX_MS : delay * 2;
 }
--- a/entry/call.c
+++ b/entry/call.c
@@ -47,8 +47,8 @@
   bool is_cancelled;
   uint64_t received; /* offset up to which the answer has come */
   uint64_t acknowledged;
-  struct tevent_timer *deadline_timer;
-  struct tevent_timer *resume_timer;
+  worker_timer_t *deadline_timer;
+  worker_timer_t *resume_timer;
 };
 
 static void call_route (call_t *call);
@@ -227,15 +227,11 @@
 }
 
 static void
-call_handle_deadline (struct tevent_context *events,
-                      struct tevent_timer *timer, struct timeval now,
-                      void *data)
+call_handle_deadline (worker_t *worker, void *data)
 {
   call_t *call = data;
 
-  (void)events;
-  (void)timer;
-  (void)now;
+  (void)worker;
   call->deadline_timer = NULL;
   call_send_plain (call, FRAME_CANCEL, 0, false);
   call_fail (call, call->is_head_delivered ? OUTCOME_RAN : OUTCOME_UNKNOWN,
@@ -273,11 +269,9 @@
 }
 
 static void
-call_run_route (struct tevent_context *events,
-                struct tevent_immediate *immediate, void *data)
+call_run_route (worker_t *worker, void *data)
 {
-  (void)events;
-  talloc_free (immediate);
+  (void)worker;
   call_route (data);
 }
 
@@ -301,19 +295,16 @@
   call->deadline = timespec_add (
       clock_monotonic (worker_clock (share->worker)), request->deadline);
   call_copy (call, request);
-  call->deadline_timer = tevent_add_timer (
-      worker_events (share->worker), call,
-      tevent_timeval_current_ofs ((uint32_t)(patience_ms / 1000),
-                                  (uint32_t)(patience_ms % 1000) * 1000),
-      call_handle_deadline, call);
+  call->deadline_timer = worker_timer_start (share->worker, call,
+                                             timespec_from_ms (patience_ms),
+                                             call_handle_deadline, call);
   table_lock (entry->calls);
   table_insert (entry->calls, &call->node, &call->id, sizeof call->id);
   table_unlock (entry->calls);
   atomic_fetch_add (&entry->open_calls, 1);
   counter_add (&calls_total, 1);
-  tevent_schedule_immediate (tevent_create_immediate (call),
-                             worker_events (share->worker), call_run_route,
-                             call);
+  worker_timer_start (share->worker, call, timespec_from_ms (0),
+                      call_run_route, call);
   return call;
 }
 
@@ -441,14 +432,11 @@
 }
 
 static void
-call_give_up_resume (struct tevent_context *events, struct tevent_timer *timer,
-                     struct timeval now, void *data)
+call_give_up_resume (worker_t *worker, void *data)
 {
   call_t *call = data;
 
-  (void)events;
-  (void)timer;
-  (void)now;
+  (void)worker;
   call->resume_timer = NULL;
   if (!call_retry (call, OUTCOME_UNKNOWN))
     call_fail (call, call->is_head_delivered ? OUTCOME_RAN : OUTCOME_UNKNOWN,
@@ -488,10 +476,8 @@
     {
       call->is_link_lost = true;
       if (call->resume_timer == NULL)
-        call->resume_timer = tevent_add_timer (
-            worker_events (share->worker), call,
-            tevent_timeval_current_ofs (RESUME_PATIENCE_MS / 1000,
-                                        RESUME_PATIENCE_MS % 1000 * 1000),
+        call->resume_timer = worker_timer_start (
+            share->worker, call, timespec_from_ms (RESUME_PATIENCE_MS),
             call_give_up_resume, call);
     }
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -26,15 +26,12 @@
 static void entry_arm_tick (entry_worker_t *share);
 
 static void
-entry_tick (struct tevent_context *events, struct tevent_timer *timer,
-            struct timeval now, void *data)
+entry_tick (worker_t *worker, void *data)
 {
   entry_worker_t *share = data;
   settings_t *settings = node_settings (share->entry->node);
 
-  (void)events;
-  (void)timer;
-  (void)now;
+  (void)worker;
   if (settings != NULL)
     {
       if (worker_index (share->worker) == 0)
@@ -52,9 +49,9 @@
 static void
 entry_arm_tick (entry_worker_t *share)
 {
-  share->timer = tevent_add_timer (
-      worker_events (share->worker), worker_events (share->worker),
-      tevent_timeval_current_ofs (0, TICK_MS * 1000), entry_tick, share);
+  share->timer
+      = worker_timer_start (share->worker, worker_events (share->worker),
+                            timespec_from_ms (TICK_MS), entry_tick, share);
 }
 
 static status_t
@@ -113,14 +110,12 @@
 }
 
 static void
-entry_check_stopped (struct tevent_context *events, struct tevent_timer *timer,
-                     struct timeval now, void *data)
+entry_check_stopped (worker_t *worker, void *data)
 {
   entry_t *entry = data;
   unsigned open = atomic_load (&entry->open_calls);
 
-  (void)timer;
-  (void)now;
+  (void)worker;
   for (unsigned i = 0; i < entry->worker_count; i++)
     open += entry->frontend_ops->open_count (entry->workers[i].frontend);
   if (open == 0)
@@ -128,9 +123,9 @@
       daemon_finish (entry->daemon);
       return;
     }
-  tevent_add_timer (events, events,
-                    tevent_timeval_current_ofs (0, STOP_POLL_MS * 1000),
-                    entry_check_stopped, entry);
+  worker_timer_start (entry->workers[0].worker, entry,
+                      timespec_from_ms (STOP_POLL_MS), entry_check_stopped,
+                      entry);
 }
 
 /* Planned stop: take no new connections and finish the open requests.  */
@@ -138,13 +133,12 @@
 entry_stop (void *state)
 {
   entry_t *entry = state;
-  struct tevent_context *events = worker_events (entry->workers[0].worker);
 
   for (unsigned i = 0; i < entry->worker_count; i++)
     entry->frontend_ops->stop_listening (entry->workers[i].frontend);
-  tevent_add_timer (events, events,
-                    tevent_timeval_current_ofs (0, STOP_POLL_MS * 1000),
-                    entry_check_stopped, entry);
+  worker_timer_start (entry->workers[0].worker, entry,
+                      timespec_from_ms (STOP_POLL_MS), entry_check_stopped,
+                      entry);
 }
 
 static void
--- a/include/agent/agent.h
+++ b/include/agent/agent.h
@@ -32,7 +32,7 @@
   store_t *store;
   const journal_ops_t *journal_ops;
   journal_t *journal;
-  struct tevent_timer *timer;
+  worker_timer_t *timer;
   LIST_HEAD (, agent_peer) peers;
 } agent_worker_t;
 
@@ -51,6 +51,7 @@
   int listen_fd;
   struct tevent_fd *listen_event;
   uint64_t next_worker; /* worker 0 only */
+  uint64_t ticks;       /* worker 0 only */
   bool is_stopping;     /* worker 0 only */
 };
 
--- a/include/entry/entry.h
+++ b/include/entry/entry.h
@@ -21,7 +21,7 @@
   worker_t *worker;
   store_t *store; /* worker 0 only */
   frontend_t *frontend;
-  struct tevent_timer *timer;
+  worker_timer_t *timer;
   uint64_t linked_revision;
   LIST_HEAD (, agent_link) links;
 };
--- a/include/kernel/pool.h
+++ b/include/kernel/pool.h
@@ -12,6 +12,10 @@
 typedef struct pool pool_t;
 typedef struct worker worker_t;
 typedef struct task task_t;
+typedef struct worker_timer worker_timer_t;
+
+/* Runs on the worker's own thread.  */
+typedef void (*worker_handler_t) (worker_t *worker, void *data);
 
 /* A piece of work handed to a worker; embedded in the object it concerns.  A
    task may be posted again once it has started to run.  */
@@ -35,6 +39,9 @@
 struct tevent_context *worker_events (const worker_t *worker);
 const clock_source_t *worker_clock (const worker_t *worker);
 void worker_post (worker_t *worker, task_t *task);
+worker_timer_t *worker_timer_start (worker_t *worker, TALLOC_CTX *owner,
+                                    struct timespec delay,
+                                    worker_handler_t handler, void *data);
 void worker_run_until (worker_t *worker, const bool *is_done);
 
 #endif
--- a/kernel/pool.c
+++ b/kernel/pool.c
@@ -26,9 +26,20 @@
   int wakeup_fd;
   lock_t *task_lock;
   struct task_queue tasks;
+  LIST_HEAD (, worker_timer) timers;
   atomic_bool is_stopping;
 };
 
+/* A one-shot timer.  */
+struct worker_timer
+{
+  LIST_ENTRY (worker_timer) link;
+  worker_t *worker;
+  struct tevent_timer *event;
+  worker_handler_t handler;
+  void *data;
+};
+
 struct pool
 {
   const clock_source_t *clock;
@@ -94,6 +105,11 @@
 static int
 worker_free (worker_t *worker)
 {
+  worker_timer_t *timer;
+
+  /* Timers may belong to objects that the loop's memory holds.  */
+  while ((timer = LIST_FIRST (&worker->timers)) != NULL)
+    talloc_free (timer);
   talloc_free (worker->events);
   if (worker->wakeup_fd >= 0)
     close (worker->wakeup_fd);
@@ -110,6 +126,7 @@
   worker->pool = pool;
   worker->index = index;
   STAILQ_INIT (&worker->tasks);
+  LIST_INIT (&worker->timers);
   worker->wakeup_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
   worker->events = tevent_context_init (NULL);
   worker->task_lock = lock_create (worker, LOCK_TASKS, "tasks");
@@ -269,6 +286,56 @@
     worker_wake (worker);
 }
 
+static void
+timer_fire (struct tevent_context *events, struct tevent_timer *event,
+            struct timeval now, void *data)
+{
+  worker_timer_t *timer = data;
+  worker_handler_t handler = timer->handler;
+  worker_t *worker = timer->worker;
+  void *handler_data = timer->data;
+
+  (void)events;
+  (void)event;
+  (void)now;
+  timer->event = NULL; /* tevent frees it */
+  talloc_free (timer);
+  handler (worker, handler_data);
+}
+
+static int
+timer_free (worker_timer_t *timer)
+{
+  LIST_REMOVE (timer, link);
+  TALLOC_FREE (timer->event);
+  return 0;
+}
+
+/* Have WORKER, whose thread this is, run HANDLER once after DELAY.  The timer
+   belongs to OWNER; freeing it cancels it, and it is freed just before HANDLER
+   runs.  Returns NULL when memory is exhausted.  */
+worker_timer_t *
+worker_timer_start (worker_t *worker, TALLOC_CTX *owner, struct timespec delay,
+                    worker_handler_t handler, void *data)
+{
+  worker_timer_t *timer = talloc_zero (owner, worker_timer_t);
+  struct timeval wait = timespec_to_timeval (delay);
+
+  if (timer == NULL)
+    return NULL;
+  timer->worker = worker;
+  timer->handler = handler;
+  timer->data = data;
+  timer->event
+      = tevent_add_timer (worker->events, worker->events,
+                          tevent_timeval_current_ofs ((uint32_t)wait.tv_sec,
+                                                      (uint32_t)wait.tv_usec),
+                          timer_fire, timer);
+  LIST_INSERT_HEAD (&worker->timers, timer, link);
+  talloc_set_destructor (timer, timer_free);
+  return timer;
+}
+
 /* Run the loop of a WORKER whose thread was not started, on the calling
    thread, until a callback sets *IS_DONE.  For programs that do one thing.  */
 void
