--- a/entry/agent_link.c
+++ b/entry/agent_link.c
@@ -1,5 +1,6 @@
+#include "entry/agent_link.h"
+
 #include "entry/call.h"
-#include "entry/entry.h"
 
 #include "kernel/log.h"
 
@@ -11,8 +12,7 @@
   RECONNECT_MAX_MS = 1000
 };
 
-/* This worker's connection to the agent beside one upstream, made anew
-   whenever it breaks.  */
+/* Made anew whenever it breaks.  */
 struct agent_link
 {
   LIST_ENTRY (agent_link) entry_link;
@@ -23,7 +23,8 @@
   link_t *link;
   worker_timer_t *timer;
   int64_t delay_ms;
-  bool is_wanted; /* still in the settings */
+  bool is_wanted; /* still in the settings; else it serves its calls' ends */
+  struct call_list calls;
 };
 
 static void agent_link_arm (agent_link_t *agent_link);
@@ -35,11 +36,13 @@
   entry_worker_t *share = agent_link->share;
 
   (void)peer;
+  (void)link;
   agent_link->delay_ms = RECONNECT_FIRST_MS;
-  router_set_reachable (share->entry->router, agent_link->upstream,
-                        worker_index (share->worker), true);
-  call_handle_link_open (share, agent_link->upstream,
-                         link_peer_incarnation (link));
+  if (agent_link->is_wanted)
+    router_set_reachable (share->entry->router, agent_link->upstream,
+                          worker_index (share->worker), true);
+  call_handle_link_open (agent_link);
+  call_wake_waiting (share);
 }
 
 static void
@@ -57,8 +60,12 @@
     .is_cold = load->is_cold,
   };
 
+  if (!agent_link->is_wanted)
+    return;
   router_note_report (share->entry->router, agent_link->upstream, &report,
                       load->is_leaving);
+  if (!load->is_leaving)
+    call_wake_waiting (share);
 }
 
 static void
@@ -75,7 +82,7 @@
     case FRAME_CHUNK:
     case FRAME_END:
     case FRAME_REFUSE:
-      call_handle_frame (agent_link->share, frame);
+      call_handle_frame (agent_link, frame);
       break;
     default:
       link_close (link, "unexpected-frame");
@@ -83,6 +90,13 @@
     }
 }
 
+static void
+agent_link_release (agent_link_t *agent_link)
+{
+  LIST_REMOVE (agent_link, entry_link);
+  talloc_free (agent_link);
+}
+
 static void
 agent_link_on_closed (link_t *link, const char *reason, void *data)
 {
@@ -93,16 +107,16 @@
   agent_link->link = NULL;
   log_event (LOG_LEVEL_INFO, "agent-link-closed", "upstream=%s reason=%s",
              agent_link->upstream, reason);
-  router_set_reachable (share->entry->router, agent_link->upstream,
-                        worker_index (share->worker), false);
-  call_handle_link_lost (share, agent_link->upstream);
   if (agent_link->is_wanted)
+    router_set_reachable (share->entry->router, agent_link->upstream,
+                          worker_index (share->worker), false);
+  if (!agent_link->is_wanted && LIST_EMPTY (&agent_link->calls))
     {
-      agent_link_arm (agent_link);
+      agent_link_release (agent_link);
       return;
     }
-  LIST_REMOVE (agent_link, entry_link);
-  talloc_free (agent_link);
+  agent_link_arm (agent_link);
+  call_handle_link_lost (agent_link);
 }
 
 static const link_ops_t agent_link_ops = {
@@ -144,7 +158,7 @@
       = delay * 2 > RECONNECT_MAX_MS ? RECONNECT_MAX_MS : delay * 2;
 }
 
-/* Return the worker's connection to the agent of UPSTREAM, or NULL.  */
+/* Return the worker's connection for new calls to UPSTREAM, or NULL.  */
 agent_link_t *
 agent_link_find (entry_worker_t *share, const char *upstream)
 {
@@ -152,18 +166,98 @@
 
   LIST_FOREACH (agent_link, &share->links, entry_link)
     {
-      if (strcmp (agent_link->upstream, upstream) == 0)
+      if (agent_link->is_wanted
+          && strcmp (agent_link->upstream, upstream) == 0)
         return agent_link;
     }
   return NULL;
 }
 
+/* Return whether the agent has greeted and the connection stands.  */
+bool
+agent_link_is_open (const agent_link_t *agent_link)
+{
+  return agent_link->link != NULL && link_is_open (agent_link->link);
+}
+
+/* Return the incarnation of the agent at the other end of an open
+   connection.  */
+uint64_t
+agent_link_incarnation (const agent_link_t *agent_link)
+{
+  return link_peer_incarnation (agent_link->link);
+}
+
+/* Return the name of the upstream.  */
+const char *
+agent_link_upstream (const agent_link_t *agent_link)
+{
+  return agent_link->upstream;
+}
+
+/* Return the share of the worker that owns the connection.  */
+entry_worker_t *
+agent_link_share (const agent_link_t *agent_link)
+{
+  return agent_link->share;
+}
+
+/* Return the calls that are at this agent.  */
+struct call_list *
+agent_link_calls (agent_link_t *agent_link)
+{
+  return &agent_link->calls;
+}
+
+static void
+agent_link_handle_empty (worker_t *worker, void *data)
+{
+  agent_link_t *agent_link = data;
+
+  (void)worker;
+  agent_link->timer = NULL;
+  if (agent_link->is_wanted || !LIST_EMPTY (&agent_link->calls))
+    return;
+  if (agent_link->link != NULL)
+    link_close (agent_link->link, "not-wanted");
+  else
+    agent_link_release (agent_link);
+}
+
+/* Let go of an unwanted connection once its last call has ended, from the
+   loop, since the caller may be in the connection's own callback.  */
+static void
+agent_link_check_empty (agent_link_t *agent_link)
+{
+  if (agent_link->is_wanted || !LIST_EMPTY (&agent_link->calls))
+    return;
+  TALLOC_FREE (agent_link->timer);
+  agent_link->timer = worker_timer_start (agent_link->share->worker,
+                                          agent_link, timespec_from_ms (0),
+                                          agent_link_handle_empty, agent_link);
+}
+
+/* Note that CALL was sent to this agent.  */
+void
+agent_link_attach (agent_link_t *agent_link, call_t *call)
+{
+  LIST_INSERT_HEAD (&agent_link->calls, call, agent_entry);
+}
+
+/* Note that CALL is no longer at this agent.  */
+void
+agent_link_detach (agent_link_t *agent_link, call_t *call)
+{
+  LIST_REMOVE (call, agent_entry);
+  agent_link_check_empty (agent_link);
+}
+
 /* Send FRAME.  Returns STATUS_UNAVAILABLE when the connection is down; the
    frame was not sent then.  */
 status_t
 agent_link_send (agent_link_t *agent_link, const frame_t *frame)
 {
-  if (agent_link->link == NULL || !link_is_open (agent_link->link))
+  if (!agent_link_is_open (agent_link))
     return status_set (STATUS_UNAVAILABLE, "no connection to the agent of %s",
                        agent_link->upstream);
   return link_send (agent_link->link, frame);
@@ -182,6 +276,7 @@
   agent_link->address_text = talloc_strdup (agent_link, target->address);
   agent_link->delay_ms = RECONNECT_FIRST_MS;
   agent_link->is_wanted = true;
+  LIST_INIT (&agent_link->calls);
   if (net_address_parse (agent_link, target->address, &agent_link->address)
       != STATUS_OK)
     {
@@ -194,17 +289,29 @@
   agent_link_connect (agent_link);
 }
 
+/* Send no new calls over the connection; those that are there go on.  */
 static void
-agent_link_drop (agent_link_t *agent_link)
+agent_link_retire (agent_link_t *agent_link)
 {
   agent_link->is_wanted = false;
-  if (agent_link->link != NULL)
+  router_set_reachable (agent_link->share->entry->router, agent_link->upstream,
+                        worker_index (agent_link->share->worker), false);
+  agent_link_check_empty (agent_link);
+}
+
+static const router_target_t *
+agent_link_target (const agent_link_t *agent_link,
+                   const router_targets_t *targets)
+{
+  const router_target_t *target;
+
+  SLIST_FOREACH (target, targets, link)
     {
-      link_close (agent_link->link, "not-wanted");
-      return;
+      if (strcmp (target->upstream, agent_link->upstream) == 0
+          && strcmp (target->address, agent_link->address_text) == 0)
+        return target;
     }
-  LIST_REMOVE (agent_link, entry_link);
-  talloc_free (agent_link);
+  return NULL;
 }
 
 /* Bring the worker's connections in line with the router's targets.  */
@@ -215,30 +322,18 @@
   router_targets_t targets;
   router_target_t *target;
   agent_link_t *agent_link;
-  agent_link_t *next;
 
   router_targets (share->entry->router, scratch, &targets);
   LIST_FOREACH (agent_link, &share->links, entry_link)
-    agent_link->is_wanted = false;
-  SLIST_FOREACH (target, &targets, link)
     {
-      agent_link = agent_link_find (share, target->upstream);
-      if (agent_link == NULL)
-        agent_link_add (share, target);
-      else if (strcmp (agent_link->address_text, target->address) == 0)
-        agent_link->is_wanted = true;
-      else
-        {
-          agent_link_drop (agent_link);
-          agent_link_add (share, target);
-        }
+      if (agent_link->is_wanted
+          && agent_link_target (agent_link, &targets) == NULL)
+        agent_link_retire (agent_link);
     }
-  for (agent_link = LIST_FIRST (&share->links); agent_link != NULL;
-       agent_link = next)
+  SLIST_FOREACH (target, &targets, link)
     {
-      next = LIST_NEXT (agent_link, entry_link);
-      if (!agent_link->is_wanted)
-        agent_link_drop (agent_link);
+      if (agent_link_find (share, target->upstream) == NULL)
+        agent_link_add (share, target);
     }
   talloc_free (scratch);
 }
--- a/entry/call.c
+++ b/entry/call.c
@@ -9,15 +9,19 @@
 
 enum
 {
-  RESUME_PATIENCE_MS = 3000, /* for a lost connection to come back */
-  DEADLINE_GRACE_MS = 250    /* for the agent's own word on the deadline */
+  DEADLINE_GRACE_MS = 500, /* for the agent's own word on the deadline */
+  WAIT_PATIENCE_MS = 5000, /* for some upstream to become available */
+  WAKE_DELAY_MS = 5,       /* gathers events that may end a wait */
+  NO_UPSTREAM_RETRY_MS = 1000
 };
 
 COUNTER_DEFINE (calls_total, "siskin_calls_total", "Requests from callers");
 COUNTER_DEFINE (calls_retried, "siskin_calls_retried_total",
-                "Requests sent to a second upstream");
-COUNTER_DEFINE (calls_crossed, "siskin_calls_crossed_total",
-                "Answers with a gap, an overlap or a wrong length");
+                "Requests sent to a second upstream out of the budget");
+COUNTER_DEFINE (calls_rerouted, "siskin_calls_rerouted_total",
+                "Requests sent elsewhere because an upstream was closed");
+GAUGE_DEFINE (calls_waiting, "siskin_calls_waiting",
+              "Requests that no upstream can take yet");
 COUNTER_DEFINE_LABELLED (ended_ran, "siskin_calls_ended_total",
                          "outcome=\"ran\"", "Requests answered");
 COUNTER_DEFINE_LABELLED (ended_not_run, "siskin_calls_ended_total",
@@ -25,52 +29,31 @@
 COUNTER_DEFINE_LABELLED (ended_unknown, "siskin_calls_ended_total",
                          "outcome=\"unknown\"", "Requests answered");
 
-/* A request at the entry.  */
-struct call
+/* What a refusal by one agent means for trying another.  */
+typedef enum retry_kind
 {
-  table_node_t node;
-  request_id_t id;
-  entry_worker_t *share;
-  const call_ops_t *ops;
-  void *data;
-  frame_submit_t submit;
-  char *model;
-  pick_work_t work;
-  struct timespec deadline; /* monotonic */
-  const char *upstream;     /* where it is now, or NULL */
-  struct timespec submitted_at;
-  uint64_t agent_incarnation;
-  const char *tried[ROUTER_MAX_ATTEMPTS];
-  unsigned tried_count;
-  bool is_link_lost;
-  bool is_head_delivered;
-  bool is_cancelled;
-  uint64_t received; /* offset up to which the answer has come */
-  uint64_t acknowledged;
-  worker_timer_t *deadline_timer;
-  worker_timer_t *resume_timer;
+  RETRY_NEVER,
+  RETRY_BUDGETED, /* costs a retry, of which there are few */
+  RETRY_FREE      /* the upstream is closed: the choice was out of date */
+} retry_kind_t;
+
+static const retry_kind_t refusal_retry_kinds[REFUSAL_COUNT] = {
+  [REFUSAL_OVERLOAD] = RETRY_BUDGETED, [REFUSAL_COLD] = RETRY_BUDGETED,
+  [REFUSAL_UPSTREAM] = RETRY_BUDGETED, [REFUSAL_LEAVING] = RETRY_FREE,
+  [REFUSAL_ZONE_OUT] = RETRY_FREE,     [REFUSAL_ISOLATED] = RETRY_FREE,
 };
 
 static void call_route (call_t *call);
 
-static call_t *
-call_find (entry_t *entry, const request_id_t *id)
-{
-  table_node_t *node;
-
-  table_lock (entry->calls);
-  node = table_find (entry->calls, id, sizeof *id);
-  table_unlock (entry->calls);
-  return node == NULL ? NULL : CONTAINER_OF (node, call_t, node);
-}
-
 static void
 call_leave_upstream (call_t *call)
 {
-  if (call->upstream == NULL)
+  if (call->agent_link == NULL)
     return;
-  router_release (call->share->entry->router, call->upstream, &call->work);
-  call->upstream = NULL;
+  router_release (call->share->entry->router,
+                  agent_link_upstream (call->agent_link), &call->work);
+  agent_link_detach (call->agent_link, call);
+  call->agent_link = NULL;
   TALLOC_FREE (call->resume_timer);
   call->is_link_lost = false;
 }
@@ -87,32 +70,69 @@
 }
 
 static void
+call_stop_waiting (call_t *call)
+{
+  if (!call->is_waiting)
+    return;
+  TAILQ_REMOVE (&call->share->waiting, call, wait_entry);
+  call->share->waiting_count--;
+  call->is_waiting = false;
+  counter_add (&calls_waiting, -1);
+}
+
+static void
+call_enter_table (call_t *call)
+{
+  table_t *calls = call->share->entry->calls;
+
+  table_lock (calls);
+  table_insert (calls, &call->node, &call->attempt_id,
+                sizeof call->attempt_id);
+  table_unlock (calls);
+}
+
+static void
+call_leave_table (call_t *call)
+{
+  table_t *calls = call->share->entry->calls;
+
+  table_lock (calls);
+  table_remove (calls, &call->node);
+  table_unlock (calls);
+}
+
+/* Tell the caller how its request ended and free CALL.  What an earlier
+   attempt may have done counts: such a request is never said not to have
+   run.  */
+void
 call_end (call_t *call, const call_result_t *result)
 {
-  entry_t *entry = call->share->entry;
+  call_result_t final = *result;
 
-  INVARIANT (result->outcome != OUTCOME_NOT_RUN || call->received == 0,
+  if (final.outcome == OUTCOME_NOT_RUN && call->may_have_run)
+    final.outcome = OUTCOME_UNKNOWN;
+  INVARIANT (final.outcome != OUTCOME_NOT_RUN || !call->is_head_delivered,
              "not-run-has-no-answer");
+  call_stop_waiting (call);
   call_leave_upstream (call);
-  table_lock (entry->calls);
-  table_remove (entry->calls, &call->node);
-  table_unlock (entry->calls);
-  call_count_end (result->outcome);
+  call_leave_table (call);
+  call_count_end (final.outcome);
   log_event (LOG_LEVEL_INFO, "call-ended",
              "request=%016llx-%llu outcome=%s refusal=%s complete=%d "
-             "bytes=%llu attempts=%u",
+             "bytes=%llu attempts=%u detail=\"%s\"",
              (unsigned long long)call->id.incarnation,
              (unsigned long long)call->id.sequence,
-             outcome_name (result->outcome), refusal_name (result->refusal),
-             (int)result->is_complete, (unsigned long long)call->received,
-             call->tried_count);
+             outcome_name (final.outcome), refusal_name (final.refusal),
+             (int) final.is_complete, (unsigned long long)call->received,
+             call->submit_count, final.detail == NULL ? "" : final.detail);
   if (!call->is_cancelled)
-    call->ops->on_end (call, result, call->data);
-  atomic_fetch_sub (&entry->open_calls, 1);
+    call->ops->on_end (call, &final, call->data);
+  call->share->open_calls--;
   talloc_free (call);
 }
 
-static void
+/* End CALL without an answer or in the middle of one.  */
+void
 call_fail (call_t *call, outcome_t outcome, refusal_t refusal,
            const char *detail)
 {
@@ -122,18 +142,15 @@
   call_end (call, &result);
 }
 
-static void
+/* Send a frame without content about CALL to the agent that has it.  */
+void
 call_send_plain (call_t *call, frame_type_t type, uint64_t offset,
                  bool is_final)
 {
-  agent_link_t *agent_link;
-  frame_t frame = { .header = { .type = type, .request = call->id } };
+  frame_t frame = { .header = { .type = type, .request = call->attempt_id } };
   struct timespec now = clock_monotonic (worker_clock (call->share->worker));
 
-  if (call->upstream == NULL)
-    return;
-  agent_link = agent_link_find (call->share, call->upstream);
-  if (agent_link == NULL)
+  if (call->agent_link == NULL)
     return;
   if (type != FRAME_CANCEL)
     {
@@ -142,67 +159,178 @@
       frame.body.offset.age_ms = (uint64_t)timespec_to_ms (
           timespec_subtract (now, call->submitted_at));
     }
-  agent_link_send (agent_link, &frame);
+  agent_link_send (call->agent_link, &frame);
 }
 
+static int64_t
+call_left_ms (const call_t *call)
+{
+  struct timespec now = clock_monotonic (worker_clock (call->share->worker));
+
+  return timespec_to_ms (timespec_subtract (call->deadline, now));
+}
+
+/* Return whether the rules allow another attempt: nothing of an answer was
+   passed on, it is certain that the request has not run or running twice does
+   no harm, and there is time.  */
 static bool
-call_is_late (const call_t *call)
+call_may_repeat (const call_t *call, const call_result_t *result)
 {
-  return timespec_compare (call->deadline, clock_monotonic (worker_clock (
-                                               call->share->worker)))
-         <= 0;
+  if (call->is_head_delivered || call->is_cancelled || call->is_expired
+      || call->submit_count >= ROUTER_MAX_ATTEMPTS)
+    return false;
+  if (result->outcome != OUTCOME_NOT_RUN && !call->submit.is_repeatable)
+    return false;
+  return call_left_ms (call) > router_typical_first_byte_ms (
+             call->share->entry->router, call->submit.service);
 }
 
-/* Send the request to another upstream, which is safe only while it is certain
-   that it has not run or running twice does no harm and nothing of the answer
-   was passed on.  Returns false when it must not or cannot be.  */
 static bool
-call_retry (call_t *call, outcome_t outcome)
+call_take_retry (call_t *call)
 {
-  settings_t *settings = node_settings (call->share->entry->node);
+  entry_t *entry = call->share->entry;
+  settings_t *settings = node_settings (entry->node);
   unsigned attempts
       = settings == NULL ? 1 : (unsigned)settings->retry.attempts;
 
   if (settings != NULL)
     settings_release (settings);
-  if (call->is_head_delivered || call->is_cancelled || call_is_late (call)
-      || call->tried_count >= attempts
-      || call->tried_count >= ROUTER_MAX_ATTEMPTS)
+  if (call->tried_count + 1 >= attempts
+      || call->tried_count + 1 >= ROUTER_MAX_ATTEMPTS
+      || !router_take_retry (entry->router))
     return false;
-  if (outcome != OUTCOME_NOT_RUN && !call->submit.is_repeatable)
+  call->tried[call->tried_count++]
+      = talloc_strdup (call, agent_link_upstream (call->agent_link));
+  counter_add (&calls_retried, 1);
+  return true;
+}
+
+/* Send the request to another upstream after RESULT of the present attempt, if
+   that is safe and allowed.  Returns false when CALL has to end.  */
+bool
+call_retry (call_t *call, const call_result_t *result)
+{
+  retry_kind_t kind = refusal_retry_kinds[result->refusal];
+
+  if (kind == RETRY_NEVER || !call_may_repeat (call, result))
     return false;
-  if (!router_take_retry (call->share->entry->router))
+  if (kind == RETRY_BUDGETED && !call_take_retry (call))
     return false;
-  counter_add (&calls_retried, 1);
+  if (kind == RETRY_FREE)
+    {
+      router_note_closed (call->share->entry->router,
+                          agent_link_upstream (call->agent_link));
+      counter_add (&calls_rerouted, 1);
+    }
+  if (result->outcome != OUTCOME_NOT_RUN)
+    call->may_have_run = true;
+  call->last_refusal = *result;
+  call->last_refusal.detail = "refused by an earlier upstream";
   call_leave_upstream (call);
   call_route (call);
   return true;
 }
 
+static void
+call_log_route (const call_t *call, const router_route_t *route)
+{
+  log_event (LOG_LEVEL_INFO, "routed",
+             "request=%016llx-%llu job=%llu account=%s service=%s "
+             "upstream=%s zone=%s policy=%s reason=%s candidates=%u "
+             "attempt=%u",
+             (unsigned long long)call->id.incarnation,
+             (unsigned long long)call->id.sequence,
+             (unsigned long long)call->attempt_id.sequence,
+             call->submit.account, call->submit.service, route->upstream,
+             route->zone, route->policy, route->reason, route->candidates,
+             call->submit_count);
+}
+
+/* Each attempt has an id of its own, so that an agent can be tried again and
+   nothing late from one attempt is taken for another.  */
+static void
+call_renew_attempt (call_t *call)
+{
+  if (call->submit_count > 0)
+    {
+      call_leave_table (call);
+      call->attempt_id.sequence
+          = atomic_fetch_add (&call->share->entry->next_sequence, 1) + 1;
+      call_enter_table (call);
+    }
+  call->submit_count++;
+}
+
 static void
 call_submit_to (call_t *call, const router_route_t *route)
 {
-  agent_link_t *agent_link = agent_link_find (call->share, route->upstream);
-  frame_t frame = { .header = { .type = FRAME_SUBMIT, .request = call->id } };
-  struct timespec now = clock_monotonic (worker_clock (call->share->worker));
-  int64_t left = timespec_to_ms (timespec_subtract (call->deadline, now));
+  entry_worker_t *share = call->share;
+  agent_link_t *agent_link = agent_link_find (share, route->upstream);
+  frame_t frame = { .header = { .type = FRAME_SUBMIT } };
+  call_result_t not_sent = { .outcome = OUTCOME_NOT_RUN,
+                             .refusal = REFUSAL_LEAVING,
+                             .detail = "no connection to the agent" };
+  int64_t left = call_left_ms (call);
 
-  call->upstream = route->upstream;
-  call->tried[call->tried_count++] = route->upstream;
-  call->submitted_at = now;
+  if (agent_link == NULL)
+    {
+      router_release (share->entry->router, route->upstream, &call->work);
+      call_fail (call, OUTCOME_NOT_RUN, REFUSAL_UPSTREAM, not_sent.detail);
+      return;
+    }
+  call_renew_attempt (call);
+  call->agent_link = agent_link;
+  agent_link_attach (agent_link, call);
+  call->submitted_at = clock_monotonic (worker_clock (share->worker));
+  frame.header.request = call->attempt_id;
   frame.body.submit = call->submit;
   frame.body.submit.deadline_ms = left > 0 ? (uint64_t)left : 0;
-  log_event (LOG_LEVEL_INFO, "routed",
-             "request=%016llx-%llu account=%s service=%s upstream=%s zone=%s "
-             "policy=%s reason=%s candidates=%u attempt=%u",
-             (unsigned long long)call->id.incarnation,
-             (unsigned long long)call->id.sequence, call->submit.account,
-             call->submit.service, route->upstream, route->zone, route->policy,
-             route->reason, route->candidates, call->tried_count);
-  if (agent_link != NULL && agent_link_send (agent_link, &frame) == STATUS_OK)
+  call_log_route (call, route);
+  if (agent_link_send (agent_link, &frame) == STATUS_OK)
+    call->agent_incarnation = agent_link_incarnation (agent_link);
+  else if (!call_retry (call, &not_sent))
+    call_end (call, &not_sent);
+}
+
+static void
+call_give_up_wait (worker_t *worker, void *data)
+{
+  call_t *call = data;
+
+  (void)worker;
+  call->wait_timer = NULL;
+  if (call->submit_count > 0)
+    call_end (call, &call->last_refusal);
+  else
+    {
+      call_result_t result = { .outcome = OUTCOME_NOT_RUN,
+                               .refusal = REFUSAL_OVERLOAD,
+                               .retry_after_ms = NO_UPSTREAM_RETRY_MS,
+                               .detail = "no upstream can take the request" };
+
+      call_end (call, &result);
+    }
+}
+
+/* No upstream can take the request now: wait until something changes.  */
+static void
+call_wait (call_t *call)
+{
+  entry_worker_t *share = call->share;
+
+  TAILQ_INSERT_TAIL (&share->waiting, call, wait_entry);
+  share->waiting_count++;
+  call->is_waiting = true;
+  counter_add (&calls_waiting, 1);
+  if (call->wait_timer != NULL)
     return;
-  if (!call_retry (call, OUTCOME_NOT_RUN))
-    call_fail (call, OUTCOME_NOT_RUN, REFUSAL_UPSTREAM, "not sent");
+  call->wait_timer = worker_timer_start (share->worker, call,
+                                         timespec_from_ms (WAIT_PATIENCE_MS),
+                                         call_give_up_wait, call);
+  log_event (LOG_LEVEL_INFO, "call-waits",
+             "request=%016llx-%llu service=%s reason=no-upstream",
+             (unsigned long long)call->id.incarnation,
+             (unsigned long long)call->id.sequence, call->submit.service);
 }
 
 static void
@@ -217,15 +345,59 @@
   memcpy (request.tried, call->tried, sizeof request.tried);
   if (router_choose (call->share->entry->router, call,
                      worker_index (call->share->worker), &request, &route)
-      != STATUS_OK)
+      == STATUS_OK)
     {
-      call_fail (call, OUTCOME_NOT_RUN, REFUSAL_OVERLOAD,
-                 "no upstream can take the request");
-      return;
+      TALLOC_FREE (call->wait_timer);
+      call_submit_to (call, &route);
     }
-  call_submit_to (call, &route);
+  else if (refusal_retry_kinds[call->last_refusal.refusal] == RETRY_BUDGETED)
+    call_end (call, &call->last_refusal);
+  else
+    call_wait (call);
 }
 
+static void
+call_run_waiting (worker_t *worker, void *data)
+{
+  entry_worker_t *share = data;
+  unsigned count = share->waiting_count;
+
+  (void)worker;
+  share->wake_timer = NULL;
+  while (count-- > 0 && !TAILQ_EMPTY (&share->waiting))
+    {
+      call_t *call = TAILQ_FIRST (&share->waiting);
+
+      call_stop_waiting (call);
+      call_route (call);
+    }
+}
+
+/* Something changed that may let a waiting call go: look at all of them
+   soon, in the order in which they came.  */
+void
+call_wake_waiting (entry_worker_t *share)
+{
+  if (share->waiting_count == 0 || share->wake_timer != NULL)
+    return;
+  share->wake_timer = worker_timer_start (
+      share->worker, worker_events (share->worker),
+      timespec_from_ms (WAKE_DELAY_MS), call_run_waiting, share);
+}
+
+static void
+call_handle_grace_end (worker_t *worker, void *data)
+{
+  call_t *call = data;
+
+  (void)worker;
+  call->deadline_timer = NULL;
+  call_fail (call, call->is_head_delivered ? OUTCOME_RAN : OUTCOME_UNKNOWN,
+             REFUSAL_DEADLINE, "the agent did not say what became of it");
+}
+
+/* The deadline has passed.  Only the agent knows whether a request that was
+   submitted has run: cancel it there and wait a little for its word.  */
 static void
 call_handle_deadline (worker_t *worker, void *data)
 {
@@ -233,9 +405,17 @@
 
   (void)worker;
   call->deadline_timer = NULL;
+  if (call->agent_link == NULL)
+    {
+      call_fail (call, OUTCOME_NOT_RUN, REFUSAL_DEADLINE,
+                 "the deadline passed before any upstream had it");
+      return;
+    }
+  call->is_expired = true;
   call_send_plain (call, FRAME_CANCEL, 0, false);
-  call_fail (call, call->is_head_delivered ? OUTCOME_RAN : OUTCOME_UNKNOWN,
-             REFUSAL_DEADLINE, "the deadline has passed");
+  call->deadline_timer = worker_timer_start (
+      call->share->worker, call, timespec_from_ms (DEADLINE_GRACE_MS),
+      call_handle_grace_end, call);
 }
 
 static void
@@ -283,7 +463,6 @@
 {
   entry_t *entry = share->entry;
   call_t *call = talloc_zero (worker_events (share->worker), call_t);
-  int64_t patience_ms = timespec_to_ms (request->deadline) + DEADLINE_GRACE_MS;
 
   if (call == NULL)
     return NULL;
@@ -292,16 +471,14 @@
   call->data = data;
   call->id.incarnation = node_incarnation (entry->node);
   call->id.sequence = atomic_fetch_add (&entry->next_sequence, 1) + 1;
+  call->attempt_id = call->id;
   call->deadline = timespec_add (
       clock_monotonic (worker_clock (share->worker)), request->deadline);
   call_copy (call, request);
-  call->deadline_timer = worker_timer_start (share->worker, call,
-                                             timespec_from_ms (patience_ms),
-                                             call_handle_deadline, call);
-  table_lock (entry->calls);
-  table_insert (entry->calls, &call->node, &call->id, sizeof call->id);
-  table_unlock (entry->calls);
-  atomic_fetch_add (&entry->open_calls, 1);
+  call->deadline_timer = worker_timer_start (
+      share->worker, call, request->deadline, call_handle_deadline, call);
+  call_enter_table (call);
+  share->open_calls++;
   counter_add (&calls_total, 1);
   worker_timer_start (share->worker, call, timespec_from_ms (0),
                       call_run_route, call);
@@ -314,193 +491,14 @@
 {
   call->is_cancelled = true;
   call_send_plain (call, FRAME_CANCEL, 0, false);
-  call_fail (call, call->upstream == NULL ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN,
+  call_fail (call,
+             call->agent_link == NULL ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN,
              REFUSAL_CANCELLED, "the caller went away");
 }
 
-/* The caller has taken all of the answer but PENDING_BYTES; tell the agent, so
-   that it sends more.  */
-void
-call_note_taken (call_t *call, uint64_t pending_bytes)
-{
-  uint64_t taken = call->received - pending_bytes;
-
-  if (call->is_link_lost || taken <= call->acknowledged)
-    return;
-  call->acknowledged = taken;
-  call_send_plain (call, FRAME_ACK, taken, false);
-}
-
 /* Return the request's id, for logs and the answer's headers.  */
 request_id_t
 call_id (const call_t *call)
 {
   return call->id;
 }
-
-static void
-call_take_head (call_t *call, const frame_head_t *head)
-{
-  if (call->is_head_delivered)
-    return;
-  call->is_head_delivered = true;
-  call->ops->on_head (call, (unsigned)head->http_status, head->content_type,
-                      call->data);
-}
-
-static void
-call_take_chunk (call_t *call, const frame_chunk_t *chunk)
-{
-  uint64_t skip;
-
-  if (chunk->offset > call->received)
-    {
-      counter_add (&calls_crossed, 1);
-      return;
-    }
-  skip = call->received - chunk->offset;
-  if (skip >= chunk->data.size)
-    return;
-  call->received += chunk->data.size - skip;
-  call->ops->on_data (call, chunk->data.data + skip, chunk->data.size - skip,
-                      call->data);
-}
-
-static void
-call_take_end (call_t *call, const frame_end_t *end)
-{
-  call_result_t result = { .outcome = (outcome_t)end->outcome,
-                           .is_complete = end->is_complete,
-                           .detail = end->detail };
-
-  if (end->length != call->received)
-    {
-      counter_add (&calls_crossed, 1);
-      result.is_complete = false;
-    }
-  call_send_plain (call, FRAME_ACK, call->received, true);
-  call_end (call, &result);
-}
-
-static void
-call_take_refusal (call_t *call, const frame_refuse_t *refuse)
-{
-  call_result_t result = { .outcome = (outcome_t)refuse->outcome,
-                           .refusal = (refusal_t)refuse->refusal,
-                           .retry_after_ms = refuse->retry_after_ms,
-                           .detail = refuse->detail };
-
-  call_send_plain (call, FRAME_ACK, 0, true);
-  log_event (LOG_LEVEL_INFO, "refused",
-             "request=%016llx-%llu upstream=%s refusal=%s outcome=%s",
-             (unsigned long long)call->id.incarnation,
-             (unsigned long long)call->id.sequence, call->upstream,
-             refusal_name (result.refusal), outcome_name (result.outcome));
-  if (result.refusal != REFUSAL_KEY_REUSED
-      && result.refusal != REFUSAL_KEY_EXPIRED
-      && call_retry (call, result.outcome))
-    return;
-  call_end (call, &result);
-}
-
-/* Take FRAME, which came from the agent of an upstream.  A frame for a call
-   that has ended is dropped.  */
-void
-call_handle_frame (entry_worker_t *share, const frame_t *frame)
-{
-  call_t *call = call_find (share->entry, &frame->header.request);
-
-  if (call == NULL || call->share != share || call->upstream == NULL)
-    return;
-  switch (frame->header.type)
-    {
-    case FRAME_HEAD:
-      call_take_head (call, &frame->body.head);
-      break;
-    case FRAME_CHUNK:
-      call_take_chunk (call, &frame->body.chunk);
-      break;
-    case FRAME_END:
-      call_take_end (call, &frame->body.end);
-      break;
-    case FRAME_REFUSE:
-      call_take_refusal (call, &frame->body.refuse);
-      break;
-    default:
-      break;
-    }
-}
-
-static void
-call_give_up_resume (worker_t *worker, void *data)
-{
-  call_t *call = data;
-
-  (void)worker;
-  call->resume_timer = NULL;
-  if (!call_retry (call, OUTCOME_UNKNOWN))
-    call_fail (call, call->is_head_delivered ? OUTCOME_RAN : OUTCOME_UNKNOWN,
-               REFUSAL_UPSTREAM, "the agent was lost");
-}
-
-/* Return the next call after PREVIOUS that is at UPSTREAM on this worker.  */
-static call_t *
-call_next_at (entry_worker_t *share, const char *upstream,
-              const call_t *previous)
-{
-  table_t *calls = share->entry->calls;
-  table_node_t *node;
-  call_t *found = NULL;
-
-  table_lock (calls);
-  for (node = table_next (calls, previous == NULL ? NULL : &previous->node);
-       node != NULL && found == NULL; node = table_next (calls, node))
-    {
-      call_t *call = CONTAINER_OF (node, call_t, node);
-
-      if (call->share == share && call->upstream != NULL
-          && strcmp (call->upstream, upstream) == 0)
-        found = call;
-    }
-  table_unlock (calls);
-  return found;
-}
-
-/* The connection to the agent of UPSTREAM broke: its calls wait for it to come
-   back.  */
-void
-call_handle_link_lost (entry_worker_t *share, const char *upstream)
-{
-  for (call_t *call = call_next_at (share, upstream, NULL); call != NULL;
-       call = call_next_at (share, upstream, call))
-    {
-      call->is_link_lost = true;
-      if (call->resume_timer == NULL)
-        call->resume_timer = worker_timer_start (
-            share->worker, call, timespec_from_ms (RESUME_PATIENCE_MS),
-            call_give_up_resume, call);
-    }
-}
-
-/* The connection to the agent of UPSTREAM stands again: ask for the rest of
-   the answers from the same run of the agent; another run has no memory of
-   them, so for those the resume timer decides at once.  */
-void
-call_handle_link_open (entry_worker_t *share, const char *upstream,
-                       uint64_t incarnation)
-{
-  call_t *next;
-
-  for (call_t *call = call_next_at (share, upstream, NULL); call != NULL;
-       call = next)
-    {
-      next = call_next_at (share, upstream, call);
-      if (call->agent_incarnation == 0 && !call->is_link_lost)
-        call->agent_incarnation = incarnation;
-      if (!call->is_link_lost)
-        continue;
-      call->is_link_lost = false;
-      TALLOC_FREE (call->resume_timer);
-      call_send_plain (call, FRAME_RESUME, call->received, false);
-    }
-}
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -1,48 +1,65 @@
 #include "entry/entry.h"
 
 #include "common/settings_source.h"
+#include "entry/agent_link.h"
+#include "entry/call.h"
 #include "entry/program.h"
 #include "kernel/log.h"
 #include "kernel/plugin.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 enum
 {
   TICK_MS = 100,
-  STOP_POLL_MS = 50
+  STOP_POLL_MS = 50,
+  STOP_NOTICE_MS = 300 /* for callers with kept connections to hear of it */
 };
 
 /* Put newly learned settings in force at the router.  */
 static void
 entry_apply_settings (entry_t *entry, const settings_t *settings)
 {
-  if (settings->revision == entry->configured_revision)
+  if (settings->revision == atomic_load (&entry->configured_revision))
     return;
   if (router_configure (entry->router, settings) != STATUS_OK)
     log_event (LOG_LEVEL_ERROR, "router-not-configured", "error=\"%s\"",
                status_message ());
-  entry->configured_revision = settings->revision;
+  atomic_store (&entry->configured_revision, settings->revision);
 }
 
 static void entry_arm_tick (entry_worker_t *share);
 
+/* Bring this worker's connections in line once the router has newer settings,
+   which worker 0 gives it.  */
+static void
+entry_follow_router (entry_worker_t *share)
+{
+  uint64_t revision = atomic_load (&share->entry->configured_revision);
+
+  if (share->linked_revision == revision)
+    return;
+  agent_link_refresh (share);
+  share->linked_revision = revision;
+  call_wake_waiting (share);
+}
+
 static void
 entry_tick (worker_t *worker, void *data)
 {
   entry_worker_t *share = data;
-  settings_t *settings = node_settings (share->entry->node);
+  settings_t *settings = NULL;
 
   (void)worker;
+  if (worker_index (share->worker) == 0)
+    settings = node_settings (share->entry->node);
   if (settings != NULL)
     {
-      if (worker_index (share->worker) == 0)
-        entry_apply_settings (share->entry, settings);
-      if (share->linked_revision != settings->revision)
-        {
-          agent_link_refresh (share);
-          share->linked_revision = settings->revision;
-        }
+      entry_apply_settings (share->entry, settings);
       settings_release (settings);
     }
+  entry_follow_router (share);
   entry_arm_tick (share);
 }
 
@@ -73,6 +90,7 @@
       share->entry = entry;
       share->worker = pool_worker (daemon_pool (entry->daemon), i);
       LIST_INIT (&share->links);
+      TAILQ_INIT (&share->waiting);
       share->frontend
           = entry->frontend_ops->create (share, config->listen, &port);
       if (share->frontend == NULL)
@@ -105,27 +123,39 @@
   entry->calls = table_create (entry, LOCK_REQUESTS, "calls");
   entry->router = router_create (
       entry, node_zone (entry->node), node_clock (entry->node),
-      node_incarnation (entry->node), entry->worker_count);
+      XXH3_64bits (node_name (entry->node), strlen (node_name (entry->node))),
+      entry->worker_count);
   return entry_set_up (entry);
 }
 
+/* The last worker without an open request ends the planned stop.  */
 static void
 entry_check_stopped (worker_t *worker, void *data)
 {
-  entry_t *entry = data;
-  unsigned open = atomic_load (&entry->open_calls);
+  entry_worker_t *share = data;
+  entry_t *entry = share->entry;
 
-  (void)worker;
-  for (unsigned i = 0; i < entry->worker_count; i++)
-    open += entry->frontend_ops->open_count (entry->workers[i].frontend);
-  if (open == 0)
+  if (share->open_calls == 0
+      && entry->frontend_ops->open_count (share->frontend) == 0)
     {
-      daemon_finish (entry->daemon);
+      if (atomic_fetch_sub (&entry->busy_workers, 1) == 1)
+        daemon_finish (entry->daemon);
       return;
     }
-  worker_timer_start (entry->workers[0].worker, entry,
+  worker_timer_start (worker, worker_events (worker),
                       timespec_from_ms (STOP_POLL_MS), entry_check_stopped,
-                      entry);
+                      share);
+}
+
+static void
+entry_run_stop (task_t *task, worker_t *worker)
+{
+  entry_worker_t *share = CONTAINER_OF (task, entry_worker_t, stop_task);
+
+  share->entry->frontend_ops->stop_listening (share->frontend);
+  worker_timer_start (worker, worker_events (worker),
+                      timespec_from_ms (STOP_NOTICE_MS), entry_check_stopped,
+                      share);
 }
 
 /* Planned stop: take no new connections and finish the open requests.  */
@@ -134,11 +164,13 @@
 {
   entry_t *entry = state;
 
+  atomic_store (&entry->is_stopping, true);
+  atomic_store (&entry->busy_workers, entry->worker_count);
   for (unsigned i = 0; i < entry->worker_count; i++)
-    entry->frontend_ops->stop_listening (entry->workers[i].frontend);
-  worker_timer_start (entry->workers[0].worker, entry,
-                      timespec_from_ms (STOP_POLL_MS), entry_check_stopped,
-                      entry);
+    {
+      entry->workers[i].stop_task.run = entry_run_stop;
+      worker_post (entry->workers[i].worker, &entry->workers[i].stop_task);
+    }
 }
 
 static void
--- a/entry/router.c
+++ b/entry/router.c
@@ -1,7 +1,6 @@
-#include "entry/router.h"
+#include "entry/router_state.h"
 
 #include "kernel/counter.h"
-#include "kernel/invariant.h"
 #include "kernel/plugin.h"
 
 #include <string.h>
@@ -9,63 +8,18 @@
 
 enum
 {
-  ROUTER_MAX_CANDIDATES = 1024,
   ROUTER_MAX_WORKERS = 64,
-  RETRY_BUDGET_CAP = 50 /* retries saved up at the most */
+  ROUTER_SUBSET_UPSTREAMS = 24 /* links for each service and model */
 };
 
 GAUGE_DEFINE (upstreams_gauge, "siskin_router_upstreams",
               "Upstreams known to the entry");
-COUNTER_DEFINE (no_candidate, "siskin_router_no_candidate_total",
-                "Requests for which no upstream could be chosen");
-COUNTER_DEFINE (retries_denied, "siskin_router_retries_denied_total",
-                "Retries that the budget did not allow");
-
-typedef struct router_upstream
-{
-  table_node_t node;
-  STAILQ_ENTRY (router_upstream) link;
-  char *name;
-  char *address;
-  char *zone;
-  char *service;
-  char *model;
-  uint64_t name_hash;
-  uint64_t reachable_workers; /* a bit for each worker */
-  bool is_listed;             /* in the settings in force */
-  bool is_allowed;            /* by zone and operators */
-  bool is_leaving;            /* by the agent's word */
-  uint64_t outstanding_requests;
-  uint64_t outstanding_tokens;
-  uint64_t sent_since_report;
-  pick_report_t report;
-} router_upstream_t;
-
-typedef struct router_service
-{
-  STAILQ_ENTRY (router_service) link;
-  char *name;
-  char *policy;
-  const pick_ops_t *ops;
-  pick_t *pick;
-} router_service_t;
-
-struct router
-{
-  const char *zone;
-  const clock_source_t *clock;
-  uint64_t seed;
-  table_t *table; /* router_upstream_t by name; guards the whole router */
-  STAILQ_HEAD (, router_upstream) upstreams;
-  STAILQ_HEAD (, router_service) services;
-  double retry_ratio;
-  double retry_budget;
-  pick_candidate_t candidates[ROUTER_MAX_CANDIDATES];
-  router_upstream_t *candidate_upstreams[ROUTER_MAX_CANDIDATES];
-};
+GAUGE_DEFINE (linked_gauge, "siskin_router_linked_upstreams",
+              "Upstreams that the entry connects to");
 
 /* Create an empty router for an entry in ZONE, which is kept by reference.
-   SEED makes entries start their choices at different places.  */
+   SEED, which differs between entries, selects the upstreams that this one
+   connects to when there are many.  */
 router_t *
 router_create (TALLOC_CTX *parent, const char *zone,
                const clock_source_t *clock, uint64_t seed,
@@ -94,7 +48,15 @@
   talloc_free (router);
 }
 
-static router_upstream_t *
+/* Return a hash of TEXT, 0 for an empty one.  */
+uint64_t
+router_text_hash (const char *text)
+{
+  return text[0] == '\0' ? 0 : XXH3_64bits (text, strlen (text));
+}
+
+/* Return the upstream NAME, or NULL; the table is locked.  */
+router_upstream_t *
 router_find (const router_t *router, const char *name)
 {
   table_node_t *node = table_find (router->table, name, strlen (name));
@@ -102,7 +64,8 @@
   return node == NULL ? NULL : CONTAINER_OF (node, router_upstream_t, node);
 }
 
-static router_service_t *
+/* Return the service NAME, or NULL; the table is locked.  */
+router_service_t *
 router_find_service (const router_t *router, const char *name)
 {
   router_service_t *service;
@@ -124,29 +87,39 @@
   *place = talloc_strdup (upstream, text);
 }
 
+static router_upstream_t *
+router_add_upstream (router_t *router, const char *name)
+{
+  router_upstream_t *upstream = talloc_zero (router, router_upstream_t);
+  char *copy = talloc_strdup (upstream, name);
+
+  upstream->candidate.name = copy;
+  upstream->candidate.name_hash = router_text_hash (copy);
+  table_insert (router->table, &upstream->node, copy, strlen (copy));
+  STAILQ_INSERT_TAIL (&router->upstreams, upstream, link);
+  return upstream;
+}
+
 static void
 router_update_upstream (router_t *router, const settings_t *settings,
                         const upstream_t *listed)
 {
   router_upstream_t *upstream = router_find (router, listed->name);
+  router_service_t *service = router_find_service (router, listed->service);
 
+  if (service == NULL)
+    return;
   if (upstream == NULL)
-    {
-      upstream = talloc_zero (router, router_upstream_t);
-      upstream->name = talloc_strdup (upstream, listed->name);
-      upstream->name_hash
-          = XXH3_64bits (upstream->name, strlen (upstream->name));
-      table_insert (router->table, &upstream->node, upstream->name,
-                    strlen (upstream->name));
-      STAILQ_INSERT_TAIL (&router->upstreams, upstream, link);
-    }
+    upstream = router_add_upstream (router, listed->name);
   router_set_text (upstream, &upstream->address, listed->address);
-  router_set_text (upstream, &upstream->zone, listed->zone);
-  router_set_text (upstream, &upstream->service, listed->service);
+  router_set_text (upstream, (char **)&upstream->candidate.zone, listed->zone);
   router_set_text (upstream, &upstream->model, listed->model);
+  upstream->model_hash = router_text_hash (listed->model);
+  upstream->service = service;
   upstream->is_listed = true;
   upstream->is_allowed
       = settings_zone_serves (settings, listed->zone) && !listed->is_draining;
+  STAILQ_INSERT_TAIL (&service->members, upstream, member_link);
 }
 
 static status_t
@@ -161,235 +134,200 @@
     {
       service = talloc_zero (router, router_service_t);
       service->name = talloc_strdup (service, listed->name);
+      STAILQ_INIT (&service->members);
       STAILQ_INSERT_TAIL (&router->services, service, link);
     }
+  service->is_listed = true;
   if (service->ops == ops)
     return STATUS_OK;
   if (service->pick != NULL)
     service->ops->destroy (service->pick);
+  talloc_free (service->policy);
   service->ops = ops;
   service->policy = talloc_strdup (service, listed->pick);
   service->pick = ops->create (service, router->seed);
   return STATUS_OK;
 }
 
-/* Put SETTINGS in force.  Returns STATUS_NOT_FOUND when a policy does not
-   exist; the rest is in force all the same.  */
-status_t
-router_configure (router_t *router, const settings_t *settings)
+/* Forget UPSTREAM, which has no work; the table is locked.  */
+void
+router_drop_upstream (router_t *router, router_upstream_t *upstream)
 {
-  const upstream_t *listed;
-  const service_t *service;
-  router_upstream_t *upstream;
-  status_t status = STATUS_OK;
-
-  table_lock (router->table);
-  STAILQ_FOREACH (upstream, &router->upstreams, link)
-    upstream->is_listed = upstream->is_allowed = false;
-  STAILQ_FOREACH (listed, &settings->upstreams, link)
-    router_update_upstream (router, settings, listed);
-  STAILQ_FOREACH (service, &settings->services, link)
-    {
-      if (router_update_service (router, service) != STATUS_OK)
-        status = STATUS_NOT_FOUND;
-    }
-  router->retry_ratio = settings->retry.budget_ratio;
-  counter_set (&upstreams_gauge, (int64_t)table_count (router->table));
-  table_unlock (router->table);
-  return status;
+  table_remove (router->table, &upstream->node);
+  STAILQ_REMOVE (&router->upstreams, upstream, router_upstream, link);
+  talloc_free (upstream);
 }
 
-/* Fill TARGETS with copies, owned by PARENT, of the upstreams that an entry
-   should be connected to.  */
-void
-router_targets (router_t *router, TALLOC_CTX *parent,
-                router_targets_t *targets)
+/* Forget what the settings no longer list.  An upstream with work stays until
+   router_release takes the last of it away.  */
+static void
+router_drop_unlisted (router_t *router)
 {
-  const router_upstream_t *upstream;
+  router_upstream_t *upstream = STAILQ_FIRST (&router->upstreams);
+  router_service_t *service = STAILQ_FIRST (&router->services);
 
-  SLIST_INIT (targets);
-  table_lock (router->table);
-  STAILQ_FOREACH (upstream, &router->upstreams, link)
+  while (upstream != NULL)
     {
-      router_target_t *target;
+      router_upstream_t *next = STAILQ_NEXT (upstream, link);
 
       if (!upstream->is_listed)
-        continue;
-      target = talloc_zero (parent, router_target_t);
-      if (target == NULL)
-        break;
-      target->upstream = talloc_strdup (target, upstream->name);
-      target->address = talloc_strdup (target, upstream->address);
-      SLIST_INSERT_HEAD (targets, target, link);
+        upstream->service = NULL;
+      if (!upstream->is_listed
+          && upstream->candidate.outstanding_requests == 0)
+        router_drop_upstream (router, upstream);
+      upstream = next;
+    }
+  while (service != NULL)
+    {
+      router_service_t *next = STAILQ_NEXT (service, link);
+
+      if (!service->is_listed)
+        {
+          STAILQ_REMOVE (&router->services, service, router_service, link);
+          service->ops->destroy (service->pick);
+          talloc_free (service);
+        }
+      service = next;
     }
-  table_unlock (router->table);
 }
 
-/* Note whether WORKER has an open connection to the agent of UPSTREAM.  */
-void
-router_set_reachable (router_t *router, const char *name, unsigned worker,
-                      bool is_reachable)
+static uint64_t
+router_weight (const router_t *router, const router_upstream_t *upstream)
 {
-  router_upstream_t *upstream;
-  uint64_t bit = (uint64_t)1 << worker;
+  uint64_t pair[2] = { router->seed, upstream->candidate.name_hash };
 
-  table_lock (router->table);
-  upstream = router_find (router, name);
-  if (upstream != NULL && is_reachable)
-    upstream->reachable_workers |= bit;
-  else if (upstream != NULL)
-    upstream->reachable_workers &= ~bit;
-  table_unlock (router->table);
+  return XXH3_64bits (pair, sizeof pair);
 }
 
-/* Note the agent's REPORT on the upstream NAME.  */
-void
-router_note_report (router_t *router, const char *name,
-                    const pick_report_t *report, bool is_leaving)
+/* What the choice of links has to know of the upstreams that could stand in
+   for one of them.  */
+typedef struct router_peers
 {
-  router_upstream_t *upstream;
-
-  table_lock (router->table);
-  upstream = router_find (router, name);
-  if (upstream != NULL)
-    {
-      upstream->report = *report;
-      upstream->is_leaving = is_leaving;
-      upstream->sent_since_report = 0;
-    }
-  table_unlock (router->table);
-}
+  unsigned total;     /* of the same service and model */
+  unsigned in_zone;   /* of these, in the same zone */
+  unsigned preferred; /* of these, with a higher weight */
+} router_peers_t;
 
-static bool
-router_was_tried (const router_request_t *request, const char *name)
+static router_peers_t
+router_count_peers (const router_t *router, const router_upstream_t *upstream)
 {
-  for (unsigned i = 0; i < request->tried_count; i++)
+  uint64_t weight = router_weight (router, upstream);
+  const router_upstream_t *other;
+  router_peers_t peers = { 0, 0, 0 };
+
+  STAILQ_FOREACH (other, &upstream->service->members, member_link)
     {
-      if (strcmp (request->tried[i], name) == 0)
-        return true;
+      if (other->model_hash != upstream->model_hash)
+        continue;
+      peers.total++;
+      if (strcmp (other->candidate.zone, upstream->candidate.zone) != 0)
+        continue;
+      peers.in_zone++;
+      if (router_weight (router, other) > weight)
+        peers.preferred++;
     }
-  return false;
+  return peers;
 }
 
+/* Rendezvous hashing selects the upstreams that this entry connects to: each
+   zone gets its part of ROUTER_SUBSET_UPSTREAMS for each service and model,
+   and a change of the fleet moves only the links concerned.  A policy that
+   must reach every upstream gets all.  */
 static bool
-router_may_choose (const router_upstream_t *upstream, unsigned worker,
-                   const router_request_t *request)
+router_is_in_subset (const router_t *router, const router_upstream_t *upstream)
 {
-  if (!upstream->is_allowed || upstream->is_leaving
-      || (upstream->reachable_workers >> worker & 1) == 0
-      || strcmp (upstream->service, request->service) != 0)
-    return false;
-  if (request->model[0] != '\0' && upstream->model[0] != '\0'
-      && strcmp (request->model, upstream->model) != 0)
-    return false;
-  return !router_was_tried (request, upstream->name);
+  router_peers_t peers = router_count_peers (router, upstream);
+  unsigned quota;
+
+  if (upstream->service->ops->needs_all
+      || peers.total <= ROUTER_SUBSET_UPSTREAMS)
+    return true;
+  quota = (peers.in_zone * ROUTER_SUBSET_UPSTREAMS + peers.total - 1)
+          / peers.total;
+  return peers.preferred < quota;
 }
 
-static unsigned
-router_collect (router_t *router, unsigned worker,
-                const router_request_t *request)
+static void
+router_select_links (router_t *router)
 {
   router_upstream_t *upstream;
-  unsigned count = 0;
+  int64_t linked = 0;
 
   STAILQ_FOREACH (upstream, &router->upstreams, link)
     {
-      if (count == ROUTER_MAX_CANDIDATES)
-        break;
-      if (!router_may_choose (upstream, worker, request))
-        continue;
-      router->candidate_upstreams[count] = upstream;
-      router->candidates[count++] = (pick_candidate_t){
-        .name = upstream->name,
-        .name_hash = upstream->name_hash,
-        .zone = upstream->zone,
-        .outstanding_requests = upstream->outstanding_requests,
-        .outstanding_tokens = upstream->outstanding_tokens,
-        .sent_since_report = upstream->sent_since_report,
-        .report = upstream->report,
-      };
+      upstream->is_linked
+          = upstream->is_listed && router_is_in_subset (router, upstream);
+      linked += upstream->is_linked;
     }
-  return count;
-}
-
-static uint64_t
-work_tokens (const pick_work_t *work)
-{
-  return work->prompt_tokens + work->output_tokens;
+  counter_set (&linked_gauge, linked);
+  counter_set (&upstreams_gauge, (int64_t)table_count (router->table));
 }
 
-/* Choose the upstream for REQUEST among those that WORKER can reach and count
-   the work there until router_release.  Strings of ROUTE belong to PARENT.
-   Returns STATUS_UNAVAILABLE when there is none.  */
-status_t
-router_choose (router_t *router, TALLOC_CTX *parent, unsigned worker,
-               const router_request_t *request, router_route_t *route)
+static void
+router_begin_configure (router_t *router)
 {
+  router_upstream_t *upstream;
   router_service_t *service;
-  router_upstream_t *chosen = NULL;
-  pick_choice_t choice = { 0, "" };
-  pick_work_t work = request->work;
 
-  work.zone = router->zone;
-  table_lock (router->table);
-  service = router_find_service (router, request->service);
-  route->candidates
-      = service == NULL ? 0 : router_collect (router, worker, request);
-  if (route->candidates > 0)
+  STAILQ_FOREACH (upstream, &router->upstreams, link)
+    upstream->is_listed = upstream->is_allowed = false;
+  STAILQ_FOREACH (service, &router->services, link)
     {
-      service->ops->choose (service->pick, &work, router->candidates,
-                            route->candidates, clock_monotonic (router->clock),
-                            &choice);
-      INVARIANT (choice.index < route->candidates, "choice-in-range");
-      chosen = router->candidate_upstreams[choice.index];
-      INVARIANT (chosen->is_allowed, "choice-is-allowed");
-      chosen->outstanding_requests++;
-      chosen->outstanding_tokens += work_tokens (&work);
-      chosen->sent_since_report += work_tokens (&work);
-      route->upstream = talloc_strdup (parent, chosen->name);
-      route->zone = talloc_strdup (parent, chosen->zone);
-      route->policy = talloc_strdup (parent, service->policy);
-      route->reason = choice.reason;
-      if (request->tried_count == 0 && router->retry_budget < RETRY_BUDGET_CAP)
-        router->retry_budget += router->retry_ratio;
+      service->is_listed = false;
+      STAILQ_INIT (&service->members);
     }
-  table_unlock (router->table);
-  if (chosen != NULL)
-    return STATUS_OK;
-  counter_add (&no_candidate, 1);
-  return status_set (STATUS_UNAVAILABLE, "no upstream of service %s",
-                     request->service);
 }
 
-/* Stop counting WORK on the upstream NAME.  */
-void
-router_release (router_t *router, const char *name, const pick_work_t *work)
+/* Put SETTINGS in force.  Returns STATUS_NOT_FOUND when a policy does not
+   exist; the rest is in force all the same.  */
+status_t
+router_configure (router_t *router, const settings_t *settings)
 {
-  router_upstream_t *upstream;
+  const upstream_t *listed;
+  const service_t *service;
+  status_t status = STATUS_OK;
 
   table_lock (router->table);
-  upstream = router_find (router, name);
-  if (upstream != NULL)
+  router_begin_configure (router);
+  STAILQ_FOREACH (service, &settings->services, link)
     {
-      INVARIANT (upstream->outstanding_requests > 0, "release-was-counted");
-      upstream->outstanding_requests--;
-      upstream->outstanding_tokens -= work_tokens (work);
+      if (router_update_service (router, service) != STATUS_OK)
+        status = STATUS_NOT_FOUND;
     }
+  STAILQ_FOREACH (listed, &settings->upstreams, link)
+    router_update_upstream (router, settings, listed);
+  router_drop_unlisted (router);
+  router_select_links (router);
+  router->retry_ratio = settings->retry.budget_ratio;
+  router->candidates
+      = talloc_realloc (router, router->candidates, const pick_candidate_t *,
+                        table_count (router->table) + 1);
   table_unlock (router->table);
+  return status;
 }
 
-/* Take one retry off the budget; returns false when it is used up.  */
-bool
-router_take_retry (router_t *router)
+/* Fill TARGETS with copies, owned by PARENT, of the upstreams that an entry
+   should be connected to.  */
+void
+router_targets (router_t *router, TALLOC_CTX *parent,
+                router_targets_t *targets)
 {
-  bool is_allowed;
+  const router_upstream_t *upstream;
 
+  SLIST_INIT (targets);
   table_lock (router->table);
-  is_allowed = router->retry_budget >= 1.0;
-  if (is_allowed)
-    router->retry_budget -= 1.0;
+  STAILQ_FOREACH (upstream, &router->upstreams, link)
+    {
+      router_target_t *target;
+
+      if (!upstream->is_linked)
+        continue;
+      target = talloc_zero (parent, router_target_t);
+      if (target == NULL)
+        break;
+      target->upstream = talloc_strdup (target, upstream->candidate.name);
+      target->address = talloc_strdup (target, upstream->address);
+      SLIST_INSERT_HEAD (targets, target, link);
+    }
   table_unlock (router->table);
-  if (!is_allowed)
-    counter_add (&retries_denied, 1);
-  return is_allowed;
 }
--- a/include/entry/entry.h
+++ b/include/entry/entry.h
@@ -24,6 +24,11 @@
   worker_timer_t *timer;
   uint64_t linked_revision;
   LIST_HEAD (, agent_link) links;
+  unsigned open_calls;
+  TAILQ_HEAD (, call) waiting; /* calls that no upstream can take yet */
+  unsigned waiting_count;
+  worker_timer_t *wake_timer;
+  task_t stop_task;
 };
 
 struct entry
@@ -31,20 +36,15 @@
   daemon_t *daemon;
   node_t *node;
   router_t *router;
-  table_t *calls; /* call_t by request id */
+  table_t *calls; /* call_t by the agent's request id */
   const store_ops_t *store_ops;
   const frontend_ops_t *frontend_ops;
   unsigned worker_count;
   entry_worker_t *workers;
   atomic_uint_fast64_t next_sequence;
-  atomic_uint open_calls;
   atomic_bool is_stopping;
-  uint64_t configured_revision; /* worker 0 only */
+  atomic_uint busy_workers; /* in a planned stop */
+  atomic_uint_fast64_t configured_revision;
 };
 
-agent_link_t *agent_link_find (entry_worker_t *share, const char *upstream);
-void agent_link_refresh (entry_worker_t *share);
-status_t agent_link_send (agent_link_t *agent_link, const frame_t *frame);
-void agent_link_close_all (entry_worker_t *share);
-
 #endif
--- a/include/entry/router.h
+++ b/include/entry/router.h
@@ -67,5 +67,11 @@
 void router_release (router_t *router, const char *name,
                      const pick_work_t *work);
 bool router_take_retry (router_t *router);
+void router_note_closed (router_t *router, const char *name);
+void router_note_blocks (router_t *router, const char *name,
+                         const uint64_t *blocks, size_t count, bool is_stored);
+void router_note_first_byte (router_t *router, const char *name,
+                             int64_t milliseconds);
+int64_t router_typical_first_byte_ms (router_t *router, const char *name);
 
 #endif
--- /dev/null
+++ b/include/entry/router_state.h
@@ -0,0 +1,59 @@
+#ifndef SISKIN_ENTRY_ROUTER_STATE_H
+#define SISKIN_ENTRY_ROUTER_STATE_H
+
+#include "entry/router.h"
+
+#include <sys/queue.h>
+
+/* What the parts of the router share.  */
+typedef struct router_service router_service_t;
+
+typedef struct router_upstream
+{
+  table_node_t node;
+  STAILQ_ENTRY (router_upstream) link;
+  STAILQ_ENTRY (router_upstream) member_link; /* of SERVICE */
+  router_service_t *service;
+  char *address;
+  char *model;
+  uint64_t model_hash;        /* 0 for none */
+  uint64_t reachable_workers; /* a bit for each worker */
+  bool is_listed;             /* in the settings in force */
+  bool is_linked;             /* in this entry's subset */
+  bool is_allowed;            /* by zone and operators */
+  bool is_leaving;            /* by the agent's word */
+  pick_candidate_t candidate; /* kept current, owned by the upstream */
+} router_upstream_t;
+
+struct router_service
+{
+  STAILQ_ENTRY (router_service) link;
+  char *name;
+  char *policy;
+  bool is_listed;
+  const pick_ops_t *ops;
+  pick_t *pick;
+  int64_t first_byte_us; /* smoothed */
+  STAILQ_HEAD (, router_upstream) members;
+};
+
+struct router
+{
+  const char *zone;
+  const clock_source_t *clock;
+  uint64_t seed;
+  table_t *table; /* router_upstream_t by name; guards the whole router */
+  STAILQ_HEAD (, router_upstream) upstreams;
+  STAILQ_HEAD (, router_service) services;
+  double retry_ratio;
+  double retry_budget;
+  const pick_candidate_t **candidates; /* room for every upstream */
+};
+
+router_upstream_t *router_find (const router_t *router, const char *name);
+router_service_t *router_find_service (const router_t *router,
+                                       const char *name);
+void router_drop_upstream (router_t *router, router_upstream_t *upstream);
+uint64_t router_text_hash (const char *text);
+
+#endif
--- a/include/plugins/pick.h
+++ b/include/plugins/pick.h
@@ -48,7 +48,8 @@
   const char *zone;
   uint64_t outstanding_requests; /* sent by this entry and not ended */
   uint64_t outstanding_tokens;
-  uint64_t sent_since_report; /* tokens sent since the last report */
+  uint64_t requests_at_report; /* what the two were when REPORT came */
+  uint64_t tokens_at_report;
   pick_report_t report;
 } pick_candidate_t;
 
@@ -64,7 +65,7 @@
   void (*destroy) (pick_t *pick);
   /* COUNT is at least 1.  */
   void (*choose) (pick_t *pick, const pick_work_t *work,
-                  const pick_candidate_t *candidates, size_t count,
+                  const pick_candidate_t *const *candidates, size_t count,
                   struct timespec now, pick_choice_t *choice);
   /* A request with these blocks was sent to, or its blocks were reported
      stored (or evicted) by, the upstream NAME_HASH.  May be NULL.  */
@@ -72,6 +73,9 @@
                        const uint64_t *blocks, size_t count, bool is_stored);
   /* The upstream NAME_HASH lost its cache.  May be NULL.  */
   void (*note_restart) (pick_t *pick, uint64_t name_hash);
+  /* All entries must be able to reach the same upstream, so that a subset of
+     them will not do.  */
+  bool needs_all;
 } pick_ops_t;
 
 #endif
--- a/plugins/pick/by_key.c
+++ b/plugins/pick/by_key.c
@@ -29,7 +29,7 @@
    the keys of the upstreams concerned.  */
 static void
 by_key_choose (pick_t *pick, const pick_work_t *work,
-               const pick_candidate_t *candidates, size_t count,
+               const pick_candidate_t *const *candidates, size_t count,
                struct timespec now, pick_choice_t *choice)
 {
   uint64_t best = 0;
@@ -45,7 +45,7 @@
   choice->reason = "key-hash";
   for (size_t i = 0; i < count; i++)
     {
-      uint64_t pair[2] = { work->key_hash, candidates[i].name_hash };
+      uint64_t pair[2] = { work->key_hash, candidates[i]->name_hash };
       uint64_t weight = XXH3_64bits (pair, sizeof pair);
 
       if (weight >= best)
@@ -60,6 +60,7 @@
   .create = by_key_create,
   .destroy = by_key_destroy,
   .choose = by_key_choose,
+  .needs_all = true,
 };
 
 PLUGIN_REGISTER (by_key, PLUGIN_PICK, "by-key",
