--- /dev/null
+++ b/bench/load.c
@@ -0,0 +1,235 @@
+/* A load tool: sends chat requests from a number of concurrent callers and
+   prints the latencies as one line of JSON.
+
+   bench-load URL ACCOUNT CALLERS REQUESTS TOKENS [HOLD-MS]
+
+   Each caller sends one request after the other until REQUESTS have been sent
+   in all.  With HOLD-MS all callers open their streams at once and the tool
+   reports after that time, whatever is still open.  */
+
+#include "common/http_client.h"
+#include "kernel/clock.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  PERCENT = 100,
+  REQUEST_TIMEOUT_S = 120
+};
+
+typedef struct load
+{
+  worker_t *worker;
+  const clock_source_t *clock;
+  http_client_t *client;
+  http_call_options_t options;
+  unsigned to_send;
+  unsigned sent;
+  unsigned ended;
+  unsigned whole;
+  uint64_t bytes;
+  int64_t *first_us;
+  int64_t *total_us;
+  struct timespec started;
+  bool is_done;
+} load_t;
+
+typedef struct caller
+{
+  load_t *load;
+  struct timespec started;
+  unsigned http_status;
+  bool has_first_byte;
+  int64_t first_us;
+} caller_t;
+
+static void caller_send (caller_t *caller);
+
+static int64_t
+microseconds_since (const load_t *load, struct timespec start)
+{
+  return timespec_to_us (
+      timespec_subtract (clock_monotonic (load->clock), start));
+}
+
+static void
+caller_on_head (http_call_t *call, unsigned http_status,
+                const char *content_type, void *data)
+{
+  caller_t *caller = data;
+
+  (void)call;
+  (void)content_type;
+  caller->http_status = http_status;
+}
+
+static bool
+caller_on_data (http_call_t *call, const char *bytes, size_t size, void *data)
+{
+  caller_t *caller = data;
+
+  (void)call;
+  (void)bytes;
+  caller->load->bytes += size;
+  if (!caller->has_first_byte)
+    caller->first_us = microseconds_since (caller->load, caller->started);
+  caller->has_first_byte = true;
+  return true;
+}
+
+static void
+caller_on_done (http_call_t *call, status_t status, bool may_have_run,
+                void *data)
+{
+  caller_t *caller = data;
+  load_t *load = caller->load;
+
+  (void)call;
+  (void)may_have_run;
+  if (status == STATUS_OK && caller->http_status / PERCENT == 2)
+    {
+      load->first_us[load->whole] = caller->first_us;
+      load->total_us[load->whole++]
+          = microseconds_since (load, caller->started);
+    }
+  load->ended++;
+  if (load->sent < load->to_send)
+    caller_send (caller);
+  else if (load->ended == load->to_send)
+    load->is_done = true;
+}
+
+static const http_call_ops_t caller_ops = {
+  .on_head = caller_on_head,
+  .on_data = caller_on_data,
+  .on_done = caller_on_done,
+};
+
+static void
+caller_send (caller_t *caller)
+{
+  load_t *load = caller->load;
+
+  load->sent++;
+  caller->started = clock_monotonic (load->clock);
+  caller->has_first_byte = false;
+  caller->http_status = 0;
+  if (http_call_start (load->client, &load->options, &caller_ops, caller)
+      == NULL)
+    {
+      fprintf (stderr, "%s\n", status_message ());
+      exit (EXIT_FAILURE);
+    }
+}
+
+static int
+compare_numbers (const void *left, const void *right)
+{
+  int64_t a = *(const int64_t *)left;
+  int64_t b = *(const int64_t *)right;
+
+  return (a > b) - (a < b);
+}
+
+static long long
+percentile (const int64_t *sorted, unsigned count, unsigned percent)
+{
+  if (count == 0)
+    return -1;
+  return sorted[(size_t)(count - 1) * percent / PERCENT];
+}
+
+static void
+load_report (load_t *load)
+{
+  int64_t took = microseconds_since (load, load->started);
+
+  qsort (load->first_us, load->whole, sizeof *load->first_us, compare_numbers);
+  qsort (load->total_us, load->whole, sizeof *load->total_us, compare_numbers);
+  printf ("{\"sent\":%u,\"whole\":%u,\"took_us\":%lld,\"bytes\":%llu,"
+          "\"first_us\":[%lld,%lld],\"total_us\":[%lld,%lld]}\n",
+          load->sent, load->whole, (long long)took,
+          (unsigned long long)load->bytes,
+          percentile (load->first_us, load->whole, 50),
+          percentile (load->first_us, load->whole, 99),
+          percentile (load->total_us, load->whole, 50),
+          percentile (load->total_us, load->whole, 99));
+}
+
+static void
+load_handle_hold (worker_t *worker, void *data)
+{
+  load_t *load = data;
+
+  (void)worker;
+  load->is_done = true;
+}
+
+static load_t *
+load_create (TALLOC_CTX *memory, char **argv)
+{
+  load_t *load = talloc_zero (memory, load_t);
+  pool_t *pool;
+
+  load->clock = clock_create_system (memory);
+  pool = pool_create (memory, 1, load->clock);
+  load->worker = pool_worker (pool, 0);
+  load->client = http_client_create (load, load->worker);
+  load->to_send = (unsigned)strtoul (argv[4], NULL, 10);
+  load->first_us = talloc_zero_array (load, int64_t, load->to_send);
+  load->total_us = talloc_zero_array (load, int64_t, load->to_send);
+  load->options.method = "POST";
+  load->options.url = argv[1];
+  load->options.content_type = "application/json";
+  load->options.timeout.tv_sec = REQUEST_TIMEOUT_S;
+  load->options.extra_header
+      = talloc_asprintf (load, "Siskin-Account: %s", argv[2]);
+  load->options.body = talloc_asprintf (
+      load,
+      "{\"model\":\"style-assistant\",\"stream\":true,\"max_tokens\":%s,"
+      "\"messages\":[{\"role\":\"user\",\"content\":\"an outfit\"}]}",
+      argv[5]);
+  load->options.body_size = strlen (load->options.body);
+  return load;
+}
+
+int
+main (int argc, char **argv)
+{
+  TALLOC_CTX *memory = talloc_new (NULL);
+  unsigned callers;
+  load_t *load;
+
+  if (argc < 6)
+    {
+      fprintf (stderr,
+               "usage: %s URL ACCOUNT CALLERS REQUESTS TOKENS [HOLD-MS]\n",
+               argv[0]);
+      return EXIT_FAILURE;
+    }
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  load = load_create (memory, argv);
+  callers = (unsigned)strtoul (argv[3], NULL, 10);
+  load->started = clock_monotonic (load->clock);
+  for (unsigned i = 0; i < callers && load->sent < load->to_send; i++)
+    {
+      caller_t *caller = talloc_zero (load, caller_t);
+
+      caller->load = load;
+      caller_send (caller);
+    }
+  if (argc > 6)
+    worker_timer_start (load->worker, load,
+                        timespec_from_ms (strtoll (argv[6], NULL, 10)),
+                        load_handle_hold, load);
+  worker_run_until (load->worker, &load->is_done);
+  load_report (load);
+  http_client_destroy (load->client);
+  talloc_free (memory);
+  curl_global_cleanup ();
+  return EXIT_SUCCESS;
+}
