--- /dev/null
+++ b/bench/peers.c
@@ -0,0 +1,133 @@
+/* Many idle peers in one process, for measuring what a peer costs an entry or
+   an agent.
+
+   bench-peers agents ADDRESS:PORT     accept connections as agents would
+   bench-peers entries ADDRESS:PORT N  open N connections as entries would  */
+
+#include "common/link.h"
+#include "kernel/log.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+typedef struct peers
+{
+  worker_t *worker;
+  node_t *node;
+  int listen_fd;
+} peers_t;
+
+static void
+peer_on_open (link_t *link, const frame_hello_t *peer, void *data)
+{
+  frame_t frame = { .header = { .type = FRAME_LOAD } };
+
+  (void)peer;
+  (void)data;
+  if (link_peer_role (link) != NODE_ENTRY)
+    return;
+  frame.body.load.limit_requests = 16;
+  frame.body.load.limit_tokens = 65536;
+  link_send (link, &frame);
+}
+
+static void
+peer_on_frame (link_t *link, const frame_t *frame, void *data)
+{
+  (void)link;
+  (void)frame;
+  (void)data;
+}
+
+static void
+peer_on_closed (link_t *link, const char *reason, void *data)
+{
+  (void)link;
+  (void)reason;
+  (void)data;
+}
+
+static const link_ops_t peer_ops = {
+  .on_open = peer_on_open,
+  .on_frame = peer_on_frame,
+  .on_closed = peer_on_closed,
+};
+
+static void
+peers_accept (struct tevent_context *events, struct tevent_fd *event,
+              uint16_t flags, void *data)
+{
+  peers_t *peers = data;
+  int fd
+      = accept4 (peers->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+  (void)events;
+  (void)event;
+  (void)flags;
+  if (fd >= 0)
+    link_accept (peers->worker, peers->node, fd, &peer_ops, peers);
+}
+
+static bool
+peers_listen (peers_t *peers, const net_address_t *address)
+{
+  uint16_t port;
+
+  if (net_listen (address, &peers->listen_fd, &port) != STATUS_OK)
+    return false;
+  tevent_add_fd (worker_events (peers->worker), worker_events (peers->worker),
+                 peers->listen_fd, TEVENT_FD_READ, peers_accept, peers);
+  printf ("port=%u\n", port);
+  fflush (stdout);
+  return true;
+}
+
+static bool
+peers_connect (peers_t *peers, const net_address_t *address, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    {
+      if (link_connect (peers->worker, peers->node, address, &peer_ops, peers)
+          == NULL)
+        return false;
+    }
+  printf ("connected=%u\n", count);
+  fflush (stdout);
+  return true;
+}
+
+int
+main (int argc, char **argv)
+{
+  TALLOC_CTX *memory = talloc_new (NULL);
+  clock_source_t *clock = clock_create_system (memory);
+  pool_t *pool = pool_create (memory, 1, clock);
+  peers_t peers = { .worker = pool_worker (pool, 0) };
+  net_address_t address;
+  bool is_agents = argc == 3 && strcmp (argv[1], "agents") == 0;
+  bool is_entries = argc == 4 && strcmp (argv[1], "entries") == 0;
+  bool is_done = false;
+
+  if ((!is_agents && !is_entries)
+      || net_address_parse (memory, argv[2], &address) != STATUS_OK)
+    {
+      fprintf (stderr, "usage: %s agents|entries ADDRESS:PORT [COUNT]\n",
+               argv[0]);
+      return EXIT_FAILURE;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  peers.node = node_create (memory, is_agents ? NODE_AGENT : NODE_ENTRY,
+                            "bench", "tt-south-1", clock);
+  if (is_agents ? !peers_listen (&peers, &address)
+                : !peers_connect (&peers, &address,
+                                  (unsigned)strtoul (argv[3], NULL, 10)))
+    {
+      fprintf (stderr, "%s\n", status_message ());
+      return EXIT_FAILURE;
+    }
+  worker_run_until (peers.worker, &is_done);
+  return EXIT_SUCCESS;
+}
