--- a/agent/agent.c
+++ b/agent/agent.c
@@ -204,7 +204,41 @@
                &handover->task);
 }
 
-/* Put newly learned settings in force at the gate.  */
+static status_t
+agent_create_journal (agent_t *agent, const settings_t *settings,
+                      const journal_limits_t *limits)
+{
+  const agent_worker_t *share = &agent->workers[0];
+  journal_options_t options = { .worker = share->worker,
+                                .store_ops = agent->store_ops,
+                                .store = share->store,
+                                .owner = node_name (agent->node),
+                                .incarnation = node_incarnation (agent->node),
+                                .limits = *limits };
+
+  agent->journal_ops = plugin_ops (PLUGIN_JOURNAL, settings->claims.journal);
+  if (agent->journal_ops == NULL)
+    return STATUS_NOT_FOUND;
+  atomic_store (&agent->journal, agent->journal_ops->create (&options));
+  return STATUS_OK;
+}
+
+/* The journal is chosen by the first settings seen; later ones change its
+   numbers.  */
+static status_t
+agent_configure_journal (agent_t *agent, const settings_t *settings)
+{
+  journal_t *journal = atomic_load (&agent->journal);
+  journal_limits_t limits = { .retention = settings->claims.retention,
+                              .linger = settings->claims.linger };
+
+  if (journal == NULL)
+    return agent_create_journal (agent, settings, &limits);
+  agent->journal_ops->configure (journal, &limits);
+  return STATUS_OK;
+}
+
+/* Put newly learned settings in force at the gate and the journal.  */
 static void
 agent_apply_settings (agent_t *agent)
 {
@@ -214,8 +248,9 @@
     return;
   if (settings->revision != agent->configured_revision)
     {
-      if (gate_configure (agent->gate, settings) != STATUS_OK)
-        log_event (LOG_LEVEL_ERROR, "gate-not-configured", "error=\"%s\"",
+      if (gate_configure (agent->gate, settings) != STATUS_OK
+          || agent_configure_journal (agent, settings) != STATUS_OK)
+        log_event (LOG_LEVEL_ERROR, "not-configured", "error=\"%s\"",
                    status_message ());
       else
         agent->configured_revision = settings->revision;
@@ -378,6 +413,8 @@
         agent->upstream_ops->destroy (agent->workers[i].transport);
     }
   job_free_all (agent);
+  if (atomic_load (&agent->journal) != NULL)
+    agent->journal_ops->destroy (atomic_load (&agent->journal));
   talloc_free (agent);
 }
 
--- a/agent/job.c
+++ b/agent/job.c
@@ -1,5 +1,6 @@
 #include "agent/job.h"
 
+#include "agent/claim_key.h"
 #include "kernel/counter.h"
 #include "kernel/invariant.h"
 #include "kernel/log.h"
@@ -76,7 +77,8 @@
   char *method;
   char *path;
   char *content_type;
-  char *key;
+  char *key;       /* the caller's, or "" */
+  char *claim_key; /* what the request is claimed by */
   char *body;
   size_t body_size;
   upstream_call_t *call;
@@ -369,11 +371,11 @@
   if (job->is_record_too_large)
     record.body = NULL;
   if (!has_run)
-    job->share->journal_ops->finish (job->claim, NULL);
+    job->agent->journal_ops->finish (job->claim, NULL);
   else if (is_complete)
-    job->share->journal_ops->finish (job->claim, &record);
+    job->agent->journal_ops->finish (job->claim, &record);
   else
-    job->share->journal_ops->abandon (job->claim);
+    job->agent->journal_ops->abandon (job->claim);
   job->claim = NULL;
 }
 
@@ -527,7 +529,9 @@
 static void
 job_start (job_t *job)
 {
-  claim_request_t request = { .key = job->key,
+  journal_t *journal = atomic_load (&job->agent->journal);
+  claim_request_t request = { .worker = job->share->worker,
+                              .key = job->claim_key,
                               .account = job->account,
                               .service = job->service,
                               .deadline = job->work.item.deadline };
@@ -545,8 +549,8 @@
     }
   job->state = JOB_CLAIMING;
   request.fingerprint = job_fingerprint (job);
-  if (job->share->journal != NULL)
-    job->claim = job->share->journal_ops->claim (job->share->journal, &request,
+  if (journal != NULL)
+    job->claim = job->agent->journal_ops->claim (journal, &request,
                                                  job_on_claimed, job);
   if (job->claim != NULL)
     return;
@@ -668,6 +672,39 @@
   job->body = talloc_memdup (job, submit->body.data, submit->body.size);
   job->body_size = submit->body.size;
   job->is_repeatable = submit->is_repeatable;
+  job->claim_key
+      = job->key[0] != '\0' ? job->key : claim_key_generate (job, &job->id);
+}
+
+/* Return whether the caller's key may be claimed; if not, refuse the job.  */
+static bool
+job_check_key (job_t *job)
+{
+  const clock_source_t *clock = worker_clock (job->share->worker);
+  settings_t *settings = node_settings (job->agent->node);
+  claim_key_rules_t rules
+      = { .patience = timespec_subtract (job->work.item.deadline,
+                                         clock_monotonic (clock)) };
+  claim_key_verdict_t verdict;
+
+  if (settings == NULL || job->is_repeatable || job->key[0] == '\0')
+    {
+      if (settings != NULL)
+        settings_release (settings);
+      return true;
+    }
+  rules.requires_time = settings->claims.requires_key_time;
+  rules.retention = settings->claims.retention;
+  settings_release (settings);
+  verdict = claim_key_check (job->key, &rules, clock_realtime (clock));
+  if (verdict == CLAIM_KEY_MALFORMED)
+    job_refuse (job, OUTCOME_NOT_RUN, REFUSAL_INVALID, 0,
+                "the key must begin with its UTC time of issue, as in "
+                "20260301T120000Z-");
+  else if (verdict == CLAIM_KEY_EXPIRED)
+    job_refuse (job, OUTCOME_NOT_RUN, REFUSAL_KEY_EXPIRED, 0,
+                "the key's time of issue is too far from now");
+  return verdict == CLAIM_KEY_USABLE;
 }
 
 static void
@@ -741,7 +778,8 @@
   counter_add (&jobs_total, 1);
   atomic_fetch_add (&share->agent->open_jobs, 1);
   job_fill_work (job, &frame->body.submit);
-  job_offer (job);
+  if (job_check_key (job))
+    job_offer (job);
 }
 
 /* The entry has passed the answer on up to the offset in FRAME.  */
--- a/include/agent/agent.h
+++ b/include/agent/agent.h
@@ -30,8 +30,6 @@
   worker_t *worker;
   upstream_transport_t *transport;
   store_t *store;
-  const journal_ops_t *journal_ops;
-  journal_t *journal;
   worker_timer_t *timer;
   LIST_HEAD (, agent_peer) peers;
 } agent_worker_t;
@@ -43,6 +41,8 @@
   gate_t *gate;
   const upstream_ops_t *upstream_ops;
   const store_ops_t *store_ops;
+  const journal_ops_t *journal_ops; /* set before JOURNAL */
+  _Atomic (journal_t *) journal;    /* NULL until settings are known */
   unsigned worker_count;
   agent_worker_t *workers;
   table_t *jobs;                /* job_t by request id */
--- a/include/plugins/journal.h
+++ b/include/plugins/journal.h
@@ -9,8 +9,8 @@
 #include <time.h>
 
 /* Claims of idempotency keys: a request that may not be repeated runs only
-   after its key was claimed, and its outcome is recorded under the key.  All
-   calls belong to the worker given to create.  */
+   after its key was claimed, and its outcome is recorded under the key.  One
+   journal serves all workers of a process.  */
 typedef struct journal journal_t;
 
 typedef enum claim_verdict
@@ -34,7 +34,8 @@
 
 typedef struct claim_request
 {
-  const char *key; /* unique within ACCOUNT and SERVICE */
+  worker_t *worker; /* the caller's, on which the verdict is given */
+  const char *key;  /* unique within ACCOUNT and SERVICE */
   const char *account;
   const char *service;
   uint64_t fingerprint;     /* hash of method, path and body */
@@ -42,40 +43,54 @@
 } claim_request_t;
 
 /* RECORD is NULL unless VERDICT is CLAIM_FINISHED, and valid during the
-   call.  */
+   call.  Unless VERDICT is CLAIM_GRANTED the claim is freed afterwards.  */
 typedef void (*journal_claim_done_t) (claim_verdict_t verdict,
                                       const claim_record_t *record,
                                       void *data);
 typedef struct journal_claim journal_claim_t;
 
+/* What the operators choose.  */
+typedef struct journal_limits
+{
+  struct timespec retention; /* of a claim and its outcome */
+  struct timespec linger;    /* how long a claim waits for others */
+} journal_limits_t;
+
 typedef struct journal_options
 {
-  worker_t *worker;
+  worker_t *worker; /* owns STORE */
   const store_ops_t *store_ops;
   store_t *store;
   const char *owner; /* name of this process */
   uint64_t incarnation;
-  struct timespec retention;
-  struct timespec linger;
+  journal_limits_t limits;
+  /* Nothing is left to be written; on WORKER.  May be NULL.  */
+  void (*on_idle) (void *data);
+  void *data;
 } journal_options_t;
 
 typedef struct journal_ops
 {
+  /* On the worker that owns the store, or before the workers run.  */
   journal_t *(*create) (const journal_options_t *options);
+  /* The workers are at rest.  */
   void (*destroy) (journal_t *journal);
-  /* Ask for a claim; DONE runs from the loop, once.  */
+  /* The rest may be called from every worker; a claim only from the worker
+     that asked for it.  */
+  void (*configure) (journal_t *journal, const journal_limits_t *limits);
+  /* Ask for a claim; DONE runs from the loop of the caller's worker, once.  */
   journal_claim_t *(*claim) (journal_t *journal,
                              const claim_request_t *request,
                              journal_claim_done_t done, void *data);
   /* The request of a granted claim ended.  RECORD is NULL when it did not run
-     after all, which gives the key back, and the claim is freed once that is
-     written.  */
+     after all, which gives the key back.  CLAIM is freed.  */
   void (*finish) (journal_claim_t *claim, const claim_record_t *record);
   /* Forget a claim: one that is still being asked for is given back; a
      granted one stays without outcome, since the request may have run.  */
   void (*abandon) (journal_claim_t *claim);
-  /* Writes under way or waiting; a graceful stop waits for zero.  */
-  size_t (*pending) (const journal_t *journal);
+  /* Keys with a write under way or waiting; a graceful stop waits for
+     zero.  */
+  size_t (*pending) (journal_t *journal);
 } journal_ops_t;
 
 #endif
--- /dev/null
+++ b/plugins/journal/claim_value.c
@@ -0,0 +1,145 @@
+#include "plugins/journal/claim_value.h"
+
+#include "common/base64.h"
+
+#include <ctype.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const state_names[CLAIM_STATE_COUNT] = {
+  [CLAIM_STATE_RUNNING] = "running",
+  [CLAIM_STATE_DONE] = "done",
+  [CLAIM_STATE_LOST] = "lost",
+  [CLAIM_STATE_RELEASED] = "released",
+};
+
+static void
+record_format (json_t *root, const claim_record_t *record)
+{
+  char *body;
+
+  json_object_set_new (root, "http_status",
+                       json_integer ((json_int_t)record->http_status));
+  json_object_set_new (root, "content_type",
+                       json_string (record->content_type));
+  if (record->body == NULL)
+    return;
+  body = base64_encode_text (NULL, record->body, record->body_size);
+  json_object_set_new (root, "body", json_string (body));
+  talloc_free (body);
+}
+
+/* Return VALUE as the text that the store keeps.  Equal values give equal
+   texts, so that the text serves as what a write is compared with.  */
+char *
+claim_value_format (TALLOC_CTX *parent, const claim_value_t *value)
+{
+  json_t *root = json_object ();
+  char fingerprint[17];
+  char *text;
+  char *owned;
+
+  snprintf (fingerprint, sizeof fingerprint, "%016llx",
+            (unsigned long long)value->fingerprint);
+  json_object_set_new (root, "state", json_string (state_names[value->state]));
+  json_object_set_new (root, "writer", json_string (value->writer));
+  json_object_set_new (root, "fingerprint", json_string (fingerprint));
+  json_object_set_new (root, "claimed_at_ms",
+                       json_integer ((json_int_t)value->claimed_at_ms));
+  if (value->state == CLAIM_STATE_DONE)
+    record_format (root, &value->record);
+  text = json_dumps (root, JSON_COMPACT | JSON_SORT_KEYS);
+  owned = talloc_strdup (parent, text);
+  free (text);
+  json_decref (root);
+  return owned;
+}
+
+static bool
+state_parse (const json_t *root, claim_state_t *state)
+{
+  const char *name = json_string_value (json_object_get (root, "state"));
+
+  for (unsigned i = 0; name != NULL && i < CLAIM_STATE_COUNT; i++)
+    {
+      if (strcmp (name, state_names[i]) != 0)
+        continue;
+      *state = (claim_state_t)i;
+      return true;
+    }
+  return false;
+}
+
+static const char *
+text_parse (TALLOC_CTX *parent, const json_t *root, const char *name)
+{
+  const char *text = json_string_value (json_object_get (root, name));
+
+  return talloc_strdup (parent, text == NULL ? "" : text);
+}
+
+static void
+record_parse (claim_value_t *value, const json_t *root)
+{
+  claim_record_t *record = &value->record;
+  const char *body = json_string_value (json_object_get (root, "body"));
+
+  record->http_status
+      = (unsigned)json_integer_value (json_object_get (root, "http_status"));
+  record->content_type = text_parse (value, root, "content_type");
+  if (body != NULL)
+    record->body = base64_decode_text (value, body, &record->body_size);
+}
+
+/* Return the value in TEXT, or NULL when it is none of ours.  */
+claim_value_t *
+claim_value_parse (TALLOC_CTX *parent, const char *text)
+{
+  json_t *root = json_loads (text, 0, NULL);
+  claim_value_t *value = talloc_zero (parent, claim_value_t);
+
+  if (value == NULL || !state_parse (root, &value->state))
+    {
+      json_decref (root);
+      talloc_free (value);
+      return NULL;
+    }
+  value->writer = text_parse (value, root, "writer");
+  value->fingerprint
+      = strtoull (text_parse (value, root, "fingerprint"), NULL, 16);
+  value->claimed_at_ms
+      = json_integer_value (json_object_get (root, "claimed_at_ms"));
+  if (value->state == CLAIM_STATE_DONE)
+    record_parse (value, root);
+  json_decref (root);
+  return value;
+}
+
+static char *
+path_append_escaped (char *path, const char *part)
+{
+  path = talloc_strdup_append_buffer (path, "/");
+  for (const unsigned char *c = (const unsigned char *)part; *c != '\0'; c++)
+    {
+      if (isalnum (*c) || strchr ("-._~", *c) != NULL)
+        path = talloc_asprintf_append_buffer (path, "%c", *c);
+      else
+        path = talloc_asprintf_append_buffer (path, "%%%02X", *c);
+    }
+  return path;
+}
+
+/* Return where the store keeps the claim that REQUEST asks for.  Each part is
+   escaped, so that no two requests of different accounts, services or keys
+   share a place.  */
+char *
+claim_path (TALLOC_CTX *parent, const claim_request_t *request)
+{
+  char *path = talloc_strndup (parent, STORE_PREFIX_CLAIMS,
+                               strlen (STORE_PREFIX_CLAIMS) - 1);
+
+  path = path_append_escaped (path, request->account);
+  path = path_append_escaped (path, request->service);
+  return path_append_escaped (path, request->key);
+}
--- /dev/null
+++ b/plugins/journal/claims.c
@@ -0,0 +1,521 @@
+#include "plugins/journal/claims.h"
+
+#include "kernel/counter.h"
+#include "kernel/invariant.h"
+#include "kernel/log.h"
+
+#include <string.h>
+
+enum
+{
+  READ_FIRST_MS = 50,
+  READ_MAX_MS = 1000,
+  OUTCOMES_MAX_BYTES = 8 * 1024 * 1024,
+  ARRIVAL_GAP_MAX_US = 1000000,
+  ARRIVAL_GAP_WEIGHT = 8
+};
+
+COUNTER_DEFINE_LABELLED (granted_total, "siskin_claims_total",
+                         "verdict=\"granted\"", "Claims decided");
+COUNTER_DEFINE_LABELLED (finished_total, "siskin_claims_total",
+                         "verdict=\"finished\"", "Claims decided");
+COUNTER_DEFINE_LABELLED (unknown_total, "siskin_claims_total",
+                         "verdict=\"unknown\"", "Claims decided");
+COUNTER_DEFINE_LABELLED (reused_total, "siskin_claims_total",
+                         "verdict=\"key-reused\"", "Claims decided");
+COUNTER_DEFINE_LABELLED (unavailable_total, "siskin_claims_total",
+                         "verdict=\"unavailable\"", "Claims decided");
+COUNTER_DEFINE (released_total, "siskin_claims_released_total",
+                "Claims given back without a run");
+COUNTER_DEFINE (recorded_total, "siskin_claims_recorded_total",
+                "Outcomes written under their keys");
+GAUGE_DEFINE (open_gauge, "siskin_claims_open",
+              "Keys asked for, held or waiting to be written");
+
+static counter_t *const verdict_counters[] = {
+  [CLAIM_GRANTED] = &granted_total,         [CLAIM_FINISHED] = &finished_total,
+  [CLAIM_UNKNOWN] = &unknown_total,         [CLAIM_KEY_REUSED] = &reused_total,
+  [CLAIM_UNAVAILABLE] = &unavailable_total,
+};
+
+/* Create an empty set of claims.  OPTIONS is copied, its owner kept by
+   reference.  */
+claims_t *
+claims_create (TALLOC_CTX *parent, const claims_options_t *options)
+{
+  claims_t *claims = talloc_zero (parent, claims_t);
+
+  if (claims == NULL)
+    return NULL;
+  claims->entries = table_create (claims, LOCK_CLAIMS, "claims");
+  claims->options = *options;
+  claims->arrival_gap_us = ARRIVAL_GAP_MAX_US;
+  TAILQ_INIT (&claims->queue);
+  LIST_INIT (&claims->all);
+  STAILQ_INIT (&claims->decided);
+  return claims;
+}
+
+/* Free CLAIMS with every claim in it; nothing else may use them.  */
+void
+claims_destroy (claims_t *claims)
+{
+  table_node_t *node;
+  journal_claim_t *claim;
+
+  while ((claim = LIST_FIRST (&claims->all)) != NULL)
+    claims_free_claim (claim);
+  while ((node = table_next (claims->entries, NULL)) != NULL)
+    {
+      table_remove (claims->entries, node);
+      talloc_free (CONTAINER_OF (node, claim_entry_t, node));
+    }
+  talloc_free (claims);
+}
+
+/* Free CLAIM, which no entry refers to any more.  */
+void
+claims_free_claim (journal_claim_t *claim)
+{
+  LIST_REMOVE (claim, all_link);
+  talloc_free (claim);
+}
+
+/* Put ENTRY back into the queue with the step and the time that it has.  */
+void
+claims_requeue (claims_t *claims, claim_entry_t *entry)
+{
+  if (entry->is_queued || entry->is_in_flight)
+    return;
+  entry->is_queued = true;
+  TAILQ_INSERT_TAIL (&claims->queue, entry, queue_link);
+}
+
+static void
+claims_enqueue (claims_t *claims, claim_entry_t *entry, claim_step_t step,
+                struct timespec due, struct timespec now)
+{
+  entry->step = step;
+  entry->due = due;
+  entry->queued_at = now;
+  claims_requeue (claims, entry);
+}
+
+static void
+claims_dequeue (claims_t *claims, claim_entry_t *entry)
+{
+  if (!entry->is_queued)
+    return;
+  entry->is_queued = false;
+  TAILQ_REMOVE (&claims->queue, entry, queue_link);
+}
+
+static void
+claims_drop (claims_t *claims, claim_entry_t *entry)
+{
+  claims_dequeue (claims, entry);
+  if (entry->outcome != NULL)
+    claims->outcome_bytes -= strlen (entry->outcome);
+  table_remove (claims->entries, &entry->node);
+  counter_add (&open_gauge, -1);
+  talloc_free (entry);
+}
+
+/* Give ENTRY a new value to claim its key with.  */
+static void
+entry_renew (claims_t *claims, claim_entry_t *entry)
+{
+  const claims_options_t *options = &claims->options;
+  claim_value_t value = { .state = CLAIM_STATE_RUNNING };
+
+  talloc_free (entry->writer);
+  talloc_free (entry->value);
+  entry->writer = talloc_asprintf (entry, "%s/%016llx/%llu", options->owner,
+                                   (unsigned long long)options->incarnation,
+                                   (unsigned long long)++claims->sequence);
+  value.writer = entry->writer;
+  value.fingerprint = entry->fingerprint;
+  value.claimed_at_ms = entry->claimed_at_ms;
+  entry->value = claim_value_format (entry, &value);
+  value.state = CLAIM_STATE_RELEASED;
+  talloc_free (entry->released);
+  entry->released = claim_value_format (entry, &value);
+  entry->delay_ms = READ_FIRST_MS;
+}
+
+static claim_entry_t *
+claims_find (claims_t *claims, const char *path)
+{
+  table_node_t *node = table_find (claims->entries, path, strlen (path));
+
+  return node == NULL ? NULL : CONTAINER_OF (node, claim_entry_t, node);
+}
+
+static claim_entry_t *
+claims_add_entry (claims_t *claims, const claim_request_t *request,
+                  const char *path, struct timespec now,
+                  struct timespec realtime)
+{
+  claim_entry_t *entry = talloc_zero (NULL, claim_entry_t);
+
+  if (entry == NULL)
+    return NULL;
+  TAILQ_INIT (&entry->waiters);
+  entry->path = talloc_strdup (entry, path);
+  entry->fingerprint = request->fingerprint;
+  entry->claimed_at_ms = timespec_to_ms (realtime);
+  entry_renew (claims, entry);
+  table_insert (claims->entries, &entry->node, entry->path,
+                strlen (entry->path));
+  counter_add (&open_gauge, 1);
+  claims_enqueue (claims, entry, CLAIM_STEP_CLAIM, now, now);
+  return entry;
+}
+
+static void
+claims_decide (claims_t *claims, journal_claim_t *claim,
+               claim_verdict_t verdict)
+{
+  claim_entry_t *entry = claim->entry;
+
+  TAILQ_REMOVE (&entry->waiters, claim, wait_link);
+  claim->is_decided = true;
+  claim->verdict = verdict;
+  if (verdict == CLAIM_GRANTED)
+    entry->owner = claim;
+  else
+    claim->entry = NULL;
+  counter_add (verdict_counters[verdict], 1);
+  STAILQ_INSERT_TAIL (&claims->decided, claim, decided_link);
+}
+
+/* Tell all that wait for ENTRY how the request ended, as TEXT has it.  */
+static void
+entry_answer (claims_t *claims, claim_entry_t *entry, const char *text)
+{
+  journal_claim_t *claim;
+
+  while ((claim = TAILQ_FIRST (&entry->waiters)) != NULL)
+    {
+      claim->value = claim_value_parse (claim, text);
+      if (claim->value->fingerprint != entry->fingerprint)
+        claims_decide (claims, claim, CLAIM_KEY_REUSED);
+      else if (claim->value->state == CLAIM_STATE_DONE)
+        claims_decide (claims, claim, CLAIM_FINISHED);
+      else
+        claims_decide (claims, claim, CLAIM_UNKNOWN);
+    }
+}
+
+static void
+claims_note_arrival (claims_t *claims, struct timespec now)
+{
+  int64_t gap = timespec_to_us (timespec_subtract (now, claims->last_arrival));
+
+  if (gap > ARRIVAL_GAP_MAX_US)
+    gap = ARRIVAL_GAP_MAX_US;
+  claims->arrival_gap_us
+      += (gap - claims->arrival_gap_us) / ARRIVAL_GAP_WEIGHT;
+  claims->last_arrival = now;
+}
+
+/* Have CLAIM wait for ENTRY, or decide at once on what is known of it.  */
+static void
+entry_attach (claims_t *claims, claim_entry_t *entry, journal_claim_t *claim,
+              uint64_t fingerprint)
+{
+  bool is_unused
+      = entry->step == CLAIM_STEP_RELEASE && TAILQ_EMPTY (&entry->waiters);
+
+  claim->entry = entry;
+  TAILQ_INSERT_TAIL (&entry->waiters, claim, wait_link);
+  if (is_unused)
+    entry->fingerprint = fingerprint;
+  if (fingerprint != entry->fingerprint)
+    claims_decide (claims, claim, CLAIM_KEY_REUSED);
+  else if (entry->step == CLAIM_STEP_RECORD)
+    entry_answer (claims, entry, entry->outcome);
+}
+
+/* Ask for the key of REQUEST.  The verdict comes through claims_take_decided.
+   Returns NULL when memory is exhausted.  */
+journal_claim_t *
+claims_ask (claims_t *claims, const claim_request_t *request,
+            journal_claim_done_t done, void *data, struct timespec now,
+            struct timespec realtime)
+{
+  journal_claim_t *claim = talloc_zero (NULL, journal_claim_t);
+  claim_entry_t *entry;
+  char *path;
+
+  if (claim == NULL)
+    return NULL;
+  claim->claims = claims;
+  claim->worker = request->worker;
+  claim->deadline = request->deadline;
+  claim->done = done;
+  claim->data = data;
+  LIST_INSERT_HEAD (&claims->all, claim, all_link);
+  path = claim_path (claim, request);
+  claims_note_arrival (claims, now);
+  entry = claims_find (claims, path);
+  if (entry == NULL)
+    entry = claims_add_entry (claims, request, path, now, realtime);
+  if (entry == NULL)
+    {
+      claims_free_claim (claim);
+      return NULL;
+    }
+  entry_attach (claims, entry, claim, request->fingerprint);
+  return claim;
+}
+
+/* Keep what is to be written at the request's end.  */
+static void
+entry_set_outcome (claims_t *claims, claim_entry_t *entry, claim_state_t state,
+                   const claim_record_t *record)
+{
+  claim_value_t value = { .state = state,
+                          .writer = entry->writer,
+                          .fingerprint = entry->fingerprint,
+                          .claimed_at_ms = entry->claimed_at_ms };
+
+  if (record != NULL)
+    value.record = *record;
+  if (claims->outcome_bytes > OUTCOMES_MAX_BYTES)
+    value.record.body = NULL;
+  entry->outcome = claim_value_format (entry, &value);
+  claims->outcome_bytes += strlen (entry->outcome);
+}
+
+/* The request of granted CLAIM ended with RECORD, or did not run if that is
+   NULL.  Frees CLAIM.  */
+void
+claims_finish (journal_claim_t *claim, const claim_record_t *record,
+               struct timespec now)
+{
+  claims_t *claims = claim->claims;
+  claim_entry_t *entry = claim->entry;
+
+  entry->owner = NULL;
+  if (record == NULL)
+    claims_enqueue (claims, entry, CLAIM_STEP_RELEASE, now, now);
+  else
+    {
+      entry_set_outcome (claims, entry, CLAIM_STATE_DONE, record);
+      entry_answer (claims, entry, entry->outcome);
+      claims_enqueue (claims, entry, CLAIM_STEP_RECORD, now, now);
+    }
+  claims_free_claim (claim);
+}
+
+/* Nobody waits for CLAIM any more.  One that was granted and handed over
+   stays without outcome; one whose verdict is on its way is freed or given
+   back when it arrives.  */
+void
+claims_abandon (journal_claim_t *claim, struct timespec now)
+{
+  claims_t *claims = claim->claims;
+  claim_entry_t *entry = claim->entry;
+
+  if (claim->is_decided && !claim->is_delivered)
+    {
+      claim->is_abandoned = true;
+      return;
+    }
+  if (claim->is_decided)
+    {
+      entry->owner = NULL;
+      entry_set_outcome (claims, entry, CLAIM_STATE_LOST, NULL);
+      entry_answer (claims, entry, entry->outcome);
+      claims_enqueue (claims, entry, CLAIM_STEP_RECORD, now, now);
+    }
+  else
+    {
+      TAILQ_REMOVE (&entry->waiters, claim, wait_link);
+      claims_settle (claims, entry, now);
+    }
+  claims_free_claim (claim);
+}
+
+/* Drop ENTRY if nobody waits for it and nothing is left to be written.  */
+void
+claims_settle (claims_t *claims, claim_entry_t *entry, struct timespec now)
+{
+  if (entry->owner != NULL || entry->is_in_flight
+      || !TAILQ_EMPTY (&entry->waiters))
+    return;
+  if (entry->step == CLAIM_STEP_CLAIM && entry->is_unresolved)
+    claims_enqueue (claims, entry, CLAIM_STEP_RELEASE, now, now);
+  else if (entry->step == CLAIM_STEP_CLAIM || entry->step == CLAIM_STEP_READ)
+    claims_drop (claims, entry);
+}
+
+static bool
+claim_is_late (const journal_claim_t *claim, struct timespec now)
+{
+  return timespec_compare (claim->deadline, now) <= 0;
+}
+
+static void
+entry_expire (claims_t *claims, claim_entry_t *entry, struct timespec now)
+{
+  bool has_not_run
+      = entry->step == CLAIM_STEP_CLAIM || entry->step == CLAIM_STEP_RELEASE;
+  journal_claim_t *claim;
+  journal_claim_t *next;
+
+  for (claim = TAILQ_FIRST (&entry->waiters); claim != NULL; claim = next)
+    {
+      next = TAILQ_NEXT (claim, wait_link);
+      if (claim_is_late (claim, now))
+        claims_decide (claims, claim,
+                       has_not_run ? CLAIM_UNAVAILABLE : CLAIM_UNKNOWN);
+    }
+}
+
+/* Decide on what has waited until its deadline.  */
+void
+claims_expire (claims_t *claims, struct timespec now)
+{
+  table_node_t *node;
+  table_node_t *next;
+
+  for (node = table_next (claims->entries, NULL); node != NULL; node = next)
+    {
+      claim_entry_t *entry = CONTAINER_OF (node, claim_entry_t, node);
+
+      next = table_next (claims->entries, node);
+      entry_expire (claims, entry, now);
+      claims_settle (claims, entry, now);
+    }
+}
+
+/* Move what has been decided to the end of DECIDED.  */
+void
+claims_take_decided (claims_t *claims, journal_claim_list_t *decided)
+{
+  STAILQ_CONCAT (decided, &claims->decided);
+}
+
+/* Return how many keys have a write under way or waiting.  */
+size_t
+claims_pending (const claims_t *claims)
+{
+  table_node_t *node;
+  size_t count = 0;
+
+  TABLE_FOREACH (node, claims->entries)
+    {
+      const claim_entry_t *entry = CONTAINER_OF (node, claim_entry_t, node);
+
+      if (entry->step != CLAIM_STEP_HOLD && entry->step != CLAIM_STEP_READ)
+        count++;
+    }
+  return count;
+}
+
+/* The key of ENTRY is ours.  It goes to the first that still waits, or back if
+   none does.  */
+void
+claims_note_granted (claims_t *claims, claim_entry_t *entry,
+                     struct timespec now)
+{
+  journal_claim_t *claim;
+
+  entry->is_unresolved = false;
+  entry_expire (claims, entry, now);
+  claim = TAILQ_FIRST (&entry->waiters);
+  if (claim == NULL)
+    {
+      claims_enqueue (claims, entry, CLAIM_STEP_RELEASE, now, now);
+      return;
+    }
+  INVARIANT (entry->owner == NULL, "claim-one-owner");
+  entry->step = CLAIM_STEP_HOLD;
+  claims_decide (claims, claim, CLAIM_GRANTED);
+}
+
+/* Try for the key of ENTRY again, in place of EXPECTED or, if that is NULL,
+   of nothing.  */
+static void
+entry_claim_again (claims_t *claims, claim_entry_t *entry,
+                   const char *expected, struct timespec now)
+{
+  char *copy = expected == NULL ? NULL : talloc_strdup (entry, expected);
+
+  entry->is_unresolved = false;
+  talloc_free (entry->expected);
+  entry->expected = copy;
+  entry_renew (claims, entry);
+  claims_enqueue (claims, entry, CLAIM_STEP_CLAIM, now, now);
+  claims_settle (claims, entry, now);
+}
+
+/* The store has nothing under the key of ENTRY.  */
+void
+claims_note_absent (claims_t *claims, claim_entry_t *entry,
+                    struct timespec now)
+{
+  entry_claim_again (claims, entry, NULL, now);
+}
+
+static void
+entry_read_later (claims_t *claims, claim_entry_t *entry, struct timespec now)
+{
+  struct timespec due = timespec_add (now, timespec_from_ms (entry->delay_ms));
+
+  entry->is_unresolved = false;
+  entry->delay_ms *= 2;
+  if (entry->delay_ms > READ_MAX_MS)
+    entry->delay_ms = READ_MAX_MS;
+  claims_enqueue (claims, entry, CLAIM_STEP_READ, due, now);
+  claims_settle (claims, entry, now);
+}
+
+/* The store has TEXT under the key of ENTRY.  A value that cannot be read
+   counts as a request that may run.  */
+void
+claims_note_value (claims_t *claims, claim_entry_t *entry, const char *text,
+                   struct timespec now)
+{
+  claim_value_t *value = claim_value_parse (NULL, text);
+
+  if (strcmp (text, entry->value) == 0)
+    claims_note_granted (claims, entry, now);
+  else if (value == NULL
+           || (value->state == CLAIM_STATE_RUNNING
+               && value->fingerprint == entry->fingerprint))
+    entry_read_later (claims, entry, now);
+  else if (value->state == CLAIM_STATE_RELEASED)
+    entry_claim_again (claims, entry, text, now);
+  else
+    {
+      entry->is_unresolved = false;
+      entry_answer (claims, entry, text);
+      claims_settle (claims, entry, now);
+    }
+  talloc_free (value);
+}
+
+/* The outcome of ENTRY is in the store.  */
+void
+claims_note_recorded (claims_t *claims, claim_entry_t *entry)
+{
+  counter_add (&recorded_total, 1);
+  claims_drop (claims, entry);
+}
+
+/* The key of ENTRY is given back; whoever waits tries for it anew.  */
+void
+claims_note_released (claims_t *claims, claim_entry_t *entry,
+                      struct timespec now)
+{
+  char *released = entry->released;
+
+  counter_add (&released_total, 1);
+  entry->is_unresolved = false;
+  entry->released = NULL;
+  entry_claim_again (claims, entry, released, now);
+  talloc_free (released);
+}
--- /dev/null
+++ b/plugins/journal/claims_batch.c
@@ -0,0 +1,421 @@
+#include "kernel/invariant.h"
+#include "kernel/log.h"
+#include "plugins/journal/claims.h"
+
+#include <string.h>
+
+enum
+{
+  RETRY_FIRST_MS = 50,
+  RETRY_MAX_MS = 1000,
+  RETRY_DOUBLINGS = 5,
+  LEASE_DOUBT_FAILURES = 3, /* calls in a row, then the lease may be gone */
+  LEASE_BUCKETS = 16,       /* time buckets in the retention */
+  LEASE_BUCKET_MIN_S = 5,
+  LEASE_BUCKET_MAX_S = 3600,
+  BATCH_MAX_BYTES = 512 * 1024
+};
+
+/* Claims made within one bucket of time share a lease.  */
+static struct timespec
+lease_bucket (const claims_t *claims)
+{
+  struct timespec bucket = { 0, 0 };
+
+  bucket.tv_sec = claims->options.limits.retention.tv_sec / LEASE_BUCKETS;
+  if (bucket.tv_sec < LEASE_BUCKET_MIN_S)
+    bucket.tv_sec = LEASE_BUCKET_MIN_S;
+  if (bucket.tv_sec > LEASE_BUCKET_MAX_S)
+    bucket.tv_sec = LEASE_BUCKET_MAX_S;
+  return bucket;
+}
+
+static bool
+lease_is_older (const claims_t *claims, int64_t buckets, struct timespec now)
+{
+  struct timespec age = timespec_subtract (now, claims->lease_granted_at);
+
+  return age.tv_sec >= buckets * lease_bucket (claims).tv_sec;
+}
+
+/* A lease is granted for the retention and two buckets more: within the first
+   it is used, within the second its successor must come.  */
+static bool
+lease_is_usable (const claims_t *claims, struct timespec now)
+{
+  return claims->lease != 0 && !lease_is_older (claims, 2, now);
+}
+
+static void
+claims_note_failure (claims_t *claims, struct timespec now)
+{
+  unsigned doublings = claims->failures < RETRY_DOUBLINGS ? claims->failures
+                                                          : RETRY_DOUBLINGS;
+  int64_t delay = (int64_t)RETRY_FIRST_MS << doublings;
+
+  if (delay > RETRY_MAX_MS)
+    delay = RETRY_MAX_MS;
+  claims->failures++;
+  claims->retry_at = timespec_add (now, timespec_from_ms (delay));
+}
+
+/* Return whether a lease is to be asked for now, and set DURATION to how long
+   it has to last.  An idle process asks for none.  */
+bool
+claims_ask_lease (claims_t *claims, struct timespec now,
+                  struct timespec *duration)
+{
+  struct timespec bucket = lease_bucket (claims);
+
+  if (claims->is_lease_asked || TAILQ_EMPTY (&claims->queue)
+      || timespec_compare (now, claims->retry_at) < 0
+      || (claims->lease != 0 && !lease_is_older (claims, 1, now)))
+    return false;
+  claims->is_lease_asked = true;
+  claims->lease_asked_at = now;
+  *duration = timespec_add (claims->options.limits.retention,
+                            timespec_add (bucket, bucket));
+  return true;
+}
+
+/* LEASE was granted, or is 0 when the call failed.  */
+void
+claims_note_lease (claims_t *claims, int64_t lease, struct timespec now)
+{
+  claims->is_lease_asked = false;
+  if (lease == 0)
+    {
+      claims_note_failure (claims, now);
+      return;
+    }
+  claims->lease = lease;
+  claims->lease_granted_at = claims->lease_asked_at;
+}
+
+static void
+txn_then_put (store_txn_t *txn, const char *path, const char *value,
+              int64_t lease)
+{
+  store_txn_then (txn, STORE_PUT, path, value)->lease = lease;
+}
+
+/* Claim the key if it is free, else read who has it.  Sent once more after a
+   lost answer, the read shows our own value.  */
+static void
+txn_add_claim (store_txn_t *txn, const claim_entry_t *entry, int64_t lease)
+{
+  if (entry->expected == NULL)
+    store_txn_if_absent (txn, entry->path);
+  else
+    store_txn_if_value (txn, entry->path, entry->expected);
+  txn_then_put (txn, entry->path, entry->value, lease);
+  store_txn_else (txn, STORE_GET, entry->path, NULL);
+}
+
+static void
+txn_add_record (store_txn_t *txn, const claim_entry_t *entry, int64_t lease)
+{
+  store_txn_if_value (txn, entry->path, entry->value);
+  txn_then_put (txn, entry->path, entry->outcome, lease);
+  store_txn_else (txn, STORE_GET, entry->path, NULL);
+}
+
+/* Give the key back.  If our claim is not there it may still take effect
+   late, so what it would replace is replaced first.  */
+static void
+txn_add_release (store_txn_t *txn, const claim_entry_t *entry, int64_t lease)
+{
+  store_txn_t *inner;
+
+  store_txn_if_value (txn, entry->path, entry->value);
+  txn_then_put (txn, entry->path, entry->released, lease);
+  inner = store_txn_else (txn, STORE_TXN, NULL, NULL)->txn;
+  if (entry->expected == NULL)
+    store_txn_if_absent (inner, entry->path);
+  else
+    store_txn_if_value (inner, entry->path, entry->expected);
+  txn_then_put (inner, entry->path, entry->released, lease);
+  store_txn_else (inner, STORE_GET, entry->path, NULL);
+}
+
+static size_t
+entry_bytes (const claim_entry_t *entry)
+{
+  return strlen (entry->path) + strlen (entry->value)
+         + (entry->outcome == NULL ? 0 : strlen (entry->outcome));
+}
+
+static void
+batch_add (claims_t *claims, claim_batch_t *batch, claim_entry_t *entry)
+{
+  store_txn_t *txn;
+
+  TAILQ_REMOVE (&claims->queue, entry, queue_link);
+  entry->is_queued = false;
+  entry->is_in_flight = true;
+  batch->entries[batch->count++] = entry;
+  if (entry->step == CLAIM_STEP_READ)
+    {
+      store_txn_then (batch->txn, STORE_GET, entry->path, NULL);
+      return;
+    }
+  txn = store_txn_then (batch->txn, STORE_TXN, NULL, NULL)->txn;
+  if (entry->step == CLAIM_STEP_RECORD)
+    txn_add_record (txn, entry, claims->lease);
+  else if (entry->step == CLAIM_STEP_RELEASE)
+    txn_add_release (txn, entry, claims->lease);
+  else
+    {
+      entry->is_unresolved = true;
+      txn_add_claim (txn, entry, claims->lease);
+    }
+}
+
+/* Return whether the queue holds a step that is due, and set SEND_AT to when
+   it may go.  Waiting for company pays only while others come within the
+   linger.  */
+static bool
+claims_send_time (const claims_t *claims, struct timespec now,
+                  struct timespec *send_at)
+{
+  struct timespec linger = claims->options.limits.linger;
+  const claim_entry_t *entry;
+  struct timespec first = now;
+  unsigned due = 0;
+
+  if (claims->options.batch_steps == 1
+      || claims->arrival_gap_us >= timespec_to_us (linger))
+    linger = timespec_from_ms (0);
+  TAILQ_FOREACH (entry, &claims->queue, queue_link)
+    {
+      if (timespec_compare (entry->due, now) > 0)
+        continue;
+      due++;
+      if (timespec_compare (entry->queued_at, first) < 0)
+        first = entry->queued_at;
+    }
+  *send_at = due >= claims->options.batch_steps ? now
+                                                : timespec_add (first, linger);
+  return due > 0;
+}
+
+static claim_batch_t *
+claims_build_batch (claims_t *claims, struct timespec now)
+{
+  claim_batch_t *batch = talloc_zero (NULL, claim_batch_t);
+  size_t bytes = 0;
+  claim_entry_t *entry;
+  claim_entry_t *next;
+
+  if (batch == NULL)
+    return NULL;
+  batch->txn = store_txn_create (batch);
+  batch->entries = talloc_zero_array (batch, claim_entry_t *,
+                                      claims->options.batch_steps);
+  for (entry = TAILQ_FIRST (&claims->queue);
+       entry != NULL && batch->count < claims->options.batch_steps;
+       entry = next)
+    {
+      next = TAILQ_NEXT (entry, queue_link);
+      if (timespec_compare (entry->due, now) > 0)
+        continue;
+      bytes += entry_bytes (entry);
+      if (batch->count > 0 && bytes > BATCH_MAX_BYTES)
+        break;
+      batch_add (claims, batch, entry);
+    }
+  return batch;
+}
+
+/* Return the next call to the store, or NULL when it is not time for one.  The
+   caller carries it out and hands it back to claims_note_batch.  */
+claim_batch_t *
+claims_next_batch (claims_t *claims, struct timespec now)
+{
+  struct timespec send_at;
+  claim_batch_t *batch;
+
+  if (claims->batches_in_flight >= claims->options.batches_open
+      || timespec_compare (now, claims->retry_at) < 0
+      || !lease_is_usable (claims, now)
+      || !claims_send_time (claims, now, &send_at)
+      || timespec_compare (now, send_at) < 0)
+    return NULL;
+  batch = claims_build_batch (claims, now);
+  if (batch != NULL)
+    claims->batches_in_flight++;
+  return batch;
+}
+
+/* Return the entry that the first read in RESULT found, or NULL.  */
+static const store_entry_t *
+result_read (const store_result_t *result)
+{
+  return store_result_entry (result, 0);
+}
+
+static void
+entry_note_record (claims_t *claims, claim_entry_t *entry,
+                   const store_result_t *result)
+{
+  const store_entry_t *found = result->succeeded ? NULL : result_read (result);
+
+  if (!result->succeeded && found == NULL)
+    log_event (LOG_LEVEL_ERROR, "claim-expired", "path=%s", entry->path);
+  INVARIANT (found == NULL || strcmp (found->value, entry->outcome) == 0,
+             "claim-kept-by-owner");
+  claims_note_recorded (claims, entry);
+}
+
+static void
+entry_note_claim (claims_t *claims, claim_entry_t *entry,
+                  const store_result_t *result, struct timespec now)
+{
+  const store_entry_t *found = result->succeeded ? NULL : result_read (result);
+
+  if (result->succeeded)
+    claims_note_granted (claims, entry, now);
+  else if (found == NULL)
+    claims_note_absent (claims, entry, now);
+  else
+    claims_note_value (claims, entry, found->value, now);
+}
+
+static void
+entry_note_response (claims_t *claims, claim_entry_t *entry,
+                     const store_response_t *response, struct timespec now)
+{
+  const store_entry_t *found;
+
+  switch (entry->step)
+    {
+    case CLAIM_STEP_READ:
+      found = STAILQ_FIRST (&response->entries);
+      if (found == NULL)
+        claims_note_absent (claims, entry, now);
+      else
+        claims_note_value (claims, entry, found->value, now);
+      break;
+    case CLAIM_STEP_RECORD:
+      entry_note_record (claims, entry, response->txn);
+      break;
+    case CLAIM_STEP_RELEASE:
+      claims_note_released (claims, entry, now);
+      break;
+    default:
+      entry_note_claim (claims, entry, response->txn, now);
+      break;
+    }
+}
+
+static bool
+response_fits (const claim_entry_t *entry, const store_response_t *response)
+{
+  return entry->step == CLAIM_STEP_READ ? response->kind == STORE_GET
+                                        : response->txn != NULL;
+}
+
+static bool
+batch_fits (const claim_batch_t *batch, const store_result_t *result)
+{
+  const store_response_t *response = STAILQ_FIRST (&result->responses);
+
+  for (unsigned i = 0; i < batch->count; i++)
+    {
+      if (response == NULL || !response_fits (batch->entries[i], response))
+        return false;
+      response = STAILQ_NEXT (response, link);
+    }
+  return true;
+}
+
+/* No answer came: each step is sent again as it was, with other company.  */
+static void
+batch_repeat (claims_t *claims, claim_batch_t *batch, status_t status,
+              struct timespec now)
+{
+  claims_note_failure (claims, now);
+  if (status == STATUS_INVALID || claims->failures >= LEASE_DOUBT_FAILURES)
+    claims->lease = 0;
+  for (unsigned i = 0; i < batch->count; i++)
+    {
+      batch->entries[i]->is_in_flight = false;
+      claims_requeue (claims, batch->entries[i]);
+      claims_settle (claims, batch->entries[i], now);
+    }
+}
+
+/* The call in BATCH ended as the store client reports it.  Frees BATCH.  */
+void
+claims_note_batch (claims_t *claims, claim_batch_t *batch, status_t status,
+                   const store_result_t *result, struct timespec now)
+{
+  const store_response_t *response;
+
+  claims->batches_in_flight--;
+  if (status != STATUS_OK || !batch_fits (batch, result))
+    batch_repeat (claims, batch, status, now);
+  else
+    {
+      claims->failures = 0;
+      response = STAILQ_FIRST (&result->responses);
+      for (unsigned i = 0; i < batch->count; i++)
+        {
+          batch->entries[i]->is_in_flight = false;
+          entry_note_response (claims, batch->entries[i], response, now);
+          response = STAILQ_NEXT (response, link);
+        }
+    }
+  talloc_free (batch);
+}
+
+static void
+wake_earlier (struct timespec *wake, bool *is_set, struct timespec candidate)
+{
+  if (!*is_set || timespec_compare (candidate, *wake) < 0)
+    *wake = candidate;
+  *is_set = true;
+}
+
+static void
+wake_for_queue (const claims_t *claims, struct timespec now,
+                struct timespec *wake, bool *is_set)
+{
+  const claim_entry_t *entry;
+  struct timespec send_at;
+
+  if (claims->batches_in_flight >= claims->options.batches_open
+      || (claims->is_lease_asked && !lease_is_usable (claims, now)))
+    return;
+  if (timespec_compare (now, claims->retry_at) < 0)
+    {
+      if (!TAILQ_EMPTY (&claims->queue))
+        wake_earlier (wake, is_set, claims->retry_at);
+      return;
+    }
+  if (claims_send_time (claims, now, &send_at))
+    wake_earlier (wake, is_set, send_at);
+  TAILQ_FOREACH (entry, &claims->queue, queue_link)
+    {
+      if (timespec_compare (entry->due, now) > 0)
+        wake_earlier (wake, is_set, entry->due);
+    }
+}
+
+/* Set WAKE to when something has to be done next.  Returns false when only a
+   call or an answer can change anything.  */
+bool
+claims_next_wake (const claims_t *claims, struct timespec now,
+                  struct timespec *wake)
+{
+  const journal_claim_t *claim;
+  bool is_set = false;
+
+  LIST_FOREACH (claim, &claims->all, all_link)
+    {
+      if (!claim->is_decided)
+        wake_earlier (wake, &is_set, claim->deadline);
+    }
+  wake_for_queue (claims, now, wake, &is_set);
+  return is_set;
+}
--- /dev/null
+++ b/plugins/journal/store.c
@@ -0,0 +1,393 @@
+#include "kernel/counter.h"
+#include "kernel/plugin.h"
+#include "plugins/journal/claims.h"
+
+enum
+{
+  BATCH_STEPS = 64,
+  SINGLE_BATCHES_OPEN = 64
+};
+
+COUNTER_DEFINE (calls_total, "siskin_claim_calls_total",
+                "Store calls for claims and outcomes");
+COUNTER_DEFINE (steps_total, "siskin_claim_steps_total",
+                "Claims, outcomes and reads sent in those calls");
+
+/* The table in CLAIMS is shared by all workers; its lock guards everything
+   here but the store calls, which the worker that owns the store makes.  */
+struct journal
+{
+  journal_options_t options;
+  claims_t *claims;
+  task_t wake_task;
+  bool is_wake_posted;
+  bool is_busy; /* something was pending; home worker only */
+  worker_timer_t *timer;
+};
+
+typedef struct journal_call
+{
+  journal_t *journal;
+  claim_batch_t *batch;
+} journal_call_t;
+
+static void journal_step (journal_t *journal);
+
+static struct timespec
+journal_now (const journal_t *journal)
+{
+  return clock_monotonic (worker_clock (journal->options.worker));
+}
+
+/* Have the worker that owns the store look again.  The table is locked.  */
+static void
+journal_wake_locked (journal_t *journal)
+{
+  if (journal->is_wake_posted)
+    return;
+  journal->is_wake_posted = true;
+  worker_post (journal->options.worker, &journal->wake_task);
+}
+
+static void
+journal_run_wake (task_t *task, worker_t *worker)
+{
+  journal_t *journal = CONTAINER_OF (task, journal_t, wake_task);
+
+  (void)worker;
+  table_lock (journal->claims->entries);
+  journal->is_wake_posted = false;
+  table_unlock (journal->claims->entries);
+  journal_step (journal);
+}
+
+/* Hand a verdict to the caller; runs on the caller's worker.  */
+static void
+claim_run_verdict (task_t *task, worker_t *worker)
+{
+  journal_claim_t *claim = CONTAINER_OF (task, journal_claim_t, task);
+  journal_t *journal = claim->claims->owner;
+  table_t *entries = claim->claims->entries;
+  claim_verdict_t verdict = claim->verdict;
+
+  (void)worker;
+  table_lock (entries);
+  claim->is_delivered = true;
+  if (claim->is_abandoned && verdict == CLAIM_GRANTED)
+    {
+      claims_finish (claim, NULL, journal_now (journal));
+      journal_wake_locked (journal);
+      claim = NULL;
+    }
+  table_unlock (entries);
+  if (claim == NULL)
+    return;
+  if (!claim->is_abandoned)
+    claim->done (verdict,
+                 verdict == CLAIM_FINISHED ? &claim->value->record : NULL,
+                 claim->data);
+  if (verdict == CLAIM_GRANTED)
+    return;
+  table_lock (entries);
+  claims_free_claim (claim);
+  table_unlock (entries);
+}
+
+static void
+journal_handle_timer (worker_t *worker, void *data)
+{
+  journal_t *journal = data;
+
+  (void)worker;
+  journal->timer = NULL;
+  journal_step (journal);
+}
+
+static void
+journal_note_lease (journal_t *journal, int64_t lease)
+{
+  table_lock (journal->claims->entries);
+  claims_note_lease (journal->claims, lease, journal_now (journal));
+  table_unlock (journal->claims->entries);
+}
+
+static void
+journal_on_lease (status_t status, int64_t lease, void *data)
+{
+  (void)status;
+  journal_note_lease (data, lease);
+  journal_step (data);
+}
+
+static void
+journal_end_call (journal_call_t *call, status_t status,
+                  const store_result_t *result)
+{
+  journal_t *journal = call->journal;
+
+  table_lock (journal->claims->entries);
+  claims_note_batch (journal->claims, call->batch, status, result,
+                     journal_now (journal));
+  table_unlock (journal->claims->entries);
+  talloc_free (call);
+}
+
+static void
+journal_on_call_done (status_t status, const store_result_t *result,
+                      void *data)
+{
+  journal_call_t *call = data;
+  journal_t *journal = call->journal;
+
+  journal_end_call (call, status, result);
+  journal_step (journal);
+}
+
+static void
+journal_call (journal_t *journal, claim_batch_t *batch)
+{
+  journal_call_t *call = talloc_zero (journal, journal_call_t);
+  status_t status;
+
+  call->journal = journal;
+  call->batch = batch;
+  counter_add (&calls_total, 1);
+  counter_add (&steps_total, batch->count);
+  status = journal->options.store_ops->transact (
+      journal->options.store, batch->txn, journal_on_call_done, call);
+  if (status != STATUS_OK)
+    journal_end_call (call, status, NULL);
+}
+
+static void
+journal_ask_lease (journal_t *journal, struct timespec duration)
+{
+  if (journal->options.store_ops->grant (journal->options.store, duration,
+                                         journal_on_lease, journal)
+      != STATUS_OK)
+    journal_note_lease (journal, 0);
+}
+
+static void
+journal_send_verdicts (journal_t *journal)
+{
+  journal_claim_list_t decided = STAILQ_HEAD_INITIALIZER (decided);
+  journal_claim_t *claim;
+
+  table_lock (journal->claims->entries);
+  claims_expire (journal->claims, journal_now (journal));
+  claims_take_decided (journal->claims, &decided);
+  table_unlock (journal->claims->entries);
+  while ((claim = STAILQ_FIRST (&decided)) != NULL)
+    {
+      STAILQ_REMOVE_HEAD (&decided, decided_link);
+      claim->task.run = claim_run_verdict;
+      worker_post (claim->worker, &claim->task);
+    }
+}
+
+static void
+journal_send_lease (journal_t *journal)
+{
+  struct timespec duration;
+  bool is_wanted;
+
+  table_lock (journal->claims->entries);
+  is_wanted
+      = claims_ask_lease (journal->claims, journal_now (journal), &duration);
+  table_unlock (journal->claims->entries);
+  if (is_wanted)
+    journal_ask_lease (journal, duration);
+}
+
+static void
+journal_send_batches (journal_t *journal)
+{
+  claim_batch_t *batch;
+
+  do
+    {
+      table_lock (journal->claims->entries);
+      batch = claims_next_batch (journal->claims, journal_now (journal));
+      table_unlock (journal->claims->entries);
+      if (batch != NULL)
+        journal_call (journal, batch);
+    }
+  while (batch != NULL);
+}
+
+static void
+journal_arm_timer (journal_t *journal)
+{
+  struct timespec now = journal_now (journal);
+  struct timespec wake = now;
+  struct timespec delay;
+  bool is_needed;
+
+  table_lock (journal->claims->entries);
+  is_needed = claims_next_wake (journal->claims, now, &wake);
+  table_unlock (journal->claims->entries);
+  TALLOC_FREE (journal->timer);
+  delay = timespec_subtract (wake, now);
+  if (is_needed)
+    journal->timer
+        = worker_timer_start (journal->options.worker, journal,
+                              delay.tv_sec < 0 ? timespec_from_ms (0) : delay,
+                              journal_handle_timer, journal);
+}
+
+static void
+journal_note_idle (journal_t *journal)
+{
+  bool was_busy = journal->is_busy;
+  size_t pending;
+
+  table_lock (journal->claims->entries);
+  pending = claims_pending (journal->claims);
+  table_unlock (journal->claims->entries);
+  journal->is_busy = pending > 0;
+  if (was_busy && pending == 0 && journal->options.on_idle != NULL)
+    journal->options.on_idle (journal->options.data);
+}
+
+/* Do what is due: hand out verdicts, ask for a lease, send what has gathered.
+   Runs on the worker that owns the store.  */
+static void
+journal_step (journal_t *journal)
+{
+  journal_send_verdicts (journal);
+  journal_send_lease (journal);
+  journal_send_batches (journal);
+  journal_arm_timer (journal);
+  journal_note_idle (journal);
+}
+
+static journal_t *
+journal_create (const journal_options_t *options, unsigned batch_steps,
+                unsigned batches_open)
+{
+  journal_t *journal = talloc_zero (NULL, journal_t);
+  claims_options_t claims_options = { .owner = options->owner,
+                                      .incarnation = options->incarnation,
+                                      .limits = options->limits,
+                                      .batch_steps = batch_steps,
+                                      .batches_open = batches_open };
+
+  if (journal == NULL)
+    return NULL;
+  journal->options = *options;
+  journal->wake_task.run = journal_run_wake;
+  journal->claims = claims_create (journal, &claims_options);
+  if (journal->claims == NULL)
+    {
+      talloc_free (journal);
+      return NULL;
+    }
+  journal->claims->owner = journal;
+  return journal;
+}
+
+static journal_t *
+grouped_create (const journal_options_t *options)
+{
+  return journal_create (options, BATCH_STEPS, 1);
+}
+
+static journal_t *
+single_create (const journal_options_t *options)
+{
+  return journal_create (options, 1, SINGLE_BATCHES_OPEN);
+}
+
+static void
+journal_destroy (journal_t *journal)
+{
+  claims_destroy (journal->claims);
+  talloc_free (journal);
+}
+
+static void
+journal_configure (journal_t *journal, const journal_limits_t *limits)
+{
+  table_lock (journal->claims->entries);
+  journal->claims->options.limits = *limits;
+  table_unlock (journal->claims->entries);
+}
+
+static journal_claim_t *
+journal_ask (journal_t *journal, const claim_request_t *request,
+             journal_claim_done_t done, void *data)
+{
+  struct timespec realtime
+      = clock_realtime (worker_clock (journal->options.worker));
+  journal_claim_t *claim;
+
+  table_lock (journal->claims->entries);
+  claim = claims_ask (journal->claims, request, done, data,
+                      journal_now (journal), realtime);
+  if (claim != NULL)
+    journal_wake_locked (journal);
+  table_unlock (journal->claims->entries);
+  return claim;
+}
+
+static void
+journal_finish (journal_claim_t *claim, const claim_record_t *record)
+{
+  claims_t *claims = claim->claims;
+  journal_t *journal = claims->owner;
+
+  table_lock (claims->entries);
+  claims_finish (claim, record, journal_now (journal));
+  journal_wake_locked (journal);
+  table_unlock (claims->entries);
+}
+
+static void
+journal_abandon (journal_claim_t *claim)
+{
+  claims_t *claims = claim->claims;
+  journal_t *journal = claims->owner;
+
+  table_lock (claims->entries);
+  claims_abandon (claim, journal_now (journal));
+  journal_wake_locked (journal);
+  table_unlock (claims->entries);
+}
+
+static size_t
+journal_pending (journal_t *journal)
+{
+  size_t pending;
+
+  table_lock (journal->claims->entries);
+  pending = claims_pending (journal->claims);
+  table_unlock (journal->claims->entries);
+  return pending;
+}
+
+static const journal_ops_t grouped_ops = {
+  .create = grouped_create,
+  .destroy = journal_destroy,
+  .configure = journal_configure,
+  .claim = journal_ask,
+  .finish = journal_finish,
+  .abandon = journal_abandon,
+  .pending = journal_pending,
+};
+
+static const journal_ops_t single_ops = {
+  .create = single_create,
+  .destroy = journal_destroy,
+  .configure = journal_configure,
+  .claim = journal_ask,
+  .finish = journal_finish,
+  .abandon = journal_abandon,
+  .pending = journal_pending,
+};
+
+PLUGIN_REGISTER (journal_store, PLUGIN_JOURNAL, "store",
+                 "claims in the key-value service, many in a call",
+                 &grouped_ops);
+PLUGIN_REGISTER (journal_store_single, PLUGIN_JOURNAL, "store-single",
+                 "one call for each claim; a baseline", &single_ops);
