Check settings as a whole, with the place of every fault

Ruled out: a finding for a service without upstreams, since a service may be declared before its machines are; names of plug-ins are checked by siskinctl alone, since a process that lacks a newer policy must still adopt the rest.

Shown by: meson test test_settings, test_kernel, test_path.py.

--- a/common/inventory.c
+++ b/common/inventory.c
@@ -40,8 +40,8 @@
 typedef struct inventory_reader
 {
   settings_t *settings;
-  const char *file;
-  findings_t *findings;
+  schema_source_t *source;
+  name_index_t entry_names;
   unsigned line;
   int places[COLUMN_COUNT]; /* cell index of each column, or -1 */
   cell_t cells[MAX_COLUMNS];
@@ -76,7 +76,7 @@
     }
   *out = '\0';
   if (is_quoted)
-    findings_add (reader->findings, reader->file, reader->line,
+    findings_add (reader->source->findings, reader->source->file, reader->line,
                   reader->cells[reader->cell_count - 1].column,
                   "a quoted cell is not closed on its line");
 }
@@ -108,8 +108,9 @@
         }
       if (reader->places[column] < 0 && column < COLUMN_MODEL)
         {
-          findings_add (reader->findings, reader->file, reader->line, 1,
-                        "column '%s' is missing", column_names[column]);
+          findings_add (reader->source->findings, reader->source->file,
+                        reader->line, 1, "column '%s' is missing",
+                        column_names[column]);
           is_complete = false;
         }
     }
@@ -126,33 +127,25 @@
   return reader->cells[place].text;
 }
 
-static void
-inventory_fault (const inventory_reader_t *reader, inventory_column_t column,
-                 const char *message)
+static unsigned
+inventory_cell_column (const inventory_reader_t *reader,
+                       inventory_column_t column)
 {
   int place = reader->places[column];
-  unsigned start = place >= 0 && (unsigned)place < reader->cell_count
-                       ? reader->cells[place].column
-                       : 1;
 
-  findings_add (reader->findings, reader->file, reader->line, start,
-                "%s '%s' %s", column_names[column],
-                inventory_cell (reader, column), message);
+  if (place < 0 || (unsigned)place >= reader->cell_count)
+    return 1;
+  return reader->cells[place].column;
 }
 
-static bool
-inventory_name_is_taken (const settings_t *settings, const char *name)
+static void
+inventory_fault (const inventory_reader_t *reader, inventory_column_t column,
+                 const char *message)
 {
-  const entry_vm_t *entry_vm;
-
-  if (settings_upstream (settings, name) != NULL)
-    return true;
-  STAILQ_FOREACH (entry_vm, &settings->entry_vms, link)
-    {
-      if (strcmp (entry_vm->name, name) == 0)
-        return true;
-    }
-  return false;
+  findings_add (reader->source->findings, reader->source->file, reader->line,
+                inventory_cell_column (reader, column), "%s '%s' %s",
+                column_names[column], inventory_cell (reader, column),
+                message);
 }
 
 static void
@@ -164,8 +157,6 @@
 
   if (name[0] == '\0')
     inventory_fault (reader, COLUMN_NAME, "is empty");
-  else if (inventory_name_is_taken (reader->settings, name))
-    inventory_fault (reader, COLUMN_NAME, "appears twice");
   if (net_address_parse (scratch, inventory_cell (reader, COLUMN_ADDRESS),
                          &address)
       != STATUS_OK)
@@ -176,6 +167,16 @@
   talloc_free (scratch);
 }
 
+/* Copy the cell of COLUMN to *MEMBER of OBJECT and keep its place.  */
+static void
+inventory_take (inventory_reader_t *reader, inventory_column_t column,
+                void *object, const char **member)
+{
+  *member = talloc_strdup (object, inventory_cell (reader, column));
+  schema_note_place (reader->source, member, reader->line,
+                     inventory_cell_column (reader, column));
+}
+
 static void
 inventory_add_entry_vm (inventory_reader_t *reader)
 {
@@ -183,14 +184,14 @@
 
   if (entry_vm == NULL)
     return;
-  entry_vm->name
-      = talloc_strdup (entry_vm, inventory_cell (reader, COLUMN_NAME));
-  entry_vm->address
-      = talloc_strdup (entry_vm, inventory_cell (reader, COLUMN_ADDRESS));
-  entry_vm->zone
-      = talloc_strdup (entry_vm, inventory_cell (reader, COLUMN_ZONE));
+  schema_note_place (reader->source, entry_vm, reader->line, 1);
+  inventory_take (reader, COLUMN_NAME, entry_vm, &entry_vm->name);
+  inventory_take (reader, COLUMN_ADDRESS, entry_vm, &entry_vm->address);
+  inventory_take (reader, COLUMN_ZONE, entry_vm, &entry_vm->zone);
   entry_vm->line = reader->line;
   STAILQ_INSERT_TAIL (&reader->settings->entry_vms, entry_vm, link);
+  name_index_add (&reader->entry_names, reader->settings, entry_vm->name,
+                  entry_vm);
 }
 
 static int64_t
@@ -223,22 +224,23 @@
       == NULL)
     inventory_fault (reader, COLUMN_SERVICE,
                      "is not a service of the settings");
-  upstream->name
-      = talloc_strdup (upstream, inventory_cell (reader, COLUMN_NAME));
-  upstream->address
-      = talloc_strdup (upstream, inventory_cell (reader, COLUMN_ADDRESS));
-  upstream->zone
-      = talloc_strdup (upstream, inventory_cell (reader, COLUMN_ZONE));
-  upstream->service
-      = talloc_strdup (upstream, inventory_cell (reader, COLUMN_SERVICE));
-  upstream->model
-      = talloc_strdup (upstream, inventory_cell (reader, COLUMN_MODEL));
-  upstream->group
-      = talloc_strdup (upstream, inventory_cell (reader, COLUMN_GROUP));
+  schema_note_place (reader->source, upstream, reader->line, 1);
+  inventory_take (reader, COLUMN_NAME, upstream, &upstream->name);
+  inventory_take (reader, COLUMN_ADDRESS, upstream, &upstream->address);
+  inventory_take (reader, COLUMN_ZONE, upstream, &upstream->zone);
+  inventory_take (reader, COLUMN_SERVICE, upstream, &upstream->service);
+  inventory_take (reader, COLUMN_MODEL, upstream, &upstream->model);
+  inventory_take (reader, COLUMN_GROUP, upstream, &upstream->group);
+  schema_note_place (reader->source, &upstream->kind, reader->line,
+                     inventory_cell_column (reader, COLUMN_KIND));
+  schema_note_place (reader->source, &upstream->rank, reader->line,
+                     inventory_cell_column (reader, COLUMN_RANK));
   upstream->rank = inventory_rank (reader);
   upstream->kind = kind;
   upstream->line = reader->line;
   STAILQ_INSERT_TAIL (&reader->settings->upstreams, upstream, link);
+  name_index_add (&reader->settings->upstream_index, reader->settings,
+                  upstream->name, upstream);
 }
 
 static void
@@ -257,16 +259,63 @@
     inventory_fault (reader, COLUMN_KIND, "is not entry, model or plain");
 }
 
+static void
+inventory_read_line (inventory_reader_t *reader, char *line, bool *has_header)
+{
+  line[strcspn (line, "\r")] = '\0';
+  if (line[0] == '\0' || line[0] == '#')
+    return;
+  inventory_split (reader, line);
+  for (unsigned i = 0; i < reader->cell_count; i++)
+    inventory_trim (&reader->cells[i]);
+  if (*has_header)
+    inventory_read_row (reader);
+  else
+    *has_header = inventory_read_header (reader);
+}
+
+static void
+inventory_report_duplicate (const void *first, const void *second, void *data)
+{
+  const inventory_reader_t *reader = data;
+  const entry_vm_t *entry_vm = second;
+
+  schema_fault (reader->source, &entry_vm->name, entry_vm,
+                "name '%s' is there already, on line %u", entry_vm->name,
+                ((const entry_vm_t *)first)->line);
+}
+
+/* Upstreams and entries share one space of names.  */
+static void
+inventory_check_entry_names (inventory_reader_t *reader)
+{
+  const entry_vm_t *entry_vm;
+
+  name_index_sort (&reader->entry_names);
+  name_index_duplicates (&reader->entry_names, inventory_report_duplicate,
+                         reader);
+  STAILQ_FOREACH (entry_vm, &reader->settings->entry_vms, link)
+    {
+      const upstream_t *upstream
+          = settings_upstream (reader->settings, entry_vm->name);
+
+      if (upstream != NULL)
+        schema_fault (reader->source, &entry_vm->name, entry_vm,
+                      "name '%s' is that of the upstream on line %u too",
+                      entry_vm->name, upstream->line);
+    }
+}
+
 /* Read TEXT, a CSV export of the asset register whose first line names the
    columns, into SETTINGS, whose zones and services are known already.  Further
    columns of the register are ignored.  Each fault becomes a finding at its
-   place in FILE.  */
+   place in SOURCE.  */
 void
-inventory_read (settings_t *settings, const char *text, const char *file,
-                findings_t *findings)
+inventory_read (settings_t *settings, const char *text,
+                schema_source_t *source)
 {
-  inventory_reader_t reader
-      = { .settings = settings, .file = file, .findings = findings };
+  inventory_reader_t reader = { .settings = settings, .source = source };
+  size_t faults = findings_count (source->findings);
   char *copy = talloc_strdup (settings, text);
   bool has_header = false;
   char *next;
@@ -277,19 +326,14 @@
       if (next != NULL)
         *next++ = '\0';
       reader.line++;
-      line[strcspn (line, "\r")] = '\0';
-      if (line[0] == '\0' || line[0] == '#')
-        continue;
-      inventory_split (&reader, line);
-      for (unsigned i = 0; i < reader.cell_count; i++)
-        inventory_trim (&reader.cells[i]);
-      if (has_header)
-        inventory_read_row (&reader);
-      else if (!inventory_read_header (&reader))
+      inventory_read_line (&reader, line, &has_header);
+      if (!has_header && findings_count (source->findings) > faults)
         break;
-      has_header = true;
     }
-  if (!has_header && findings_count (findings) == 0)
-    findings_add (findings, file, 0, 0, "the inventory is empty");
+  if (!has_header && findings_count (source->findings) == faults)
+    findings_add (source->findings, source->file, 0, 0,
+                  "the inventory is empty");
+  name_index_sort (&settings->upstream_index);
+  inventory_check_entry_names (&reader);
   talloc_free (copy);
 }
--- a/common/schema.c
+++ b/common/schema.c
@@ -2,6 +2,7 @@
 
 #include "kernel/clock.h"
 
+#include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -71,6 +72,59 @@
   return true;
 }
 
+/* Remember that MEMBER, an address within the object that is read, came from
+   LINE and COLUMN.  */
+void
+schema_note_place (schema_source_t *source, const void *member, unsigned line,
+                   unsigned column)
+{
+  schema_place_t *place;
+
+  if (source->memory == NULL)
+    return;
+  place = talloc_zero (source->memory, schema_place_t);
+  if (place == NULL)
+    return;
+  place->member = member;
+  place->line = line;
+  place->column = column;
+  SLIST_INSERT_HEAD (&source->places, place, link);
+}
+
+static const schema_place_t *
+schema_find_place (const schema_source_t *source, const void *member)
+{
+  const schema_place_t *place;
+
+  SLIST_FOREACH (place, &source->places, link)
+    {
+      if (place->member == member)
+        return place;
+    }
+  return NULL;
+}
+
+/* Add a finding where MEMBER was read, or where OBJECT starts when MEMBER has
+   its default value; OBJECT may be NULL.  */
+void
+schema_fault (const schema_source_t *source, const void *member,
+              const void *object, const char *format, ...)
+{
+  const schema_place_t *place = schema_find_place (source, member);
+  va_list arguments;
+  char *message;
+
+  if (place == NULL)
+    place = schema_find_place (source, object);
+  va_start (arguments, format);
+  message = talloc_vasprintf (NULL, format, arguments);
+  va_end (arguments);
+  findings_add (source->findings, source->file,
+                place == NULL ? 0 : place->line,
+                place == NULL ? 0 : place->column, "%s", message);
+  talloc_free (message);
+}
+
 static toml_node_t *
 schema_find (toml_node_t *table, const char *key)
 {
@@ -193,7 +247,17 @@
 }
 
 static void
-schema_read_tables (const schema_source_t *source, toml_node_t *node,
+schema_read_element (schema_source_t *source, toml_node_t *table,
+                     const schema_field_t *field, void *owner)
+{
+  void *object = field->append (owner, table->line);
+
+  schema_note_place (source, object, table->line, table->column);
+  schema_read (source, table, field->fields, object);
+}
+
+static void
+schema_read_tables (schema_source_t *source, toml_node_t *node,
                     const schema_field_t *field, void *object)
 {
   toml_node_t *child;
@@ -208,17 +272,18 @@
       if (child->kind != TOML_TABLE)
         schema_mismatch (source, child, field, "a list of tables");
       else
-        schema_read (source, child, field->fields,
-                     field->append (object, child->line));
+        schema_read_element (source, child, field, object);
     }
 }
 
 static void
-schema_read_field (const schema_source_t *source, toml_node_t *node,
+schema_read_field (schema_source_t *source, toml_node_t *node,
                    const schema_field_t *field, void *object)
 {
   void *place = (char *)object + field->offset;
 
+  if (field->kind < SCHEMA_TABLE)
+    schema_note_place (source, place, node->line, node->column);
   switch (field->kind)
     {
     case SCHEMA_STRING:
@@ -264,7 +329,7 @@
    absent keep their value.  Every unknown or missing key and every value of
    the wrong type or range becomes a finding.  */
 void
-schema_read (const schema_source_t *source, toml_node_t *table,
+schema_read (schema_source_t *source, toml_node_t *table,
              const schema_field_t *fields, void *object)
 {
   toml_node_t *child;
--- a/include/common/inventory.h
+++ b/include/common/inventory.h
@@ -3,7 +3,7 @@
 
 #include "common/settings.h"
 
-void inventory_read (settings_t *settings, const char *text, const char *file,
-                     findings_t *findings);
+void inventory_read (settings_t *settings, const char *text,
+                     schema_source_t *source);
 
 #endif
--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -1,6 +1,7 @@
 #ifndef SISKIN_COMMON_SETTINGS_H
 #define SISKIN_COMMON_SETTINGS_H
 
+#include "common/name_index.h"
 #include "common/schema.h"
 #include "kernel/findings.h"
 #include "kernel/status.h"
@@ -53,8 +54,8 @@
 {
   STAILQ_ENTRY (repeat_rule) link;
   const char *service;
-  const char *method;
-  const char *path; /* prefix */
+  const char *method; /* "": all but GET, HEAD and OPTIONS */
+  const char *path;   /* prefix */
   unsigned line;
 } repeat_rule_t;
 
@@ -142,6 +143,10 @@
   STAILQ_HEAD (, repeat_rule) repeat_rules;
   STAILQ_HEAD (, upstream) upstreams;
   STAILQ_HEAD (, entry_vm) entry_vms;
+  name_index_t zone_index;
+  name_index_t account_index;
+  name_index_t service_index;
+  name_index_t upstream_index;
   request_limits_t limits;
   admission_settings_t admission;
   retry_settings_t retry;
