Make the store client tell what a failed write did

Cause: a call that never left the process was reported like one whose answer was lost; a watch could miss what changed between a read and its start, and ending it from its own callback left its connection open; an oversized answer was cut and then called not JSON; reads and writes were counted together.

Now STATUS_UNAVAILABLE, STATUS_INVALID and STATUS_NOT_FOUND mean that a write has not taken effect; watches start at a revision, report a compacted one as STATUS_NOT_FOUND, and can be ended from their callbacks; answers over the limit are STATUS_TOO_LARGE; calls are counted by kind (read, write, lease, watch).

Shown by: meson test test_store, test_path.py.

--- a/common/settings_check.c
+++ b/common/settings_check.c
@@ -236,11 +236,16 @@
   check_plugin (source, PLUGIN_PLACEMENT, &settings->placement.policy);
 }
 
+typedef struct group_member
+{
+  const upstream_t *upstream;
+} group_member_t;
+
 static int
 compare_ranks (const void *left, const void *right)
 {
-  const upstream_t *first = *(const upstream_t *const *)left;
-  const upstream_t *second = *(const upstream_t *const *)right;
+  const upstream_t *first = ((const group_member_t *)left)->upstream;
+  const upstream_t *second = ((const group_member_t *)right)->upstream;
   int order = strcmp (first->group, second->group);
 
   if (order != 0)
@@ -253,27 +258,27 @@
 /* Check the members of one group, sorted by rank: each rank from 0 on is there
    once, and all serve the same model.  */
 static void
-check_group (const upstream_t *const *members, size_t count,
+check_group (const group_member_t *members, size_t count,
              const schema_source_t *source)
 {
   int64_t expected = 0;
 
   for (size_t i = 0; i < count; i++)
     {
-      const upstream_t *member = members[i];
+      const upstream_t *member = members[i].upstream;
 
-      if (i > 0 && member->rank == members[i - 1]->rank)
+      if (i > 0 && member->rank == members[i - 1].upstream->rank)
         schema_fault (source, &member->rank, member,
                       "rank %lld of group '%s' is that of '%s' too",
                       (long long)member->rank, member->group,
-                      members[i - 1]->name);
+                      members[i - 1].upstream->name);
       else if (member->rank != expected)
         schema_fault (source, &member->rank, member,
                       "rank %lld of group '%s' is missing before rank %lld",
                       (long long)expected, member->group,
                       (long long)member->rank);
-      if (strcmp (member->service, members[0]->service) != 0
-          || strcmp (member->model, members[0]->model) != 0)
+      if (strcmp (member->service, members[0].upstream->service) != 0
+          || strcmp (member->model, members[0].upstream->model) != 0)
         schema_fault (source, &member->group, member,
                       "group '%s' has members of another service or model",
                       member->group);
@@ -284,8 +289,8 @@
 static void
 check_groups (const settings_t *settings, const schema_source_t *source)
 {
-  const upstream_t **members = talloc_array (
-      source->memory, const upstream_t *, settings->upstream_index.count + 1);
+  group_member_t *members = talloc_array (source->memory, group_member_t,
+                                          settings->upstream_index.count + 1);
   const upstream_t *upstream;
   size_t count = 0;
   size_t start = 0;
@@ -295,14 +300,16 @@
   STAILQ_FOREACH (upstream, &settings->upstreams, link)
     {
       if (upstream->group[0] != '\0')
-        members[count++] = upstream;
+        members[count++].upstream = upstream;
     }
   if (count > 1)
     qsort (members, count, sizeof *members, compare_ranks);
   for (size_t end = 1; end <= count; end++)
     {
       if (end < count
-          && strcmp (members[end]->group, members[start]->group) == 0)
+          && strcmp (members[end].upstream->group,
+                     members[start].upstream->group)
+                 == 0)
         continue;
       check_group (members + start, end - start, source);
       start = end;
--- a/include/plugins/store.h
+++ b/include/plugins/store.h
@@ -85,9 +85,10 @@
   STAILQ_HEAD (, store_response) responses;
 };
 
-/* RESULT is NULL unless STATUS is STATUS_OK, and valid during the call.  With
-   any other status a write may or may not have taken effect, except for
-   STATUS_INVALID, where it has not.  */
+/* RESULT is NULL unless STATUS is STATUS_OK, and valid during the call.  A
+   write has not taken effect with STATUS_INVALID (the store refused it),
+   STATUS_NOT_FOUND (its lease has lapsed) and STATUS_UNAVAILABLE (not one byte
+   was sent); with any other status but STATUS_OK it may or may not have.  */
 typedef void (*store_done_t) (status_t status, const store_result_t *result,
                               void *data);
 /* LEASE is the lease's number; 0 with any status but STATUS_OK.  */
@@ -96,11 +97,13 @@
 
 typedef struct store_watch_ops
 {
-  /* ENTRY is the new value of the watched key; NULL value when deleted.  */
+  /* ENTRY is the new value of the watched key; NULL value when deleted.
+     Changes come in order and none is left out while the watch lasts.  */
   void (*on_change) (const store_entry_t *entry, void *data);
   /* The store confirmed that the watch is alive and up to date.  */
   void (*on_progress) (void *data);
-  /* The watch broke; it is gone and may be started again.  */
+  /* The watch broke and is gone; STATUS_NOT_FOUND when the start revision is
+     no longer kept.  The owner reads the key and watches again.  */
   void (*on_broken) (status_t status, void *data);
 } store_watch_ops_t;
 
@@ -115,6 +118,7 @@
 typedef struct store_ops
 {
   store_t *(*create) (worker_t *worker, const store_options_t *options);
+  /* Calls and watches under way end without their callbacks.  */
   void (*destroy) (store_t *store);
   status_t (*transact) (store_t *store, const store_txn_t *txn,
                         store_done_t done, void *data);
@@ -122,13 +126,18 @@
                      store_lease_done_t done, void *data);
   status_t (*keep_alive) (store_t *store, int64_t lease,
                           store_lease_done_t done, void *data);
+  /* Watch from START_REVISION on, which is one more than the revision of the
+     read that came before; 0 for changes from now on.  */
   store_watch_t *(*watch) (store_t *store, const char *key,
+                           int64_t start_revision,
                            const store_watch_ops_t *ops, void *data);
+  /* Callable from the watch's own callbacks but on_broken.  */
   void (*unwatch) (store_watch_t *watch);
 } store_ops_t;
 
 #define STORE_KEY_SETTINGS "/siskinspur/settings"
 #define STORE_PREFIX_HISTORY "/siskinspur/history/"
+#define STORE_PREFIX_DOCUMENTS "/siskinspur/documents/"
 #define STORE_PREFIX_CLAIMS "/siskinspur/claims/"
 #define STORE_PREFIX_GROUPS "/siskinspur/groups/"
 
--- a/plugins/store/etcd.c
+++ b/plugins/store/etcd.c
@@ -1,8 +1,8 @@
-#include "common/http_client.h"
+#include "plugins/store/etcd.h"
+
 #include "kernel/clock.h"
 #include "kernel/counter.h"
 #include "kernel/plugin.h"
-#include "plugins/store.h"
 #include "plugins/store/etcd_json.h"
 
 #include <stdlib.h>
@@ -13,25 +13,15 @@
   MAX_ANSWER_BYTES = 16 * 1024 * 1024
 };
 
-COUNTER_DEFINE_LABELLED (calls_txn, "siskin_store_calls_total", "kind=\"txn\"",
-                         "Calls to the key-value service");
+COUNTER_DEFINE_LABELLED (calls_read, "siskin_store_calls_total",
+                         "kind=\"read\"", "Calls to the key-value service");
+COUNTER_DEFINE_LABELLED (calls_write, "siskin_store_calls_total",
+                         "kind=\"write\"", "Calls to the key-value service");
 COUNTER_DEFINE_LABELLED (calls_lease, "siskin_store_calls_total",
                          "kind=\"lease\"", "Calls to the key-value service");
-COUNTER_DEFINE_LABELLED (calls_watch, "siskin_store_calls_total",
-                         "kind=\"watch\"", "Calls to the key-value service");
 COUNTER_DEFINE (calls_failed, "siskin_store_calls_failed_total",
                 "Calls to the key-value service without an answer");
 
-struct store
-{
-  worker_t *worker;
-  http_client_t *client;
-  char **urls;
-  unsigned url_count;
-  unsigned url_index; /* the one that answered last */
-  struct timespec timeout;
-};
-
 typedef struct etcd_call etcd_call_t;
 
 struct etcd_call
@@ -42,45 +32,36 @@
   unsigned http_status;
   char *answer;
   size_t answer_size;
+  status_t fault; /* found while the answer came in */
   store_done_t done;
   store_lease_done_t lease_done;
   void *data;
 };
 
-struct store_watch
-{
-  store_t *store;
-  http_call_t *http;
-  const store_watch_ops_t *ops;
-  void *data;
-  char *line;
-  size_t line_size;
-  unsigned http_status;
-  bool is_dead; /* unwatched during a callback */
-  bool is_in_callback;
-};
-
-static bool
-buffer_append (TALLOC_CTX *parent, char **buffer, size_t *used,
-               const char *bytes, size_t size)
+/* Append BYTES to *BUFFER, which stays terminated and belongs to PARENT.
+   Returns STATUS_TOO_LARGE past the limit of one answer.  */
+status_t
+etcd_append (TALLOC_CTX *parent, char **buffer, size_t *used,
+             const char *bytes, size_t size)
 {
-  char *larger;
+  char *larger = *buffer;
 
   if (*used + size > MAX_ANSWER_BYTES)
-    return false;
-  larger = *buffer;
+    return status_set (STATUS_TOO_LARGE, "the store's answer is over %d bytes",
+                       MAX_ANSWER_BYTES);
   if (talloc_get_size (larger) < *used + size + 1)
     larger = talloc_realloc (parent, *buffer, char, (*used + size) * 2 + 1);
   if (larger == NULL)
-    return false;
+    return status_set (STATUS_NO_MEMORY, "no memory for the store's answer");
   memcpy (larger + *used, bytes, size);
   *used += size;
   larger[*used] = '\0';
   *buffer = larger;
-  return true;
+  return STATUS_OK;
 }
 
-static http_call_t *
+/* Start a POST of BODY, whose reference is taken, to the address in use.  */
+http_call_t *
 etcd_post (store_t *store, const char *path, json_t *body,
            struct timespec timeout, const http_call_ops_t *ops, void *data)
 {
@@ -118,39 +99,57 @@
   etcd_call_t *call = data;
 
   (void)http;
-  buffer_append (call, &call->answer, &call->answer_size, bytes, size);
+  if (call->fault == STATUS_OK)
+    call->fault
+        = etcd_append (call, &call->answer, &call->answer_size, bytes, size);
   return true;
 }
 
-/* Turn to the next address after a call that got no answer.  */
-static void
-store_rotate (etcd_call_t *call)
+/* Turn to the next address after a call to URL_INDEX got no answer.  */
+void
+etcd_rotate (store_t *store, unsigned url_index)
 {
   counter_add (&calls_failed, 1);
-  if (call->url_index == call->store->url_index)
-    call->store->url_index
-        = (call->store->url_index + 1) % call->store->url_count;
+  if (url_index == store->url_index)
+    store->url_index = (store->url_index + 1) % store->url_count;
 }
 
+/* Map what the gateway answered.  It refuses a call that it does not carry out
+   with 400 or 413, and one that names a lapsed lease with 404.  */
 static status_t
-call_parse (etcd_call_t *call, status_t status, json_t **root)
+call_check_answer (etcd_call_t *call)
 {
-  *root = NULL;
-  if (status != STATUS_OK)
-    {
-      store_rotate (call);
-      return status;
-    }
-  if (call->http_status == 400)
+  if (call->fault != STATUS_OK)
+    return call->fault;
+  if (call->http_status == 400 || call->http_status == 413)
     return status_set (STATUS_INVALID, "the store refused the call: %s",
                        call->answer == NULL ? "" : call->answer);
-  if (call->http_status != 200 || call->answer == NULL)
+  if (call->http_status == 404)
+    return status_set (STATUS_NOT_FOUND, "the store does not know it: %s",
+                       call->answer == NULL ? "" : call->answer);
+  if (call->http_status == 200 && call->answer != NULL)
+    return STATUS_OK;
+  etcd_rotate (call->store, call->url_index);
+  return status_set (STATUS_IO, "the store answered HTTP %u",
+                     call->http_status);
+}
+
+static status_t
+call_parse (etcd_call_t *call, status_t status, bool may_have_run,
+            json_t **root)
+{
+  *root = NULL;
+  if (status != STATUS_OK)
     {
-      store_rotate (call);
-      return status_set (STATUS_UNAVAILABLE, "the store answered HTTP %u",
-                         call->http_status);
+      etcd_rotate (call->store, call->url_index);
+      if (!may_have_run)
+        return STATUS_UNAVAILABLE;
+      return status == STATUS_UNAVAILABLE ? STATUS_IO : status;
     }
-  *root = json_loads (call->answer, 0, NULL);
+  status = call_check_answer (call);
+  if (status != STATUS_OK)
+    return status;
+  *root = json_loadb (call->answer, call->answer_size, 0, NULL);
   if (*root == NULL)
     return status_set (STATUS_PROTOCOL, "the store's answer is not JSON");
   return STATUS_OK;
@@ -165,8 +164,7 @@
   json_t *root;
 
   (void)http;
-  (void)may_have_run;
-  status = call_parse (call, status, &root);
+  status = call_parse (call, status, may_have_run, &root);
   if (status == STATUS_OK)
     result = etcd_json_result (call, root);
   json_decref (root);
@@ -183,8 +181,7 @@
   json_t *root;
 
   (void)http;
-  (void)may_have_run;
-  status = call_parse (call, status, &root);
+  status = call_parse (call, status, may_have_run, &root);
   if (status == STATUS_OK)
     {
       const json_t *result = json_object_get (root, "result");
@@ -254,6 +251,38 @@
   return call;
 }
 
+static bool txn_writes (const store_txn_t *txn);
+
+static bool
+op_writes (const store_op_t *op)
+{
+  switch (op->kind)
+    {
+    case STORE_GET:
+    case STORE_GET_PREFIX:
+      return false;
+    case STORE_PUT:
+    case STORE_DELETE:
+      return true;
+    case STORE_TXN:
+      return txn_writes (op->txn);
+    }
+  return true;
+}
+
+static bool
+txn_writes (const store_txn_t *txn)
+{
+  const store_op_t *op;
+  bool writes = false;
+
+  STAILQ_FOREACH (op, &txn->success, link)
+    writes = writes || op_writes (op);
+  STAILQ_FOREACH (op, &txn->failure, link)
+    writes = writes || op_writes (op);
+  return writes;
+}
+
 static status_t
 etcd_transact (store_t *store, const store_txn_t *txn, store_done_t done,
                void *data)
@@ -263,7 +292,7 @@
   if (call == NULL)
     return status_set (STATUS_NO_MEMORY, "no memory for a store call");
   call->done = done;
-  counter_add (&calls_txn, 1);
+  counter_add (txn_writes (txn) ? &calls_write : &calls_read, 1);
   call->http = etcd_post (store, "/v3/kv/txn", etcd_json_txn (txn),
                           store->timeout, &txn_call_ops, call);
   if (call->http != NULL)
@@ -310,132 +339,6 @@
   return etcd_lease_call (store, "/v3/lease/keepalive", body, done, data);
 }
 
-static void
-watch_handle_events (store_watch_t *watch, const json_t *result)
-{
-  const json_t *events = json_object_get (result, "events");
-  const json_t *event;
-  size_t index;
-
-  if (json_array_size (events) == 0)
-    watch->ops->on_progress (watch->data);
-  json_array_foreach (events, index, event)
-    {
-      store_entry_t *entry
-          = etcd_json_entry (watch, json_object_get (event, "kv"));
-      const char *type = json_string_value (json_object_get (event, "type"));
-
-      if (type != NULL && strcmp (type, "DELETE") == 0)
-        entry->value = NULL;
-      if (!watch->is_dead)
-        watch->ops->on_change (entry, watch->data);
-      talloc_free (entry);
-    }
-}
-
-static void
-watch_handle_line (store_watch_t *watch, const char *line, size_t size)
-{
-  json_t *root = json_loadb (line, size, 0, NULL);
-  const json_t *result = json_object_get (root, "result");
-
-  if (result != NULL && !watch->is_dead)
-    watch_handle_events (watch, result);
-  json_decref (root);
-}
-
-static void
-watch_on_head (http_call_t *http, unsigned http_status,
-               const char *content_type, void *data)
-{
-  store_watch_t *watch = data;
-
-  (void)http;
-  (void)content_type;
-  watch->http_status = http_status;
-}
-
-static bool
-watch_on_data (http_call_t *http, const char *bytes, size_t size, void *data)
-{
-  store_watch_t *watch = data;
-  char *newline;
-
-  (void)http;
-  buffer_append (watch, &watch->line, &watch->line_size, bytes, size);
-  watch->is_in_callback = true;
-  while (watch->line_size > 0
-         && (newline = memchr (watch->line, '\n', watch->line_size)) != NULL)
-    {
-      size_t length = (size_t)(newline - watch->line);
-
-      watch_handle_line (watch, watch->line, length);
-      watch->line_size -= length + 1;
-      memmove (watch->line, newline + 1, watch->line_size);
-    }
-  watch->is_in_callback = false;
-  return true;
-}
-
-static void
-watch_on_done (http_call_t *http, status_t status, bool may_have_run,
-               void *data)
-{
-  store_watch_t *watch = data;
-
-  (void)http;
-  (void)may_have_run;
-  if (!watch->is_dead)
-    watch->ops->on_broken (status == STATUS_OK ? STATUS_UNAVAILABLE : status,
-                           watch->data);
-  talloc_free (watch);
-}
-
-static const http_call_ops_t watch_call_ops = {
-  .on_head = watch_on_head,
-  .on_data = watch_on_data,
-  .on_done = watch_on_done,
-};
-
-static store_watch_t *
-etcd_watch (store_t *store, const char *key, const store_watch_ops_t *ops,
-            void *data)
-{
-  store_watch_t *watch = talloc_zero (store, store_watch_t);
-  struct timespec forever = { 0, 0 };
-  json_t *body = json_object ();
-  json_t *create = json_object ();
-
-  if (watch == NULL)
-    {
-      json_decref (body);
-      json_decref (create);
-      return NULL;
-    }
-  watch->store = store;
-  watch->ops = ops;
-  watch->data = data;
-  json_object_set_new (create, "key", etcd_json_bytes (key));
-  json_object_set_new (create, "progress_notify", json_true ());
-  json_object_set_new (body, "create_request", create);
-  counter_add (&calls_watch, 1);
-  watch->http
-      = etcd_post (store, "/v3/watch", body, forever, &watch_call_ops, watch);
-  if (watch->http == NULL)
-    TALLOC_FREE (watch);
-  return watch;
-}
-
-static void
-etcd_unwatch (store_watch_t *watch)
-{
-  watch->is_dead = true;
-  if (watch->is_in_callback)
-    return;
-  http_call_cancel (watch->http);
-  talloc_free (watch);
-}
-
 static const store_ops_t etcd_ops = {
   .create = etcd_create,
   .destroy = etcd_destroy,
--- /dev/null
+++ b/plugins/store/etcd.h
@@ -0,0 +1,30 @@
+#ifndef SISKIN_PLUGINS_STORE_ETCD_H
+#define SISKIN_PLUGINS_STORE_ETCD_H
+
+#include "common/http_client.h"
+#include "plugins/store.h"
+
+#include <jansson.h>
+
+struct store
+{
+  worker_t *worker;
+  http_client_t *client;
+  char **urls;
+  unsigned url_count;
+  unsigned url_index; /* the one that answered last */
+  struct timespec timeout;
+};
+
+http_call_t *etcd_post (store_t *store, const char *path, json_t *body,
+                        struct timespec timeout, const http_call_ops_t *ops,
+                        void *data);
+void etcd_rotate (store_t *store, unsigned url_index);
+status_t etcd_append (TALLOC_CTX *parent, char **buffer, size_t *used,
+                      const char *bytes, size_t size);
+store_watch_t *etcd_watch (store_t *store, const char *key,
+                           int64_t start_revision,
+                           const store_watch_ops_t *ops, void *data);
+void etcd_unwatch (store_watch_t *watch);
+
+#endif
--- /dev/null
+++ b/plugins/store/etcd_watch.c
@@ -0,0 +1,238 @@
+#include "plugins/store/etcd.h"
+
+#include "kernel/counter.h"
+#include "plugins/store/etcd_json.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  REVISION_TEXT_BYTES = 24
+};
+
+COUNTER_DEFINE_LABELLED (calls_watch, "siskin_store_calls_total",
+                         "kind=\"watch\"", "Calls to the key-value service");
+
+struct store_watch
+{
+  store_t *store;
+  http_call_t *http; /* NULL once the call has ended */
+  const store_watch_ops_t *ops;
+  void *data;
+  char *line;
+  size_t line_size;
+  unsigned url_index; /* the one this watch went to */
+  unsigned http_status;
+  bool is_dead;        /* no callback runs any more */
+  bool is_in_callback; /* of its HTTP call, which must not be cancelled now */
+};
+
+static void
+watch_finish (worker_t *worker, void *data)
+{
+  store_watch_t *watch = data;
+
+  (void)worker;
+  if (watch->http != NULL)
+    http_call_cancel (watch->http);
+  talloc_free (watch);
+}
+
+/* End WATCH as soon as its HTTP call can be cancelled.  */
+static void
+watch_end (store_watch_t *watch)
+{
+  watch->is_dead = true;
+  if (watch->is_in_callback)
+    worker_timer_start (watch->store->worker, watch, (struct timespec){ 0, 0 },
+                        watch_finish, watch);
+  else
+    watch_finish (watch->store->worker, watch);
+}
+
+/* Tell the owner that the watch is gone, and end it.  */
+static void
+watch_break (store_watch_t *watch, status_t status)
+{
+  if (watch->is_dead)
+    return;
+  watch->is_dead = true;
+  watch->ops->on_broken (status, watch->data);
+  watch_end (watch);
+}
+
+static void
+watch_handle_event (store_watch_t *watch, const json_t *event)
+{
+  store_entry_t *entry
+      = etcd_json_entry (watch, json_object_get (event, "kv"));
+  const char *type = json_string_value (json_object_get (event, "type"));
+
+  if (entry == NULL)
+    return;
+  if (type != NULL && strcmp (type, "DELETE") == 0)
+    entry->value = NULL;
+  watch->ops->on_change (entry, watch->data);
+  talloc_free (entry);
+}
+
+static void
+watch_handle_result (store_watch_t *watch, const json_t *result)
+{
+  const json_t *events = json_object_get (result, "events");
+  const json_t *event;
+  size_t index;
+
+  if (json_is_true (json_object_get (result, "canceled")))
+    {
+      watch_break (watch,
+                   status_set (STATUS_NOT_FOUND, "the store ended the watch"));
+      return;
+    }
+  if (json_is_true (json_object_get (result, "created")))
+    return;
+  if (json_array_size (events) == 0)
+    watch->ops->on_progress (watch->data);
+  json_array_foreach (events, index, event)
+    {
+      if (!watch->is_dead)
+        watch_handle_event (watch, event);
+    }
+}
+
+static void
+watch_handle_line (store_watch_t *watch, const char *line, size_t size)
+{
+  json_t *root = json_loadb (line, size, 0, NULL);
+  const json_t *result = json_object_get (root, "result");
+
+  if (result != NULL)
+    watch_handle_result (watch, result);
+  else if (root == NULL || json_object_get (root, "error") != NULL)
+    watch_break (watch,
+                 status_set (STATUS_PROTOCOL, "the watch got an error: %.*s",
+                             (int)size, line));
+  json_decref (root);
+}
+
+static void
+watch_take_lines (store_watch_t *watch)
+{
+  size_t taken = 0;
+
+  while (!watch->is_dead)
+    {
+      char *start = watch->line + taken;
+      char *newline = memchr (start, '\n', watch->line_size - taken);
+
+      if (newline == NULL)
+        break;
+      if (newline > start)
+        watch_handle_line (watch, start, (size_t)(newline - start));
+      taken = (size_t)(newline - watch->line) + 1;
+    }
+  watch->line_size -= taken;
+  memmove (watch->line, watch->line + taken, watch->line_size);
+}
+
+static void
+watch_on_head (http_call_t *http, unsigned http_status,
+               const char *content_type, void *data)
+{
+  store_watch_t *watch = data;
+
+  (void)http;
+  (void)content_type;
+  watch->http_status = http_status;
+}
+
+static bool
+watch_on_data (http_call_t *http, const char *bytes, size_t size, void *data)
+{
+  store_watch_t *watch = data;
+  status_t status;
+
+  (void)http;
+  if (watch->is_dead || watch->http_status != 200)
+    return true;
+  watch->is_in_callback = true;
+  status = etcd_append (watch, &watch->line, &watch->line_size, bytes, size);
+  if (status == STATUS_OK)
+    watch_take_lines (watch);
+  else
+    watch_break (watch, status);
+  watch->is_in_callback = false;
+  return true;
+}
+
+static void
+watch_on_done (http_call_t *http, status_t status, bool may_have_run,
+               void *data)
+{
+  store_watch_t *watch = data;
+
+  (void)http;
+  (void)may_have_run;
+  watch->http = NULL;
+  if (watch->is_dead)
+    return; /* watch_finish is on its way */
+  etcd_rotate (watch->store, watch->url_index);
+  if (status == STATUS_OK)
+    status = status_set (STATUS_UNAVAILABLE, "the store ended the watch");
+  watch_break (watch, status);
+}
+
+static const http_call_ops_t watch_call_ops = {
+  .on_head = watch_on_head,
+  .on_data = watch_on_data,
+  .on_done = watch_on_done,
+};
+
+static json_t *
+watch_request (const char *key, int64_t start_revision)
+{
+  json_t *body = json_object ();
+  json_t *create = json_object ();
+  char text[REVISION_TEXT_BYTES];
+
+  snprintf (text, sizeof text, "%lld", (long long)start_revision);
+  json_object_set_new (create, "key", etcd_json_bytes (key));
+  json_object_set_new (create, "progress_notify", json_true ());
+  if (start_revision > 0)
+    json_object_set_new (create, "start_revision", json_string (text));
+  json_object_set_new (body, "create_request", create);
+  return body;
+}
+
+/* Watch KEY from START_REVISION on, 0 for changes from now on.  */
+store_watch_t *
+etcd_watch (store_t *store, const char *key, int64_t start_revision,
+            const store_watch_ops_t *ops, void *data)
+{
+  store_watch_t *watch = talloc_zero (store, store_watch_t);
+  struct timespec forever = { 0, 0 };
+
+  if (watch == NULL)
+    return NULL;
+  watch->store = store;
+  watch->ops = ops;
+  watch->data = data;
+  watch->url_index = store->url_index;
+  counter_add (&calls_watch, 1);
+  watch->http
+      = etcd_post (store, "/v3/watch", watch_request (key, start_revision),
+                   forever, &watch_call_ops, watch);
+  if (watch->http == NULL)
+    TALLOC_FREE (watch);
+  return watch;
+}
+
+/* End WATCH; no callback of it runs afterwards.  Callable from its
+   callbacks.  */
+void
+etcd_unwatch (store_watch_t *watch)
+{
+  if (!watch->is_dead)
+    watch_end (watch);
+}
