--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -16,6 +16,7 @@
 BUILD = os.environ.get("SISKIN_BUILD", "build")
 START_TIMEOUT_S = 20
 STOP_TIMEOUT_S = 30
+WORKERS = 2  # of an entry, by default
 
 
 class Answer:
@@ -185,6 +186,14 @@
                 lambda: (h := self.health(name)) and h["revision"] >= revision,
                 START_TIMEOUT_S, "%s at revision %d" % (name, revision))
 
+    def wait_for_links(self, entries, upstreams):
+        """Until every worker of ENTRIES is connected to all UPSTREAMS."""
+        wanted = WORKERS * len(entries)
+        for name in upstreams:
+            wait_until(
+                lambda: self.metrics(name)["siskin_agent_peers"] >= wanted,
+                START_TIMEOUT_S, "%s to have %d peers" % (name, wanted))
+
     def control(self, name, query=""):
         """Read or set a stand-in's account."""
         _, _, body = self.raw("POST" if query else "GET", self.ports[name],
@@ -223,8 +232,23 @@
         finally:
             connection.close()
 
-    def chat(self, entry, tokens=16, **headers):
+    def chat(self, entry, tokens=16, tag="", **headers):
+        """A chat request; the stand-ins put TAG into every token."""
         return self.call(entry, "/v1/chat/completions", {
             "model": "style-assistant", "max_tokens": tokens, "stream": True,
+            "user": tag,
             "messages": [{"role": "user", "content": "an outfit"}]},
             **headers)
+
+    def book(self, entry, key, tag="", path="/bookings", **headers):
+        """A booking, which runs at most once a key."""
+        return self.call(entry, path, {"user": tag}, Idempotency_Key=key,
+                         **headers)
+
+    def runs(self, names):
+        """How often each idempotency key ran on the upstreams NAMES."""
+        runs = {}
+        for name in names:
+            for key, count in self.control(name)["keys"].items():
+                runs[key] = runs.get(key, 0) + count
+        return runs
--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -2,7 +2,9 @@
    streamed answer, and a plain booking service.  It keeps the account that
    judges the system: GET /control shows what it received, how many requests it
    had at once and how often each idempotency key ran.  POST /control?... sets
-   cold=N (what it bears; 0 for warm), first_ms, token_ms and work_ms.  */
+   cold=N (what it bears; 0 for warm), first_ms, token_ms and work_ms.  The
+   request's "user" stands in every part of the answer, so that a caller can
+   tell its own.  */
 
 #include "standin.h"
 
@@ -49,6 +51,7 @@
   upstream_state_t *state;
   http_exchange_t *exchange;
   struct tevent_timer *timer;
+  const char *tag;
   int64_t left;
   int64_t made;
   bool is_plain;
@@ -86,8 +89,10 @@
 answer_plain (answer_t *answer)
 {
   char *text = talloc_asprintf (
-      answer, "{\"confirmed\":true,\"by\":\"%s\",\"number\":%lld}\n",
-      answer->state->name, (long long)answer->state->finished + 1);
+      answer,
+      "{\"confirmed\":true,\"by\":\"%s\",\"user\":\"%s\",\"number\":%lld}\n",
+      answer->state->name, answer->tag,
+      (long long)answer->state->finished + 1);
 
   answer->state->finished++;
   answer_finish (answer);
@@ -103,8 +108,9 @@
     http_reply_begin (answer->exchange, 200, "text/event-stream");
   answer->made++;
   text = talloc_asprintf (
-      answer, "data: {\"choices\":[{\"delta\":{\"content\":\"t%lld \"}}]}\n\n",
-      (long long)answer->made);
+      answer,
+      "data: {\"choices\":[{\"delta\":{\"content\":\"t%lld %s\"}}]}\n\n",
+      (long long)answer->made, answer->tag);
   http_reply_data (answer->exchange, text, strlen (text));
   talloc_free (text);
   if (--answer->left > 0)
@@ -168,10 +174,12 @@
   const char *body = http_exchange_body (exchange, &size);
   json_t *root = json_loadb (body, size, 0, NULL);
   json_t *limit = json_object_get (root, "max_tokens");
+  const char *tag = json_string_value (json_object_get (root, "user"));
 
   upstream_account (state, exchange);
   answer->state = state;
   answer->exchange = exchange;
+  answer->tag = talloc_strdup (answer, tag == NULL ? "" : tag);
   answer->left
       = json_is_integer (limit) ? json_integer_value (limit) : DEFAULT_TOKENS;
   answer->is_plain = strncmp (http_exchange_path (exchange), "/v1/", 4) != 0;
