Put loops and byte streams behind operations tables

Cause: the code of the entry and the agent could only run on threads, TCP and the machine's clock, so no run with faults could be repeated. A worker's loop is now a table of functions with two implementations: threads with tevent, and a scheduler that runs the tasks and timers of many pools in the order of a virtual clock from one thread. A link's bytes go through a transport, TCP by default. Incarnations come from a source that a test can seed.

Ruled out: a tevent backend with a virtual clock, since its timers read the machine's time before the backend is asked.

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -8,11 +8,8 @@
 #include "kernel/log.h"
 #include "kernel/plugin.h"
 
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 enum
 {
@@ -29,7 +26,7 @@
 {
   task_t task;
   agent_t *agent;
-  int fd;
+  stream_t *stream;
 } handover_t;
 
 /* Return the share that WORKER has of AGENT.  */
@@ -156,17 +153,16 @@
   agent_worker_t *share = agent_worker_of (agent, worker);
   agent_peer_t *peer = talloc_zero (worker_events (worker), agent_peer_t);
 
-  if (peer != NULL)
+  if (peer == NULL)
+    stream_close (handover->stream);
+  else
     {
       peer->agent = agent;
-      peer->link
-          = link_accept (worker, agent->node, handover->fd, &peer_ops, peer);
+      peer->link = link_accept (worker, agent->node, handover->stream,
+                                &peer_ops, peer);
     }
   if (peer == NULL || peer->link == NULL)
-    {
-      close (handover->fd);
-      talloc_free (peer);
-    }
+    talloc_free (peer);
   else
     {
       LIST_INSERT_HEAD (&share->peers, peer, peer_link);
@@ -176,29 +172,20 @@
 }
 
 static void
-agent_accept (struct tevent_context *events, struct tevent_fd *event,
-              uint16_t flags, void *data)
+agent_accept (stream_t *stream, void *data)
 {
   agent_t *agent = data;
   pool_t *pool = daemon_pool (agent->daemon);
-  handover_t *handover;
-  int fd
-      = accept4 (agent->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-  (void)events;
-  (void)event;
-  (void)flags;
-  if (fd < 0)
-    return;
-  handover = talloc_zero (NULL, handover_t);
+  handover_t *handover = talloc_zero (NULL, handover_t);
+
   if (handover == NULL)
     {
-      close (fd);
+      stream_close (stream);
       return;
     }
   handover->task.run = agent_take_connection;
   handover->agent = agent;
-  handover->fd = fd;
+  handover->stream = stream;
   worker_post (pool_worker (pool, (unsigned)(agent->next_worker++
                                              % agent->worker_count)),
                &handover->task);
@@ -258,13 +245,14 @@
   status_t status = net_address_parse (
       agent, daemon_config (agent->daemon)->listen, &address);
 
-  if (status == STATUS_OK)
-    status = net_listen (&address, &agent->listen_fd, &port);
   if (status != STATUS_OK)
     return status;
-  agent->listen_event = tevent_add_fd (
-      worker_events (pool_worker (daemon_pool (agent->daemon), 0)), agent,
-      agent->listen_fd, TEVENT_FD_READ, agent_accept, agent);
+  agent->listener
+      = transport_listen (node_transport (agent->node),
+                          pool_worker (daemon_pool (agent->daemon), 0),
+                          &address, &port, agent_accept, agent);
+  if (agent->listener == NULL)
+    return STATUS_IO;
   log_event (LOG_LEVEL_INFO, "frames-listening", "port=%u", port);
   return STATUS_OK;
 }
@@ -320,7 +308,6 @@
   *state = agent;
   agent->daemon = daemon;
   agent->node = daemon_node (daemon);
-  agent->listen_fd = -1;
   agent->worker_count = pool_worker_count (pool);
   agent->workers
       = talloc_zero_array (agent, agent_worker_t, agent->worker_count);
@@ -367,11 +354,8 @@
 {
   agent_t *agent = state;
 
-  if (agent->listen_fd >= 0)
-    {
-      TALLOC_FREE (agent->listen_event);
-      close (agent->listen_fd);
-    }
+  if (agent->listener != NULL)
+    transport_stop_listening (node_transport (agent->node), agent->listener);
   for (unsigned i = 0; i < agent->worker_count; i++)
     {
       if (agent->workers[i].transport != NULL)
--- a/common/link.c
+++ b/common/link.c
@@ -4,11 +4,8 @@
 #include "kernel/log.h"
 
 #include <arpa/inet.h>
-#include <errno.h>
 #include <string.h>
 #include <sys/queue.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 enum
 {
@@ -42,10 +39,9 @@
   node_t *node;
   const link_ops_t *ops;
   void *data;
-  int fd;
-  struct tevent_fd *event;
+  stream_t *stream; /* NULL once closed */
   worker_timer_t *timer;
-  bool is_connected; /* the TCP connection stands */
+  bool is_connected; /* the stream stands */
   bool is_greeted;   /* the peer's hello has come */
   bool is_closed;
   const char *close_reason;
@@ -81,11 +77,9 @@
     return;
   link->is_closed = true;
   link->close_reason = reason;
-  TALLOC_FREE (link->event);
   TALLOC_FREE (link->timer);
-  if (link->fd >= 0)
-    close (link->fd);
-  link->fd = -1;
+  stream_close (link->stream);
+  link->stream = NULL;
   worker_timer_start (link->worker, link, timespec_from_ms (0),
                       link_finish_close, link);
 }
@@ -97,12 +91,11 @@
 
   while ((first = STAILQ_FIRST (&link->output)) != NULL)
     {
-      ssize_t written = send (link->fd, first->data + first->written,
-                              first->size - first->written, MSG_NOSIGNAL);
+      ssize_t written
+          = stream_write (link->stream, first->data + first->written,
+                          first->size - first->written);
 
-      if (written < 0 && errno == EINTR)
-        continue;
-      if (written < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+      if (written == STREAM_WAIT)
         break;
       if (written < 0)
         {
@@ -116,10 +109,7 @@
       STAILQ_REMOVE_HEAD (&link->output, link);
       talloc_free (first);
     }
-  if (STAILQ_EMPTY (&link->output))
-    TEVENT_FD_NOT_WRITEABLE (link->event);
-  else
-    TEVENT_FD_WRITEABLE (link->event);
+  stream_want_write (link->stream, !STAILQ_EMPTY (&link->output));
 }
 
 /* Queue FRAME for the peer; the sender's part of the header is filled in
@@ -333,8 +323,9 @@
         }
       link->input = larger;
     }
-  got = recv (link->fd, link->input + link->input_used, LINK_READ_BYTES, 0);
-  if (got < 0 && (errno == EAGAIN || errno == EINTR))
+  got = stream_read (link->stream, link->input + link->input_used,
+                     LINK_READ_BYTES);
+  if (got == STREAM_WAIT)
     return;
   if (got <= 0)
     {
@@ -351,11 +342,7 @@
 static bool
 link_finish_connect (link_t *link)
 {
-  int error = 0;
-  socklen_t length = sizeof error;
-
-  if (getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &error, &length) != 0
-      || error != 0)
+  if (stream_finish_connect (link->stream) != STATUS_OK)
     {
       link_close (link, "connect-failed");
       return false;
@@ -366,18 +353,16 @@
 }
 
 static void
-link_handle_event (struct tevent_context *events, struct tevent_fd *event,
-                   uint16_t flags, void *data)
+link_handle_event (stream_t *stream, unsigned events, void *data)
 {
   link_t *link = data;
 
-  (void)events;
-  (void)event;
+  (void)stream;
   if (!link->is_connected && !link_finish_connect (link))
     return;
-  if ((flags & TEVENT_FD_WRITE) != 0)
+  if ((events & STREAM_WRITABLE) != 0)
     link_flush (link);
-  if (!link->is_closed && (flags & TEVENT_FD_READ) != 0)
+  if (!link->is_closed && (events & STREAM_READABLE) != 0)
     link_read (link);
 }
 
@@ -417,30 +402,31 @@
 static int
 link_free (link_t *link)
 {
-  if (link->fd >= 0)
-    close (link->fd);
+  if (link->stream != NULL)
+    stream_close (link->stream);
   return 0;
 }
 
 static link_t *
-link_create (worker_t *worker, node_t *node, int fd, const link_ops_t *ops,
-             void *data)
+link_create (worker_t *worker, node_t *node, stream_t *stream,
+             const link_ops_t *ops, void *data)
 {
   link_t *link = talloc_zero (worker_events (worker), link_t);
   frame_t hello;
 
-  if (link == NULL)
-    return NULL;
+  if (link == NULL || !stream_attach (stream, worker, link_handle_event, link))
+    {
+      talloc_free (link);
+      stream_close (stream);
+      return NULL;
+    }
   link->worker = worker;
   link->node = node;
   link->ops = ops;
   link->data = data;
-  link->fd = fd;
+  link->stream = stream;
   STAILQ_INIT (&link->output);
   link->last_received = clock_monotonic (worker_clock (worker));
-  link->event = tevent_add_fd (worker_events (worker), link, fd,
-                               TEVENT_FD_READ | TEVENT_FD_WRITE,
-                               link_handle_event, link);
   talloc_set_destructor (link, link_free);
   link_arm_timer (link);
   node_hello (node, &hello);
@@ -448,15 +434,14 @@
   return link;
 }
 
-/* Take over FD, a connection that a peer opened.  To be called on WORKER's
+/* Take over STREAM, a connection that a peer opened.  To be called on WORKER's
    thread, like all functions of a link.  Returns NULL when memory is
-   exhausted; FD is then still the caller's.  */
+   exhausted; STREAM is closed then.  */
 link_t *
-link_accept (worker_t *worker, node_t *node, int fd, const link_ops_t *ops,
-             void *data)
+link_accept (worker_t *worker, node_t *node, stream_t *stream,
+             const link_ops_t *ops, void *data)
 {
-  net_tune (fd);
-  return link_create (worker, node, fd, ops, data);
+  return link_create (worker, node, stream, ops, data);
 }
 
 /* Connect to ADDRESS.  Frames sent before the connection stands are queued.
@@ -466,15 +451,9 @@
 link_connect (worker_t *worker, node_t *node, const net_address_t *address,
               const link_ops_t *ops, void *data)
 {
-  int fd;
-  link_t *link;
-
-  if (net_connect (address, &fd) != STATUS_OK)
-    return NULL;
-  link = link_create (worker, node, fd, ops, data);
-  if (link == NULL)
-    close (fd);
-  return link;
+  stream_t *stream = transport_connect (node_transport (node), address);
+
+  return stream == NULL ? NULL : link_create (worker, node, stream, ops, data);
 }
 
 /* Return whether the peer has greeted and the link stands.  */
--- a/common/node.c
+++ b/common/node.c
@@ -4,9 +4,9 @@
 #include "kernel/invariant.h"
 #include "kernel/lock.h"
 #include "kernel/log.h"
+#include "kernel/random.h"
 
 #include <string.h>
-#include <sys/random.h>
 
 /* Reported while no revision has been confirmed at all.  */
 #define AGE_UNCONFIRMED_MS ((uint64_t)INT32_MAX)
@@ -23,6 +23,7 @@
   char *zone;
   uint64_t incarnation;
   const clock_source_t *clock;
+  transport_t *transport;
   lock_t *lock;
   settings_t *settings; /* NULL until the first revision is known */
   bool is_confirmed;
@@ -51,11 +52,9 @@
   node->name = talloc_strdup (node, name);
   node->zone = talloc_strdup (node, zone);
   node->clock = clock;
+  node->transport = transport_tcp ();
   node->lock = lock_create (node, LOCK_SETTINGS, "settings");
-  if (getrandom (&node->incarnation, sizeof node->incarnation, 0)
-          != sizeof node->incarnation
-      || node->incarnation == 0)
-    node->incarnation = (uint64_t)timespec_to_us (clock_realtime (clock));
+  node->incarnation = random_next ();
   talloc_set_destructor (node, node_free);
   return node;
 }
@@ -102,6 +101,21 @@
   return node->clock;
 }
 
+/* Have this process reach its peers by TRANSPORT in place of TCP.  Call before
+   the first connection.  */
+void
+node_set_transport (node_t *node, transport_t *transport)
+{
+  node->transport = transport;
+}
+
+/* Return how this process reaches its peers.  */
+transport_t *
+node_transport (const node_t *node)
+{
+  return node->transport;
+}
+
 /* Return the settings in force with a reference that the caller gives back
    with settings_release, or NULL when none are known yet.  */
 settings_t *
--- a/include/agent/agent.h
+++ b/include/agent/agent.h
@@ -48,8 +48,7 @@
   table_t *jobs;                /* job_t by request id */
   atomic_uint open_jobs;        /* not ended yet */
   uint64_t configured_revision; /* worker 0 only */
-  int listen_fd;
-  struct tevent_fd *listen_event;
+  listener_t *listener;
   uint64_t next_worker; /* worker 0 only */
   uint64_t ticks;       /* worker 0 only */
   bool is_stopping;     /* worker 0 only */
--- a/include/common/link.h
+++ b/include/common/link.h
@@ -4,6 +4,7 @@
 #include "common/frame.h"
 #include "common/net.h"
 #include "common/node.h"
+#include "common/transport.h"
 #include "kernel/pool.h"
 
 #include <stdbool.h>
@@ -23,7 +24,7 @@
   void (*on_closed) (link_t *link, const char *reason, void *data);
 } link_ops_t;
 
-link_t *link_accept (worker_t *worker, node_t *node, int fd,
+link_t *link_accept (worker_t *worker, node_t *node, stream_t *stream,
                      const link_ops_t *ops, void *data);
 link_t *link_connect (worker_t *worker, node_t *node,
                       const net_address_t *address, const link_ops_t *ops,
--- a/include/common/node.h
+++ b/include/common/node.h
@@ -3,6 +3,7 @@
 
 #include "common/frame.h"
 #include "common/settings.h"
+#include "common/transport.h"
 #include "kernel/clock.h"
 
 #include <stdint.h>
@@ -28,6 +29,8 @@
 const char *node_zone (const node_t *node);
 uint64_t node_incarnation (const node_t *node);
 const clock_source_t *node_clock (const node_t *node);
+void node_set_transport (node_t *node, transport_t *transport);
+transport_t *node_transport (const node_t *node);
 
 settings_t *node_settings (node_t *node);
 status_t node_adopt (node_t *node, const char *document, size_t size);
--- /dev/null
+++ b/include/kernel/scheduler.h
@@ -0,0 +1,26 @@
+#ifndef SISKIN_KERNEL_SCHEDULER_H
+#define SISKIN_KERNEL_SCHEDULER_H
+
+#include "kernel/clock.h"
+#include "kernel/pool.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <talloc.h>
+
+/* Runs the tasks and timers of any number of pools in the order of a virtual
+   clock, on the calling thread.  The same seed gives the same run.  */
+typedef struct scheduler scheduler_t;
+
+scheduler_t *scheduler_create (TALLOC_CTX *parent, clock_source_t *clock,
+                               uint64_t seed);
+void scheduler_destroy (scheduler_t *scheduler);
+pool_t *scheduler_create_pool (scheduler_t *scheduler, TALLOC_CTX *parent,
+                               unsigned worker_count);
+void scheduler_freeze (scheduler_t *scheduler, pool_t *pool);
+void scheduler_thaw (scheduler_t *scheduler, pool_t *pool);
+bool scheduler_step (scheduler_t *scheduler);
+void scheduler_run_for (scheduler_t *scheduler, struct timespec duration);
+uint64_t scheduler_random (scheduler_t *scheduler, uint64_t bound);
+
+#endif
--- a/kernel/pool.c
+++ b/kernel/pool.c
@@ -1,76 +1,26 @@
 #include "kernel/pool.h"
 
 #include "kernel/lock.h"
-
-#include <errno.h>
-#include <pthread.h>
-#include <stdatomic.h>
-#include <stdbool.h>
-#include <stdint.h>
-#include <string.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
-
-STAILQ_HEAD (task_queue, task);
-
-/* Each worker owns one talloc tree and one event loop; other threads reach it
-   only through its task queue.  */
-struct worker
-{
-  pool_t *pool;
-  unsigned index;
-  pthread_t thread;
-  bool is_started;
-  struct tevent_context *events;
-  struct tevent_fd *wakeup_event;
-  int wakeup_fd;
-  lock_t *task_lock;
-  struct task_queue tasks;
-  LIST_HEAD (, worker_timer) timers;
-  atomic_bool is_stopping;
-};
-
-/* A one-shot timer.  */
-struct worker_timer
-{
-  LIST_ENTRY (worker_timer) link;
-  worker_t *worker;
-  struct tevent_timer *event;
-  worker_handler_t handler;
-  void *data;
-};
+#include "kernel/worker.h"
 
 struct pool
 {
   const clock_source_t *clock;
+  void *context; /* of the loops' implementation */
   unsigned worker_count;
   worker_t **workers;
 };
 
-static void
-worker_take_tasks (worker_t *worker, struct task_queue *taken)
-{
-  STAILQ_INIT (taken);
-  lock_acquire (worker->task_lock);
-  STAILQ_CONCAT (taken, &worker->tasks);
-  lock_release (worker->task_lock);
-}
-
-static void
-worker_handle_wakeup (struct tevent_context *events, struct tevent_fd *event,
-                      uint16_t flags, void *data)
+/* Run what has been posted to WORKER; for the implementations of its loop.  */
+void
+worker_run_tasks (worker_t *worker)
 {
-  worker_t *worker = data;
-  struct task_queue taken;
-  uint64_t posted;
+  struct task_queue taken = STAILQ_HEAD_INITIALIZER (taken);
   task_t *task;
 
-  (void)events;
-  (void)event;
-  (void)flags;
-  if (read (worker->wakeup_fd, &posted, sizeof posted) < 0)
-    return;
-  worker_take_tasks (worker, &taken);
+  lock_acquire (worker->task_lock);
+  STAILQ_CONCAT (&taken, &worker->tasks);
+  lock_release (worker->task_lock);
   while ((task = STAILQ_FIRST (&taken)) != NULL)
     {
       STAILQ_REMOVE_HEAD (&taken, link);
@@ -78,30 +28,6 @@
     }
 }
 
-static void *
-worker_main (void *data)
-{
-  worker_t *worker = data;
-
-  while (!atomic_load (&worker->is_stopping))
-    {
-      if (tevent_loop_once (worker->events) != 0)
-        break;
-    }
-  return NULL;
-}
-
-static void
-worker_wake (worker_t *worker)
-{
-  uint64_t one = 1;
-  ssize_t written;
-
-  do
-    written = write (worker->wakeup_fd, &one, sizeof one);
-  while (written < 0 && errno == EINTR);
-}
-
 static int
 worker_free (worker_t *worker)
 {
@@ -111,13 +37,12 @@
   while ((timer = LIST_FIRST (&worker->timers)) != NULL)
     talloc_free (timer);
   talloc_free (worker->events);
-  if (worker->wakeup_fd >= 0)
-    close (worker->wakeup_fd);
+  worker->ops->destroy (worker);
   return 0;
 }
 
 static worker_t *
-worker_create (pool_t *pool, unsigned index)
+worker_create (pool_t *pool, unsigned index, const worker_ops_t *ops)
 {
   worker_t *worker = talloc_zero (NULL, worker_t);
 
@@ -125,21 +50,18 @@
     return NULL;
   worker->pool = pool;
   worker->index = index;
+  worker->ops = ops;
   STAILQ_INIT (&worker->tasks);
   LIST_INIT (&worker->timers);
-  worker->wakeup_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
   worker->events = tevent_context_init (NULL);
   worker->task_lock = lock_create (worker, LOCK_TASKS, "tasks");
   talloc_set_destructor (worker, worker_free);
-  if (worker->wakeup_fd < 0 || worker->events == NULL
-      || worker->task_lock == NULL)
+  if (worker->events == NULL || worker->task_lock == NULL
+      || ops->create (worker) != STATUS_OK)
     {
       talloc_free (worker);
       return NULL;
     }
-  worker->wakeup_event
-      = tevent_add_fd (worker->events, worker->events, worker->wakeup_fd,
-                       TEVENT_FD_READ, worker_handle_wakeup, worker);
   return worker;
 }
 
@@ -151,23 +73,24 @@
   return 0;
 }
 
-/* Create a pool of WORKER_COUNT workers that read CLOCK.  The threads start
-   with pool_start; until then the caller may set up the workers' loops.
-   Returns NULL with the status message set.  */
+/* Create a pool whose loops are run by OPS; CONTEXT is theirs.  Returns NULL
+   with the status message set.  */
 pool_t *
-pool_create (TALLOC_CTX *parent, unsigned worker_count,
-             const clock_source_t *clock)
+pool_create_with (TALLOC_CTX *parent, unsigned worker_count,
+                  const clock_source_t *clock, const worker_ops_t *ops,
+                  void *context)
 {
   pool_t *pool = talloc_zero (parent, pool_t);
 
   if (pool == NULL)
     return NULL;
   pool->clock = clock;
+  pool->context = context;
   pool->workers = talloc_zero_array (pool, worker_t *, worker_count);
   talloc_set_destructor (pool, pool_free);
   for (unsigned i = 0; i < worker_count; i++)
     {
-      pool->workers[i] = worker_create (pool, i);
+      pool->workers[i] = worker_create (pool, i, ops);
       if (pool->workers[i] == NULL)
         {
           talloc_free (pool);
@@ -179,6 +102,17 @@
   return pool;
 }
 
+/* Create a pool of WORKER_COUNT workers that read CLOCK.  The threads start
+   with pool_start; until then the caller may set up the workers' loops.
+   Returns NULL with the status message set.  */
+pool_t *
+pool_create (TALLOC_CTX *parent, unsigned worker_count,
+             const clock_source_t *clock)
+{
+  return pool_create_with (parent, worker_count, clock, &worker_thread_ops,
+                           NULL);
+}
+
 /* Free POOL and its workers' loops.  The threads must have been joined.  */
 void
 pool_destroy (pool_t *pool)
@@ -194,26 +128,21 @@
   for (unsigned i = 0; i < pool->worker_count; i++)
     {
       worker_t *worker = pool->workers[i];
-      int error = pthread_create (&worker->thread, NULL, worker_main, worker);
+      status_t status = worker->ops->start (worker);
 
-      if (error != 0)
-        return status_set (STATUS_IO, "cannot start worker: %s",
-                           strerror (error));
-      worker->is_started = true;
+      if (status != STATUS_OK)
+        return status;
     }
   return STATUS_OK;
 }
 
-/* Ask all workers to leave their loops.  Returns at once; callable from any
-   thread.  */
+/* Ask all workers to leave their loops.  Tasks not yet run are dropped.
+   Callable from any thread.  */
 void
 pool_stop (pool_t *pool)
 {
   for (unsigned i = 0; i < pool->worker_count; i++)
-    {
-      atomic_store (&pool->workers[i]->is_stopping, true);
-      worker_wake (pool->workers[i]);
-    }
+    pool->workers[i]->ops->stop (pool->workers[i]);
 }
 
 /* Wait until all workers have left their loops.  */
@@ -221,12 +150,14 @@
 pool_join (pool_t *pool)
 {
   for (unsigned i = 0; i < pool->worker_count; i++)
-    {
-      if (!pool->workers[i]->is_started)
-        continue;
-      pthread_join (pool->workers[i]->thread, NULL);
-      pool->workers[i]->is_started = false;
-    }
+    pool->workers[i]->ops->join (pool->workers[i]);
+}
+
+/* Return the context that pool_create_with was given.  */
+void *
+pool_context (const pool_t *pool)
+{
+  return pool->context;
 }
 
 /* Return the number of workers.  */
@@ -283,31 +214,28 @@
   STAILQ_INSERT_TAIL (&worker->tasks, task, link);
   lock_release (worker->task_lock);
   if (was_empty)
-    worker_wake (worker);
+    worker->ops->wake (worker);
 }
 
-static void
-timer_fire (struct tevent_context *events, struct tevent_timer *event,
-            struct timeval now, void *data)
+/* Free TIMER, whose time has come, and run its handler; for the
+   implementations of the loop.  */
+void
+worker_timer_fire (worker_timer_t *timer)
 {
-  worker_timer_t *timer = data;
   worker_handler_t handler = timer->handler;
   worker_t *worker = timer->worker;
-  void *handler_data = timer->data;
+  void *data = timer->data;
 
-  (void)events;
-  (void)event;
-  (void)now;
-  timer->event = NULL; /* tevent frees it */
   talloc_free (timer);
-  handler (worker, handler_data);
+  handler (worker, data);
 }
 
 static int
 timer_free (worker_timer_t *timer)
 {
   LIST_REMOVE (timer, link);
-  TALLOC_FREE (timer->event);
+  if (timer->event != NULL)
+    timer->worker->ops->disarm (timer);
   return 0;
 }
 
@@ -319,20 +247,15 @@
                     worker_handler_t handler, void *data)
 {
   worker_timer_t *timer = talloc_zero (owner, worker_timer_t);
-  struct timeval wait = timespec_to_timeval (delay);
 
   if (timer == NULL)
     return NULL;
   timer->worker = worker;
   timer->handler = handler;
   timer->data = data;
-  timer->event
-      = tevent_add_timer (worker->events, worker->events,
-                          tevent_timeval_current_ofs ((uint32_t)wait.tv_sec,
-                                                      (uint32_t)wait.tv_usec),
-                          timer_fire, timer);
   LIST_INSERT_HEAD (&worker->timers, timer, link);
   talloc_set_destructor (timer, timer_free);
+  worker->ops->arm (timer, delay);
   return timer;
 }
 
@@ -341,9 +264,5 @@
 void
 worker_run_until (worker_t *worker, const bool *is_done)
 {
-  while (!*is_done)
-    {
-      if (tevent_loop_once (worker->events) != 0)
-        break;
-    }
+  worker->ops->run_until (worker, is_done);
 }
