--- a/bench/peers.c
+++ b/bench/peers.c
@@ -5,19 +5,18 @@
    bench-peers entries ADDRESS:PORT N  open N connections as entries would  */
 
 #include "common/link.h"
+#include "common/transport.h"
 #include "kernel/log.h"
 
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 typedef struct peers
 {
   worker_t *worker;
   node_t *node;
-  int listen_fd;
 } peers_t;
 
 static void
@@ -57,18 +56,11 @@
 };
 
 static void
-peers_accept (struct tevent_context *events, struct tevent_fd *event,
-              uint16_t flags, void *data)
+peers_accept (stream_t *stream, void *data)
 {
   peers_t *peers = data;
-  int fd
-      = accept4 (peers->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-  (void)events;
-  (void)event;
-  (void)flags;
-  if (fd >= 0)
-    link_accept (peers->worker, peers->node, fd, &peer_ops, peers);
+
+  link_accept (peers->worker, peers->node, stream, &peer_ops, peers);
 }
 
 static bool
@@ -76,10 +68,10 @@
 {
   uint16_t port;
 
-  if (net_listen (address, &peers->listen_fd, &port) != STATUS_OK)
+  if (transport_listen (transport_tcp (), peers->worker, address, &port,
+                        peers_accept, peers)
+      == NULL)
     return false;
-  tevent_add_fd (worker_events (peers->worker), worker_events (peers->worker),
-                 peers->listen_fd, TEVENT_FD_READ, peers_accept, peers);
   printf ("port=%u\n", port);
   fflush (stdout);
   return true;
