--- a/agent/agent.c
+++ b/agent/agent.c
@@ -8,11 +8,8 @@
 #include "kernel/log.h"
 #include "kernel/plugin.h"
 
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 enum
 {
@@ -29,7 +26,7 @@
 {
   task_t task;
   agent_t *agent;
-  int fd;
+  stream_t *stream;
 } handover_t;
 
 /* Return the share that WORKER has of AGENT.  */
@@ -156,17 +153,16 @@
   agent_worker_t *share = agent_worker_of (agent, worker);
   agent_peer_t *peer = talloc_zero (worker_events (worker), agent_peer_t);
 
-  if (peer != NULL)
+  if (peer == NULL)
+    stream_close (handover->stream);
+  else
     {
       peer->agent = agent;
-      peer->link
-          = link_accept (worker, agent->node, handover->fd, &peer_ops, peer);
+      peer->link = link_accept (worker, agent->node, handover->stream,
+                                &peer_ops, peer);
     }
   if (peer == NULL || peer->link == NULL)
-    {
-      close (handover->fd);
-      talloc_free (peer);
-    }
+    talloc_free (peer);
   else
     {
       LIST_INSERT_HEAD (&share->peers, peer, peer_link);
@@ -176,35 +172,60 @@
 }
 
 static void
-agent_accept (struct tevent_context *events, struct tevent_fd *event,
-              uint16_t flags, void *data)
+agent_accept (stream_t *stream, void *data)
 {
   agent_t *agent = data;
   pool_t *pool = daemon_pool (agent->daemon);
-  handover_t *handover;
-  int fd
-      = accept4 (agent->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-  (void)events;
-  (void)event;
-  (void)flags;
-  if (fd < 0)
-    return;
-  handover = talloc_zero (NULL, handover_t);
+  handover_t *handover = talloc_zero (NULL, handover_t);
+
   if (handover == NULL)
     {
-      close (fd);
+      stream_close (stream);
       return;
     }
   handover->task.run = agent_take_connection;
   handover->agent = agent;
-  handover->fd = fd;
+  handover->stream = stream;
   worker_post (pool_worker (pool, (unsigned)(agent->next_worker++
                                              % agent->worker_count)),
                &handover->task);
 }
 
-/* Put newly learned settings in force at the gate.  */
+static status_t
+agent_create_journal (agent_t *agent, const settings_t *settings,
+                      const journal_limits_t *limits)
+{
+  const agent_worker_t *share = &agent->workers[0];
+  journal_options_t options = { .worker = share->worker,
+                                .store_ops = agent->store_ops,
+                                .store = share->store,
+                                .owner = node_name (agent->node),
+                                .incarnation = node_incarnation (agent->node),
+                                .limits = *limits };
+
+  agent->journal_ops = plugin_ops (PLUGIN_JOURNAL, settings->claims.journal);
+  if (agent->journal_ops == NULL)
+    return STATUS_NOT_FOUND;
+  atomic_store (&agent->journal, agent->journal_ops->create (&options));
+  return STATUS_OK;
+}
+
+/* The journal is chosen by the first settings seen; later ones change its
+   numbers.  */
+static status_t
+agent_configure_journal (agent_t *agent, const settings_t *settings)
+{
+  journal_t *journal = atomic_load (&agent->journal);
+  journal_limits_t limits = { .retention = settings->claims.retention,
+                              .linger = settings->claims.linger };
+
+  if (journal == NULL)
+    return agent_create_journal (agent, settings, &limits);
+  agent->journal_ops->configure (journal, &limits);
+  return STATUS_OK;
+}
+
+/* Put newly learned settings in force at the gate and the journal.  */
 static void
 agent_apply_settings (agent_t *agent)
 {
@@ -214,8 +235,9 @@
     return;
   if (settings->revision != agent->configured_revision)
     {
-      if (gate_configure (agent->gate, settings) != STATUS_OK)
-        log_event (LOG_LEVEL_ERROR, "gate-not-configured", "error=\"%s\"",
+      if (gate_configure (agent->gate, settings) != STATUS_OK
+          || agent_configure_journal (agent, settings) != STATUS_OK)
+        log_event (LOG_LEVEL_ERROR, "not-configured", "error=\"%s\"",
                    status_message ());
       else
         agent->configured_revision = settings->revision;
@@ -258,13 +280,14 @@
   status_t status = net_address_parse (
       agent, daemon_config (agent->daemon)->listen, &address);
 
-  if (status == STATUS_OK)
-    status = net_listen (&address, &agent->listen_fd, &port);
   if (status != STATUS_OK)
     return status;
-  agent->listen_event = tevent_add_fd (
-      worker_events (pool_worker (daemon_pool (agent->daemon), 0)), agent,
-      agent->listen_fd, TEVENT_FD_READ, agent_accept, agent);
+  agent->listener
+      = transport_listen (node_transport (agent->node),
+                          pool_worker (daemon_pool (agent->daemon), 0),
+                          &address, &port, agent_accept, agent);
+  if (agent->listener == NULL)
+    return STATUS_IO;
   log_event (LOG_LEVEL_INFO, "frames-listening", "port=%u", port);
   return STATUS_OK;
 }
@@ -320,7 +343,6 @@
   *state = agent;
   agent->daemon = daemon;
   agent->node = daemon_node (daemon);
-  agent->listen_fd = -1;
   agent->worker_count = pool_worker_count (pool);
   agent->workers
       = talloc_zero_array (agent, agent_worker_t, agent->worker_count);
@@ -367,17 +389,16 @@
 {
   agent_t *agent = state;
 
-  if (agent->listen_fd >= 0)
-    {
-      TALLOC_FREE (agent->listen_event);
-      close (agent->listen_fd);
-    }
+  if (agent->listener != NULL)
+    transport_stop_listening (node_transport (agent->node), agent->listener);
   for (unsigned i = 0; i < agent->worker_count; i++)
     {
       if (agent->workers[i].transport != NULL)
         agent->upstream_ops->destroy (agent->workers[i].transport);
     }
   job_free_all (agent);
+  if (atomic_load (&agent->journal) != NULL)
+    agent->journal_ops->destroy (atomic_load (&agent->journal));
   talloc_free (agent);
 }
 
