Judge requests by one form of their path and refuse with outcomes

Cause: a rule against repeats was judged by the path as it came, so that "//bookings" or "/x/../bookings" evaded it, queries were lost on the way to the upstream, error texts were put into JSON unescaped, a request that may run only once was taken without a key, and a stopping entry went on taking requests on kept connections.

The target is brought into one form before anything judges it, and that form goes to the upstream with the query. What servers could read in two ways (encoded slashes, backslashes, percent signs, path parameters) is refused with 400, methods outside the list with 405, and targets that would not fit a frame with 414. A planned stop answers new requests with 503, not-run and Connection: close, and takes over the connections that wait in the listening socket's backlog, which closing would reset.

Ruled out: judging a decoded copy and passing the original on, since the upstream could then see another path than the one judged.

--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -20,6 +20,9 @@
 {
   /* A whole request has come.  Answer now or later with http_reply_*.  */
   void (*on_request) (http_exchange_t *exchange, void *data);
+  /* The body was over the limit and is dropped; answer with 413.  NULL for a
+     plain answer.  */
+  void (*on_too_large) (http_exchange_t *exchange, void *data);
   /* The caller went away before the answer's end.  No reply calls after
      this; on_finished follows.  */
   void (*on_gone) (http_exchange_t *exchange, void *data);
@@ -39,6 +42,7 @@
 unsigned http_server_open_exchanges (const http_server_t *server);
 
 const char *http_exchange_method (const http_exchange_t *exchange);
+const char *http_exchange_target (const http_exchange_t *exchange);
 const char *http_exchange_path (const http_exchange_t *exchange);
 const char *http_exchange_header (http_exchange_t *exchange, const char *name);
 const char *http_exchange_query (http_exchange_t *exchange, const char *name);
--- a/plugins/frontend/http.c
+++ b/plugins/frontend/http.c
@@ -3,24 +3,24 @@
 #include "kernel/counter.h"
 #include "kernel/log.h"
 #include "kernel/plugin.h"
-#include "plugins/frontend/chat.h"
+#include "plugins/frontend/http_request.h"
 
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 enum
 {
   BODY_LIMIT_BYTES = 2 * 1024 * 1024,
   REPLY_HIGH_WATER_BYTES = 64 * 1024,
-  KEY_MAX_BYTES = 200,
-  ACCOUNT_MAX_BYTES = 100,
-  PLAIN_TOKENS = 1, /* the weight of a call that generates no text */
+  REQUEST_NAME_BYTES = 40,
   MS_PER_S = 1000
 };
 
 COUNTER_DEFINE (rejected, "siskin_http_rejected_total",
                 "Requests refused as malformed");
+COUNTER_DEFINE (turned_away, "siskin_http_turned_away_total",
+                "Requests refused because the entry stops or has no settings");
 
 struct frontend
 {
@@ -31,6 +31,7 @@
 /* One caller's request.  */
 typedef struct http_caller
 {
+  entry_worker_t *share;
   http_exchange_t *exchange;
   call_t *call;
   bool has_begun;
@@ -48,15 +49,29 @@
 };
 
 static void
-http_add_request_header (http_exchange_t *exchange, const call_t *call)
+http_name_request (const call_t *call, char *text, size_t size)
 {
   request_id_t id = call_id (call);
-  char text[64];
 
-  snprintf (text, sizeof text, "%016llx-%llu",
-            (unsigned long long)id.incarnation,
+  snprintf (text, size, "%016llx-%llu", (unsigned long long)id.incarnation,
             (unsigned long long)id.sequence);
-  http_reply_header (exchange, "Siskin-Request", text);
+}
+
+/* Add the headers that every answer has.  */
+static void
+http_add_headers (http_caller_t *caller, const call_t *call, outcome_t outcome)
+{
+  char text[REQUEST_NAME_BYTES];
+
+  if (call != NULL)
+    {
+      http_name_request (call, text, sizeof text);
+      http_reply_header (caller->exchange, "Siskin-Request", text);
+    }
+  http_reply_header (caller->exchange, "Siskin-Outcome",
+                     outcome_name (outcome));
+  if (atomic_load (&caller->share->entry->is_stopping))
+    http_reply_header (caller->exchange, "Connection", "close");
 }
 
 static void
@@ -65,9 +80,7 @@
 {
   http_caller_t *caller = data;
 
-  http_add_request_header (caller->exchange, call);
-  http_reply_header (caller->exchange, "Siskin-Outcome",
-                     outcome_name (OUTCOME_RAN));
+  http_add_headers (caller, call, OUTCOME_RAN);
   http_reply_begin (caller->exchange, http_status, content_type);
   caller->has_begun = true;
 }
@@ -82,30 +95,45 @@
     call_note_taken (call, 0);
 }
 
+static void
+http_reply_error (http_caller_t *caller, unsigned http_status,
+                  outcome_t outcome, refusal_t refusal, const char *message)
+{
+  json_t *root = json_pack ("{s:{s:s, s:s, s:s}}", "error", "outcome",
+                            outcome_name (outcome), "refusal",
+                            refusal_name (refusal), "message", message);
+  char *text = json_dumps (root, JSON_COMPACT);
+
+  http_reply_header (caller->exchange, "Siskin-Refusal",
+                     refusal_name (refusal));
+  http_reply_text (caller->exchange, http_status, "application/json",
+                   text == NULL ? "{}" : text);
+  free (text);
+  json_decref (root);
+}
+
+static void
+http_add_retry_after (http_caller_t *caller, uint64_t milliseconds)
+{
+  uint64_t seconds = (milliseconds + MS_PER_S - 1) / MS_PER_S;
+  char text[REQUEST_NAME_BYTES];
+
+  snprintf (text, sizeof text, "%llu",
+            (unsigned long long)(seconds > 0 ? seconds : 1));
+  http_reply_header (caller->exchange, "Retry-After", text);
+}
+
 static void
 http_reply_refusal (http_caller_t *caller, const call_t *call,
                     const call_result_t *result)
 {
-  http_exchange_t *exchange = caller->exchange;
-  char *text;
-  uint64_t seconds = (result->retry_after_ms + MS_PER_S - 1) / MS_PER_S;
-
-  http_add_request_header (exchange, call);
-  http_reply_header (exchange, "Siskin-Outcome",
-                     outcome_name (result->outcome));
-  http_reply_header (exchange, "Siskin-Refusal",
-                     refusal_name (result->refusal));
-  if (result->outcome == OUTCOME_NOT_RUN)
-    {
-      text = talloc_asprintf (exchange, "%llu",
-                              (unsigned long long)(seconds > 0 ? seconds : 1));
-      http_reply_header (exchange, "Retry-After", text);
-    }
-  text = talloc_asprintf (
-      exchange, "{\"error\":{\"outcome\":\"%s\",\"refusal\":\"%s\"}}\n",
-      outcome_name (result->outcome), refusal_name (result->refusal));
-  http_reply_text (exchange, refusal_statuses[result->refusal],
-                   "application/json", text);
+  unsigned http_status = refusal_statuses[result->refusal];
+
+  http_add_headers (caller, call, result->outcome);
+  if (result->outcome == OUTCOME_NOT_RUN && http_status == 503)
+    http_add_retry_after (caller, result->retry_after_ms);
+  http_reply_error (caller, http_status, result->outcome, result->refusal,
+                    result->detail == NULL ? "" : result->detail);
 }
 
 static void
@@ -129,130 +157,88 @@
 };
 
 static void
-http_reject (http_exchange_t *exchange, unsigned http_status,
-             const char *message)
+http_reject (http_caller_t *caller, const http_rejection_t *rejection)
 {
-  char *text = talloc_asprintf (
-      exchange,
-      "{\"error\":{\"outcome\":\"not-run\",\"refusal\":\"invalid\","
-      "\"message\":\"%s\"}}\n",
-      message);
-
   counter_add (&rejected, 1);
-  http_reply_header (exchange, "Siskin-Outcome", "not-run");
-  http_reply_text (exchange, http_status, "application/json", text);
+  http_add_headers (caller, NULL, OUTCOME_NOT_RUN);
+  if (rejection->http_status == 405)
+    http_reply_header (caller->exchange, "Allow",
+                       "GET, POST, PUT, PATCH, DELETE");
+  http_reply_error (caller, rejection->http_status, OUTCOME_NOT_RUN,
+                    REFUSAL_INVALID, rejection->message);
 }
 
-static bool
-http_read_deadline (http_exchange_t *exchange, const settings_t *settings,
-                    struct timespec *deadline)
+/* Refuse a request that another entry can take.  */
+static void
+http_turn_away (http_caller_t *caller, refusal_t refusal, const char *message)
 {
-  const char *text = http_exchange_header (exchange, "Siskin-Deadline");
-
-  *deadline = settings->limits.default_deadline;
-  if (text == NULL)
-    return true;
-  return schema_parse_duration (text, deadline)
-         && timespec_to_ms (*deadline) > 0
-         && timespec_compare (*deadline, settings->limits.maximum_deadline)
-                <= 0;
+  counter_add (&turned_away, 1);
+  http_add_headers (caller, NULL, OUTCOME_NOT_RUN);
+  http_add_retry_after (caller, MS_PER_S);
+  http_reply_error (caller, refusal_statuses[refusal], OUTCOME_NOT_RUN,
+                    refusal, message);
 }
 
-static const char *
-http_header_or_empty (http_exchange_t *exchange, const char *name)
+static http_caller_t *
+http_caller_create (frontend_t *frontend, http_exchange_t *exchange)
 {
-  const char *value = http_exchange_header (exchange, name);
+  http_caller_t *caller = talloc_zero (exchange, http_caller_t);
 
-  return value == NULL ? "" : value;
+  if (caller == NULL)
+    return NULL;
+  caller->share = frontend->share;
+  caller->exchange = exchange;
+  http_exchange_set_data (exchange, caller);
+  return caller;
 }
 
-/* Fill REQUEST from the exchange.  Returns the HTTP status to reject it with
-   and sets *MESSAGE, or 0.  */
-static unsigned
-http_read_request (http_exchange_t *exchange, const settings_t *settings,
-                   call_request_t *request, const char **message)
+static void
+http_submit (http_caller_t *caller, const settings_t *settings)
 {
-  const service_t *service;
-  chat_request_t chat = { .model = "" };
-
-  request->method = http_exchange_method (exchange);
-  request->path = http_exchange_path (exchange);
-  request->content_type = http_header_or_empty (exchange, "Content-Type");
-  request->account = http_header_or_empty (exchange, "Siskin-Account");
-  request->key = http_header_or_empty (exchange, "Idempotency-Key");
-  request->body.data = http_exchange_body (exchange, &request->body.size);
-  if (request->account[0] == '\0'
-      || strlen (request->account) > ACCOUNT_MAX_BYTES
-      || settings_account (settings, request->account) == NULL)
-    {
-      *message = "header Siskin-Account must name a client account";
-      return 401;
-    }
-  if (strlen (request->key) > KEY_MAX_BYTES)
-    {
-      *message = "header Idempotency-Key is over 200 bytes";
-      return 400;
-    }
-  if (!http_read_deadline (exchange, settings, &request->deadline))
-    {
-      *message = "header Siskin-Deadline must be a duration such as 2.5 s";
-      return 400;
-    }
-  if (request->body.size > (size_t)settings->limits.body_bytes)
-    {
-      *message = "the request body is too large";
-      return 413;
-    }
-  if (chat_is_path (request->path)
-      && !chat_read (exchange, request->body.data, request->body.size, &chat))
-    {
-      *message = "the body is not a chat completions request";
-      return 400;
-    }
-  service = settings_route (settings, request->path, chat.model);
-  if (service == NULL)
+  call_request_t request = { 0 };
+  http_rejection_t rejection
+      = http_request_read (caller->exchange, settings, &request);
+
+  if (rejection.http_status != 0)
     {
-      *message = "no service has this path and model";
-      return 404;
+      http_reject (caller, &rejection);
+      return;
     }
-  request->service = service->name;
-  request->model = chat.model;
-  request->prompt_tokens
-      = service->kind == UPSTREAM_MODEL ? chat.prompt_tokens : PLAIN_TOKENS;
-  request->output_tokens
-      = service->kind == UPSTREAM_MODEL ? chat.output_tokens : 0;
-  request->prefix_blocks = chat.prefix_blocks;
-  request->prefix_block_count = chat.prefix_block_count;
-  request->is_repeatable = settings_is_repeatable (
-      settings, service->name, request->method, request->path);
-  return 0;
+  caller->call = call_submit (caller->share, &request, &http_call_ops, caller);
+  if (caller->call == NULL)
+    http_turn_away (caller, REFUSAL_OVERLOAD, "out of memory");
 }
 
 static void
 http_on_request (http_exchange_t *exchange, void *data)
 {
   frontend_t *frontend = data;
-  entry_worker_t *share = frontend->share;
-  settings_t *settings = node_settings (share->entry->node);
-  http_caller_t *caller = talloc_zero (exchange, http_caller_t);
-  call_request_t request = { 0 };
-  const char *message = "";
-  unsigned http_status;
+  entry_t *entry = frontend->share->entry;
+  http_caller_t *caller = http_caller_create (frontend, exchange);
+  settings_t *settings = node_settings (entry->node);
+
+  if (caller == NULL)
+    http_reply_abort (exchange);
+  else if (atomic_load (&entry->is_stopping))
+    http_turn_away (caller, REFUSAL_LEAVING, "this entry is stopping");
+  else if (settings == NULL)
+    http_turn_away (caller, REFUSAL_ISOLATED, "no settings yet");
+  else
+    http_submit (caller, settings);
+  if (settings != NULL)
+    settings_release (settings);
+}
 
-  caller->exchange = exchange;
-  http_exchange_set_data (exchange, caller);
-  if (settings == NULL)
-    {
-      http_reply_header (exchange, "Retry-After", "1");
-      http_reject (exchange, 503, "no settings yet");
-      return;
-    }
-  http_status = http_read_request (exchange, settings, &request, &message);
-  if (http_status != 0)
-    http_reject (exchange, http_status, message);
+static void
+http_on_too_large (http_exchange_t *exchange, void *data)
+{
+  http_caller_t *caller = http_caller_create (data, exchange);
+  const http_rejection_t rejection = { 413, "the request body is too large" };
+
+  if (caller == NULL)
+    http_reply_abort (exchange);
   else
-    caller->call = call_submit (share, &request, &http_call_ops, caller);
-  settings_release (settings);
+    http_reject (caller, &rejection);
 }
 
 static void
@@ -273,7 +259,7 @@
   http_caller_t *caller = http_exchange_data (exchange);
 
   (void)data;
-  if (caller->call != NULL)
+  if (caller != NULL && caller->call != NULL)
     call_note_taken (caller->call, http_reply_pending (exchange));
 }
 
@@ -286,6 +272,7 @@
 
 static const http_server_ops_t server_ops = {
   .on_request = http_on_request,
+  .on_too_large = http_on_too_large,
   .on_gone = http_on_gone,
   .on_drained = http_on_drained,
   .on_finished = http_on_finished,
--- /dev/null
+++ b/plugins/frontend/http_request.h
@@ -0,0 +1,20 @@
+#ifndef SISKIN_PLUGINS_FRONTEND_HTTP_REQUEST_H
+#define SISKIN_PLUGINS_FRONTEND_HTTP_REQUEST_H
+
+#include "common/http_server.h"
+#include "common/settings.h"
+#include "plugins/frontend.h"
+
+/* Why a request was not taken; HTTP_STATUS 0 means that it was.  */
+typedef struct http_rejection
+{
+  unsigned http_status;
+  const char *message;
+} http_rejection_t;
+
+http_rejection_t http_request_read (http_exchange_t *exchange,
+                                    const settings_t *settings,
+                                    call_request_t *request);
+bool http_request_is_key (const char *text);
+
+#endif
