--- /dev/null
+++ b/plugins/pick/load.h
@@ -0,0 +1,47 @@
+#ifndef SISKIN_PLUGINS_PICK_LOAD_H
+#define SISKIN_PLUGINS_PICK_LOAD_H
+
+#include "plugins/pick.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Whether an upstream can start a request at once; lower is better.  */
+typedef enum load_rank
+{
+  LOAD_HAS_ROOM,
+  LOAD_QUEUES,   /* it is at its limit */
+  LOAD_COLD_FULL /* it is in cold start and bears no more */
+} load_rank_t;
+
+/* What an upstream would carry with the request.  SHARE is the part of its
+   limit.  */
+typedef struct load
+{
+  load_rank_t rank;
+  double share;
+} load_t;
+
+/* What other entries have at the average upstream, by the last reports.  */
+typedef struct load_others
+{
+  double tokens;
+  double requests;
+} load_others_t;
+
+typedef struct load_random
+{
+  uint64_t state;
+} load_random_t;
+
+load_others_t load_others (const pick_candidate_t *const *candidates,
+                           size_t count);
+load_t load_of (const pick_candidate_t *candidate, const pick_work_t *work,
+                const load_others_t *others, struct timespec now);
+bool load_is_better (const load_t *left, const load_t *right);
+uint64_t load_random_next (load_random_t *random);
+size_t load_pick_least (load_random_t *random, const pick_work_t *work,
+                        const pick_candidate_t *const *candidates,
+                        size_t count, struct timespec now);
+
+#endif
