Complete siskinctl

Cause: operators could not see history, differences or which process has what, the loser of a race was not told how the settings differ, a change whose answer stayed lost could not be looked up, and the last serving zone of a service could be taken out by mistake.

A change is a compare-and-swap that can take effect once at most, because the first time changes the revision that it compares; an attempt that arrives late fails that compare, and the history of the wanted revision says by change id whose it is, also after further revisions. Marks (zones out, draining) commute, so a lost race is repeated on the new revision. The history keeps 2000 changes and 200 superseded documents: each change drops the one too old in the transaction that it makes anyway. A document over 1,000,000 bytes is refused before anything is sent.

Ruled out: history keys that hold whole documents, which made a listing of 20 changes at the target size a read of megabytes; writing a document twice in one transaction, which doubles the request. apply does not wait for processes, since it is also used before any is up.

Shown by: meson test test_ctl.py (9 cases: findings, race, lost answers, outage, eight operators at once, last zone, a process that does not confirm).

--- a/common/inventory.c
+++ b/common/inventory.c
@@ -16,6 +16,7 @@
   COLUMN_MODEL,
   COLUMN_GROUP,
   COLUMN_RANK,
+  COLUMN_ADMIN,
   COLUMN_COUNT
 } inventory_column_t;
 
@@ -24,6 +25,7 @@
   [COLUMN_ZONE] = "zone",       [COLUMN_KIND] = "kind",
   [COLUMN_SERVICE] = "service", [COLUMN_MODEL] = "model",
   [COLUMN_GROUP] = "group",     [COLUMN_RANK] = "rank",
+  [COLUMN_ADMIN] = "admin",
 };
 
 enum
@@ -148,23 +150,31 @@
                 message);
 }
 
+static void
+inventory_check_address (inventory_reader_t *reader, inventory_column_t column)
+{
+  TALLOC_CTX *scratch = talloc_new (reader->settings);
+  net_address_t address;
+
+  if (net_address_parse (scratch, inventory_cell (reader, column), &address)
+      != STATUS_OK)
+    inventory_fault (reader, column, "is not ADDRESS:PORT");
+  talloc_free (scratch);
+}
+
 static void
 inventory_check_common (inventory_reader_t *reader)
 {
   const char *name = inventory_cell (reader, COLUMN_NAME);
-  net_address_t address;
-  TALLOC_CTX *scratch = talloc_new (reader->settings);
 
   if (name[0] == '\0')
     inventory_fault (reader, COLUMN_NAME, "is empty");
-  if (net_address_parse (scratch, inventory_cell (reader, COLUMN_ADDRESS),
-                         &address)
-      != STATUS_OK)
-    inventory_fault (reader, COLUMN_ADDRESS, "is not ADDRESS:PORT");
+  inventory_check_address (reader, COLUMN_ADDRESS);
+  if (inventory_cell (reader, COLUMN_ADMIN)[0] != '\0')
+    inventory_check_address (reader, COLUMN_ADMIN);
   if (settings_zone (reader->settings, inventory_cell (reader, COLUMN_ZONE))
       == NULL)
     inventory_fault (reader, COLUMN_ZONE, "is not a zone of the settings");
-  talloc_free (scratch);
 }
 
 /* Copy the cell of COLUMN to *MEMBER of OBJECT and keep its place.  */
@@ -188,6 +198,7 @@
   inventory_take (reader, COLUMN_NAME, entry_vm, &entry_vm->name);
   inventory_take (reader, COLUMN_ADDRESS, entry_vm, &entry_vm->address);
   inventory_take (reader, COLUMN_ZONE, entry_vm, &entry_vm->zone);
+  inventory_take (reader, COLUMN_ADMIN, entry_vm, &entry_vm->admin);
   entry_vm->line = reader->line;
   STAILQ_INSERT_TAIL (&reader->settings->entry_vms, entry_vm, link);
   name_index_add (&reader->entry_names, reader->settings, entry_vm->name,
--- a/common/link.c
+++ b/common/link.c
@@ -55,6 +55,7 @@
   uint64_t peer_incarnation;
   struct timespec last_received;
   struct timespec last_sent;
+  uint64_t shown_revision;  /* on the peer's last frame */
   uint64_t wanted_revision; /* newest revision asked for on this link */
   char *input;
   size_t input_used;
@@ -175,6 +176,17 @@
   settings_release (settings);
 }
 
+static void
+link_show_revision (link_t *link, const frame_header_t *header)
+{
+  if (header->settings_revision == link->shown_revision)
+    return;
+  link->shown_revision = header->settings_revision;
+  if (link->ops->on_revision != NULL)
+    link->ops->on_revision (link, header->settings_revision,
+                            header->confirmed_age_ms, link->data);
+}
+
 static void
 link_note_revision (link_t *link, const frame_header_t *header)
 {
@@ -256,6 +268,8 @@
     }
   if (!link->is_closed)
     link_note_revision (link, &frame->header);
+  if (!link->is_closed)
+    link_show_revision (link, &frame->header);
 }
 
 static bool
--- a/ctl/commands/apply.c
+++ b/ctl/commands/apply.c
@@ -1,45 +1,55 @@
+#include "ctl/report.h"
 #include "ctl/revision.h"
 #include "ctl/rules.h"
 #include "kernel/plugin.h"
 
-#include <stdio.h>
-#include <stdlib.h>
+static int
+apply_lose (ctl_t *ctl, const settings_parts_t *mine)
+{
+  revision_t current;
+  int result = revision_read (ctl, &current);
+
+  if (result != CTL_OK)
+    return result;
+  revision_report_conflict (ctl, &current, mine);
+  return CTL_CONFLICT;
+}
 
 static int
 apply_run (ctl_t *ctl, int argc, char **argv)
 {
   revision_t current;
-  unsigned long long based_on;
+  settings_parts_t *parts;
+  uint64_t based_on;
   int result;
 
-  if (argc != 4)
+  if (argc != 4 || !report_parse_number (argv[3], &based_on))
     return CTL_USAGE;
-  based_on = strtoull (argv[3], NULL, 10);
   result = revision_read (ctl, &current);
   if (result != CTL_OK)
     return result;
+  parts = revision_copy (ctl, &current);
+  if (!rules_load (ctl, argv[1], argv[2], parts))
+    return CTL_FAULTS;
   if (current.parts->revision != based_on)
     {
-      fprintf (
-          stderr, "the settings are at revision %llu (by %s, %s), not %llu\n",
-          (unsigned long long)current.parts->revision,
-          current.parts->changed_by, current.parts->changed_why, based_on);
+      revision_report_conflict (ctl, &current, parts);
       return CTL_CONFLICT;
     }
-  if (!rules_load (ctl, argv[1], argv[2], current.parts))
-    return CTL_FAULTS;
-  result = revision_write (ctl, &current, current.parts);
-  if (result == CTL_OK)
-    printf ("revision %llu is accepted\n",
-            (unsigned long long)current.parts->revision);
-  else
-    fprintf (stderr, "%s\n", status_message ());
-  return result;
+  result = revision_write (ctl, &current, parts);
+  if (result == CTL_CONFLICT)
+    return apply_lose (ctl, parts);
+  if (result != CTL_OK)
+    return result;
+  report_line (ctl, "revision %llu is accepted",
+               (unsigned long long)parts->revision);
+  return CTL_OK;
 }
 
 static const command_ops_t apply_ops = {
   .usage = "RULES.toml INVENTORY.csv BASED-ON-REVISION",
   .needs_store = true,
+  .needs_reason = true,
   .run = apply_run,
 };
 
--- a/ctl/commands/check.c
+++ b/ctl/commands/check.c
@@ -1,10 +1,7 @@
-#include "common/file.h"
-#include "ctl/command.h"
+#include "ctl/report.h"
 #include "ctl/rules.h"
 #include "kernel/plugin.h"
 
-#include <stdio.h>
-
 static int
 check_run (ctl_t *ctl, int argc, char **argv)
 {
@@ -15,7 +12,7 @@
   parts = settings_parts_create (ctl->memory);
   if (!rules_load (ctl, argv[1], argv[2], parts))
     return CTL_FAULTS;
-  printf ("%s and %s are good\n", argv[1], argv[2]);
+  report_line (ctl, "%s and %s are good", argv[1], argv[2]);
   return CTL_OK;
 }
 
--- /dev/null
+++ b/ctl/commands/drain.c
@@ -0,0 +1,37 @@
+#include "ctl/mark.h"
+#include "kernel/plugin.h"
+
+static int
+drain_run (ctl_t *ctl, int argc, char **argv)
+{
+  if (argc != 2)
+    return CTL_USAGE;
+  return mark_change (ctl, MARK_DRAINING, argv[1], true);
+}
+
+static int
+undrain_run (ctl_t *ctl, int argc, char **argv)
+{
+  if (argc != 2)
+    return CTL_USAGE;
+  return mark_change (ctl, MARK_DRAINING, argv[1], false);
+}
+
+static const command_ops_t drain_ops = {
+  .usage = "UPSTREAM",
+  .needs_store = true,
+  .needs_reason = true,
+  .run = drain_run,
+};
+
+static const command_ops_t undrain_ops = {
+  .usage = "UPSTREAM",
+  .needs_store = true,
+  .needs_reason = true,
+  .run = undrain_run,
+};
+
+PLUGIN_REGISTER (drain, PLUGIN_COMMAND, "drain",
+                 "give an upstream no new work", &drain_ops);
+PLUGIN_REGISTER (undrain, PLUGIN_COMMAND, "undrain",
+                 "give a drained upstream new work again", &undrain_ops);
--- /dev/null
+++ b/ctl/commands/status.c
@@ -0,0 +1,126 @@
+#include "ctl/report.h"
+#include "ctl/revision.h"
+#include "ctl/survey.h"
+#include "kernel/plugin.h"
+
+static const char *
+status_describe (TALLOC_CTX *parent, const survey_peer_t *peer)
+{
+  const frame_load_t *load = &peer->load;
+
+  if (!peer->is_answered)
+    return peer->fault;
+  if (!peer->has_load)
+    return "";
+  return talloc_asprintf (parent, "running %llu/%llu, queued %llu%s%s",
+                          (unsigned long long)load->outstanding_requests,
+                          (unsigned long long)load->limit_requests,
+                          (unsigned long long)load->queued_requests,
+                          load->is_cold ? ", cold" : "",
+                          load->is_leaving ? ", leaving" : "");
+}
+
+static void
+status_print_peer (const ctl_t *ctl, const survey_peer_t *peer)
+{
+  const char *text = status_describe (ctl->memory, peer);
+
+  if (peer->is_answered)
+    report_line (ctl, "%-24s %-6s %-16s revision %llu%s, %llu ms old  %s",
+                 peer->name, peer->role, peer->zone,
+                 (unsigned long long)peer->found_revision,
+                 survey_has_newest (peer) ? "" : " (older)",
+                 (unsigned long long)peer->age_ms, text);
+  else
+    report_line (ctl, "%-24s %-6s %-16s %s", peer->name, peer->role,
+                 peer->zone, text);
+}
+
+static json_t *
+status_peer_json (const survey_peer_t *peer)
+{
+  json_t *object = survey_peer_json (peer);
+
+  if (peer->has_load)
+    json_object_set_new (
+        object, "load",
+        json_pack ("{s:I,s:I,s:I,s:b,s:b}", "running",
+                   (json_int_t)peer->load.outstanding_requests, "limit",
+                   (json_int_t)peer->load.limit_requests, "queued",
+                   (json_int_t)peer->load.queued_requests, "cold",
+                   (int)peer->load.is_cold, "leaving",
+                   (int)peer->load.is_leaving));
+  return object;
+}
+
+static void
+status_print_marks (const ctl_t *ctl, const settings_t *settings)
+{
+  const zone_t *zone;
+  const upstream_t *upstream;
+
+  report_line (ctl, "revision %llu by %s at %s: %s",
+               (unsigned long long)settings->revision, settings->changed_by,
+               settings->changed_at, settings->changed_why);
+  STAILQ_FOREACH (zone, &settings->zones, link)
+    {
+      if (zone->is_out || !zone->serves)
+        report_line (ctl, "zone %s %s", zone->name,
+                     zone->is_out ? "is out" : "does not serve by the rules");
+    }
+  STAILQ_FOREACH (upstream, &settings->upstreams, link)
+    {
+      if (upstream->is_draining)
+        report_line (ctl, "upstream %s is draining", upstream->name);
+    }
+}
+
+static int
+status_run (ctl_t *ctl, int argc, char **argv)
+{
+  revision_t current;
+  const survey_peer_t *peer;
+  survey_t *survey;
+  unsigned newest = 0;
+  unsigned asked = 0;
+  json_t *list;
+  int result;
+
+  (void)argv;
+  if (argc != 1)
+    return CTL_USAGE;
+  result = revision_read (ctl, &current);
+  if (result != CTL_OK)
+    return result;
+  if (current.document == NULL)
+    {
+      report_error (ctl, "the store has no settings yet");
+      return CTL_FAULTS;
+    }
+  survey = survey_run (ctl, current.document, 0);
+  if (survey == NULL)
+    return CTL_FAULTS;
+  status_print_marks (ctl, survey->settings);
+  list = json_array ();
+  STAILQ_FOREACH (peer, &survey->peers, link)
+    {
+      asked += peer->ops != NULL;
+      newest += survey_has_newest (peer);
+      status_print_peer (ctl, peer);
+      json_array_append_new (list, status_peer_json (peer));
+    }
+  report_line (ctl, "%u of %u processes asked have revision %llu", newest,
+               asked, (unsigned long long)survey->settings->revision);
+  report_set_number (ctl, "revision", survey->settings->revision);
+  report_set (ctl, "processes", list);
+  return newest == asked ? CTL_OK : CTL_INCOMPLETE;
+}
+
+static const command_ops_t status_ops = {
+  .usage = "",
+  .needs_store = true,
+  .run = status_run,
+};
+
+PLUGIN_REGISTER (status, PLUGIN_COMMAND, "status",
+                 "ask every process for its revision and load", &status_ops);
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -1,4 +1,4 @@
-#include "ctl/command.h"
+#include "ctl/report.h"
 #include "kernel/log.h"
 #include "kernel/plugin.h"
 
@@ -11,7 +11,10 @@
 enum
 {
   STORE_TIMEOUT_MS = 2000,
-  MAX_STORES = 8
+  MAX_STORES = 8,
+  MAX_WORDS = 16,
+  KEY_FORCE = 0x100,
+  KEY_NO_WAIT
 };
 
 typedef struct ctl_arguments
@@ -21,7 +24,10 @@
   const char *who;
   const char *why;
   bool is_json;
-  int command_start;
+  bool is_forced;
+  bool is_impatient;
+  char *words[MAX_WORDS]; /* the command and its arguments */
+  int word_count;
 } ctl_arguments_t;
 
 static const struct argp_option options[] = {
@@ -29,7 +35,11 @@
     0 },
   { "who", 'u', "NAME", 0, "Who makes the change", 0 },
   { "why", 'm', "TEXT", 0, "Why the change is made", 0 },
-  { "json", 'j', NULL, 0, "Print results as JSON", 0 },
+  { "json", 'j', NULL, 0, "Print the result as one JSON object", 0 },
+  { "force", KEY_FORCE, NULL, 0,
+    "Leave a service without upstreams if need be", 0 },
+  { "no-wait", KEY_NO_WAIT, NULL, 0,
+    "Don't wait until the processes confirm a change", 0 },
   { NULL, 0, NULL, 0, NULL, 0 },
 };
 
@@ -54,9 +64,16 @@
     case 'j':
       arguments->is_json = true;
       return 0;
+    case KEY_FORCE:
+      arguments->is_forced = true;
+      return 0;
+    case KEY_NO_WAIT:
+      arguments->is_impatient = true;
+      return 0;
     case ARGP_KEY_ARG:
-      arguments->command_start = state->next - 1;
-      state->next = state->argc;
+      if (arguments->word_count == MAX_WORDS)
+        argp_error (state, "more than %d arguments", MAX_WORDS);
+      arguments->words[arguments->word_count++] = argument;
       return 0;
     case ARGP_KEY_NO_ARGS:
       argp_usage (state);
@@ -84,40 +101,62 @@
   return text;
 }
 
+static bool
+open_store (ctl_t *ctl, const ctl_arguments_t *arguments)
+{
+  store_options_t options = { .urls = arguments->stores,
+                              .timeout = timespec_from_ms (STORE_TIMEOUT_MS) };
+
+  ctl->store_ops = plugin_ops (PLUGIN_STORE, "etcd");
+  ctl->store = ctl->store_ops->create (ctl->worker, &options);
+  if (ctl->store == NULL)
+    report_error (ctl, "%s", status_message ());
+  return ctl->store != NULL;
+}
+
 static int
-run_command (ctl_t *ctl, const ctl_arguments_t *arguments, int argc,
-             char **argv)
+run_command (ctl_t *ctl, ctl_arguments_t *arguments)
 {
-  const command_ops_t *ops = plugin_ops (PLUGIN_COMMAND, argv[0]);
-  store_options_t store_options
-      = { .urls = arguments->stores,
-          .timeout = timespec_from_ms (STORE_TIMEOUT_MS) };
+  const char *name = arguments->words[0];
+  const command_ops_t *ops = plugin_ops (PLUGIN_COMMAND, name);
   int result;
 
   if (ops == NULL)
     {
-      fprintf (stderr, "siskinctl: %s\n", status_message ());
+      report_error (ctl, "%s", status_message ());
       return CTL_USAGE;
     }
-  if (ops->needs_store)
+  if (ops->needs_reason && ctl->why[0] == '\0')
     {
-      ctl->store_ops = plugin_ops (PLUGIN_STORE, "etcd");
-      ctl->store = ctl->store_ops->create (ctl->worker, &store_options);
-      if (ctl->store == NULL)
-        {
-          fprintf (stderr, "siskinctl: %s\n", status_message ());
-          return CTL_USAGE;
-        }
+      report_error (ctl, "say why with --why, for those who come after you");
+      return CTL_USAGE;
     }
-  result = ops->run (ctl, argc, argv);
+  if (ops->needs_store && !open_store (ctl, arguments))
+    return CTL_USAGE;
+  result = ops->run (ctl, arguments->word_count, arguments->words);
   if (result == CTL_USAGE)
-    fprintf (stderr, "usage: siskinctl %s %s\n", argv[0], ops->usage);
+    report_error (ctl, "usage: siskinctl %s %s", name, ops->usage);
   if (result == CTL_UNAVAILABLE)
-    fprintf (stderr, "siskinctl: the store cannot be reached: %s\n",
-             status_message ());
+    report_error (ctl, "the store cannot be reached, nothing was changed: %s",
+                  status_message ());
   return result;
 }
 
+static void
+print_result (const ctl_t *ctl, int result)
+{
+  char *text;
+
+  json_object_set_new (ctl->result, "exit", json_integer (result));
+  if (ctl->is_json)
+    {
+      text = json_dumps (ctl->result, JSON_INDENT (2) | JSON_PRESERVE_ORDER);
+      puts (text);
+      free (text);
+    }
+  json_decref (ctl->result);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -134,7 +173,7 @@
   int result;
 
   argp_err_exit_status = CTL_USAGE;
-  argp_parse (&argp, argc, argv, ARGP_IN_ORDER, NULL, &arguments);
+  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   ctl.memory = talloc_new (NULL);
   ctl.clock = clock_create_system (ctl.memory);
@@ -143,8 +182,11 @@
   ctl.who = arguments.who;
   ctl.why = arguments.why;
   ctl.is_json = arguments.is_json;
-  result = run_command (&ctl, &arguments, argc - arguments.command_start,
-                        argv + arguments.command_start);
+  ctl.is_forced = arguments.is_forced;
+  ctl.waits = !arguments.is_impatient;
+  ctl.result = json_object ();
+  result = run_command (&ctl, &arguments);
+  print_result (&ctl, result);
   if (ctl.store != NULL)
     ctl.store_ops->destroy (ctl.store);
   talloc_free (ctl.memory);
--- a/ctl/revision.c
+++ b/ctl/revision.c
@@ -1,8 +1,11 @@
 #include "ctl/revision.h"
 
+#include "ctl/diff.h"
+#include "ctl/exchange.h"
+#include "ctl/history.h"
+#include "ctl/report.h"
 #include "kernel/clock.h"
 
-#include <stdio.h>
 #include <string.h>
 #include <sys/random.h>
 #include <time.h>
@@ -10,71 +13,83 @@
 enum
 {
   CHANGE_ID_BYTES = 8,
-  HISTORY_KEY_BYTES = 64,
-  WRITE_ATTEMPTS = 5
+  MAX_DOCUMENT_BYTES = 1000 * 1000, /* that one value of the store holds */
+  TIME_TEXT_BYTES = 32
 };
 
-/* One call to the store, waited for.  */
-typedef struct exchange
+static settings_parts_t *
+revision_parse (ctl_t *ctl, const char *document)
 {
-  TALLOC_CTX *memory;
-  bool is_done;
-  status_t status;
-  bool succeeded;
-  bool has_entry;
-  char *value;
-  int64_t mod_revision;
-} exchange_t;
+  settings_parts_t *parts
+      = settings_parts_parse (ctl->memory, document, strlen (document));
 
-static void
-exchange_handle_done (status_t status, const store_result_t *result,
-                      void *data)
-{
-  exchange_t *exchange = data;
-  const store_entry_t *entry;
-
-  exchange->is_done = true;
-  exchange->status = status;
-  if (status != STATUS_OK)
-    return;
-  exchange->succeeded = result->succeeded;
-  entry = store_result_entry (result, 0);
-  if (entry == NULL)
-    return;
-  exchange->has_entry = true;
-  exchange->value = talloc_strdup (exchange->memory, entry->value);
-  exchange->mod_revision = entry->mod_revision;
+  if (parts == NULL)
+    report_error (ctl, "%s", status_message ());
+  return parts;
 }
 
-static status_t
-exchange_run (ctl_t *ctl, const store_txn_t *txn, exchange_t *exchange)
+/* Read the settings in force into CURRENT.  Returns CTL_OK, CTL_FAULTS when
+   the document is malformed, or CTL_UNAVAILABLE.  */
+int
+revision_read (ctl_t *ctl, revision_t *current)
 {
-  memset (exchange, 0, sizeof *exchange);
-  exchange->memory = ctl->memory;
-  exchange->status = ctl->store_ops->transact (ctl->store, txn,
-                                               exchange_handle_done, exchange);
-  if (exchange->status != STATUS_OK)
-    return exchange->status;
-  worker_run_until (ctl->worker, &exchange->is_done);
-  return exchange->status;
+  store_txn_t *txn = store_txn_create (ctl->memory);
+  const exchange_entry_t *entry;
+  exchange_t exchange;
+
+  memset (current, 0, sizeof *current);
+  store_txn_then (txn, STORE_GET, STORE_KEY_SETTINGS, NULL);
+  if (exchange_run (ctl, txn, &exchange) != STATUS_OK)
+    return CTL_UNAVAILABLE;
+  entry = exchange_find (&exchange, 0);
+  if (entry == NULL)
+    {
+      current->parts = settings_parts_create (ctl->memory);
+      return CTL_OK;
+    }
+  current->mod_revision = entry->mod_revision;
+  current->document = entry->value;
+  current->parts = revision_parse (ctl, entry->value);
+  return current->parts == NULL ? CTL_FAULTS : CTL_OK;
 }
 
-/* Read the settings in force into CURRENT.  Returns CTL_OK or
-   CTL_UNAVAILABLE.  */
+/* Read revision NUMBER, in force or superseded, into *PARTS.  Returns CTL_OK,
+   CTL_FAULTS when the store does not have it, or CTL_UNAVAILABLE.  */
 int
-revision_read (ctl_t *ctl, revision_t *current)
+revision_read_number (ctl_t *ctl, uint64_t number, settings_parts_t **parts)
 {
   store_txn_t *txn = store_txn_create (ctl->memory);
+  char key[HISTORY_KEY_BYTES];
+  const exchange_entry_t *entry;
   exchange_t exchange;
 
+  history_key (key, STORE_PREFIX_DOCUMENTS, number);
   store_txn_then (txn, STORE_GET, STORE_KEY_SETTINGS, NULL);
+  store_txn_then (txn, STORE_GET, key, NULL);
   if (exchange_run (ctl, txn, &exchange) != STATUS_OK)
     return CTL_UNAVAILABLE;
-  current->mod_revision = exchange.mod_revision;
-  current->parts = exchange.has_entry ? settings_parts_parse (
-                       ctl->memory, exchange.value, strlen (exchange.value))
-                                      : settings_parts_create (ctl->memory);
-  return current->parts == NULL ? CTL_FAULTS : CTL_OK;
+  for (unsigned i = 0; i < 2; i++)
+    {
+      entry = exchange_find (&exchange, i);
+      *parts = entry == NULL ? NULL : revision_parse (ctl, entry->value);
+      if (*parts != NULL && (*parts)->revision == number)
+        return CTL_OK;
+    }
+  report_error (ctl,
+                "revision %llu is not in the store, which keeps the newest "
+                "%d",
+                (unsigned long long)number, DOCUMENTS_KEPT + 1);
+  return CTL_FAULTS;
+}
+
+/* Return the parts of REVISION once more, to be changed.  */
+settings_parts_t *
+revision_copy (ctl_t *ctl, const revision_t *revision)
+{
+  if (revision->document == NULL)
+    return settings_parts_create (ctl->memory);
+  return settings_parts_parse (ctl->memory, revision->document,
+                               strlen (revision->document));
 }
 
 static char *
@@ -84,19 +99,19 @@
   char *id = talloc_strdup (parent, "");
 
   if (getrandom (bytes, sizeof bytes, 0) != sizeof bytes)
-    return id;
+    return NULL;
   for (unsigned i = 0; i < sizeof bytes; i++)
     id = talloc_asprintf_append_buffer (id, "%02x", bytes[i]);
   return id;
 }
 
-static void
+static bool
 revision_stamp (ctl_t *ctl, const revision_t *based_on,
                 settings_parts_t *parts)
 {
   struct timespec now = clock_realtime (ctl->clock);
   struct tm utc;
-  char text[32];
+  char text[TIME_TEXT_BYTES];
 
   gmtime_r (&now.tv_sec, &utc);
   strftime (text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &utc);
@@ -105,50 +120,146 @@
   parts->changed_by = ctl->who;
   parts->changed_why = ctl->why;
   parts->changed_at = talloc_strdup (ctl->memory, text);
+  return parts->change_id != NULL;
+}
+
+/* Keep the document that is about to be superseded, and drop the one that is
+   too old to keep.  It comes before the change, so that no superseded revision
+   is ever missing; done twice or for a change that then fails, it does no
+   harm.  */
+static int
+revision_archive (ctl_t *ctl, const revision_t *based_on)
+{
+  uint64_t number = based_on->parts->revision;
+  store_txn_t *txn = store_txn_create (ctl->memory);
+  char key[HISTORY_KEY_BYTES];
+  exchange_t exchange;
+
+  if (based_on->document == NULL)
+    return CTL_OK;
+  history_key (key, STORE_PREFIX_DOCUMENTS, number);
+  store_txn_if_absent (txn, key);
+  store_txn_then (txn, STORE_PUT, key, based_on->document);
+  if (number > DOCUMENTS_KEPT)
+    {
+      history_key (key, STORE_PREFIX_DOCUMENTS, number - DOCUMENTS_KEPT);
+      store_txn_then (txn, STORE_DELETE, key, NULL);
+    }
+  return exchange_run (ctl, txn, &exchange) == STATUS_OK ? CTL_OK
+                                                         : CTL_UNAVAILABLE;
+}
+
+/* Fill TXN with the compare-and-swap.  It can take effect once at most: the
+   first time changes the revision of the key that it compares, whatever
+   happens to the key afterwards.  */
+static void
+revision_fill_swap (ctl_t *ctl, const revision_t *based_on,
+                    const settings_parts_t *parts, const char *document,
+                    store_txn_t *txn)
+{
+  char key[HISTORY_KEY_BYTES];
+  diff_t diff;
+
+  diff_parts (ctl->memory, based_on->parts, parts, &diff);
+  history_key (key, STORE_PREFIX_HISTORY, parts->revision);
+  store_txn_if_revision (txn, STORE_KEY_SETTINGS, based_on->mod_revision);
+  store_txn_then (txn, STORE_PUT, STORE_KEY_SETTINGS, document);
+  store_txn_then (
+      txn, STORE_PUT, key,
+      history_format (ctl->memory,
+                      history_describe (ctl->memory, parts,
+                                        diff_summarise (ctl->memory, &diff))));
+  store_txn_else (txn, STORE_GET, key, NULL);
+  if (parts->revision > HISTORY_KEPT)
+    {
+      history_key (key, STORE_PREFIX_HISTORY, parts->revision - HISTORY_KEPT);
+      store_txn_then (txn, STORE_DELETE, key, NULL);
+    }
+}
+
+static int
+revision_report_unknown (ctl_t *ctl, const settings_parts_t *parts)
+{
+  report_error (ctl,
+                "the store stopped answering; whether revision %llu took "
+                "effect is not known (%s); ask later with: siskinctl resolve "
+                "%s %llu",
+                (unsigned long long)parts->revision, status_message (),
+                parts->change_id, (unsigned long long)parts->revision);
+  return CTL_UNKNOWN;
+}
+
+/* The compare did not hold.  Either an earlier attempt of our own took effect
+   and its answer was lost, or somebody else was first; the history of our
+   revision tells, even when later revisions have come since.  */
+static int
+revision_resolve (ctl_t *ctl, const settings_parts_t *parts,
+                  const exchange_t *exchange)
+{
+  const exchange_entry_t *entry = exchange_find (exchange, 0);
+  const change_t *winner
+      = entry == NULL ? NULL : history_parse (ctl->memory, entry->value);
+
+  if (winner != NULL && strcmp (winner->id, parts->change_id) == 0)
+    return CTL_OK;
+  return CTL_CONFLICT;
 }
 
 /* Write PARTS as the revision after BASED_ON, and to the history, in one
    compare-and-swap.  An answer that was lost is resolved by reading the change
-   id back.  Returns CTL_OK, CTL_CONFLICT with the status message naming who
-   was first, CTL_UNAVAILABLE when nothing was written, or CTL_UNKNOWN.  */
+   id back.  Returns CTL_OK; CTL_CONFLICT; CTL_FAULTS when the document is too
+   large, CTL_UNAVAILABLE when nothing was written, or CTL_UNKNOWN, these three
+   after reporting why.  */
 int
 revision_write (ctl_t *ctl, const revision_t *based_on,
                 settings_parts_t *parts)
 {
-  char history_key[HISTORY_KEY_BYTES];
   store_txn_t *txn = store_txn_create (ctl->memory);
   exchange_t exchange;
   char *document;
-  settings_parts_t *winner;
 
-  revision_stamp (ctl, based_on, parts);
+  if (!revision_stamp (ctl, based_on, parts))
+    {
+      report_error (ctl, "no random numbers for a change id");
+      return CTL_FAULTS;
+    }
   document = settings_parts_format (ctl->memory, parts);
-  snprintf (history_key, sizeof history_key, STORE_PREFIX_HISTORY "%012llu",
-            (unsigned long long)parts->revision);
-  store_txn_if_revision (txn, STORE_KEY_SETTINGS, based_on->mod_revision);
-  store_txn_then (txn, STORE_PUT, STORE_KEY_SETTINGS, document);
-  store_txn_then (txn, STORE_PUT, history_key, document);
-  store_txn_else (txn, STORE_GET, history_key, NULL);
-  /* Repeating the same transaction is safe: once it has taken effect the
-     compare fails and the history shows our own change id.  */
-  for (int attempt = 0; attempt < WRITE_ATTEMPTS; attempt++)
+  report_set_number (ctl, "revision", parts->revision);
+  report_set_text (ctl, "change_id", parts->change_id);
+  if (strlen (document) > MAX_DOCUMENT_BYTES)
     {
-      if (exchange_run (ctl, txn, &exchange) == STATUS_OK)
-        break;
+      report_error (ctl,
+                    "rules and inventory make %zu bytes; the store holds %d",
+                    strlen (document), MAX_DOCUMENT_BYTES);
+      return CTL_FAULTS;
     }
-  if (exchange.status != STATUS_OK)
-    return CTL_UNKNOWN;
-  if (exchange.succeeded)
-    return CTL_OK;
-  winner = exchange.has_entry ? settings_parts_parse (
-               ctl->memory, exchange.value, strlen (exchange.value))
-                              : NULL;
-  if (winner != NULL && strcmp (winner->change_id, parts->change_id) == 0)
-    return CTL_OK;
-  status_set (STATUS_CONFLICT, "revision %llu was made by %s at %s: %s",
-              (unsigned long long)parts->revision,
-              winner == NULL ? "?" : winner->changed_by,
-              winner == NULL ? "?" : winner->changed_at,
-              winner == NULL ? "?" : winner->changed_why);
-  return CTL_CONFLICT;
+  if (revision_archive (ctl, based_on) != CTL_OK)
+    return CTL_UNAVAILABLE;
+  revision_fill_swap (ctl, based_on, parts, document, txn);
+  if (exchange_run (ctl, txn, &exchange) != STATUS_OK)
+    return exchange.may_have_run ? revision_report_unknown (ctl, parts)
+                                 : CTL_UNAVAILABLE;
+  return exchange.succeeded ? CTL_OK
+                            : revision_resolve (ctl, parts, &exchange);
+}
+
+/* Tell the loser of a race who made CURRENT, when and why, and how it differs
+   from MINE, which may be NULL.  */
+void
+revision_report_conflict (ctl_t *ctl, const revision_t *current,
+                          const settings_parts_t *mine)
+{
+  const settings_parts_t *theirs = current->parts;
+  diff_t diff;
+
+  report_error (ctl, "the settings are at revision %llu, made by %s at %s: %s",
+                (unsigned long long)theirs->revision, theirs->changed_by,
+                theirs->changed_at, theirs->changed_why);
+  report_set (ctl, "in_force",
+              history_json (history_describe (ctl->memory, theirs, "")));
+  if (mine == NULL)
+    return;
+  report_line (ctl, "from the settings in force to yours:");
+  diff_parts (ctl->memory, theirs, mine, &diff);
+  diff_report (ctl, "differences", &diff);
 }
--- a/ctl/rules.c
+++ b/ctl/rules.c
@@ -1,12 +1,12 @@
 #include "ctl/rules.h"
 
 #include "common/file.h"
+#include "ctl/mark.h"
+#include "ctl/report.h"
 
-#include <stdio.h>
-
-/* Read RULES_FILE and INVENTORY_FILE into PARTS, whose operators' marks are
-   kept, and check them together.  Prints every fault with its place; returns
-   whether there is none.  */
+/* Read RULES_FILE and INVENTORY_FILE into PARTS and check them together.
+   Operators' marks are kept where their zone or upstream is still there.
+   Reports every fault with its place; returns whether there is none.  */
 bool
 rules_load (ctl_t *ctl, const char *rules_file, const char *inventory_file,
             settings_parts_t *parts)
@@ -23,11 +23,12 @@
     findings_add (findings, inventory_file, 0, 0, "%s", status_message ());
   if (findings_count (findings) == 0)
     {
+      mark_prune (ctl, parts);
       settings
           = settings_from_parts (parts, rules_file, inventory_file, findings);
       if (settings != NULL)
         settings_release (settings);
     }
-  findings_print (findings, stderr);
+  report_findings (ctl, findings);
   return findings_count (findings) == 0;
 }
--- /dev/null
+++ b/ctl/survey_frame.c
@@ -0,0 +1,80 @@
+#include "ctl/survey.h"
+
+#include "common/link.h"
+
+/* An agent is asked by connecting to it like any peer.  Every frame of it
+   shows its revision, and the link hands it the newest settings.  */
+
+static void
+probe_on_open (link_t *link, const frame_hello_t *hello, void *data)
+{
+  (void)link;
+  (void)hello;
+  (void)data;
+}
+
+static void
+probe_on_frame (link_t *link, const frame_t *frame, void *data)
+{
+  survey_peer_t *peer = data;
+
+  (void)link;
+  if (peer->state != SURVEY_DONE && frame->header.type == FRAME_LOAD)
+    survey_note (peer, frame->header.settings_revision,
+                 frame->header.confirmed_age_ms, &frame->body.load);
+}
+
+static void
+probe_on_revision (link_t *link, uint64_t revision, uint64_t age_ms,
+                   void *data)
+{
+  survey_peer_t *peer = data;
+
+  (void)link;
+  if (peer->state != SURVEY_DONE && peer->is_answered)
+    survey_note (peer, revision, age_ms, NULL);
+}
+
+static void
+probe_on_closed (link_t *link, const char *reason, void *data)
+{
+  survey_peer_t *peer = data;
+
+  (void)link;
+  peer->probe = NULL;
+  survey_fail (peer, reason);
+}
+
+static const link_ops_t probe_ops = {
+  .on_open = probe_on_open,
+  .on_frame = probe_on_frame,
+  .on_closed = probe_on_closed,
+  .on_revision = probe_on_revision,
+};
+
+static bool
+probe_start (survey_peer_t *peer)
+{
+  net_address_t address;
+
+  if (net_address_parse (peer, peer->address, &address) != STATUS_OK)
+    return false;
+  peer->probe = link_connect (peer->survey->ctl->worker, peer->survey->node,
+                              &address, &probe_ops, peer);
+  return peer->probe != NULL;
+}
+
+static void
+probe_stop (survey_peer_t *peer)
+{
+  link_t *link = peer->probe;
+
+  if (link != NULL)
+    link_close (link, "asked");
+}
+
+/* Asks an agent over frames.  */
+const survey_probe_ops_t survey_frame_probe = {
+  .start = probe_start,
+  .stop = probe_stop,
+};
--- a/include/common/link.h
+++ b/include/common/link.h
@@ -21,6 +21,10 @@
   void (*on_frame) (link_t *link, const frame_t *frame, void *data);
   /* The connection ended; the link is freed after the call.  */
   void (*on_closed) (link_t *link, const char *reason, void *data);
+  /* The peer showed another settings revision than on its last frame.  May be
+     NULL.  */
+  void (*on_revision) (link_t *link, uint64_t revision, uint64_t age_ms,
+                       void *data);
 } link_ops_t;
 
 link_t *link_accept (worker_t *worker, node_t *node, int fd,
--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -82,6 +82,7 @@
   const char *name;
   const char *address;
   const char *zone;
+  const char *admin; /* where its health page is, or "" */
   unsigned line;
 } entry_vm_t;
 
--- /dev/null
+++ b/include/ctl/diff.h
@@ -0,0 +1,33 @@
+#ifndef SISKIN_CTL_DIFF_H
+#define SISKIN_CTL_DIFF_H
+
+#include "ctl/command.h"
+
+typedef enum diff_part
+{
+  DIFF_RULES,
+  DIFF_INVENTORY,
+  DIFF_MARKS /* zones out and upstreams draining */
+} diff_part_t;
+
+/* A line that only one side has.  LINE counts from 1 on that side.  */
+typedef struct diff_line
+{
+  STAILQ_ENTRY (diff_line) link;
+  diff_part_t part;
+  bool is_added; /* the newer side has it */
+  unsigned line;
+  const char *text;
+} diff_line_t;
+
+STAILQ_HEAD (diff, diff_line);
+typedef struct diff diff_t;
+
+void diff_text (TALLOC_CTX *parent, diff_part_t part, const char *older,
+                const char *newer, diff_t *diff);
+void diff_parts (TALLOC_CTX *parent, const settings_parts_t *older,
+                 const settings_parts_t *newer, diff_t *diff);
+char *diff_summarise (TALLOC_CTX *parent, const diff_t *diff);
+void diff_report (ctl_t *ctl, const char *key, const diff_t *diff);
+
+#endif
--- /dev/null
+++ b/include/ctl/history.h
@@ -0,0 +1,38 @@
+#ifndef SISKIN_CTL_HISTORY_H
+#define SISKIN_CTL_HISTORY_H
+
+#include "ctl/command.h"
+
+/* One revision as the history tells it.  */
+typedef struct change
+{
+  STAILQ_ENTRY (change) link;
+  uint64_t revision;
+  const char *id;
+  const char *who;
+  const char *when; /* UTC, ISO 8601 */
+  const char *why;
+  const char *what;
+} change_t;
+
+STAILQ_HEAD (change_list, change);
+typedef struct change_list change_list_t;
+
+enum
+{
+  HISTORY_KEPT = 2000,  /* changes that the store keeps */
+  DOCUMENTS_KEPT = 200, /* superseded revisions kept whole */
+  HISTORY_KEY_BYTES = 64
+};
+
+void history_key (char key[HISTORY_KEY_BYTES], const char *prefix,
+                  uint64_t revision);
+change_t *history_describe (TALLOC_CTX *parent, const settings_parts_t *parts,
+                            const char *what);
+char *history_format (TALLOC_CTX *parent, const change_t *change);
+change_t *history_parse (TALLOC_CTX *parent, const char *text);
+json_t *history_json (const change_t *change);
+int history_read (ctl_t *ctl, uint64_t limit, change_list_t *changes);
+int history_find (ctl_t *ctl, uint64_t revision, change_t **change);
+
+#endif
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -155,11 +155,19 @@
         self.ports[name + "-admin"] = entry.port(r"admin-listening port=(\d+)")
         self.ports[name] = entry.port(r"http-listening port=(\d+)")
 
+    def _ctl_command(self, arguments):
+        return [BUILD + "/ctl/siskinctl", "--store", self.store_url(),
+                "--who", "test", "--why", "test"] + list(arguments)
+
     def ctl(self, *arguments):
-        return subprocess.run(
-            [BUILD + "/ctl/siskinctl", "--store", self.store_url(),
-             "--who", "test", "--why", "test"] + list(arguments),
-            capture_output=True, text=True, timeout=60)
+        return subprocess.run(self._ctl_command(arguments),
+                              capture_output=True, text=True, timeout=60)
+
+    def start_ctl(self, *arguments):
+        """Starts siskinctl without waiting for it."""
+        return subprocess.Popen(self._ctl_command(arguments),
+                                stdout=subprocess.DEVNULL,
+                                stderr=subprocess.DEVNULL)
 
     def apply(self):
         rules = self._write("rules.toml", self.rules)
--- a/tests/standin/store_keys.c
+++ b/tests/standin/store_keys.c
@@ -268,7 +268,7 @@
   return holds;
 }
 
-static json_t *txn_apply (store_state_t *state, json_t *request);
+static json_t *txn_apply (store_state_t *state, json_t *txn);
 
 static json_t *
 op_json (store_state_t *state, json_t *op)
