--- a/plugins/journal/claims.c
+++ b/plugins/journal/claims.c
@@ -121,13 +121,17 @@
   talloc_free (entry);
 }
 
-/* Give ENTRY a new value to claim its key with.  */
+/* Give ENTRY a new value to claim its key with, for the request that has
+   waited longest.  */
 static void
 entry_renew (claims_t *claims, claim_entry_t *entry)
 {
   const claims_options_t *options = &claims->options;
+  const journal_claim_t *first = TAILQ_FIRST (&entry->waiters);
   claim_value_t value = { .state = CLAIM_STATE_RUNNING };
 
+  if (first != NULL)
+    entry->fingerprint = first->fingerprint;
   talloc_free (entry->writer);
   talloc_free (entry->value);
   entry->writer = talloc_asprintf (entry, "%s/%016llx/%llu", options->owner,
@@ -198,7 +202,7 @@
   while ((claim = TAILQ_FIRST (&entry->waiters)) != NULL)
     {
       claim->value = claim_value_parse (claim, text);
-      if (claim->value->fingerprint != entry->fingerprint)
+      if (claim->value->fingerprint != claim->fingerprint)
         claims_decide (claims, claim, CLAIM_KEY_REUSED);
       else if (claim->value->state == CLAIM_STATE_DONE)
         claims_decide (claims, claim, CLAIM_FINISHED);
@@ -219,20 +223,31 @@
   claims->last_arrival = now;
 }
 
-/* Have CLAIM wait for ENTRY, or decide at once on what is known of it.  */
+/* The key of ENTRY belongs to the request with FINGERPRINT: nobody else has to
+   wait for it.  */
 static void
-entry_attach (claims_t *claims, claim_entry_t *entry, journal_claim_t *claim,
-              uint64_t fingerprint)
+entry_refuse_others (claims_t *claims, claim_entry_t *entry,
+                     uint64_t fingerprint)
 {
-  bool is_unused
-      = entry->step == CLAIM_STEP_RELEASE && TAILQ_EMPTY (&entry->waiters);
+  journal_claim_t *claim;
+  journal_claim_t *next;
 
+  for (claim = TAILQ_FIRST (&entry->waiters); claim != NULL; claim = next)
+    {
+      next = TAILQ_NEXT (claim, wait_link);
+      if (claim->fingerprint != fingerprint)
+        claims_decide (claims, claim, CLAIM_KEY_REUSED);
+    }
+}
+
+/* Have CLAIM wait for ENTRY, or decide at once on what is known of it.  */
+static void
+entry_attach (claims_t *claims, claim_entry_t *entry, journal_claim_t *claim)
+{
   claim->entry = entry;
   TAILQ_INSERT_TAIL (&entry->waiters, claim, wait_link);
-  if (is_unused)
-    entry->fingerprint = fingerprint;
-  if (fingerprint != entry->fingerprint)
-    claims_decide (claims, claim, CLAIM_KEY_REUSED);
+  if (entry->step == CLAIM_STEP_HOLD)
+    entry_refuse_others (claims, entry, entry->fingerprint);
   else if (entry->step == CLAIM_STEP_RECORD)
     entry_answer (claims, entry, entry->outcome);
 }
@@ -253,6 +268,7 @@
   claim->claims = claims;
   claim->worker = request->worker;
   claim->deadline = request->deadline;
+  claim->fingerprint = request->fingerprint;
   claim->done = done;
   claim->data = data;
   LIST_INSERT_HEAD (&claims->all, claim, all_link);
@@ -266,7 +282,7 @@
       claims_free_claim (claim);
       return NULL;
     }
-  entry_attach (claims, entry, claim, request->fingerprint);
+  entry_attach (claims, entry, claim);
   return claim;
 }
 
@@ -415,8 +431,21 @@
   return count;
 }
 
-/* The key of ENTRY is ours.  It goes to the first that still waits, or back if
-   none does.  */
+static journal_claim_t *
+entry_heir (const claim_entry_t *entry)
+{
+  journal_claim_t *claim;
+
+  TAILQ_FOREACH (claim, &entry->waiters, wait_link)
+    {
+      if (claim->fingerprint == entry->fingerprint)
+        return claim;
+    }
+  return NULL;
+}
+
+/* The key of ENTRY is ours.  It goes to the first that still waits for the
+   request it was claimed for, or back if none does.  */
 void
 claims_note_granted (claims_t *claims, claim_entry_t *entry,
                      struct timespec now)
@@ -425,7 +454,7 @@
 
   entry->is_unresolved = false;
   entry_expire (claims, entry, now);
-  claim = TAILQ_FIRST (&entry->waiters);
+  claim = entry_heir (entry);
   if (claim == NULL)
     {
       claims_enqueue (claims, entry, CLAIM_STEP_RELEASE, now, now);
@@ -434,6 +463,7 @@
   INVARIANT (entry->owner == NULL, "claim-one-owner");
   entry->step = CLAIM_STEP_HOLD;
   claims_decide (claims, claim, CLAIM_GRANTED);
+  entry_refuse_others (claims, entry, entry->fingerprint);
 }
 
 /* Try for the key of ENTRY again, in place of EXPECTED or, if that is NULL,
@@ -483,10 +513,12 @@
 
   if (strcmp (text, entry->value) == 0)
     claims_note_granted (claims, entry, now);
-  else if (value == NULL
-           || (value->state == CLAIM_STATE_RUNNING
-               && value->fingerprint == entry->fingerprint))
-    entry_read_later (claims, entry, now);
+  else if (value == NULL || value->state == CLAIM_STATE_RUNNING)
+    {
+      if (value != NULL)
+        entry_refuse_others (claims, entry, value->fingerprint);
+      entry_read_later (claims, entry, now);
+    }
   else if (value->state == CLAIM_STATE_RELEASED)
     entry_claim_again (claims, entry, text, now);
   else
@@ -511,7 +543,7 @@
 claims_note_released (claims_t *claims, claim_entry_t *entry,
                       struct timespec now)
 {
-  char *released = entry->released;
+  char *released = talloc_steal (NULL, entry->released);
 
   counter_add (&released_total, 1);
   entry->is_unresolved = false;
--- a/plugins/journal/claims.h
+++ b/plugins/journal/claims.h
@@ -34,8 +34,8 @@
   claim_step_t step;
   bool is_queued;
   bool is_in_flight;
-  bool is_unresolved; /* a claim was sent whose answer has not come */
-  uint64_t fingerprint;
+  bool is_unresolved;   /* a claim was sent whose answer has not come */
+  uint64_t fingerprint; /* of the request that VALUE claims for */
   char *writer;
   int64_t claimed_at_ms;
   char *value;    /* ours, while the request runs */
@@ -59,6 +59,7 @@
   worker_t *worker;
   journal_claim_done_t done;
   void *data;
+  uint64_t fingerprint;
   struct timespec deadline;
   claim_verdict_t verdict;
   claim_value_t *value; /* the outcome, for CLAIM_FINISHED */
--- /dev/null
+++ b/tests/fake_store.c
@@ -0,0 +1,169 @@
+#include "fake_store.h"
+
+#include <string.h>
+#include <sys/queue.h>
+
+typedef struct pair
+{
+  LIST_ENTRY (pair) link;
+  char *key;
+  char *value;
+  int64_t mod_revision;
+} pair_t;
+
+struct fake_store
+{
+  LIST_HEAD (, pair) pairs;
+  int64_t revision;
+  unsigned calls;
+};
+
+/* Create an empty store.  */
+fake_store_t *
+fake_store_create (TALLOC_CTX *parent)
+{
+  fake_store_t *store = talloc_zero (parent, fake_store_t);
+
+  LIST_INIT (&store->pairs);
+  return store;
+}
+
+static pair_t *
+pair_find (const fake_store_t *store, const char *key)
+{
+  pair_t *pair;
+
+  LIST_FOREACH (pair, &store->pairs, link)
+    {
+      if (strcmp (pair->key, key) == 0)
+        return pair;
+    }
+  return NULL;
+}
+
+/* Return what is kept under KEY, or NULL.  */
+const char *
+fake_store_value (const fake_store_t *store, const char *key)
+{
+  const pair_t *pair = pair_find (store, key);
+
+  return pair == NULL ? NULL : pair->value;
+}
+
+/* Put VALUE under KEY.  */
+void
+fake_store_put (fake_store_t *store, const char *key, const char *value)
+{
+  pair_t *pair = pair_find (store, key);
+
+  if (pair == NULL)
+    {
+      pair = talloc_zero (store, pair_t);
+      pair->key = talloc_strdup (pair, key);
+      LIST_INSERT_HEAD (&store->pairs, pair, link);
+    }
+  talloc_free (pair->value);
+  pair->value = talloc_strdup (pair, value);
+  pair->mod_revision = ++store->revision;
+}
+
+static void
+pair_delete (fake_store_t *store, const char *key)
+{
+  pair_t *pair = pair_find (store, key);
+
+  if (pair == NULL)
+    return;
+  LIST_REMOVE (pair, link);
+  talloc_free (pair);
+}
+
+static bool
+compare_holds (const fake_store_t *store, const store_compare_t *compare)
+{
+  const pair_t *pair = pair_find (store, compare->key);
+
+  switch (compare->kind)
+    {
+    case STORE_KEY_ABSENT:
+      return pair == NULL;
+    case STORE_MOD_REVISION_IS:
+      return (pair == NULL ? 0 : pair->mod_revision) == compare->revision;
+    default:
+      return pair != NULL && strcmp (pair->value, compare->value) == 0;
+    }
+}
+
+static void
+response_add_entry (store_response_t *response, const pair_t *pair)
+{
+  store_entry_t *entry = talloc_zero (response, store_entry_t);
+
+  entry->key = talloc_strdup (entry, pair->key);
+  entry->value = talloc_strdup (entry, pair->value);
+  entry->mod_revision = pair->mod_revision;
+  STAILQ_INSERT_TAIL (&response->entries, entry, link);
+}
+
+static store_result_t *store_apply (fake_store_t *store, TALLOC_CTX *parent,
+                                    const store_txn_t *txn);
+
+static void
+op_apply (fake_store_t *store, store_result_t *result, const store_op_t *op)
+{
+  store_response_t *response = talloc_zero (result, store_response_t);
+  const pair_t *pair = pair_find (store, op->key);
+
+  STAILQ_INIT (&response->entries);
+  response->kind = op->kind;
+  if (op->kind == STORE_GET && pair != NULL)
+    response_add_entry (response, pair);
+  else if (op->kind == STORE_PUT)
+    fake_store_put (store, op->key, op->value);
+  else if (op->kind == STORE_DELETE)
+    pair_delete (store, op->key);
+  else if (op->kind == STORE_TXN)
+    response->txn = store_apply (store, response, op->txn);
+  STAILQ_INSERT_TAIL (&result->responses, response, link);
+}
+
+static store_result_t *
+store_apply (fake_store_t *store, TALLOC_CTX *parent, const store_txn_t *txn)
+{
+  store_result_t *result = talloc_zero (parent, store_result_t);
+  const store_compare_t *compare;
+  const store_op_t *op;
+
+  STAILQ_INIT (&result->responses);
+  result->succeeded = true;
+  STAILQ_FOREACH (compare, &txn->compares, link)
+    result->succeeded = result->succeeded && compare_holds (store, compare);
+  if (result->succeeded)
+    {
+      STAILQ_FOREACH (op, &txn->success, link)
+        op_apply (store, result, op);
+    }
+  else
+    {
+      STAILQ_FOREACH (op, &txn->failure, link)
+        op_apply (store, result, op);
+    }
+  result->revision = store->revision;
+  return result;
+}
+
+/* Carry TXN out and return its result, owned by PARENT.  */
+store_result_t *
+fake_store_apply (fake_store_t *store, TALLOC_CTX *parent,
+                  const store_txn_t *txn)
+{
+  store->calls++;
+  return store_apply (store, parent, txn);
+}
+
+/* Return how many transactions were carried out.  */
+unsigned
+fake_store_calls (const fake_store_t *store)
+{
+  return store->calls;
+}
