--- /dev/null
+++ b/agent/group_message.c
@@ -0,0 +1,40 @@
+#include "agent/group_message.h"
+
+static const char *const phase_names[] = {
+  [GROUP_NO_MAP] = "no-map",       [GROUP_STEADY] = "steady",
+  [GROUP_PREPARED] = "prepared",   [GROUP_ARMED] = "armed",
+  [GROUP_COMMITTED] = "committed",
+};
+
+static const char *const order_kind_names[GROUP_ORDER_KIND_COUNT] = {
+  [GROUP_PROMISE] = "promise", [GROUP_CONFIRM] = "confirm",
+  [GROUP_PREPARE] = "prepare", [GROUP_ARM] = "arm",
+  [GROUP_COMMIT] = "commit",   [GROUP_ABORT] = "abort",
+  [GROUP_JOIN] = "join",
+};
+
+/* Return a value below, equal to or above 0 as LEFT is lower than, equal to or
+   higher than RIGHT.  */
+int
+group_fence_compare (group_fence_t left, group_fence_t right)
+{
+  if (left.epoch != right.epoch)
+    return left.epoch < right.epoch ? -1 : 1;
+  if (left.round != right.round)
+    return left.round < right.round ? -1 : 1;
+  return 0;
+}
+
+/* Return the name of PHASE for logs.  */
+const char *
+group_phase_name (group_phase_t phase)
+{
+  return phase_names[phase];
+}
+
+/* Return the name of KIND for logs.  */
+const char *
+group_order_kind_name (group_order_kind_t kind)
+{
+  return order_kind_names[kind];
+}
