Measure the routing policies with the product's router and gate

The model runs entries with router_t and agents with gate_t on a virtual clock before upstreams that batch continuously; the workload draws from a sequence of its own, so that all policies see the same requests. The router keeps the connected upstreams in a pool for each service and model.

--- /dev/null
+++ b/bench/bench_routing.c
@@ -0,0 +1,270 @@
+/* Prints tables of what the routing policies do to callers, on a virtual
+   clock with fixed seeds.  usage: bench-routing TABLE [large]  */
+
+#include "bench/model.h"
+#include "kernel/plugin.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  WARM_UP_MS = 30000,
+  DURATION_MS = 330000,
+  LARGE_DURATION_MS = 60000,
+  SEED = 20260101,
+  TARGET_PERCENT = 95
+};
+
+static const char *const pick_names[]
+    = { "round-robin", "least-reported", "least-tokens", "prefix", NULL };
+
+static const model_options_t today = {
+  .pick = "least-tokens",
+  .admission = "fixed",
+  .order = "fifo",
+  .zones = 3,
+  .entries = 3,
+  .upstreams = 12,
+  .models = 1,
+  .accounts = 10,
+  .maximum_requests = 16,
+  .load = 0.9,
+  .hog_factor = 1,
+  .report_ms = 200,
+  .warm_up_ms = WARM_UP_MS,
+  .duration_ms = DURATION_MS,
+  .seed = SEED,
+};
+
+static const model_options_t large = {
+  .pick = "least-tokens",
+  .admission = "fixed",
+  .order = "fifo",
+  .zones = 4,
+  .entries = 41,
+  .upstreams = 680,
+  .models = 14,
+  .accounts = 810,
+  .maximum_requests = 96,
+  .load = 0.9,
+  .hog_factor = 1,
+  .report_ms = 1000,
+  .warm_up_ms = WARM_UP_MS,
+  .duration_ms = LARGE_DURATION_MS,
+  .seed = SEED,
+};
+
+typedef void (*table_run_t) (model_options_t options);
+
+typedef struct table_command
+{
+  const char *name;
+  const char *summary;
+  table_run_t run;
+} table_command_t;
+
+static void
+run_model (const model_options_t *options, model_t **model,
+           model_result_t *result)
+{
+  *model = model_create (NULL, options);
+  model_run (*model);
+  model_result (*model, result);
+}
+
+static double
+percent_of (size_t part, size_t whole)
+{
+  return whole == 0 ? 0 : 100.0 * (double)part / (double)whole;
+}
+
+static size_t
+count_refused (const model_result_t *result)
+{
+  size_t refused = 0;
+
+  for (size_t i = 0; i < result->count; i++)
+    refused += result->samples[i].is_refused;
+  return refused;
+}
+
+static int64_t
+tail_ms (const model_options_t *options, const model_result_t *result,
+         unsigned percent)
+{
+  return model_first_token_ms (result, percent, WARM_UP_MS,
+                               options->duration_ms, -1);
+}
+
+static void
+print_header (void)
+{
+  printf ("%-16s %6s %8s %8s %9s %8s %8s %8s %8s\n", "policy", "load",
+          "p50_ms", "p95_ms", "good/s", "refused%", "cached%", "hottest",
+          "pick_us");
+}
+
+static void
+print_row (const model_options_t *options, const char *name)
+{
+  model_t *model;
+  model_result_t result;
+
+  run_model (options, &model, &result);
+  printf ("%-16s %6.2f %8lld %8lld %9.2f %8.2f %8.1f %8.2f %8.2f\n", name,
+          options->load, (long long)tail_ms (options, &result, 50),
+          (long long)tail_ms (options, &result, TARGET_PERCENT),
+          model_goodput (&result, WARM_UP_MS, options->duration_ms),
+          percent_of (count_refused (&result), result.count),
+          percent_of (result.cached_tokens, result.prompt_tokens),
+          result.hottest_ratio, result.decision_us);
+  fflush (stdout);
+  model_destroy (model);
+}
+
+static void
+table_policies (model_options_t options)
+{
+  print_header ();
+  for (const char *const *name = pick_names; *name != NULL; name++)
+    {
+      options.pick = *name;
+      print_row (&options, *name);
+    }
+}
+
+static void
+table_lag (model_options_t options)
+{
+  static const int64_t lags[] = { 200, 1000, 3000 };
+
+  for (size_t i = 0; i < sizeof lags / sizeof lags[0]; i++)
+    {
+      printf ("reports every %lld ms\n", (long long)lags[i]);
+      options.report_ms = lags[i];
+      table_policies (options);
+    }
+}
+
+static void
+table_prefix (model_options_t options)
+{
+  options.has_conversations = true;
+  options.load = 0.8; /* the prompts are longer */
+  print_header ();
+  for (const char *const *name = pick_names; *name != NULL; name++)
+    {
+      options.pick = *name;
+      print_row (&options, *name);
+    }
+  options.pick = "prefix";
+  options.cache_event_ms = 2000;
+  options.cache_loss_percent = 20;
+  print_row (&options, "prefix, events");
+  options.cache_event_ms = 1;
+  options.cache_loss_percent = 0;
+  print_row (&options, "prefix, at once");
+  options.pick = "perfect";
+  print_row (&options, "perfect");
+}
+
+static void
+table_overload (model_options_t options)
+{
+  static const double loads[] = { 0.5, 0.8, 0.9, 1.0, 1.1, 1.3, 1.6, 2.0 };
+
+  print_header ();
+  for (size_t i = 0; i < sizeof loads / sizeof loads[0]; i++)
+    {
+      options.load = loads[i];
+      print_row (&options, options.pick);
+    }
+}
+
+static void
+print_hog_row (const model_options_t *options, const char *name)
+{
+  model_t *model;
+  model_result_t result;
+  uint64_t served = 0;
+  uint64_t hog = 0;
+
+  run_model (options, &model, &result);
+  for (size_t i = 0; i < result.count; i++)
+    {
+      const model_sample_t *sample = &result.samples[i];
+
+      if (!sample->is_whole || sample->ended_ms < WARM_UP_MS
+          || sample->ended_ms >= options->duration_ms)
+        continue;
+      served += sample->output_tokens;
+      hog += sample->account == 0 ? sample->output_tokens : 0;
+    }
+  printf ("%-24s %6.2f %13.1f %12.1f %15lld\n", name, options->load,
+          percent_of (hog, served), 100.0 / options->accounts,
+          (long long)model_first_token_ms (&result, TARGET_PERCENT, WARM_UP_MS,
+                                           DURATION_MS, 0));
+  fflush (stdout);
+  model_destroy (model);
+}
+
+static void
+table_hog (model_options_t options)
+{
+  double factor = 10;
+  double total = options.accounts - 1 + factor;
+
+  printf ("%-24s %6s %13s %12s %15s\n", "run", "load", "account0_%",
+          "its_share_%", "others_p95_ms");
+  print_hog_row (&options, "all at their share");
+  options.hog_factor = factor;
+  options.load *= total / options.accounts;
+  print_hog_row (&options, "account 0 ten times, fifo");
+  options.order = "fair";
+  if (plugin_find (PLUGIN_ORDER, options.order) != NULL)
+    print_hog_row (&options, "account 0 ten times, fair");
+}
+
+static void
+table_scale (model_options_t options)
+{
+  options.models = 1;
+  options.load = 0.2;
+  options.duration_ms = WARM_UP_MS + 2000;
+  print_header ();
+  for (const char *const *name = pick_names; *name != NULL; name++)
+    {
+      options.pick = *name;
+      print_row (&options, *name);
+    }
+}
+
+static const table_command_t tables[] = {
+  { "policies", "policies side by side", table_policies },
+  { "lag", "policies by the age of load reports", table_lag },
+  { "prefix", "policies on conversations", table_prefix },
+  { "overload", "goodput by offered load", table_overload },
+  { "hog", "one account at ten times its share", table_hog },
+  { "scale", "decisions among all upstreams of one model", table_scale },
+};
+
+int
+main (int argc, char **argv)
+{
+  const model_options_t *options
+      = argc > 2 && strcmp (argv[2], "large") == 0 ? &large : &today;
+
+  for (size_t i = 0; argc > 1 && i < sizeof tables / sizeof tables[0]; i++)
+    {
+      if (strcmp (tables[i].name, argv[1]) != 0)
+        continue;
+      tables[i].run (*options);
+      return EXIT_SUCCESS;
+    }
+  fprintf (stderr, "usage: bench-routing TABLE [large]\n");
+  for (size_t i = 0; i < sizeof tables / sizeof tables[0]; i++)
+    fprintf (stderr, "  %-10s %s\n", tables[i].name, tables[i].summary);
+  return EXIT_FAILURE;
+}
--- a/entry/router.c
+++ b/entry/router.c
@@ -135,6 +135,7 @@
       service = talloc_zero (router, router_service_t);
       service->name = talloc_strdup (service, listed->name);
       STAILQ_INIT (&service->members);
+      STAILQ_INIT (&service->pools);
       STAILQ_INSERT_TAIL (&router->services, service, link);
     }
   service->is_listed = true;
@@ -247,17 +248,51 @@
   return peers.preferred < quota;
 }
 
+static router_pool_t *
+router_pool_of (router_service_t *service, uint64_t model_hash)
+{
+  router_pool_t *pool;
+
+  STAILQ_FOREACH (pool, &service->pools, link)
+    {
+      if (pool->model_hash == model_hash)
+        return pool;
+    }
+  pool = talloc_zero (service, router_pool_t);
+  pool->model_hash = model_hash;
+  STAILQ_INIT (&pool->members);
+  STAILQ_INSERT_TAIL (&service->pools, pool, link);
+  return pool;
+}
+
+static void
+router_empty_pools (router_service_t *service)
+{
+  router_pool_t *pool;
+
+  while ((pool = STAILQ_FIRST (&service->pools)) != NULL)
+    {
+      STAILQ_REMOVE_HEAD (&service->pools, link);
+      talloc_free (pool);
+    }
+}
+
 static void
 router_select_links (router_t *router)
 {
   router_upstream_t *upstream;
+  router_pool_t *pool;
   int64_t linked = 0;
 
   STAILQ_FOREACH (upstream, &router->upstreams, link)
     {
       upstream->is_linked
           = upstream->is_listed && router_is_in_subset (router, upstream);
-      linked += upstream->is_linked;
+      if (!upstream->is_linked)
+        continue;
+      pool = router_pool_of (upstream->service, upstream->model_hash);
+      STAILQ_INSERT_TAIL (&pool->members, upstream, pool_link);
+      linked++;
     }
   counter_set (&linked_gauge, linked);
   counter_set (&upstreams_gauge, (int64_t)table_count (router->table));
@@ -275,6 +310,7 @@
     {
       service->is_listed = false;
       STAILQ_INIT (&service->members);
+      router_empty_pools (service);
     }
 }
 
--- a/entry/router_choice.c
+++ b/entry/router_choice.c
@@ -110,28 +110,41 @@
 }
 
 static unsigned
-router_collect (router_t *router, router_service_t *service, unsigned worker,
-                const router_request_t *request)
+router_collect_pool (router_t *router, const router_pool_t *pool,
+                     unsigned worker, const router_request_t *request,
+                     unsigned count)
 {
-  uint64_t model_hash = router_text_hash (request->model);
   const router_upstream_t *upstream;
-  unsigned count = 0;
 
-  STAILQ_FOREACH (upstream, &service->members, member_link)
+  STAILQ_FOREACH (upstream, &pool->members, pool_link)
     {
       if (!upstream->is_allowed || upstream->is_leaving
-          || (upstream->reachable_workers >> worker & 1) == 0)
-        continue;
-      if (model_hash != 0 && upstream->model_hash != 0
-          && model_hash != upstream->model_hash)
-        continue;
-      if (router_was_tried (request, upstream->candidate.name))
+          || (upstream->reachable_workers >> worker & 1) == 0
+          || router_was_tried (request, upstream->candidate.name))
         continue;
       router->candidates[count++] = &upstream->candidate;
     }
   return count;
 }
 
+/* An upstream without a model serves all of its service's.  */
+static unsigned
+router_collect (router_t *router, const router_service_t *service,
+                unsigned worker, const router_request_t *request)
+{
+  uint64_t model_hash = router_text_hash (request->model);
+  const router_pool_t *pool;
+  unsigned count = 0;
+
+  STAILQ_FOREACH (pool, &service->pools, link)
+    {
+      if (model_hash == 0 || pool->model_hash == 0
+          || pool->model_hash == model_hash)
+        count = router_collect_pool (router, pool, worker, request, count);
+    }
+  return count;
+}
+
 static uint64_t
 work_tokens (const pick_work_t *work)
 {
--- a/include/entry/router_state.h
+++ b/include/entry/router_state.h
@@ -13,6 +13,7 @@
   table_node_t node;
   STAILQ_ENTRY (router_upstream) link;
   STAILQ_ENTRY (router_upstream) member_link; /* of SERVICE */
+  STAILQ_ENTRY (router_upstream) pool_link;   /* of a pool of SERVICE */
   router_service_t *service;
   char *address;
   char *model;
@@ -25,6 +26,14 @@
   pick_candidate_t candidate; /* kept current, owned by the upstream */
 } router_upstream_t;
 
+/* The upstreams of one service and model that the entry connects to.  */
+typedef struct router_pool
+{
+  STAILQ_ENTRY (router_pool) link;
+  uint64_t model_hash;
+  STAILQ_HEAD (, router_upstream) members;
+} router_pool_t;
+
 struct router_service
 {
   STAILQ_ENTRY (router_service) link;
@@ -35,6 +44,7 @@
   pick_t *pick;
   int64_t first_byte_us; /* smoothed */
   STAILQ_HEAD (, router_upstream) members;
+  STAILQ_HEAD (, router_pool) pools;
 };
 
 struct router
