--- a/common/daemon.c
+++ b/common/daemon.c
@@ -31,6 +31,8 @@
   http_server_t *admin;
   void *state;
   task_t stop_task;
+  void (*on_finish) (void *data);
+  void *finish_data;
 };
 
 typedef struct daemon_arguments
@@ -144,6 +146,21 @@
   daemon->program->stop (daemon->state);
 }
 
+/* Begin the planned stop.  Callable from any thread.  */
+void
+daemon_stop (daemon_t *daemon)
+{
+  daemon->stop_task.run = daemon_run_stop;
+  worker_post (pool_worker (daemon->pool, 0), &daemon->stop_task);
+}
+
+static void
+daemon_signal_finish (void *data)
+{
+  (void)data;
+  kill (getpid (), SIGUSR1);
+}
+
 static void
 daemon_block_signals (sigset_t *signals)
 {
@@ -166,8 +183,7 @@
     received = sigwaitinfo (signals, NULL);
   while (received != SIGTERM && received != SIGINT);
   log_event (LOG_LEVEL_INFO, "stopping", "signal=%d", received);
-  daemon->stop_task.run = daemon_run_stop;
-  worker_post (pool_worker (daemon->pool, 0), &daemon->stop_task);
+  daemon_stop (daemon);
   received = sigtimedwait (signals, NULL, &daemon->config->stop_timeout);
   if (received == SIGUSR1)
     return EXIT_SUCCESS;
@@ -239,6 +255,7 @@
   argp_err_exit_status = EXIT_USAGE;
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
   daemon->program = program;
+  daemon->on_finish = daemon_signal_finish;
   daemon->config = config_load (daemon, arguments.config_file, findings);
   if (daemon->config == NULL)
     {
@@ -281,6 +298,37 @@
 void
 daemon_finish (daemon_t *daemon)
 {
-  (void)daemon;
-  kill (getpid (), SIGUSR1);
+  daemon->on_finish (daemon->finish_data);
+}
+
+/* Start PROGRAM as a part of the calling process, as several may be.  There
+   are no signals and no counters over HTTP.  Returns NULL with the status
+   message set.  */
+daemon_t *
+daemon_embed (TALLOC_CTX *parent, const daemon_program_t *program,
+              const daemon_parts_t *parts)
+{
+  daemon_t *daemon = talloc_zero (parent, daemon_t);
+
+  if (daemon == NULL)
+    return NULL;
+  daemon->program = program;
+  daemon->config = parts->config;
+  daemon->node = parts->node;
+  daemon->pool = parts->pool;
+  daemon->on_finish = parts->on_finish;
+  daemon->finish_data = parts->data;
+  if (program->start (daemon, &daemon->state) == STATUS_OK)
+    return daemon;
+  daemon_destroy (daemon);
+  return NULL;
+}
+
+/* Free an embedded DAEMON; the workers are at rest.  */
+void
+daemon_destroy (daemon_t *daemon)
+{
+  if (daemon->state != NULL)
+    daemon->program->destroy (daemon->state);
+  talloc_free (daemon);
 }
--- a/include/common/daemon.h
+++ b/include/common/daemon.h
@@ -25,10 +25,25 @@
   void (*destroy) (void *state);
 } daemon_program_t;
 
+/* What daemon_embed builds a daemon from; all stay the caller's.  */
+typedef struct daemon_parts
+{
+  config_t *config;
+  node_t *node;
+  pool_t *pool;
+  void (*on_finish) (void *data); /* the planned stop is done */
+  void *data;
+} daemon_parts_t;
+
 int daemon_main (const daemon_program_t *program, int argc, char **argv);
 const config_t *daemon_config (const daemon_t *daemon);
 node_t *daemon_node (const daemon_t *daemon);
 pool_t *daemon_pool (const daemon_t *daemon);
 void daemon_finish (daemon_t *daemon);
 
+daemon_t *daemon_embed (TALLOC_CTX *parent, const daemon_program_t *program,
+                        const daemon_parts_t *parts);
+void daemon_stop (daemon_t *daemon);
+void daemon_destroy (daemon_t *daemon);
+
 #endif
--- a/tests/process/callers.py
+++ b/tests/process/callers.py
@@ -109,5 +109,5 @@
 
 
 def new_key():
-    """An idempotency key that carries its own time."""
-    return "%d-%s" % (int(time.time()), uuid.uuid4().hex)
+    """An idempotency key, which begins with its time of issue."""
+    return time.strftime("%Y%m%dT%H%M%SZ-", time.gmtime()) + uuid.uuid4().hex
