--- a/common/transport_tcp.c
+++ b/common/transport_tcp.c
@@ -119,8 +119,10 @@
   .close = tcp_close,
 };
 
-static stream_t *
-tcp_create (int fd)
+/* Return a stream over FD, a nonblocking connection, which it closes.  Returns
+   NULL with FD closed when memory is exhausted.  */
+stream_t *
+transport_tcp_adopt (int fd)
 {
   tcp_stream_t *tcp = talloc_zero (NULL, tcp_stream_t);
 
@@ -142,7 +144,8 @@
   int fd;
 
   (void)transport;
-  return net_connect (address, &fd) == STATUS_OK ? tcp_create (fd) : NULL;
+  return net_connect (address, &fd) == STATUS_OK ? transport_tcp_adopt (fd)
+                                                 : NULL;
 }
 
 static void
@@ -151,7 +154,7 @@
 {
   listener_t *listener = data;
   int fd = accept4 (listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-  stream_t *stream = fd < 0 ? NULL : tcp_create (fd);
+  stream_t *stream = fd < 0 ? NULL : transport_tcp_adopt (fd);
 
   (void)events;
   (void)event;
--- a/include/common/transport.h
+++ b/include/common/transport.h
@@ -71,6 +71,7 @@
 };
 
 transport_t *transport_tcp (void);
+stream_t *transport_tcp_adopt (int fd);
 stream_t *transport_connect (transport_t *transport,
                              const net_address_t *address);
 listener_t *transport_listen (transport_t *transport, worker_t *worker,
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -133,8 +133,8 @@
   (void)event;
   (void)flags;
   if (fd >= 0)
-    agent->link = link_accept (agent->fixture->worker, agent->node, fd,
-                               &fake_ops, agent);
+    agent->link = link_accept (agent->fixture->worker, agent->node,
+                               transport_tcp_adopt (fd), &fake_ops, agent);
 }
 
 static void
