--- a/agent/gate.c
+++ b/agent/gate.c
@@ -11,7 +11,8 @@
 
 enum
 {
-  RETRY_AFTER_MS = 500
+  RETRY_AFTER_MS = 500,
+  BROKEN_OFF_MAX_MS = 2000 /* for the upstream to drop what was cancelled */
 };
 
 COUNTER_DEFINE_LABELLED (offers_started, "siskin_gate_offers_total",
@@ -27,6 +28,14 @@
 GAUGE_DEFINE (limit_gauge, "siskin_gate_limit_requests",
               "Requests that the upstream may have at once");
 
+/* Work that was broken off and that the upstream may still have.  */
+typedef struct broken_off
+{
+  STAILQ_ENTRY (broken_off) link;
+  uint64_t tokens;
+  struct timespec at;
+} broken_off_t;
+
 struct gate
 {
   const char *upstream;
@@ -41,10 +50,14 @@
   bool is_zone_out;
   bool is_draining;
   bool is_leaving;
+  bool is_isolated;
+  struct timespec slow_first_token;
+  gate_pace_t pace;
+  TAILQ_HEAD (, gate_work) unanswered; /* oldest first */
+  STAILQ_HEAD (, broken_off) broken_off;
   uint64_t queue_limit;
   uint64_t queued;
-  uint64_t outstanding_requests;
-  uint64_t outstanding_tokens;
+  admission_outstanding_t outstanding; /* what was broken off included */
 };
 
 /* Create the gate of UPSTREAM in ZONE, both kept by reference.  It refuses all
@@ -61,6 +74,8 @@
   gate->zone = zone;
   gate->clock = clock;
   gate->lock = lock_create (gate, LOCK_ADMISSION, "gate");
+  TAILQ_INIT (&gate->unanswered);
+  STAILQ_INIT (&gate->broken_off);
   return gate;
 }
 
@@ -118,6 +133,7 @@
     gate->admission_ops->configure (gate->admission, &config);
   if (status == STATUS_OK)
     {
+      gate->slow_first_token = settings->admission.slow_first_token;
       gate->queue_limit = (uint64_t)settings->admission.queue_requests;
       gate->is_zone_out = !settings_zone_serves (settings, gate->zone);
       gate->is_draining = upstream == NULL || upstream->is_draining;
@@ -149,11 +165,108 @@
              gate->upstream, reason);
 }
 
+/* Count nothing any more for the oldest work that was broken off.  */
+static void
+gate_forget_broken_off (gate_t *gate)
+{
+  broken_off_t *oldest = STAILQ_FIRST (&gate->broken_off);
+
+  STAILQ_REMOVE_HEAD (&gate->broken_off, link);
+  gate->outstanding.requests--;
+  gate->outstanding.tokens -= oldest->tokens;
+  talloc_free (oldest);
+}
+
+static uint64_t
+gate_broken_off_count (const gate_t *gate)
+{
+  const broken_off_t *item;
+  uint64_t count = 0;
+
+  STAILQ_FOREACH (item, &gate->broken_off, link)
+    count++;
+  return count;
+}
+
+/* Take in the upstream's own word, asked for at ASKED_AT.  What was broken off
+   before that is gone once the upstream has no more than the rest.  */
+void
+gate_note_report (gate_t *gate, const admission_report_t *report,
+                  struct timespec asked_at)
+{
+  broken_off_t *oldest;
+
+  lock_acquire (gate->lock);
+  if (gate->admission != NULL)
+    gate->admission_ops->note_report (gate->admission, report,
+                                      clock_monotonic (gate->clock));
+  while (report->has_running
+         && (oldest = STAILQ_FIRST (&gate->broken_off)) != NULL
+         && timespec_compare (oldest->at, asked_at) < 0
+         && report->running + gate_broken_off_count (gate)
+                <= gate->outstanding.requests)
+    gate_forget_broken_off (gate);
+  lock_release (gate->lock);
+}
+
+/* Take in how recently others were heard.  */
+void
+gate_note_contact (gate_t *gate, const gate_contact_t *contact)
+{
+  bool is_isolated = gate_is_isolated (contact);
+  bool was_isolated;
+
+  lock_acquire (gate->lock);
+  was_isolated = gate->is_isolated;
+  gate->is_isolated = is_isolated;
+  lock_release (gate->lock);
+  if (is_isolated != was_isolated)
+    log_event (LOG_LEVEL_WARN, is_isolated ? "isolated" : "contact-restored",
+               "upstream=%s confirmed_age_ms=%llu other_zone_age_ms=%llu",
+               gate->upstream, (unsigned long long)contact->confirmed_age_ms,
+               (unsigned long long)contact->other_zone_age_ms);
+}
+
+static bool
+gate_has_slow_start (gate_t *gate, struct timespec now)
+{
+  gate_work_t *oldest = TAILQ_FIRST (&gate->unanswered);
+
+  if (oldest == NULL
+      || timespec_compare (timespec_subtract (now, oldest->started_at),
+                           gate->slow_first_token)
+             <= 0)
+    return false;
+  TAILQ_REMOVE (&gate->unanswered, oldest, unanswered_link);
+  oldest->is_unanswered = false;
+  return true;
+}
+
+/* Look for work whose first byte is overdue, and stop counting what was broken
+   off long ago.  To be called a few times a second.  */
+void
+gate_check_pace (gate_t *gate)
+{
+  struct timespec now = clock_monotonic (gate->clock);
+  struct timespec limit = timespec_from_ms (BROKEN_OFF_MAX_MS);
+  broken_off_t *oldest;
+  bool is_slow;
+
+  lock_acquire (gate->lock);
+  is_slow = gate_has_slow_start (gate, now);
+  while ((oldest = STAILQ_FIRST (&gate->broken_off)) != NULL
+         && timespec_compare (timespec_subtract (now, oldest->at), limit) >= 0)
+    gate_forget_broken_off (gate);
+  lock_release (gate->lock);
+  if (is_slow)
+    gate_note_cold (gate, "slow-first-token");
+}
+
 static bool
 gate_is_closed (const gate_t *gate, gate_refusal_t *refusal)
 {
   refusal->retry_after_ms = 0;
-  if (!gate->is_configured)
+  if (!gate->is_configured || gate->is_isolated)
     refusal->refusal = REFUSAL_ISOLATED;
   else if (gate->is_zone_out)
     refusal->refusal = REFUSAL_ZONE_OUT;
@@ -170,11 +283,11 @@
   admission_limit_t limit;
 
   gate->admission_ops->limit (gate->admission, now, &limit);
-  if (gate->outstanding_requests >= limit.requests)
+  if (gate->outstanding.requests >= limit.requests)
     return false;
   /* A single request larger than the token limit runs alone.  */
-  return gate->outstanding_requests == 0
-         || gate->outstanding_tokens + tokens <= limit.tokens;
+  return gate->outstanding.requests == 0
+         || gate->outstanding.tokens + tokens <= limit.tokens;
 }
 
 static void
@@ -184,10 +297,12 @@
 
   work->is_started = true;
   work->started_at = now;
-  gate->outstanding_requests++;
-  gate->outstanding_tokens += work->item.tokens;
+  work->is_unanswered = true;
+  TAILQ_INSERT_TAIL (&gate->unanswered, work, unanswered_link);
+  gate->outstanding.requests++;
+  gate->outstanding.tokens += work->item.tokens;
   gate->admission_ops->limit (gate->admission, now, &limit);
-  INVARIANT (gate->outstanding_requests <= limit.requests, "admission-limit");
+  INVARIANT (gate->outstanding.requests <= limit.requests, "admission-limit");
 }
 
 static void
@@ -196,11 +311,32 @@
   admission_limit_t limit;
 
   gate->admission_ops->limit (gate->admission, now, &limit);
-  counter_set (&outstanding_gauge, (int64_t)gate->outstanding_requests);
+  counter_set (&outstanding_gauge, (int64_t)gate->outstanding.requests);
   counter_set (&queued_gauge, (int64_t)gate->queued);
   counter_set (&limit_gauge, (int64_t)limit.requests);
 }
 
+static bool
+gate_is_cold (const gate_t *gate, struct timespec now)
+{
+  admission_limit_t limit;
+
+  gate->admission_ops->limit (gate->admission, now, &limit);
+  return limit.is_cold;
+}
+
+static gate_work_t *
+gate_dequeue (gate_t *gate, order_item_t *item, struct timespec now,
+              bool is_served)
+{
+  gate_work_t *work = CONTAINER_OF (item, gate_work_t, item);
+
+  gate->order_ops->remove (gate->order, item, now, is_served);
+  work->is_queued = false;
+  gate->queued--;
+  return work;
+}
+
 static gate_verdict_t
 gate_enqueue (gate_t *gate, gate_work_t *work, struct timespec now,
               gate_refusal_t *refusal, gate_work_list_t *dropped)
@@ -211,17 +347,15 @@
     victim = gate->order_ops->victim (gate->order, &work->item);
   if (victim == &work->item)
     {
-      refusal->refusal = REFUSAL_OVERLOAD;
+      refusal->refusal
+          = gate_is_cold (gate, now) ? REFUSAL_COLD : REFUSAL_OVERLOAD;
       refusal->retry_after_ms = RETRY_AFTER_MS;
       return GATE_REFUSED;
     }
   if (victim != NULL)
     {
-      gate_work_t *loser = CONTAINER_OF (victim, gate_work_t, item);
+      gate_work_t *loser = gate_dequeue (gate, victim, now, false);
 
-      gate->order_ops->remove (gate->order, victim, now, false);
-      loser->is_queued = false;
-      gate->queued--;
       STAILQ_INSERT_TAIL (dropped, loser, link);
     }
   gate->order_ops->push (gate->order, &work->item, now);
@@ -242,7 +376,8 @@
   lock_acquire (gate->lock);
   if (gate_is_closed (gate, refusal))
     verdict = GATE_REFUSED;
-  else if (timespec_compare (work->item.deadline, now) <= 0)
+  else if (!gate_pace_allows (&gate->pace, work->item.tokens,
+                              work->item.deadline, now))
     {
       refusal->refusal = REFUSAL_DEADLINE;
       verdict = GATE_REFUSED;
@@ -264,44 +399,89 @@
   return verdict;
 }
 
+static void
+gate_end_unanswered (gate_t *gate, gate_work_t *work)
+{
+  if (!work->is_unanswered)
+    return;
+  work->is_unanswered = false;
+  TAILQ_REMOVE (&gate->unanswered, work, unanswered_link);
+}
+
+/* The first byte of the answer to WORK has come.  */
+void
+gate_note_first_byte (gate_t *gate, gate_work_t *work)
+{
+  lock_acquire (gate->lock);
+  gate_end_unanswered (gate, work);
+  lock_release (gate->lock);
+}
+
 /* Account for the end of started WORK.  SAMPLE is NULL when the upstream never
    saw it.  */
 void
 gate_finish (gate_t *gate, gate_work_t *work, const admission_sample_t *sample)
 {
   struct timespec now = clock_monotonic (gate->clock);
+  admission_outstanding_t before;
 
   lock_acquire (gate->lock);
   if (work->is_started)
     {
+      before = gate->outstanding;
       work->is_started = false;
-      gate->outstanding_requests--;
-      gate->outstanding_tokens -= work->item.tokens;
+      gate_end_unanswered (gate, work);
+      gate->outstanding.requests--;
+      gate->outstanding.tokens -= work->item.tokens;
       if (sample != NULL)
-        gate->admission_ops->note_end (gate->admission, sample,
-                                       gate->outstanding_requests, now);
+        {
+          gate_pace_note (&gate->pace, sample, now);
+          gate->admission_ops->note_end (gate->admission, sample, &before,
+                                         now);
+        }
       gate_update_gauges (gate, now);
     }
   lock_release (gate->lock);
 }
 
-/* Take WORK out of the queue if it is there.  */
+/* Started WORK was broken off on this side.  It keeps its place until the
+   upstream is known to have dropped it, or some time has passed.  */
 void
-gate_withdraw (gate_t *gate, gate_work_t *work)
+gate_break_off (gate_t *gate, gate_work_t *work)
 {
+  broken_off_t *item;
+
   lock_acquire (gate->lock);
-  if (work->is_queued)
+  item = work->is_started ? talloc_zero (gate, broken_off_t) : NULL;
+  if (item != NULL)
     {
-      gate->order_ops->remove (gate->order, &work->item,
-                               clock_monotonic (gate->clock), false);
-      work->is_queued = false;
-      gate->queued--;
+      work->is_started = false;
+      gate_end_unanswered (gate, work);
+      item->tokens = work->item.tokens;
+      item->at = clock_monotonic (gate->clock);
+      STAILQ_INSERT_TAIL (&gate->broken_off, item, link);
     }
   lock_release (gate->lock);
 }
 
+/* Take WORK out of the queue if it is there.  Returns false when it has been
+   let start instead.  */
+bool
+gate_withdraw (gate_t *gate, gate_work_t *work)
+{
+  bool is_started;
+
+  lock_acquire (gate->lock);
+  if (work->is_queued)
+    gate_dequeue (gate, &work->item, clock_monotonic (gate->clock), false);
+  is_started = work->is_started;
+  lock_release (gate->lock);
+  return !is_started;
+}
+
 /* Append to STARTED the queued work that may start now, and to EXPIRED what
-   has missed its deadline or, on a closed gate, may not start any more.  */
+   can no longer meet its deadline or, on a closed gate, may not start any
+   more.  */
 void
 gate_take_ready (gate_t *gate, gate_work_list_t *started,
                  gate_work_list_t *expired)
@@ -311,18 +491,20 @@
   order_item_t *item;
 
   lock_acquire (gate->lock);
+  while (gate->queued > 0
+         && (item = gate->order_ops->late (gate->order, now)) != NULL)
+    STAILQ_INSERT_TAIL (expired, gate_dequeue (gate, item, now, false), link);
   while (gate->queued > 0
          && (item = gate->order_ops->peek (gate->order, now)) != NULL)
     {
-      gate_work_t *work = CONTAINER_OF (item, gate_work_t, item);
-      bool is_late = timespec_compare (item->deadline, now) <= 0
-                     || gate_is_closed (gate, &refusal);
+      bool is_late = gate_is_closed (gate, &refusal)
+                     || !gate_pace_allows (&gate->pace, item->tokens,
+                                           item->deadline, now);
+      gate_work_t *work;
 
       if (!is_late && !gate_has_room (gate, item->tokens, now))
         break;
-      gate->order_ops->remove (gate->order, item, now, !is_late);
-      work->is_queued = false;
-      gate->queued--;
+      work = gate_dequeue (gate, item, now, !is_late);
       if (!is_late)
         gate_start (gate, work, now);
       STAILQ_INSERT_TAIL (is_late ? expired : started, work, link);
@@ -340,8 +522,8 @@
 
   memset (load, 0, sizeof *load);
   lock_acquire (gate->lock);
-  load->outstanding_requests = gate->outstanding_requests;
-  load->outstanding_tokens = gate->outstanding_tokens;
+  load->outstanding_requests = gate->outstanding.requests;
+  load->outstanding_tokens = gate->outstanding.tokens;
   load->queued_requests = gate->queued;
   load->is_leaving = gate_is_closed (gate, &refusal);
   if (gate->admission != NULL)
--- /dev/null
+++ b/agent/job_output.c
@@ -0,0 +1,324 @@
+#include "agent/job_state.h"
+
+#include "kernel/counter.h"
+#include "kernel/invariant.h"
+#include "kernel/log.h"
+
+#include <string.h>
+
+enum
+{
+  JOB_LOW_WATER_BYTES = 128 * 1024, /* a paused transfer goes on */
+  JOB_RESUME_MAX_AGE_MS = 60000     /* well under the retention */
+};
+
+COUNTER_DEFINE_LABELLED (ended_ran, "siskin_jobs_ended_total",
+                         "outcome=\"ran\"", "Requests ended at the agent");
+COUNTER_DEFINE_LABELLED (ended_not_run, "siskin_jobs_ended_total",
+                         "outcome=\"not-run\"", "Requests ended at the agent");
+COUNTER_DEFINE_LABELLED (ended_unknown, "siskin_jobs_ended_total",
+                         "outcome=\"unknown\"", "Requests ended at the agent");
+COUNTER_DEFINE (jobs_resumed, "siskin_jobs_resumed_total",
+                "Requests taken up again over a new connection");
+
+/* Return the job with ID, or NULL; the table is locked.  */
+job_t *
+job_find (agent_t *agent, const request_id_t *id)
+{
+  table_node_t *node = table_find (agent->jobs, id, sizeof *id);
+
+  return node == NULL ? NULL : CONTAINER_OF (node, job_t, node);
+}
+
+/* Post TASK of JOB to WORKER; the table is locked.  */
+void
+job_post_locked (job_t *job, task_t *task, worker_t *worker)
+{
+  job->posted++;
+  worker_post (worker, task);
+}
+
+/* A task of JOB has run; the last thing that it does, since the job may be
+   freed afterwards.  */
+void
+job_end_task (job_t *job)
+{
+  table_t *jobs = job->agent->jobs;
+
+  table_lock (jobs);
+  job->posted--;
+  table_unlock (jobs);
+}
+
+/* Have the worker of the entry's connection send what is due.  The table is
+   locked.  */
+void
+job_wake_pump_locked (job_t *job)
+{
+  if (job->output.link == NULL || job->output.is_pump_posted)
+    return;
+  job->output.is_pump_posted = true;
+  job_post_locked (job, &job->pump_task, job->output.link_worker);
+}
+
+static void
+job_send_head_locked (job_t *job)
+{
+  frame_t frame = { .header = { .type = FRAME_HEAD, .request = job->id } };
+
+  frame.body.head.http_status = job->output.http_status;
+  frame.body.head.content_type = job->output.content_type;
+  link_send (job->output.link, &frame);
+  job->output.is_head_sent = true;
+}
+
+static void
+job_send_data_locked (job_t *job)
+{
+  job_output_t *output = &job->output;
+  frame_t frame = { .header = { .type = FRAME_CHUNK, .request = job->id } };
+
+  while (output->sent < output->acknowledged + output->buffered)
+    {
+      size_t start = (size_t)(output->sent - output->acknowledged);
+      size_t size = output->buffered - start;
+
+      if (size > FRAME_CHUNK_BYTES)
+        size = FRAME_CHUNK_BYTES;
+      frame.body.chunk.offset = output->sent;
+      frame.body.chunk.data = (blob_t){ output->buffer + start, size };
+      if (link_send (output->link, &frame) != STATUS_OK)
+        return;
+      output->sent += size;
+    }
+}
+
+static void
+job_send_end_locked (job_t *job)
+{
+  job_output_t *output = &job->output;
+  frame_t frame = { .header = { .request = job->id } };
+
+  if (output->refusal != REFUSAL_NONE)
+    {
+      frame.header.type = FRAME_REFUSE;
+      frame.body.refuse.refusal = output->refusal;
+      frame.body.refuse.outcome = output->outcome;
+      frame.body.refuse.retry_after_ms = output->retry_after_ms;
+      frame.body.refuse.detail = output->detail;
+    }
+  else
+    {
+      frame.header.type = FRAME_END;
+      frame.body.end.outcome = output->outcome;
+      frame.body.end.length = output->acknowledged + output->buffered;
+      frame.body.end.is_complete = output->is_complete;
+      frame.body.end.detail = output->detail;
+    }
+  link_send (output->link, &frame);
+  output->is_end_sent = true;
+}
+
+static void
+job_pump_locked (job_t *job)
+{
+  job_output_t *output = &job->output;
+
+  if (output->is_head_known && !output->is_head_sent)
+    job_send_head_locked (job);
+  job_send_data_locked (job);
+  if (output->is_ended && !output->is_end_sent)
+    job_send_end_locked (job);
+}
+
+/* Send what is due on the entry's connection.  A RESUME may have moved the job
+   to a connection of another worker since this task was posted.  */
+void
+job_run_pump (task_t *task, worker_t *worker)
+{
+  job_t *job = CONTAINER_OF (task, job_t, pump_task);
+  job_output_t *output = &job->output;
+  table_t *jobs = job->agent->jobs;
+
+  table_lock (jobs);
+  job->posted--;
+  output->is_pump_posted = false;
+  if (output->link != NULL && output->link_worker != worker)
+    job_wake_pump_locked (job);
+  else if (output->link != NULL)
+    job_pump_locked (job);
+  table_unlock (jobs);
+}
+
+static void
+job_count_end (outcome_t outcome)
+{
+  if (outcome == OUTCOME_RAN)
+    counter_add (&ended_ran, 1);
+  else if (outcome == OUTCOME_NOT_RUN)
+    counter_add (&ended_not_run, 1);
+  else
+    counter_add (&ended_unknown, 1);
+}
+
+/* Record the job's end.  REFUSAL is REFUSAL_NONE when the upstream's answer
+   ended, whole if IS_COMPLETE.  */
+void
+job_end (job_t *job, outcome_t outcome, refusal_t refusal, bool is_complete,
+         uint64_t retry_after_ms, const char *detail)
+{
+  job_output_t *output = &job->output;
+
+  if (job->state == JOB_ENDED)
+    return;
+  INVARIANT (outcome != OUTCOME_NOT_RUN || !job->has_forwarded,
+             "not-run-never-forwarded");
+  job->state = JOB_ENDED;
+  table_lock (job->agent->jobs);
+  output->outcome = outcome;
+  output->refusal = refusal;
+  output->is_complete = is_complete;
+  output->retry_after_ms = retry_after_ms;
+  output->detail = talloc_strdup (job, detail);
+  output->is_ended = true;
+  job_wake_pump_locked (job);
+  table_unlock (job->agent->jobs);
+  job_count_end (outcome);
+  log_event (LOG_LEVEL_INFO, "job-ended",
+             "request=%016llx-%llu outcome=%s refusal=%s complete=%d",
+             (unsigned long long)job->id.incarnation,
+             (unsigned long long)job->id.sequence, outcome_name (outcome),
+             refusal_name (refusal), (int)is_complete);
+  atomic_fetch_sub (&job->agent->open_jobs, 1);
+}
+
+/* Record an end without an answer from the upstream.  */
+void
+job_refuse (job_t *job, outcome_t outcome, refusal_t refusal,
+            uint64_t retry_after_ms, const char *detail)
+{
+  job_end (job, outcome, refusal, false, retry_after_ms, detail);
+}
+
+/* Keep BYTES of the answer until the entry has acknowledged them; the table is
+   locked.  Returns false when memory is exhausted.  */
+bool
+job_append_locked (job_t *job, const char *bytes, size_t size)
+{
+  job_output_t *output = &job->output;
+  size_t needed = output->buffered + size;
+  char *larger = output->buffer;
+
+  if (talloc_get_size (larger) < needed)
+    larger = talloc_realloc (job, output->buffer, char, needed * 2);
+  if (larger == NULL)
+    return false;
+  memcpy (larger + output->buffered, bytes, size);
+  output->buffer = larger;
+  output->buffered = needed;
+  return true;
+}
+
+/* The entry has passed the answer on up to the offset in FRAME.  */
+void
+job_acknowledge (agent_worker_t *share, const frame_t *frame)
+{
+  agent_t *agent = share->agent;
+  const frame_offset_t *ack = &frame->body.offset;
+  job_output_t *output;
+  job_t *job;
+
+  table_lock (agent->jobs);
+  job = job_find (agent, &frame->header.request);
+  if (job != NULL)
+    {
+      output = &job->output;
+      if (ack->offset > output->acknowledged
+          && ack->offset <= output->acknowledged + output->buffered)
+        {
+          size_t taken = (size_t)(ack->offset - output->acknowledged);
+
+          output->buffered -= taken;
+          memmove (output->buffer, output->buffer + taken, output->buffered);
+          output->acknowledged = ack->offset;
+        }
+      if (ack->is_final && output->is_ended)
+        output->is_settled = true;
+      if (output->is_paused && output->buffered < JOB_LOW_WATER_BYTES)
+        {
+          output->is_paused = false;
+          job_post_locked (job, &job->continue_task, job->share->worker);
+        }
+    }
+  table_unlock (agent->jobs);
+}
+
+/* Leave a mark that the request was never taken, so that a SUBMIT still on its
+   way over an older connection is ignored.  The table is locked.  */
+static void
+job_refuse_unseen_locked (agent_worker_t *share, link_t *link,
+                          const frame_t *frame)
+{
+  bool is_recent = frame->body.offset.age_ms < JOB_RESUME_MAX_AGE_MS;
+  job_t *job = job_create (share, &frame->header.request);
+
+  if (job == NULL)
+    return;
+  table_insert (share->agent->jobs, &job->node, &job->id, sizeof job->id);
+  job->state = JOB_ENDED;
+  job->output.link = link;
+  job->output.link_worker = share->worker;
+  job->output.is_ended = true;
+  job->output.outcome = is_recent ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN;
+  job->output.refusal = REFUSAL_UPSTREAM;
+  job->output.detail = talloc_strdup (job, "the agent has no such request");
+  job_wake_pump_locked (job);
+}
+
+/* Take a request up again over LINK from the offset in FRAME, after the
+   connection that it was submitted on broke.  */
+void
+job_resume (agent_worker_t *share, link_t *link, const frame_t *frame)
+{
+  agent_t *agent = share->agent;
+  const frame_offset_t *wanted = &frame->body.offset;
+  job_output_t *output;
+  job_t *job;
+
+  table_lock (agent->jobs);
+  job = job_find (agent, &frame->header.request);
+  if (job == NULL)
+    job_refuse_unseen_locked (share, link, frame);
+  else
+    {
+      output = &job->output;
+      output->link = link;
+      output->link_worker = share->worker;
+      output->ticks_without_link = 0;
+      output->is_head_sent = false;
+      output->is_end_sent = false;
+      output->sent = wanted->offset < output->acknowledged
+                         ? output->acknowledged
+                         : wanted->offset;
+      job_wake_pump_locked (job);
+    }
+  table_unlock (agent->jobs);
+  counter_add (&jobs_resumed, 1);
+}
+
+/* LINK is gone: nothing may be sent on it any more.  */
+void
+job_detach_link (agent_t *agent, const link_t *link)
+{
+  table_node_t *node;
+
+  table_lock (agent->jobs);
+  TABLE_FOREACH (node, agent->jobs)
+    {
+      job_t *job = CONTAINER_OF (node, job_t, node);
+
+      if (job->output.link == link)
+        job->output.link = NULL;
+    }
+  table_unlock (agent->jobs);
+}
--- /dev/null
+++ b/agent/job_run.c
@@ -0,0 +1,323 @@
+#include "agent/job_state.h"
+
+#include "agent/claim_key.h"
+#include "kernel/log.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+  JOB_WINDOW_BYTES = 256 * 1024, /* waiting, not acknowledged */
+  JOB_RECORD_MAX_BYTES = 64 * 1024,
+  OUTCOME_GRACE_MS = 30000, /* to learn what must be recorded */
+  HTTP_TOO_MANY_REQUESTS = 429,
+  HTTP_SERVER_ERROR = 500,
+  HTTP_UNAVAILABLE = 503
+};
+
+/* Give the job's place at the gate back and let others start.  */
+void
+job_leave_gate (job_t *job, const admission_sample_t *sample)
+{
+  gate_finish (job->agent->gate, &job->work, sample);
+  agent_start_ready (job->agent);
+}
+
+static void
+job_keep_for_record (job_t *job, const char *bytes, size_t size)
+{
+  char *larger;
+
+  if (job->claim == NULL || job->is_record_too_large)
+    return;
+  if (job->record_size + size > JOB_RECORD_MAX_BYTES)
+    {
+      job->is_record_too_large = true;
+      TALLOC_FREE (job->record);
+      return;
+    }
+  larger
+      = talloc_realloc (job, job->record, char, job->record_size + size + 1);
+  if (larger == NULL)
+    return;
+  memcpy (larger + job->record_size, bytes, size);
+  job->record = larger;
+  job->record_size += size;
+}
+
+static void
+job_set_head_locked (job_t *job, unsigned http_status,
+                     const char *content_type)
+{
+  job->output.is_head_known = true;
+  job->output.http_status = http_status;
+  job->output.content_type = talloc_strdup (job, content_type);
+}
+
+static void
+job_on_head (unsigned http_status, const char *content_type, void *data)
+{
+  job_t *job = data;
+
+  job->has_first_byte = true;
+  job->first_byte_at = clock_monotonic (worker_clock (job->share->worker));
+  gate_note_first_byte (job->agent->gate, &job->work);
+  table_lock (job->agent->jobs);
+  job_set_head_locked (job, http_status, content_type);
+  job_wake_pump_locked (job);
+  table_unlock (job->agent->jobs);
+}
+
+static bool
+job_on_data (const char *bytes, size_t size, void *data)
+{
+  job_t *job = data;
+  job_output_t *output = &job->output;
+  bool is_taken;
+
+  table_lock (job->agent->jobs);
+  is_taken = output->buffered < JOB_WINDOW_BYTES
+             && job_append_locked (job, bytes, size);
+  output->is_paused = !is_taken;
+  if (is_taken)
+    job_wake_pump_locked (job);
+  table_unlock (job->agent->jobs);
+  if (is_taken)
+    job_keep_for_record (job, bytes, size);
+  return is_taken;
+}
+
+static void
+job_finish_claim (job_t *job, bool has_run, bool is_complete)
+{
+  claim_record_t record = { .http_status = job->output.http_status,
+                            .content_type = job->output.content_type,
+                            .body = job->record == NULL ? "" : job->record,
+                            .body_size = job->record_size };
+
+  if (job->claim == NULL)
+    return;
+  if (job->is_record_too_large)
+    record.body = NULL;
+  if (!has_run)
+    job->agent->journal_ops->finish (job->claim, NULL);
+  else if (is_complete)
+    job->agent->journal_ops->finish (job->claim, &record);
+  else
+    job->agent->journal_ops->abandon (job->claim);
+  job->claim = NULL;
+}
+
+static void
+job_note_sample (job_t *job, bool is_success)
+{
+  struct timespec now = clock_monotonic (worker_clock (job->share->worker));
+  admission_sample_t sample
+      = { .tokens = job->work.item.tokens, .is_success = is_success };
+
+  sample.duration = timespec_subtract (now, job->work.started_at);
+  sample.first_token
+      = job->has_first_byte
+            ? timespec_subtract (job->first_byte_at, job->work.started_at)
+            : sample.duration;
+  job_leave_gate (job, &sample);
+}
+
+/* Return what the end of the call says of a cold upstream, or NULL.  A passed
+   deadline says nothing: a slow first byte has been noted by then.  */
+static const char *
+job_cold_sign (const job_t *job, status_t status, bool may_have_run)
+{
+  unsigned http_status = job->output.http_status;
+
+  if (status == STATUS_OK)
+    return http_status == HTTP_UNAVAILABLE
+                   || http_status == HTTP_TOO_MANY_REQUESTS
+               ? "upstream-refused"
+               : NULL;
+  if (!may_have_run)
+    return "no-connection";
+  return status == STATUS_TIMEOUT ? NULL : "connection-broken";
+}
+
+static void
+job_settle_gate (job_t *job, status_t status, bool may_have_run)
+{
+  const char *sign = job_cold_sign (job, status, may_have_run);
+
+  if (sign != NULL)
+    gate_note_cold (job->agent->gate, sign);
+  if (status == STATUS_TIMEOUT && may_have_run)
+    {
+      gate_break_off (job->agent->gate, &job->work);
+      return;
+    }
+  job_note_sample (job, status == STATUS_OK
+                            && job->output.http_status < HTTP_SERVER_ERROR);
+}
+
+static void
+job_on_done (status_t status, bool may_have_run, void *data)
+{
+  job_t *job = data;
+  bool is_complete = status == STATUS_OK;
+
+  job->call = NULL;
+  job->has_forwarded = may_have_run;
+  job_finish_claim (job, may_have_run, is_complete);
+  if (is_complete)
+    job_end (job, OUTCOME_RAN, REFUSAL_NONE, true, 0, "");
+  else if (!may_have_run)
+    job_refuse (job, OUTCOME_NOT_RUN, REFUSAL_UPSTREAM, 0, status_message ());
+  else if (job->has_first_byte)
+    job_end (job, OUTCOME_RAN, REFUSAL_NONE, false, 0, status_message ());
+  else
+    job_refuse (job, OUTCOME_UNKNOWN, REFUSAL_UPSTREAM, 0, status_message ());
+  job_settle_gate (job, status, may_have_run);
+}
+
+static const upstream_call_ops_t job_call_ops = {
+  .on_head = job_on_head,
+  .on_data = job_on_data,
+  .on_done = job_on_done,
+};
+
+static void
+job_forward (job_t *job)
+{
+  struct timespec now = clock_monotonic (worker_clock (job->share->worker));
+  upstream_request_t request = { .method = job->method,
+                                 .path = job->path,
+                                 .content_type = job->content_type,
+                                 .body = job->body,
+                                 .body_size = job->body_size,
+                                 .is_sent_once = !job->is_repeatable,
+                                 .key = job->key };
+
+  request.timeout = timespec_subtract (job->work.item.deadline, now);
+  if (!job->is_repeatable)
+    request.timeout
+        = timespec_add (request.timeout, timespec_from_ms (OUTCOME_GRACE_MS));
+  if (timespec_compare (job->work.item.deadline, now) <= 0)
+    {
+      job_finish_claim (job, false, false);
+      job_refuse (job, OUTCOME_NOT_RUN, REFUSAL_DEADLINE, 0, "deadline");
+      job_leave_gate (job, NULL);
+      return;
+    }
+  job->state = JOB_RUNNING;
+  job->has_forwarded = true;
+  job->call = job->agent->upstream_ops->start (job->share->transport, &request,
+                                               &job_call_ops, job);
+  log_event (LOG_LEVEL_INFO, "job-forwarded",
+             "request=%016llx-%llu account=%s service=%s tokens=%llu",
+             (unsigned long long)job->id.incarnation,
+             (unsigned long long)job->id.sequence, job->account, job->service,
+             (unsigned long long)job->work.item.tokens);
+  if (job->call != NULL)
+    return;
+  job->has_forwarded = false;
+  job_finish_claim (job, false, false);
+  job_refuse (job, OUTCOME_NOT_RUN, REFUSAL_UPSTREAM, 0, status_message ());
+  job_leave_gate (job, NULL);
+}
+
+static void
+job_answer_from_record (job_t *job, const claim_record_t *record)
+{
+  if (record->body == NULL)
+    {
+      job_refuse (job, OUTCOME_RAN, REFUSAL_NONE, 0, "");
+      return;
+    }
+  table_lock (job->agent->jobs);
+  job_set_head_locked (job, record->http_status, record->content_type);
+  job_append_locked (job, record->body, record->body_size);
+  table_unlock (job->agent->jobs);
+  job_end (job, OUTCOME_RAN, REFUSAL_NONE, true, 0, "recorded");
+}
+
+static void
+job_on_claimed (claim_verdict_t verdict, const claim_record_t *record,
+                void *data)
+{
+  job_t *job = data;
+
+  if (verdict == CLAIM_GRANTED && job->is_cancelled)
+    {
+      job_finish_claim (job, false, false);
+      job_refuse (job, OUTCOME_NOT_RUN, REFUSAL_CANCELLED, 0, "cancelled");
+      job_leave_gate (job, NULL);
+      return;
+    }
+  if (verdict == CLAIM_GRANTED)
+    {
+      job_forward (job);
+      return;
+    }
+  job->claim = NULL;
+  switch (verdict)
+    {
+    case CLAIM_FINISHED:
+      job_answer_from_record (job, record);
+      break;
+    case CLAIM_KEY_REUSED:
+      job_refuse (job, OUTCOME_NOT_RUN, REFUSAL_KEY_REUSED, 0,
+                  "the key belongs to a different request");
+      break;
+    case CLAIM_UNAVAILABLE:
+      job_refuse (job, OUTCOME_NOT_RUN, REFUSAL_STORE, 0,
+                  "the key could not be claimed in time");
+      break;
+    default:
+      job_refuse (job, OUTCOME_UNKNOWN, REFUSAL_STORE, 0,
+                  "claimed before, no outcome recorded");
+      break;
+    }
+  job_leave_gate (job, NULL);
+}
+
+static uint64_t
+job_fingerprint (const job_t *job)
+{
+  uint64_t parts[3] = { XXH3_64bits (job->method, strlen (job->method)),
+                        XXH3_64bits (job->path, strlen (job->path)),
+                        XXH3_64bits (job->body, job->body_size) };
+
+  return XXH3_64bits (parts, sizeof parts);
+}
+
+/* The gate has let the job start: claim its key if it may run only once, then
+   hand it to the upstream.  */
+void
+job_start (job_t *job)
+{
+  journal_t *journal = atomic_load (&job->agent->journal);
+  claim_request_t request = { .worker = job->share->worker,
+                              .key = job->claim_key,
+                              .account = job->account,
+                              .service = job->service,
+                              .deadline = job->work.item.deadline };
+
+  if (job->is_cancelled || job->state == JOB_ENDED)
+    {
+      job_refuse (job, OUTCOME_NOT_RUN, REFUSAL_CANCELLED, 0, "cancelled");
+      job_leave_gate (job, NULL);
+      return;
+    }
+  if (job->is_repeatable)
+    {
+      job_forward (job);
+      return;
+    }
+  job->state = JOB_CLAIMING;
+  request.fingerprint = job_fingerprint (job);
+  if (journal != NULL)
+    job->claim = job->agent->journal_ops->claim (journal, &request,
+                                                 job_on_claimed, job);
+  if (job->claim != NULL)
+    return;
+  job_refuse (job, OUTCOME_NOT_RUN, REFUSAL_STORE, 0, "no claim journal");
+  job_leave_gate (job, NULL);
+}
--- a/include/agent/gate.h
+++ b/include/agent/gate.h
@@ -1,6 +1,7 @@
 #ifndef SISKIN_AGENT_GATE_H
 #define SISKIN_AGENT_GATE_H
 
+#include "agent/gate_rules.h"
 #include "common/outcome.h"
 #include "common/settings.h"
 #include "kernel/clock.h"
@@ -21,8 +22,10 @@
 {
   order_item_t item;
   STAILQ_ENTRY (gate_work) link; /* in a list handed to the caller */
+  TAILQ_ENTRY (gate_work) unanswered_link;
   bool is_queued;
   bool is_started;
+  bool is_unanswered; /* started, and no byte of the answer has come */
   struct timespec started_at;
 } gate_work_t;
 
@@ -58,11 +61,17 @@
 status_t gate_configure (gate_t *gate, const settings_t *settings);
 void gate_set_leaving (gate_t *gate);
 void gate_note_cold (gate_t *gate, const char *reason);
+void gate_note_report (gate_t *gate, const admission_report_t *report,
+                       struct timespec asked_at);
+void gate_note_contact (gate_t *gate, const gate_contact_t *contact);
+void gate_check_pace (gate_t *gate);
 gate_verdict_t gate_offer (gate_t *gate, gate_work_t *work,
                            gate_refusal_t *refusal, gate_work_list_t *dropped);
+void gate_note_first_byte (gate_t *gate, gate_work_t *work);
 void gate_finish (gate_t *gate, gate_work_t *work,
                   const admission_sample_t *sample);
-void gate_withdraw (gate_t *gate, gate_work_t *work);
+void gate_break_off (gate_t *gate, gate_work_t *work);
+bool gate_withdraw (gate_t *gate, gate_work_t *work);
 void gate_take_ready (gate_t *gate, gate_work_list_t *started,
                       gate_work_list_t *expired);
 void gate_load (gate_t *gate, gate_load_t *load);
--- a/include/plugins/admission.h
+++ b/include/plugins/admission.h
@@ -35,6 +35,22 @@
   bool is_success;
 } admission_sample_t;
 
+/* What the upstream had when the work ended, that work included.  */
+typedef struct admission_outstanding
+{
+  uint64_t requests;
+  uint64_t tokens;
+} admission_outstanding_t;
+
+/* The upstream's own word.  It lags, so it may lower the limit or keep it from
+   growing, and never raises it.  */
+typedef struct admission_report
+{
+  bool is_cold;
+  bool has_running;
+  uint64_t running; /* requests that it has */
+} admission_report_t;
+
 typedef struct admission_ops
 {
   admission_t *(*create) (TALLOC_CTX *parent, const admission_config_t *config,
@@ -44,11 +60,14 @@
   void (*limit) (const admission_t *admission, struct timespec now,
                  admission_limit_t *limit);
   void (*note_end) (admission_t *admission, const admission_sample_t *sample,
-                    uint64_t outstanding_requests, struct timespec now);
+                    const admission_outstanding_t *outstanding,
+                    struct timespec now);
   /* A sign that the upstream is in cold start: a new incarnation, a broken
-     connection, or its own word.  */
+     connection, or a slow first token.  */
   void (*note_cold) (admission_t *admission, struct timespec now,
                      const char *reason);
+  void (*note_report) (admission_t *admission,
+                       const admission_report_t *report, struct timespec now);
 } admission_ops_t;
 
 #endif
--- a/include/plugins/order.h
+++ b/include/plugins/order.h
@@ -30,6 +30,8 @@
   void (*push) (order_t *order, order_item_t *item, struct timespec now);
   /* The item to be served next, which stays queued; NULL when empty.  */
   order_item_t *(*peek) (order_t *order, struct timespec now);
+  /* An item whose deadline has passed; NULL when there is none.  */
+  order_item_t *(*late) (order_t *order, struct timespec now);
   /* Take ITEM out: served when IS_SERVED, else cancelled or expired.  */
   void (*remove) (order_t *order, order_item_t *item, struct timespec now,
                   bool is_served);
--- a/plugins/admission/fixed.c
+++ b/plugins/admission/fixed.c
@@ -42,11 +42,12 @@
 
 static void
 fixed_note_end (admission_t *admission, const admission_sample_t *sample,
-                uint64_t outstanding_requests, struct timespec now)
+                const admission_outstanding_t *outstanding,
+                struct timespec now)
 {
   (void)admission;
   (void)sample;
-  (void)outstanding_requests;
+  (void)outstanding;
   (void)now;
 }
 
@@ -59,6 +60,15 @@
   (void)reason;
 }
 
+static void
+fixed_note_report (admission_t *admission, const admission_report_t *report,
+                   struct timespec now)
+{
+  (void)admission;
+  (void)report;
+  (void)now;
+}
+
 static const admission_ops_t fixed_ops = {
   .create = fixed_create,
   .destroy = fixed_destroy,
@@ -66,6 +76,7 @@
   .limit = fixed_limit,
   .note_end = fixed_note_end,
   .note_cold = fixed_note_cold,
+  .note_report = fixed_note_report,
 };
 
 PLUGIN_REGISTER (fixed, PLUGIN_ADMISSION, "fixed",
--- a/plugins/journal/claims.c
+++ b/plugins/journal/claims.c
@@ -49,6 +49,7 @@
     return NULL;
   claims->entries = table_create (claims, LOCK_CLAIMS, "claims");
   claims->options = *options;
+  claims->batch_limit = options->batch_steps;
   claims->arrival_gap_us = ARRIVAL_GAP_MAX_US;
   TAILQ_INIT (&claims->queue);
   LIST_INIT (&claims->all);
--- a/plugins/journal/claims.h
+++ b/plugins/journal/claims.h
@@ -35,6 +35,7 @@
   bool is_queued;
   bool is_in_flight;
   bool is_unresolved;   /* a claim was sent whose answer has not come */
+  bool was_unresolved;  /* before the call in flight */
   uint64_t fingerprint; /* of the request that VALUE claims for */
   char *writer;
   int64_t claimed_at_ms;
@@ -99,6 +100,7 @@
   journal_claim_list_t decided;
   size_t outcome_bytes; /* of the outcomes that wait to be written */
   unsigned batches_in_flight;
+  unsigned batch_limit; /* steps in the next call */
   unsigned failures; /* calls in a row without an answer */
   struct timespec retry_at;
   struct timespec last_arrival;
--- a/plugins/journal/claims_batch.c
+++ b/plugins/journal/claims_batch.c
@@ -13,6 +13,7 @@
   LEASE_BUCKETS = 16,       /* time buckets in the retention */
   LEASE_BUCKET_MIN_S = 5,
   LEASE_BUCKET_MAX_S = 3600,
+  REFUSED_STEP_MS = 1000, /* a step that the store refuses waits this */
   BATCH_MAX_BYTES = 512 * 1024
 };
 
@@ -166,6 +167,7 @@
     txn_add_release (txn, entry, claims->lease);
   else
     {
+      entry->was_unresolved = entry->is_unresolved;
       entry->is_unresolved = true;
       txn_add_claim (txn, entry, claims->lease);
     }
@@ -213,8 +215,7 @@
   batch->entries = talloc_zero_array (batch, claim_entry_t *,
                                       claims->options.batch_steps);
   for (entry = TAILQ_FIRST (&claims->queue);
-       entry != NULL && batch->count < claims->options.batch_steps;
-       entry = next)
+       entry != NULL && batch->count < claims->batch_limit; entry = next)
     {
       next = TAILQ_NEXT (entry, queue_link);
       if (timespec_compare (entry->due, now) > 0)
@@ -329,17 +330,50 @@
   return true;
 }
 
+/* The store refused the call for something in it: smaller calls find the step
+   that is at fault, and keep it from holding up the rest.  */
+static void
+batch_note_refused (claims_t *claims, claim_batch_t *batch,
+                    struct timespec now)
+{
+  if (batch->count > 1)
+    {
+      claims->batch_limit = batch->count / 2;
+      return;
+    }
+  batch->entries[0]->due
+      = timespec_add (now, timespec_from_ms (REFUSED_STEP_MS));
+  log_event (LOG_LEVEL_ERROR, "claim-step-refused", "path=%s error=\"%s\"",
+             batch->entries[0]->path, status_message ());
+}
+
+static void
+batch_note_answered (claims_t *claims)
+{
+  claims->failures = 0;
+  claims->batch_limit *= 2;
+  if (claims->batch_limit > claims->options.batch_steps)
+    claims->batch_limit = claims->options.batch_steps;
+}
+
 /* No answer came: each step is sent again as it was, with other company.  */
 static void
 batch_repeat (claims_t *claims, claim_batch_t *batch, status_t status,
               struct timespec now)
 {
+  bool has_no_effect = status == STATUS_INVALID || status == STATUS_NOT_FOUND
+                       || status == STATUS_UNAVAILABLE;
+
   claims_note_failure (claims, now);
-  if (status == STATUS_INVALID || claims->failures >= LEASE_DOUBT_FAILURES)
+  if (status == STATUS_NOT_FOUND || claims->failures >= LEASE_DOUBT_FAILURES)
     claims->lease = 0;
+  if (status == STATUS_INVALID)
+    batch_note_refused (claims, batch, now);
   for (unsigned i = 0; i < batch->count; i++)
     {
       batch->entries[i]->is_in_flight = false;
+      if (has_no_effect)
+        batch->entries[i]->is_unresolved = batch->entries[i]->was_unresolved;
       claims_requeue (claims, batch->entries[i]);
       claims_settle (claims, batch->entries[i], now);
     }
@@ -357,7 +391,7 @@
     batch_repeat (claims, batch, status, now);
   else
     {
-      claims->failures = 0;
+      batch_note_answered (claims);
       response = STAILQ_FIRST (&result->responses);
       for (unsigned i = 0; i < batch->count; i++)
         {
--- a/plugins/order/fifo.c
+++ b/plugins/order/fifo.c
@@ -1,3 +1,4 @@
+#include "kernel/clock.h"
 #include "kernel/plugin.h"
 #include "plugins/order.h"
 
@@ -36,6 +37,19 @@
   return TAILQ_FIRST (&order->items);
 }
 
+static order_item_t *
+fifo_late (order_t *order, struct timespec now)
+{
+  order_item_t *item;
+
+  TAILQ_FOREACH (item, &order->items, link)
+    {
+      if (timespec_compare (item->deadline, now) <= 0)
+        return item;
+    }
+  return NULL;
+}
+
 static void
 fifo_remove (order_t *order, order_item_t *item, struct timespec now,
              bool is_served)
@@ -57,6 +71,7 @@
   .destroy = fifo_destroy,
   .push = fifo_push,
   .peek = fifo_peek,
+  .late = fifo_late,
   .remove = fifo_remove,
   .victim = fifo_victim,
 };
