--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -1,4 +1,5 @@
 #include "common/settings.h"
+#include "kernel/plugin.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -78,18 +79,29 @@
   findings_destroy (findings);
 }
 
+/* The names of all plug-ins of KIND, as a finding lists them.  */
+static char *
+known_plugins (TALLOC_CTX *parent, plugin_kind_t kind)
+{
+  char *text = talloc_strdup (parent, "");
+  const plugin_t *plugin;
+
+  for (plugin = plugin_next (kind, NULL); plugin != NULL;
+       plugin = plugin_next (kind, plugin))
+    text = talloc_asprintf_append_buffer (
+        text, "%s%s", text[0] == '\0' ? "" : ", ", plugin->name);
+  return text;
+}
+
 static void
 test_all_findings_have_their_place (void **state)
 {
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  char *expected;
+
   (void)state;
-  assert_findings (
-      RULES_HEAD "[[zone]]\nname = \"z1\"\n" RULES_SERVICES "pick = \"dice\"\n"
-                 "[[service]]\nname = \"more\"\npath = \"/bookings/\"\n"
-                 "[[repeat_never]]\nservice = \"booking\"\npath = \"/other\"\n"
-                 "[limits]\ndefault_deadline = \"9 s\"\n"
-                 "maximum_deadline = \"8 s\"\n"
-                 "[admission]\ncold_requests = 99\ntypo = 1\n",
-      INVENTORY,
+  expected = talloc_asprintf (
+      scratch,
       "rules:29:8: 'typo' is not a known setting\n"
       "rules:8:8: zone 'z1' is there already, on line 3\n"
       "rules:20:8: path '/bookings/' and a model are those of service "
@@ -98,8 +110,17 @@
       "'booking'\n"
       "rules:25:20: 'default_deadline' is above 'maximum_deadline'\n"
       "rules:28:17: 'cold_requests' is above 'maximum_requests'\n"
-      "rules:17:8: pick 'dice' does not exist; there are by-key, "
-      "round-robin\n");
+      "rules:17:8: pick 'dice' does not exist; there are %s\n",
+      known_plugins (scratch, PLUGIN_PICK));
+  assert_findings (
+      RULES_HEAD "[[zone]]\nname = \"z1\"\n" RULES_SERVICES "pick = \"dice\"\n"
+                 "[[service]]\nname = \"more\"\npath = \"/bookings/\"\n"
+                 "[[repeat_never]]\nservice = \"booking\"\npath = \"/other\"\n"
+                 "[limits]\ndefault_deadline = \"9 s\"\n"
+                 "maximum_deadline = \"8 s\"\n"
+                 "[admission]\ncold_requests = 99\ntypo = 1\n",
+      INVENTORY, expected);
+  talloc_free (scratch);
 }
 
 static void
