Start an upstream at what it bears in cold start and grow on evidence

Cause: the only admission policy let the maximum through at once, an agent could not tell that its upstream had restarted, settings that may be out of date kept a cut-off agent serving, and a planned stop polled, told only one worker's entries, and did not wait for outcomes to be written nor for entries to take the last answers.

The policy slow-start begins at the floor, grows by half after a round of good answers to work that started under the present limit and came near to it, and falls to the floor on a restart, a broken or refused connection, a slow or overdue first token, and the upstream's own word. The agent asks the upstream's GET /load twice a second. The gate refuses as isolated when its settings are unconfirmed for 4 s and no process of another zone was heard for 3 s. Load reports go out when they changed enough and as often as 1000 bytes a second permit, changes of state at once. The stop is driven by events.

Ruled out: freeing the place of cancelled work when the report shows no more than the work that goes on, since those may be the cancelled ones (test_broken_off_work_keeps_its_place).

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -3,8 +3,9 @@
 #include "agent/program.h"
 
 #include "agent/job.h"
+#include "agent/peer.h"
+#include "agent/stop.h"
 #include "common/settings_source.h"
-#include "kernel/counter.h"
 #include "kernel/log.h"
 #include "kernel/plugin.h"
 
@@ -14,21 +15,9 @@
 enum
 {
   TICK_MS = 200,
-  AGE_TICKS = 5, /* ticks a second, for the jobs' age */
-  STOP_POLL_MS = 50,
-  LEAVING_NOTICE_MS = 300 /* time for the entries to hear of a planned stop */
+  AGE_TICKS = 5 /* ticks a second, for the jobs' age */
 };
 
-GAUGE_DEFINE (peers_gauge, "siskin_agent_peers", "Connections from entries");
-
-/* A connection on its way to the worker that will own it.  */
-typedef struct handover
-{
-  task_t task;
-  agent_t *agent;
-  stream_t *stream;
-} handover_t;
-
 /* Return the share that WORKER has of AGENT.  */
 agent_worker_t *
 agent_worker_of (agent_t *agent, const worker_t *worker)
@@ -36,36 +25,6 @@
   return &agent->workers[worker_index (worker)];
 }
 
-static void
-agent_send_load (agent_t *agent, link_t *link)
-{
-  frame_t frame = { .header = { .type = FRAME_LOAD } };
-  gate_load_t load;
-
-  gate_load (agent->gate, &load);
-  frame.body.load.outstanding_requests = load.outstanding_requests;
-  frame.body.load.outstanding_tokens = load.outstanding_tokens;
-  frame.body.load.queued_requests = load.queued_requests;
-  frame.body.load.limit_requests = load.limit.requests;
-  frame.body.load.limit_tokens = load.limit.tokens;
-  frame.body.load.is_cold = load.limit.is_cold;
-  frame.body.load.is_leaving = load.is_leaving;
-  link_send (link, &frame);
-}
-
-/* Tell the entries connected to this worker how loaded the upstream is.  */
-void
-agent_announce_load (agent_worker_t *share)
-{
-  agent_peer_t *peer;
-
-  LIST_FOREACH (peer, &share->peers, peer_link)
-    {
-      if (link_is_open (peer->link))
-        agent_send_load (share->agent, peer->link);
-    }
-}
-
 /* Start the queued work for which there is room, and refuse what has waited
    too long.  Callable from every worker.  */
 void
@@ -88,109 +47,6 @@
     }
 }
 
-static void
-peer_on_open (link_t *link, const frame_hello_t *hello, void *data)
-{
-  agent_peer_t *peer = data;
-
-  (void)hello;
-  agent_send_load (peer->agent, link);
-}
-
-static void
-peer_on_frame (link_t *link, const frame_t *frame, void *data)
-{
-  agent_peer_t *peer = data;
-  agent_worker_t *share = agent_worker_of (peer->agent, link_worker (link));
-
-  switch (frame->header.type)
-    {
-    case FRAME_SUBMIT:
-      job_submit (share, link, frame);
-      agent_send_load (peer->agent, link);
-      break;
-    case FRAME_ACK:
-      job_acknowledge (share, frame);
-      if (frame->body.offset.is_final)
-        agent_send_load (peer->agent, link);
-      break;
-    case FRAME_CANCEL:
-      job_cancel (share, frame);
-      break;
-    case FRAME_RESUME:
-      job_resume (share, link, frame);
-      break;
-    default:
-      link_close (link, "unexpected-frame");
-      break;
-    }
-}
-
-static void
-peer_on_closed (link_t *link, const char *reason, void *data)
-{
-  agent_peer_t *peer = data;
-
-  log_event (LOG_LEVEL_INFO, "peer-closed", "peer=%s reason=%s",
-             link_peer_name (link), reason);
-  job_detach_link (peer->agent, link);
-  LIST_REMOVE (peer, peer_link);
-  counter_add (&peers_gauge, -1);
-  talloc_free (peer);
-}
-
-static const link_ops_t peer_ops = {
-  .on_open = peer_on_open,
-  .on_frame = peer_on_frame,
-  .on_closed = peer_on_closed,
-};
-
-static void
-agent_take_connection (task_t *task, worker_t *worker)
-{
-  handover_t *handover = CONTAINER_OF (task, handover_t, task);
-  agent_t *agent = handover->agent;
-  agent_worker_t *share = agent_worker_of (agent, worker);
-  agent_peer_t *peer = talloc_zero (worker_events (worker), agent_peer_t);
-
-  if (peer == NULL)
-    stream_close (handover->stream);
-  else
-    {
-      peer->agent = agent;
-      peer->link = link_accept (worker, agent->node, handover->stream,
-                                &peer_ops, peer);
-    }
-  if (peer == NULL || peer->link == NULL)
-    talloc_free (peer);
-  else
-    {
-      LIST_INSERT_HEAD (&share->peers, peer, peer_link);
-      counter_add (&peers_gauge, 1);
-    }
-  talloc_free (handover);
-}
-
-static void
-agent_accept (stream_t *stream, void *data)
-{
-  agent_t *agent = data;
-  pool_t *pool = daemon_pool (agent->daemon);
-  handover_t *handover = talloc_zero (NULL, handover_t);
-
-  if (handover == NULL)
-    {
-      stream_close (stream);
-      return;
-    }
-  handover->task.run = agent_take_connection;
-  handover->agent = agent;
-  handover->stream = stream;
-  worker_post (pool_worker (pool, (unsigned)(agent->next_worker++
-                                             % agent->worker_count)),
-               &handover->task);
-}
-
 static status_t
 agent_create_journal (agent_t *agent, const settings_t *settings,
                       const journal_limits_t *limits)
@@ -201,7 +57,9 @@
                                 .store = share->store,
                                 .owner = node_name (agent->node),
                                 .incarnation = node_incarnation (agent->node),
-                                .limits = *limits };
+                                .limits = *limits,
+                                .on_idle = stop_on_journal_idle,
+                                .data = agent };
 
   agent->journal_ops = plugin_ops (PLUGIN_JOURNAL, settings->claims.journal);
   if (agent->journal_ops == NULL)
@@ -245,6 +103,50 @@
   settings_release (settings);
 }
 
+static bool
+settings_have_entry_elsewhere (const settings_t *settings, const char *zone)
+{
+  const entry_vm_t *entry_vm;
+
+  STAILQ_FOREACH (entry_vm, &settings->entry_vms, link)
+    {
+      if (strcmp (entry_vm->zone, zone) != 0)
+        return true;
+    }
+  return false;
+}
+
+/* Tell the gate how far this process is in touch with the others.  */
+static void
+agent_note_contact (agent_t *agent)
+{
+  settings_t *settings = node_settings (agent->node);
+  int64_t heard_ms = atomic_load (&agent->other_zone_heard_ms);
+  int64_t now_ms = timespec_to_ms (clock_monotonic (node_clock (agent->node)));
+  gate_contact_t contact
+      = { .confirmed_age_ms = node_confirmed_age_ms (agent->node),
+          .knows_other_zone = heard_ms > 0,
+          .other_zone_age_ms = (uint64_t)(now_ms - heard_ms) };
+
+  if (settings == NULL)
+    return;
+  if (settings_have_entry_elsewhere (settings, node_zone (agent->node)))
+    contact.knows_other_zone = true;
+  settings_release (settings);
+  gate_note_contact (agent->gate, &contact);
+}
+
+/* What one worker does for all.  */
+static void
+agent_tick_common (agent_t *agent)
+{
+  agent_apply_settings (agent);
+  agent_note_contact (agent);
+  gate_check_pace (agent->gate);
+  if (++agent->ticks % AGE_TICKS == 0)
+    job_age_all (agent);
+}
+
 static void agent_arm_tick (agent_worker_t *share);
 
 static void
@@ -253,14 +155,11 @@
   agent_worker_t *share = data;
 
   (void)worker;
+  peer_note_contact (share);
   if (worker_index (share->worker) == 0)
-    {
-      agent_apply_settings (share->agent);
-      if (++share->agent->ticks % AGE_TICKS == 0)
-        job_age_all (share->agent);
-    }
+    agent_tick_common (share->agent);
   agent_start_ready (share->agent);
-  agent_announce_load (share);
+  peer_announce_load (share);
   agent_arm_tick (share);
 }
 
@@ -285,7 +184,7 @@
   agent->listener
       = transport_listen (node_transport (agent->node),
                           pool_worker (daemon_pool (agent->daemon), 0),
-                          &address, &port, agent_accept, agent);
+                          &address, &port, peer_accept, agent);
   if (agent->listener == NULL)
     return STATUS_IO;
   log_event (LOG_LEVEL_INFO, "frames-listening", "port=%u", port);
@@ -312,6 +211,17 @@
   return STATUS_OK;
 }
 
+static void
+agent_start_probe (agent_t *agent)
+{
+  probe_options_t options = { .worker = agent->workers[0].worker,
+                              .upstream_ops = agent->upstream_ops,
+                              .transport = agent->workers[0].transport,
+                              .gate = agent->gate };
+
+  agent->probe = probe_create (agent, &options);
+}
+
 static status_t
 agent_set_up (agent_t *agent)
 {
@@ -329,6 +239,7 @@
     }
   settings_source_create (agent->workers[0].worker, agent->node,
                           agent->store_ops, agent->workers[0].store);
+  agent_start_probe (agent);
   return agent_listen (agent);
 }
 
@@ -353,37 +264,6 @@
   return agent_set_up (agent);
 }
 
-static void
-agent_check_stopped (worker_t *worker, void *data)
-{
-  agent_t *agent = data;
-
-  (void)worker;
-  if (atomic_load (&agent->open_jobs) == 0)
-    {
-      daemon_finish (agent->daemon);
-      return;
-    }
-  worker_timer_start (agent->workers[0].worker, agent,
-                      timespec_from_ms (STOP_POLL_MS), agent_check_stopped,
-                      agent);
-}
-
-/* Planned stop: refuse new work, hand queued work back, tell the entries, and
-   finish what runs.  */
-static void
-agent_stop (void *state)
-{
-  agent_t *agent = state;
-
-  gate_set_leaving (agent->gate);
-  agent_start_ready (agent);
-  agent_announce_load (&agent->workers[0]);
-  worker_timer_start (agent->workers[0].worker, agent,
-                      timespec_from_ms (LEAVING_NOTICE_MS),
-                      agent_check_stopped, agent);
-}
-
 static void
 agent_destroy (void *state)
 {
@@ -408,6 +288,6 @@
   .summary = "The one gate to the upstream beside it",
   .role = NODE_AGENT,
   .start = agent_start,
-  .stop = agent_stop,
+  .stop = stop_begin,
   .destroy = agent_destroy,
 };
--- a/agent/gate.c
+++ b/agent/gate.c
@@ -188,8 +188,8 @@
   return count;
 }
 
-/* Take in the upstream's own word, asked for at ASKED_AT.  What was broken off
-   before that is gone once the upstream has no more than the rest.  */
+/* Take in the upstream's own word, asked for at ASKED_AT.  Of what was broken
+   off before that, no more can be left than the upstream has at all.  */
 void
 gate_note_report (gate_t *gate, const admission_report_t *report,
                   struct timespec asked_at)
@@ -203,8 +203,7 @@
   while (report->has_running
          && (oldest = STAILQ_FIRST (&gate->broken_off)) != NULL
          && timespec_compare (oldest->at, asked_at) < 0
-         && report->running + gate_broken_off_count (gate)
-                <= gate->outstanding.requests)
+         && gate_broken_off_count (gate) > report->running)
     gate_forget_broken_off (gate);
   lock_release (gate->lock);
 }
--- a/agent/job.c
+++ b/agent/job.c
@@ -262,7 +262,10 @@
   table_lock (share->agent->jobs);
   job = job_find (share->agent, &frame->header.request);
   if (job != NULL)
-    job_post_cancel_locked (job);
+    {
+      job->output.link = NULL;
+      job_post_cancel_locked (job);
+    }
   table_unlock (share->agent->jobs);
 }
 
@@ -326,6 +329,26 @@
   table_unlock (agent->jobs);
 }
 
+/* Return how many answers have ended and wait for a connected entry to take
+   them.  */
+size_t
+job_count_unsettled (agent_t *agent)
+{
+  table_node_t *node;
+  size_t count = 0;
+
+  table_lock (agent->jobs);
+  TABLE_FOREACH (node, agent->jobs)
+    {
+      const job_output_t *output = &CONTAINER_OF (node, job_t, node)->output;
+
+      if (output->is_ended && !output->is_settled && output->link != NULL)
+        count++;
+    }
+  table_unlock (agent->jobs);
+  return count;
+}
+
 /* Free all jobs; the workers are at rest.  */
 void
 job_free_all (agent_t *agent)
--- a/agent/job_output.c
+++ b/agent/job_output.c
@@ -1,5 +1,6 @@
 #include "agent/job_state.h"
 
+#include "agent/stop.h"
 #include "kernel/counter.h"
 #include "kernel/invariant.h"
 #include "kernel/log.h"
@@ -190,6 +191,7 @@
              (unsigned long long)job->id.sequence, outcome_name (outcome),
              refusal_name (refusal), (int)is_complete);
   atomic_fetch_sub (&job->agent->open_jobs, 1);
+  stop_note_progress (job->agent);
 }
 
 /* Record an end without an answer from the upstream.  */
@@ -219,6 +221,13 @@
   return true;
 }
 
+static void
+job_settle_locked (job_t *job)
+{
+  job->output.is_settled = true;
+  stop_note_progress (job->agent);
+}
+
 /* The entry has passed the answer on up to the offset in FRAME.  */
 void
 job_acknowledge (agent_worker_t *share, const frame_t *frame)
@@ -243,7 +252,7 @@
           output->acknowledged = ack->offset;
         }
       if (ack->is_final && output->is_ended)
-        output->is_settled = true;
+        job_settle_locked (job);
       if (output->is_paused && output->buffered < JOB_LOW_WATER_BYTES)
         {
           output->is_paused = false;
--- a/common/link.c
+++ b/common/link.c
@@ -512,6 +512,13 @@
   return link->worker;
 }
 
+/* Return when something last came from the peer, on the worker's clock.  */
+struct timespec
+link_last_received (const link_t *link)
+{
+  return link->last_received;
+}
+
 /* Return how many bytes wait to be written.  */
 size_t
 link_pending_bytes (const link_t *link)
--- a/include/agent/agent.h
+++ b/include/agent/agent.h
@@ -2,6 +2,7 @@
 #define SISKIN_AGENT_AGENT_H
 
 #include "agent/gate.h"
+#include "agent/probe.h"
 #include "common/daemon.h"
 #include "common/link.h"
 #include "kernel/table.h"
@@ -21,6 +22,8 @@
   LIST_ENTRY (agent_peer) peer_link;
   agent_t *agent;
   link_t *link;
+  frame_load_t sent_load; /* what the entry was told last */
+  struct timespec sent_load_at;
 } agent_peer_t;
 
 /* One worker's share of the agent.  */
@@ -32,6 +35,8 @@
   store_t *store;
   worker_timer_t *timer;
   LIST_HEAD (, agent_peer) peers;
+  task_t announce_task;
+  atomic_bool is_announce_posted;
 } agent_worker_t;
 
 struct agent
@@ -39,6 +44,7 @@
   daemon_t *daemon;
   node_t *node;
   gate_t *gate;
+  probe_t *probe;
   const upstream_ops_t *upstream_ops;
   const store_ops_t *store_ops;
   const journal_ops_t *journal_ops; /* set before JOURNAL */
@@ -51,11 +57,17 @@
   listener_t *listener;
   uint64_t next_worker; /* worker 0 only */
   uint64_t ticks;       /* worker 0 only */
-  bool is_stopping;     /* worker 0 only */
+  atomic_uint peer_count;
+  atomic_int_fast64_t other_zone_heard_ms; /* monotonic; 0: never */
+  atomic_bool is_stopping;
+  atomic_bool is_stop_posted;
+  task_t stop_task;
+  bool is_notice_over;          /* worker 0 only */
+  bool is_finished;             /* worker 0 only */
+  worker_timer_t *settle_timer; /* worker 0 only */
 };
 
 agent_worker_t *agent_worker_of (agent_t *agent, const worker_t *worker);
-void agent_announce_load (agent_worker_t *share);
 void agent_start_ready (agent_t *agent);
 
 #endif
--- a/include/agent/job.h
+++ b/include/agent/job.h
@@ -16,6 +16,7 @@
 void job_post_start (gate_work_t *work);
 void job_post_expiry (gate_work_t *work);
 void job_age_all (agent_t *agent);
+size_t job_count_unsettled (agent_t *agent);
 void job_free_all (agent_t *agent);
 
 #endif
--- a/plugins/journal/claims.h
+++ b/plugins/journal/claims.h
@@ -101,7 +101,7 @@
   size_t outcome_bytes; /* of the outcomes that wait to be written */
   unsigned batches_in_flight;
   unsigned batch_limit; /* steps in the next call */
-  unsigned failures; /* calls in a row without an answer */
+  unsigned failures;    /* calls in a row without an answer */
   struct timespec retry_at;
   struct timespec last_arrival;
   int64_t arrival_gap_us; /* moving average */
--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -2,9 +2,9 @@
    streamed answer, and a plain booking service.  It keeps the account that
    judges the system: GET /control shows what it received, how many requests it
    had at once and how often each idempotency key ran.  POST /control?... sets
-   cold=N (what it bears; 0 for warm), first_ms, token_ms and work_ms.  The
-   request's "user" stands in every part of the answer, so that a caller can
-   tell its own.  */
+   cold=N (what it bears; 0 for warm), first_ms, token_ms and work_ms, and what
+   GET /load reports: says_cold and incarnation.  The request's "user" stands
+   in every part of the answer, so that a caller can tell its own.  */
 
 #include "standin.h"
 
@@ -44,6 +44,8 @@
   int64_t token_ms;
   int64_t work_ms;
   struct timespec last_received;
+  int64_t incarnation;
+  int64_t says_cold; /* in load reports */
 } upstream_state_t;
 
 typedef struct answer
@@ -224,11 +226,29 @@
   json_decref (root);
 }
 
+/* A load report, as the agent asks for a few times a second.  */
+static void
+load_reply (upstream_state_t *state, http_exchange_t *exchange)
+{
+  char *text = talloc_asprintf (
+      exchange, "{\"incarnation\":\"%lld\",\"is_cold\":%s,\"running\":%lld}\n",
+      (long long)state->incarnation, state->says_cold > 0 ? "true" : "false",
+      (long long)state->open);
+
+  http_reply_text (exchange, 200, "application/json", text);
+}
+
 static void
 upstream_on_request (http_exchange_t *exchange, void *data)
 {
   upstream_state_t *state = data;
 
+  if (strcmp (http_exchange_path (exchange), "/load") == 0)
+    {
+      http_exchange_set_data (exchange, NULL);
+      load_reply (state, exchange);
+      return;
+    }
   if (strcmp (http_exchange_path (exchange), "/control") != 0)
     {
       upstream_serve (state, exchange);
@@ -238,6 +258,8 @@
   control_number (exchange, "first_ms", &state->first_ms);
   control_number (exchange, "token_ms", &state->token_ms);
   control_number (exchange, "work_ms", &state->work_ms);
+  control_number (exchange, "says_cold", &state->says_cold);
+  control_number (exchange, "incarnation", &state->incarnation);
   control_reply (state, exchange);
 }
 
@@ -277,6 +299,7 @@
   state->first_ms = 5;
   state->token_ms = 2;
   state->work_ms = 5;
+  state->incarnation = timespec_to_us (clock_realtime (standin->clock));
   STAILQ_INIT (&state->keys);
   return state;
 }
