--- a/entry/call_answer.c
+++ b/entry/call_answer.c
@@ -91,7 +91,7 @@
              (unsigned long long)call->id.sequence,
              agent_link_upstream (call->agent_link),
              refusal_name (result.refusal), outcome_name (result.outcome));
-  if (call->is_expired)
+  if (call->is_expired && result.refusal == REFUSAL_CANCELLED)
     result.refusal = REFUSAL_DEADLINE;
   if (call->is_head_delivered)
     result.outcome = OUTCOME_RAN;
