Share the queue fairly and ask the upstream through its plug-in

Cause: the only order was first come first served, so one flooding account took every place; the load report was decoded in the agent.

Load reports are now typed and decoded in plugins/upstream. slow-start and fair are the defaults and in the samples.

Ruled out: sorted lists of accounts, linear in the 810 accounts; victims by class first, which lets a flood of an important class empty the queues of the others.

--- a/common/settings_rules.c
+++ b/common/settings_rules.c
@@ -210,8 +210,8 @@
     .maximum_deadline = timespec_from_ms (MAX_DEADLINE_MS)
   };
   settings->admission
-      = (admission_settings_t){ .policy = "fixed",
-                                .order = "fifo",
+      = (admission_settings_t){ .policy = "slow-start",
+                                .order = "fair",
                                 .cold_requests = 1,
                                 .cold_tokens = 2048,
                                 .maximum_requests = 16,
--- a/common/transport_tcp.c
+++ b/common/transport_tcp.c
@@ -142,8 +142,7 @@
   int fd;
 
   (void)transport;
-  return net_connect (address, &fd) == STATUS_OK ? tcp_create (fd)
-                                                 : NULL;
+  return net_connect (address, &fd) == STATUS_OK ? tcp_create (fd) : NULL;
 }
 
 static void
--- a/include/agent/probe.h
+++ b/include/agent/probe.h
@@ -18,14 +18,4 @@
 
 probe_t *probe_create (TALLOC_CTX *parent, const probe_options_t *options);
 
-/* What an upstream answers.  */
-typedef struct probe_report
-{
-  const char *incarnation; /* "" when it names none */
-  admission_report_t admission;
-} probe_report_t;
-
-bool probe_report_parse (TALLOC_CTX *parent, const char *text, size_t size,
-                         probe_report_t *report);
-
 #endif
--- a/include/plugins/order.h
+++ b/include/plugins/order.h
@@ -23,6 +23,8 @@
   void *policy_data;        /* the policy's own */
 } order_item_t;
 
+TAILQ_HEAD (order_item_list, order_item);
+
 typedef struct order_ops
 {
   order_t *(*create) (TALLOC_CTX *parent);
--- a/include/plugins/upstream.h
+++ b/include/plugins/upstream.h
@@ -6,6 +6,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 #include <time.h>
 
 /* The way from an agent to its upstream, on one worker.  */
@@ -34,6 +35,21 @@
   void (*on_done) (status_t status, bool may_have_run, void *data);
 } upstream_call_ops_t;
 
+/* How an upstream says that it is.  */
+typedef struct upstream_report
+{
+  const char *incarnation; /* "" when it names none */
+  bool is_cold;
+  bool has_running;
+  uint64_t running; /* requests that it has */
+} upstream_report_t;
+
+/* REPORT is NULL when STATUS is not STATUS_OK or the upstream lives but gives
+   no reports; it is valid during the call.  */
+typedef void (*upstream_probe_done_t) (status_t status,
+                                       const upstream_report_t *report,
+                                       void *data);
+
 typedef struct upstream_ops
 {
   upstream_transport_t *(*create) (worker_t *worker, const char *url);
@@ -44,6 +60,10 @@
                              const upstream_call_ops_t *ops, void *data);
   void (*cancel) (upstream_call_t *call);
   void (*proceed) (upstream_call_t *call);
+  /* Ask for a report; DONE runs from the loop unless the transport is
+     destroyed before.  NULL when there is no way to ask.  */
+  status_t (*probe) (upstream_transport_t *transport, struct timespec timeout,
+                     upstream_probe_done_t done, void *data);
 } upstream_ops_t;
 
 #endif
--- a/plugins/upstream/http.c
+++ b/plugins/upstream/http.c
@@ -1,9 +1,17 @@
 #include "common/http_client.h"
 #include "kernel/plugin.h"
 #include "plugins/upstream.h"
+#include "plugins/upstream/report.h"
 
+#include <string.h>
 #include <talloc.h>
 
+enum
+{
+  REPORT_MAX_BYTES = 4096,
+  HTTP_OK = 200
+};
+
 struct upstream_transport
 {
   http_client_t *client;
@@ -112,12 +120,89 @@
   http_call_continue (call->http);
 }
 
+/* A load report on its way.  */
+typedef struct upstream_probe
+{
+  upstream_probe_done_t done;
+  void *data;
+  unsigned http_status;
+  size_t size;
+  char text[REPORT_MAX_BYTES];
+} upstream_probe_t;
+
+static void
+probe_on_head (http_call_t *http, unsigned http_status,
+               const char *content_type, void *data)
+{
+  upstream_probe_t *probe = data;
+
+  (void)http;
+  (void)content_type;
+  probe->http_status = http_status;
+}
+
+static bool
+probe_on_data (http_call_t *http, const char *bytes, size_t size, void *data)
+{
+  upstream_probe_t *probe = data;
+
+  (void)http;
+  if (probe->size + size > sizeof probe->text)
+    return true;
+  memcpy (probe->text + probe->size, bytes, size);
+  probe->size += size;
+  return true;
+}
+
+/* An upstream without load reports answers with an error, which at least shows
+   that it lives.  */
+static void
+probe_on_done (http_call_t *http, status_t status, bool may_have_run,
+               void *data)
+{
+  upstream_probe_t *probe = data;
+  upstream_report_t report;
+  bool has_report
+      = status == STATUS_OK && probe->http_status == HTTP_OK
+        && upstream_report_parse (probe, probe->text, probe->size, &report);
+
+  (void)http;
+  (void)may_have_run;
+  probe->done (status, has_report ? &report : NULL, probe->data);
+  talloc_free (probe);
+}
+
+static const http_call_ops_t probe_ops = {
+  .on_head = probe_on_head,
+  .on_data = probe_on_data,
+  .on_done = probe_on_done,
+};
+
+static status_t
+transport_probe (upstream_transport_t *transport, struct timespec timeout,
+                 upstream_probe_done_t done, void *data)
+{
+  upstream_probe_t *probe = talloc_zero (transport, upstream_probe_t);
+  http_call_options_t options = { .method = "GET", .timeout = timeout };
+
+  if (probe == NULL)
+    return status_set (STATUS_NO_MEMORY, "no memory for a probe");
+  probe->done = done;
+  probe->data = data;
+  options.url = talloc_asprintf (probe, "%s/load", transport->url);
+  if (http_call_start (transport->client, &options, &probe_ops, probe) != NULL)
+    return STATUS_OK;
+  talloc_free (probe);
+  return STATUS_UNAVAILABLE;
+}
+
 static const upstream_ops_t http_ops = {
   .create = transport_create,
   .destroy = transport_destroy,
   .start = transport_start,
   .cancel = transport_cancel,
   .proceed = transport_proceed,
+  .probe = transport_probe,
 };
 
 PLUGIN_REGISTER (http, PLUGIN_UPSTREAM, "http", "HTTP by libcurl", &http_ops);
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -23,7 +23,7 @@
   SIM_COLD_REQUESTS = 2
 };
 
-#define SIM_ADMISSION "fixed"
+#define SIM_ADMISSION "slow-start"
 
 typedef struct sim sim_t;
 typedef struct sim_upstream sim_upstream_t;
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -1,7 +1,7 @@
 #include "agent/gate.h"
 #include "agent/peer.h"
-#include "agent/probe.h"
 #include "kernel/invariant.h"
+#include "plugins/upstream/report.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -394,16 +394,16 @@
   static const char text[]
       = "{\"incarnation\":\"i7\",\"is_cold\":true,\"running\":3}";
   TALLOC_CTX *memory = talloc_new (NULL);
-  probe_report_t report;
+  upstream_report_t report;
 
   (void)state;
-  assert_true (probe_report_parse (memory, text, strlen (text), &report));
+  assert_true (upstream_report_parse (memory, text, strlen (text), &report));
   assert_string_equal (report.incarnation, "i7");
-  assert_true (report.admission.is_cold);
-  assert_int_equal (report.admission.running, 3);
-  assert_true (probe_report_parse (memory, "{}", 2, &report));
-  assert_false (report.admission.has_running);
-  assert_false (probe_report_parse (memory, "nothing", 7, &report));
+  assert_true (report.is_cold);
+  assert_int_equal (report.running, 3);
+  assert_true (upstream_report_parse (memory, "{}", 2, &report));
+  assert_false (report.has_running);
+  assert_false (upstream_report_parse (memory, "nothing", 7, &report));
   talloc_free (memory);
 }
 
