Look for faults in the logs of every process test

Cause: an invariant that is found violated is only counted in the programs as shipped, and a sanitizer's report would go unseen. A test now fails when any of its programs wrote one.

--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -17,6 +17,8 @@
 START_TIMEOUT_S = 20
 STOP_TIMEOUT_S = 30
 WORKERS = 2  # of an entry, by default
+FAULT = re.compile("invariant-violated|lock order violated|Sanitizer|"
+                   "runtime error:|talloc: ")
 
 
 class Answer:
@@ -49,6 +51,11 @@
         with open(self.log_name) as stream:
             return stream.read()
 
+    def faults(self):
+        """Lines that no program may write, whatever happens to it."""
+        return ["%s: %s" % (self.name, line)
+                for line in self.text().splitlines() if FAULT.search(line)]
+
     def port(self, pattern):
         return int(wait_until(
             lambda: (m := re.search(pattern, self.text())) and m.group(1),
@@ -91,6 +98,7 @@
         with open(rules) as stream:
             self.rules = stream.read()
         self.programs = {}
+        self.old_faults = []  # of programs that were started again
         self.ports = {}
         self.inventory = ["name,address,zone,kind,service,model,group,rank"]
         self.revision = 0
@@ -103,12 +111,17 @@
             for program in self.programs.values():
                 print("---", program.name)
                 print("\n".join(program.text().splitlines()[-15:]))
+        faults = self.old_faults + [
+            line for program in self.programs.values()
+            for line in program.faults()]
         for program in reversed(list(self.programs.values())):
             program.kill()
         shutil.rmtree(self.folder)
+        assert not faults, faults
 
     def _start(self, name, arguments):
         if name in self.programs:
+            self.old_faults += self.programs[name].faults()
             self.programs[name].kill()
         program = Program(name, arguments, self.folder)
         self.programs[name] = program
