Let a few processes watch the store for all others

Cause: every process read the whole settings from the store each second, which at the target size is 1090 reads a second of more than 100 KB each; a start while the store was down waited for the store; ages of confirmation travelling on frames did not count the time on the way, so a thawed process took old frames for new ones; an older store was not noticed; gate and router learned of settings at their next tick.

Now three entries of each availability zone, by a hash of their names, watch a small key and check it each second; all processes do while they are 32 or fewer. The others ask the store only when what peers' frames confirm is older than 3 s, with jitter, and back off while it does not answer. A check carries the document only when something differs. Frames carry the sender's clock and echo the receiver's, which bounds the age of what they say. One peer at a time is asked for a newer document. A process with peers in its own settings collects from all of them before anything is in force. A store with an older or another revision is logged and counted, and changes nothing. Adoption posts a task to each worker, which applies the settings and shows them to its peers.

Limit: while a VM is frozen with its clock, ages stand still too.

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -272,6 +272,19 @@
                             timespec_from_ms (TICK_MS), agent_tick, share);
 }
 
+/* New settings are known: act on them and show them to the entries at
+   once.  */
+static void
+agent_handle_settings (worker_t *worker, void *data)
+{
+  agent_worker_t *share = data;
+
+  if (worker_index (worker) == 0)
+    agent_apply_settings (share->agent);
+  agent_start_ready (share->agent);
+  agent_announce_load (share);
+}
+
 static status_t
 agent_listen (agent_t *agent)
 {
@@ -309,6 +322,10 @@
   if (share->transport == NULL || share->store == NULL)
     return status_set (STATUS_NO_MEMORY, "cannot set up worker %u", index);
   agent_arm_tick (share);
+  share->subscription.worker = share->worker;
+  share->subscription.handler = agent_handle_settings;
+  share->subscription.data = share;
+  node_subscribe (agent->node, &share->subscription);
   return STATUS_OK;
 }
 
@@ -328,7 +345,8 @@
         return status;
     }
   settings_source_create (agent->workers[0].worker, agent->node,
-                          agent->store_ops, agent->workers[0].store);
+                          daemon_config (agent->daemon), agent->store_ops,
+                          agent->workers[0].store);
   return agent_listen (agent);
 }
 
--- a/common/link.c
+++ b/common/link.c
@@ -14,7 +14,8 @@
   LINK_PENDING_MAX_BYTES = 32 * 1024 * 1024,
   LINK_HELLO_TIMEOUT_MS = 3000,
   LINK_PING_MS = 1000,
-  LINK_SILENCE_MS = 4000 /* without any frame: the peer is gone */
+  LINK_SILENCE_MS = 4000,  /* without any frame: the peer is gone */
+  OFFSET_WINDOW_MS = 60000 /* over which clocks hardly drift apart */
 };
 
 COUNTER_DEFINE (frames_sent, "siskin_frames_sent_total", "Frames sent");
@@ -51,8 +52,13 @@
   uint64_t peer_incarnation;
   struct timespec last_received;
   struct timespec last_sent;
-  uint64_t shown_revision;  /* on the peer's last frame */
-  uint64_t wanted_revision; /* newest revision asked for on this link */
+  uint64_t shown_revision;   /* on the peer's last frame */
+  uint64_t wanted_revision;  /* newest revision asked for on this link */
+  uint64_t refused_revision; /* came on this link and could not be read */
+  uint64_t peer_sent_ms;     /* of the peer's newest frame, by its clock */
+  bool has_offset;
+  int64_t offset_ms; /* peer's clock less ours, at the most */
+  struct timespec offset_at;
   char *input;
   size_t input_used;
   STAILQ_HEAD (, outgoing) output;
@@ -78,6 +84,8 @@
     return;
   link->is_closed = true;
   link->close_reason = reason;
+  if (link->wanted_revision > node_revision (link->node))
+    node_end_fetch (link->node, link->wanted_revision);
   TALLOC_FREE (link->timer);
   stream_close (link->stream);
   link->stream = NULL;
@@ -113,6 +121,13 @@
   stream_want_write (link->stream, !STAILQ_EMPTY (&link->output));
 }
 
+static uint64_t
+link_clock_ms (const link_t *link)
+{
+  return (uint64_t)timespec_to_ms (
+      clock_monotonic (worker_clock (link->worker)));
+}
+
 /* Queue FRAME for the peer; the sender's part of the header is filled in
    here.  Returns STATUS_UNAVAILABLE on a closed link, and STATUS_TOO_LARGE
    for an oversized frame or a peer that does not read.  After an error the
@@ -131,6 +146,8 @@
       return status_set (STATUS_TOO_LARGE, "peer does not read");
     }
   node_fill_header (link->node, &stamped.header);
+  stamped.header.sent_ms = link_clock_ms (link);
+  stamped.header.echo_ms = link->peer_sent_ms;
   out = talloc_zero (link, outgoing_t);
   if (out == NULL)
     return status_set (STATUS_NO_MEMORY, "no memory for a frame");
@@ -177,19 +194,51 @@
                             header->confirmed_age_ms, link->data);
 }
 
+/* The peer sent this frame after it had received our frame of ECHO_MS, which
+   bounds how far its clock can be ahead of ours.  The tightest bound of the
+   window is kept.  */
+static void
+link_note_offset (link_t *link, const frame_header_t *header)
+{
+  struct timespec now = clock_monotonic (worker_clock (link->worker));
+  int64_t offset = (int64_t)header->sent_ms - (int64_t)header->echo_ms;
+
+  link->peer_sent_ms = header->sent_ms;
+  if (header->echo_ms == 0)
+    return;
+  if (link->has_offset && offset > link->offset_ms
+      && timespec_to_ms (timespec_subtract (now, link->offset_at))
+             < OFFSET_WINDOW_MS)
+    return;
+  link->has_offset = true;
+  link->offset_ms = offset;
+  link->offset_at = now;
+}
+
+/* Pass on that the peer's revision was confirmed, with the age that it has at
+   the most by now: a frame may have been long on its way, or have waited for
+   this process to be thawed.  */
+static void
+link_confirm (link_t *link, const frame_header_t *header)
+{
+  int64_t sent = (int64_t)header->sent_ms - link->offset_ms;
+  int64_t transit = (int64_t)link_clock_ms (link) - sent;
+
+  if (!link->has_offset)
+    return;
+  node_confirm (link->node, header->settings_revision,
+                header->confirmed_age_ms
+                    + (uint64_t)(transit < 0 ? 0 : transit));
+}
+
 static void
 link_note_revision (link_t *link, const frame_header_t *header)
 {
-  settings_t *settings = node_settings (link->node);
-  uint64_t revision = settings == NULL ? 0 : settings->revision;
   frame_t want = { .header = { .type = FRAME_SETTINGS_WANT } };
 
-  if (settings != NULL)
-    settings_release (settings);
-  if (header->settings_revision == revision)
-    node_confirm (link->node, revision, header->confirmed_age_ms);
-  if (header->settings_revision <= revision
-      || header->settings_revision <= link->wanted_revision)
+  link_confirm (link, header);
+  if (header->settings_revision == link->refused_revision
+      || !node_begin_fetch (link->node, header->settings_revision))
     return;
   link->wanted_revision = header->settings_revision;
   link_send (link, &want);
@@ -205,6 +254,7 @@
     {
       log_event (LOG_LEVEL_WARN, "settings-refused", "peer=%s error=\"%s\"",
                  link_peer_name (link), status_message ());
+      link->refused_revision = frame->header.settings_revision;
       return;
     }
   link_note_revision (link, &frame->header);
@@ -239,6 +289,7 @@
       link_close (link, "no-hello");
       return;
     }
+  link_note_offset (link, &frame->header);
   switch (frame->header.type)
     {
     case FRAME_HELLO:
--- a/common/node.c
+++ b/common/node.c
@@ -5,12 +5,18 @@
 #include "kernel/lock.h"
 #include "kernel/log.h"
 #include "kernel/random.h"
+#include "kernel/table.h"
 
 #include <string.h>
 
 /* Reported while no revision has been confirmed at all.  */
 #define AGE_UNCONFIRMED_MS ((uint64_t)INT32_MAX)
 
+enum
+{
+  FETCH_TIMEOUT_MS = 1000 /* then another peer may be asked */
+};
+
 GAUGE_DEFINE (settings_revision, "siskin_settings_revision",
               "Revision of the settings in force");
 COUNTER_DEFINE (settings_adopted, "siskin_settings_adopted_total",
@@ -26,8 +32,12 @@
   transport_t *transport;
   lock_t *lock;
   settings_t *settings; /* NULL until the first revision is known */
+  bool is_held;         /* settings are collected, but not in force yet */
   bool is_confirmed;
   struct timespec confirmed_at;
+  uint64_t fetch_revision; /* asked for last, of one peer */
+  struct timespec fetch_at;
+  STAILQ_HEAD (, node_subscription) subscriptions;
 };
 
 static int
@@ -54,6 +64,7 @@
   node->clock = clock;
   node->transport = transport_tcp ();
   node->lock = lock_create (node, LOCK_SETTINGS, "settings");
+  STAILQ_INIT (&node->subscriptions);
   node->incarnation = random_next ();
   talloc_set_destructor (node, node_free);
   return node;
@@ -117,20 +128,131 @@
 }
 
 /* Return the settings in force with a reference that the caller gives back
-   with settings_release, or NULL when none are known yet.  */
+   with settings_release, or NULL when none are in force yet.  */
 settings_t *
 node_settings (node_t *node)
 {
   settings_t *settings;
 
   lock_acquire (node->lock);
-  settings = node->settings;
+  settings = node->is_held ? NULL : node->settings;
   if (settings != NULL)
     settings_retain (settings);
   lock_release (node->lock);
   return settings;
 }
 
+static void
+subscription_run (task_t *task, worker_t *worker)
+{
+  node_subscription_t *subscription
+      = CONTAINER_OF (task, node_subscription_t, task);
+
+  atomic_store (&subscription->is_posted, false);
+  subscription->handler (worker, subscription->data);
+}
+
+/* Have SUBSCRIPTION, of which worker, handler and data are set, run after each
+   adoption.  Also runs once now if there are settings already.  */
+void
+node_subscribe (node_t *node, node_subscription_t *subscription)
+{
+  subscription->task.run = subscription_run;
+  atomic_init (&subscription->is_posted, false);
+  lock_acquire (node->lock);
+  STAILQ_INSERT_TAIL (&node->subscriptions, subscription, link);
+  if (node->settings != NULL && !node->is_held
+      && !atomic_exchange (&subscription->is_posted, true))
+    worker_post (subscription->worker, &subscription->task);
+  lock_release (node->lock);
+}
+
+static void
+node_notify_locked (node_t *node)
+{
+  node_subscription_t *subscription;
+
+  if (node->is_held)
+    return;
+  STAILQ_FOREACH (subscription, &node->subscriptions, link)
+    {
+      if (!atomic_exchange (&subscription->is_posted, true))
+        worker_post (subscription->worker, &subscription->task);
+    }
+}
+
+/* Collect settings without putting any in force until node_release.  Peers are
+   not shown the ones collected.  */
+void
+node_hold (node_t *node)
+{
+  lock_acquire (node->lock);
+  node->is_held = node->settings == NULL;
+  lock_release (node->lock);
+}
+
+/* Put the newest settings collected since node_hold in force.  */
+void
+node_release (node_t *node)
+{
+  lock_acquire (node->lock);
+  if (node->is_held)
+    {
+      node->is_held = false;
+      if (node->settings != NULL)
+        node_notify_locked (node);
+    }
+  lock_release (node->lock);
+}
+
+/* Return the newest revision known here, in force or held; 0 for none.  */
+uint64_t
+node_revision (node_t *node)
+{
+  uint64_t revision;
+
+  lock_acquire (node->lock);
+  revision = node->settings == NULL ? 0 : node->settings->revision;
+  lock_release (node->lock);
+  return revision;
+}
+
+/* Return whether the caller should ask its peer for REVISION: it is newer than
+   what is known here, and no other peer has been asked within the fetch
+   timeout.  */
+bool
+node_begin_fetch (node_t *node, uint64_t revision)
+{
+  struct timespec now = clock_monotonic (node->clock);
+  bool is_known;
+  bool is_asked;
+
+  if (revision == 0)
+    return false;
+  lock_acquire (node->lock);
+  is_known = node->settings != NULL && node->settings->revision >= revision;
+  is_asked = node->fetch_revision >= revision
+             && timespec_to_ms (timespec_subtract (now, node->fetch_at))
+                    < FETCH_TIMEOUT_MS;
+  if (!is_known && !is_asked)
+    {
+      node->fetch_revision = revision;
+      node->fetch_at = now;
+    }
+  lock_release (node->lock);
+  return !is_known && !is_asked;
+}
+
+/* The peer asked for REVISION is gone; another may be asked at once.  */
+void
+node_end_fetch (node_t *node, uint64_t revision)
+{
+  lock_acquire (node->lock);
+  if (node->fetch_revision == revision)
+    node->fetch_revision = 0;
+  lock_release (node->lock);
+}
+
 /* Put the settings in DOCUMENT in force when their revision is higher than
    the present one; an older or equal document changes nothing and is no
    error.  Returns STATUS_INVALID when the document cannot be read.  */
@@ -152,6 +274,7 @@
       previous = node->settings;
       node->settings = settings;
       node->is_confirmed = false;
+      node_notify_locked (node);
     }
   else
     previous = settings;
@@ -227,7 +350,7 @@
   lock_acquire (node->lock);
   header->incarnation = node->incarnation;
   header->settings_revision
-      = node->settings == NULL ? 0 : node->settings->revision;
+      = node->settings == NULL || node->is_held ? 0 : node->settings->revision;
   header->confirmed_age_ms = node_age_locked (node);
   lock_release (node->lock);
 }
--- a/ctl/commands/status.c
+++ b/ctl/commands/status.c
@@ -97,7 +97,7 @@
       report_error (ctl, "the store has no settings yet");
       return CTL_FAULTS;
     }
-  survey = survey_run (ctl, current.document, 0);
+  survey = survey_run (ctl, &current, 0);
   if (survey == NULL)
     return CTL_FAULTS;
   status_print_marks (ctl, survey->settings);
--- a/ctl/revision.c
+++ b/ctl/revision.c
@@ -38,6 +38,7 @@
   exchange_t exchange;
 
   memset (current, 0, sizeof *current);
+  current->read_at = clock_monotonic (ctl->clock);
   store_txn_then (txn, STORE_GET, STORE_KEY_SETTINGS, NULL);
   if (exchange_run (ctl, txn, &exchange) != STATUS_OK)
     return CTL_UNAVAILABLE;
@@ -164,6 +165,9 @@
   history_key (key, STORE_PREFIX_HISTORY, parts->revision);
   store_txn_if_revision (txn, STORE_KEY_SETTINGS, based_on->mod_revision);
   store_txn_then (txn, STORE_PUT, STORE_KEY_SETTINGS, document);
+  store_txn_then (
+      txn, STORE_PUT, STORE_KEY_REVISION,
+      settings_revision_mark (ctl->memory, parts->revision, parts->change_id));
   store_txn_then (
       txn, STORE_PUT, key,
       history_format (ctl->memory,
--- a/ctl/survey.c
+++ b/ctl/survey.c
@@ -169,12 +169,12 @@
                 upstream->address, &survey_frame_probe);
 }
 
-/* Ask the processes of the inventory in DOCUMENT, the newest settings, which
-   revision they have, and hand DOCUMENT to those with an older one.  With
+/* Ask the processes of the inventory in CURRENT, the newest settings, which
+   revision they have, and hand these to those with an older one.  With
    WANTED a process is waited for until it has that revision.  Returns NULL,
-   after reporting it, when DOCUMENT cannot be read.  */
+   after reporting it, when CURRENT cannot be read.  */
 survey_t *
-survey_run (ctl_t *ctl, const char *document, uint64_t wanted)
+survey_run (ctl_t *ctl, const revision_t *current, uint64_t wanted)
 {
   survey_t *survey = talloc_zero (ctl->memory, survey_t);
 
@@ -184,13 +184,17 @@
   survey->timeout
       = timespec_from_ms (wanted == 0 ? LOOK_TIMEOUT_MS : CONFIRM_TIMEOUT_MS);
   survey->node = node_create (survey, NODE_CTL, "siskinctl", "", ctl->clock);
-  if (node_adopt (survey->node, document, strlen (document)) != STATUS_OK)
+  if (node_adopt (survey->node, current->document, strlen (current->document))
+      != STATUS_OK)
     {
       report_error (ctl, "the settings in force cannot be read: %s",
                     status_message ());
       return NULL;
     }
   survey->settings = node_settings (survey->node);
+  node_confirm (survey->node, survey->settings->revision,
+                (uint64_t)timespec_to_ms (timespec_subtract (
+                    clock_monotonic (ctl->clock), current->read_at)));
   survey_add_inventory (survey);
   survey_proceed (survey);
   worker_run_until (ctl->worker, &survey->is_done);
@@ -240,8 +244,7 @@
   json_t *missing = json_array ();
   int result = revision_read (ctl, &current);
 
-  survey
-      = result == CTL_OK ? survey_run (ctl, current.document, revision) : NULL;
+  survey = result == CTL_OK ? survey_run (ctl, &current, revision) : NULL;
   if (survey == NULL)
     {
       json_decref (missing);
--- a/entry/agent_link.c
+++ b/entry/agent_link.c
@@ -314,6 +314,21 @@
   return NULL;
 }
 
+/* Show the settings in force here to all agents now, rather than with the next
+   frame that goes there anyway.  */
+void
+agent_link_announce (entry_worker_t *share)
+{
+  frame_t ping = { .header = { .type = FRAME_PING } };
+  agent_link_t *agent_link;
+
+  LIST_FOREACH (agent_link, &share->links, entry_link)
+    {
+      if (agent_link_is_open (agent_link))
+        link_send (agent_link->link, &ping);
+    }
+}
+
 /* Bring the worker's connections in line with the router's targets.  */
 void
 agent_link_refresh (entry_worker_t *share)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -46,12 +46,10 @@
 }
 
 static void
-entry_tick (worker_t *worker, void *data)
+entry_refresh (entry_worker_t *share)
 {
-  entry_worker_t *share = data;
   settings_t *settings = NULL;
 
-  (void)worker;
   if (worker_index (share->worker) == 0)
     settings = node_settings (share->entry->node);
   if (settings != NULL)
@@ -60,9 +58,29 @@
       settings_release (settings);
     }
   entry_follow_router (share);
+}
+
+static void
+entry_tick (worker_t *worker, void *data)
+{
+  entry_worker_t *share = data;
+
+  (void)worker;
+  entry_refresh (share);
   entry_arm_tick (share);
 }
 
+/* New settings are known: act on them and show them to the agents at once.  */
+static void
+entry_handle_settings (worker_t *worker, void *data)
+{
+  entry_worker_t *share = data;
+
+  (void)worker;
+  entry_refresh (share);
+  agent_link_announce (share);
+}
+
 static void
 entry_arm_tick (entry_worker_t *share)
 {
@@ -96,13 +114,17 @@
       if (share->frontend == NULL)
         return STATUS_IO;
       entry_arm_tick (share);
+      share->subscription.worker = share->worker;
+      share->subscription.handler = entry_handle_settings;
+      share->subscription.data = share;
+      node_subscribe (entry->node, &share->subscription);
     }
   log_event (LOG_LEVEL_INFO, "http-listening", "port=%u", port);
   entry->workers[0].store
       = entry->store_ops->create (entry->workers[0].worker, &store_options);
   if (entry->workers[0].store == NULL)
     return STATUS_INVALID;
-  settings_source_create (entry->workers[0].worker, entry->node,
+  settings_source_create (entry->workers[0].worker, entry->node, config,
                           entry->store_ops, entry->workers[0].store);
   return STATUS_OK;
 }
--- a/include/agent/agent.h
+++ b/include/agent/agent.h
@@ -31,6 +31,7 @@
   upstream_transport_t *transport;
   store_t *store;
   worker_timer_t *timer;
+  node_subscription_t subscription;
   LIST_HEAD (, agent_peer) peers;
 } agent_worker_t;
 
--- a/include/common/node.h
+++ b/include/common/node.h
@@ -21,6 +21,19 @@
    functions are safe to call from every worker.  */
 typedef struct node node_t;
 
+/* Runs HANDLER on WORKER soon after new settings were adopted; adoptions that
+   follow each other closely may share a run.  Embedded in the object that
+   wants to know, which must live as long as the node's workers run.  */
+typedef struct node_subscription
+{
+  STAILQ_ENTRY (node_subscription) link;
+  worker_t *worker;
+  worker_handler_t handler;
+  void *data;
+  task_t task;
+  atomic_bool is_posted;
+} node_subscription_t;
+
 node_t *node_create (TALLOC_CTX *parent, node_role_t role, const char *name,
                      const char *zone, const clock_source_t *clock);
 void node_destroy (node_t *node);
@@ -34,6 +47,12 @@
 
 settings_t *node_settings (node_t *node);
 status_t node_adopt (node_t *node, const char *document, size_t size);
+void node_subscribe (node_t *node, node_subscription_t *subscription);
+void node_hold (node_t *node);
+void node_release (node_t *node);
+uint64_t node_revision (node_t *node);
+bool node_begin_fetch (node_t *node, uint64_t revision);
+void node_end_fetch (node_t *node, uint64_t revision);
 void node_confirm (node_t *node, uint64_t revision, uint64_t age_ms);
 uint64_t node_confirmed_age_ms (node_t *node);
 void node_fill_header (node_t *node, frame_header_t *header);
--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -182,6 +182,8 @@
 void settings_parts_destroy (settings_parts_t *parts);
 settings_parts_t *settings_parts_parse (TALLOC_CTX *parent,
                                         const char *document, size_t size);
+char *settings_revision_mark (TALLOC_CTX *parent, uint64_t revision,
+                              const char *change_id);
 char *settings_parts_format (TALLOC_CTX *parent,
                              const settings_parts_t *parts);
 
--- a/include/common/settings_source.h
+++ b/include/common/settings_source.h
@@ -1,6 +1,7 @@
 #ifndef SISKIN_COMMON_SETTINGS_SOURCE_H
 #define SISKIN_COMMON_SETTINGS_SOURCE_H
 
+#include "common/config.h"
 #include "common/node.h"
 #include "kernel/pool.h"
 #include "plugins/store.h"
@@ -9,6 +10,7 @@
 typedef struct settings_source settings_source_t;
 
 settings_source_t *settings_source_create (worker_t *worker, node_t *node,
+                                           const config_t *config,
                                            const store_ops_t *store_ops,
                                            store_t *store);
 void settings_source_destroy (settings_source_t *source);
--- a/include/ctl/revision.h
+++ b/include/ctl/revision.h
@@ -9,6 +9,7 @@
   settings_parts_t *parts; /* revision 0 when there are none yet */
   const char *document;    /* NULL when there is none yet */
   int64_t mod_revision;    /* of the store's key, 0 when absent */
+  struct timespec read_at; /* monotonic, before the store was asked */
 } revision_t;
 
 int revision_read (ctl_t *ctl, revision_t *current);
--- a/include/ctl/survey.h
+++ b/include/ctl/survey.h
@@ -4,6 +4,7 @@
 #include "common/frame.h"
 #include "common/node.h"
 #include "ctl/command.h"
+#include "ctl/revision.h"
 
 typedef struct survey survey_t;
 typedef struct survey_peer survey_peer_t;
@@ -64,7 +65,7 @@
 extern const survey_probe_ops_t survey_frame_probe;
 extern const survey_probe_ops_t survey_health_probe;
 
-survey_t *survey_run (ctl_t *ctl, const char *document, uint64_t wanted);
+survey_t *survey_run (ctl_t *ctl, const revision_t *current, uint64_t wanted);
 int survey_confirm (ctl_t *ctl, uint64_t revision);
 void survey_note (survey_peer_t *peer, uint64_t revision, uint64_t age_ms,
                   const frame_load_t *load);
--- a/include/entry/entry.h
+++ b/include/entry/entry.h
@@ -22,6 +22,7 @@
   store_t *store; /* worker 0 only */
   frontend_t *frontend;
   worker_timer_t *timer;
+  node_subscription_t subscription;
   uint64_t linked_revision;
   LIST_HEAD (, agent_link) links;
   unsigned open_calls;
--- a/include/plugins/store.h
+++ b/include/plugins/store.h
@@ -136,6 +136,9 @@
 } store_ops_t;
 
 #define STORE_KEY_SETTINGS "/siskinspur/settings"
+/* "REVISION CHANGE-ID" of the settings, written with them, so that a check for
+   something newer moves a few bytes only.  */
+#define STORE_KEY_REVISION "/siskinspur/revision"
 #define STORE_PREFIX_HISTORY "/siskinspur/history/"
 #define STORE_PREFIX_DOCUMENTS "/siskinspur/documents/"
 #define STORE_PREFIX_CLAIMS "/siskinspur/claims/"
--- /dev/null
+++ b/tests/process/test_settings.py
@@ -0,0 +1,161 @@
+"""How settings reach every process, and that they never revert."""
+
+import os
+import signal
+import time
+import unittest
+
+from cluster import BUILD, Cluster, wait_until
+
+SAMPLES = os.path.join(os.path.dirname(__file__), "..", "..", "samples")
+NO_STORE = "http://127.0.0.1:1"
+AGENTS = ["style-%d" % i for i in range(3)]
+IN_FORCE_S = 5
+OLD_FRAMES_S = 3
+
+
+class SettingsTest(unittest.TestCase):
+    def setUp(self):
+        self.cluster = Cluster(SAMPLES + "/maracas/rules.toml")
+        self.addCleanup(self.cluster.__exit__, None, None, None)
+        self.cluster.start_store()
+
+    def start_agents(self, without_store=()):
+        for i, name in enumerate(AGENTS):
+            if name in without_store:
+                self.start_without_store(self.cluster.start_upstream, name,
+                                         Cluster.ZONES[i], "model", "style",
+                                         "style-assistant")
+            else:
+                self.cluster.start_upstream(
+                    name, Cluster.ZONES[i], "model", "style",
+                    "style-assistant")
+
+    def start_without_store(self, start, *arguments):
+        port, self.cluster.ports["store"] = self.cluster.ports["store"], 1
+        try:
+            start(*arguments)
+        finally:
+            self.cluster.ports["store"] = port
+
+    def start_entry_with_peers(self, name, peers, store):
+        config = self.cluster._write(name + ".toml", (
+            'name = "%s"\nzone = "%s"\nstore = ["%s"]\npeers = [%s]\n') % (
+                name, Cluster.ZONES[0], store,
+                ", ".join('"127.0.0.1:%d"' % p for p in peers)))
+        entry = self.cluster._start(
+            name, [BUILD + "/entry/siskin-entry", "--config", config])
+        self.cluster.ports[name + "-admin"] = entry.port(
+            r"admin-listening port=(\d+)")
+        self.cluster.ports[name] = entry.port(r"http-listening port=(\d+)")
+
+    def frame_port(self, name):
+        row = [r for r in self.cluster.inventory if r.startswith(name)][0]
+        return int(row.split(",")[1].split(":")[1])
+
+    def change(self, *arguments):
+        result = self.cluster.ctl("--no-wait", *arguments)
+        self.assertEqual(result.returncode, 0, result.stderr)
+        return time.monotonic()
+
+    def wait_in_force(self, names, revision, since):
+        self.cluster.wait_for_settings(names, revision)
+        self.assertLess(time.monotonic() - since, IN_FORCE_S)
+
+    def test_process_cut_off_from_the_store_learns_from_peers(self):
+        self.start_agents(without_store=["style-1"])
+        self.cluster.apply()
+        self.cluster.start_entry("entry-1", Cluster.ZONES[0])
+        self.cluster.wait_for_settings(AGENTS + ["entry-1"], 1)
+        since = self.change("zone", "out", "tt-south-2")
+        self.wait_in_force(AGENTS + ["entry-1"], 2, since)
+        wait_until(lambda: self.cluster.health("style-1")
+                   ["confirmed_age_ms"] < 4000, 20, "a confirmation")
+
+    def test_change_passes_a_paused_process_by(self):
+        self.start_agents()
+        self.cluster.apply()
+        for i in range(2):
+            self.cluster.start_entry("entry-%d" % i, Cluster.ZONES[i])
+        names = AGENTS + ["entry-1"]
+        self.cluster.wait_for_settings(names + ["entry-0"], 1)
+        paused = self.cluster.programs["entry-0"]
+        paused.signal(signal.SIGSTOP)
+        since = self.change("zone", "out", "tt-south-2")
+        self.wait_in_force(names, 2, since)
+        paused.signal(signal.SIGCONT)
+        self.wait_in_force(["entry-0"], 2, time.monotonic())
+
+    def test_thawed_process_does_not_take_old_frames_for_new(self):
+        """What waited in its sockets does not make it look confirmed."""
+        self.start_agents()
+        self.cluster.apply()
+        self.start_entry_with_peers(
+            "entry-1", [self.frame_port("style-0")], NO_STORE)
+        self.cluster.wait_for_settings(["entry-1"], 1)
+        wait_until(lambda: self.cluster.health("entry-1")
+                   ["confirmed_age_ms"] < 4000, 20, "a confirmation")
+        paused = self.cluster.programs["entry-1"]
+        paused.signal(signal.SIGSTOP)
+        for name in AGENTS:
+            sent = self.cluster.metrics(name)["siskin_frames_sent_total"]
+            wait_until(lambda: self.cluster.metrics(name)
+                       ["siskin_frames_sent_total"] > sent, 10, "frames")
+        for name in AGENTS:
+            self.cluster.programs[name + "-agent"].kill()
+        time.sleep(OLD_FRAMES_S)
+        paused.signal(signal.SIGCONT)
+        wait_until(lambda: all(
+            "agent-link-closed upstream=" + name in paused.text()
+            for name in AGENTS), 10, "the ends of the connections")
+        self.assertGreaterEqual(
+            self.cluster.health("entry-1")["confirmed_age_ms"],
+            OLD_FRAMES_S * 1000)
+
+    def test_start_while_the_store_is_down(self):
+        self.start_agents()
+        self.cluster.apply()
+        self.change("zone", "out", "tt-south-1")
+        self.cluster.wait_for_settings(AGENTS, 2)
+        self.cluster.control("store", "mode=down")
+        self.start_entry_with_peers(
+            "entry-1", [1] + [self.frame_port(n) for n in AGENTS],
+            self.cluster.store_url())
+        self.cluster.wait_for_settings(["entry-1"], 2)
+        self.assertNotIn("previous=1", self.cluster.programs[
+            "entry-1"].text())
+        answer = wait_until(
+            lambda: (a := self.cluster.chat("entry-1")).status == 200 and a,
+            10, "an answer")
+        self.assertTrue(answer.is_whole)
+
+    def test_restored_backup_is_not_adopted(self):
+        self.start_agents()
+        self.cluster.apply()
+        self.change("zone", "out", "tt-south-2")
+        self.cluster.wait_for_settings(AGENTS, 2)
+        for key in ["settings", "revision"]:
+            self.cluster.control("store", "forget=/siskinspur/" + key)
+        for name in AGENTS:
+            wait_until(lambda: self.cluster.metrics(name)[
+                "siskin_settings_store_behind_total"] > 0, 10, "the report")
+            self.assertEqual(self.cluster.health(name)["revision"], 2)
+
+    def test_small_site_watches_and_checks_cheaply(self):
+        self.start_agents()
+        self.cluster.apply()
+        self.cluster.wait_for_settings(AGENTS, 1)
+        wait_until(lambda: self.cluster.control("store")["watching"] == 3,
+                   10, "three watches")
+        before = self.cluster.control("store")
+        since = time.monotonic()
+        wait_until(lambda: self.cluster.control("store")["reads"]
+                   >= before["reads"] + 9, 20, "some checks")
+        after = self.cluster.control("store")
+        self.assertGreaterEqual(time.monotonic() - since, 2)
+        self.assertEqual(after["watches"], before["watches"])
+        self.assertEqual(after["writes"], before["writes"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/standin/store_keys.c
+++ b/tests/standin/store_keys.c
@@ -349,6 +349,28 @@
 
 static bool txn_has_writes (const json_t *txn);
 
+static unsigned ops_check (const store_state_t *state, const json_t *ops,
+                           json_t *keys);
+
+/* The two branches of TXN exclude each other, so they may put the same key;
+   what came before in KEYS they may not put.  */
+static unsigned
+txn_check_keys (const store_state_t *state, const json_t *txn, json_t *keys)
+{
+  json_t *success = json_copy (keys);
+  json_t *failure = json_copy (keys);
+  unsigned refusal
+      = ops_check (state, json_object_get (txn, "success"), success);
+
+  if (refusal == 0)
+    refusal = ops_check (state, json_object_get (txn, "failure"), failure);
+  json_object_update (keys, success);
+  json_object_update (keys, failure);
+  json_decref (success);
+  json_decref (failure);
+  return refusal;
+}
+
 /* Check the operations of one branch, noting the keys put in KEYS.  Returns
    the HTTP status of the refusal, or 0.  */
 static unsigned
@@ -364,7 +386,8 @@
       const json_t *put = json_object_get (op, "request_put");
       const json_t *inner = json_object_get (op, "request_txn");
       const char *key = json_string_value (json_object_get (put, "key"));
-      unsigned refusal = 0;
+      unsigned refusal
+          = inner == NULL ? 0 : txn_check_keys (state, inner, keys);
 
       if (put != NULL && (key == NULL || json_object_get (keys, key) != NULL))
         return 400;
@@ -372,10 +395,6 @@
         return 404;
       if (put != NULL)
         json_object_set_new (keys, key, json_true ());
-      if (inner != NULL)
-        refusal = ops_check (state, json_object_get (inner, "success"), keys);
-      if (inner != NULL && refusal == 0)
-        refusal = ops_check (state, json_object_get (inner, "failure"), keys);
       if (refusal != 0)
         return refusal;
     }
@@ -386,15 +405,10 @@
 unsigned
 store_txn_check (const store_state_t *state, const json_t *txn)
 {
-  json_t *success = json_object ();
-  json_t *failure = json_object ();
-  unsigned refusal
-      = ops_check (state, json_object_get (txn, "success"), success);
+  json_t *keys = json_object ();
+  unsigned refusal = txn_check_keys (state, txn, keys);
 
-  if (refusal == 0)
-    refusal = ops_check (state, json_object_get (txn, "failure"), failure);
-  json_decref (success);
-  json_decref (failure);
+  json_decref (keys);
   return refusal;
 }
 
