--- a/include/agent/agent.h
+++ b/include/agent/agent.h
@@ -34,6 +34,7 @@
   upstream_transport_t *transport;
   store_t *store;
   worker_timer_t *timer;
+  node_subscription_t subscription;
   LIST_HEAD (, agent_peer) peers;
   task_t announce_task;
   atomic_bool is_announce_posted;
--- a/tests/standin/store_keys.c
+++ b/tests/standin/store_keys.c
@@ -352,10 +352,10 @@
 static unsigned ops_check (const store_state_t *state, const json_t *ops,
                            json_t *keys);
 
-/* Check both branches of TXN.  Only one of them is carried out, so both may
-   put the same key, but none that KEYS holds already.  */
+/* The two branches of TXN exclude each other, so they may put the same key;
+   what came before in KEYS they may not put.  */
 static unsigned
-branches_check (const store_state_t *state, const json_t *txn, json_t *keys)
+txn_check_keys (const store_state_t *state, const json_t *txn, json_t *keys)
 {
   json_t *success = json_copy (keys);
   json_t *failure = json_copy (keys);
@@ -386,7 +386,8 @@
       const json_t *put = json_object_get (op, "request_put");
       const json_t *inner = json_object_get (op, "request_txn");
       const char *key = json_string_value (json_object_get (put, "key"));
-      unsigned refusal = 0;
+      unsigned refusal
+          = inner == NULL ? 0 : txn_check_keys (state, inner, keys);
 
       if (put != NULL && (key == NULL || json_object_get (keys, key) != NULL))
         return 400;
@@ -394,8 +395,6 @@
         return 404;
       if (put != NULL)
         json_object_set_new (keys, key, json_true ());
-      if (inner != NULL)
-        refusal = branches_check (state, inner, keys);
       if (refusal != 0)
         return refusal;
     }
@@ -407,7 +406,7 @@
 store_txn_check (const store_state_t *state, const json_t *txn)
 {
   json_t *keys = json_object ();
-  unsigned refusal = branches_check (state, txn, keys);
+  unsigned refusal = txn_check_keys (state, txn, keys);
 
   json_decref (keys);
   return refusal;
