Acknowledge an answer every 4 KiB

Cause: a profile of the entry at 32 callers of 64 tokens (cpu-clock samples) shows 41% of its time in send: one frame of acknowledgement goes back for each chunk that comes. Ruled out: msgpack and talloc, below 3% each.

Price: up to 4 KiB more of each open answer stays at the agent.

--- a/entry/call_answer.c
+++ b/entry/call_answer.c
@@ -5,6 +5,7 @@
 
 enum
 {
+  ACKNOWLEDGE_BYTES = 4096,  /* passed on between two acknowledgements */
   RESUME_PATIENCE_MS = 3000, /* for a lost connection to come back */
   RESTART_PATIENCE_MS = 500  /* when the request can start anew elsewhere */
 };
@@ -248,8 +249,8 @@
     }
 }
 
-/* The caller has taken all of the answer but PENDING_BYTES; tell the agent, so
-   that it sends more.  */
+/* The caller has taken all of the answer but PENDING_BYTES; tell the agent now
+   and then, so that it sends more and keeps less.  */
 void
 call_note_taken (call_t *call, uint64_t pending_bytes)
 {
@@ -257,7 +258,8 @@
 
   if (taken > call->taken)
     call->taken = taken;
-  if (call->is_link_lost || call->taken <= call->acknowledged)
+  if (call->is_link_lost
+      || call->taken < call->acknowledged + ACKNOWLEDGE_BYTES)
     return;
   call->acknowledged = call->taken;
   call_send_plain (call, FRAME_ACK, call->taken, false);
