Let operators bring a store that was put back up to date

Cause: processes refuse settings older than theirs, and rightly so, but then nobody could change anything: a change on the older store has a revision that the processes have already.

siskinctl restore asks the processes for the newest settings that they have and writes these to the store with their own revision and change id, by compare-and-swap; status says when it is needed.

Ruled out: telling two changes of one revision number apart on frames; a change made on a restored store before restore is therefore refused and logged by the processes (settings-store-behind), not merged.

--- a/agent/peer.c
+++ b/agent/peer.c
@@ -169,8 +169,7 @@
     {
       int64_t heard_ms;
 
-      if (!link_is_open (peer->link)
-          || link_peer_role (peer->link) == NODE_CTL
+      if (!link_is_open (peer->link) || link_peer_role (peer->link) == NODE_CTL
           || strcmp (link_peer_zone (peer->link), node_zone (agent->node))
                  == 0)
         continue;
--- a/ctl/revision.c
+++ b/ctl/revision.c
@@ -247,6 +247,39 @@
                             : revision_resolve (ctl, parts, &exchange);
 }
 
+/* Write SETTINGS, which processes have in force, over the older CURRENT in the
+   store, with the revision that they have.  Returns CTL_OK, CTL_CONFLICT,
+   CTL_UNAVAILABLE or CTL_UNKNOWN; repeating it does no harm.  */
+int
+revision_put_back (ctl_t *ctl, const revision_t *current,
+                   const settings_t *settings)
+{
+  change_t change
+      = { .revision = settings->revision,
+          .id = settings->change_id,
+          .who = settings->changed_by,
+          .when = settings->changed_at,
+          .why = settings->changed_why,
+          .what = talloc_asprintf (ctl->memory, "put back by %s: %s", ctl->who,
+                                   ctl->why) };
+  store_txn_t *txn = store_txn_create (ctl->memory);
+  char key[HISTORY_KEY_BYTES];
+  exchange_t exchange;
+
+  history_key (key, STORE_PREFIX_HISTORY, settings->revision);
+  store_txn_if_revision (txn, STORE_KEY_SETTINGS, current->mod_revision);
+  store_txn_then (
+      txn, STORE_PUT, STORE_KEY_SETTINGS,
+      talloc_strndup (txn, settings->document, settings->document_size));
+  store_txn_then (
+      txn, STORE_PUT, STORE_KEY_REVISION,
+      settings_revision_mark (txn, settings->revision, settings->change_id));
+  store_txn_then (txn, STORE_PUT, key, history_format (txn, &change));
+  if (exchange_run (ctl, txn, &exchange) != STATUS_OK)
+    return exchange.may_have_run ? CTL_UNKNOWN : CTL_UNAVAILABLE;
+  return exchange.succeeded || exchange.attempts > 1 ? CTL_OK : CTL_CONFLICT;
+}
+
 /* Tell the loser of a race who made CURRENT, when and why, and how it differs
    from MINE, which may be NULL.  */
 void
--- a/ctl/survey.c
+++ b/ctl/survey.c
@@ -68,6 +68,29 @@
     survey_fail (peer, status_message ());
 }
 
+/* PEER is done once it has the revision waited for, and once settings newer
+   than the store's have been fetched from it.  */
+static void
+peer_check (survey_peer_t *peer)
+{
+  if (peer->state == SURVEY_ASKED && peer->is_answered
+      && peer->revision >= peer->survey->wanted
+      && (peer->ops != &survey_frame_probe
+          || peer->revision <= node_revision (peer->survey->node)))
+    peer_finish (peer);
+}
+
+static void
+survey_handle_adoption (worker_t *worker, void *data)
+{
+  survey_t *survey = data;
+  survey_peer_t *peer;
+
+  (void)worker;
+  STAILQ_FOREACH (peer, &survey->peers, link)
+    peer_check (peer);
+}
+
 /* Note what PEER answered.  LOAD may be NULL.  */
 void
 survey_note (survey_peer_t *peer, uint64_t revision, uint64_t age_ms,
@@ -84,8 +107,7 @@
       peer->has_load = true;
       peer->load = *load;
     }
-  if (revision >= peer->survey->wanted)
-    peer_finish (peer);
+  peer_check (peer);
 }
 
 /* PEER cannot be asked, or has not the revision yet and its probe ended.  It
@@ -169,12 +191,8 @@
                 upstream->address, &survey_frame_probe);
 }
 
-/* Ask the processes of the inventory in CURRENT, the newest settings, which
-   revision they have, and hand these to those with an older one.  With
-   WANTED a process is waited for until it has that revision.  Returns NULL,
-   after reporting it, when CURRENT cannot be read.  */
-survey_t *
-survey_run (ctl_t *ctl, const revision_t *current, uint64_t wanted)
+static survey_t *
+survey_create (ctl_t *ctl, uint64_t wanted)
 {
   survey_t *survey = talloc_zero (ctl->memory, survey_t);
 
@@ -184,6 +202,22 @@
   survey->timeout
       = timespec_from_ms (wanted == 0 ? LOOK_TIMEOUT_MS : CONFIRM_TIMEOUT_MS);
   survey->node = node_create (survey, NODE_CTL, "siskinctl", "", ctl->clock);
+  survey->subscription.worker = ctl->worker;
+  survey->subscription.handler = survey_handle_adoption;
+  survey->subscription.data = survey;
+  node_subscribe (survey->node, &survey->subscription);
+  return survey;
+}
+
+/* Ask the processes of the inventory in CURRENT, the newest settings, which
+   revision they have, and hand these to those with an older one.  With WANTED
+   a process is waited for until it has that revision.  Returns NULL, after
+   reporting it, when CURRENT cannot be read.  */
+survey_t *
+survey_run (ctl_t *ctl, const revision_t *current, uint64_t wanted)
+{
+  survey_t *survey = survey_create (ctl, wanted);
+
   if (node_adopt (survey->node, current->document, strlen (current->document))
       != STATUS_OK)
     {
@@ -201,6 +235,21 @@
   return survey;
 }
 
+/* Ask the agents at the COUNT ADDRESSES for the newest settings that they
+   have.  */
+survey_t *
+survey_ask_agents (ctl_t *ctl, char **addresses, int count)
+{
+  survey_t *survey = survey_create (ctl, 0);
+
+  for (int i = 0; i < count; i++)
+    survey_add (survey, "agent", addresses[i], "", addresses[i],
+                &survey_frame_probe);
+  survey_proceed (survey);
+  worker_run_until (ctl->worker, &survey->is_done);
+  return survey;
+}
+
 /* Return whether PEER has shown the newest revision.  */
 bool
 survey_has_newest (const survey_peer_t *peer)
--- a/include/ctl/survey.h
+++ b/include/ctl/survey.h
@@ -58,6 +58,7 @@
   uint64_t wanted;      /* 0 to take the first answer */
   struct timespec timeout;
   struct survey_peers peers;
+  node_subscription_t subscription; /* to NODE */
   unsigned running;
   bool is_done;
 };
@@ -66,6 +67,7 @@
 extern const survey_probe_ops_t survey_health_probe;
 
 survey_t *survey_run (ctl_t *ctl, const revision_t *current, uint64_t wanted);
+survey_t *survey_ask_agents (ctl_t *ctl, char **addresses, int count);
 int survey_confirm (ctl_t *ctl, uint64_t revision);
 void survey_note (survey_peer_t *peer, uint64_t revision, uint64_t age_ms,
                   const frame_load_t *load);
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -140,6 +140,14 @@
             wait_until(lambda: self.cluster.metrics(name)[
                 "siskin_settings_store_behind_total"] > 0, 10, "the report")
             self.assertEqual(self.cluster.health(name)["revision"], 2)
+        status = self.cluster.ctl("status")
+        self.assertEqual(status.returncode, 6)
+        self.assertIn("put back to an older state", status.stderr)
+        self.assertEqual(self.cluster.ctl("restore").returncode, 0)
+        self.assertIn("revision 2 by", self.cluster.ctl("show").stdout)
+        self.assertEqual(self.cluster.ctl("status").returncode, 0)
+        self.change("zone", "in", "tt-south-2")
+        self.cluster.wait_for_settings(AGENTS, 3)
 
     def test_small_site_watches_and_checks_cheaply(self):
         self.start_agents()
