Measure how a change reaches more processes than watch the store

A process test does the same in little (30 agents, 4 entries) and pauses all entries: the agents then ask the store themselves.

--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -149,6 +149,32 @@
         self.change("zone", "in", "tt-south-2")
         self.cluster.wait_for_settings(AGENTS, 3)
 
+    def test_few_watch_for_many(self):
+        """Agents hear from entries, and ask the store when these are mute."""
+        entries = ["entry-%d" % i for i in range(4)]
+        agents = ["style-%02d" % i for i in range(30)]
+        for i, name in enumerate(agents):
+            zone = Cluster.ZONES[i % 3]
+            self.cluster.ports[name] = 1  # no upstream listens
+            port = self.cluster.start_agent(name, zone)
+            self.cluster.inventory.append(
+                "%s,127.0.0.1:%d,%s,model,style,style-assistant,," % (
+                    name, port, zone))
+        for i, name in enumerate(entries):
+            self.cluster.start_entry(name, Cluster.ZONES[i % 3])
+            self.cluster.inventory.append("%s,127.0.0.1:%d,%s,entry,,,," % (
+                name, self.cluster.ports[name], Cluster.ZONES[i % 3]))
+        self.cluster.apply()
+        self.cluster.wait_for_settings(agents + entries, 1)
+        wait_until(lambda: self.cluster.control("store")["watching"]
+                   == len(entries), 20, "the entries alone to watch")
+        since = self.change("zone", "out", "tt-south-2")
+        self.wait_in_force(agents + entries, 2, since)
+        for name in entries:
+            self.cluster.programs[name].signal(signal.SIGSTOP)
+        self.change("zone", "in", "tt-south-2")
+        self.cluster.wait_for_settings(agents, 3)
+
     def test_small_site_watches_and_checks_cheaply(self):
         self.start_agents()
         self.cluster.apply()
