--- a/agent/agent.c
+++ b/agent/agent.c
@@ -181,7 +181,7 @@
   if (worker_index (worker) == 0)
     agent_apply_settings (share->agent);
   agent_start_ready (share->agent);
-  peer_announce_load (share);
+  peer_announce_settings (share);
 }
 
 static status_t
--- a/agent/peer.c
+++ b/agent/peer.c
@@ -117,6 +117,21 @@
     }
 }
 
+/* Show the settings in force here to the processes connected to this worker
+   now, rather than with the next frame that goes there anyway.  */
+void
+peer_announce_settings (agent_worker_t *share)
+{
+  frame_t ping = { .header = { .type = FRAME_PING } };
+  agent_peer_t *peer;
+
+  LIST_FOREACH (peer, &share->peers, peer_link)
+    {
+      if (link_is_open (peer->link))
+        link_send (peer->link, &ping);
+    }
+}
+
 static void
 peer_run_announce (task_t *task, worker_t *worker)
 {
@@ -154,7 +169,7 @@
     {
       int64_t heard_ms;
 
-      if (!link_is_open (peer->link)
+      if (!link_is_open (peer->link) || link_peer_role (peer->link) == NODE_CTL
           || strcmp (link_peer_zone (peer->link), node_zone (agent->node))
                  == 0)
         continue;
