Believe no word of a peer that may have been long on its way

Cause: a frame that was held up by the network or by a paused process was taken as fresh, so an agent confirmed old settings with an age that lacked the time on the way, and counted a zone as heard. A read of the store was dated by its answer instead of its call, and confirmed settings other than those read. The isolation fence looked five times a second and not after a pause; a job let start before a pause was handed over after it. An upstream that restarted while idle got the old limit.

Each frame now carries the sender's time and echoes the receiver's newest, which bounds its age from the receiver's own clock. The fence is reckoned at each start, and a job asks it once more when it is handed over. The agent holds a connection to its upstream that no request uses: its end caps the limit at the floor until a probe shows the same incarnation.

These changes reach into common/ (link, frame, settings_source) and tests/sim, which others look after, since the fault cannot be mended elsewhere.

--- a/agent/gate.c
+++ b/agent/gate.c
@@ -1,5 +1,6 @@
 #include "agent/gate.h"
 
+#include "agent/broken_off.h"
 #include "kernel/counter.h"
 #include "kernel/invariant.h"
 #include "kernel/lock.h"
@@ -28,14 +29,6 @@
 GAUGE_DEFINE (limit_gauge, "siskin_gate_limit_requests",
               "Requests that the upstream may have at once");
 
-/* Work that was broken off and that the upstream may still have.  */
-typedef struct broken_off
-{
-  STAILQ_ENTRY (broken_off) link;
-  uint64_t tokens;
-  struct timespec at;
-} broken_off_t;
-
 struct gate
 {
   const char *upstream;
@@ -50,11 +43,15 @@
   bool is_zone_out;
   bool is_draining;
   bool is_leaving;
-  bool is_isolated;
+  bool is_isolated; /* as last logged */
+  bool is_suspected;
+  gate_contact_t contact;
+  struct timespec contact_at;
+  admission_config_t config;
   struct timespec slow_first_token;
   gate_pace_t pace;
   TAILQ_HEAD (, gate_work) unanswered; /* oldest first */
-  STAILQ_HEAD (, broken_off) broken_off;
+  broken_off_list_t broken_off;
   uint64_t queue_limit;
   uint64_t queued;
   admission_outstanding_t outstanding; /* what was broken off included */
@@ -75,7 +72,7 @@
   gate->clock = clock;
   gate->lock = lock_create (gate, LOCK_ADMISSION, "gate");
   TAILQ_INIT (&gate->unanswered);
-  STAILQ_INIT (&gate->broken_off);
+  STAILQ_INIT (&gate->broken_off.items);
   return gate;
 }
 
@@ -133,6 +130,7 @@
     gate->admission_ops->configure (gate->admission, &config);
   if (status == STATUS_OK)
     {
+      gate->config = config;
       gate->slow_first_token = settings->admission.slow_first_token;
       gate->queue_limit = (uint64_t)settings->admission.queue_requests;
       gate->is_zone_out = !settings_zone_serves (settings, gate->zone);
@@ -165,27 +163,12 @@
              gate->upstream, reason);
 }
 
-/* Count nothing any more for the oldest work that was broken off.  */
+/* Stop to count what was broken off and is gone.  */
 static void
-gate_forget_broken_off (gate_t *gate)
+gate_uncount (gate_t *gate, const admission_outstanding_t *gone)
 {
-  broken_off_t *oldest = STAILQ_FIRST (&gate->broken_off);
-
-  STAILQ_REMOVE_HEAD (&gate->broken_off, link);
-  gate->outstanding.requests--;
-  gate->outstanding.tokens -= oldest->tokens;
-  talloc_free (oldest);
-}
-
-static uint64_t
-gate_broken_off_count (const gate_t *gate)
-{
-  const broken_off_t *item;
-  uint64_t count = 0;
-
-  STAILQ_FOREACH (item, &gate->broken_off, link)
-    count++;
-  return count;
+  gate->outstanding.requests -= gone->requests;
+  gate->outstanding.tokens -= gone->tokens;
 }
 
 /* Take in the upstream's own word, asked for at ASKED_AT.  Of what was broken
@@ -194,20 +177,31 @@
 gate_note_report (gate_t *gate, const admission_report_t *report,
                   struct timespec asked_at)
 {
-  broken_off_t *oldest;
+  admission_outstanding_t gone = { 0, 0 };
 
   lock_acquire (gate->lock);
   if (gate->admission != NULL)
     gate->admission_ops->note_report (gate->admission, report,
                                       clock_monotonic (gate->clock));
-  while (report->has_running
-         && (oldest = STAILQ_FIRST (&gate->broken_off)) != NULL
-         && timespec_compare (oldest->at, asked_at) < 0
-         && gate_broken_off_count (gate) > report->running)
-    gate_forget_broken_off (gate);
+  if (report->has_running)
+    broken_off_keep_most (&gate->broken_off, report->running, asked_at, &gone);
+  gate_uncount (gate, &gone);
   lock_release (gate->lock);
 }
 
+/* Return whether the gate is isolated at NOW.  What is known of the contact
+   grows older, also while this process is paused.  */
+static bool
+gate_is_cut_off (const gate_t *gate, struct timespec now)
+{
+  gate_contact_t contact = gate->contact;
+  int64_t age_ms = timespec_to_ms (timespec_subtract (now, gate->contact_at));
+
+  contact.confirmed_age_ms += (uint64_t)age_ms;
+  contact.other_zone_age_ms += (uint64_t)age_ms;
+  return gate_is_isolated (&contact);
+}
+
 /* Take in how recently others were heard.  */
 void
 gate_note_contact (gate_t *gate, const gate_contact_t *contact)
@@ -218,6 +212,8 @@
   lock_acquire (gate->lock);
   was_isolated = gate->is_isolated;
   gate->is_isolated = is_isolated;
+  gate->contact = *contact;
+  gate->contact_at = clock_monotonic (gate->clock);
   lock_release (gate->lock);
   if (is_isolated != was_isolated)
     log_event (LOG_LEVEL_WARN, is_isolated ? "isolated" : "contact-restored",
@@ -226,6 +222,30 @@
                (unsigned long long)contact->other_zone_age_ms);
 }
 
+/* Note whether the upstream may have restarted: until it is known that it has
+   not, it gets no more than it bears in cold start.  */
+void
+gate_set_suspected (gate_t *gate, bool is_suspected)
+{
+  lock_acquire (gate->lock);
+  gate->is_suspected = is_suspected;
+  lock_release (gate->lock);
+}
+
+/* Set LIMIT to what the upstream may have at NOW.  */
+static void
+gate_limit (const gate_t *gate, struct timespec now, admission_limit_t *limit)
+{
+  gate->admission_ops->limit (gate->admission, now, limit);
+  if (!gate->is_suspected)
+    return;
+  if (limit->requests > gate->config.cold_requests)
+    limit->requests = gate->config.cold_requests;
+  if (limit->tokens > gate->config.cold_tokens)
+    limit->tokens = gate->config.cold_tokens;
+  limit->is_cold = true;
+}
+
 static bool
 gate_has_slow_start (gate_t *gate, struct timespec now)
 {
@@ -247,33 +267,42 @@
 gate_check_pace (gate_t *gate)
 {
   struct timespec now = clock_monotonic (gate->clock);
-  struct timespec limit = timespec_from_ms (BROKEN_OFF_MAX_MS);
-  broken_off_t *oldest;
+  struct timespec oldest
+      = timespec_subtract (now, timespec_from_ms (BROKEN_OFF_MAX_MS));
+  admission_outstanding_t gone = { 0, 0 };
   bool is_slow;
 
   lock_acquire (gate->lock);
   is_slow = gate_has_slow_start (gate, now);
-  while ((oldest = STAILQ_FIRST (&gate->broken_off)) != NULL
-         && timespec_compare (timespec_subtract (now, oldest->at), limit) >= 0)
-    gate_forget_broken_off (gate);
+  broken_off_drop_until (&gate->broken_off, oldest, &gone);
+  gate_uncount (gate, &gone);
   lock_release (gate->lock);
   if (is_slow)
     gate_note_cold (gate, "slow-first-token");
 }
 
-static bool
-gate_is_closed (const gate_t *gate, gate_refusal_t *refusal)
+/* Return why no work may start at NOW, REFUSAL_NONE when it may.  */
+static refusal_t
+gate_closed_by (const gate_t *gate, struct timespec now)
 {
-  refusal->retry_after_ms = 0;
-  if (!gate->is_configured || gate->is_isolated)
-    refusal->refusal = REFUSAL_ISOLATED;
-  else if (gate->is_zone_out)
-    refusal->refusal = REFUSAL_ZONE_OUT;
-  else if (gate->is_draining || gate->is_leaving)
-    refusal->refusal = REFUSAL_LEAVING;
-  else
-    return false;
-  return true;
+  if (!gate->is_configured || gate_is_cut_off (gate, now))
+    return REFUSAL_ISOLATED;
+  if (gate->is_zone_out)
+    return REFUSAL_ZONE_OUT;
+  if (gate->is_draining || gate->is_leaving)
+    return REFUSAL_LEAVING;
+  return REFUSAL_NONE;
+}
+
+/* Return whether work may be handed to the upstream at this moment, and set
+   REFUSAL if not.  */
+bool
+gate_is_open (gate_t *gate, refusal_t *refusal)
+{
+  lock_acquire (gate->lock);
+  *refusal = gate_closed_by (gate, clock_monotonic (gate->clock));
+  lock_release (gate->lock);
+  return *refusal == REFUSAL_NONE;
 }
 
 static bool
@@ -281,7 +310,7 @@
 {
   admission_limit_t limit;
 
-  gate->admission_ops->limit (gate->admission, now, &limit);
+  gate_limit (gate, now, &limit);
   if (gate->outstanding.requests >= limit.requests)
     return false;
   /* A single request larger than the token limit runs alone.  */
@@ -300,7 +329,7 @@
   TAILQ_INSERT_TAIL (&gate->unanswered, work, unanswered_link);
   gate->outstanding.requests++;
   gate->outstanding.tokens += work->item.tokens;
-  gate->admission_ops->limit (gate->admission, now, &limit);
+  gate_limit (gate, now, &limit);
   INVARIANT (gate->outstanding.requests <= limit.requests, "admission-limit");
 }
 
@@ -309,7 +338,7 @@
 {
   admission_limit_t limit;
 
-  gate->admission_ops->limit (gate->admission, now, &limit);
+  gate_limit (gate, now, &limit);
   counter_set (&outstanding_gauge, (int64_t)gate->outstanding.requests);
   counter_set (&queued_gauge, (int64_t)gate->queued);
   counter_set (&limit_gauge, (int64_t)limit.requests);
@@ -320,7 +349,7 @@
 {
   admission_limit_t limit;
 
-  gate->admission_ops->limit (gate->admission, now, &limit);
+  gate_limit (gate, now, &limit);
   return limit.is_cold;
 }
 
@@ -336,6 +365,16 @@
   return work;
 }
 
+static void
+gate_expire (gate_t *gate, order_item_t *item, struct timespec now,
+             refusal_t refusal, gate_work_list_t *expired)
+{
+  gate_work_t *work = gate_dequeue (gate, item, now, false);
+
+  work->refusal = refusal;
+  STAILQ_INSERT_TAIL (expired, work, link);
+}
+
 static gate_verdict_t
 gate_enqueue (gate_t *gate, gate_work_t *work, struct timespec now,
               gate_refusal_t *refusal, gate_work_list_t *dropped)
@@ -353,9 +392,7 @@
     }
   if (victim != NULL)
     {
-      gate_work_t *loser = gate_dequeue (gate, victim, now, false);
-
-      STAILQ_INSERT_TAIL (dropped, loser, link);
+      gate_expire (gate, victim, now, REFUSAL_OVERLOAD, dropped);
     }
   gate->order_ops->push (gate->order, &work->item, now);
   work->is_queued = true;
@@ -373,7 +410,9 @@
   gate_verdict_t verdict;
 
   lock_acquire (gate->lock);
-  if (gate_is_closed (gate, refusal))
+  refusal->retry_after_ms = 0;
+  refusal->refusal = gate_closed_by (gate, now);
+  if (refusal->refusal != REFUSAL_NONE)
     verdict = GATE_REFUSED;
   else if (!gate_pace_allows (&gate->pace, work->item.tokens,
                               work->item.deadline, now))
@@ -448,17 +487,13 @@
 void
 gate_break_off (gate_t *gate, gate_work_t *work)
 {
-  broken_off_t *item;
-
   lock_acquire (gate->lock);
-  item = work->is_started ? talloc_zero (gate, broken_off_t) : NULL;
-  if (item != NULL)
+  if (work->is_started)
     {
       work->is_started = false;
       gate_end_unanswered (gate, work);
-      item->tokens = work->item.tokens;
-      item->at = clock_monotonic (gate->clock);
-      STAILQ_INSERT_TAIL (&gate->broken_off, item, link);
+      broken_off_add (&gate->broken_off, gate, work->item.tokens,
+                      clock_monotonic (gate->clock));
     }
   lock_release (gate->lock);
 }
@@ -478,6 +513,16 @@
   return !is_started;
 }
 
+static void
+gate_start_queued (gate_t *gate, order_item_t *item, struct timespec now,
+                   gate_work_list_t *started)
+{
+  gate_work_t *work = gate_dequeue (gate, item, now, true);
+
+  gate_start (gate, work, now);
+  STAILQ_INSERT_TAIL (started, work, link);
+}
+
 /* Append to STARTED the queued work that may start now, and to EXPIRED what
    can no longer meet its deadline or, on a closed gate, may not start any
    more.  */
@@ -486,27 +531,26 @@
                  gate_work_list_t *expired)
 {
   struct timespec now = clock_monotonic (gate->clock);
-  gate_refusal_t refusal;
+  refusal_t closed_by;
   order_item_t *item;
 
   lock_acquire (gate->lock);
+  closed_by = gate_closed_by (gate, now);
   while (gate->queued > 0
          && (item = gate->order_ops->late (gate->order, now)) != NULL)
-    STAILQ_INSERT_TAIL (expired, gate_dequeue (gate, item, now, false), link);
+    gate_expire (gate, item, now, REFUSAL_DEADLINE, expired);
   while (gate->queued > 0
          && (item = gate->order_ops->peek (gate->order, now)) != NULL)
     {
-      bool is_late = gate_is_closed (gate, &refusal)
-                     || !gate_pace_allows (&gate->pace, item->tokens,
-                                           item->deadline, now);
-      gate_work_t *work;
-
-      if (!is_late && !gate_has_room (gate, item->tokens, now))
+      if (closed_by != REFUSAL_NONE)
+        gate_expire (gate, item, now, closed_by, expired);
+      else if (!gate_pace_allows (&gate->pace, item->tokens, item->deadline,
+                                  now))
+        gate_expire (gate, item, now, REFUSAL_DEADLINE, expired);
+      else if (gate_has_room (gate, item->tokens, now))
+        gate_start_queued (gate, item, now, started);
+      else
         break;
-      work = gate_dequeue (gate, item, now, !is_late);
-      if (!is_late)
-        gate_start (gate, work, now);
-      STAILQ_INSERT_TAIL (is_late ? expired : started, work, link);
     }
   if (gate->is_configured)
     gate_update_gauges (gate, now);
@@ -517,16 +561,15 @@
 void
 gate_load (gate_t *gate, gate_load_t *load)
 {
-  gate_refusal_t refusal;
+  struct timespec now = clock_monotonic (gate->clock);
 
   memset (load, 0, sizeof *load);
   lock_acquire (gate->lock);
   load->outstanding_requests = gate->outstanding.requests;
   load->outstanding_tokens = gate->outstanding.tokens;
   load->queued_requests = gate->queued;
-  load->is_leaving = gate_is_closed (gate, &refusal);
+  load->is_leaving = gate_closed_by (gate, now) != REFUSAL_NONE;
   if (gate->admission != NULL)
-    gate->admission_ops->limit (gate->admission, clock_monotonic (gate->clock),
-                                &load->limit);
+    gate_limit (gate, now, &load->limit);
   lock_release (gate->lock);
 }
--- a/agent/job.c
+++ b/agent/job.c
@@ -27,13 +27,9 @@
 job_run_expiry (task_t *task, worker_t *worker)
 {
   job_t *job = CONTAINER_OF (task, job_t, expiry_task);
-  gate_load_t load;
 
   (void)worker;
-  gate_load (job->agent->gate, &load);
-  job_refuse (job, OUTCOME_NOT_RUN,
-              load.is_leaving ? REFUSAL_LEAVING : REFUSAL_DEADLINE, 0,
-              "left the queue");
+  job_refuse (job, OUTCOME_NOT_RUN, job->work.refusal, 0, "left the queue");
   job_end_task (job);
 }
 
--- a/agent/job_run.c
+++ b/agent/job_run.c
@@ -183,6 +183,23 @@
   .on_done = job_on_done,
 };
 
+/* Return whether the job may be handed to the upstream now, which may be long
+   after the gate let it start; if not, refuse it.  */
+static bool
+job_may_forward (job_t *job, struct timespec now)
+{
+  refusal_t refusal = REFUSAL_NONE;
+
+  if (timespec_compare (job->work.item.deadline, now) <= 0)
+    refusal = REFUSAL_DEADLINE;
+  else if (gate_is_open (job->agent->gate, &refusal))
+    return true;
+  job_finish_claim (job, false, false);
+  job_refuse (job, OUTCOME_NOT_RUN, refusal, 0, "not handed to the upstream");
+  job_leave_gate (job, NULL);
+  return false;
+}
+
 static void
 job_forward (job_t *job)
 {
@@ -195,17 +212,12 @@
                                  .is_sent_once = !job->is_repeatable,
                                  .key = job->key };
 
+  if (!job_may_forward (job, now))
+    return;
   request.timeout = timespec_subtract (job->work.item.deadline, now);
   if (!job->is_repeatable)
     request.timeout
         = timespec_add (request.timeout, timespec_from_ms (OUTCOME_GRACE_MS));
-  if (timespec_compare (job->work.item.deadline, now) <= 0)
-    {
-      job_finish_claim (job, false, false);
-      job_refuse (job, OUTCOME_NOT_RUN, REFUSAL_DEADLINE, 0, "deadline");
-      job_leave_gate (job, NULL);
-      return;
-    }
   job->state = JOB_RUNNING;
   job->has_forwarded = true;
   job->call = job->agent->upstream_ops->start (job->share->transport, &request,
--- a/common/frame.c
+++ b/common/frame.c
@@ -6,7 +6,7 @@
 
 enum
 {
-  HEADER_FIELDS = 7, /* items before the body's fields */
+  HEADER_FIELDS = 9, /* items before the body's fields */
   MAX_BODY_FIELDS = 12,
   MAX_SHORT_STRING = 4096
 };
@@ -178,6 +178,8 @@
   msgpack_pack_uint64 (&packer, frame->header.incarnation);
   msgpack_pack_uint64 (&packer, frame->header.settings_revision);
   msgpack_pack_uint64 (&packer, frame->header.confirmed_age_ms);
+  msgpack_pack_uint64 (&packer, frame->header.sent_ms);
+  msgpack_pack_uint64 (&packer, frame->header.echo_ms);
   msgpack_pack_uint64 (&packer, frame->header.request.incarnation);
   msgpack_pack_uint64 (&packer, frame->header.request.sequence);
   for (unsigned i = 0; i < field_count; i++)
@@ -253,8 +255,10 @@
   header->incarnation = items[2].via.u64;
   header->settings_revision = items[3].via.u64;
   header->confirmed_age_ms = items[4].via.u64;
-  header->request.incarnation = items[5].via.u64;
-  header->request.sequence = items[6].via.u64;
+  header->sent_ms = items[5].via.u64;
+  header->echo_ms = items[6].via.u64;
+  header->request.incarnation = items[7].via.u64;
+  header->request.sequence = items[8].via.u64;
   return true;
 }
 
--- a/common/link.c
+++ b/common/link.c
@@ -50,6 +50,8 @@
   node_role_t peer_role;
   uint64_t peer_incarnation;
   struct timespec last_received;
+  uint64_t peer_sent_ms; /* newest, on the peer's clock */
+  uint64_t echo_ms;      /* newest time of ours that the peer has seen */
   struct timespec last_sent;
   uint64_t shown_revision;  /* on the peer's last frame */
   uint64_t wanted_revision; /* newest revision asked for on this link */
@@ -113,6 +115,15 @@
   stream_want_write (link->stream, !STAILQ_EMPTY (&link->output));
 }
 
+/* The time on this process's clock, never 0.  */
+static uint64_t
+link_now_ms (const link_t *link)
+{
+  return (uint64_t)timespec_to_ms (
+             clock_monotonic (worker_clock (link->worker)))
+         + 1;
+}
+
 /* Queue FRAME for the peer; the sender's part of the header is filled in
    here.  Returns STATUS_UNAVAILABLE on a closed link, and STATUS_TOO_LARGE
    for an oversized frame or a peer that does not read.  After an error the
@@ -131,6 +142,8 @@
       return status_set (STATUS_TOO_LARGE, "peer does not read");
     }
   node_fill_header (link->node, &stamped.header);
+  stamped.header.sent_ms = link_now_ms (link);
+  stamped.header.echo_ms = link->peer_sent_ms;
   out = talloc_zero (link, outgoing_t);
   if (out == NULL)
     return status_set (STATUS_NO_MEMORY, "no memory for a frame");
@@ -177,6 +190,17 @@
                             header->confirmed_age_ms, link->data);
 }
 
+/* A frame may have been on its way, or unread, for long.  It was sent after
+   the peer saw the time of ours that it echoes, so what it says of the peer is
+   no older than that.  */
+static void
+link_note_times (link_t *link, const frame_header_t *header)
+{
+  link->peer_sent_ms = header->sent_ms;
+  if (header->echo_ms > link->echo_ms && header->echo_ms <= link_now_ms (link))
+    link->echo_ms = header->echo_ms;
+}
+
 static void
 link_note_revision (link_t *link, const frame_header_t *header)
 {
@@ -186,8 +210,10 @@
 
   if (settings != NULL)
     settings_release (settings);
-  if (header->settings_revision == revision)
-    node_confirm (link->node, revision, header->confirmed_age_ms);
+  if (header->settings_revision == revision && link->echo_ms != 0)
+    node_confirm (link->node, revision,
+                  header->confirmed_age_ms + link_now_ms (link)
+                      - link->echo_ms);
   if (header->settings_revision <= revision
       || header->settings_revision <= link->wanted_revision)
     return;
@@ -233,6 +259,7 @@
 static void
 link_dispatch (link_t *link, const frame_t *frame)
 {
+  link_note_times (link, &frame->header);
   if (!link->is_greeted && frame->header.type != FRAME_HELLO)
     {
       counter_add (&bad_peers, 1);
@@ -512,11 +539,12 @@
   return link->worker;
 }
 
-/* Return when something last came from the peer, on the worker's clock.  */
-struct timespec
-link_last_received (const link_t *link)
+/* Return a time on the worker's clock, in milliseconds, at which the peer was
+   certainly in touch with this process; 0 when there is none yet.  */
+uint64_t
+link_touched_ms (const link_t *link)
 {
-  return link->last_received;
+  return link->echo_ms;
 }
 
 /* Return how many bytes wait to be written.  */
--- a/common/settings_source.c
+++ b/common/settings_source.c
@@ -15,20 +15,34 @@
   node_t *node;
   const store_ops_t *store_ops;
   store_t *store;
-  bool is_reading;
+  struct timespec asked_at;
   worker_timer_t *timer;
 };
 
 static void source_arm (settings_source_t *source, int64_t delay_ms);
 
+/* The read shows what was in the store at some time since it was asked for. */
+static void
+source_confirm (settings_source_t *source, const store_entry_t *entry)
+{
+  struct timespec age = timespec_subtract (
+      clock_monotonic (worker_clock (source->worker)), source->asked_at);
+  settings_t *settings = node_settings (source->node);
+
+  if (settings == NULL)
+    return;
+  if (strcmp (settings->document, entry->value) == 0)
+    node_confirm (source->node, settings->revision,
+                  (uint64_t)timespec_to_ms (age));
+  settings_release (settings);
+}
+
 static void
 source_handle_read (status_t status, const store_result_t *result, void *data)
 {
   settings_source_t *source = data;
   const store_entry_t *entry;
-  settings_t *settings;
 
-  source->is_reading = false;
   entry = status == STATUS_OK ? store_result_entry (result, 0) : NULL;
   if (entry != NULL)
     {
@@ -36,12 +50,7 @@
           != STATUS_OK)
         log_event (LOG_LEVEL_ERROR, "settings-refused", "error=\"%s\"",
                    status_message ());
-      settings = node_settings (source->node);
-      if (settings != NULL)
-        {
-          node_confirm (source->node, settings->revision, 0);
-          settings_release (settings);
-        }
+      source_confirm (source, entry);
     }
   source_arm (source, POLL_INTERVAL_MS);
 }
@@ -52,8 +61,8 @@
   settings_source_t *source = data;
   store_txn_t *txn = store_txn_create (source);
 
-  (void)worker;
   source->timer = NULL;
+  source->asked_at = clock_monotonic (worker_clock (worker));
   store_txn_then (txn, STORE_GET, STORE_KEY_SETTINGS, NULL);
   if (source->store_ops->transact (source->store, txn, source_handle_read,
                                    source)
--- /dev/null
+++ b/include/agent/broken_off.h
@@ -0,0 +1,31 @@
+#ifndef SISKIN_AGENT_BROKEN_OFF_H
+#define SISKIN_AGENT_BROKEN_OFF_H
+
+#include "plugins/admission.h"
+
+#include <sys/queue.h>
+
+/* Work that was broken off on this side and that the upstream may still have;
+   oldest first.  */
+typedef struct broken_off
+{
+  STAILQ_ENTRY (broken_off) link;
+  uint64_t tokens;
+  struct timespec at;
+} broken_off_t;
+
+typedef struct broken_off_list
+{
+  STAILQ_HEAD (, broken_off) items;
+  uint64_t count;
+} broken_off_list_t;
+
+void broken_off_add (broken_off_list_t *list, TALLOC_CTX *parent,
+                     uint64_t tokens, struct timespec at);
+void broken_off_drop_until (broken_off_list_t *list, struct timespec until,
+                            admission_outstanding_t *gone);
+void broken_off_keep_most (broken_off_list_t *list, uint64_t most,
+                           struct timespec asked_at,
+                           admission_outstanding_t *gone);
+
+#endif
--- a/include/agent/gate.h
+++ b/include/agent/gate.h
@@ -27,6 +27,7 @@
   bool is_started;
   bool is_unanswered; /* started, and no byte of the answer has come */
   struct timespec started_at;
+  refusal_t refusal; /* why it left the queue without a start */
 } gate_work_t;
 
 STAILQ_HEAD (gate_work_list, gate_work);
@@ -63,6 +64,8 @@
 void gate_note_cold (gate_t *gate, const char *reason);
 void gate_note_report (gate_t *gate, const admission_report_t *report,
                        struct timespec asked_at);
+void gate_set_suspected (gate_t *gate, bool is_suspected);
+bool gate_is_open (gate_t *gate, refusal_t *refusal);
 void gate_note_contact (gate_t *gate, const gate_contact_t *contact);
 void gate_check_pace (gate_t *gate);
 gate_verdict_t gate_offer (gate_t *gate, gate_work_t *work,
--- a/include/common/frame.h
+++ b/include/common/frame.h
@@ -51,7 +51,9 @@
   uint64_t incarnation;
   uint64_t settings_revision;
   uint64_t confirmed_age_ms; /* since the revision was seen in the store */
-  request_id_t request;      /* zero when the frame concerns none */
+  uint64_t sent_ms;          /* on the sender's clock */
+  uint64_t echo_ms; /* SENT_MS of the newest frame from the receiver, or 0 */
+  request_id_t request; /* zero when the frame concerns none */
 } frame_header_t;
 
 typedef struct frame_hello
--- a/include/plugins/upstream.h
+++ b/include/plugins/upstream.h
@@ -64,6 +64,11 @@
      destroyed before.  NULL when there is no way to ask.  */
   status_t (*probe) (upstream_transport_t *transport, struct timespec timeout,
                      upstream_probe_done_t done, void *data);
+  /* Hold a connection that no request uses, so that its end tells at once of a
+     restart.  ON_BROKEN runs once from the loop, unless the transport is
+     destroyed before; then the watch is gone.  NULL when there is none.  */
+  status_t (*watch) (upstream_transport_t *transport,
+                     void (*on_broken) (void *data), void *data);
 } upstream_ops_t;
 
 #endif
--- a/plugins/upstream/http.c
+++ b/plugins/upstream/http.c
@@ -1,10 +1,12 @@
 #include "common/http_client.h"
+#include "common/net.h"
 #include "kernel/plugin.h"
 #include "plugins/upstream.h"
 #include "plugins/upstream/report.h"
 
 #include <string.h>
 #include <talloc.h>
+#include <unistd.h>
 
 enum
 {
@@ -12,8 +14,11 @@
   HTTP_OK = 200
 };
 
+#define HTTP_SCHEME "http://"
+
 struct upstream_transport
 {
+  worker_t *worker;
   http_client_t *client;
   char *url;
 };
@@ -69,6 +74,7 @@
 
   if (transport == NULL)
     return NULL;
+  transport->worker = worker;
   transport->url = talloc_strdup (transport, url);
   transport->client = http_client_create (transport, worker);
   return transport;
@@ -196,6 +202,62 @@
   return STATUS_UNAVAILABLE;
 }
 
+/* A connection that only waits for its end.  */
+typedef struct upstream_watch
+{
+  int fd;
+  void (*on_broken) (void *data);
+  void *data;
+} upstream_watch_t;
+
+static int
+watch_free (upstream_watch_t *watch)
+{
+  close (watch->fd);
+  return 0;
+}
+
+static void
+watch_handle_event (struct tevent_context *events, struct tevent_fd *event,
+                    uint16_t flags, void *data)
+{
+  upstream_watch_t *watch = data;
+
+  (void)events;
+  (void)event;
+  (void)flags;
+  watch->on_broken (watch->data);
+  talloc_free (watch);
+}
+
+static status_t
+transport_watch (upstream_transport_t *transport,
+                 void (*on_broken) (void *data), void *data)
+{
+  upstream_watch_t *watch;
+  net_address_t address;
+  int fd;
+  status_t status;
+
+  if (strncmp (transport->url, HTTP_SCHEME, strlen (HTTP_SCHEME)) != 0)
+    return status_set (STATUS_INVALID, "only %s upstreams can be watched",
+                       HTTP_SCHEME);
+  status = net_address_parse (transport, transport->url + strlen (HTTP_SCHEME),
+                              &address);
+  if (status == STATUS_OK)
+    status = net_connect (&address, &fd);
+  if (status != STATUS_OK)
+    return status;
+  watch = talloc_zero (transport, upstream_watch_t);
+  watch->fd = fd;
+  watch->on_broken = on_broken;
+  watch->data = data;
+  talloc_set_destructor (watch, watch_free);
+  tevent_add_fd (worker_events (transport->worker), watch, fd, TEVENT_FD_READ,
+                 watch_handle_event, watch);
+  return STATUS_OK;
+}
+
 static const upstream_ops_t http_ops = {
   .create = transport_create,
   .destroy = transport_destroy,
@@ -203,6 +265,7 @@
   .cancel = transport_cancel,
   .proceed = transport_proceed,
   .probe = transport_probe,
+  .watch = transport_watch,
 };
 
 PLUGIN_REGISTER (http, PLUGIN_UPSTREAM, "http", "HTTP by libcurl", &http_ops);
--- a/tests/sim/upstream.c
+++ b/tests/sim/upstream.c
@@ -4,6 +4,7 @@
 #include "kernel/table.h"
 #include "plugins/upstream.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -42,7 +43,9 @@
   bool is_down;
   bool is_cold;
   unsigned open;
+  uint64_t incarnation;
   LIST_HEAD (, run) runs;
+  LIST_HEAD (, watch) watches;
   worker_timer_t *warm_timer;
 };
 
@@ -52,6 +55,23 @@
   sim_upstream_t *upstream;
 };
 
+/* A connection that an agent holds to hear of a restart.  */
+typedef struct watch
+{
+  LIST_ENTRY (watch) link;
+  upstream_transport_t *transport;
+  void (*on_broken) (void *data);
+  void *data;
+} watch_t;
+
+/* A load report on its way.  */
+typedef struct probe
+{
+  upstream_transport_t *transport;
+  upstream_probe_done_t done;
+  void *data;
+} probe_t;
+
 /* A request on the upstream, which outlives the agent's interest.  */
 struct run
 {
@@ -400,12 +420,84 @@
   call_wake (call);
 }
 
+static void
+probe_answer (worker_t *worker, void *data)
+{
+  probe_t *probe = data;
+  const sim_upstream_t *upstream = probe->transport->upstream;
+  char incarnation[32];
+  upstream_report_t report = { .incarnation = incarnation,
+                               .has_running = true,
+                               .running = upstream->open };
+
+  (void)worker;
+  snprintf (incarnation, sizeof incarnation, "%llu",
+            (unsigned long long)upstream->incarnation);
+  if (upstream->is_down)
+    probe->done (STATUS_UNAVAILABLE, NULL, probe->data);
+  else
+    probe->done (STATUS_OK, &report, probe->data);
+  talloc_free (probe);
+}
+
+static status_t
+fake_probe (upstream_transport_t *transport, struct timespec timeout,
+            upstream_probe_done_t done, void *data)
+{
+  probe_t *probe = talloc_zero (transport, probe_t);
+
+  (void)timeout;
+  probe->transport = transport;
+  probe->done = done;
+  probe->data = data;
+  worker_timer_start (transport->worker, probe, sim_delay (ARRIVAL_MAX_US),
+                      probe_answer, probe);
+  return STATUS_OK;
+}
+
+static int
+watch_free (watch_t *watch)
+{
+  LIST_REMOVE (watch, link);
+  return 0;
+}
+
+static void
+watch_break (worker_t *worker, void *data)
+{
+  watch_t *watch = data;
+
+  (void)worker;
+  watch->on_broken (watch->data);
+  talloc_free (watch);
+}
+
+/* A connection to an upstream that is down breaks at once.  */
+static status_t
+fake_watch (upstream_transport_t *transport, void (*on_broken) (void *data),
+            void *data)
+{
+  watch_t *watch = talloc_zero (transport, watch_t);
+
+  watch->transport = transport;
+  watch->on_broken = on_broken;
+  watch->data = data;
+  LIST_INSERT_HEAD (&transport->upstream->watches, watch, link);
+  talloc_set_destructor (watch, watch_free);
+  if (transport->upstream->is_down)
+    worker_timer_start (transport->worker, watch, timespec_from_ms (0),
+                        watch_break, watch);
+  return STATUS_OK;
+}
+
 static const upstream_ops_t fake_ops = {
   .create = fake_create,
   .destroy = fake_destroy,
   .start = fake_start,
   .cancel = fake_cancel,
   .proceed = fake_proceed,
+  .probe = fake_probe,
+  .watch = fake_watch,
 };
 
 PLUGIN_REGISTER (http, PLUGIN_UPSTREAM, "http", "an upstream in memory",
@@ -429,6 +521,7 @@
   (void)worker;
   upstream->is_down = false;
   upstream->is_cold = true;
+  upstream->incarnation++;
   sim_current->counts.cold_starts++;
   upstream->warm_timer = worker_timer_start (sim_current->world, upstream,
                                              timespec_from_ms (COLD_MS),
@@ -444,6 +537,7 @@
   upstream->agent = agent;
   upstream->is_plain = is_plain;
   LIST_INIT (&upstream->runs);
+  LIST_INIT (&upstream->watches);
   upstream_come_up (sim_current->world, upstream);
   return upstream;
 }
@@ -467,9 +561,13 @@
 sim_upstream_restart (sim_upstream_t *upstream)
 {
   run_t *run;
+  watch_t *watch;
 
   if (upstream->is_down)
     return;
+  LIST_FOREACH (watch, &upstream->watches, link)
+    worker_timer_start (watch->transport->worker, watch,
+                        sim_delay (ARRIVAL_MAX_US), watch_break, watch);
   while ((run = LIST_FIRST (&upstream->runs)) != NULL)
     run_end (run, STATUS_UNAVAILABLE, true);
   TALLOC_FREE (upstream->warm_timer);
