Close the isolation fence within five seconds of the last contact

Cause: a peer of another zone may itself take up to 2 s to learn of a change, so 3 s of silence after the last contact came to over 5 s.

--- a/agent/gate_rules.c
+++ b/agent/gate_rules.c
@@ -5,7 +5,7 @@
 enum
 {
   CONFIRMED_MAX_MS = 4000,  /* a zone taken out gets no work after 5 s */
-  OTHER_ZONE_MAX_MS = 3000, /* three missed pings */
+  OTHER_ZONE_MAX_MS = 2500, /* pings and their echoes take up to 2 s */
   PACE_WEIGHT = 8,          /* of the past, in the moving average */
   PACE_MAX_AGE_MS = 10000,  /* then nothing is shed on its word */
   PACE_CAUTION = 2          /* answers are often shorter than allowed */
