--- a/bench/model.c
+++ b/bench/model.c
@@ -1,5 +1,6 @@
 #include "bench/model_state.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,6 +13,7 @@
   SAME_ZONE_US = 200,
   OTHER_ZONE_US = 1500,
   SETTINGS_SPREAD_US = 500000, /* until the last process has new settings */
+  RAMP_STEPS = 20,             /* the first part of the load that is offered */
   MAX_DECISIONS = 200000
 };
 
@@ -384,6 +386,17 @@
   item->deadline = timespec_from_us (request->deadline_us);
 }
 
+static double
+arrival_rate (const model_t *model)
+{
+  double ramp_us = (double)model->options.ramp_ms * 1000;
+  double part = (double)model->now_us / ramp_us;
+
+  if (ramp_us == 0 || part >= 1)
+    return model->arrivals_per_us;
+  return model->arrivals_per_us * fmax (part, 1.0 / RAMP_STEPS);
+}
+
 static void
 workload_arrive (model_t *model, void *data)
 {
@@ -404,8 +417,7 @@
   LIST_INSERT_HEAD (&model->open, request, open_link);
   model_post (model, MODEL_DEADLINE_US, request_expire, request);
   request_route (model, request);
-  model_post (model,
-              (int64_t)(-__builtin_log (unit) / model->arrivals_per_us) + 1,
+  model_post (model, (int64_t)(-log (unit) / arrival_rate (model)) + 1,
               workload_arrive, NULL);
 }
 
--- a/bench/model.h
+++ b/bench/model.h
@@ -28,6 +28,7 @@
   int64_t report_ms;         /* between load reports */
   int64_t cache_event_ms;    /* delay of cache events; 0 for none */
   unsigned cache_loss_percent;
+  int64_t ramp_ms;    /* until the full load is offered */
   int64_t warm_up_ms; /* not counted */
   int64_t duration_ms;
   uint64_t seed;
--- a/plugins/pick/prefix.c
+++ b/plugins/pick/prefix.c
@@ -124,23 +124,26 @@
 }
 
 /* Set *INDEX to the home of BLOCK: the place on which all entries agree
-   without a word, by rendezvous hashing.  */
+   without a word, by rendezvous hashing among those that may take the
+   request.  */
 static bool
 search_home (const prefix_search_t *search, uint64_t block, size_t *index)
 {
   uint64_t best = 0;
+  bool is_found = false;
 
   for (size_t i = 0; i < search->count; i++)
     {
       uint64_t pair[2] = { block, search->candidates[i]->name_hash };
       uint64_t weight = XXH3_64bits (pair, sizeof pair);
 
-      if (weight < best)
+      if (weight < best || !search_may_take (search, i))
         continue;
       best = weight;
       *index = i;
+      is_found = true;
     }
-  return search_may_take (search, *index);
+  return is_found;
 }
 
 /* Look for the deepest block that somebody holds.  What many hold, such as a
--- a/plugins/pick/prefix_index.h
+++ b/plugins/pick/prefix_index.h
@@ -12,7 +12,7 @@
 
 enum
 {
-  PREFIX_MAX_HOLDERS = 4
+  PREFIX_MAX_HOLDERS = 3
 };
 
 /* The upstreams known to hold a block, the latest first.  */
