--- a/bench/model.c
+++ b/bench/model.c
@@ -345,7 +345,7 @@
         fleet_cancel (model, request);
       request_fail (model, request, false);
     }
-  model_post (model, LINK_SILENCE_US * 4, message_free, request);
+  model_post (model, (int64_t)LINK_SILENCE_US * 4, message_free, request);
 }
 
 static void
--- a/bench/model_fleet.c
+++ b/bench/model_fleet.c
@@ -248,6 +248,21 @@
   talloc_free (event);
 }
 
+/* Return the time until the upstream has made STEPS, or until it turns warm
+   and its pace changes.  */
+static int64_t
+upstream_delay_us (const model_t *model, const model_upstream_t *upstream,
+                   double steps)
+{
+  int64_t delay
+      = (int64_t)ceil (fmax (steps, 0) / upstream_pace (model, upstream)) + 1;
+
+  if (upstream_is_cold (model, upstream)
+      && model->now_us + delay > upstream->cold_until_us)
+    return upstream->cold_until_us - model->now_us;
+  return delay;
+}
+
 /* Wait for the next first token or end.  */
 static void
 upstream_arm (model_t *model, model_upstream_t *upstream)
@@ -268,10 +283,8 @@
     return;
   event = talloc (model, progress_event_t);
   *event = (progress_event_t){ upstream, upstream->generation };
-  model_post (
-      model,
-      (int64_t)ceil (fmax (nearest, 0) / upstream_pace (model, upstream)) + 1,
-      upstream_handle_progress, event);
+  model_post (model, upstream_delay_us (model, upstream, nearest),
+              upstream_handle_progress, event);
 }
 
 static void
