Draw map versions above the newest one seen

Cause: a bit-state search with three fences, two restarts and a switch by each of two (BALLOTS=3 RESTARTS=2 SWITCHES=2) found versions that fall: when every rank has forgotten the newer coordinator, the older one may lead again and draws a version from its lower epoch. Taking the highest base for the newest map was then wrong.

group_version_after draws a version above the newest seen, with the epoch in its low bits, so that versions rise and two coordinators never draw the same.

Ruled out: the epoch alone (above); the next number alone (two coordinators could give one number to two maps).

--- a/agent/group_message.c
+++ b/agent/group_message.c
@@ -1,5 +1,10 @@
 #include "agent/group_message.h"
 
+enum
+{
+  VERSION_EPOCH_BITS = 24
+};
+
 static const char *const phase_names[] = {
   [GROUP_NO_MAP] = "no-map",       [GROUP_STEADY] = "steady",
   [GROUP_PREPARED] = "prepared",   [GROUP_ARMED] = "armed",
@@ -13,6 +18,18 @@
   [GROUP_JOIN] = "join",
 };
 
+/* Return a map version that is higher than VERSION and that no coordinator of
+   another epoch draws.  An old coordinator may lead again after every rank has
+   forgotten a newer one, so the epoch alone would not make versions rise.  */
+uint64_t
+group_version_after (uint64_t version, uint64_t epoch)
+{
+  uint64_t mask = (UINT64_C (1) << VERSION_EPOCH_BITS) - 1;
+
+  return (((version >> VERSION_EPOCH_BITS) + 1) << VERSION_EPOCH_BITS)
+         | (epoch & mask);
+}
+
 /* Return a value below, equal to or above 0 as LEFT is lower than, equal to or
    higher than RIGHT.  */
 int
