Place experts where it pays

Cause: all ranks of a group step together, so the slowest rank sets the pace; expert popularity drifts and one rank may be slow.

Three placement plug-ins see plain counts and times: fixed never moves, repack packs everything anew, incremental splits each expert's tokens among its replicas so that ranks end together, adds replicas one by one where that lowers the slowest rank's time, and changes nothing that gains too little.

--- /dev/null
+++ b/plugins/placement/layer.h
@@ -0,0 +1,54 @@
+#ifndef SISKIN_PLUGINS_PLACEMENT_LAYER_H
+#define SISKIN_PLUGINS_PLACEMENT_LAYER_H
+
+#include "plugins/placement/estimate.h"
+
+#include <sys/queue.h>
+
+/* One layer of a map as a graph of experts and ranks, whose edges are the
+   replicas.  Load is in parts of the layer's tokens.  */
+typedef struct replica
+{
+  LIST_ENTRY (replica) expert_link;
+  LIST_ENTRY (replica) rank_link;
+  unsigned expert;
+  unsigned rank;
+  unsigned slot;
+  double load;
+} replica_t;
+
+typedef struct layer_expert
+{
+  LIST_HEAD (, replica) replicas;
+  unsigned count;
+  double popularity;
+} layer_expert_t;
+
+typedef struct layer_rank
+{
+  LIST_HEAD (, replica) replicas;
+  double speed;
+  double load;
+} layer_rank_t;
+
+typedef struct layer
+{
+  placement_shape_t shape;
+  layer_expert_t *experts;
+  layer_rank_t *ranks;
+  replica_t *replicas;
+} layer_t;
+
+layer_t *layer_create (TALLOC_CTX *parent, const estimate_t *estimate,
+                       unsigned index, const placement_map_t *map);
+void layer_balance (layer_t *layer, unsigned sweeps);
+void layer_spread (layer_t *layer, unsigned expert);
+void layer_replace (layer_t *layer, replica_t *replica, unsigned expert);
+bool layer_rank_holds (const layer_t *layer, unsigned rank, unsigned expert);
+double layer_time (const layer_t *layer);
+double layer_rank_time (const layer_t *layer, unsigned rank);
+double layer_mean_time (const layer_t *layer);
+double layer_bound (const layer_t *layer);
+void layer_store (const layer_t *layer, unsigned index, placement_map_t *map);
+
+#endif
--- /dev/null
+++ b/plugins/placement/map.c
@@ -0,0 +1,135 @@
+#include "plugins/placement.h"
+
+static size_t
+shape_slot_count (const placement_shape_t *shape)
+{
+  return (size_t)shape->layers * shape->ranks * shape->slots;
+}
+
+/* Create a map with all slots zero.  Returns NULL when SHAPE is out of range
+   or cannot hold every expert.  */
+placement_map_t *
+placement_map_create (TALLOC_CTX *parent, const placement_shape_t *shape)
+{
+  placement_map_t *map;
+
+  if (shape->layers < 1 || shape->layers > PLACEMENT_MAX_LAYERS
+      || shape->ranks < 1 || shape->ranks > PLACEMENT_MAX_RANKS
+      || shape->experts < 1 || shape->experts > PLACEMENT_MAX_EXPERTS
+      || shape->slots < 1 || shape->slots > PLACEMENT_MAX_SLOTS
+      || shape->ranks * shape->slots < shape->experts)
+    return NULL;
+  map = talloc_zero (parent, placement_map_t);
+  if (map == NULL)
+    return NULL;
+  map->shape = *shape;
+  map->slots
+      = talloc_zero_array (map, placement_slot_t, shape_slot_count (shape));
+  if (map->slots == NULL)
+    TALLOC_FREE (map);
+  return map;
+}
+
+/* Return the slot number SLOT of RANK in LAYER.  */
+placement_slot_t *
+placement_map_slot (const placement_map_t *map, unsigned layer, unsigned rank,
+                    unsigned slot)
+{
+  const placement_shape_t *shape = &map->shape;
+
+  return &map->slots[((size_t)layer * shape->ranks + rank) * shape->slots
+                     + slot];
+}
+
+/* Create the map that a group starts with: every expert once, the free slots
+   filled from the first expert on, tokens split evenly.  */
+placement_map_t *
+placement_map_first (TALLOC_CTX *parent, const placement_shape_t *shape)
+{
+  placement_map_t *map = placement_map_create (parent, shape);
+
+  if (map == NULL)
+    return NULL;
+  for (unsigned layer = 0; layer < shape->layers; layer++)
+    {
+      for (unsigned i = 0; i < shape->ranks * shape->slots; i++)
+        {
+          placement_slot_t *slot = placement_map_slot (
+              map, layer, i % shape->ranks, i / shape->ranks);
+          unsigned expert = i % shape->experts;
+          unsigned replicas
+              = (shape->ranks * shape->slots - expert - 1) / shape->experts
+                + 1;
+
+          slot->expert = (uint16_t)expert;
+          slot->share = (uint16_t)(PLACEMENT_SHARE_WHOLE / replicas);
+        }
+    }
+  return map;
+}
+
+/* Return whether every slot of MAP holds an existing expert and every expert
+   has a slot that gets tokens.  */
+bool
+placement_map_is_valid (const placement_map_t *map)
+{
+  const placement_shape_t *shape = &map->shape;
+  size_t slots = (size_t)shape->ranks * shape->slots;
+  bool *is_held = talloc_zero_array (NULL, bool, shape->experts);
+  bool is_valid = is_held != NULL;
+
+  for (unsigned layer = 0; is_valid && layer < shape->layers; layer++)
+    {
+      for (unsigned i = 0; i < shape->experts; i++)
+        is_held[i] = false;
+      for (size_t i = 0; i < slots; i++)
+        {
+          const placement_slot_t *slot = &map->slots[layer * slots + i];
+
+          is_valid = is_valid && slot->expert < shape->experts;
+          if (is_valid && slot->share > 0)
+            is_held[slot->expert] = true;
+        }
+      for (unsigned i = 0; i < shape->experts; i++)
+        is_valid = is_valid && is_held[i];
+    }
+  talloc_free (is_held);
+  return is_valid;
+}
+
+static bool
+rank_holds (const placement_map_t *map, unsigned layer, unsigned rank,
+            unsigned expert)
+{
+  for (unsigned i = 0; i < map->shape.slots; i++)
+    {
+      if (placement_map_slot (map, layer, rank, i)->expert == expert)
+        return true;
+    }
+  return false;
+}
+
+/* Return how many weights ranks have to load to go from one map to another of
+   the same shape.  */
+unsigned
+placement_map_moves (const placement_map_t *from, const placement_map_t *to)
+{
+  const placement_shape_t *shape = &to->shape;
+  unsigned moves = 0;
+
+  for (unsigned layer = 0; layer < shape->layers; layer++)
+    {
+      for (unsigned rank = 0; rank < shape->ranks; rank++)
+        {
+          for (unsigned i = 0; i < shape->slots; i++)
+            {
+              unsigned expert
+                  = placement_map_slot (to, layer, rank, i)->expert;
+
+              if (!rank_holds (from, layer, rank, expert))
+                moves++;
+            }
+        }
+    }
+  return moves;
+}
--- /dev/null
+++ b/tests/test_placement.c
@@ -0,0 +1,212 @@
+#include "kernel/plugin.h"
+#include "plugins/placement.h"
+#include "plugins/placement/layer.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+enum
+{
+  RANKS = 8,
+  EXPERTS = 32,
+  SLOTS = 6,
+  SAMPLE_TOKENS = 1000000,
+  MOVES_LIMIT = 8,
+  SLOW_RANK = 3
+};
+
+static const placement_shape_t shape
+    = { .layers = 2, .ranks = RANKS, .experts = EXPERTS, .slots = SLOTS };
+static const placement_config_t config
+    = { .minimum_gain = 0.02, .moves_limit = MOVES_LIMIT };
+
+/* A group whose popularity follows Zipf's law, and the policy that sees it. */
+typedef struct group
+{
+  const placement_ops_t *ops;
+  placement_t *placement;
+  placement_map_t *map;
+  placement_plan_t plan;
+  uint64_t tokens[2 * EXPERTS];
+  uint64_t work[RANKS];
+  uint64_t busy_us[RANKS];
+} group_t;
+
+static group_t *
+group_create (const char *policy)
+{
+  group_t *group = talloc_zero (NULL, group_t);
+
+  group->ops = plugin_ops (PLUGIN_PLACEMENT, policy);
+  assert_non_null (group->ops);
+  group->placement = group->ops->create (group, &shape, &config);
+  group->map = placement_map_first (group, &shape);
+  for (unsigned i = 0; i < 2 * EXPERTS; i++)
+    group->tokens[i] = SAMPLE_TOKENS / (i % EXPERTS + 1);
+  for (unsigned i = 0; i < RANKS; i++)
+    {
+      group->work[i] = SAMPLE_TOKENS;
+      group->busy_us[i] = SAMPLE_TOKENS;
+    }
+  return group;
+}
+
+static void
+group_plan (group_t *group)
+{
+  placement_sample_t sample = { .tokens = group->tokens,
+                                .work = group->work,
+                                .busy_us = group->busy_us };
+
+  group->ops->observe (group->placement, &sample);
+  group->ops->plan (group->placement, group, group->map, &group->plan);
+  if (!group->plan.is_change)
+    return;
+  assert_true (placement_map_is_valid (group->plan.map));
+  assert_int_equal (placement_map_moves (group->map, group->plan.map),
+                    group->plan.moves);
+  group->map = group->plan.map;
+}
+
+static void
+test_first_map_holds_every_expert (void **state)
+{
+  placement_shape_t too_small = shape;
+  placement_map_t *map = placement_map_first (NULL, &shape);
+
+  (void)state;
+  assert_true (placement_map_is_valid (map));
+  assert_int_equal (placement_map_moves (map, map), 0);
+  placement_map_slot (map, 1, 0, 0)->expert = EXPERTS;
+  assert_false (placement_map_is_valid (map));
+  talloc_free (map);
+  too_small.slots = 3;
+  assert_null (placement_map_first (NULL, &too_small));
+}
+
+static void
+test_fixed_never_moves (void **state)
+{
+  group_t *group = group_create ("fixed");
+
+  (void)state;
+  group_plan (group);
+  assert_false (group->plan.is_change);
+  assert_true (group->plan.time_before > 2 * group->plan.time_bound);
+  talloc_free (group);
+}
+
+static void
+test_repack_balances_from_scratch (void **state)
+{
+  group_t *group = group_create ("repack");
+
+  (void)state;
+  group_plan (group);
+  assert_true (group->plan.is_change);
+  assert_true (group->plan.time_after < 1.2 * group->plan.time_bound);
+  assert_true (group->plan.moves > 2 * MOVES_LIMIT);
+  talloc_free (group);
+}
+
+static void
+test_incremental_keeps_to_its_moves (void **state)
+{
+  group_t *group = group_create ("incremental");
+
+  (void)state;
+  for (unsigned i = 0; i < 12; i++)
+    {
+      group_plan (group);
+      assert_true (group->plan.moves <= MOVES_LIMIT);
+      assert_true (group->plan.time_after <= group->plan.time_before);
+    }
+  assert_true (group->plan.time_after < 1.05 * group->plan.time_bound);
+  talloc_free (group);
+}
+
+static void
+test_incremental_rests_when_gain_is_small (void **state)
+{
+  group_t *group = group_create ("incremental");
+
+  (void)state;
+  for (unsigned i = 0; i < 12; i++)
+    group_plan (group);
+  group_plan (group);
+  assert_false (group->plan.is_change);
+  assert_string_equal (group->plan.reason, "gain-too-small");
+  talloc_free (group);
+}
+
+static double
+rank_load (const group_t *group, unsigned rank)
+{
+  estimate_t *estimate = estimate_create (NULL, &shape);
+  placement_sample_t sample = { .tokens = group->tokens,
+                                .work = group->work,
+                                .busy_us = group->busy_us };
+  layer_t *layer;
+  double load;
+
+  estimate_note (estimate, &sample);
+  layer = layer_create (estimate, estimate, 0, group->map);
+  load = layer->ranks[rank].load;
+  talloc_free (estimate);
+  return load;
+}
+
+static void
+test_incremental_relieves_slow_rank (void **state)
+{
+  group_t *group = group_create ("incremental");
+  double load;
+
+  (void)state;
+  for (unsigned i = 0; i < 12; i++)
+    group_plan (group);
+  load = rank_load (group, SLOW_RANK);
+  group->busy_us[SLOW_RANK] = SAMPLE_TOKENS * 10 / 7;
+  for (unsigned i = 0; i < 24; i++)
+    group_plan (group);
+  assert_true (rank_load (group, SLOW_RANK) < 0.8 * load);
+  assert_true (group->plan.time_after < 1.05 * group->plan.time_bound);
+  talloc_free (group);
+}
+
+static void
+test_incremental_follows_a_new_favourite (void **state)
+{
+  group_t *group = group_create ("incremental");
+
+  (void)state;
+  for (unsigned i = 0; i < 12; i++)
+    group_plan (group);
+  group->tokens[EXPERTS - 1] = SAMPLE_TOKENS;
+  group_plan (group);
+  assert_true (group->plan.is_change);
+  for (unsigned i = 0; i < 12; i++)
+    group_plan (group);
+  assert_true (group->plan.time_after < 1.05 * group->plan.time_bound);
+  talloc_free (group);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_first_map_holds_every_expert),
+    cmocka_unit_test (test_fixed_never_moves),
+    cmocka_unit_test (test_repack_balances_from_scratch),
+    cmocka_unit_test (test_incremental_keeps_to_its_moves),
+    cmocka_unit_test (test_incremental_rests_when_gain_is_small),
+    cmocka_unit_test (test_incremental_relieves_slow_rank),
+    cmocka_unit_test (test_incremental_follows_a_new_favourite),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
