Let agents run their group's map switches

Cause: the state machines and the placement policies had no group to serve.

The agent beside a rank joins the group that the inventory names: it is the fence for its engine (orders over HTTP by the engine plug-ins 'fenced' and 'unfenced'), takes orders from the coordinator and sends what its engine counts. When no coordinator is heard, ranks try one after the other to take the next epoch from the store by compare-and-swap; a lost answer is resolved by the value that nobody else writes. The coordinator has the placement plug-in of the settings plan from the ranks' counts, logs each decision with its reason and runs the switch. Maps travel with the orders, so that nothing but an epoch needs the store.

Ruled out: connections from every rank to every other (only the coordinator opens any), counts by expert from each rank (by slot they are a forty-third at 256 experts and 6 slots), and a separate thread (the group belongs to one worker; other workers pass frames on).

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -2,6 +2,7 @@
 
 #include "agent/program.h"
 
+#include "agent/group_route.h"
 #include "agent/job.h"
 #include "agent/peer.h"
 #include "agent/stop.h"
@@ -99,6 +100,7 @@
                    status_message ());
       else
         agent->configured_revision = settings->revision;
+      group_route_configure (agent, settings);
     }
   settings_release (settings);
 }
@@ -143,6 +145,8 @@
   agent_apply_settings (agent);
   agent_note_contact (agent);
   gate_check_pace (agent->gate);
+  if (agent->group != NULL)
+    group_tick (agent->group);
   if (++agent->ticks % AGE_TICKS == 0)
     job_age_all (agent);
 }
--- /dev/null
+++ b/agent/group_peers.c
@@ -0,0 +1,147 @@
+#include "agent/group.h"
+
+#include "kernel/log.h"
+
+#include <string.h>
+
+/* Learn where the agents of the other ranks are.  */
+void
+group_peers_configure (group_t *group, const settings_t *settings)
+{
+  const upstream_t *upstream;
+
+  STAILQ_FOREACH (upstream, &settings->upstreams, link)
+    {
+      group_peer_t *peer;
+
+      if (strcmp (upstream->group, group->name) != 0
+          || (unsigned)upstream->rank >= group->rank_count)
+        continue;
+      peer = &group->peers[upstream->rank];
+      if (peer->address_text != NULL
+          && strcmp (peer->address_text, upstream->address) == 0)
+        continue;
+      if (peer->link != NULL)
+        link_close (peer->link, "address-changed");
+      talloc_free (peer->address_text);
+      peer->group = group;
+      peer->rank = (unsigned)upstream->rank;
+      peer->address_text = talloc_strdup (group, upstream->address);
+      if (net_address_parse (group, peer->address_text, &peer->address)
+          != STATUS_OK)
+        TALLOC_FREE (peer->address_text);
+    }
+}
+
+static void
+peer_on_open (link_t *link, const frame_hello_t *hello, void *data)
+{
+  (void)link;
+  (void)hello;
+  (void)data;
+}
+
+static void
+peer_take_reply (group_t *group, const frame_map_reply_t *frame)
+{
+  group_reply_t reply;
+
+  if (strcmp (frame->group, group->name) != 0
+      || group_reply_from_frame (frame, &reply) != STATUS_OK
+      || group_maps_decode (group->maps, frame->maps) != STATUS_OK)
+    {
+      log_event (LOG_LEVEL_WARN, "map-reply-refused", "group=%s error=\"%s\"",
+                 frame->group, status_message ());
+      return;
+    }
+  group_lead_receive (group->lead, &reply);
+}
+
+static void
+peer_on_frame (link_t *link, const frame_t *frame, void *data)
+{
+  group_peer_t *peer = data;
+
+  switch (frame->header.type)
+    {
+    case FRAME_MAP_REPLY:
+      peer_take_reply (peer->group, &frame->body.map_reply);
+      break;
+    case FRAME_MAP_COUNTS:
+      group_lead_note_counts (peer->group->lead, &frame->body.map_counts);
+      break;
+    case FRAME_LOAD:
+      break;
+    default:
+      link_close (link, "unexpected-frame");
+      break;
+    }
+}
+
+static void
+peer_on_closed (link_t *link, const char *reason, void *data)
+{
+  group_peer_t *peer = data;
+
+  (void)reason;
+  if (peer->link == link)
+    peer->link = NULL;
+}
+
+static const link_ops_t peer_ops = {
+  .on_open = peer_on_open,
+  .on_frame = peer_on_frame,
+  .on_closed = peer_on_closed,
+};
+
+/* Connect to every other rank's agent to which there is no connection.  */
+void
+group_peers_open (group_t *group)
+{
+  for (unsigned i = 0; i < group->rank_count; i++)
+    {
+      group_peer_t *peer = &group->peers[i];
+
+      if (i != group->rank && peer->link == NULL && peer->address_text != NULL)
+        peer->link = link_connect (group->options.worker, group->options.node,
+                                   &peer->address, &peer_ops, peer);
+    }
+}
+
+/* Close the connections, which only a coordinator needs.  */
+void
+group_peers_close (group_t *group)
+{
+  for (unsigned i = 0; i < group->rank_count; i++)
+    {
+      if (group->peers[i].link != NULL)
+        link_close (group->peers[i].link, "not-coordinator");
+    }
+}
+
+/* Send ORDER to its rank, with the maps it names where they are needed.  An
+   order that cannot be sent is lost; the coordinator sends it again.  */
+void
+group_peers_send (group_t *group, const group_order_t *order,
+                  bool wants_counts)
+{
+  frame_t frame = { .header = { .type = FRAME_MAP_ORDER } };
+  group_peer_t *peer = &group->peers[order->rank];
+  TALLOC_CTX *scratch;
+
+  if (order->rank == group->rank)
+    {
+      group_post_order (group, order, wants_counts);
+      return;
+    }
+  if (peer->link == NULL)
+    return;
+  scratch = talloc_new (group);
+  group_order_to_frame (group, order, &frame.body.map_order);
+  frame.body.map_order.wants_counts = wants_counts;
+  if (order->kind == GROUP_PREPARE || order->kind == GROUP_JOIN)
+    frame.body.map_order.maps = group_maps_encode (
+        scratch, group->maps, order->schedule.base, order->schedule.next);
+  link_send (peer->link, &frame);
+  talloc_free (scratch);
+}
--- a/agent/peer.c
+++ b/agent/peer.c
@@ -1,5 +1,6 @@
 #include "agent/peer.h"
 
+#include "agent/group_route.h"
 #include "agent/job.h"
 #include "agent/stop.h"
 #include "kernel/counter.h"
@@ -198,6 +199,9 @@
     case FRAME_RESUME:
       job_resume (share, link, frame);
       break;
+    case FRAME_MAP_ORDER:
+      group_route_order (share, link, frame);
+      break;
     default:
       link_close (link, "unexpected-frame");
       break;
--- a/bench/bench_placement.c
+++ b/bench/bench_placement.c
@@ -98,7 +98,7 @@
   for (unsigned i = 0; i < layers; i++)
     {
       for (unsigned j = 0; j < EXPERTS / SWAPS; j++)
-        swap_places (traffic, &traffic->to[i * EXPERTS]);
+        swap_places (traffic, &traffic->to[(size_t)i * EXPERTS]);
     }
   return traffic;
 }
@@ -106,9 +106,9 @@
 static void
 traffic_tick_layer (traffic_t *traffic, unsigned layer, unsigned tick)
 {
-  unsigned *from = &traffic->from[layer * EXPERTS];
-  unsigned *to = &traffic->to[layer * EXPERTS];
-  double *popularity = &traffic->popularity[layer * EXPERTS];
+  unsigned *from = &traffic->from[(size_t)layer * EXPERTS];
+  unsigned *to = &traffic->to[(size_t)layer * EXPERTS];
+  double *popularity = &traffic->popularity[(size_t)layer * EXPERTS];
   double part = (double)(tick % TICKS_A_DRIFT) / TICKS_A_DRIFT;
   double sum = 0;
 
@@ -133,7 +133,8 @@
       for (unsigned j = 0; j < 12; j++)
         noise += (double)traffic_random (traffic, 1000000) / 1000000.0;
       mean += noise * sqrt (mean);
-      traffic->tokens[layer * EXPERTS + i] += mean > 0 ? (uint64_t)mean : 0;
+      traffic->tokens[(size_t)layer * EXPERTS + i]
+          += mean > 0 ? (uint64_t)mean : 0;
     }
 }
 
--- a/common/config.c
+++ b/common/config.c
@@ -17,6 +17,7 @@
   { "listen", SCHEMA_STRING, offsetof (config_t, listen) },
   { "admin", SCHEMA_STRING, offsetof (config_t, admin) },
   { "upstream", SCHEMA_STRING, offsetof (config_t, upstream) },
+  { "engine", SCHEMA_STRING, offsetof (config_t, engine) },
   { "workers", SCHEMA_INTEGER, offsetof (config_t, workers), .minimum = 1,
     .maximum = MAX_WORKERS },
   { "store", SCHEMA_STRINGS, offsetof (config_t, store), .is_required = true },
@@ -41,6 +42,7 @@
   config->listen = "127.0.0.1:0";
   config->admin = "127.0.0.1:0";
   config->upstream = "";
+  config->engine = "unfenced";
   config->workers = DEFAULT_WORKERS;
   config->store_timeout = timespec_from_ms (DEFAULT_STORE_TIMEOUT_MS);
   config->stop_timeout = timespec_from_ms (DEFAULT_STOP_TIMEOUT_MS);
--- a/common/frame.c
+++ b/common/frame.c
@@ -7,7 +7,7 @@
 enum
 {
   HEADER_FIELDS = 7, /* items before the body's fields */
-  MAX_BODY_FIELDS = 12,
+  MAX_BODY_FIELDS = 16,
   MAX_SHORT_STRING = 4096
 };
 
@@ -97,16 +97,29 @@
       { UNSIGNED (settings.revision, 0), BLOB (settings.document) } },
   [FRAME_MAP_ORDER]
   = { "map-order",
-      { UNSIGNED (map.kind, 0), STRING (map.group), UNSIGNED (map.rank, 0),
-        UNSIGNED (map.rank_incarnation, 0), UNSIGNED (map.epoch, 0),
-        UNSIGNED (map.version, 0), UNSIGNED (map.step, 0),
-        UNSIGNED (map.state, 0), BLOB (map.map) } },
+      { UNSIGNED (map_order.kind, 0), STRING (map_order.group),
+        UNSIGNED (map_order.rank, 0), UNSIGNED (map_order.incarnation, 0),
+        UNSIGNED (map_order.epoch, 0), UNSIGNED (map_order.round, 0),
+        UNSIGNED (map_order.phase, 0), UNSIGNED (map_order.base, 0),
+        UNSIGNED (map_order.next, 0), UNSIGNED (map_order.step, 0),
+        BOOLEAN (map_order.wants_counts), BLOB (map_order.maps) } },
   [FRAME_MAP_REPLY]
   = { "map-reply",
-      { UNSIGNED (map.kind, 0), STRING (map.group), UNSIGNED (map.rank, 0),
-        UNSIGNED (map.rank_incarnation, 0), UNSIGNED (map.epoch, 0),
-        UNSIGNED (map.version, 0), UNSIGNED (map.step, 0),
-        UNSIGNED (map.state, 0), BLOB (map.map) } },
+      { UNSIGNED (map_reply.kind, 0), STRING (map_reply.group),
+        UNSIGNED (map_reply.rank, 0), UNSIGNED (map_reply.incarnation, 0),
+        UNSIGNED (map_reply.epoch, 0), UNSIGNED (map_reply.round, 0),
+        UNSIGNED (map_reply.promised_epoch, 0),
+        UNSIGNED (map_reply.promised_round, 0),
+        BOOLEAN (map_reply.is_accepted), UNSIGNED (map_reply.phase, 0),
+        UNSIGNED (map_reply.base, 0), UNSIGNED (map_reply.next, 0),
+        UNSIGNED (map_reply.step, 0), UNSIGNED (map_reply.current_step, 0),
+        BLOB (map_reply.maps) } },
+  [FRAME_MAP_COUNTS]
+  = { "map-counts",
+      { STRING (map_counts.group), UNSIGNED (map_counts.rank, 0),
+        UNSIGNED (map_counts.incarnation, 0), UNSIGNED (map_counts.version, 0),
+        UNSIGNED (map_counts.work, 0), UNSIGNED (map_counts.busy_us, 0),
+        BLOB (map_counts.tokens) } },
 };
 
 static unsigned
--- a/include/agent/agent.h
+++ b/include/agent/agent.h
@@ -2,6 +2,7 @@
 #define SISKIN_AGENT_AGENT_H
 
 #include "agent/gate.h"
+#include "agent/group.h"
 #include "agent/probe.h"
 #include "common/daemon.h"
 #include "common/link.h"
@@ -45,6 +46,7 @@
   node_t *node;
   gate_t *gate;
   probe_t *probe;
+  group_t *group; /* worker 0 only; NULL outside a group */
   const upstream_ops_t *upstream_ops;
   const store_ops_t *store_ops;
   const journal_ops_t *journal_ops; /* set before JOURNAL */
--- /dev/null
+++ b/include/agent/group.h
@@ -0,0 +1,132 @@
+#ifndef SISKIN_AGENT_GROUP_H
+#define SISKIN_AGENT_GROUP_H
+
+#include "agent/group_coordinator.h"
+#include "agent/group_maps.h"
+#include "agent/group_rank.h"
+#include "common/link.h"
+#include "plugins/engine.h"
+#include "plugins/store.h"
+
+#include <sys/queue.h>
+
+/* The agent's part in the lock-step group of its upstream: always a rank, and
+   the coordinator while it holds the group's epoch.  All of it belongs to one
+   worker.  */
+typedef struct group group_t;
+typedef struct group_lead group_lead_t;
+
+enum
+{
+  GROUP_ROUTES = 4
+};
+
+/* Where the orders of an epoch came from, and their replies go.  */
+typedef struct group_route
+{
+  uint64_t epoch;
+  bool is_self;
+  unsigned worker; /* that owns the connection */
+  uint64_t peer_incarnation;
+} group_route_t;
+
+/* Another rank's agent, as this process reaches it while it leads.  */
+typedef struct group_peer
+{
+  group_t *group;
+  unsigned rank;
+  char *address_text;
+  net_address_t address;
+  link_t *link; /* NULL while there is none */
+} group_peer_t;
+
+/* A message between this process's coordinator and its own rank.  */
+typedef struct group_parcel
+{
+  task_t task;
+  STAILQ_ENTRY (group_parcel) link;
+  group_t *group;
+  bool is_reply;
+  group_order_t order;
+  bool wants_counts;
+  group_reply_t reply;
+} group_parcel_t;
+
+typedef struct group_options
+{
+  worker_t *worker;
+  node_t *node;
+  const store_ops_t *store_ops;
+  store_t *store;
+  const char *engine; /* name of the plug-in */
+  const char *engine_url;
+  /* Send FRAME back over the connection that ROUTE names.  */
+  void (*reply) (const group_route_t *route, const frame_t *frame, void *data);
+  void *data;
+} group_options_t;
+
+struct group
+{
+  group_options_t options;
+  char *name;
+  unsigned rank;
+  unsigned rank_count;
+  const engine_ops_t *engine_ops;
+  engine_t *engine;
+  group_rank_t *state;
+  group_maps_t *maps;
+  uint64_t counted_version; /* of the engine's newest counts */
+  placement_shape_t shape;  /* of the engine; no ranks until it is known */
+  uint64_t work;
+  uint64_t busy_us;
+  uint64_t *tokens;
+  size_t token_count;
+  uint64_t held_step; /* the newest step that the engine was seen to hold */
+  group_route_t routes[GROUP_ROUTES];
+  unsigned next_route;
+  struct timespec led_at; /* a coordinator was last heard */
+  placement_settings_t placement;
+  char *policy;
+  group_peer_t *peers; /* by rank */
+  group_lead_t *lead;
+};
+
+group_t *group_create (TALLOC_CTX *parent, const group_options_t *options,
+                       const settings_t *settings, const upstream_t *upstream);
+void group_configure (group_t *group, const settings_t *settings);
+void group_tick (group_t *group);
+void group_take_order (group_t *group, const group_route_t *route,
+                       const frame_map_order_t *order);
+
+/* Shared by the files of the group.  */
+struct timespec group_now (const group_t *group);
+void group_receive (group_t *group, const group_route_t *route,
+                    const group_order_t *order, bool wants_counts);
+void group_post_reply (group_t *group, const group_reply_t *reply);
+void group_post_order (group_t *group, const group_order_t *order,
+                       bool wants_counts);
+void group_counts_frame (group_t *group, TALLOC_CTX *parent, frame_t *frame);
+
+void group_peers_configure (group_t *group, const settings_t *settings);
+void group_peers_open (group_t *group);
+void group_peers_close (group_t *group);
+void group_peers_send (group_t *group, const group_order_t *order,
+                       bool wants_counts);
+
+group_lead_t *group_lead_create (group_t *group);
+void group_lead_configure (group_lead_t *lead);
+void group_lead_tick (group_lead_t *lead);
+void group_lead_receive (group_lead_t *lead, const group_reply_t *reply);
+void group_lead_note_counts (group_lead_t *lead,
+                             const frame_map_counts_t *counts);
+
+void group_order_to_frame (const group_t *group, const group_order_t *order,
+                           frame_map_order_t *frame);
+status_t group_order_from_frame (const frame_map_order_t *frame,
+                                 group_order_t *order);
+void group_reply_to_frame (const group_t *group, const group_reply_t *reply,
+                           frame_map_reply_t *frame);
+status_t group_reply_from_frame (const frame_map_reply_t *frame,
+                                 group_reply_t *reply);
+
+#endif
--- /dev/null
+++ b/include/agent/group_maps.h
@@ -0,0 +1,25 @@
+#ifndef SISKIN_AGENT_GROUP_MAPS_H
+#define SISKIN_AGENT_GROUP_MAPS_H
+
+#include "common/frame.h"
+#include "plugins/placement.h"
+
+/* The expert maps that a process knows, by version, and how they travel.  The
+   ones not asked for longest are dropped.  */
+typedef struct group_maps group_maps_t;
+
+group_maps_t *group_maps_create (TALLOC_CTX *parent);
+void group_maps_destroy (group_maps_t *maps);
+void group_maps_add (group_maps_t *maps, uint64_t version,
+                     placement_map_t *map);
+const placement_map_t *group_maps_find (group_maps_t *maps, uint64_t version);
+blob_t group_maps_encode (TALLOC_CTX *parent, group_maps_t *maps,
+                          uint64_t first, uint64_t second);
+status_t group_maps_decode (group_maps_t *maps, blob_t encoded);
+
+blob_t group_numbers_encode (TALLOC_CTX *parent, const uint64_t *numbers,
+                             size_t count);
+uint64_t *group_numbers_decode (TALLOC_CTX *parent, blob_t encoded,
+                                size_t *count);
+
+#endif
--- /dev/null
+++ b/include/agent/group_plan.h
@@ -0,0 +1,19 @@
+#ifndef SISKIN_AGENT_GROUP_PLAN_H
+#define SISKIN_AGENT_GROUP_PLAN_H
+
+#include "agent/group.h"
+
+/* The coordinator's planning: collects what the ranks count, has the placement
+   plug-in decide, and starts the switch.  */
+typedef struct group_plan group_plan_t;
+
+group_plan_t *group_plan_create (group_t *group,
+                                 group_coordinator_t *coordinator);
+void group_plan_configure (group_plan_t *plan);
+void group_plan_reset (group_plan_t *plan);
+bool group_plan_is_due (const group_plan_t *plan, struct timespec now);
+void group_plan_note_counts (group_plan_t *plan,
+                             const frame_map_counts_t *counts);
+void group_plan_run (group_plan_t *plan, struct timespec now);
+
+#endif
--- a/include/common/config.h
+++ b/include/common/config.h
@@ -16,6 +16,7 @@
   const char *listen;   /* frames from peers (agent) or HTTP (entry) */
   const char *admin;    /* counters and health, by HTTP */
   const char *upstream; /* agent only: URL of the upstream beside it */
+  const char *engine;   /* agent of a rank only: name of an engine plug-in */
   int64_t workers;
   schema_strings_t store; /* URLs */
   schema_strings_t peers; /* ADDRESS:PORT of other processes */
--- a/include/common/frame.h
+++ b/include/common/frame.h
@@ -41,6 +41,7 @@
   FRAME_SETTINGS,
   FRAME_MAP_ORDER,
   FRAME_MAP_REPLY,
+  FRAME_MAP_COUNTS,
   FRAME_TYPE_COUNT
 } frame_type_t;
 
@@ -131,19 +132,53 @@
   blob_t document;
 } frame_settings_t;
 
-/* Orders and replies of the expert-map switch; see docs/DESIGN.md.  */
-typedef struct frame_map
+/* An order of the expert-map switch; see docs/MAP-SWITCH.md.  */
+typedef struct frame_map_order
 {
-  uint64_t kind; /* map_message_kind_t */
+  uint64_t kind; /* group_order_kind_t */
   const char *group;
   uint64_t rank;
-  uint64_t rank_incarnation;
+  uint64_t incarnation; /* of the rank */
   uint64_t epoch;
-  uint64_t version;
+  uint64_t round;
+  uint64_t phase; /* group_phase_t; the rest of the schedule follows */
+  uint64_t base;
+  uint64_t next;
+  uint64_t step;
+  bool wants_counts;
+  blob_t maps;
+} frame_map_order_t;
+
+typedef struct frame_map_reply
+{
+  uint64_t kind; /* of the order, whose fence follows the incarnation */
+  const char *group;
+  uint64_t rank;
+  uint64_t incarnation;
+  uint64_t epoch;
+  uint64_t round;
+  uint64_t promised_epoch;
+  uint64_t promised_round;
+  bool is_accepted;
+  uint64_t phase;
+  uint64_t base;
+  uint64_t next;
   uint64_t step;
-  uint64_t state;
-  blob_t map;
-} frame_map_t;
+  uint64_t current_step;
+  blob_t maps;
+} frame_map_reply_t;
+
+/* What a rank computed, summed up since its engine took the map VERSION.  */
+typedef struct frame_map_counts
+{
+  const char *group;
+  uint64_t rank;
+  uint64_t incarnation;
+  uint64_t version;
+  uint64_t work;    /* tokens */
+  uint64_t busy_us; /* without the wait for other ranks */
+  blob_t tokens;    /* by layer and slot */
+} frame_map_counts_t;
 
 typedef struct frame
 {
@@ -159,7 +194,9 @@
     frame_refuse_t refuse;
     frame_load_t load;
     frame_settings_t settings;
-    frame_map_t map;
+    frame_map_order_t map_order;
+    frame_map_reply_t map_reply;
+    frame_map_counts_t map_counts;
   } body;
 } frame_t;
 
--- a/plugins/placement/layer.h
+++ b/plugins/placement/layer.h
@@ -42,7 +42,7 @@
 layer_t *layer_create (TALLOC_CTX *parent, const estimate_t *estimate,
                        unsigned index, const placement_map_t *map);
 void layer_balance (layer_t *layer, unsigned sweeps);
-void layer_spread (layer_t *layer, unsigned expert);
+void layer_spread (layer_t *layer, unsigned index);
 void layer_replace (layer_t *layer, replica_t *replica, unsigned expert);
 bool layer_rank_holds (const layer_t *layer, unsigned rank, unsigned expert);
 double layer_time (const layer_t *layer);
