--- a/agent/peer.c
+++ b/agent/peer.c
@@ -1,5 +1,6 @@
 #include "agent/peer.h"
 
+#include "agent/group_route.h"
 #include "agent/job.h"
 #include "agent/stop.h"
 #include "kernel/counter.h"
@@ -117,6 +118,21 @@
     }
 }
 
+/* Show the settings in force here to the processes connected to this worker
+   now, rather than with the next frame that goes there anyway.  */
+void
+peer_announce_settings (agent_worker_t *share)
+{
+  frame_t ping = { .header = { .type = FRAME_PING } };
+  agent_peer_t *peer;
+
+  LIST_FOREACH (peer, &share->peers, peer_link)
+    {
+      if (link_is_open (peer->link))
+        link_send (peer->link, &ping);
+    }
+}
+
 static void
 peer_run_announce (task_t *task, worker_t *worker)
 {
@@ -154,11 +170,11 @@
     {
       int64_t heard_ms;
 
-      if (!link_is_open (peer->link)
+      if (!link_is_open (peer->link) || link_peer_role (peer->link) == NODE_CTL
           || strcmp (link_peer_zone (peer->link), node_zone (agent->node))
                  == 0)
         continue;
-      heard_ms = timespec_to_ms (link_last_received (peer->link));
+      heard_ms = (int64_t)link_touched_ms (peer->link);
       while (heard_ms > newest
              && !atomic_compare_exchange_weak (&agent->other_zone_heard_ms,
                                                &newest, heard_ms))
@@ -198,6 +214,9 @@
     case FRAME_RESUME:
       job_resume (share, link, frame);
       break;
+    case FRAME_MAP_ORDER:
+      group_route_order (share, link, frame);
+      break;
     default:
       link_close (link, "unexpected-frame");
       break;
--- a/tests/sim/upstream.c
+++ b/tests/sim/upstream.c
@@ -4,6 +4,7 @@
 #include "kernel/table.h"
 #include "plugins/upstream.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -42,8 +43,9 @@
   bool is_down;
   bool is_cold;
   unsigned open;
-  unsigned incarnation;
+  uint64_t incarnation;
   LIST_HEAD (, run) runs;
+  LIST_HEAD (, watch) watches;
   worker_timer_t *warm_timer;
 };
 
@@ -53,6 +55,23 @@
   sim_upstream_t *upstream;
 };
 
+/* A connection that an agent holds to hear of a restart.  */
+typedef struct watch
+{
+  LIST_ENTRY (watch) link;
+  upstream_transport_t *transport;
+  void (*on_broken) (void *data);
+  void *data;
+} watch_t;
+
+/* A load report on its way.  */
+typedef struct probe
+{
+  upstream_transport_t *transport;
+  upstream_probe_done_t done;
+  void *data;
+} probe_t;
+
 /* A request on the upstream, which outlives the agent's interest.  */
 struct run
 {
@@ -75,10 +94,8 @@
   void *data;
   run_t *run; /* NULL once it ended */
   uint64_t number;
-  char *report; /* the answer to a question for the load, else NULL */
   size_t available;
   size_t delivered;
-  bool is_created;
   bool is_head_sent;
   bool is_paused;
   bool is_over;
@@ -164,9 +181,7 @@
 
   if (size > sizeof part)
     size = sizeof part;
-  if (call->report != NULL)
-    memcpy (part, call->report + call->delivered, size);
-  for (size_t i = 0; call->report == NULL && i < size; i++)
+  for (size_t i = 0; i < size; i++)
     part[i] = sim_answer_byte (call->number, call->delivered + i);
   if (!call->ops->on_data (part, size, call->data))
     {
@@ -187,8 +202,8 @@
   if (call->available > 0 && !call->is_head_sent)
     {
       call->is_head_sent = true;
-      call->ops->on_head (call->is_created ? 201 : 200, "text/plain",
-                          call->data);
+      call->ops->on_head (call->transport->upstream->is_plain ? 201 : 200,
+                          "text/plain", call->data);
     }
   while (call->delivered < call->available && !call->is_paused)
     {
@@ -359,40 +374,6 @@
   call_finish (call, STATUS_TIMEOUT, true);
 }
 
-/* The question for the load reaches the upstream.  */
-static void
-report_arrive (worker_t *worker, void *data)
-{
-  upstream_call_t *call = data;
-  const sim_upstream_t *upstream = call->transport->upstream;
-
-  (void)worker;
-  if (upstream->is_down)
-    {
-      call_finish (call, STATUS_UNAVAILABLE, false);
-      return;
-    }
-  call->report = talloc_asprintf (
-      call, "{\"incarnation\":\"%u\",\"running\":%u,\"is_cold\":%s}",
-      upstream->incarnation, upstream->open,
-      upstream->is_cold ? "true" : "false");
-  call->available = strlen (call->report);
-  call_finish (call, STATUS_OK, true);
-}
-
-static upstream_call_t *
-report_start (upstream_transport_t *transport, const upstream_call_ops_t *ops,
-              void *data)
-{
-  upstream_call_t *call = talloc_zero (transport, upstream_call_t);
-
-  call->transport = transport;
-  call->ops = ops;
-  call->data = data;
-  sim_after (call, sim_delay (ARRIVAL_MAX_US), report_arrive, call);
-  return call;
-}
-
 static upstream_call_t *
 fake_start (upstream_transport_t *transport, const upstream_request_t *request,
             const upstream_call_ops_t *ops, void *data)
@@ -402,8 +383,6 @@
   run_t *run;
   char *text;
 
-  if (strcmp (request->path, "/load") == 0)
-    return report_start (transport, ops, data);
   call = talloc_zero (transport, upstream_call_t);
   run = talloc_zero (upstream, run_t);
   text = talloc_strndup (call, request->body, request->body_size);
@@ -413,7 +392,6 @@
   call->ops = ops;
   call->data = data;
   call->run = run;
-  call->is_created = upstream->is_plain;
   call->number = run->number = strtoull (text, NULL, 10);
   talloc_set_destructor (call, call_free);
   run->upstream = upstream;
@@ -443,12 +421,84 @@
   call_wake (call);
 }
 
+static void
+probe_answer (worker_t *worker, void *data)
+{
+  probe_t *probe = data;
+  const sim_upstream_t *upstream = probe->transport->upstream;
+  char incarnation[32];
+  upstream_report_t report = { .incarnation = incarnation,
+                               .has_running = true,
+                               .running = upstream->open };
+
+  (void)worker;
+  snprintf (incarnation, sizeof incarnation, "%llu",
+            (unsigned long long)upstream->incarnation);
+  if (upstream->is_down)
+    probe->done (STATUS_UNAVAILABLE, NULL, probe->data);
+  else
+    probe->done (STATUS_OK, &report, probe->data);
+  talloc_free (probe);
+}
+
+static status_t
+fake_probe (upstream_transport_t *transport, struct timespec timeout,
+            upstream_probe_done_t done, void *data)
+{
+  probe_t *probe = talloc_zero (transport, probe_t);
+
+  (void)timeout;
+  probe->transport = transport;
+  probe->done = done;
+  probe->data = data;
+  worker_timer_start (transport->worker, probe, sim_delay (ARRIVAL_MAX_US),
+                      probe_answer, probe);
+  return STATUS_OK;
+}
+
+static int
+watch_free (watch_t *watch)
+{
+  LIST_REMOVE (watch, link);
+  return 0;
+}
+
+static void
+watch_break (worker_t *worker, void *data)
+{
+  watch_t *watch = data;
+
+  (void)worker;
+  watch->on_broken (watch->data);
+  talloc_free (watch);
+}
+
+/* A connection to an upstream that is down breaks at once.  */
+static status_t
+fake_watch (upstream_transport_t *transport, void (*on_broken) (void *data),
+            void *data)
+{
+  watch_t *watch = talloc_zero (transport, watch_t);
+
+  watch->transport = transport;
+  watch->on_broken = on_broken;
+  watch->data = data;
+  LIST_INSERT_HEAD (&transport->upstream->watches, watch, link);
+  talloc_set_destructor (watch, watch_free);
+  if (transport->upstream->is_down)
+    worker_timer_start (transport->worker, watch, timespec_from_ms (0),
+                        watch_break, watch);
+  return STATUS_OK;
+}
+
 static const upstream_ops_t fake_ops = {
   .create = fake_create,
   .destroy = fake_destroy,
   .start = fake_start,
   .cancel = fake_cancel,
   .proceed = fake_proceed,
+  .probe = fake_probe,
+  .watch = fake_watch,
 };
 
 PLUGIN_REGISTER (http, PLUGIN_UPSTREAM, "http", "an upstream in memory",
@@ -488,6 +538,7 @@
   upstream->agent = agent;
   upstream->is_plain = is_plain;
   LIST_INIT (&upstream->runs);
+  LIST_INIT (&upstream->watches);
   upstream_come_up (sim_current->world, upstream);
   return upstream;
 }
@@ -511,9 +562,13 @@
 sim_upstream_restart (sim_upstream_t *upstream)
 {
   run_t *run;
+  watch_t *watch;
 
   if (upstream->is_down)
     return;
+  LIST_FOREACH (watch, &upstream->watches, link)
+    worker_timer_start (watch->transport->worker, watch,
+                        sim_delay (ARRIVAL_MAX_US), watch_break, watch);
   while ((run = LIST_FIRST (&upstream->runs)) != NULL)
     run_end (run, STATUS_UNAVAILABLE, true);
   TALLOC_FREE (upstream->warm_timer);
