--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -1,5 +1,7 @@
 #include "sim.h"
 
+#include "kernel/log.h"
+
 enum
 {
   FAULT_PAUSE_MAX_MS = 1500,
@@ -23,6 +25,10 @@
   FAULT_COUNT
 } fault_t;
 
+static const char *const fault_names[]
+    = { "kill", "pause",      "cut",          "reset",    "stop",
+        "cold", "store-down", "store-faulty", "store-cut" };
+
 /* What has to be undone.  */
 typedef struct undo
 {
@@ -44,6 +50,16 @@
   return process;
 }
 
+static void
+fault_log (const char *what, fault_t fault, const sim_process_t *left,
+           const sim_process_t *right)
+{
+  log_event (LOG_LEVEL_INFO, what, "fault=%s left=%s right=%s at_ms=%lld",
+             fault_names[fault], left == NULL ? "" : left->name,
+             right == NULL ? "" : right->name,
+             (long long)timespec_to_ms (sim_now ()));
+}
+
 static void
 fault_undo (const undo_t *undo)
 {
@@ -73,8 +89,11 @@
 static void
 undo_run (worker_t *worker, void *data)
 {
+  const undo_t *undo = data;
+
   (void)worker;
-  fault_undo (data);
+  fault_log ("fault-ends", undo->fault, undo->left, undo->right);
+  fault_undo (undo);
   talloc_free (data);
 }
 
@@ -141,13 +160,16 @@
 {
   sim_process_t *left = random_process ();
   sim_process_t *right = random_process ();
+  fault_t fault;
 
   (void)worker;
   if (sim_current->is_quiet)
     return;
   sim_after (data, sim_delay (FAULT_PAUSE_MAX_MS * 1000LL), faults_act, data);
   sim_current->counts.faults++;
-  fault_cause ((fault_t)sim_random (FAULT_COUNT), left, right);
+  fault = (fault_t)sim_random (FAULT_COUNT);
+  fault_log ("fault-begins", fault, left, right);
+  fault_cause (fault, left, right);
 }
 
 /* Let faults begin.  */
--- a/tests/sim/operators.c
+++ b/tests/sim/operators.c
@@ -130,18 +130,29 @@
   mark->at = sim_now ();
 }
 
+/* Write what siskinctl writes, as one change.  */
 static bool
-edit_write (edit_t *edit)
+parts_write (settings_parts_t *parts, int64_t seen)
 {
-  settings_parts_t *parts = edit->parts;
+  int64_t marked_at;
 
-  parts->revision++;
   parts->change_id = talloc_asprintf (parts, "change-%llu",
                                       (unsigned long long)parts->revision);
-  return !sim_store_is_down ()
-         && sim_store_replace (STORE_KEY_SETTINGS,
-                               settings_parts_format (parts, parts),
-                               edit->seen);
+  if (!sim_store_replace (STORE_KEY_SETTINGS,
+                          settings_parts_format (parts, parts), seen))
+    return false;
+  sim_store_read (STORE_KEY_REVISION, &marked_at);
+  return sim_store_replace (
+      STORE_KEY_REVISION,
+      settings_revision_mark (parts, parts->revision, parts->change_id),
+      marked_at);
+}
+
+static bool
+edit_write (edit_t *edit)
+{
+  edit->parts->revision++;
+  return !sim_store_is_down () && parts_write (edit->parts, edit->seen);
 }
 
 /* The operator's change comes to the store, which accepts it unless another
@@ -225,12 +236,10 @@
 
   sim_current->zones = zones;
   parts->revision = 1;
-  parts->change_id = "change-1";
   parts->changed_at = "2026-03-01T00:00:00Z";
   parts->rules = rules_text (parts);
   parts->inventory = inventory_text (parts);
-  sim_store_replace (STORE_KEY_SETTINGS, settings_parts_format (parts, parts),
-                     0);
+  parts_write (parts, 0);
   operators_note_accepted (1);
   for (unsigned i = 0; i < OPERATOR_COUNT; i++)
     sim_after (zones, sim_delay (OPERATOR_PAUSE_MAX_MS * 1000LL), operator_act,
