Refuse announced sizes of bad peers and work known to be out of date

A frame whose array announced 2^32 items made the decoder's library ask for that memory; a frame is now checked to be flat and short before it is decoded: test_frame under the address sanitizer aborted before, 5 of 5 pass after.

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -128,7 +128,8 @@
   gate_contact_t contact
       = { .confirmed_age_ms = node_confirmed_age_ms (agent->node),
           .knows_other_zone = heard_ms > 0,
-          .other_zone_age_ms = (uint64_t)(now_ms - heard_ms) };
+          .other_zone_age_ms = (uint64_t)(now_ms - heard_ms),
+          .is_behind = node_is_behind (agent->node) };
 
   if (settings == NULL)
     return;
--- a/agent/gate_rules.c
+++ b/agent/gate_rules.c
@@ -14,13 +14,15 @@
 /* Return whether new work must be refused because the settings in force here
    may be out of date.  While the store alone is out, processes of other zones
    are still heard and would pass on what changed; when neither is heard, this
-   process is cut off and its zone may have been taken out.  */
+   process is cut off and its zone may have been taken out.  Whoever is heard
+   is of no use while what they have shown to be newer has not come.  */
 bool
 gate_is_isolated (const gate_contact_t *contact)
 {
   return contact->confirmed_age_ms > CONFIRMED_MAX_MS
-         && contact->knows_other_zone
-         && contact->other_zone_age_ms > OTHER_ZONE_MAX_MS;
+         && (contact->is_behind
+             || (contact->knows_other_zone
+                 && contact->other_zone_age_ms > OTHER_ZONE_MAX_MS));
 }
 
 static void
--- a/common/frame.c
+++ b/common/frame.c
@@ -302,6 +302,73 @@
   return STATUS_OK;
 }
 
+static size_t
+big_endian (const unsigned char *bytes, size_t size)
+{
+  size_t value = 0;
+
+  for (size_t i = 0; i < size; i++)
+    value = value << 8 | bytes[i];
+  return value;
+}
+
+/* Return how many bytes the item at BYTES takes, of SIZE that are there; 0 for
+   one that is cut short or is no number, boolean, string or blob.  */
+static size_t
+item_size (const unsigned char *bytes, size_t size)
+{
+  unsigned char first = bytes[0];
+  size_t length_bytes = 0;
+  size_t taken = 1;
+
+  if (first >= 0xa0 && first <= 0xbf) /* short string */
+    taken += first & 0x1f;
+  else if (first >= 0xc4 && first <= 0xc6) /* blob */
+    length_bytes = (size_t)1 << (first - 0xc4);
+  else if (first >= 0xd9 && first <= 0xdb) /* string */
+    length_bytes = (size_t)1 << (first - 0xd9);
+  else if (first >= 0xcc && first <= 0xcf) /* number */
+    taken += (size_t)1 << (first - 0xcc);
+  else if (first > 0x7f && first != 0xc2 && first != 0xc3)
+    return 0;
+  if (taken + length_bytes > size)
+    return 0;
+  taken += length_bytes + big_endian (bytes + 1, length_bytes);
+  return taken > size ? 0 : taken;
+}
+
+/* Return whether PAYLOAD is an array of items without further items in them,
+   no more than a frame may have.  The library sets memory aside for as many
+   items as an array announces, so this is checked before.  */
+static bool
+payload_is_flat (const char *payload, size_t size)
+{
+  const unsigned char *bytes = (const unsigned char *)payload;
+  size_t count;
+  size_t at = 1;
+
+  if (size >= 1 && bytes[0] >= 0x90 && bytes[0] <= 0x9f)
+    count = bytes[0] & 0x0f;
+  else if (size >= 3 && bytes[0] == 0xdc)
+    {
+      count = big_endian (bytes + 1, 2);
+      at = 3;
+    }
+  else
+    return false;
+  if (count > HEADER_FIELDS + MAX_BODY_FIELDS)
+    return false;
+  for (; count > 0 && at < size; count--)
+    {
+      size_t taken = item_size (bytes + at, size - at);
+
+      if (taken == 0)
+        return false;
+      at += taken;
+    }
+  return count == 0 && at == size;
+}
+
 /* Decode PAYLOAD, which is one frame without its length prefix, into FRAME.
    Strings and blobs of the frame belong to PARENT.  Returns STATUS_PROTOCOL
    when any item is missing, of the wrong type or out of range.  */
@@ -314,6 +381,8 @@
   status_t status;
 
   memset (frame, 0, sizeof *frame);
+  if (!payload_is_flat (payload, size))
+    return status_set (STATUS_PROTOCOL, "frame is not a flat array");
   msgpack_unpacked_init (&unpacked);
   if (msgpack_unpack_next (&unpacked, payload, size, &offset)
           != MSGPACK_UNPACK_SUCCESS
--- a/common/node.c
+++ b/common/node.c
@@ -217,6 +217,20 @@
   return revision;
 }
 
+/* Return whether a peer has shown a revision that is newer than the one known
+   here and has not been received yet.  */
+bool
+node_is_behind (node_t *node)
+{
+  bool is_behind;
+
+  lock_acquire (node->lock);
+  is_behind = node->settings != NULL
+              && node->fetch_revision > node->settings->revision;
+  lock_release (node->lock);
+  return is_behind;
+}
+
 /* Return whether the caller should ask its peer for REVISION: it is newer than
    what is known here, and no other peer has been asked within the fetch
    timeout.  */
--- a/include/agent/gate_rules.h
+++ b/include/agent/gate_rules.h
@@ -13,6 +13,7 @@
   uint64_t confirmed_age_ms;  /* since the settings were seen in the store */
   bool knows_other_zone;      /* processes of other zones exist */
   uint64_t other_zone_age_ms; /* since one of them was heard */
+  bool is_behind;             /* newer settings exist and have not come */
 } gate_contact_t;
 
 bool gate_is_isolated (const gate_contact_t *contact);
--- a/include/common/node.h
+++ b/include/common/node.h
@@ -51,6 +51,7 @@
 void node_hold (node_t *node);
 void node_release (node_t *node);
 uint64_t node_revision (node_t *node);
+bool node_is_behind (node_t *node);
 bool node_begin_fetch (node_t *node, uint64_t revision);
 void node_end_fetch (node_t *node, uint64_t revision);
 void node_confirm (node_t *node, uint64_t revision, uint64_t age_ms);
