--- a/common/settings_source.c
+++ b/common/settings_source.c
@@ -31,7 +31,9 @@
 
   if (settings == NULL)
     return;
-  if (strcmp (settings->document, entry->value) == 0)
+  if (settings->document_size == strlen (entry->value)
+      && memcmp (settings->document, entry->value, settings->document_size)
+             == 0)
     node_confirm (source->node, settings->revision,
                   (uint64_t)timespec_to_ms (age));
   settings_release (settings);
--- a/tests/fake_store.c
+++ b/tests/fake_store.c
@@ -1,19 +1,21 @@
 #include "fake_store.h"
 
+#include "kernel/table.h"
+
 #include <string.h>
-#include <sys/queue.h>
 
 typedef struct pair
 {
-  LIST_ENTRY (pair) link;
+  table_node_t node;
   char *key;
   char *value;
   int64_t mod_revision;
 } pair_t;
 
+/* One thread uses it, so the table is never locked.  */
 struct fake_store
 {
-  LIST_HEAD (, pair) pairs;
+  table_t *pairs;
   int64_t revision;
   unsigned calls;
 };
@@ -24,21 +26,16 @@
 {
   fake_store_t *store = talloc_zero (parent, fake_store_t);
 
-  LIST_INIT (&store->pairs);
+  store->pairs = table_create (store, LOCK_LOG, "pairs");
   return store;
 }
 
 static pair_t *
 pair_find (const fake_store_t *store, const char *key)
 {
-  pair_t *pair;
+  table_node_t *node = table_find (store->pairs, key, strlen (key));
 
-  LIST_FOREACH (pair, &store->pairs, link)
-    {
-      if (strcmp (pair->key, key) == 0)
-        return pair;
-    }
-  return NULL;
+  return node == NULL ? NULL : CONTAINER_OF (node, pair_t, node);
 }
 
 /* Return what is kept under KEY, or NULL.  */
@@ -60,7 +57,7 @@
     {
       pair = talloc_zero (store, pair_t);
       pair->key = talloc_strdup (pair, key);
-      LIST_INSERT_HEAD (&store->pairs, pair, link);
+      table_insert (store->pairs, &pair->node, pair->key, strlen (pair->key));
     }
   talloc_free (pair->value);
   pair->value = talloc_strdup (pair, value);
@@ -74,7 +71,7 @@
 
   if (pair == NULL)
     return;
-  LIST_REMOVE (pair, link);
+  table_remove (store->pairs, &pair->node);
   talloc_free (pair);
 }
 
