--- a/bench/bench_admission.c
+++ b/bench/bench_admission.c
@@ -206,9 +206,9 @@
 static void
 bench_arrivals (bench_t *bench, unsigned rate, unsigned flood)
 {
-  if (random_next () % 1000 < rate * STEP_MS)
+  if (random_next () % 1000 < (uint64_t)rate * STEP_MS)
     bench_offer (bench, 1 + (unsigned)(random_next () % (ACCOUNTS - 1)));
-  if (random_next () % 1000 < flood * STEP_MS)
+  if (random_next () % 1000 < (uint64_t)flood * STEP_MS)
     bench_offer (bench, 0);
 }
 
