--- a/bench/bench_claims.c
+++ b/bench/bench_claims.c
@@ -235,20 +235,26 @@
   return a < b ? -1 : a > b;
 }
 
+/* Return the latency, in milliseconds, below which PERCENT of 100 lie.  */
+static double
+bench_latency_ms (const bench_t *bench, unsigned percent)
+{
+  unsigned index = bench->granted * percent / 100;
+
+  return bench->granted == 0 ? 0 : (double)bench->latency_us[index] / 1000;
+}
+
 static void
 bench_print (bench_t *bench, const char *journal, int64_t linger_ms,
              unsigned rate)
 {
-  unsigned count = bench->granted;
-
-  qsort (bench->latency_us, count, sizeof bench->latency_us[0],
+  qsort (bench->latency_us, bench->granted, sizeof bench->latency_us[0],
          compare_latency);
   printf ("%-12s %6lld %6u %6u %8.2f %9.1f %9.1f %9.1f %11.1f\n", journal,
           (long long)linger_ms, bench->agent_count, rate,
           (double)bench->calls / bench->asked,
-          (double)bench->calls * 1000 / RUN_MS,
-          count == 0 ? 0 : (double)bench->latency_us[count / 2] / 1000,
-          count == 0 ? 0 : (double)bench->latency_us[count * 99 / 100] / 1000,
+          (double)bench->calls * 1000 / RUN_MS, bench_latency_ms (bench, 50),
+          bench_latency_ms (bench, 99),
           100.0 * bench->unavailable / bench->asked);
 }
 
