--- a/tests/process/test_claims.py
+++ b/tests/process/test_claims.py
@@ -1,6 +1,7 @@
 """Bookings run at most once, whatever fails on the way."""
 
 import os
+import signal
 import threading
 import time
 import unittest
@@ -147,6 +148,59 @@
                          ("not-run", "key-reused"))
         self.assertEqual(self.runs(name), 1)
 
+    def test_paused_agent_does_not_run_late(self):
+        """Paused between the claim and the run until the caller has left."""
+        name = key("paused")
+        agent = self.cluster.programs["booking-0-agent"]
+        self.cluster.control("store", "mode=slow&ms=400")
+        answers = []
+        thread = threading.Thread(target=lambda: answers.append(
+            self.book("entry-0", name, deadline="1 s")))
+        writes = self.cluster.control("store")["writes"]
+        thread.start()
+        wait_until(lambda: self.cluster.control("store")["writes"] > writes,
+                   20, "the claim to be written")
+        agent.signal(signal.SIGSTOP)
+        thread.join()
+        self.cluster.control("store", "mode=ok")
+        agent.signal(signal.SIGCONT)
+        self.assertNotEqual(answers[0].outcome, "ran")
+        wait_until(lambda: self.agent_metric("siskin_claims_open") == 0, 30,
+                   "the claim to be given back")
+        self.assertEqual(self.runs(name), 0)
+        self.assertEqual(self.book_until_run("entry-1", name).status, 201)
+        self.assertEqual(self.runs(name), 1)
+
+    def test_planned_stop_waits_for_the_outcome(self):
+        """Told to stop while a booking runs and the store is down."""
+        name = key("stopped")
+        agent = self.cluster.programs["booking-0-agent"]
+        port = self.cluster.inventory[-1].split(",")[1].split(":")[1]
+        self.cluster.control("booking-0", "work_ms=800")
+        answers = []
+        thread = threading.Thread(target=lambda: answers.append(
+            self.book_until_run("entry-0", name)))
+        thread.start()
+        wait_until(lambda: self.runs(name) == 1, 20, "the booking to run")
+        self.cluster.control("store", "mode=down")
+        agent.signal(signal.SIGTERM)
+        thread.join()
+        self.assertEqual(answers[0].status, 201)
+        time.sleep(0.5)
+        self.assertIsNone(agent.process.poll())
+        self.cluster.control("store", "mode=ok")
+        self.assertEqual(agent.process.wait(30), 0)
+        self.cluster.start_agent("booking-0", ZONES[0], int(port))
+        again = self.book_until_run("entry-1", name)
+        self.assertEqual((again.status, again.body), (201, answers[0].body))
+        self.assertEqual(self.runs(name), 1)
+
+    def test_key_without_its_time(self):
+        answer = self.book("entry-0", "no-time")
+        self.assertEqual((answer.outcome, answer.refusal),
+                         ("not-run", "invalid"))
+        self.assertEqual(self.runs("no-time"), 0)
+
     def test_key_too_old_to_be_checked(self):
         name = "20200101T000000Z-old"
         answer = self.book("entry-0", name)
