--- a/bench/model.c
+++ b/bench/model.c
@@ -374,6 +374,7 @@
   request->route.model
       = talloc_asprintf (request, "m%u", request->model_index);
   request->route.work = (pick_work_t){
+    .key_hash = (uint64_t)request->arrived_us,
     .prompt_tokens = request->prompt_tokens,
     .output_tokens = request->output_tokens,
     .prefix_blocks = request->blocks,
--- a/entry/router.c
+++ b/entry/router.c
@@ -2,6 +2,7 @@
 
 #include "kernel/counter.h"
 #include "kernel/plugin.h"
+#include "kernel/rendezvous.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -195,9 +196,7 @@
 static uint64_t
 router_weight (const router_t *router, const router_upstream_t *upstream)
 {
-  uint64_t pair[2] = { router->seed, upstream->candidate.name_hash };
-
-  return XXH3_64bits (pair, sizeof pair);
+  return rendezvous_weight (router->seed, upstream->candidate.name_hash);
 }
 
 /* What the choice of links has to know of the upstreams that could stand in
--- a/include/entry/router_state.h
+++ b/include/entry/router_state.h
@@ -8,22 +8,24 @@
 /* What the parts of the router share.  */
 typedef struct router_service router_service_t;
 
+/* What a choice reads of every member of a pool comes first and stays
+   together, since there may be hundreds.  */
 typedef struct router_upstream
 {
+  STAILQ_ENTRY (router_upstream) pool_link; /* of a pool of SERVICE */
+  uint64_t reachable_workers;               /* a bit for each worker */
+  bool is_allowed;                          /* by zone and operators */
+  bool is_leaving;                          /* by the agent's word */
+  bool is_listed;                           /* in the settings in force */
+  bool is_linked;                           /* in this entry's subset */
+  pick_candidate_t candidate; /* kept current, owned by the upstream */
   table_node_t node;
   STAILQ_ENTRY (router_upstream) link;
   STAILQ_ENTRY (router_upstream) member_link; /* of SERVICE */
-  STAILQ_ENTRY (router_upstream) pool_link;   /* of a pool of SERVICE */
   router_service_t *service;
   char *address;
   char *model;
-  uint64_t model_hash;        /* 0 for none */
-  uint64_t reachable_workers; /* a bit for each worker */
-  bool is_listed;             /* in the settings in force */
-  bool is_linked;             /* in this entry's subset */
-  bool is_allowed;            /* by zone and operators */
-  bool is_leaving;            /* by the agent's word */
-  pick_candidate_t candidate; /* kept current, owned by the upstream */
+  uint64_t model_hash; /* 0 for none */
 } router_upstream_t;
 
 /* The upstreams of one service and model that the entry connects to.  */
--- a/plugins/pick/by_key.c
+++ b/plugins/pick/by_key.c
@@ -1,8 +1,7 @@
 #include "kernel/plugin.h"
+#include "kernel/rendezvous.h"
 #include "plugins/pick.h"
 
-#include <xxhash.h>
-
 struct pick
 {
   uint64_t next; /* for requests without a key */
@@ -45,8 +44,8 @@
   choice->reason = "key-hash";
   for (size_t i = 0; i < count; i++)
     {
-      uint64_t pair[2] = { work->key_hash, candidates[i]->name_hash };
-      uint64_t weight = XXH3_64bits (pair, sizeof pair);
+      uint64_t weight
+          = rendezvous_weight (work->key_hash, candidates[i]->name_hash);
 
       if (weight >= best)
         {
--- a/plugins/pick/prefix.c
+++ b/plugins/pick/prefix.c
@@ -1,10 +1,9 @@
 #include "kernel/counter.h"
 #include "kernel/plugin.h"
+#include "kernel/rendezvous.h"
 #include "plugins/pick/load.h"
 #include "plugins/pick/prefix_index.h"
 
-#include <xxhash.h>
-
 enum
 {
   INDEX_BLOCKS = 1 << 15
@@ -134,8 +133,8 @@
 
   for (size_t i = 0; i < search->count; i++)
     {
-      uint64_t pair[2] = { block, search->candidates[i]->name_hash };
-      uint64_t weight = XXH3_64bits (pair, sizeof pair);
+      uint64_t weight
+          = rendezvous_weight (block, search->candidates[i]->name_hash);
 
       if (weight < best || !search_may_take (search, i))
         continue;
--- /dev/null
+++ b/tests/test_pick.c
@@ -0,0 +1,361 @@
+#include "kernel/clock.h"
+#include "kernel/plugin.h"
+#include "plugins/pick.h"
+#include "plugins/pick/prefix_index.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+enum
+{
+  COUNT = 12,
+  ROUNDS = 1200,
+  SEED = 7,
+  REQUEST_TOKENS = 1000,
+  BLOCKS = 8
+};
+
+typedef struct fixture
+{
+  struct timespec now;
+  char names[COUNT][8];
+  pick_candidate_t candidates[COUNT];
+  const pick_candidate_t *pointers[COUNT];
+  pick_work_t work;
+} fixture_t;
+
+static void
+fill (fixture_t *fixture)
+{
+  *fixture = (fixture_t){ .now = timespec_from_ms (100000) };
+  fixture->work.prompt_tokens = REQUEST_TOKENS;
+  fixture->work.zone = "z0";
+  for (unsigned i = 0; i < COUNT; i++)
+    {
+      pick_candidate_t *candidate = &fixture->candidates[i];
+
+      snprintf (fixture->names[i], sizeof fixture->names[i], "u%u", i);
+      candidate->name = fixture->names[i];
+      candidate->name_hash = i + 1;
+      candidate->zone = i % 3 == 0 ? "z0" : "z1";
+      candidate->report = (pick_report_t){ .is_known = true,
+                                           .at = fixture->now,
+                                           .limit_requests = 100,
+                                           .limit_tokens = 100000 };
+      fixture->pointers[i] = candidate;
+    }
+}
+
+/* Choose with OPS among the first COUNT candidates and count the work as the
+   router does.  */
+static size_t
+choose_among (fixture_t *fixture, const pick_ops_t *ops, pick_t *pick,
+              size_t count)
+{
+  pick_choice_t choice = { 0 };
+  pick_candidate_t *chosen;
+
+  ops->choose (pick, &fixture->work, fixture->pointers, count, fixture->now,
+               &choice);
+  assert_true (choice.index < count);
+  chosen = &fixture->candidates[choice.index];
+  chosen->outstanding_requests++;
+  chosen->outstanding_tokens += REQUEST_TOKENS;
+  if (ops->note_blocks != NULL)
+    ops->note_blocks (pick, chosen->name_hash, fixture->work.prefix_blocks,
+                      fixture->work.prefix_block_count, true);
+  return choice.index;
+}
+
+static size_t
+choose (fixture_t *fixture, const pick_ops_t *ops, pick_t *pick)
+{
+  return choose_among (fixture, ops, pick, COUNT);
+}
+
+static const pick_ops_t *
+find (const char *name)
+{
+  const pick_ops_t *ops = plugin_ops (PLUGIN_PICK, name);
+
+  assert_non_null (ops);
+  return ops;
+}
+
+static void
+test_least_tokens_spreads_without_new_reports (void **state)
+{
+  const pick_ops_t *ops = find ("least-tokens");
+  pick_t *pick = ops->create (NULL, SEED);
+  fixture_t fixture;
+
+  (void)state;
+  fill (&fixture);
+  for (unsigned i = 0; i < ROUNDS / 2; i++)
+    choose (&fixture, ops, pick);
+  for (unsigned i = 0; i < COUNT; i++)
+    {
+      assert_in_range (fixture.candidates[i].outstanding_requests,
+                       ROUNDS / 2 / COUNT - 5, ROUNDS / 2 / COUNT + 5);
+    }
+  ops->destroy (pick);
+}
+
+static void
+test_least_tokens_counts_what_others_sent (void **state)
+{
+  const pick_ops_t *ops = find ("least-tokens");
+  pick_t *pick = ops->create (NULL, SEED);
+  fixture_t fixture;
+  unsigned chosen = 0;
+
+  (void)state;
+  fill (&fixture);
+  fixture.candidates[0].report.outstanding_requests = 90;
+  fixture.candidates[0].report.outstanding_tokens = 90000;
+  for (unsigned i = 0; i < 100; i++)
+    chosen += choose (&fixture, ops, pick) == 0;
+  assert_int_equal (chosen, 0);
+  ops->destroy (pick);
+}
+
+static void
+test_least_tokens_keeps_off_full_cold_upstreams (void **state)
+{
+  const pick_ops_t *ops = find ("least-tokens");
+  pick_t *pick = ops->create (NULL, SEED);
+  fixture_t fixture;
+
+  (void)state;
+  fill (&fixture);
+  for (unsigned i = 0; i + 1 < COUNT; i++)
+    {
+      fixture.candidates[i].report.is_cold = true;
+      fixture.candidates[i].report.limit_requests = 1;
+      fixture.candidates[i].report.limit_tokens = 2000;
+    }
+  for (unsigned i = 0; i < 50; i++)
+    choose (&fixture, ops, pick);
+  for (unsigned i = 0; i + 1 < COUNT; i++)
+    assert_true (fixture.candidates[i].outstanding_requests <= 1);
+  ops->destroy (pick);
+}
+
+static void
+test_least_tokens_trusts_old_reports_less (void **state)
+{
+  const pick_ops_t *ops = find ("least-tokens");
+  pick_t *pick = ops->create (NULL, SEED);
+  fixture_t fixture;
+  unsigned first = 0;
+
+  (void)state;
+  fill (&fixture);
+  for (unsigned i = 1; i < COUNT; i++)
+    fixture.candidates[i].report.outstanding_tokens = 30000;
+  fixture.candidates[0].report.at
+      = timespec_subtract (fixture.now, timespec_from_ms (30000));
+  for (unsigned i = 0; i < 200; i++)
+    first += choose (&fixture, ops, pick) == 0;
+  assert_in_range (first, 1, 30);
+  ops->destroy (pick);
+}
+
+static void
+test_least_tokens_prefers_its_zone_only_when_equal (void **state)
+{
+  const pick_ops_t *ops = find ("least-tokens");
+  pick_t *pick = ops->create (NULL, SEED);
+  fixture_t fixture;
+
+  (void)state;
+  fill (&fixture);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      fixture.candidates[0].outstanding_tokens = 0;
+      fixture.candidates[0].outstanding_requests = 0;
+      assert_int_equal (choose_among (&fixture, ops, pick, 2), 0);
+    }
+  fixture.candidates[0].outstanding_tokens += 10 * REQUEST_TOKENS;
+  assert_int_equal (choose_among (&fixture, ops, pick, 2), 1);
+  ops->destroy (pick);
+}
+
+static void
+test_by_key_agrees_between_entries (void **state)
+{
+  const pick_ops_t *ops = find ("by-key");
+  pick_t *left = ops->create (NULL, 1);
+  pick_t *right = ops->create (NULL, 2);
+  fixture_t fixture;
+
+  (void)state;
+  fill (&fixture);
+  for (unsigned i = 1; i < 100; i++)
+    {
+      fixture.work.key_hash = i;
+      assert_int_equal (choose (&fixture, ops, left),
+                        choose (&fixture, ops, right));
+    }
+  assert_true (ops->needs_all);
+  ops->destroy (left);
+  ops->destroy (right);
+}
+
+static void
+use_blocks (fixture_t *fixture, uint64_t *blocks, uint64_t first)
+{
+  for (unsigned i = 0; i < BLOCKS; i++)
+    blocks[i] = first + i;
+  fixture->work.prefix_blocks = blocks;
+  fixture->work.prefix_block_count = BLOCKS;
+}
+
+static void
+test_prefix_returns_to_its_cache (void **state)
+{
+  const pick_ops_t *ops = find ("prefix");
+  pick_t *pick = ops->create (NULL, SEED);
+  fixture_t fixture;
+  uint64_t blocks[BLOCKS];
+  size_t home;
+
+  (void)state;
+  fill (&fixture);
+  use_blocks (&fixture, blocks, 100);
+  home = choose (&fixture, ops, pick);
+  for (unsigned i = 0; i < 5; i++)
+    assert_int_equal (choose (&fixture, ops, pick), home);
+  ops->destroy (pick);
+}
+
+static void
+test_prefix_makes_no_upstream_hot (void **state)
+{
+  const pick_ops_t *ops = find ("prefix");
+  pick_t *pick = ops->create (NULL, SEED);
+  fixture_t fixture;
+  uint64_t blocks[BLOCKS];
+  uint64_t most = 0;
+
+  (void)state;
+  fill (&fixture);
+  use_blocks (&fixture, blocks, 100);
+  for (unsigned i = 0; i < ROUNDS / 2; i++)
+    choose (&fixture, ops, pick);
+  for (unsigned i = 0; i < COUNT; i++)
+    {
+      if (fixture.candidates[i].outstanding_requests > most)
+        most = fixture.candidates[i].outstanding_requests;
+    }
+  assert_true (most <= ROUNDS / 2 / COUNT * 2);
+  ops->destroy (pick);
+}
+
+static void
+test_prefix_agrees_between_entries (void **state)
+{
+  const pick_ops_t *ops = find ("prefix");
+  pick_t *left = ops->create (NULL, 1);
+  pick_t *right = ops->create (NULL, 2);
+  uint64_t blocks[BLOCKS];
+
+  (void)state;
+  for (unsigned i = 1; i < 50; i++)
+    {
+      fixture_t fixture;
+
+      fill (&fixture);
+      use_blocks (&fixture, blocks, i * 1000);
+      assert_int_equal (choose (&fixture, ops, left),
+                        choose (&fixture, ops, right));
+    }
+  ops->destroy (left);
+  ops->destroy (right);
+}
+
+static void
+test_prefix_follows_cache_events_and_restarts (void **state)
+{
+  const pick_ops_t *ops = find ("prefix");
+  pick_t *pick = ops->create (NULL, SEED);
+  fixture_t fixture;
+  uint64_t blocks[BLOCKS];
+  size_t home;
+  size_t other;
+
+  (void)state;
+  fill (&fixture);
+  use_blocks (&fixture, blocks, 100);
+  home = choose (&fixture, ops, pick);
+  other = (home + 1) % COUNT;
+  ops->note_blocks (pick, home + 1, blocks, BLOCKS, false);
+  ops->note_blocks (pick, other + 1, blocks, BLOCKS, true);
+  assert_int_equal (choose (&fixture, ops, pick), other);
+  ops->note_restart (pick, other + 1);
+  assert_int_equal (choose (&fixture, ops, pick), home);
+  ops->destroy (pick);
+}
+
+static void
+test_prefix_index_is_bounded (void **state)
+{
+  enum
+  {
+    CAPACITY = 64
+  };
+  prefix_index_t *index = prefix_index_create (NULL, CAPACITY);
+
+  (void)state;
+  for (uint64_t i = 1; i <= 10 * CAPACITY; i++)
+    {
+      prefix_index_add (index, i, 1);
+      prefix_index_add (index, 1, 1);
+    }
+  assert_int_equal (prefix_index_count (index), CAPACITY);
+  assert_non_null (prefix_index_find (index, 1));
+  assert_null (prefix_index_find (index, 2));
+  assert_non_null (prefix_index_find (index, 10 * CAPACITY));
+  prefix_index_forget (index, 1);
+  assert_int_equal (prefix_index_count (index), 0);
+  prefix_index_destroy (index);
+}
+
+static void
+test_prefix_index_tells_common_blocks (void **state)
+{
+  prefix_index_t *index = prefix_index_create (NULL, 16);
+
+  (void)state;
+  for (uint64_t i = 1; i <= PREFIX_MAX_HOLDERS; i++)
+    prefix_index_add (index, 1, i);
+  assert_false (prefix_index_find (index, 1)->is_common);
+  prefix_index_add (index, 1, PREFIX_MAX_HOLDERS + 1);
+  assert_true (prefix_index_find (index, 1)->is_common);
+  prefix_index_destroy (index);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_least_tokens_spreads_without_new_reports),
+    cmocka_unit_test (test_least_tokens_counts_what_others_sent),
+    cmocka_unit_test (test_least_tokens_keeps_off_full_cold_upstreams),
+    cmocka_unit_test (test_least_tokens_trusts_old_reports_less),
+    cmocka_unit_test (test_least_tokens_prefers_its_zone_only_when_equal),
+    cmocka_unit_test (test_by_key_agrees_between_entries),
+    cmocka_unit_test (test_prefix_returns_to_its_cache),
+    cmocka_unit_test (test_prefix_makes_no_upstream_hot),
+    cmocka_unit_test (test_prefix_agrees_between_entries),
+    cmocka_unit_test (test_prefix_follows_cache_events_and_restarts),
+    cmocka_unit_test (test_prefix_index_is_bounded),
+    cmocka_unit_test (test_prefix_index_tells_common_blocks),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
