--- a/common/frame.c
+++ b/common/frame.c
@@ -6,8 +6,8 @@
 
 enum
 {
-  HEADER_FIELDS = 7, /* items before the body's fields */
-  MAX_BODY_FIELDS = 12,
+  HEADER_FIELDS = 9, /* items before the body's fields */
+  MAX_BODY_FIELDS = 16,
   MAX_SHORT_STRING = 4096
 };
 
@@ -97,16 +97,29 @@
       { UNSIGNED (settings.revision, 0), BLOB (settings.document) } },
   [FRAME_MAP_ORDER]
   = { "map-order",
-      { UNSIGNED (map.kind, 0), STRING (map.group), UNSIGNED (map.rank, 0),
-        UNSIGNED (map.rank_incarnation, 0), UNSIGNED (map.epoch, 0),
-        UNSIGNED (map.version, 0), UNSIGNED (map.step, 0),
-        UNSIGNED (map.state, 0), BLOB (map.map) } },
+      { UNSIGNED (map_order.kind, 0), STRING (map_order.group),
+        UNSIGNED (map_order.rank, 0), UNSIGNED (map_order.incarnation, 0),
+        UNSIGNED (map_order.epoch, 0), UNSIGNED (map_order.round, 0),
+        UNSIGNED (map_order.phase, 0), UNSIGNED (map_order.base, 0),
+        UNSIGNED (map_order.next, 0), UNSIGNED (map_order.step, 0),
+        BOOLEAN (map_order.wants_counts), BLOB (map_order.maps) } },
   [FRAME_MAP_REPLY]
   = { "map-reply",
-      { UNSIGNED (map.kind, 0), STRING (map.group), UNSIGNED (map.rank, 0),
-        UNSIGNED (map.rank_incarnation, 0), UNSIGNED (map.epoch, 0),
-        UNSIGNED (map.version, 0), UNSIGNED (map.step, 0),
-        UNSIGNED (map.state, 0), BLOB (map.map) } },
+      { UNSIGNED (map_reply.kind, 0), STRING (map_reply.group),
+        UNSIGNED (map_reply.rank, 0), UNSIGNED (map_reply.incarnation, 0),
+        UNSIGNED (map_reply.epoch, 0), UNSIGNED (map_reply.round, 0),
+        UNSIGNED (map_reply.promised_epoch, 0),
+        UNSIGNED (map_reply.promised_round, 0),
+        BOOLEAN (map_reply.is_accepted), UNSIGNED (map_reply.phase, 0),
+        UNSIGNED (map_reply.base, 0), UNSIGNED (map_reply.next, 0),
+        UNSIGNED (map_reply.step, 0), UNSIGNED (map_reply.current_step, 0),
+        BLOB (map_reply.maps) } },
+  [FRAME_MAP_COUNTS]
+  = { "map-counts",
+      { STRING (map_counts.group), UNSIGNED (map_counts.rank, 0),
+        UNSIGNED (map_counts.incarnation, 0), UNSIGNED (map_counts.version, 0),
+        UNSIGNED (map_counts.work, 0), UNSIGNED (map_counts.busy_us, 0),
+        BLOB (map_counts.tokens) } },
 };
 
 static unsigned
@@ -178,6 +191,8 @@
   msgpack_pack_uint64 (&packer, frame->header.incarnation);
   msgpack_pack_uint64 (&packer, frame->header.settings_revision);
   msgpack_pack_uint64 (&packer, frame->header.confirmed_age_ms);
+  msgpack_pack_uint64 (&packer, frame->header.sent_ms);
+  msgpack_pack_uint64 (&packer, frame->header.echo_ms);
   msgpack_pack_uint64 (&packer, frame->header.request.incarnation);
   msgpack_pack_uint64 (&packer, frame->header.request.sequence);
   for (unsigned i = 0; i < field_count; i++)
@@ -253,8 +268,10 @@
   header->incarnation = items[2].via.u64;
   header->settings_revision = items[3].via.u64;
   header->confirmed_age_ms = items[4].via.u64;
-  header->request.incarnation = items[5].via.u64;
-  header->request.sequence = items[6].via.u64;
+  header->sent_ms = items[5].via.u64;
+  header->echo_ms = items[6].via.u64;
+  header->request.incarnation = items[7].via.u64;
+  header->request.sequence = items[8].via.u64;
   return true;
 }
 
--- a/common/link.c
+++ b/common/link.c
@@ -14,7 +14,8 @@
   LINK_PENDING_MAX_BYTES = 32 * 1024 * 1024,
   LINK_HELLO_TIMEOUT_MS = 3000,
   LINK_PING_MS = 1000,
-  LINK_SILENCE_MS = 4000 /* without any frame: the peer is gone */
+  LINK_SILENCE_MS = 4000,  /* without any frame: the peer is gone */
+  OFFSET_WINDOW_MS = 60000 /* over which clocks hardly drift apart */
 };
 
 COUNTER_DEFINE (frames_sent, "siskin_frames_sent_total", "Frames sent");
@@ -50,9 +51,15 @@
   node_role_t peer_role;
   uint64_t peer_incarnation;
   struct timespec last_received;
+  uint64_t peer_sent_ms; /* newest, on the peer's clock */
+  uint64_t echo_ms;      /* newest time of ours that the peer has seen */
   struct timespec last_sent;
-  uint64_t shown_revision;  /* on the peer's last frame */
-  uint64_t wanted_revision; /* newest revision asked for on this link */
+  uint64_t shown_revision;   /* on the peer's last frame */
+  uint64_t wanted_revision;  /* newest revision asked for on this link */
+  uint64_t refused_revision; /* came on this link and could not be read */
+  bool has_offset;
+  int64_t offset_ms; /* peer's clock less ours, at the most */
+  struct timespec offset_at;
   char *input;
   size_t input_used;
   STAILQ_HEAD (, outgoing) output;
@@ -78,6 +85,8 @@
     return;
   link->is_closed = true;
   link->close_reason = reason;
+  if (link->wanted_revision > node_revision (link->node))
+    node_end_fetch (link->node, link->wanted_revision);
   TALLOC_FREE (link->timer);
   stream_close (link->stream);
   link->stream = NULL;
@@ -113,6 +122,15 @@
   stream_want_write (link->stream, !STAILQ_EMPTY (&link->output));
 }
 
+/* The time on this process's clock, never 0.  */
+static uint64_t
+link_now_ms (const link_t *link)
+{
+  return (uint64_t)timespec_to_ms (
+             clock_monotonic (worker_clock (link->worker)))
+         + 1;
+}
+
 /* Queue FRAME for the peer; the sender's part of the header is filled in
    here.  Returns STATUS_UNAVAILABLE on a closed link, and STATUS_TOO_LARGE
    for an oversized frame or a peer that does not read.  After an error the
@@ -131,6 +149,8 @@
       return status_set (STATUS_TOO_LARGE, "peer does not read");
     }
   node_fill_header (link->node, &stamped.header);
+  stamped.header.sent_ms = link_now_ms (link);
+  stamped.header.echo_ms = link->peer_sent_ms;
   out = talloc_zero (link, outgoing_t);
   if (out == NULL)
     return status_set (STATUS_NO_MEMORY, "no memory for a frame");
@@ -177,19 +197,60 @@
                             header->confirmed_age_ms, link->data);
 }
 
+/* A frame may have been on its way, or unread, for long.  It was sent after
+   the peer saw the time of ours that it echoes, so what it says of the peer is
+   no older than that.  */
+static void
+link_note_times (link_t *link, const frame_header_t *header)
+{
+  link->peer_sent_ms = header->sent_ms;
+  if (header->echo_ms > link->echo_ms && header->echo_ms <= link_now_ms (link))
+    link->echo_ms = header->echo_ms;
+}
+
+/* The echo also bounds how far the peer's clock can be ahead of ours.  The
+   tightest bound of the window is kept.  */
+static void
+link_note_offset (link_t *link, const frame_header_t *header)
+{
+  struct timespec now = clock_monotonic (worker_clock (link->worker));
+  int64_t offset = (int64_t)header->sent_ms - (int64_t)header->echo_ms;
+
+  if (header->echo_ms == 0)
+    return;
+  if (link->has_offset && offset > link->offset_ms
+      && timespec_to_ms (timespec_subtract (now, link->offset_at))
+             < OFFSET_WINDOW_MS)
+    return;
+  link->has_offset = true;
+  link->offset_ms = offset;
+  link->offset_at = now;
+}
+
+/* Pass on that the peer's revision was confirmed, with the age that it has at
+   the most by now: a frame may have been long on its way, or have waited for
+   this process to be thawed.  */
+static void
+link_confirm (link_t *link, const frame_header_t *header)
+{
+  int64_t sent = (int64_t)header->sent_ms - link->offset_ms;
+  int64_t transit = (int64_t)link_now_ms (link) - sent;
+
+  if (!link->has_offset)
+    return;
+  node_confirm (link->node, header->settings_revision,
+                header->confirmed_age_ms
+                    + (uint64_t)(transit < 0 ? 0 : transit));
+}
+
 static void
 link_note_revision (link_t *link, const frame_header_t *header)
 {
-  settings_t *settings = node_settings (link->node);
-  uint64_t revision = settings == NULL ? 0 : settings->revision;
   frame_t want = { .header = { .type = FRAME_SETTINGS_WANT } };
 
-  if (settings != NULL)
-    settings_release (settings);
-  if (header->settings_revision == revision)
-    node_confirm (link->node, revision, header->confirmed_age_ms);
-  if (header->settings_revision <= revision
-      || header->settings_revision <= link->wanted_revision)
+  link_confirm (link, header);
+  if (header->settings_revision == link->refused_revision
+      || !node_begin_fetch (link->node, header->settings_revision))
     return;
   link->wanted_revision = header->settings_revision;
   link_send (link, &want);
@@ -205,6 +266,7 @@
     {
       log_event (LOG_LEVEL_WARN, "settings-refused", "peer=%s error=\"%s\"",
                  link_peer_name (link), status_message ());
+      link->refused_revision = frame->header.settings_revision;
       return;
     }
   link_note_revision (link, &frame->header);
@@ -233,12 +295,14 @@
 static void
 link_dispatch (link_t *link, const frame_t *frame)
 {
+  link_note_times (link, &frame->header);
   if (!link->is_greeted && frame->header.type != FRAME_HELLO)
     {
       counter_add (&bad_peers, 1);
       link_close (link, "no-hello");
       return;
     }
+  link_note_offset (link, &frame->header);
   switch (frame->header.type)
     {
     case FRAME_HELLO:
@@ -512,11 +576,12 @@
   return link->worker;
 }
 
-/* Return when something last came from the peer, on the worker's clock.  */
-struct timespec
-link_last_received (const link_t *link)
+/* Return a time on the worker's clock, in milliseconds, at which the peer was
+   certainly in touch with this process; 0 when there is none yet.  */
+uint64_t
+link_touched_ms (const link_t *link)
 {
-  return link->last_received;
+  return link->echo_ms;
 }
 
 /* Return how many bytes wait to be written.  */
