--- a/bench/bench_zones.c
+++ b/bench/bench_zones.c
@@ -3,7 +3,6 @@
    bench-zones [today|large] [SEED] [LOAD]  */
 
 #include "bench/model.h"
-#include "kernel/plugin.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -43,7 +42,7 @@
 static const model_options_t today = {
   .pick = "least-tokens",
   .admission = "slow-start",
-  .order = "fifo",
+  .order = "fair",
   .zones = 3,
   .entries = 3,
   .upstreams = 12,
@@ -62,7 +61,7 @@
 static const model_options_t large = {
   .pick = "least-tokens",
   .admission = "slow-start",
-  .order = "fifo",
+  .order = "fair",
   .zones = 4,
   .entries = 21,
   .upstreams = 168,
