Show that a lost answer is unknown, never guessed

The stand-in can lose the answers of writes after the first N, so that the swap takes effect while no answer to it ever comes: siskinctl exits with 4 and names the question that resolves it, which then says that the change took effect.

--- a/tests/process/test_ctl.py
+++ b/tests/process/test_ctl.py
@@ -95,6 +95,20 @@
         self.json(cluster, "resolve", "0123", "2", expect=CONFLICT)
         self.json(cluster, "resolve", "0123", "3", expect=UNKNOWN)
 
+    def test_answer_that_stays_lost_is_unknown(self):
+        """The swap takes effect, and no answer to it ever comes."""
+        cluster = self.start()
+        cluster.apply()
+        cluster.control("store", "mode=lose&after_writes=1")
+        value = self.json(cluster, "--no-wait", "zone", "out", "tt-south-1",
+                          expect=UNKNOWN)
+        cluster.control("store", "mode=ok")
+        question = ["resolve", value["change_id"], str(value["revision"])]
+        self.assertIn("siskinctl " + " ".join(question), value["error"])
+        self.json(cluster, *question)
+        self.assertEqual(self.json(cluster, "show")["zones_out"],
+                         ["tt-south-1"])
+
     def test_outage_changes_nothing(self):
         cluster = self.start()
         cluster.apply()
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -1,8 +1,8 @@
 /* A stand-in for the platform's key-value service: the part of etcd's JSON
    gateway that siskinspur uses, kept in memory.  POST /control?mode=ok, down,
-   slow (with ms=N) or lose (with count=N) makes it fail, and forget=KEY takes
-   a key back to its first value, as a restored backup does; GET /control shows
-   its account.  */
+   slow (with ms=N) or lose (with count=N, or after_writes=N for the answers of
+   later writes alone) makes it fail, and forget=KEY takes a key back to its
+   first value, as a restored backup does; GET /control shows its account.  */
 
 #include "store_keys.h"
 
@@ -30,6 +30,15 @@
   talloc_free (delayed);
 }
 
+/* Return whether the answer under way is a write's and to be lost.  */
+static bool
+lose_write (store_state_t *state)
+{
+  if (!state->is_write_call)
+    return false;
+  return state->lose_after-- <= 0;
+}
+
 static void
 reply_json (store_state_t *state, http_exchange_t *exchange, json_t *root)
 {
@@ -37,7 +46,8 @@
   delayed_t *delayed;
 
   json_decref (root);
-  if (state->mode == MODE_LOSE && state->lose_left != 0)
+  if (state->mode == MODE_LOSE && state->lose_left != 0
+      && (!state->loses_writes_only || lose_write (state)))
     {
       if (state->lose_left > 0)
         state->lose_left--;
@@ -125,6 +135,7 @@
   const char *mode = http_exchange_query (exchange, "mode");
   const char *ms = http_exchange_query (exchange, "ms");
   const char *count = http_exchange_query (exchange, "count");
+  const char *after = http_exchange_query (exchange, "after_writes");
   const char *forget = http_exchange_query (exchange, "forget");
 
   if (forget != NULL)
@@ -136,6 +147,8 @@
                 : strcmp (mode, "lose") == 0 ? MODE_LOSE
                                              : MODE_OK;
   state->slow_ms = ms == NULL ? 500 : strtoll (ms, NULL, 10);
+  state->loses_writes_only = after != NULL;
+  state->lose_after = after == NULL ? 0 : strtoll (after, NULL, 10);
   state->lose_left = count == NULL ? -1 : strtoll (count, NULL, 10);
   if (state->mode == MODE_DOWN)
     {
--- a/tests/standin/store_keys.c
+++ b/tests/standin/store_keys.c
@@ -441,7 +441,8 @@
 json_t *
 store_txn_run (store_state_t *state, json_t *txn)
 {
-  if (txn_has_writes (txn))
+  state->is_write_call = txn_has_writes (txn);
+  if (state->is_write_call)
     state->writes++;
   else
     state->reads++;
--- a/tests/standin/store_keys.h
+++ b/tests/standin/store_keys.h
@@ -60,12 +60,15 @@
   size_t event_count;
   int64_t forgotten; /* revision of the newest event dropped */
   int64_t revision;
-  bool has_written; /* in the transaction under way */
+  bool has_written;   /* in the transaction under way */
+  bool is_write_call; /* it may write, by its operations */
   int64_t next_lease;
   failure_mode_t mode;
   int64_t slow_ms;
-  int64_t lose_left; /* answers still to lose; negative: all */
-  int64_t reads;     /* calls of each kind */
+  int64_t lose_left;  /* answers still to lose; negative: all */
+  int64_t lose_after; /* writes answered before, when only writes' are lost */
+  bool loses_writes_only;
+  int64_t reads; /* calls of each kind */
   int64_t writes;
   int64_t lease_calls;
   int64_t watches;
