--- a/ctl/main.c
+++ b/ctl/main.c
@@ -31,7 +31,9 @@
 } ctl_arguments_t;
 
 static const struct argp_option options[] = {
-  { "store", 's', "URL", 0, "Address of the key-value service; repeatable",
+  { "store", 's', "URL", 0,
+    "Address of the key-value service; repeatable; by default that in "
+    "SISKIN_STORE",
     0 },
   { "who", 'u', "NAME", 0, "Who makes the change", 0 },
   { "why", 'm', "TEXT", 0, "Why the change is made", 0 },
@@ -174,6 +176,8 @@
 
   argp_err_exit_status = CTL_USAGE;
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  if (arguments.store_count == 0 && getenv ("SISKIN_STORE") != NULL)
+    arguments.stores[arguments.store_count++] = getenv ("SISKIN_STORE");
   curl_global_init (CURL_GLOBAL_DEFAULT);
   ctl.memory = talloc_new (NULL);
   ctl.clock = clock_create_system (ctl.memory);
