--- a/agent/peer.c
+++ b/agent/peer.c
@@ -1,5 +1,6 @@
 #include "agent/peer.h"
 
+#include "agent/group_route.h"
 #include "agent/job.h"
 #include "agent/stop.h"
 #include "kernel/counter.h"
@@ -173,7 +174,7 @@
           || strcmp (link_peer_zone (peer->link), node_zone (agent->node))
                  == 0)
         continue;
-      heard_ms = timespec_to_ms (link_last_received (peer->link));
+      heard_ms = (int64_t)link_touched_ms (peer->link);
       while (heard_ms > newest
              && !atomic_compare_exchange_weak (&agent->other_zone_heard_ms,
                                                &newest, heard_ms))
@@ -213,6 +214,9 @@
     case FRAME_RESUME:
       job_resume (share, link, frame);
       break;
+    case FRAME_MAP_ORDER:
+      group_route_order (share, link, frame);
+      break;
     default:
       link_close (link, "unexpected-frame");
       break;
