--- a/tests/sim/upstream.c
+++ b/tests/sim/upstream.c
@@ -96,7 +96,6 @@
   uint64_t number;
   size_t available;
   size_t delivered;
-  bool is_created;
   bool is_head_sent;
   bool is_paused;
   bool is_over;
@@ -203,8 +202,8 @@
   if (call->available > 0 && !call->is_head_sent)
     {
       call->is_head_sent = true;
-      call->ops->on_head (call->is_created ? 201 : 200, "text/plain",
-                          call->data);
+      call->ops->on_head (call->transport->upstream->is_plain ? 201 : 200,
+                          "text/plain", call->data);
     }
   while (call->delivered < call->available && !call->is_paused)
     {
@@ -393,7 +392,6 @@
   call->ops = ops;
   call->data = data;
   call->run = run;
-  call->is_created = upstream->is_plain;
   call->number = run->number = strtoull (text, NULL, 10);
   talloc_set_destructor (call, call_free);
   run->upstream = upstream;
