Answer orders for a group in the stand-in upstream, and test two guards

Cause: the demonstration lists its stand-in upstreams as ranks of a group, so their agents send them group orders, which the stand-in served and counted as work: the demonstration saw 'new work' in a zone that was out.

The stand-in now answers 404, like an engine that takes no orders. The agent logs an engine that gives no right answer once, not every second, and counts the failures.

Two tests play what the model checker found without incarnations and without the second round of promises; each fails when its mechanism is taken out, which the randomised run does not notice.

--- a/agent/group.c
+++ b/agent/group.c
@@ -14,6 +14,8 @@
 
 COUNTER_DEFINE (holds_total, "siskin_group_holds_total",
                 "Steps that this rank was seen to hold before a map switch");
+COUNTER_DEFINE (failures_total, "siskin_engine_order_failures_total",
+                "Orders to the engine without a right answer");
 GAUGE_DEFINE (map_version_gauge, "siskin_group_map_version",
               "Version of the expert map that this rank steps with");
 
@@ -67,12 +69,19 @@
   if (status != STATUS_OK
       || group_maps_decode (group->maps, answer->maps) != STATUS_OK)
     {
-      log_event (LOG_LEVEL_WARN, "engine-order-failed",
-                 "group=%s rank=%u error=\"%s\"", group->name, group->rank,
-                 status_message ());
+      if (!group->is_engine_failing)
+        log_event (LOG_LEVEL_WARN, "engine-order-failed",
+                   "group=%s rank=%u error=\"%s\"", group->name, group->rank,
+                   status_message ());
+      group->is_engine_failing = true;
+      counter_add (&failures_total, 1);
       group_rank_engine_failed (group->state, group_now (group));
       return;
     }
+  if (group->is_engine_failing)
+    log_event (LOG_LEVEL_INFO, "engine-answers", "group=%s rank=%u",
+               group->name, group->rank);
+  group->is_engine_failing = false;
   group_note_counts (group, answer);
   group_rank_engine_answered (group->state, &answer->state, group_now (group));
 }
--- a/include/agent/group.h
+++ b/include/agent/group.h
@@ -73,6 +73,7 @@
   unsigned rank_count;
   const engine_ops_t *engine_ops;
   engine_t *engine;
+  bool is_engine_failing;
   group_rank_t *state;
   group_maps_t *maps;
   uint64_t counted_version; /* of the engine's newest counts */
--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -249,6 +249,12 @@
       load_reply (state, exchange);
       return;
     }
+  if (strcmp (http_exchange_path (exchange), "/group/order") == 0)
+    {
+      http_exchange_set_data (exchange, NULL);
+      http_reply_text (exchange, 404, "text/plain", "no lock-step group\n");
+      return;
+    }
   if (strcmp (http_exchange_path (exchange), "/control") != 0)
     {
       upstream_serve (state, exchange);
--- a/tests/test_map_switch.c
+++ b/tests/test_map_switch.c
@@ -235,6 +235,136 @@
   world_check_and_destroy (world);
 }
 
+/* A coordinator and ranks without a world between them: the test is.  */
+typedef struct recorder
+{
+  group_order_t orders[64];
+  unsigned order_count;
+  group_engine_order_t engine_order;
+  unsigned engine_orders;
+  group_reply_t reply;
+} recorder_t;
+
+static void
+record_order (const group_order_t *order, void *data)
+{
+  recorder_t *recorder = data;
+
+  recorder->orders[recorder->order_count++ % 64] = *order;
+}
+
+static void
+record_engine_order (const group_engine_order_t *order, void *data)
+{
+  recorder_t *recorder = data;
+
+  recorder->engine_order = *order;
+  recorder->engine_orders++;
+}
+
+static void
+record_reply (const group_reply_t *reply, void *data)
+{
+  recorder_t *recorder = data;
+
+  recorder->reply = *reply;
+}
+
+static const group_coordinator_ops_t recording_coordinator
+    = { .send = record_order };
+static const group_rank_ops_t recording_rank
+    = { .send_to_engine = record_engine_order, .reply = record_reply };
+
+static group_reply_t
+reply_to (group_order_kind_t kind, unsigned rank, uint64_t incarnation,
+          group_fence_t fence, group_schedule_t schedule)
+{
+  return (group_reply_t){ .kind = kind,
+                          .rank = rank,
+                          .incarnation = incarnation,
+                          .order_fence = fence,
+                          .promised = fence,
+                          .is_accepted = true,
+                          .schedule = schedule };
+}
+
+/* The checker's case without a second round: a rank that had committed
+   restarts after its promise, and an older coordinator reaches it first.  */
+static void
+test_promise_is_confirmed_by_all_before_any_decision (void **state)
+{
+  recorder_t recorder = { .order_count = 0 };
+  group_coordinator_options_t options
+      = { .rank_count = 2,
+          .resend_interval = timespec_from_ms (20),
+          .watch_interval = timespec_from_ms (50),
+          .ops = &recording_coordinator,
+          .data = &recorder };
+  group_coordinator_t *coordinator = group_coordinator_create (NULL, &options);
+  struct timespec now = timespec_from_ms (1);
+  group_schedule_t committed = { GROUP_COMMITTED, 1, 2, 9 };
+  group_schedule_t armed = { GROUP_ARMED, 1, 2, 9 };
+  group_schedule_t none = { GROUP_NO_MAP, 0, 0, 0 };
+  group_fence_t fence = { 5, 1 };
+  group_reply_t reply;
+
+  (void)state;
+  group_coordinator_lead (coordinator, 5, 3, now);
+  reply = reply_to (GROUP_PROMISE, 0, 10, fence, committed);
+  group_coordinator_receive (coordinator, &reply, now);
+  reply = reply_to (GROUP_PROMISE, 1, 20, fence, armed);
+  group_coordinator_receive (coordinator, &reply, now);
+  assert_int_equal (group_coordinator_phase (coordinator), GROUP_CONFIRMING);
+  reply = reply_to (GROUP_CONFIRM, 1, 20, fence, armed);
+  group_coordinator_receive (coordinator, &reply, now);
+  assert_int_equal (group_coordinator_phase (coordinator), GROUP_CONFIRMING);
+  reply = reply_to (GROUP_CONFIRM, 0, 11, fence, none);
+  reply.is_accepted = false;
+  reply.promised = (group_fence_t){ 4, 7 };
+  group_coordinator_receive (coordinator, &reply, now);
+  assert_int_equal (group_coordinator_phase (coordinator), GROUP_PROMISING);
+  for (unsigned i = 0; i < recorder.order_count; i++)
+    assert_true (recorder.orders[i].kind <= GROUP_CONFIRM);
+  group_coordinator_destroy (coordinator);
+}
+
+/* The checker's case without incarnations: the rank restarts and promises the
+   same fence again, and an order for its former self arrives late.  */
+static void
+test_order_for_a_former_incarnation_is_refused (void **state)
+{
+  recorder_t recorder = { .order_count = 0 };
+  group_rank_options_t options = { .rank = 1,
+                                   .incarnation = 20,
+                                   .read_interval = timespec_from_ms (25),
+                                   .ops = &recording_rank,
+                                   .data = &recorder };
+  group_engine_state_t engine
+      = { .incarnation = 7, .schedule = { GROUP_ARMED, 1, 2, 9 } };
+  group_order_t order = { .kind = GROUP_PROMISE,
+                          .rank = 1,
+                          .fence = { 5, 1 },
+                          .schedule = { .next = 2 } };
+  struct timespec now = timespec_from_ms (1);
+  group_rank_t *rank = group_rank_create (NULL, &options, now);
+
+  (void)state;
+  group_rank_tick (rank, now);
+  group_rank_engine_answered (rank, &engine, now);
+  group_rank_receive (rank, &order, now);
+  assert_true (recorder.reply.is_accepted);
+  order.kind = GROUP_COMMIT;
+  order.incarnation = 19;
+  group_rank_receive (rank, &order, now);
+  assert_false (recorder.reply.is_accepted);
+  assert_int_equal (recorder.engine_orders, 1);
+  order.incarnation = 20;
+  group_rank_receive (rank, &order, now);
+  assert_int_equal (recorder.engine_orders, 2);
+  assert_int_equal (recorder.engine_order.kind, GROUP_ENGINE_COMMIT);
+  group_rank_destroy (rank);
+}
+
 /* Faults of all kinds for DURATION_MS; then none, and the group must step
    again, steadily.  */
 static void
@@ -300,6 +430,8 @@
     cmocka_unit_test (test_restarted_rank_gets_the_running_map),
     cmocka_unit_test (test_unreachable_rank_aborts_the_switch),
     cmocka_unit_test (test_group_starts_again_after_all_ranks_restarted),
+    cmocka_unit_test (test_promise_is_confirmed_by_all_before_any_decision),
+    cmocka_unit_test (test_order_for_a_former_incarnation_is_refused),
     cmocka_unit_test (test_random_faults),
   };
   const char *seed = argument (argc, argv, "--seed");
