--- a/common/link.c
+++ b/common/link.c
@@ -51,11 +51,12 @@
   node_role_t peer_role;
   uint64_t peer_incarnation;
   struct timespec last_received;
+  uint64_t peer_sent_ms; /* newest, on the peer's clock */
+  uint64_t echo_ms;      /* newest time of ours that the peer has seen */
   struct timespec last_sent;
   uint64_t shown_revision;   /* on the peer's last frame */
   uint64_t wanted_revision;  /* newest revision asked for on this link */
   uint64_t refused_revision; /* came on this link and could not be read */
-  uint64_t peer_sent_ms;     /* of the peer's newest frame, by its clock */
   bool has_offset;
   int64_t offset_ms; /* peer's clock less ours, at the most */
   struct timespec offset_at;
@@ -121,11 +122,13 @@
   stream_want_write (link->stream, !STAILQ_EMPTY (&link->output));
 }
 
+/* The time on this process's clock, never 0.  */
 static uint64_t
-link_clock_ms (const link_t *link)
+link_now_ms (const link_t *link)
 {
   return (uint64_t)timespec_to_ms (
-      clock_monotonic (worker_clock (link->worker)));
+             clock_monotonic (worker_clock (link->worker)))
+         + 1;
 }
 
 /* Queue FRAME for the peer; the sender's part of the header is filled in
@@ -146,7 +149,7 @@
       return status_set (STATUS_TOO_LARGE, "peer does not read");
     }
   node_fill_header (link->node, &stamped.header);
-  stamped.header.sent_ms = link_clock_ms (link);
+  stamped.header.sent_ms = link_now_ms (link);
   stamped.header.echo_ms = link->peer_sent_ms;
   out = talloc_zero (link, outgoing_t);
   if (out == NULL)
@@ -194,16 +197,25 @@
                             header->confirmed_age_ms, link->data);
 }
 
-/* The peer sent this frame after it had received our frame of ECHO_MS, which
-   bounds how far its clock can be ahead of ours.  The tightest bound of the
-   window is kept.  */
+/* A frame may have been on its way, or unread, for long.  It was sent after
+   the peer saw the time of ours that it echoes, so what it says of the peer is
+   no older than that.  */
+static void
+link_note_times (link_t *link, const frame_header_t *header)
+{
+  link->peer_sent_ms = header->sent_ms;
+  if (header->echo_ms > link->echo_ms && header->echo_ms <= link_now_ms (link))
+    link->echo_ms = header->echo_ms;
+}
+
+/* The echo also bounds how far the peer's clock can be ahead of ours.  The
+   tightest bound of the window is kept.  */
 static void
 link_note_offset (link_t *link, const frame_header_t *header)
 {
   struct timespec now = clock_monotonic (worker_clock (link->worker));
   int64_t offset = (int64_t)header->sent_ms - (int64_t)header->echo_ms;
 
-  link->peer_sent_ms = header->sent_ms;
   if (header->echo_ms == 0)
     return;
   if (link->has_offset && offset > link->offset_ms
@@ -222,7 +234,7 @@
 link_confirm (link_t *link, const frame_header_t *header)
 {
   int64_t sent = (int64_t)header->sent_ms - link->offset_ms;
-  int64_t transit = (int64_t)link_clock_ms (link) - sent;
+  int64_t transit = (int64_t)link_now_ms (link) - sent;
 
   if (!link->has_offset)
     return;
@@ -283,6 +295,7 @@
 static void
 link_dispatch (link_t *link, const frame_t *frame)
 {
+  link_note_times (link, &frame->header);
   if (!link->is_greeted && frame->header.type != FRAME_HELLO)
     {
       counter_add (&bad_peers, 1);
@@ -563,11 +576,12 @@
   return link->worker;
 }
 
-/* Return when something last came from the peer, on the worker's clock.  */
-struct timespec
-link_last_received (const link_t *link)
+/* Return a time on the worker's clock, in milliseconds, at which the peer was
+   certainly in touch with this process; 0 when there is none yet.  */
+uint64_t
+link_touched_ms (const link_t *link)
 {
-  return link->last_received;
+  return link->echo_ms;
 }
 
 /* Return how many bytes wait to be written.  */
--- a/include/agent/group.h
+++ b/include/agent/group.h
@@ -97,7 +97,7 @@
 void group_configure (group_t *group, const settings_t *settings);
 void group_tick (group_t *group);
 void group_take_order (group_t *group, const group_route_t *route,
-                       const frame_map_order_t *order);
+                       const frame_map_order_t *frame);
 
 /* Shared by the files of the group.  */
 struct timespec group_now (const group_t *group);
