--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -33,8 +33,10 @@
 
 class RecordingHandler(http.server.BaseHTTPRequestHandler):
     def do_GET(self):
-        if self.path != "/load":  # the agent's own, not a caller's
-            self.server.targets.append(self.path)
+        if self.path == "/load":  # the agent asks for the upstream's load
+            self.send_error(404)
+            return
+        self.server.targets.append(self.path)
         self.send_response(200)
         self.send_header("Content-Length", "2")
         self.end_headers()
