Test the limits of what the store keeps

siskinctl refuses a document over 1,000,000 bytes with its size, drops the oldest superseded document with each change (203 revisions made, 3 to 202 still there), and turns to the next address of the store when one does not answer.

Shown by: meson test test_ctl.py.

--- a/tests/process/test_ctl.py
+++ b/tests/process/test_ctl.py
@@ -164,6 +164,33 @@
                          ["style-2"])
         self.json(cluster, "status", expect=INCOMPLETE)
 
+    def test_too_large_for_the_store(self):
+        cluster = self.start()
+        files = self.files(cluster, cluster.rules + "#" * 1000000)
+        value = self.json(cluster, "apply", *files, "0", expect=FAULTS)
+        self.assertRegex(value["error"], "make 10[0-9]+ bytes; the store hold")
+
+    def test_old_documents_are_dropped(self):
+        cluster = self.start()
+        cluster.apply()
+        for i in range(101):
+            for command in ["drain", "undrain"]:
+                self.json(cluster, "--no-wait", command, "style-01")
+        self.assertEqual(self.json(cluster, "show")["revision"], 203)
+        self.json(cluster, "show", "2", expect=FAULTS)
+        self.assertEqual(self.json(cluster, "show", "3")["revision"], 3)
+        self.assertEqual(
+            self.json(cluster, "history", "300")["history"][-1]["revision"],
+            1)
+
+    def test_another_address_of_the_store(self):
+        cluster = self.start()
+        cluster.apply()
+        url, cluster.store_url = cluster.store_url(), lambda: (
+            "http://127.0.0.1:1")
+        self.assertEqual(self.json(cluster, "--store", url, "show")
+                         ["revision"], 1)
+
     def test_usage(self):
         cluster = self.start()
         for arguments in [["apply", "a", "b", "-1"], ["apply", "a"],
