--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -17,6 +17,8 @@
 START_TIMEOUT_S = 20
 STOP_TIMEOUT_S = 30
 WORKERS = 2  # of an entry, by default
+FAULT = re.compile("invariant-violated|lock order violated|Sanitizer|"
+                   "runtime error:|talloc: ")
 
 
 class Answer:
@@ -49,6 +51,11 @@
         with open(self.log_name) as stream:
             return stream.read()
 
+    def faults(self):
+        """Lines that no program may write, whatever happens to it."""
+        return ["%s: %s" % (self.name, line)
+                for line in self.text().splitlines() if FAULT.search(line)]
+
     def port(self, pattern):
         return int(wait_until(
             lambda: (m := re.search(pattern, self.text())) and m.group(1),
@@ -91,6 +98,7 @@
         with open(rules) as stream:
             self.rules = stream.read()
         self.programs = {}
+        self.old_faults = []  # of programs that were started again
         self.ports = {}
         self.inventory = ["name,address,zone,kind,service,model,group,rank"]
         self.revision = 0
@@ -103,11 +111,18 @@
             for program in self.programs.values():
                 print("---", program.name)
                 print("\n".join(program.text().splitlines()[-15:]))
+        faults = self.old_faults + [
+            line for program in self.programs.values()
+            for line in program.faults()]
         for program in reversed(list(self.programs.values())):
             program.kill()
         shutil.rmtree(self.folder)
+        assert not faults, faults
 
     def _start(self, name, arguments):
+        if name in self.programs:
+            self.old_faults += self.programs[name].faults()
+            self.programs[name].kill()
         program = Program(name, arguments, self.folder)
         self.programs[name] = program
         return program
@@ -127,30 +142,46 @@
         return "http://127.0.0.1:%d" % self.ports["store"]
 
     def start_upstream(self, name, zone, kind, service, model="", group="",
-                       rank=""):
-        """A stand-in upstream with the agent beside it."""
-        upstream = self._start(
-            name, [BUILD + "/tests/standin-upstream", "127.0.0.1:0", name])
-        self.ports[name] = upstream.port(r"port=(\d+)")
-        port = self.start_agent(name, zone)
+                       rank="", store=None, relay=None):
+        """A stand-in upstream with the agent beside it.
+
+        STORE is the agent's way to the store; RELAY makes one from the
+        agent's port that the entries are to use.
+        """
+        self.start_standin(name)
+        port = self.start_agent(name, zone, store=store)
+        if relay is not None:
+            port = relay(port)
         self.inventory.append("%s,127.0.0.1:%d,%s,%s,%s,%s,%s,%s" % (
             name, port, zone, kind, service, model, group, rank))
 
-    def start_agent(self, name, zone, port=0):
+    def start_standin(self, name, port=0, *settings):
+        upstream = self._start(
+            name, [BUILD + "/tests/standin-upstream", "127.0.0.1:%d" % port,
+                   name] + list(settings))
+        self.ports[name] = upstream.port(r"port=(\d+)")
+
+    def start_agent(self, name, zone, port=0, store=None):
         config = self._write(name + ".toml", (
             'name = "%s"\nzone = "%s"\nlisten = "127.0.0.1:%d"\n'
             'upstream = "http://127.0.0.1:%d"\nstore = ["%s"]\n') % (
-                name, zone, port, self.ports[name], self.store_url()))
+                name, zone, port, self.ports[name],
+                store or self.store_url()))
         agent = self._start(
             name + "-agent",
             [BUILD + "/agent/siskin-agent", "--config", config])
         self.ports[name + "-admin"] = agent.port(r"admin-listening port=(\d+)")
-        return agent.port(r"frames-listening port=(\d+)")
+        self.ports[name + "-agent"] = agent.port(r"frames-listening port=(\d+)")
+        return self.ports[name + "-agent"]
+
+    def restart_agent(self, name, zone):
+        """Another run of the agent of NAME on its port."""
+        self.start_agent(name, zone, self.ports[name + "-agent"])
 
-    def start_entry(self, name, zone):
+    def start_entry(self, name, zone, store=None):
         config = self._write(name + ".toml", (
             'name = "%s"\nzone = "%s"\nstore = ["%s"]\n') % (
-                name, zone, self.store_url()))
+                name, zone, store or self.store_url()))
         entry = self._start(
             name, [BUILD + "/entry/siskin-entry", "--config", config])
         self.ports[name + "-admin"] = entry.port(r"admin-listening port=(\d+)")
