Let an entry connect to fewer upstreams where there are many entries

The subset now gives each upstream about 32 entries, with 4 to 24 connections for each service and model: 56 an entry at 410 entries, 680 upstreams and 14 models; all 12 at today's size, as before.

Ruled out: a small subset at all sizes, since few entries would leave upstreams without any.

--- a/bench/model_settings.c
+++ b/bench/model_settings.c
@@ -46,6 +46,10 @@
   char *text = talloc_strdup (
       parent, "name,address,zone,kind,service,model,group,rank\n");
 
+  for (unsigned i = 0; i < model->options.entries; i++)
+    text = talloc_asprintf_append (
+        text, "e%03u,10.100.%u.%u:8080,z%u,entry,,,,\n", i, i / 250,
+        i % 250 + 1, i % model->options.zones);
   for (unsigned i = 0; i < model->options.upstreams; i++)
     {
       const model_upstream_t *upstream = &model->upstreams[i];
--- a/bench/model_state.h
+++ b/bench/model_state.h
@@ -157,6 +157,8 @@
 void model_end (model_t *model, model_request_t *request, bool is_whole);
 void model_refused (model_t *model, model_request_t *request,
                     refusal_t refusal);
+void model_retry (model_t *model, model_request_t *request, refusal_t refusal,
+                  bool is_lost);
 void model_note_cached (model_t *model, model_upstream_t *upstream,
                         const uint64_t *blocks, size_t count, bool is_stored);
 void perfect_know (const model_t *model);
--- a/entry/router.c
+++ b/entry/router.c
@@ -10,7 +10,9 @@
 enum
 {
   ROUTER_MAX_WORKERS = 64,
-  ROUTER_SUBSET_UPSTREAMS = 24 /* links for each service and model */
+  ROUTER_SUBSET_MAX = 24, /* links for each service and model */
+  ROUTER_SUBSET_MIN = 4,
+  ROUTER_ENTRIES_AN_UPSTREAM = 32 /* that connect to each upstream */
 };
 
 GAUGE_DEFINE (upstreams_gauge, "siskin_router_upstreams",
@@ -229,21 +231,34 @@
   return peers;
 }
 
+/* Return how many of TOTAL upstreams this entry connects to.  The more entries
+   there are, the fewer each needs for the load to spread.  */
+static unsigned
+router_subset_size (const router_t *router, unsigned total)
+{
+  unsigned wanted = ROUTER_SUBSET_MAX;
+
+  if (router->entry_count > 0)
+    wanted = ROUTER_ENTRIES_AN_UPSTREAM * total / router->entry_count;
+  if (wanted > ROUTER_SUBSET_MAX)
+    return ROUTER_SUBSET_MAX;
+  return wanted < ROUTER_SUBSET_MIN ? ROUTER_SUBSET_MIN : wanted;
+}
+
 /* Rendezvous hashing selects the upstreams that this entry connects to: each
-   zone gets its part of ROUTER_SUBSET_UPSTREAMS for each service and model,
-   and a change of the fleet moves only the links concerned.  A policy that
-   must reach every upstream gets all.  */
+   zone gets its part of the subset for each service and model, and a change of
+   the fleet moves only the links concerned.  A policy that must reach every
+   upstream gets all.  */
 static bool
 router_is_in_subset (const router_t *router, const router_upstream_t *upstream)
 {
   router_peers_t peers = router_count_peers (router, upstream);
+  unsigned size = router_subset_size (router, peers.total);
   unsigned quota;
 
-  if (upstream->service->ops->needs_all
-      || peers.total <= ROUTER_SUBSET_UPSTREAMS)
+  if (upstream->service->ops->needs_all || peers.total <= size)
     return true;
-  quota = (peers.in_zone * ROUTER_SUBSET_UPSTREAMS + peers.total - 1)
-          / peers.total;
+  quota = (peers.in_zone * size + peers.total - 1) / peers.total;
   return peers.preferred < quota;
 }
 
@@ -313,6 +328,17 @@
     }
 }
 
+static unsigned
+router_count_entries (const settings_t *settings)
+{
+  const entry_vm_t *entry;
+  unsigned count = 0;
+
+  STAILQ_FOREACH (entry, &settings->entry_vms, link)
+    count++;
+  return count;
+}
+
 /* Put SETTINGS in force.  Returns STATUS_NOT_FOUND when a policy does not
    exist; the rest is in force all the same.  */
 status_t
@@ -324,6 +350,7 @@
 
   table_lock (router->table);
   router_begin_configure (router);
+  router->entry_count = router_count_entries (settings);
   STAILQ_FOREACH (service, &settings->services, link)
     {
       if (router_update_service (router, service) != STATUS_OK)
--- a/include/entry/router_state.h
+++ b/include/entry/router_state.h
@@ -57,6 +57,7 @@
   table_t *table; /* router_upstream_t by name; guards the whole router */
   STAILQ_HEAD (, router_upstream) upstreams;
   STAILQ_HEAD (, router_service) services;
+  unsigned entry_count; /* entries of the whole system */
   double retry_ratio;
   double retry_budget;
   const pick_candidate_t **candidates; /* room for every upstream */
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -44,6 +44,7 @@
 {
   clock_source_t *clock;
   uint64_t revision;
+  unsigned entries; /* listed in the inventory */
   settings_t *settings;
 } fixture_t;
 
@@ -63,6 +64,10 @@
     inventory = talloc_asprintf_append (
         inventory, "u%u,10.0.%u.%u:7000,z%u,plain,plain,,,\n", i, i / 250,
         i % 250 + 1, i % ZONES);
+  for (unsigned i = 0; i < fixture->entries; i++)
+    inventory = talloc_asprintf_append (inventory,
+                                        "e%u,10.1.%u.%u:8080,z0,entry,,,,\n",
+                                        i, i / 250, i % 250 + 1);
   parts->revision = ++fixture->revision;
   parts->change_id = parts->changed_by = parts->changed_why = "test";
   parts->changed_at = "2026-01-01T00:00:00Z";
@@ -269,6 +274,24 @@
   settings_release (settings);
 }
 
+static void
+test_many_entries_need_fewer_connections (void **state)
+{
+  fixture_t *fixture = *state;
+  settings_t *settings;
+  unsigned entries[] = { 3, 410, 10000 };
+  unsigned expected[] = { SUBSET, 3 * ZONES, ZONES };
+
+  for (unsigned i = 0; i < 3; i++)
+    {
+      fixture->entries = entries[i];
+      settings = make_settings (fixture, 160, "least-tokens", NULL);
+      assert_int_equal (connect_all (make_router (fixture, 1, settings), NULL),
+                        expected[i]);
+      settings_release (settings);
+    }
+}
+
 static void
 test_subset_changes_little_with_the_fleet (void **state)
 {
@@ -332,6 +355,8 @@
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_subset_is_bounded_spread_and_covers,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_many_entries_need_fewer_connections,
+                                     set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_subset_changes_little_with_the_fleet,
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_keys_need_every_upstream, set_up,
