Resume answers in batches, and copy them in smaller blocks

Cause: the entry's processor time grew with the square of the open streams. libmicrohttpd walks its list of suspended connections at each run that follows a resume, and each token resumed one connection and ran the daemon. Ruled out: the agent, which grows with the tokens alone (12.5% at 5000), and the frames, whose number a token does not change.

What is to be resumed is now kept in a list and resumed together, after 2 us for each open exchange, so that the walks are a bounded part of the time; at 2,500 streams a worker that adds 5 ms to a token. The list also lets a server resume all before it stops, which libmicrohttpd asks for.

--- a/bench/path.py
+++ b/bench/path.py
@@ -35,7 +35,11 @@
 name = "style"
 kind = "model"
 path = "/v1/"
+[limits]
+default_deadline = "300 s"
 [admission]
+policy = "fixed"
+order = "fifo"
 maximum_requests = 10000
 maximum_tokens = 100000000
 queue_requests = 10000
--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -9,7 +9,7 @@
 enum
 {
   HTTP_RECEIVE_TIMEOUT_MS = 30000, /* from the request line to the last byte */
-  HTTP_BLOCK_BYTES = 16 * 1024
+  HTTP_BLOCK_BYTES = 4 * 1024
 };
 
 COUNTER_DEFINE (exchanges_total, "siskin_http_requests_total",
@@ -25,7 +25,8 @@
   if (!exchange->is_suspended)
     return;
   exchange->is_suspended = false;
-  MHD_resume_connection (exchange->connection);
+  LIST_REMOVE (exchange, suspended_link);
+  LIST_INSERT_HEAD (&exchange->server->resuming, exchange, suspended_link);
   http_server_kick (exchange->server);
 }
 
@@ -35,6 +36,7 @@
 http_exchange_suspend (http_exchange_t *exchange)
 {
   exchange->is_suspended = true;
+  LIST_INSERT_HEAD (&exchange->server->suspended, exchange, suspended_link);
   MHD_suspend_connection (exchange->connection);
 }
 
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -8,32 +8,45 @@
 {
   HTTP_IDLE_TIMEOUT_S = 15, /* for a caller that neither sends nor reads */
   HTTP_CONNECTION_MEMORY = 32 * 1024,
+  KICK_US_AN_EXCHANGE = 2,
   HTTP_CONNECTION_LIMIT = 20000
 };
 
 static void http_server_run (http_server_t *server);
 
 static void
-http_server_handle_kick (struct tevent_context *events,
-                         struct tevent_immediate *immediate, void *data)
+http_server_resume (http_exchange_t *exchange)
+{
+  LIST_REMOVE (exchange, suspended_link);
+  MHD_resume_connection (exchange->connection);
+}
+
+static void
+http_server_handle_kick (worker_t *worker, void *data)
 {
   http_server_t *server = data;
+  http_exchange_t *exchange;
 
-  (void)events;
-  (void)immediate;
-  server->is_kicked = false;
+  (void)worker;
+  server->kick = NULL;
+  while ((exchange = LIST_FIRST (&server->resuming)) != NULL)
+    http_server_resume (exchange);
   http_server_run (server);
 }
 
-/* Run the daemon from the loop soon, once for any number of calls.  */
+/* Resume what is to be resumed and run the daemon from the loop soon, once for
+   any number of calls.  libmicrohttpd walks all suspended connections each
+   time that one is resumed; waiting in proportion to their number keeps the
+   walks a bounded part of the worker's time.  */
 void
 http_server_kick (http_server_t *server)
 {
-  if (server->is_kicked)
+  if (server->kick != NULL)
     return;
-  server->is_kicked = true;
-  tevent_schedule_immediate (server->kick, worker_events (server->worker),
-                             http_server_handle_kick, server);
+  server->kick = worker_timer_start (
+      server->worker, server,
+      timespec_from_us ((int64_t)server->open_exchanges * KICK_US_AN_EXCHANGE),
+      http_server_handle_kick, server);
 }
 
 static void
@@ -127,8 +140,16 @@
 static int
 http_server_free (http_server_t *server)
 {
+  http_exchange_t *exchange;
+
   TALLOC_FREE (server->event);
   TALLOC_FREE (server->timer);
+  TALLOC_FREE (server->kick);
+  /* libmicrohttpd gives up when it is stopped with connections suspended.  */
+  while ((exchange = LIST_FIRST (&server->suspended)) != NULL)
+    http_server_resume (exchange);
+  while ((exchange = LIST_FIRST (&server->resuming)) != NULL)
+    http_server_resume (exchange);
   if (server->daemon != NULL)
     MHD_stop_daemon (server->daemon);
   return 0;
@@ -152,7 +173,8 @@
   server->ops = ops;
   server->data = data;
   server->body_limit = body_limit;
-  server->kick = tevent_create_immediate (server);
+  LIST_INIT (&server->suspended);
+  LIST_INIT (&server->resuming);
   if (net_listen (address, &fd, &server->port) != STATUS_OK)
     {
       talloc_free (server);
--- a/include/common/http_exchange.h
+++ b/include/common/http_exchange.h
@@ -24,8 +24,9 @@
   struct MHD_Daemon *daemon;
   struct tevent_fd *event;
   struct tevent_timer *timer;
-  struct tevent_immediate *kick;
-  bool is_kicked;
+  worker_timer_t *kick; /* armed while exchanges are to be resumed */
+  LIST_HEAD (, http_exchange) suspended;
+  LIST_HEAD (, http_exchange) resuming;
   uint16_t port;
   MHD_socket listen_fd;
   unsigned open_exchanges;
@@ -33,6 +34,9 @@
 
 struct http_exchange
 {
+  LIST_ENTRY (http_exchange)
+  suspended_link; /* while is_suspended, and until
+                     it is resumed */
   http_server_t *server;
   struct MHD_Connection *connection;
   void *data;
