Count only peers that have run for a while as contact

With the store down, an agent and the only entry of another zone that it heard were both paused through a change. Thawed within half a second of each other, each took the other for proof that it was in touch, and work went on under the old settings.

Each frame now says whether its sender is settled: it has run for 3 s without a pause, long enough to connect again and be shown what is new. Only echoes from settled peers count at the isolation fence.

That is now remembered apart from the contact.

Cost: after a pause of the whole site with the store down, new work is refused for 3 s.

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -127,7 +127,7 @@
   int64_t now_ms = timespec_to_ms (clock_monotonic (node_clock (agent->node)));
   gate_contact_t contact
       = { .confirmed_age_ms = node_confirmed_age_ms (agent->node),
-          .knows_other_zone = heard_ms > 0,
+          .knows_other_zone = atomic_load (&agent->has_other_zone),
           .other_zone_age_ms = (uint64_t)(now_ms - heard_ms),
           .is_behind = node_is_behind (agent->node) };
 
@@ -162,7 +162,10 @@
   (void)worker;
   peer_note_contact (share);
   if (worker_index (share->worker) == 0)
-    agent_tick_common (share->agent);
+    {
+      node_note_tick (share->agent->node);
+      agent_tick_common (share->agent);
+    }
   agent_start_ready (share->agent);
   peer_announce_load (share);
   agent_arm_tick (share);
--- a/agent/peer.c
+++ b/agent/peer.c
@@ -174,6 +174,7 @@
           || strcmp (link_peer_zone (peer->link), node_zone (agent->node))
                  == 0)
         continue;
+      atomic_store (&agent->has_other_zone, true);
       heard_ms = (int64_t)link_touched_ms (peer->link);
       while (heard_ms > newest
              && !atomic_compare_exchange_weak (&agent->other_zone_heard_ms,
--- a/common/frame.c
+++ b/common/frame.c
@@ -6,7 +6,7 @@
 
 enum
 {
-  HEADER_FIELDS = 9, /* items before the body's fields */
+  HEADER_FIELDS = 10, /* items before the body's fields */
   MAX_BODY_FIELDS = 16,
   MAX_SHORT_STRING = 4096
 };
@@ -193,6 +193,7 @@
   msgpack_pack_uint64 (&packer, frame->header.confirmed_age_ms);
   msgpack_pack_uint64 (&packer, frame->header.sent_ms);
   msgpack_pack_uint64 (&packer, frame->header.echo_ms);
+  msgpack_pack_uint64 (&packer, frame->header.is_settled);
   msgpack_pack_uint64 (&packer, frame->header.request.incarnation);
   msgpack_pack_uint64 (&packer, frame->header.request.sequence);
   for (unsigned i = 0; i < field_count; i++)
@@ -261,8 +262,8 @@
         return false;
     }
   if (items[0].via.u64 != FRAME_PROTOCOL_VERSION
-      || items[1].via.u64 < FRAME_HELLO
-      || items[1].via.u64 >= FRAME_TYPE_COUNT)
+      || items[1].via.u64 < FRAME_HELLO || items[1].via.u64 >= FRAME_TYPE_COUNT
+      || items[7].via.u64 > 1)
     return false;
   header->type = (frame_type_t)items[1].via.u64;
   header->incarnation = items[2].via.u64;
@@ -270,8 +271,9 @@
   header->confirmed_age_ms = items[4].via.u64;
   header->sent_ms = items[5].via.u64;
   header->echo_ms = items[6].via.u64;
-  header->request.incarnation = items[7].via.u64;
-  header->request.sequence = items[8].via.u64;
+  header->is_settled = items[7].via.u64;
+  header->request.incarnation = items[8].via.u64;
+  header->request.sequence = items[9].via.u64;
   return true;
 }
 
--- a/common/link.c
+++ b/common/link.c
@@ -199,12 +199,14 @@
 
 /* A frame may have been on its way, or unread, for long.  It was sent after
    the peer saw the time of ours that it echoes, so what it says of the peer is
-   no older than that.  */
+   no older than that.  A peer that was paused itself may know as little as
+   this process.  */
 static void
 link_note_times (link_t *link, const frame_header_t *header)
 {
   link->peer_sent_ms = header->sent_ms;
-  if (header->echo_ms > link->echo_ms && header->echo_ms <= link_now_ms (link))
+  if (header->is_settled == 1 && header->echo_ms > link->echo_ms
+      && header->echo_ms <= link_now_ms (link))
     link->echo_ms = header->echo_ms;
 }
 
--- a/common/node.c
+++ b/common/node.c
@@ -14,7 +14,9 @@
 
 enum
 {
-  FETCH_TIMEOUT_MS = 1000 /* then another peer may be asked */
+  FETCH_TIMEOUT_MS = 1000, /* then another peer may be asked */
+  PAUSE_GAP_MS = 1000,     /* between two ticks of a process that runs */
+  SETTLE_MS = 3000         /* to connect again and hear what is new */
 };
 
 GAUGE_DEFINE (settings_revision, "siskin_settings_revision",
@@ -35,7 +37,9 @@
   bool is_held;         /* settings are collected, but not in force yet */
   bool is_confirmed;
   struct timespec confirmed_at;
-  uint64_t fetch_revision; /* asked for last, of one peer */
+  struct timespec ticked_at;
+  struct timespec settled_at; /* it has run without a pause since then */
+  uint64_t fetch_revision;    /* asked for last, of one peer */
   struct timespec fetch_at;
   STAILQ_HEAD (, node_subscription) subscriptions;
 };
@@ -357,6 +361,33 @@
   return age;
 }
 
+/* Note that this process runs.  To be called several times a second; a gap
+   shows that it was paused.  */
+void
+node_note_tick (node_t *node)
+{
+  struct timespec now = clock_monotonic (node->clock);
+
+  lock_acquire (node->lock);
+  if (timespec_to_ms (timespec_subtract (now, node->ticked_at)) > PAUSE_GAP_MS)
+    node->settled_at = now;
+  node->ticked_at = now;
+  lock_release (node->lock);
+}
+
+/* Return whether this process has run long enough since its start or its last
+   pause to have heard what its peers know.  */
+static bool
+node_is_settled_locked (const node_t *node)
+{
+  struct timespec now = clock_monotonic (node->clock);
+
+  return timespec_to_ms (timespec_subtract (now, node->ticked_at))
+             <= PAUSE_GAP_MS
+         && timespec_to_ms (timespec_subtract (now, node->settled_at))
+                >= SETTLE_MS;
+}
+
 /* Set the members of HEADER that every frame carries.  */
 void
 node_fill_header (node_t *node, frame_header_t *header)
@@ -366,6 +397,7 @@
   header->settings_revision
       = node->settings == NULL || node->is_held ? 0 : node->settings->revision;
   header->confirmed_age_ms = node_age_locked (node);
+  header->is_settled = node_is_settled_locked (node) ? 1 : 0;
   lock_release (node->lock);
 }
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -65,7 +65,8 @@
 {
   entry_worker_t *share = data;
 
-  (void)worker;
+  if (worker_index (worker) == 0)
+    node_note_tick (share->entry->node);
   entry_refresh (share);
   entry_arm_tick (share);
 }
--- a/include/common/frame.h
+++ b/include/common/frame.h
@@ -54,6 +54,7 @@
   uint64_t confirmed_age_ms; /* since the revision was seen in the store */
   uint64_t sent_ms;          /* by the sender's clock, from any start */
   uint64_t echo_ms;          /* newest SENT_MS seen of the receiver, or 0 */
+  uint64_t is_settled;       /* 0 or 1: in touch for some time; node.h */
   request_id_t request;      /* zero when the frame concerns none */
 } frame_header_t;
 
--- a/include/common/node.h
+++ b/include/common/node.h
@@ -56,6 +56,7 @@
 void node_end_fetch (node_t *node, uint64_t revision);
 void node_confirm (node_t *node, uint64_t revision, uint64_t age_ms);
 uint64_t node_confirmed_age_ms (node_t *node);
+void node_note_tick (node_t *node);
 void node_fill_header (node_t *node, frame_header_t *header);
 void node_hello (const node_t *node, frame_t *frame);
 
