Refuse to send a text that the peer would refuse to take

Cause: an upstream's Content-Type over 4096 bytes made a HEAD frame that the entry takes for a fault of the protocol, so that it ended the connection and every answer on it. Callers' headers were bounded already. The agent now cuts the type at 1 KiB, and frame_encode fails for any overlong text.

test_overlong_text_is_not_encoded fails without the check in frame.c and passes with it.

--- a/agent/job_run.c
+++ b/agent/job_run.c
@@ -10,7 +10,8 @@
 {
   JOB_WINDOW_BYTES = 256 * 1024, /* waiting, not acknowledged */
   JOB_RECORD_MAX_BYTES = 64 * 1024,
-  OUTCOME_GRACE_MS = 30000, /* to learn what must be recorded */
+  CONTENT_TYPE_MAX_BYTES = 1024, /* of an answer; the rest is cut */
+  OUTCOME_GRACE_MS = 30000,      /* to learn what must be recorded */
   HTTP_TOO_MANY_REQUESTS = 429,
   HTTP_SERVER_ERROR = 500,
   HTTP_UNAVAILABLE = 503
@@ -52,7 +53,8 @@
 {
   job->output.is_head_known = true;
   job->output.http_status = http_status;
-  job->output.content_type = talloc_strdup (job, content_type);
+  job->output.content_type
+      = talloc_strndup (job, content_type, CONTENT_TYPE_MAX_BYTES);
 }
 
 static void
--- a/common/frame.c
+++ b/common/frame.c
@@ -170,9 +170,28 @@
     }
 }
 
+/* Return whether all texts of FRAME are short enough for a peer to take.  */
+static bool
+frame_texts_fit (const frame_t *frame, const frame_layout_t *layout)
+{
+  for (unsigned i = 0; i < layout_field_count (layout); i++)
+    {
+      const field_t *field = &layout->fields[i];
+      const char *place = (const char *)frame + field->offset;
+      const char *text;
+
+      if (field->kind != FIELD_STRING)
+        continue;
+      text = *(const char *const *)(const void *)place;
+      if (text != NULL && strlen (text) > field->maximum)
+        return false;
+    }
+  return true;
+}
+
 /* Encode FRAME with its length prefix.  Returns a buffer owned by PARENT and
-   sets *ENCODED_SIZE; returns NULL when the frame is over FRAME_MAX_BYTES or
-   memory is exhausted.  */
+   sets *ENCODED_SIZE; returns NULL when the frame or a text in it is too large
+   or memory is exhausted.  */
 char *
 frame_encode (TALLOC_CTX *parent, const frame_t *frame, size_t *encoded_size)
 {
@@ -198,7 +217,7 @@
   msgpack_pack_uint64 (&packer, frame->header.request.sequence);
   for (unsigned i = 0; i < field_count; i++)
     pack_field (&packer, &layout->fields[i], frame);
-  if (buffer.size <= FRAME_MAX_BYTES)
+  if (buffer.size <= FRAME_MAX_BYTES && frame_texts_fit (frame, layout))
     encoded = talloc_array (parent, char, FRAME_PREFIX_BYTES + buffer.size);
   if (encoded != NULL)
     {
--- a/tests/test_frame.c
+++ b/tests/test_frame.c
@@ -162,6 +162,25 @@
   talloc_free (memory);
 }
 
+/* A peer would end the connection over it.  */
+static void
+test_overlong_text_is_not_encoded (void **state)
+{
+  TALLOC_CTX *memory = talloc_new (NULL);
+  char *text = talloc_array (memory, char, 4098);
+  frame_t frame = { .header = { .type = FRAME_HEAD } };
+  size_t size;
+
+  (void)state;
+  memset (text, 'x', 4097);
+  text[4097] = '\0';
+  frame.body.head.content_type = text;
+  assert_null (frame_encode (memory, &frame, &size));
+  text[4096] = '\0';
+  assert_non_null (frame_encode (memory, &frame, &size));
+  talloc_free (memory);
+}
+
 /* A frame that was let through has nothing out of its bounds.  */
 static void
 check_bounds (const frame_t *frame)
@@ -220,6 +239,7 @@
     cmocka_unit_test (test_submit_keeps_its_members),
     cmocka_unit_test (test_every_cut_is_refused),
     cmocka_unit_test (test_oversized_frame_is_not_encoded),
+    cmocka_unit_test (test_overlong_text_is_not_encoded),
     cmocka_unit_test (test_mutated_frames_do_no_harm),
   };
 
