--- a/agent/job_output.c
+++ b/agent/job_output.c
@@ -19,6 +19,12 @@
                          "outcome=\"not-run\"", "Requests ended at the agent");
 COUNTER_DEFINE_LABELLED (ended_unknown, "siskin_jobs_ended_total",
                          "outcome=\"unknown\"", "Requests ended at the agent");
+
+static counter_t *const ended_counters[OUTCOME_COUNT] = {
+  [OUTCOME_NOT_RUN] = &ended_not_run,
+  [OUTCOME_RAN] = &ended_ran,
+  [OUTCOME_UNKNOWN] = &ended_unknown,
+};
 COUNTER_DEFINE (jobs_resumed, "siskin_jobs_resumed_total",
                 "Requests taken up again over a new connection");
 
@@ -151,17 +157,6 @@
   table_unlock (jobs);
 }
 
-static void
-job_count_end (outcome_t outcome)
-{
-  if (outcome == OUTCOME_RAN)
-    counter_add (&ended_ran, 1);
-  else if (outcome == OUTCOME_NOT_RUN)
-    counter_add (&ended_not_run, 1);
-  else
-    counter_add (&ended_unknown, 1);
-}
-
 /* Record the job's end.  REFUSAL is REFUSAL_NONE when the upstream's answer
    ended, whole if IS_COMPLETE.  */
 void
@@ -184,7 +179,7 @@
   output->is_ended = true;
   job_wake_pump_locked (job);
   table_unlock (job->agent->jobs);
-  job_count_end (outcome);
+  counter_add (ended_counters[outcome], 1);
   log_event (LOG_LEVEL_INFO, "job-ended",
              "request=%016llx-%llu outcome=%s refusal=%s complete=%d",
              (unsigned long long)job->id.incarnation,
--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -22,42 +22,36 @@
 static const char *const pick_names[]
     = { "round-robin", "least-reported", "least-tokens", "prefix", NULL };
 
-static const model_options_t today = {
-  .pick = "least-tokens",
-  .admission = "slow-start",
-  .order = "fair",
-  .zones = 3,
-  .entries = 3,
-  .upstreams = 12,
-  .models = 1,
-  .accounts = 10,
-  .maximum_requests = 16,
-  .load = 0.9,
-  .hog_factor = 1,
-  .report_ms = 200,
-  .ramp_ms = RAMP_MS,
-  .warm_up_ms = WARM_UP_MS,
-  .duration_ms = DURATION_MS,
-  .seed = SEED,
-};
+static model_options_t
+options_today (void)
+{
+  model_options_t options = model_options_today ();
 
-static const model_options_t large = {
-  .pick = "least-tokens",
-  .admission = "fixed",
-  .order = "fair",
-  .zones = 4,
-  .entries = 410,
-  .upstreams = 680,
-  .models = 14,
-  .accounts = 810,
-  .maximum_requests = 96,
-  .load = 0.9,
-  .hog_factor = 1,
-  .report_ms = 1000,
-  .warm_up_ms = LARGE_WARM_UP_MS,
-  .duration_ms = LARGE_DURATION_MS,
-  .seed = SEED,
-};
+  options.ramp_ms = RAMP_MS;
+  options.warm_up_ms = WARM_UP_MS;
+  options.duration_ms = DURATION_MS;
+  options.seed = SEED;
+  return options;
+}
+
+static model_options_t
+options_large (void)
+{
+  model_options_t options = options_today ();
+
+  options.admission = "fixed";
+  options.zones = 4;
+  options.entries = 410;
+  options.upstreams = 680;
+  options.models = 14;
+  options.accounts = 810;
+  options.maximum_requests = 96;
+  options.report_ms = 1000;
+  options.warm_up_ms = LARGE_WARM_UP_MS;
+  options.duration_ms = LARGE_DURATION_MS;
+  options.ramp_ms = 0;
+  return options;
+}
 
 typedef void (*table_run_t) (model_options_t options);
 
@@ -255,14 +249,15 @@
 int
 main (int argc, char **argv)
 {
-  const model_options_t *options
-      = argc > 2 && strcmp (argv[2], "large") == 0 ? &large : &today;
+  model_options_t options = argc > 2 && strcmp (argv[2], "large") == 0
+                                ? options_large ()
+                                : options_today ();
 
   for (size_t i = 0; argc > 1 && i < sizeof tables / sizeof tables[0]; i++)
     {
       if (strcmp (tables[i].name, argv[1]) != 0)
         continue;
-      tables[i].run (*options);
+      tables[i].run (options);
       return EXIT_SUCCESS;
     }
   fprintf (stderr, "usage: bench-routing TABLE [large]\n");
--- a/bench/bench_zones.c
+++ b/bench/bench_zones.c
@@ -39,43 +39,34 @@
   { "fails and recovers", MODEL_ZONE_FAILS, MODEL_ZONE_RECOVERS },
 };
 
-static const model_options_t today = {
-  .pick = "least-tokens",
-  .admission = "slow-start",
-  .order = "fair",
-  .zones = 3,
-  .entries = 3,
-  .upstreams = 12,
-  .models = 1,
-  .accounts = 10,
-  .maximum_requests = 16,
-  .load = 0.55,
-  .hog_factor = 1,
-  .report_ms = 200,
-  .ramp_ms = RAMP_MS,
-  .warm_up_ms = WARM_UP_MS,
-  .duration_ms = END_MS,
-  .seed = SEED,
-};
+static model_options_t
+options_today (void)
+{
+  model_options_t options = model_options_today ();
+
+  options.load = 0.55;
+  options.ramp_ms = RAMP_MS;
+  options.warm_up_ms = WARM_UP_MS;
+  options.duration_ms = END_MS;
+  options.seed = SEED;
+  return options;
+}
 
-static const model_options_t large = {
-  .pick = "least-tokens",
-  .admission = "slow-start",
-  .order = "fair",
-  .zones = 4,
-  .entries = 21,
-  .upstreams = 168,
-  .models = 7,
-  .accounts = 210,
-  .maximum_requests = 32,
-  .load = 0.6,
-  .hog_factor = 1,
-  .report_ms = 1000,
-  .ramp_ms = RAMP_MS,
-  .warm_up_ms = WARM_UP_MS,
-  .duration_ms = END_MS,
-  .seed = SEED,
-};
+static model_options_t
+options_large (void)
+{
+  model_options_t options = options_today ();
+
+  options.zones = 4;
+  options.entries = 21;
+  options.upstreams = 168;
+  options.models = 7;
+  options.accounts = 210;
+  options.maximum_requests = 32;
+  options.load = 0.6;
+  options.report_ms = 1000;
+  return options;
+}
 
 static int64_t
 worst_second (const model_result_t *result, int64_t from_ms, int64_t to_ms)
@@ -162,8 +153,9 @@
 int
 main (int argc, char **argv)
 {
-  model_options_t options
-      = argc > 1 && strcmp (argv[1], "large") == 0 ? large : today;
+  model_options_t options = argc > 1 && strcmp (argv[1], "large") == 0
+                                ? options_large ()
+                                : options_today ();
 
   if (argc > 2)
     options.seed = strtoull (argv[2], NULL, 10);
--- a/bench/model.c
+++ b/bench/model.c
@@ -440,6 +440,27 @@
   talloc_free (scratch);
 }
 
+/* Return the sizes of today with the product's policies; the duration and the
+   seed are the caller's.  */
+model_options_t
+model_options_today (void)
+{
+  return (model_options_t){
+    .pick = "least-tokens",
+    .admission = "slow-start",
+    .order = "fair",
+    .zones = 3,
+    .entries = 3,
+    .upstreams = 12,
+    .models = 1,
+    .accounts = 10,
+    .maximum_requests = 16,
+    .load = 0.9,
+    .hog_factor = 1,
+    .report_ms = 200,
+  };
+}
+
 /* Create a model; the fleet is warm and idle.  */
 model_t *
 model_create (TALLOC_CTX *parent, const model_options_t *options)
--- a/bench/model.h
+++ b/bench/model.h
@@ -69,6 +69,7 @@
   MODEL_ZONE_RECOVERS   /* cold */
 } model_change_t;
 
+model_options_t model_options_today (void);
 model_t *model_create (TALLOC_CTX *parent, const model_options_t *options);
 void model_destroy (model_t *model);
 void model_change_at (model_t *model, int64_t at_ms, model_change_t change,
--- a/entry/call.c
+++ b/entry/call.c
@@ -29,6 +29,12 @@
 COUNTER_DEFINE_LABELLED (ended_unknown, "siskin_calls_ended_total",
                          "outcome=\"unknown\"", "Requests answered");
 
+static counter_t *const ended_counters[OUTCOME_COUNT] = {
+  [OUTCOME_NOT_RUN] = &ended_not_run,
+  [OUTCOME_RAN] = &ended_ran,
+  [OUTCOME_UNKNOWN] = &ended_unknown,
+};
+
 /* What a refusal by one agent means for trying another.  */
 typedef enum retry_kind
 {
@@ -58,17 +64,6 @@
   call->is_link_lost = false;
 }
 
-static void
-call_count_end (outcome_t outcome)
-{
-  if (outcome == OUTCOME_RAN)
-    counter_add (&ended_ran, 1);
-  else if (outcome == OUTCOME_NOT_RUN)
-    counter_add (&ended_not_run, 1);
-  else
-    counter_add (&ended_unknown, 1);
-}
-
 static void
 call_stop_waiting (call_t *call)
 {
@@ -116,7 +111,7 @@
   call_stop_waiting (call);
   call_leave_upstream (call);
   call_leave_table (call);
-  call_count_end (final.outcome);
+  counter_add (ended_counters[final.outcome], 1);
   log_event (LOG_LEVEL_INFO, "call-ended",
              "request=%016llx-%llu outcome=%s refusal=%s complete=%d "
              "bytes=%llu attempts=%u detail=\"%s\"",
