Let a stop meet answers that outlast its notice

Cause: test_stop.py passed with an entry and with an agent that wait for nothing at a planned stop: its answers took 320 ms and 100 ms, and all were over within the 300 ms in which a stopping program gives notice.

Answers now take 1.6 s and 1.5 s, and the stop comes when an upstream is at work. With the waiting taken out of the entry, test_entry_stops fails; taken out of the agent, test_agent_of_a_plain_service_stops fails; as it is, all pass.

--- a/tests/process/test_stop.py
+++ b/tests/process/test_stop.py
@@ -2,25 +2,38 @@
 
 import unittest
 
+from cluster import wait_until
 from failures import BOOKINGS, ENTRIES, STYLES, ZONES, FailureTest
 
 
+TOKEN_MS = 100  # 16 of them outlast the notice that a stop gives
+WORK_MS = 1500
+
+
 class StopTest(FailureTest):
     def setUp(self):
         super().setUp()
         for name in STYLES:
-            self.cluster.control(name, "token_ms=20")
+            self.cluster.control(name, "token_ms=%d" % TOKEN_MS)
         for name in BOOKINGS:
-            self.cluster.control(name, "work_ms=100")
+            self.cluster.control(name, "work_ms=%d" % WORK_MS)
+
+    def wait_for_work(self, name):
+        """Until an upstream that the program serves is at work."""
+        upstream = name.removesuffix("-agent")
+        names = STYLES + BOOKINGS if name in ENTRIES else [upstream]
+        wait_until(lambda: any(self.cluster.control(n)["open"] > 0
+                               for n in names), 20, "work for " + name)
 
     def check_stop(self, name, restart):
         with self.chats(count=8) as chats, self.bookings() as bookings:
-            chats.wait_for(20)
-            bookings.wait_for(20)
+            chats.wait_for(8)
+            bookings.wait_for(4)
+            self.wait_for_work(name)
             self.assertEqual(self.cluster.programs[name].stop(), 0)
             restart()
-            chats.wait_for(30)
-            bookings.wait_for(30)
+            chats.wait_for(8)
+            bookings.wait_for(4)
         self.check_truth(chats, bookings)
         self.check_none_cut_off(chats, bookings)
         return chats, bookings
