Take out accessors that nothing calls

frame_type_name, group_order_kind_name with its table, link_pending_bytes, lock_held_count and node_role had no caller left in programs, tests or benches. Left as they are: destroy functions without a caller, which belong to their create, and the two placement baselines, which share their opening lines but not their plan.

--- a/agent/group_message.c
+++ b/agent/group_message.c
@@ -11,13 +11,6 @@
   [GROUP_COMMITTED] = "committed",
 };
 
-static const char *const order_kind_names[GROUP_ORDER_KIND_COUNT] = {
-  [GROUP_PROMISE] = "promise", [GROUP_CONFIRM] = "confirm",
-  [GROUP_PREPARE] = "prepare", [GROUP_ARM] = "arm",
-  [GROUP_COMMIT] = "commit",   [GROUP_ABORT] = "abort",
-  [GROUP_JOIN] = "join",
-};
-
 /* Return a map version that is higher than VERSION and that no coordinator of
    another epoch draws.  An old coordinator may lead again after every rank has
    forgotten a newer one, so the epoch alone would not make versions rise.  */
@@ -48,10 +41,3 @@
 {
   return phase_names[phase];
 }
-
-/* Return the name of KIND for logs.  */
-const char *
-group_order_kind_name (group_order_kind_t kind)
-{
-  return order_kind_names[kind];
-}
--- a/common/frame.c
+++ b/common/frame.c
@@ -414,10 +414,3 @@
   msgpack_unpacked_destroy (&unpacked);
   return status;
 }
-
-/* Return the name of TYPE for logs.  */
-const char *
-frame_type_name (frame_type_t type)
-{
-  return layouts[type].name;
-}
--- a/common/link.c
+++ b/common/link.c
@@ -585,10 +585,3 @@
 {
   return link->echo_ms;
 }
-
-/* Return how many bytes wait to be written.  */
-size_t
-link_pending_bytes (const link_t *link)
-{
-  return link->output_bytes;
-}
--- a/common/node.c
+++ b/common/node.c
@@ -81,13 +81,6 @@
   talloc_free (node);
 }
 
-/* Return what this process is.  */
-node_role_t
-node_role (const node_t *node)
-{
-  return node->role;
-}
-
 /* Return the process's name in the inventory.  */
 const char *
 node_name (const node_t *node)
--- a/include/agent/group_message.h
+++ b/include/agent/group_message.h
@@ -72,6 +72,5 @@
 uint64_t group_version_after (uint64_t version, uint64_t epoch);
 int group_fence_compare (group_fence_t left, group_fence_t right);
 const char *group_phase_name (group_phase_t phase);
-const char *group_order_kind_name (group_order_kind_t kind);
 
 #endif
--- a/include/common/frame.h
+++ b/include/common/frame.h
@@ -207,6 +207,5 @@
                     size_t *encoded_size);
 status_t frame_decode (TALLOC_CTX *parent, const char *payload, size_t size,
                        frame_t *frame);
-const char *frame_type_name (frame_type_t type);
 
 #endif
--- a/include/common/node.h
+++ b/include/common/node.h
@@ -37,7 +37,6 @@
 node_t *node_create (TALLOC_CTX *parent, node_role_t role, const char *name,
                      const char *zone, const clock_source_t *clock);
 void node_destroy (node_t *node);
-node_role_t node_role (const node_t *node);
 const char *node_name (const node_t *node);
 const char *node_zone (const node_t *node);
 uint64_t node_incarnation (const node_t *node);
--- a/include/kernel/lock.h
+++ b/include/kernel/lock.h
@@ -27,6 +27,5 @@
 void lock_destroy (lock_t *lock);
 void lock_acquire (lock_t *lock);
 void lock_release (lock_t *lock);
-unsigned lock_held_count (void);
 
 #endif
--- a/kernel/lock.c
+++ b/kernel/lock.c
@@ -86,10 +86,3 @@
   held_count--;
   pthread_mutex_unlock (&lock->mutex);
 }
-
-/* Return how many locks the calling thread holds.  */
-unsigned
-lock_held_count (void)
-{
-  return held_count;
-}
