Keep timers on the monotonic clock

tevent's timers follow the time of day. On the users' platform it jumps by seconds: a jump back held every timer up by as much, a jump ahead fired all at once. Timers of a worker now wait in a heap behind one timerfd; those due at once cost no system call. Ruled out: setting tevent's timers anew after a jump is seen, since nothing wakes the loop to see it.

test_settings: a test waited for one frame of each of three agents in turn, up to a second each, while the connections last three seconds. Timers that no longer drift apart made that too long; it now takes all counts first.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -17,7 +17,7 @@
 {
   worker_t *worker;
   CURLM *multi;
-  struct tevent_timer *timer;
+  worker_timer_t *timer;
   LIST_HEAD (, http_call) calls;
 };
 
@@ -128,14 +128,11 @@
 }
 
 static void
-client_handle_timer (struct tevent_context *events, struct tevent_timer *timer,
-                     struct timeval now, void *data)
+client_handle_timer (worker_t *worker, void *data)
 {
   http_client_t *client = data;
 
-  (void)events;
-  (void)timer;
-  (void)now;
+  (void)worker;
   client->timer = NULL;
   client_act (client, CURL_SOCKET_TIMEOUT, 0);
 }
@@ -149,11 +146,9 @@
   TALLOC_FREE (client->timer);
   if (timeout_ms < 0)
     return 0;
-  client->timer = tevent_add_timer (
-      worker_events (client->worker), client,
-      tevent_timeval_current_ofs ((uint32_t)(timeout_ms / 1000),
-                                  (uint32_t)(timeout_ms % 1000) * 1000),
-      client_handle_timer, client);
+  client->timer = worker_timer_start (client->worker, client,
+                                      timespec_from_ms (timeout_ms),
+                                      client_handle_timer, client);
   return 0;
 }
 
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -50,15 +50,11 @@
 }
 
 static void
-http_server_handle_timer (struct tevent_context *events,
-                          struct tevent_timer *timer, struct timeval now,
-                          void *data)
+http_server_handle_timer (worker_t *worker, void *data)
 {
   http_server_t *server = data;
 
-  (void)events;
-  (void)timer;
-  (void)now;
+  (void)worker;
   server->timer = NULL;
   http_server_run (server);
 }
@@ -82,11 +78,9 @@
   TALLOC_FREE (server->timer);
   if (MHD_get_timeout (server->daemon, &timeout_ms) != MHD_YES)
     return;
-  server->timer = tevent_add_timer (
-      worker_events (server->worker), server,
-      tevent_timeval_current_ofs ((uint32_t)(timeout_ms / 1000),
-                                  (uint32_t)(timeout_ms % 1000) * 1000),
-      http_server_handle_timer, server);
+  server->timer = worker_timer_start (server->worker, server,
+                                      timespec_from_ms ((int64_t)timeout_ms),
+                                      http_server_handle_timer, server);
 }
 
 static enum MHD_Result
--- a/include/common/http_exchange.h
+++ b/include/common/http_exchange.h
@@ -23,7 +23,7 @@
   size_t body_limit;
   struct MHD_Daemon *daemon;
   struct tevent_fd *event;
-  struct tevent_timer *timer;
+  worker_timer_t *timer;
   worker_timer_t *kick; /* armed while exchanges are to be resumed */
   LIST_HEAD (, http_exchange) suspended;
   LIST_HEAD (, http_exchange) resuming;
--- a/include/kernel/worker.h
+++ b/include/kernel/worker.h
@@ -36,13 +36,14 @@
   lock_t *task_lock;
   struct task_queue tasks;
   LIST_HEAD (, worker_timer) timers;
+  bool is_closing; /* the loop is being freed; no timer is armed any more */
 };
 
 /* A one-shot timer.  */
 struct worker_timer
 {
   LIST_ENTRY (worker_timer) link;
-  worker_t *worker;
+  worker_t *worker; /* NULL once its loop is gone */
   void *event; /* the implementation's own; NULL when not armed */
   worker_handler_t handler;
   void *data;
--- a/kernel/pool.c
+++ b/kernel/pool.c
@@ -28,14 +28,24 @@
     }
 }
 
+/* Take TIMER, which stays its owner's, away from its loop.  */
+static void
+timer_detach (worker_timer_t *timer)
+{
+  LIST_REMOVE (timer, link);
+  if (timer->event != NULL)
+    timer->worker->ops->disarm (timer);
+  timer->worker = NULL;
+}
+
 static int
 worker_free (worker_t *worker)
 {
   worker_timer_t *timer;
 
-  /* Timers may belong to objects that the loop's memory holds.  */
+  worker->is_closing = true;
   while ((timer = LIST_FIRST (&worker->timers)) != NULL)
-    talloc_free (timer);
+    timer_detach (timer);
   talloc_free (worker->events);
   worker->ops->destroy (worker);
   return 0;
@@ -233,15 +243,15 @@
 static int
 timer_free (worker_timer_t *timer)
 {
-  LIST_REMOVE (timer, link);
-  if (timer->event != NULL)
-    timer->worker->ops->disarm (timer);
+  if (timer->worker != NULL)
+    timer_detach (timer);
   return 0;
 }
 
 /* Have WORKER, whose thread this is, run HANDLER once after DELAY.  The timer
    belongs to OWNER; freeing it cancels it, and it is freed just before HANDLER
-   runs.  Returns NULL when memory is exhausted.  */
+   runs.  It never fires when the loop is being freed.  Returns NULL when
+   memory is exhausted.  */
 worker_timer_t *
 worker_timer_start (worker_t *worker, TALLOC_CTX *owner, struct timespec delay,
                     worker_handler_t handler, void *data)
@@ -250,9 +260,11 @@
 
   if (timer == NULL)
     return NULL;
-  timer->worker = worker;
   timer->handler = handler;
   timer->data = data;
+  if (worker->is_closing)
+    return timer;
+  timer->worker = worker;
   LIST_INSERT_HEAD (&worker->timers, timer, link);
   talloc_set_destructor (timer, timer_free);
   worker->ops->arm (timer, delay);
--- a/kernel/worker_thread.c
+++ b/kernel/worker_thread.c
@@ -1,3 +1,5 @@
+#include "kernel/heap.h"
+#include "kernel/table.h"
 #include "kernel/worker.h"
 
 #include <errno.h>
@@ -6,18 +8,105 @@
 #include <stdint.h>
 #include <string.h>
 #include <sys/eventfd.h>
+#include <sys/timerfd.h>
 #include <unistd.h>
 
-/* A loop on a thread of its own.  */
+/* A loop on a thread of its own.  Its timers are kept here, on the monotonic
+   clock: those of tevent follow the time of day, which may jump.  */
 typedef struct thread_loop
 {
   pthread_t thread;
   bool is_started;
   struct tevent_fd *wakeup_event;
   int wakeup_fd;
+  struct tevent_fd *timer_event;
+  int timer_fd;
+  heap_t timers;           /* thread_timer_t, the first due first */
+  struct timespec wake_at; /* what TIMER_FD is set to; zero for never */
   atomic_bool is_stopping;
 } thread_loop_t;
 
+/* An armed timer: in the heap, or, when it is due at once, an immediate event
+   of tevent, which costs no system call.  */
+typedef struct thread_timer
+{
+  heap_node_t node;
+  struct timespec due; /* monotonic */
+  struct tevent_immediate *immediate;
+  worker_timer_t *timer;
+} thread_timer_t;
+
+static bool
+thread_timer_before (const heap_node_t *left, const heap_node_t *right)
+{
+  const thread_timer_t *a = CONTAINER_OF (left, const thread_timer_t, node);
+  const thread_timer_t *b = CONTAINER_OF (right, const thread_timer_t, node);
+
+  return timespec_compare (a->due, b->due) < 0;
+}
+
+static struct timespec
+thread_now (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return now;
+}
+
+static thread_timer_t *
+thread_first_timer (const thread_loop_t *loop)
+{
+  heap_node_t *node = heap_first (&loop->timers);
+
+  return node == NULL ? NULL : CONTAINER_OF (node, thread_timer_t, node);
+}
+
+/* Have TIMER_FD fire for the first timer.  It is only ever set to an earlier
+   time: a wake-up for a timer that was cancelled does no harm.  */
+static void
+thread_set_alarm (thread_loop_t *loop)
+{
+  const thread_timer_t *first = thread_first_timer (loop);
+  struct itimerspec alarm = { .it_value = { 0, 0 } };
+
+  if (first == NULL
+      || (loop->wake_at.tv_sec != 0
+          && timespec_compare (loop->wake_at, first->due) <= 0))
+    return;
+  loop->wake_at = first->due;
+  alarm.it_value = first->due;
+  timerfd_settime (loop->timer_fd, TFD_TIMER_ABSTIME, &alarm, NULL);
+}
+
+static void
+thread_handle_alarm (struct tevent_context *events, struct tevent_fd *event,
+                     uint16_t flags, void *data)
+{
+  worker_t *worker = data;
+  thread_loop_t *loop = worker->loop;
+  struct timespec now = thread_now ();
+  thread_timer_t *first;
+  uint64_t expired;
+
+  (void)events;
+  (void)event;
+  (void)flags;
+  if (read (loop->timer_fd, &expired, sizeof expired) < 0)
+    return;
+  loop->wake_at = (struct timespec){ 0, 0 };
+  while ((first = thread_first_timer (loop)) != NULL
+         && timespec_compare (first->due, now) <= 0)
+    {
+      worker_timer_t *timer = first->timer;
+
+      heap_remove (&loop->timers, &first->node);
+      timer->event = NULL; /* freed with the timer */
+      worker_timer_fire (timer);
+    }
+  thread_set_alarm (loop);
+}
+
 static void
 thread_handle_wakeup (struct tevent_context *events, struct tevent_fd *event,
                       uint16_t flags, void *data)
@@ -42,9 +131,16 @@
   if (loop == NULL)
     return STATUS_NO_MEMORY;
   worker->loop = loop;
+  heap_init (&loop->timers, thread_timer_before);
   loop->wakeup_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
-  if (loop->wakeup_fd < 0)
-    return status_set (STATUS_IO, "no eventfd: %s", strerror (errno));
+  loop->timer_fd
+      = timerfd_create (CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  if (loop->wakeup_fd < 0 || loop->timer_fd < 0)
+    return status_set (STATUS_IO, "no eventfd or timerfd: %s",
+                       strerror (errno));
+  loop->timer_event
+      = tevent_add_fd (worker->events, worker->events, loop->timer_fd,
+                       TEVENT_FD_READ, thread_handle_alarm, worker);
   loop->wakeup_event
       = tevent_add_fd (worker->events, worker->events, loop->wakeup_fd,
                        TEVENT_FD_READ, thread_handle_wakeup, worker);
@@ -56,8 +152,12 @@
 {
   thread_loop_t *loop = worker->loop;
 
-  if (loop != NULL && loop->wakeup_fd >= 0)
+  if (loop == NULL)
+    return;
+  if (loop->wakeup_fd >= 0)
     close (loop->wakeup_fd);
+  if (loop->timer_fd >= 0)
+    close (loop->timer_fd);
 }
 
 static void *
@@ -118,35 +218,49 @@
 }
 
 static void
-thread_handle_timer (struct tevent_context *events, struct tevent_timer *event,
-                     struct timeval now, void *data)
+thread_handle_immediate (struct tevent_context *events,
+                         struct tevent_immediate *immediate, void *data)
 {
   worker_timer_t *timer = data;
 
   (void)events;
-  (void)event;
-  (void)now;
-  timer->event = NULL; /* tevent frees it */
+  (void)immediate;
+  timer->event = NULL; /* freed with the timer */
   worker_timer_fire (timer);
 }
 
 static void
 thread_arm (worker_timer_t *timer, struct timespec delay)
 {
-  struct tevent_context *events = timer->worker->events;
-  struct timeval wait = timespec_to_timeval (delay);
+  thread_loop_t *loop = timer->worker->loop;
+  thread_timer_t *armed = talloc_zero (timer, thread_timer_t);
 
-  timer->event
-      = tevent_add_timer (events, events,
-                          tevent_timeval_current_ofs ((uint32_t)wait.tv_sec,
-                                                      (uint32_t)wait.tv_usec),
-                          thread_handle_timer, timer);
+  if (armed == NULL)
+    return;
+  armed->timer = timer;
+  timer->event = armed;
+  if (delay.tv_sec == 0 && delay.tv_nsec == 0)
+    {
+      armed->immediate = tevent_create_immediate (armed);
+      tevent_schedule_immediate (armed->immediate, timer->worker->events,
+                                 thread_handle_immediate, timer);
+      return;
+    }
+  armed->due = timespec_add (thread_now (), delay);
+  heap_insert (&loop->timers, &armed->node);
+  thread_set_alarm (loop);
 }
 
 static void
 thread_disarm (worker_timer_t *timer)
 {
-  talloc_free (timer->event);
+  thread_loop_t *loop = timer->worker->loop;
+  thread_timer_t *armed = timer->event;
+
+  if (armed->immediate != NULL)
+    TALLOC_FREE (armed->immediate);
+  else
+    heap_remove (&loop->timers, &armed->node);
 }
 
 static void
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -86,6 +86,9 @@
         paused.signal(signal.SIGCONT)
         self.wait_in_force(["entry-0"], 2, time.monotonic())
 
+    def frames_sent(self, name):
+        return self.cluster.metrics(name)["siskin_frames_sent_total"]
+
     def test_thawed_process_does_not_take_old_frames_for_new(self):
         """What waited in its sockets does not make it look confirmed."""
         self.start_agents()
@@ -97,10 +100,10 @@
                    ["confirmed_age_ms"] < 4000, 20, "a confirmation")
         paused = self.cluster.programs["entry-1"]
         paused.signal(signal.SIGSTOP)
+        sent = {name: self.frames_sent(name) for name in AGENTS}
         for name in AGENTS:
-            sent = self.cluster.metrics(name)["siskin_frames_sent_total"]
-            wait_until(lambda: self.cluster.metrics(name)
-                       ["siskin_frames_sent_total"] > sent, 10, "frames")
+            wait_until(lambda: self.frames_sent(name) > sent[name], 10,
+                       "frames")
         for name in AGENTS:
             self.cluster.programs[name + "-agent"].kill()
         time.sleep(OLD_FRAMES_S)
