Let HTTP server and client carry whole header fields

For passing requests on unchanged: the server hands over all header fields, takes limits that may change while it runs, answers with a length, and closes connections on which nothing is under way; the client sends fields and target as given, tells those of the answer, and bounds connecting and unacknowledged bytes. The one extra header of the client goes; its two users pass a list.

--- a/bench/load.c
+++ b/bench/load.c
@@ -27,6 +27,7 @@
   const clock_source_t *clock;
   http_client_t *client;
   http_call_options_t options;
+  http_headers_t headers;
   unsigned to_send;
   unsigned sent;
   unsigned ended;
@@ -57,14 +58,12 @@
 }
 
 static void
-caller_on_head (http_call_t *call, unsigned http_status,
-                const char *content_type, void *data)
+caller_on_head (http_call_t *call, const http_head_t *head, void *data)
 {
   caller_t *caller = data;
 
   (void)call;
-  (void)content_type;
-  caller->http_status = http_status;
+  caller->http_status = head->http_status;
 }
 
 static bool
@@ -186,8 +185,9 @@
   load->options.url = argv[1];
   load->options.content_type = "application/json";
   load->options.timeout.tv_sec = REQUEST_TIMEOUT_S;
-  load->options.extra_header
-      = talloc_asprintf (load, "Siskin-Account: %s", argv[2]);
+  STAILQ_INIT (&load->headers);
+  http_headers_add (&load->headers, load, "Siskin-Account", argv[2]);
+  load->options.headers = &load->headers;
   load->options.body = talloc_asprintf (
       load,
       "{\"model\":\"style-assistant\",\"stream\":true,\"max_tokens\":%s,"
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -3,6 +3,8 @@
 #include "kernel/clock.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/queue.h>
@@ -30,8 +32,11 @@
   void *data;
   struct curl_slist *headers;
   char *body;
+  struct timespec send_timeout;
+  http_head_t head;
   bool is_head_seen;
   bool is_paused;
+  bool is_failed; /* by http_call_fail */
   char error[ERROR_CONTEXT_BYTES];
 };
 
@@ -190,20 +195,52 @@
   talloc_free (client);
 }
 
+/* Have CLIENT keep up to COUNT connections that no call uses.  Without it, it
+   keeps four for each call under way.  */
+void
+http_client_keep_connections (http_client_t *client, unsigned count)
+{
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, (long)count);
+}
+
 /* Report the head of the answer once, before its first byte.  */
 static void
 call_note_head (http_call_t *call)
 {
   long http_status = 0;
-  const char *content_type = NULL;
+  const char *content_type;
 
   if (call->is_head_seen)
     return;
   call->is_head_seen = true;
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &http_status);
-  curl_easy_getinfo (call->easy, CURLINFO_CONTENT_TYPE, &content_type);
-  call->ops->on_head (call, (unsigned)http_status,
-                      content_type == NULL ? "" : content_type, call->data);
+  content_type = http_headers_find (&call->head.headers, "Content-Type");
+  call->head.http_status = (unsigned)http_status;
+  call->head.content_type = content_type == NULL ? "" : content_type;
+  call->ops->on_head (call, &call->head, call->data);
+}
+
+/* An interim answer (100 and the like) may come before the final one; each
+   starts with a status line.  */
+static void
+call_note_header_line (http_call_t *call, const char *line, size_t size)
+{
+  static const char status_line[] = "HTTP/";
+  http_header_t *header;
+
+  if (size >= sizeof status_line - 1
+      && memcmp (line, status_line, sizeof status_line - 1) == 0)
+    {
+      while ((header = STAILQ_FIRST (&call->head.headers)) != NULL)
+        {
+          STAILQ_REMOVE_HEAD (&call->head.headers, link);
+          talloc_free (header);
+        }
+      return;
+    }
+  if (http_headers_add_line (&call->head.headers, call, line, size)
+      != STATUS_OK)
+    call->is_failed = true;
 }
 
 static size_t
@@ -213,13 +250,17 @@
   long http_status = 0;
   size_t length = size * count;
 
+  if (call->is_head_seen)
+    return length; /* trailer fields after the body */
   if (length <= 2 && (bytes[0] == '\r' || bytes[0] == '\n'))
     {
       curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &http_status);
       if (http_status >= 200)
         call_note_head (call);
     }
-  return length;
+  else
+    call_note_header_line (call, bytes, length);
+  return call->is_failed ? 0 : length;
 }
 
 static size_t
@@ -232,7 +273,7 @@
       call->is_paused = true;
       return CURL_WRITEFUNC_PAUSE;
     }
-  return size * count;
+  return call->is_failed ? 0 : size * count;
 }
 
 static int
@@ -248,19 +289,52 @@
   return 0;
 }
 
+/* Bytes that the peer's host does not acknowledge for this long break the
+   connection, which the system alone would find only after minutes.  */
+static int
+call_tune_socket (void *data, curl_socket_t fd, curlsocktype purpose)
+{
+  const http_call_t *call = data;
+  unsigned timeout_ms = (unsigned)timespec_to_ms (call->send_timeout);
+
+  if (purpose == CURLSOCKTYPE_IPCXN && timeout_ms > 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+                sizeof timeout_ms);
+  return CURL_SOCKOPT_OK;
+}
+
+static void
+call_add_header (http_call_t *call, const char *name, const char *value)
+{
+  /* libcurl takes "Name:" for the wish to leave a field out.  */
+  char *line = value[0] == '\0'
+                   ? talloc_asprintf (call, "%s;", name)
+                   : talloc_asprintf (call, "%s: %s", name, value);
+
+  if (line != NULL)
+    call->headers = curl_slist_append (call->headers, line);
+  talloc_free (line);
+}
+
 static void
 call_set_headers (http_call_t *call, const http_call_options_t *options)
 {
-  char *line;
+  const http_header_t *header;
+  bool has_type
+      = options->content_type != NULL && options->content_type[0] != '\0';
 
   call->headers = curl_slist_append (NULL, "Expect:");
-  if (options->content_type != NULL && options->content_type[0] != '\0')
+  if (has_type)
+    call_add_header (call, "Content-Type", options->content_type);
+  if (options->headers != NULL)
     {
-      line = talloc_asprintf (call, "Content-Type: %s", options->content_type);
-      call->headers = curl_slist_append (call->headers, line);
+      call->headers = curl_slist_append (call->headers, "Accept:");
+      if (!has_type
+          && http_headers_find (options->headers, "Content-Type") == NULL)
+        call->headers = curl_slist_append (call->headers, "Content-Type:");
+      STAILQ_FOREACH (header, options->headers, link)
+        call_add_header (call, header->name, header->value);
     }
-  if (options->extra_header != NULL)
-    call->headers = curl_slist_append (call->headers, options->extra_header);
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
@@ -277,6 +351,23 @@
                     call->body == NULL ? "" : call->body);
 }
 
+static void
+call_set_times (const http_call_t *call, const http_call_options_t *options)
+{
+  int64_t connect_ms = timespec_to_ms (options->connect_timeout);
+
+  curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS,
+                    (long)timespec_to_ms (options->timeout));
+  curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    connect_ms > 0 ? (long)connect_ms
+                                   : (long)CONNECT_TIMEOUT_MS);
+  if (options->idle_limit_s > 0)
+    curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN,
+                      (long)options->idle_limit_s);
+  curl_easy_setopt (call->easy, CURLOPT_SOCKOPTFUNCTION, call_tune_socket);
+  curl_easy_setopt (call->easy, CURLOPT_SOCKOPTDATA, call);
+}
+
 /* Start a call.  The callbacks come from the loop, never within this
    function.  Returns NULL with the status message set when the call cannot
    start; nothing was sent then.  */
@@ -292,12 +383,16 @@
   call->client = client;
   call->ops = ops;
   call->data = data;
+  call->send_timeout = options->send_timeout;
+  STAILQ_INIT (&call->head.headers);
   LIST_INSERT_HEAD (&client->calls, call, link);
   talloc_set_destructor (call, call_free);
   easy = call->easy = curl_easy_init ();
   curl_easy_setopt (easy, CURLOPT_URL, options->url);
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  if (options->target != NULL)
+    curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, options->target);
   call_set_body (call, options);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, options->method);
   if (strcasecmp (options->method, "HEAD") == 0)
@@ -306,9 +401,7 @@
   curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
   curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, call->error);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
-                    (long)timespec_to_ms (options->timeout));
+  call_set_times (call, options);
   curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, call_take_header);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
@@ -345,3 +438,11 @@
   call->is_paused = false;
   curl_easy_pause (call->easy, CURLPAUSE_CONT);
 }
+
+/* End CALL, from within its own on_head or on_data: on_done follows with an
+   error.  */
+void
+http_call_fail (http_call_t *call)
+{
+  call->is_failed = true;
+}
--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -8,7 +8,6 @@
 
 enum
 {
-  HTTP_RECEIVE_TIMEOUT_MS = 30000, /* from the request line to the last byte */
   HTTP_BLOCK_BYTES = 4 * 1024
 };
 
@@ -156,16 +155,70 @@
     return NULL;
   exchange->server = server;
   exchange->connection = connection;
+  exchange->channel = MHD_get_connection_info (
+                          connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+                          ->socket_context;
+  if (exchange->channel != NULL)
+    exchange->channel->exchanges++;
   exchange->target = talloc_strdup (exchange, target);
+  STAILQ_INIT (&exchange->headers);
   STAILQ_INIT (&exchange->chunks);
   exchange->receive_timer = worker_timer_start (
-      server->worker, exchange, timespec_from_ms (HTTP_RECEIVE_TIMEOUT_MS),
+      server->worker, exchange, server->limits.receive_timeout,
       exchange_handle_receive_timeout, exchange);
   server->open_exchanges++;
   counter_add (&exchanges_total, 1);
   return exchange;
 }
 
+static enum MHD_Result
+exchange_add_header (void *data, enum MHD_ValueKind kind, const char *name,
+                     const char *value)
+{
+  http_exchange_t *exchange = data;
+
+  (void)kind;
+  http_headers_add (&exchange->headers, exchange, name,
+                    value == NULL ? "" : value);
+  return MHD_YES;
+}
+
+/* Return the request's header fields in the order sent, owned by
+   EXCHANGE.  */
+const http_headers_t *
+http_exchange_headers (http_exchange_t *exchange)
+{
+  if (!exchange->has_headers)
+    MHD_get_connection_values (exchange->connection, MHD_HEADER_KIND,
+                               exchange_add_header, exchange);
+  exchange->has_headers = true;
+  return &exchange->headers;
+}
+
+static enum MHD_Result
+exchange_add_size (void *data, enum MHD_ValueKind kind, const char *name,
+                   const char *value)
+{
+  static const size_t separators = sizeof ": \r\n" - 1;
+  size_t *total = data;
+
+  (void)kind;
+  *total += strlen (name) + separators;
+  if (value != NULL)
+    *total += strlen (value);
+  return MHD_YES;
+}
+
+static size_t
+exchange_head_bytes (const http_exchange_t *exchange)
+{
+  size_t total = strlen (exchange->method) + strlen (exchange->target);
+
+  MHD_get_connection_values (exchange->connection, MHD_HEADER_KIND,
+                             exchange_add_size, &total);
+  return total;
+}
+
 /* Note what libmicrohttpd has parsed of the request line.  */
 void
 http_exchange_begin (http_exchange_t *exchange, const char *method,
@@ -173,6 +226,8 @@
 {
   exchange->method = talloc_strdup (exchange, method);
   exchange->path = talloc_strdup (exchange, path);
+  exchange->is_head_large
+      = exchange_head_bytes (exchange) > exchange->server->limits.header_bytes;
 }
 
 /* Append a part of the request's body.  */
@@ -185,7 +240,7 @@
 
   if (exchange->is_too_large)
     return;
-  if (needed > exchange->server->body_limit)
+  if (needed > exchange->server->limits.body_bytes)
     {
       exchange->is_too_large = true;
       TALLOC_FREE (exchange->body);
@@ -209,6 +264,12 @@
   exchange->is_dispatched = true;
   TALLOC_FREE (exchange->receive_timer);
   exchange_watch_hangup (exchange);
+  if (exchange->is_head_large)
+    {
+      http_reply_text (exchange, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+                       "text/plain", "the request's header is too large\n");
+      return;
+    }
   if (exchange->is_too_large && exchange->server->ops->on_too_large != NULL)
     {
       exchange->server->ops->on_too_large (exchange, exchange->server->data);
@@ -254,6 +315,11 @@
   if (exchange->response != NULL)
     MHD_destroy_response (exchange->response);
   server->open_exchanges--;
+  if (exchange->channel != NULL)
+    {
+      exchange->channel->exchanges--;
+      http_server_tune_channel (server, exchange->channel);
+    }
   talloc_free (exchange);
 }
 
@@ -321,8 +387,17 @@
 {
   if (exchange->response == NULL)
     exchange->response = MHD_create_response_from_callback (
-        MHD_SIZE_UNKNOWN, HTTP_BLOCK_BYTES, exchange_read_reply, exchange,
-        NULL);
+        exchange->has_length ? exchange->length : MHD_SIZE_UNKNOWN,
+        HTTP_BLOCK_BYTES, exchange_read_reply, exchange, NULL);
+}
+
+/* Have the reply carry the LENGTH of its body in place of being chunked; to be
+   called before any other function of the reply.  */
+void
+http_reply_length (http_exchange_t *exchange, uint64_t length)
+{
+  exchange->has_length = true;
+  exchange->length = length;
 }
 
 /* Add a header to the reply; to be called before http_reply_begin.  */
--- /dev/null
+++ b/common/http_header.c
@@ -0,0 +1,135 @@
+#include "common/http_header.h"
+
+#include <ctype.h>
+#include <string.h>
+#include <strings.h>
+
+/* Fields that concern one connection and are never passed on.  */
+static const char *const hop_by_hop_names[] = {
+  "Connection",
+  "Keep-Alive",
+  "Proxy-Authenticate",
+  "Proxy-Authorization",
+  "Proxy-Connection",
+  "TE",
+  "Trailer",
+  "Transfer-Encoding",
+  "Upgrade",
+  NULL,
+};
+
+/* Append a copy of a field to HEADERS; it belongs to PARENT.  Returns
+   STATUS_NO_MEMORY.  */
+status_t
+http_headers_add (http_headers_t *headers, TALLOC_CTX *parent,
+                  const char *name, const char *value)
+{
+  http_header_t *header = talloc_zero (parent, http_header_t);
+
+  if (header == NULL)
+    return status_set (STATUS_NO_MEMORY, "no memory for a header field");
+  header->name = talloc_strdup (header, name);
+  header->value = talloc_strdup (header, value);
+  if (header->name == NULL || header->value == NULL)
+    {
+      talloc_free (header);
+      return status_set (STATUS_NO_MEMORY, "no memory for a header field");
+    }
+  STAILQ_INSERT_TAIL (headers, header, link);
+  return STATUS_OK;
+}
+
+static const char *
+skip_blanks (const char *text, const char *end)
+{
+  while (text < end && (*text == ' ' || *text == '\t'))
+    text++;
+  return text;
+}
+
+/* Append the field that LINE of SIZE bytes holds, with or without its line
+   end.  Returns STATUS_INVALID when it is none, or STATUS_NO_MEMORY.  */
+status_t
+http_headers_add_line (http_headers_t *headers, TALLOC_CTX *parent,
+                       const char *line, size_t size)
+{
+  const char *end = line + size;
+  const char *colon = memchr (line, ':', size);
+  const char *value;
+  char *name_copy;
+  char *value_copy;
+  status_t status;
+
+  if (colon == NULL || colon == line)
+    return status_set (STATUS_INVALID, "a header line without a name");
+  while (end > colon + 1 && isspace ((unsigned char)end[-1]))
+    end--;
+  value = skip_blanks (colon + 1, end);
+  name_copy = talloc_strndup (parent, line, (size_t)(colon - line));
+  value_copy = talloc_strndup (parent, value, (size_t)(end - value));
+  status = http_headers_add (headers, parent, name_copy, value_copy);
+  talloc_free (name_copy);
+  talloc_free (value_copy);
+  return status;
+}
+
+/* Return whether HEADER is the field NAME, in any case of letters.  */
+bool
+http_header_is (const http_header_t *header, const char *name)
+{
+  return strcasecmp (header->name, name) == 0;
+}
+
+/* Return the value of the first field NAME, or NULL.  */
+const char *
+http_headers_find (const http_headers_t *headers, const char *name)
+{
+  const http_header_t *header;
+
+  STAILQ_FOREACH (header, headers, link)
+    {
+      if (http_header_is (header, name))
+        return header->value;
+    }
+  return NULL;
+}
+
+/* Return whether the list of tokens TEXT, separated by commas, holds NAME.  */
+static bool
+list_holds (const char *text, const char *name)
+{
+  size_t length = strlen (name);
+
+  while (*text != '\0')
+    {
+      size_t token;
+
+      text += strspn (text, ", \t");
+      token = strcspn (text, ", \t");
+      if (token == length && strncasecmp (text, name, length) == 0)
+        return true;
+      text += token;
+    }
+  return false;
+}
+
+/* Return whether the field NAME of the message with HEADERS concerns this
+   connection only: by its nature, or since the message says so.  */
+bool
+http_header_is_hop_by_hop (const http_headers_t *headers, const char *name)
+{
+  const http_header_t *header;
+
+  for (unsigned i = 0; hop_by_hop_names[i] != NULL; i++)
+    {
+      if (strcasecmp (hop_by_hop_names[i], name) == 0)
+        return true;
+    }
+  STAILQ_FOREACH (header, headers, link)
+    {
+      if (http_header_is (header, "Connection")
+          && list_holds (header->value, name))
+        return true;
+    }
+  return false;
+}
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -7,6 +7,7 @@
 enum
 {
   HTTP_IDLE_TIMEOUT_S = 15, /* for a caller that neither sends nor reads */
+  HTTP_RECEIVE_TIMEOUT_MS = 30000, /* from the request line to the last byte */
   HTTP_CONNECTION_MEMORY = 32 * 1024,
   KICK_US_AN_EXCHANGE = 2,
   HTTP_CONNECTION_LIMIT = 20000
@@ -83,6 +84,51 @@
                                       http_server_handle_timer, server);
 }
 
+static int64_t
+idle_timeout_s (const http_server_limits_t *limits)
+{
+  const struct timespec *timeout = &limits->idle_timeout;
+
+  return timeout->tv_sec + (timeout->tv_nsec > 0 ? 1 : 0);
+}
+
+/* A connection starts or ends.  */
+static void
+http_server_handle_connection (void *data, struct MHD_Connection *connection,
+                               void **state,
+                               enum MHD_ConnectionNotificationCode code)
+{
+  http_server_t *server = data;
+  http_channel_t *channel = *state;
+
+  if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+    {
+      if (channel != NULL)
+        LIST_REMOVE (channel, link);
+      talloc_free (channel);
+      *state = NULL;
+      return;
+    }
+  channel = talloc_zero (server, http_channel_t);
+  if (channel == NULL)
+    return;
+  channel->server = server;
+  channel->connection = connection;
+  LIST_INSERT_HEAD (&server->channels, channel, link);
+  *state = channel;
+}
+
+/* Apply the idle timeout in force to the connection of an exchange that is
+   over.  */
+void
+http_server_tune_channel (const http_server_t *server,
+                          const http_channel_t *channel)
+{
+  MHD_set_connection_option (channel->connection,
+                             MHD_CONNECTION_OPTION_TIMEOUT,
+                             (unsigned)idle_timeout_s (&server->limits));
+}
+
 static enum MHD_Result
 http_server_handle_access (void *data, struct MHD_Connection *connection,
                            const char *url, const char *method,
@@ -166,7 +212,10 @@
   server->worker = worker;
   server->ops = ops;
   server->data = data;
-  server->body_limit = body_limit;
+  http_server_set_limits (
+      server, &(http_server_limits_t){ .header_bytes = HTTP_CONNECTION_MEMORY,
+                                       .body_bytes = body_limit });
+  LIST_INIT (&server->channels);
   LIST_INIT (&server->suspended);
   LIST_INIT (&server->resuming);
   if (net_listen (address, &fd, &server->port) != STATUS_OK)
@@ -180,7 +229,9 @@
       http_server_handle_access, server, MHD_OPTION_LISTEN_SOCKET, fd,
       MHD_OPTION_URI_LOG_CALLBACK, http_exchange_create, server,
       MHD_OPTION_NOTIFY_COMPLETED, http_server_handle_completed, server,
-      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)HTTP_IDLE_TIMEOUT_S,
+      MHD_OPTION_NOTIFY_CONNECTION, http_server_handle_connection, server,
+      MHD_OPTION_CONNECTION_TIMEOUT,
+      (unsigned)idle_timeout_s (&server->limits),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HTTP_CONNECTION_MEMORY,
       MHD_OPTION_CONNECTION_LIMIT, (unsigned)HTTP_CONNECTION_LIMIT,
       MHD_OPTION_END);
@@ -206,6 +257,19 @@
   talloc_free (server);
 }
 
+/* Put LIMITS in force for requests that start from now on.  */
+void
+http_server_set_limits (http_server_t *server,
+                        const http_server_limits_t *limits)
+{
+  server->limits = *limits;
+  if (timespec_to_ms (limits->idle_timeout) <= 0)
+    server->limits.idle_timeout = (struct timespec){ HTTP_IDLE_TIMEOUT_S, 0 };
+  if (timespec_to_ms (limits->receive_timeout) <= 0)
+    server->limits.receive_timeout
+        = timespec_from_ms (HTTP_RECEIVE_TIMEOUT_MS);
+}
+
 /* Take over the connections that the kernel has accepted already; closing the
    listening socket would reset them.  */
 static void
@@ -238,6 +302,24 @@
   http_server_kick (server);
 }
 
+/* Close the connections on which no request is under way.  One that has just
+   come and was not read yet is lost with its connection, which tells the
+   caller that it did not run.  */
+void
+http_server_close_idle (http_server_t *server)
+{
+  const http_channel_t *channel;
+
+  LIST_FOREACH (channel, &server->channels, link)
+    {
+      if (channel->exchanges == 0)
+        shutdown (MHD_get_connection_info (channel->connection,
+                                           MHD_CONNECTION_INFO_CONNECTION_FD)
+                      ->connect_fd,
+                  SHUT_RDWR);
+    }
+}
+
 /* Return the port that the server listens on.  */
 uint16_t
 http_server_port (const http_server_t *server)
--- a/ctl/survey_health.c
+++ b/ctl/survey_health.c
@@ -20,12 +20,10 @@
 } health_probe_t;
 
 static void
-probe_on_head (http_call_t *call, unsigned http_status,
-               const char *content_type, void *data)
+probe_on_head (http_call_t *call, const http_head_t *head, void *data)
 {
   (void)call;
-  (void)http_status;
-  (void)content_type;
+  (void)head;
   (void)data;
 }
 
--- a/include/common/http_exchange.h
+++ b/include/common/http_exchange.h
@@ -15,16 +15,26 @@
   char data[];
 } reply_chunk_t;
 
+/* A caller's connection, from its start to its end.  */
+typedef struct http_channel
+{
+  LIST_ENTRY (http_channel) link;
+  http_server_t *server;
+  struct MHD_Connection *connection;
+  unsigned exchanges; /* under way: 0 or 1 */
+} http_channel_t;
+
 struct http_server
 {
   worker_t *worker;
   const http_server_ops_t *ops;
   void *data;
-  size_t body_limit;
+  http_server_limits_t limits;
   struct MHD_Daemon *daemon;
   struct tevent_fd *event;
   worker_timer_t *timer;
   worker_timer_t *kick; /* armed while exchanges are to be resumed */
+  LIST_HEAD (, http_channel) channels;
   LIST_HEAD (, http_exchange) suspended;
   LIST_HEAD (, http_exchange) resuming;
   uint16_t port;
@@ -39,13 +49,17 @@
                      it is resumed */
   http_server_t *server;
   struct MHD_Connection *connection;
+  http_channel_t *channel;
   void *data;
+  http_headers_t headers; /* filled when they are first asked for */
+  bool has_headers;
   char *method;
   char *target;
   char *path;
   char *body;
   size_t body_size;
-  bool is_too_large;
+  bool is_too_large;  /* the body */
+  bool is_head_large; /* the request line and header fields */
   bool is_dispatched;
   bool is_suspended;
   bool is_begun;  /* the reply's status is known */
@@ -55,6 +69,8 @@
   bool is_gone;
   struct MHD_Response *response; /* until it is queued */
   unsigned http_status;
+  bool has_length;
+  uint64_t length; /* of the reply's body */
   struct tevent_fd *hangup_event;
   worker_timer_t *receive_timer;
   STAILQ_HEAD (, reply_chunk) chunks;
@@ -62,6 +78,8 @@
 };
 
 void http_server_kick (http_server_t *server);
+void http_server_tune_channel (const http_server_t *server,
+                               const http_channel_t *channel);
 void *http_exchange_create (void *data, const char *target,
                             struct MHD_Connection *connection);
 void http_exchange_begin (http_exchange_t *exchange, const char *method,
--- /dev/null
+++ b/include/common/http_header.h
@@ -0,0 +1,32 @@
+#ifndef SISKIN_COMMON_HTTP_HEADER_H
+#define SISKIN_COMMON_HTTP_HEADER_H
+
+#include "kernel/status.h"
+
+#include <stdbool.h>
+#include <sys/queue.h>
+#include <talloc.h>
+
+/* A header field of a message.  */
+typedef struct http_header
+{
+  STAILQ_ENTRY (http_header) link;
+  const char *name;
+  const char *value;
+} http_header_t;
+
+/* Header fields in the order of the message; names may come twice.  */
+STAILQ_HEAD (http_headers, http_header);
+typedef struct http_headers http_headers_t;
+
+status_t http_headers_add (http_headers_t *headers, TALLOC_CTX *parent,
+                           const char *name, const char *value);
+status_t http_headers_add_line (http_headers_t *headers, TALLOC_CTX *parent,
+                                const char *line, size_t size);
+const char *http_headers_find (const http_headers_t *headers,
+                               const char *name);
+bool http_header_is (const http_header_t *header, const char *name);
+bool http_header_is_hop_by_hop (const http_headers_t *headers,
+                                const char *name);
+
+#endif
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -1,6 +1,7 @@
 #ifndef SISKIN_COMMON_HTTP_SERVER_H
 #define SISKIN_COMMON_HTTP_SERVER_H
 
+#include "common/http_header.h"
 #include "common/net.h"
 #include "kernel/pool.h"
 #include "kernel/status.h"
@@ -32,12 +33,25 @@
   void (*on_finished) (http_exchange_t *exchange, void *data);
 } http_server_ops_t;
 
+/* What callers may send, and how long they may take or stay idle.  */
+typedef struct http_server_limits
+{
+  size_t header_bytes; /* request line and header fields */
+  size_t body_bytes;
+  struct timespec receive_timeout; /* from the request line to the last byte;
+                                      zero for 30 s */
+  struct timespec idle_timeout;    /* rounded up to a second; zero for 15 s */
+} http_server_limits_t;
+
 http_server_t *http_server_create (worker_t *worker,
                                    const net_address_t *address,
                                    size_t body_limit,
                                    const http_server_ops_t *ops, void *data);
 void http_server_destroy (http_server_t *server);
+void http_server_set_limits (http_server_t *server,
+                             const http_server_limits_t *limits);
 void http_server_stop_listening (http_server_t *server);
+void http_server_close_idle (http_server_t *server);
 uint16_t http_server_port (const http_server_t *server);
 unsigned http_server_open_exchanges (const http_server_t *server);
 
@@ -46,12 +60,14 @@
 const char *http_exchange_path (const http_exchange_t *exchange);
 const char *http_exchange_header (http_exchange_t *exchange, const char *name);
 const char *http_exchange_query (http_exchange_t *exchange, const char *name);
+const http_headers_t *http_exchange_headers (http_exchange_t *exchange);
 const char *http_exchange_body (const http_exchange_t *exchange, size_t *size);
 void http_exchange_set_data (http_exchange_t *exchange, void *data);
 void *http_exchange_data (const http_exchange_t *exchange);
 
 void http_reply_header (http_exchange_t *exchange, const char *name,
                         const char *value);
+void http_reply_length (http_exchange_t *exchange, uint64_t length);
 void http_reply_begin (http_exchange_t *exchange, unsigned http_status,
                        const char *content_type);
 status_t http_reply_data (http_exchange_t *exchange, const char *data,
--- a/plugins/engine/http.c
+++ b/plugins/engine/http.c
@@ -127,14 +127,12 @@
 }
 
 static void
-call_on_head (http_call_t *http, unsigned http_status,
-              const char *content_type, void *data)
+call_on_head (http_call_t *http, const http_head_t *head, void *data)
 {
   engine_call_t *call = data;
 
   (void)http;
-  (void)content_type;
-  call->http_status = http_status;
+  call->http_status = head->http_status;
 }
 
 static bool
--- a/plugins/store/etcd.c
+++ b/plugins/store/etcd.c
@@ -83,14 +83,12 @@
 }
 
 static void
-call_on_head (http_call_t *http, unsigned http_status,
-              const char *content_type, void *data)
+call_on_head (http_call_t *http, const http_head_t *head, void *data)
 {
   etcd_call_t *call = data;
 
   (void)http;
-  (void)content_type;
-  call->http_status = http_status;
+  call->http_status = head->http_status;
 }
 
 static bool
--- a/plugins/store/etcd_watch.c
+++ b/plugins/store/etcd_watch.c
@@ -137,14 +137,12 @@
 }
 
 static void
-watch_on_head (http_call_t *http, unsigned http_status,
-               const char *content_type, void *data)
+watch_on_head (http_call_t *http, const http_head_t *head, void *data)
 {
   store_watch_t *watch = data;
 
   (void)http;
-  (void)content_type;
-  watch->http_status = http_status;
+  watch->http_status = head->http_status;
 }
 
 static bool
--- a/plugins/upstream/http.c
+++ b/plugins/upstream/http.c
@@ -31,13 +31,12 @@
 };
 
 static void
-call_on_head (http_call_t *http, unsigned http_status,
-              const char *content_type, void *data)
+call_on_head (http_call_t *http, const http_head_t *head, void *data)
 {
   upstream_call_t *call = data;
 
   (void)http;
-  call->ops->on_head (http_status, content_type, call->data);
+  call->ops->on_head (head->http_status, head->content_type, call->data);
 }
 
 static bool
@@ -98,6 +97,7 @@
                                   .body_size = request->body_size,
                                   .timeout = request->timeout,
                                   .is_sent_once = request->is_sent_once };
+  http_headers_t headers = STAILQ_HEAD_INITIALIZER (headers);
 
   if (call == NULL)
     return NULL;
@@ -105,8 +105,10 @@
   call->data = data;
   options.url = talloc_asprintf (call, "%s%s", transport->url, request->path);
   if (request->key[0] != '\0')
-    options.extra_header
-        = talloc_asprintf (call, "Idempotency-Key: %s", request->key);
+    {
+      http_headers_add (&headers, call, "Idempotency-Key", request->key);
+      options.headers = &headers;
+    }
   call->http = http_call_start (transport->client, &options, &call_ops, call);
   if (call->http == NULL)
     TALLOC_FREE (call);
@@ -137,14 +139,12 @@
 } upstream_probe_t;
 
 static void
-probe_on_head (http_call_t *http, unsigned http_status,
-               const char *content_type, void *data)
+probe_on_head (http_call_t *http, const http_head_t *head, void *data)
 {
   upstream_probe_t *probe = data;
 
   (void)http;
-  (void)content_type;
-  probe->http_status = http_status;
+  probe->http_status = head->http_status;
 }
 
 static bool
