--- a/common/config.c
+++ b/common/config.c
@@ -8,7 +8,22 @@
   DEFAULT_WORKERS = 2,
   MAX_WORKERS = 64,
   DEFAULT_STORE_TIMEOUT_MS = 1000,
-  DEFAULT_STOP_TIMEOUT_MS = 60000
+  DEFAULT_STOP_TIMEOUT_MS = 60000,
+  DEFAULT_RETRY_WINDOW_MS = 10000
+};
+
+/* Without bounds of the platform a relay repeats a tenth.  */
+static const double default_retry_ratio = 0.1;
+static const double default_retry_extra = 10;
+
+static const schema_field_t bounds_fields[] = {
+  { "retry_ratio", SCHEMA_REAL, offsetof (config_t, bounds.retry_ratio),
+    .maximum = 10 },
+  { "retry_extra", SCHEMA_REAL, offsetof (config_t, bounds.retry_extra),
+    .maximum = 1e9 },
+  { "retry_window", SCHEMA_DURATION, offsetof (config_t, bounds.retry_window),
+    .minimum = 100, .maximum = 3600000 },
+  { NULL, SCHEMA_END, 0 },
 };
 
 static const schema_field_t config_fields[] = {
@@ -18,6 +33,14 @@
   { "admin", SCHEMA_STRING, offsetof (config_t, admin) },
   { "upstream", SCHEMA_STRING, offsetof (config_t, upstream) },
   { "engine", SCHEMA_STRING, offsetof (config_t, engine) },
+  { "ready", SCHEMA_STRING, offsetof (config_t, ready) },
+  { "region", SCHEMA_STRING, offsetof (config_t, region) },
+  { "zones", SCHEMA_STRINGS, offsetof (config_t, zones) },
+  { "catalog", SCHEMA_STRING, offsetof (config_t, catalog) },
+  { "ingress", SCHEMA_STRING, offsetof (config_t, ingress) },
+  { "egress", SCHEMA_STRING, offsetof (config_t, egress) },
+  { "store_kind", SCHEMA_STRING, offsetof (config_t, store_kind) },
+  { "bounds", SCHEMA_TABLE, 0, .fields = bounds_fields },
   { "workers", SCHEMA_INTEGER, offsetof (config_t, workers), .minimum = 1,
     .maximum = MAX_WORKERS },
   { "store", SCHEMA_STRINGS, offsetof (config_t, store), .is_required = true },
@@ -39,10 +62,20 @@
     return NULL;
   STAILQ_INIT (&config->store);
   STAILQ_INIT (&config->peers);
+  STAILQ_INIT (&config->zones);
   config->listen = "127.0.0.1:0";
   config->admin = "127.0.0.1:0";
   config->upstream = "";
   config->engine = "unfenced";
+  config->ready = "127.0.0.1:0";
+  config->region = "";
+  config->catalog = "platform";
+  config->ingress = "platform";
+  config->egress = "platform";
+  config->store_kind = "etcd";
+  config->bounds.retry_ratio = default_retry_ratio;
+  config->bounds.retry_extra = default_retry_extra;
+  config->bounds.retry_window = timespec_from_ms (DEFAULT_RETRY_WINDOW_MS);
   config->workers = DEFAULT_WORKERS;
   config->store_timeout = timespec_from_ms (DEFAULT_STORE_TIMEOUT_MS);
   config->stop_timeout = timespec_from_ms (DEFAULT_STOP_TIMEOUT_MS);
--- /dev/null
+++ b/common/lease_key.c
@@ -0,0 +1,187 @@
+#include "common/lease_key.h"
+
+#include "kernel/log.h"
+
+#include <string.h>
+
+enum
+{
+  KEEP_DIVISOR = 3, /* renewals within the duration of a lease */
+  RETRY_MS = 700
+};
+
+struct lease_key
+{
+  worker_t *worker;
+  lease_key_options_t options;
+  int64_t lease; /* 0 while there is none */
+  bool is_written;
+  bool is_withdrawn;
+  worker_timer_t *timer;
+};
+
+static void lease_key_act (lease_key_t *key);
+
+static void
+lease_key_handle_timer (worker_t *worker, void *data)
+{
+  lease_key_t *key = data;
+
+  (void)worker;
+  key->timer = NULL;
+  lease_key_act (key);
+}
+
+static void
+lease_key_act_in (lease_key_t *key, int64_t delay_ms)
+{
+  TALLOC_FREE (key->timer);
+  if (key->is_withdrawn)
+    return;
+  key->timer
+      = worker_timer_start (key->worker, key, timespec_from_ms (delay_ms),
+                            lease_key_handle_timer, key);
+}
+
+static void
+lease_key_keep_later (lease_key_t *key)
+{
+  lease_key_act_in (key,
+                    timespec_to_ms (key->options.duration) / KEEP_DIVISOR);
+}
+
+static void
+lease_key_fail (lease_key_t *key, const char *step, status_t status)
+{
+  log_event (LOG_LEVEL_WARN, "registration-failed",
+             "key=%s step=%s status=%s error=\"%s\"", key->options.key, step,
+             status_name (status), status_message ());
+  if (status == STATUS_NOT_FOUND)
+    {
+      key->lease = 0;
+      key->is_written = false;
+    }
+  lease_key_act_in (key, RETRY_MS);
+}
+
+static void
+lease_key_on_granted (status_t status, int64_t lease, void *data)
+{
+  lease_key_t *key = data;
+
+  if (status != STATUS_OK)
+    {
+      lease_key_fail (key, "grant", status);
+      return;
+    }
+  key->lease = lease;
+  lease_key_act (key);
+}
+
+/* A write without an answer is repeated: it says the same again.  */
+static void
+lease_key_on_written (status_t status, const store_result_t *result,
+                      void *data)
+{
+  lease_key_t *key = data;
+
+  (void)result;
+  if (status != STATUS_OK)
+    {
+      lease_key_fail (key, "write", status);
+      return;
+    }
+  if (!key->is_written)
+    log_event (LOG_LEVEL_INFO, "registered", "key=%s lease=%lld",
+               key->options.key, (long long)key->lease);
+  key->is_written = true;
+  lease_key_keep_later (key);
+}
+
+static void
+lease_key_on_kept (status_t status, int64_t lease, void *data)
+{
+  lease_key_t *key = data;
+
+  (void)lease;
+  if (status != STATUS_OK)
+    lease_key_fail (key, "keep", status);
+  else
+    lease_key_keep_later (key);
+}
+
+static status_t
+lease_key_write (lease_key_t *key)
+{
+  store_txn_t *txn = store_txn_create (key);
+  status_t status;
+
+  store_txn_then (txn, STORE_PUT, key->options.key, key->options.value)->lease
+      = key->lease;
+  status = key->options.store_ops->transact (key->options.store, txn,
+                                             lease_key_on_written, key);
+  store_txn_destroy (txn);
+  return status;
+}
+
+/* Take the next step: a lease, then the key, then renewals.  */
+static void
+lease_key_act (lease_key_t *key)
+{
+  const store_ops_t *ops = key->options.store_ops;
+  status_t status;
+
+  if (key->is_withdrawn)
+    return;
+  if (key->lease == 0)
+    status = ops->grant (key->options.store, key->options.duration,
+                         lease_key_on_granted, key);
+  else if (!key->is_written)
+    status = lease_key_write (key);
+  else
+    status = ops->keep_alive (key->options.store, key->lease,
+                              lease_key_on_kept, key);
+  if (status != STATUS_OK)
+    lease_key_fail (key, "call", status);
+}
+
+/* Keep the key that OPTIONS name in the store.  The store is destroyed before
+   the key.  Returns NULL when memory is exhausted.  */
+lease_key_t *
+lease_key_create (TALLOC_CTX *parent, worker_t *worker,
+                  const lease_key_options_t *options)
+{
+  lease_key_t *key = talloc_zero (parent, lease_key_t);
+
+  if (key == NULL)
+    return NULL;
+  key->worker = worker;
+  key->options = *options;
+  key->options.key = talloc_strdup (key, options->key);
+  key->options.value = talloc_strdup (key, options->value);
+  lease_key_act_in (key, 0);
+  return key;
+}
+
+static void
+lease_key_on_ended (status_t status, int64_t lease, void *data)
+{
+  const lease_key_t *key = data;
+
+  (void)lease;
+  log_event (LOG_LEVEL_INFO, "registration-ended", "key=%s status=%s",
+             key->options.key, status_name (status));
+}
+
+/* Delete the key, for a planned stop.  */
+void
+lease_key_withdraw (lease_key_t *key)
+{
+  if (key->is_withdrawn)
+    return;
+  key->is_withdrawn = true;
+  TALLOC_FREE (key->timer);
+  if (key->lease != 0 && key->options.store_ops->end_lease != NULL)
+    key->options.store_ops->end_lease (key->options.store, key->lease,
+                                       lease_key_on_ended, key);
+}
--- a/include/common/config.h
+++ b/include/common/config.h
@@ -7,16 +7,32 @@
 #include <stdint.h>
 #include <talloc.h>
 
+/* What the platform allows and expects; for programs that run on it.  */
+typedef struct platform_bounds
+{
+  double retry_ratio; /* of the requests of a window */
+  double retry_extra; /* in a window, besides */
+  struct timespec retry_window;
+} platform_bounds_t;
+
 /* What one process learns from its own file: who and where it is.  The
    settings of the whole system are in the store.  */
 typedef struct config
 {
   const char *name;
   const char *zone;
-  const char *listen;   /* frames from peers (agent) or HTTP (entry) */
-  const char *admin;    /* counters and health, by HTTP */
-  const char *upstream; /* agent only: URL of the upstream beside it */
-  const char *engine;   /* agent of a rank only: name of an engine plug-in */
+  const char *listen;     /* frames from peers (agent) or HTTP (entry) */
+  const char *admin;      /* counters and health, by HTTP */
+  const char *upstream;   /* agent only: URL of the upstream beside it */
+  const char *engine;     /* agent of a rank only: name of an engine plug-in */
+  const char *ready;      /* relay only: where readiness is told by HTTP */
+  const char *region;     /* relay only */
+  schema_strings_t zones; /* relay only: "ZONE=REGION" of all zones */
+  const char *catalog;    /* relay only: name of a catalog plug-in */
+  const char *ingress;    /* relay only: name of an ingress plug-in */
+  const char *egress;     /* relay only: name of an egress plug-in */
+  const char *store_kind; /* name of a store plug-in */
+  platform_bounds_t bounds; /* relay only */
   int64_t workers;
   schema_strings_t store; /* URLs */
   schema_strings_t peers; /* ADDRESS:PORT of other processes */
--- /dev/null
+++ b/include/common/lease_key.h
@@ -0,0 +1,27 @@
+#ifndef SISKIN_COMMON_LEASE_KEY_H
+#define SISKIN_COMMON_LEASE_KEY_H
+
+#include "kernel/pool.h"
+#include "plugins/store.h"
+
+#include <stdbool.h>
+#include <time.h>
+
+/* A key of the store that exists while this process does: it hangs on a lease
+   that is kept alive.  Belongs to one worker.  */
+typedef struct lease_key lease_key_t;
+
+typedef struct lease_key_options
+{
+  const store_ops_t *store_ops;
+  store_t *store;
+  const char *key;
+  const char *value;
+  struct timespec duration; /* of the lease */
+} lease_key_options_t;
+
+lease_key_t *lease_key_create (TALLOC_CTX *parent, worker_t *worker,
+                               const lease_key_options_t *options);
+void lease_key_withdraw (lease_key_t *key);
+
+#endif
--- /dev/null
+++ b/include/common/rules.h
@@ -0,0 +1,161 @@
+#ifndef SISKIN_COMMON_RULES_H
+#define SISKIN_COMMON_RULES_H
+
+#include "common/name_index.h"
+#include "kernel/status.h"
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/queue.h>
+#include <talloc.h>
+#include <time.h>
+
+/* What the operators want: which requests go to which service, whose they
+   are, and what clients may send.  One version is immutable and shared by
+   reference.  */
+typedef struct rules rules_t;
+
+/* What may be repeated.  */
+typedef enum route_kind
+{
+  ROUTE_REPEATABLE, /* may run any number of times */
+  ROUTE_ONCE,       /* runs at most once */
+  ROUTE_STREAM      /* a stream of events; see is_resumable */
+} route_kind_t;
+
+/* A part of a route's traffic.  */
+typedef struct route_target
+{
+  STAILQ_ENTRY (route_target) link;
+  const char *service;
+  unsigned weight;
+} route_target_t;
+
+/* A region whose upstreams a request may reach.  */
+typedef struct route_region
+{
+  STAILQ_ENTRY (route_region) link;
+  const char *name;
+} route_region_t;
+
+typedef struct route
+{
+  STAILQ_ENTRY (route) link;
+  const char *name;
+  const char *host;   /* lower case, without a port */
+  const char *prefix; /* of the path; begins and ends with a slash */
+  route_kind_t kind;
+  bool is_resumable; /* a stream may go on at another upstream */
+  bool is_public;    /* needs no key */
+  bool has_prompts;  /* requests tell the tokens of their prompt */
+  struct timespec timeout;
+  struct timespec objective; /* for the answer, or a stream's first event */
+  struct timespec gap_limit; /* between events; zero for none */
+  unsigned attempts;         /* upstreams that one request may be sent to */
+  int64_t priority;          /* 0 comes first */
+  STAILQ_HEAD (, route_target) targets;
+  unsigned weight_total;
+  STAILQ_HEAD (, route_region) regions; /* empty: any */
+} route_t;
+
+/* A customer of the operators.  */
+typedef struct client_account
+{
+  STAILQ_ENTRY (client_account) link;
+  const char *name;
+  bool has_priority; /* takes the place of the route's */
+  int64_t priority;
+} client_account_t;
+
+/* The path from one zone to another.  */
+typedef struct zone_delay
+{
+  STAILQ_ENTRY (zone_delay) link;
+  const char *from;
+  const char *to;
+  double delay_ms; /* one way */
+} zone_delay_t;
+
+/* How a model engine works through its batch, in pass after pass.  */
+typedef struct engine_profile
+{
+  unsigned slots;         /* requests at once */
+  uint64_t memory_tokens; /* of all requests together */
+  unsigned stride;        /* token steps in a pass that writes */
+  double step_ms;         /* each token step */
+  double per_request_ms;  /* more, for each request that writes */
+  double per_context_ms;  /* more, for each 1,000 tokens of context */
+  double read_per_ms;     /* prompt tokens read in a ms */
+  double pair_ms;         /* for each million pairs of tokens */
+  unsigned chunk;         /* prompt tokens read in a step, at most */
+  double usual_prompt;    /* tokens */
+  double usual_answer;    /* tokens */
+  struct timespec report_lag;
+  bool has_experts;
+  unsigned layers;     /* sets of layers that share a choice of experts */
+  unsigned experts;    /* of a layer set */
+  unsigned places;     /* replicas that a rank holds of a layer set */
+  unsigned spare;      /* new experts that a rank may load at a time */
+  double expert_share; /* of the work for tokens that is the experts' */
+  struct timespec form_time; /* until a broken group is open again */
+} engine_profile_t;
+
+typedef struct service_rule
+{
+  STAILQ_ENTRY (service_rule) link;
+  const char *name;
+  const char *health_path;
+  unsigned connection_limit; /* of one upstream, from all callers */
+  struct timespec cold_time; /* after a start */
+  double cold_rate;          /* requests a second while cold; 0: any */
+  bool has_engine;
+  engine_profile_t engine;
+  STAILQ_HEAD (, zone_delay) delays;
+} service_rule_t;
+
+typedef struct client_limits
+{
+  size_t header_bytes;
+  size_t body_bytes;
+  struct timespec header_timeout;
+  struct timespec idle_timeout;
+} client_limits_t;
+
+struct rules
+{
+  atomic_uint references;
+  uint64_t version; /* rises from each to the next */
+  client_limits_t limits;
+  bool has_accounts; /* requests carry a key */
+  STAILQ_HEAD (, route) routes;
+  STAILQ_HEAD (, client_account) accounts;
+  STAILQ_HEAD (, service_rule) services;
+  name_index_t route_index; /* by host and prefix */
+  name_index_t key_index;   /* client_account_t by key */
+  name_index_t service_index;
+};
+
+rules_t *rules_create (uint64_t version);
+route_t *rules_add_route (rules_t *rules, const char *name, const char *host,
+                          const char *prefix);
+void route_add_target (route_t *route, const char *service, unsigned weight);
+void route_add_region (route_t *route, const char *region);
+client_account_t *rules_add_account (rules_t *rules, const char *name);
+void rules_add_key (rules_t *rules, const char *key,
+                    const client_account_t *account);
+service_rule_t *rules_add_service (rules_t *rules, const char *name);
+void rules_finish (rules_t *rules);
+rules_t *rules_retain (rules_t *rules);
+void rules_release (rules_t *rules);
+
+const route_t *rules_route (const rules_t *rules, const char *host,
+                            const char *target);
+const client_account_t *rules_account (const rules_t *rules, const char *key);
+const service_rule_t *rules_service (const rules_t *rules, const char *name);
+bool route_is_repeatable (const route_t *route);
+bool route_allows_region (const route_t *route, const char *region);
+const char *route_choose_target (const route_t *route, uint64_t draw);
+
+#endif
--- a/include/kernel/lock.h
+++ b/include/kernel/lock.h
@@ -8,7 +8,8 @@
    file operations run with no lock held.  */
 typedef enum lock_rank
 {
-  LOCK_GROUPS = 1, /* lock-step groups and their expert maps */
+  LOCK_MIRROR = 1, /* keys of the store that one worker follows */
+  LOCK_GROUPS,     /* lock-step groups and their expert maps */
   LOCK_UPSTREAMS,  /* upstreams known to this process */
   LOCK_ACCOUNTS,   /* client accounts and their shares */
   LOCK_ADMISSION,  /* the admission gate and its queue */
--- a/include/plugins/store.h
+++ b/include/plugins/store.h
@@ -45,8 +45,9 @@
   store_op_kind_t kind;
   const char *key;
   const char *value;
-  int64_t lease; /* of a put, 0 for none */
-  int64_t limit; /* of a prefix read, 0 for none; newest keys last */
+  int64_t lease;     /* of a put, 0 for none */
+  int64_t limit;     /* of a prefix read, 0 for none; newest keys last */
+  const char *after; /* of a prefix read: only keys past this one; or NULL */
   store_txn_t *txn;
 } store_op_t;
 
@@ -64,6 +65,7 @@
   STAILQ_ENTRY (store_entry) link;
   const char *key;
   const char *value;
+  size_t value_size; /* without the null byte that follows */
   int64_t mod_revision;
   int64_t lease;
 } store_entry_t;
@@ -75,6 +77,7 @@
   STAILQ_ENTRY (store_response) link;
   store_op_kind_t kind;
   STAILQ_HEAD (, store_entry) entries; /* of a read */
+  bool has_more; /* of a prefix read: the store has cut it short */
   store_result_t *txn;
 } store_response_t;
 
@@ -109,6 +112,19 @@
 
 typedef struct store_watch store_watch_t;
 
+/* The changes that one poll found, oldest first; a deleted key has a NULL
+   value.  The next poll goes on from REVISION.  */
+typedef struct store_changes
+{
+  int64_t revision;
+  STAILQ_HEAD (, store_entry) entries;
+} store_changes_t;
+
+/* CHANGES is NULL unless STATUS is STATUS_OK, and valid during the call.
+   STATUS_NOT_FOUND: the store no longer keeps what followed the revision.  */
+typedef void (*store_poll_done_t) (status_t status,
+                                   const store_changes_t *changes, void *data);
+
 typedef struct store_options
 {
   const char *const *urls; /* NULL-terminated; tried in turn */
@@ -133,6 +149,13 @@
                            const store_watch_ops_t *ops, void *data);
   /* Callable from the watch's own callbacks but on_broken.  */
   void (*unwatch) (store_watch_t *watch);
+  /* Ask once for the changes of keys under PREFIX since the revision AFTER;
+     the store waits up to WAIT for the first.  NULL where it cannot.  */
+  status_t (*poll) (store_t *store, const char *prefix, int64_t after,
+                    struct timespec wait, store_poll_done_t done, void *data);
+  /* End a lease and delete its keys.  NULL where it cannot.  */
+  status_t (*end_lease) (store_t *store, int64_t lease,
+                         store_lease_done_t done, void *data);
 } store_ops_t;
 
 #define STORE_KEY_SETTINGS "/siskinspur/settings"
--- /dev/null
+++ b/include/relay/event_stream.h
@@ -0,0 +1,26 @@
+#ifndef SISKIN_RELAY_EVENT_STREAM_H
+#define SISKIN_RELAY_EVENT_STREAM_H
+
+#include "kernel/status.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <talloc.h>
+
+/* Cuts a stream of server-sent events into whole events.  */
+typedef struct event_stream event_stream_t;
+
+/* BYTES is a whole event with the empty line that ends it.  */
+typedef void (*event_handler_t) (const char *bytes, size_t size, bool has_id,
+                                 int64_t id, void *data);
+
+event_stream_t *event_stream_create (TALLOC_CTX *parent,
+                                     event_handler_t handler, void *data);
+void event_stream_destroy (event_stream_t *stream);
+status_t event_stream_feed (event_stream_t *stream, const char *bytes,
+                            size_t size);
+bool event_stream_is_between (const event_stream_t *stream);
+void event_stream_reset (event_stream_t *stream);
+
+#endif
--- /dev/null
+++ b/include/relay/fleet.h
@@ -0,0 +1,89 @@
+#ifndef SISKIN_RELAY_FLEET_H
+#define SISKIN_RELAY_FLEET_H
+
+#include "common/rules.h"
+#include "common/upstream_listing.h"
+#include "kernel/clock.h"
+#include "plugins/pick.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <talloc.h>
+#include <time.h>
+
+/* The upstreams that this relay knows and the choice among them.  Safe to call
+   from every worker; it knows no messages.  */
+typedef struct fleet fleet_t;
+
+enum
+{
+  FLEET_MAX_TRIED = 16
+};
+
+/* What the choice has to know of a request.  */
+typedef struct fleet_request
+{
+  const char *service;
+  const route_t *route; /* for the regions it allows */
+  pick_work_t work;
+  const char *tried[FLEET_MAX_TRIED]; /* ids of upstreams to leave out */
+  unsigned tried_count;
+} fleet_request_t;
+
+/* Why no upstream can be chosen.  */
+typedef enum fleet_shortage
+{
+  FLEET_HAS_ONE,
+  FLEET_NONE_LISTED,  /* the service has no upstream, as far as is known */
+  FLEET_NONE_ALLOWED, /* all are leaving, in zones out, or were tried */
+  FLEET_ALL_COLD,     /* those left bear no more while in cold start */
+  FLEET_ALL_FAILING,  /* those left do not answer */
+  FLEET_SHORTAGE_COUNT
+} fleet_shortage_t;
+
+/* Where a request goes; strings belong to the caller's talloc context.  */
+typedef struct fleet_choice
+{
+  const char *upstream; /* id */
+  const char *address;
+  const char *zone;
+  const char *reason; /* a constant, for the log */
+  bool is_cold;
+  unsigned candidates;
+} fleet_choice_t;
+
+/* How a request at an upstream ended, for the choice.  */
+typedef enum fleet_result
+{
+  FLEET_SERVED,
+  FLEET_FAILED,      /* it answered with a failure of its own */
+  FLEET_DECLINED,    /* it did not run the request: full or leaving */
+  FLEET_MISDIRECTED, /* another upstream has its address */
+  FLEET_UNREACHABLE, /* no connection */
+  FLEET_BROKE_OFF,   /* the answer broke off, or none came */
+  FLEET_SILENT,      /* given up for want of an answer */
+  FLEET_LEFT         /* ended by the client */
+} fleet_result_t;
+
+fleet_t *fleet_create (TALLOC_CTX *parent, const char *zone,
+                       const clock_source_t *clock, uint64_t seed);
+void fleet_destroy (fleet_t *fleet);
+void fleet_add_zone (fleet_t *fleet, const char *zone, const char *region);
+void fleet_configure (fleet_t *fleet, const rules_t *rules);
+void fleet_set_relays (fleet_t *fleet, unsigned count);
+bool fleet_put (fleet_t *fleet, const upstream_listing_t *listing);
+bool fleet_remove (fleet_t *fleet, const char *id);
+void fleet_set_zone_out (fleet_t *fleet, const char *zone, bool is_out);
+unsigned fleet_count (fleet_t *fleet);
+
+fleet_shortage_t fleet_choose (fleet_t *fleet, TALLOC_CTX *parent,
+                               const fleet_request_t *request,
+                               fleet_choice_t *choice);
+void fleet_release (fleet_t *fleet, const char *id, const pick_work_t *work,
+                    fleet_result_t result);
+void fleet_note_load (fleet_t *fleet, const char *id, uint64_t running,
+                      uint64_t waiting, uint64_t slots);
+const char *fleet_shortage_name (fleet_shortage_t shortage);
+const char *fleet_result_name (fleet_result_t result);
+
+#endif
--- /dev/null
+++ b/include/relay/fleet_state.h
@@ -0,0 +1,94 @@
+#ifndef SISKIN_RELAY_FLEET_STATE_H
+#define SISKIN_RELAY_FLEET_STATE_H
+
+#include "kernel/table.h"
+#include "relay/fleet.h"
+
+#include <sys/queue.h>
+
+/* What the parts of the fleet share.  */
+typedef struct fleet_service fleet_service_t;
+
+/* Requests an upstream in cold start may still get: a bucket of tokens.  */
+typedef struct cold_bucket
+{
+  double tokens;
+  struct timespec filled_at;
+} cold_bucket_t;
+
+/* How an upstream has answered lately.  */
+typedef struct upstream_health
+{
+  unsigned failures;            /* in a row, that say it cannot be reached */
+  struct timespec shunned_till; /* not chosen before, if others can be */
+  double trouble; /* share of failed requests, newer ones weighing more */
+} upstream_health_t;
+
+typedef struct fleet_upstream
+{
+  table_node_t node;
+  STAILQ_ENTRY (fleet_upstream) link; /* of SERVICE */
+  fleet_service_t *service;
+  char *id;
+  char *address;
+  char *zone;
+  const char *region;
+  int64_t started_ms;
+  bool is_draining;
+  struct timespec cold_until; /* monotonic */
+  cold_bucket_t cold;
+  upstream_health_t health;
+  pick_candidate_t candidate; /* kept current; strings are the upstream's */
+} fleet_upstream_t;
+
+struct fleet_service
+{
+  STAILQ_ENTRY (fleet_service) link;
+  char *name;
+  struct timespec cold_time;
+  double cold_rate;     /* of all relays together; 0: no limit */
+  double tokens_a_slot; /* usual size of a request, 0 if unknown */
+  const pick_ops_t *ops;
+  pick_t *pick;
+  STAILQ_HEAD (, fleet_upstream) upstreams;
+};
+
+/* An availability zone.  */
+typedef struct fleet_zone
+{
+  SLIST_ENTRY (fleet_zone) link;
+  char *name;
+  char *region;
+  bool is_out;
+} fleet_zone_t;
+
+struct fleet
+{
+  const char *zone;
+  const clock_source_t *clock;
+  uint64_t seed;
+  unsigned relays; /* of the whole system; at least 1 */
+  table_t *table;  /* fleet_upstream_t by id; guards the whole fleet */
+  STAILQ_HEAD (, fleet_service) services;
+  SLIST_HEAD (, fleet_zone) zones;
+  const pick_candidate_t **candidates; /* room for every upstream */
+  fleet_upstream_t **chosen_from;
+};
+
+fleet_upstream_t *fleet_find (const fleet_t *fleet, const char *id);
+fleet_service_t *fleet_find_service (const fleet_t *fleet, const char *name);
+fleet_zone_t *fleet_zone_of (fleet_t *fleet, const char *name);
+
+bool cold_is_cold (const fleet_upstream_t *upstream, struct timespec now);
+bool cold_has_room (const fleet_t *fleet, fleet_upstream_t *upstream,
+                    struct timespec now);
+void cold_take (fleet_upstream_t *upstream);
+void cold_restart (fleet_upstream_t *upstream, struct timespec now,
+                   struct timespec cold_left);
+
+void health_note (fleet_upstream_t *upstream, fleet_result_t result,
+                  struct timespec now);
+bool health_is_shunned (const fleet_upstream_t *upstream, struct timespec now);
+void health_reset (fleet_upstream_t *upstream);
+
+#endif
--- a/kernel/plugin.c
+++ b/kernel/plugin.c
@@ -12,11 +12,13 @@
 static struct plugin_list registry[PLUGIN_KIND_COUNT];
 
 static const char *const kind_names[PLUGIN_KIND_COUNT] = {
-  [PLUGIN_ADMISSION] = "admission", [PLUGIN_COMMAND] = "command",
+  [PLUGIN_ADMISSION] = "admission", [PLUGIN_CATALOG] = "catalog",
+  [PLUGIN_COMMAND] = "command",     [PLUGIN_EGRESS] = "egress",
   [PLUGIN_ENGINE] = "engine",       [PLUGIN_FRONTEND] = "frontend",
-  [PLUGIN_JOURNAL] = "journal",     [PLUGIN_ORDER] = "order",
-  [PLUGIN_PICK] = "pick",           [PLUGIN_PLACEMENT] = "placement",
-  [PLUGIN_STORE] = "store",         [PLUGIN_UPSTREAM] = "upstream",
+  [PLUGIN_INGRESS] = "ingress",     [PLUGIN_JOURNAL] = "journal",
+  [PLUGIN_ORDER] = "order",         [PLUGIN_PICK] = "pick",
+  [PLUGIN_PLACEMENT] = "placement", [PLUGIN_STORE] = "store",
+  [PLUGIN_UPSTREAM] = "upstream",
 };
 
 /* Add PLUGIN to the registry, sorted by name within its kind.  Runs before
--- a/plugins/store/etcd_json.c
+++ b/plugins/store/etcd_json.c
@@ -169,6 +169,7 @@
     return NULL;
   entry->key = json_take_bytes (entry, kv, "key");
   entry->value = json_take_bytes (entry, kv, "value");
+  entry->value_size = strlen (entry->value);
   entry->mod_revision = etcd_json_int64 (kv, "mod_revision");
   entry->lease = etcd_json_int64 (kv, "lease");
   return entry;
@@ -187,6 +188,7 @@
       if (entry != NULL)
         STAILQ_INSERT_TAIL (&response->entries, entry, link);
     }
+  response->has_more = json_is_true (json_object_get (range, "more"));
 }
 
 static void
--- /dev/null
+++ b/relay/fleet.c
@@ -0,0 +1,334 @@
+#include "relay/fleet_state.h"
+
+#include "kernel/counter.h"
+#include "kernel/log.h"
+#include "kernel/plugin.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+GAUGE_DEFINE (upstreams_gauge, "siskin_fleet_upstreams",
+              "Upstreams known to the relay");
+
+static const char *const shortage_names[FLEET_SHORTAGE_COUNT] = {
+  [FLEET_HAS_ONE] = "none",
+  [FLEET_NONE_LISTED] = "no-upstream",
+  [FLEET_NONE_ALLOWED] = "none-allowed",
+  [FLEET_ALL_COLD] = "all-cold",
+  [FLEET_ALL_FAILING] = "all-failing",
+};
+
+static const char *const result_names[] = {
+  [FLEET_SERVED] = "served",           [FLEET_FAILED] = "failed",
+  [FLEET_DECLINED] = "declined",       [FLEET_MISDIRECTED] = "misdirected",
+  [FLEET_UNREACHABLE] = "unreachable", [FLEET_BROKE_OFF] = "broke-off",
+  [FLEET_SILENT] = "silent",           [FLEET_LEFT] = "client-left",
+};
+
+/* Return the name of SHORTAGE for the log.  */
+const char *
+fleet_shortage_name (fleet_shortage_t shortage)
+{
+  return shortage_names[shortage];
+}
+
+/* Return the name of RESULT for the log.  */
+const char *
+fleet_result_name (fleet_result_t result)
+{
+  return result_names[result];
+}
+
+/* Create an empty fleet for a relay in ZONE, which is kept by reference.  SEED
+   keeps the choices of relays apart.  */
+fleet_t *
+fleet_create (TALLOC_CTX *parent, const char *zone,
+              const clock_source_t *clock, uint64_t seed)
+{
+  fleet_t *fleet = talloc_zero (parent, fleet_t);
+
+  if (fleet == NULL)
+    return NULL;
+  fleet->zone = zone;
+  fleet->clock = clock;
+  fleet->seed = seed;
+  fleet->relays = 1;
+  fleet->table = table_create (fleet, LOCK_UPSTREAMS, "fleet");
+  STAILQ_INIT (&fleet->services);
+  SLIST_INIT (&fleet->zones);
+  return fleet;
+}
+
+/* Free FLEET.  */
+void
+fleet_destroy (fleet_t *fleet)
+{
+  talloc_free (fleet);
+}
+
+/* Return the upstream ID, or NULL; the table is locked.  */
+fleet_upstream_t *
+fleet_find (const fleet_t *fleet, const char *id)
+{
+  table_node_t *node = table_find (fleet->table, id, strlen (id));
+
+  return node == NULL ? NULL : CONTAINER_OF (node, fleet_upstream_t, node);
+}
+
+/* Return the service NAME, or NULL; the table is locked.  */
+fleet_service_t *
+fleet_find_service (const fleet_t *fleet, const char *name)
+{
+  fleet_service_t *service;
+
+  STAILQ_FOREACH (service, &fleet->services, link)
+    {
+      if (strcmp (service->name, name) == 0)
+        return service;
+    }
+  return NULL;
+}
+
+static fleet_service_t *
+fleet_service_of (fleet_t *fleet, const char *name)
+{
+  fleet_service_t *service = fleet_find_service (fleet, name);
+
+  if (service != NULL)
+    return service;
+  service = talloc_zero (fleet, fleet_service_t);
+  if (service == NULL)
+    return NULL;
+  service->name = talloc_strdup (service, name);
+  service->ops = plugin_ops (PLUGIN_PICK, "least-tokens");
+  service->pick = service->ops->create (service, fleet->seed);
+  STAILQ_INIT (&service->upstreams);
+  STAILQ_INSERT_TAIL (&fleet->services, service, link);
+  return service;
+}
+
+/* Return the zone NAME, which is added when it was not known; the table is
+   locked.  */
+fleet_zone_t *
+fleet_zone_of (fleet_t *fleet, const char *name)
+{
+  fleet_zone_t *zone;
+
+  SLIST_FOREACH (zone, &fleet->zones, link)
+    {
+      if (strcmp (zone->name, name) == 0)
+        return zone;
+    }
+  zone = talloc_zero (fleet, fleet_zone_t);
+  if (zone == NULL)
+    return NULL;
+  zone->name = talloc_strdup (zone, name);
+  zone->region = talloc_strdup (zone, "");
+  SLIST_INSERT_HEAD (&fleet->zones, zone, link);
+  return zone;
+}
+
+/* Note that ZONE is in REGION.  */
+void
+fleet_add_zone (fleet_t *fleet, const char *zone, const char *region)
+{
+  fleet_zone_t *known;
+
+  table_lock (fleet->table);
+  known = fleet_zone_of (fleet, zone);
+  if (known != NULL)
+    known->region = talloc_strdup (known, region);
+  table_unlock (fleet->table);
+}
+
+/* Put what RULES say of the services in force.  */
+void
+fleet_configure (fleet_t *fleet, const rules_t *rules)
+{
+  const service_rule_t *rule;
+
+  table_lock (fleet->table);
+  STAILQ_FOREACH (rule, &rules->services, link)
+    {
+      fleet_service_t *service = fleet_service_of (fleet, rule->name);
+
+      if (service == NULL)
+        continue;
+      service->cold_time = rule->cold_time;
+      service->cold_rate = rule->cold_rate;
+      if (rule->has_engine)
+        service->tokens_a_slot
+            = rule->engine.usual_prompt + rule->engine.usual_answer;
+    }
+  table_unlock (fleet->table);
+}
+
+/* Note how many relays share the limits that hold for all together.  */
+void
+fleet_set_relays (fleet_t *fleet, unsigned count)
+{
+  table_lock (fleet->table);
+  fleet->relays = count > 0 ? count : 1;
+  table_unlock (fleet->table);
+}
+
+static void
+fleet_make_room (fleet_t *fleet)
+{
+  size_t count = table_count (fleet->table);
+
+  fleet->candidates = talloc_realloc (fleet, fleet->candidates,
+                                      const pick_candidate_t *, count);
+  fleet->chosen_from
+      = talloc_realloc (fleet, fleet->chosen_from, fleet_upstream_t *, count);
+}
+
+static void
+upstream_free (fleet_t *fleet, fleet_upstream_t *upstream)
+{
+  if (upstream->service != NULL)
+    STAILQ_REMOVE (&upstream->service->upstreams, upstream, fleet_upstream,
+                   link);
+  table_remove (fleet->table, &upstream->node);
+  talloc_free (upstream);
+}
+
+static fleet_upstream_t *
+upstream_create (fleet_t *fleet, const upstream_listing_t *listing)
+{
+  fleet_upstream_t *upstream = talloc_zero (fleet, fleet_upstream_t);
+  fleet_service_t *service = fleet_service_of (fleet, listing->service);
+  fleet_zone_t *zone = fleet_zone_of (fleet, listing->zone);
+
+  if (upstream == NULL || service == NULL || zone == NULL)
+    {
+      talloc_free (upstream);
+      return NULL;
+    }
+  upstream->id = talloc_strdup (upstream, listing->id);
+  upstream->address = talloc_strdup (upstream, listing->address);
+  upstream->zone = zone->name;
+  upstream->region = zone->region;
+  upstream->candidate.name = upstream->id;
+  upstream->candidate.name_hash
+      = XXH3_64bits (upstream->id, strlen (upstream->id));
+  upstream->candidate.zone = upstream->zone;
+  upstream->service = service;
+  STAILQ_INSERT_TAIL (&service->upstreams, upstream, link);
+  table_insert (fleet->table, &upstream->node, upstream->id,
+                strlen (upstream->id));
+  fleet_make_room (fleet);
+  return upstream;
+}
+
+/* Whether LISTING is of another upstream than the one known under its id.  */
+static bool
+upstream_is_other (const fleet_upstream_t *upstream,
+                   const upstream_listing_t *listing)
+{
+  return strcmp (upstream->address, listing->address) != 0
+         || strcmp (upstream->service->name, listing->service) != 0
+         || strcmp (upstream->zone, listing->zone) != 0
+         || upstream->started_ms != listing->started_ms;
+}
+
+static void
+upstream_set_limits (fleet_upstream_t *upstream,
+                     const upstream_listing_t *listing)
+{
+  pick_report_t *report = &upstream->candidate.report;
+
+  report->is_known = true;
+  report->limit_requests = listing->slots > 0 ? listing->slots : 1;
+  if (upstream->service->tokens_a_slot > 0)
+    report->limit_tokens
+        = (uint64_t)(upstream->service->tokens_a_slot * listing->slots);
+  else
+    report->limit_tokens = report->limit_requests;
+}
+
+/* Take in what an upstream says of itself.  Returns whether it is new, or has
+   changed in what matters for the choice.  */
+bool
+fleet_put (fleet_t *fleet, const upstream_listing_t *listing)
+{
+  struct timespec now = clock_monotonic (fleet->clock);
+  fleet_upstream_t *upstream;
+  bool is_changed = false;
+
+  table_lock (fleet->table);
+  upstream = fleet_find (fleet, listing->id);
+  if (upstream != NULL && upstream_is_other (upstream, listing))
+    {
+      upstream_free (fleet, upstream);
+      upstream = NULL;
+    }
+  if (upstream == NULL)
+    {
+      upstream = upstream_create (fleet, listing);
+      is_changed = true;
+    }
+  if (upstream != NULL)
+    {
+      is_changed = is_changed || upstream->is_draining != listing->is_draining;
+      upstream->started_ms = listing->started_ms;
+      upstream->is_draining = listing->is_draining;
+      upstream_set_limits (upstream, listing);
+      cold_restart (upstream, now, listing->cold_left);
+    }
+  counter_set (&upstreams_gauge, (int64_t)table_count (fleet->table));
+  table_unlock (fleet->table);
+  return is_changed;
+}
+
+/* Forget the upstream ID.  Returns whether it was known.  */
+bool
+fleet_remove (fleet_t *fleet, const char *id)
+{
+  fleet_upstream_t *upstream;
+
+  table_lock (fleet->table);
+  upstream = fleet_find (fleet, id);
+  if (upstream != NULL)
+    upstream_free (fleet, upstream);
+  counter_set (&upstreams_gauge, (int64_t)table_count (fleet->table));
+  table_unlock (fleet->table);
+  return upstream != NULL;
+}
+
+/* Note whether ZONE is to get no new work.  Upstreams of a zone that comes
+   back may be cold: they are taken for cold until they say otherwise.  */
+void
+fleet_set_zone_out (fleet_t *fleet, const char *zone, bool is_out)
+{
+  struct timespec now = clock_monotonic (fleet->clock);
+  fleet_zone_t *known;
+  table_node_t *node;
+
+  table_lock (fleet->table);
+  known = fleet_zone_of (fleet, zone);
+  if (known != NULL && known->is_out && !is_out)
+    TABLE_FOREACH (node, fleet->table)
+      {
+        fleet_upstream_t *upstream
+            = CONTAINER_OF (node, fleet_upstream_t, node);
+
+        if (strcmp (upstream->zone, zone) == 0)
+          cold_restart (upstream, now, upstream->service->cold_time);
+      }
+  if (known != NULL)
+    known->is_out = is_out;
+  table_unlock (fleet->table);
+}
+
+/* Return how many upstreams are known.  */
+unsigned
+fleet_count (fleet_t *fleet)
+{
+  unsigned count;
+
+  table_lock (fleet->table);
+  count = (unsigned)table_count (fleet->table);
+  table_unlock (fleet->table);
+  return count;
+}
--- /dev/null
+++ b/relay/forward.c
@@ -0,0 +1,393 @@
+#include "relay/forward.h"
+
+#include "kernel/counter.h"
+#include "kernel/log.h"
+#include "kernel/random.h"
+
+#include <string.h>
+
+enum
+{
+  DEFAULT_PATIENCE_MS = 60000, /* of a client that tells none */
+  HOLD_MOST_MS = 1600,         /* clients leave silent streams after two s */
+  HOLD_DIVISOR = 2,            /* part of the time left spent waiting */
+  WAKE_MS = 20,                /* between tries for those that wait */
+  EXTRA_SENDS = 2, /* after upstreams that did not run the request */
+  MAX_UNREACHABLE = 4,
+  RETRY_AFTER_DIVISOR = 4, /* clients heed up to a third of their time left */
+  RETRY_AFTER_LEAST_MS = 50
+};
+
+COUNTER_DEFINE (requests_total, "siskin_relay_requests_total",
+                "Requests read from clients");
+COUNTER_DEFINE_LABELLED (ended_whole, "siskin_relay_answers_total",
+                         "end=\"whole\"", "Answers passed on");
+COUNTER_DEFINE_LABELLED (ended_broken, "siskin_relay_answers_total",
+                         "end=\"broken-off\"", "Answers passed on");
+COUNTER_DEFINE (clients_left, "siskin_relay_clients_left_total",
+                "Clients that left before their answer's end");
+COUNTER_DEFINE (failures_total, "siskin_relay_failures_total",
+                "Requests that got no upstream's answer");
+
+static const char *const failure_names[RELAY_FAILURE_COUNT] = {
+  [RELAY_NO_RULES] = "no-rules-known-yet", [RELAY_NO_ROUTE] = "no-route",
+  [RELAY_NO_ACCOUNT] = "unknown-key",      [RELAY_NOT_RUN] = "not-run",
+  [RELAY_UNKNOWN] = "outcome-unknown",     [RELAY_TIMEOUT] = "timeout",
+};
+
+/* Return the name of FAILURE for clients and the log.  */
+const char *
+relay_failure_name (relay_failure_t failure)
+{
+  return failure_names[failure];
+}
+
+static struct timespec
+forward_now (const forward_t *forward)
+{
+  return clock_monotonic (forward->share->relay->clock);
+}
+
+static int64_t
+ms_since (const forward_t *forward, struct timespec then)
+{
+  return timespec_to_ms (timespec_subtract (forward_now (forward), then));
+}
+
+/* Return the time until the request's deadline, never negative.  */
+struct timespec
+forward_time_left (const forward_t *forward)
+{
+  struct timespec left
+      = timespec_subtract (forward->deadline, forward_now (forward));
+
+  return left.tv_sec < 0 ? (struct timespec){ 0, 0 } : left;
+}
+
+static int
+forward_free (forward_t *forward)
+{
+  LIST_REMOVE (forward, link);
+  if (forward->is_waiting)
+    TAILQ_REMOVE (&forward->share->waiting, forward, wait_link);
+  rules_release (forward->rules);
+  return 0;
+}
+
+/* The client's answer is over.  */
+void
+forward_finish (forward_t *forward, bool is_complete)
+{
+  counter_add (is_complete ? &ended_whole : &ended_broken, 1);
+  log_event (is_complete ? LOG_LEVEL_DEBUG : LOG_LEVEL_WARN, "answer-ended",
+             "request=%s whole=%d ms=%lld sends=%u", forward->request->id,
+             is_complete, (long long)ms_since (forward, forward->arrived_at),
+             forward->sends);
+  forward->ops->on_end (forward, is_complete, forward->data);
+  talloc_free (forward);
+}
+
+/* The client gets no upstream's answer.  */
+void
+forward_fail (forward_t *forward, relay_failure_t failure,
+              struct timespec retry_after)
+{
+  counter_add (&failures_total, 1);
+  log_event (LOG_LEVEL_WARN, "request-failed",
+             "request=%s failure=%s ms=%lld sends=%u retry_after_ms=%lld",
+             forward->request->id, relay_failure_name (failure),
+             (long long)ms_since (forward, forward->arrived_at),
+             forward->sends, (long long)timespec_to_ms (retry_after));
+  forward->ops->on_failure (forward, failure, retry_after, forward->data);
+  talloc_free (forward);
+}
+
+/* No upstream ran the request and none will.  WHY is for the log.  */
+void
+forward_refuse (forward_t *forward, const char *why)
+{
+  int64_t left_ms = timespec_to_ms (forward_time_left (forward));
+  int64_t retry_ms = left_ms / RETRY_AFTER_DIVISOR;
+
+  log_event (LOG_LEVEL_INFO, "refused", "request=%s why=%s",
+             forward->request->id, why);
+  if (retry_ms < RETRY_AFTER_LEAST_MS)
+    retry_ms = RETRY_AFTER_LEAST_MS;
+  forward_fail (forward, RELAY_NOT_RUN, timespec_from_ms (retry_ms));
+}
+
+/* The attempt is over; RESULT is what the fleet learns of it.  */
+void
+forward_end_attempt (forward_t *forward, fleet_result_t result)
+{
+  forward_attempt_t *attempt = forward->attempt;
+
+  forward->attempt = NULL;
+  forward->is_paused = false;
+  fleet_release (forward->share->relay->fleet, attempt->choice.upstream,
+                 &forward->wanted.work, result);
+  if (forward->wanted.tried_count < FLEET_MAX_TRIED)
+    forward->wanted.tried[forward->wanted.tried_count++]
+        = talloc_steal (forward, attempt->choice.upstream);
+  talloc_free (attempt);
+}
+
+/* Break the attempt off, not from within its own events.  */
+void
+forward_cancel_attempt (forward_t *forward, fleet_result_t result)
+{
+  if (forward->attempt == NULL)
+    return;
+  forward->share->relay->egress_ops->cancel (forward->attempt->call);
+  forward_end_attempt (forward, result);
+}
+
+static void
+forward_handle_deadline (worker_t *worker, void *data)
+{
+  forward_t *forward = data;
+  static const struct timespec no_advice = { 0, 0 };
+
+  (void)worker;
+  forward->deadline_timer = NULL;
+  if (forward->attempt != NULL)
+    {
+      forward->runs++;
+      forward_cancel_attempt (forward, FLEET_SILENT);
+    }
+  if (forward->is_begun)
+    forward_finish (forward, false);
+  else
+    forward_fail (forward, forward->runs > 0 ? RELAY_TIMEOUT : RELAY_NOT_RUN,
+                  no_advice);
+}
+
+static void
+forward_set_deadline (forward_t *forward)
+{
+  const relay_request_t *request = forward->request;
+  struct timespec patience = request->has_patience
+                                 ? request->patience
+                                 : timespec_from_ms (DEFAULT_PATIENCE_MS);
+  struct timespec timeout = forward->route->timeout;
+  int64_t hold_ms;
+
+  if (timespec_to_ms (timeout) > 0 && timespec_compare (timeout, patience) < 0)
+    patience = timeout;
+  hold_ms = timespec_to_ms (patience) / HOLD_DIVISOR;
+  if (hold_ms > HOLD_MOST_MS)
+    hold_ms = HOLD_MOST_MS;
+  forward->deadline = timespec_add (forward->arrived_at, patience);
+  forward->hold_until
+      = timespec_add (forward->arrived_at, timespec_from_ms (hold_ms));
+  forward->deadline_timer
+      = worker_timer_start (forward->share->worker, forward, patience,
+                            forward_handle_deadline, forward);
+}
+
+static void
+share_handle_wake (worker_t *worker, void *data)
+{
+  relay_worker_t *share = data;
+
+  (void)worker;
+  share->wake_timer = NULL;
+  forward_wake_waiting (share);
+}
+
+static void
+share_arm_wake (relay_worker_t *share)
+{
+  if (share->wake_timer == NULL && !TAILQ_EMPTY (&share->waiting))
+    share->wake_timer = worker_timer_start (
+        share->worker, worker_events (share->worker),
+        timespec_from_ms (WAKE_MS), share_handle_wake, share);
+}
+
+static void
+forward_stop_waiting (forward_t *forward)
+{
+  if (!forward->is_waiting)
+    return;
+  forward->is_waiting = false;
+  TAILQ_REMOVE (&forward->share->waiting, forward, wait_link);
+}
+
+/* Let the request wait until an upstream can take it, or refuse it when it has
+   waited long enough.  */
+static void
+forward_wait (forward_t *forward, fleet_shortage_t shortage)
+{
+  if (timespec_compare (forward_now (forward), forward->hold_until) >= 0)
+    {
+      if (forward->is_begun)
+        forward_finish (forward, false);
+      else if (forward->runs > 0)
+        forward_fail (forward, RELAY_UNKNOWN, (struct timespec){ 0, 0 });
+      else
+        forward_refuse (forward, fleet_shortage_name (shortage));
+      return;
+    }
+  if (!forward->is_waiting)
+    {
+      log_event (LOG_LEVEL_DEBUG, "waits", "request=%s why=%s",
+                 forward->request->id, fleet_shortage_name (shortage));
+      forward->is_waiting = true;
+      TAILQ_INSERT_TAIL (&forward->share->waiting, forward, wait_link);
+    }
+  share_arm_wake (forward->share);
+}
+
+/* Try once more for the requests that wait, oldest first.  */
+void
+forward_wake_waiting (relay_worker_t *share)
+{
+  unsigned count = 0;
+  const forward_t *counted;
+
+  TAILQ_FOREACH (counted, &share->waiting, wait_link)
+    count++;
+  /* Those that still find nothing go to the end of the list in turn.  */
+  while (count-- > 0)
+    {
+      forward_t *forward = TAILQ_FIRST (&share->waiting);
+
+      if (forward == NULL)
+        break;
+      forward_stop_waiting (forward);
+      forward_dispatch (forward);
+    }
+  share_arm_wake (share);
+}
+
+/* Find an upstream and send the request there.  */
+void
+forward_dispatch (forward_t *forward)
+{
+  relay_t *relay = forward->share->relay;
+  TALLOC_CTX *memory = talloc_new (forward);
+  fleet_choice_t choice;
+  fleet_shortage_t shortage
+      = fleet_choose (relay->fleet, memory, &forward->wanted, &choice);
+
+  if (shortage != FLEET_HAS_ONE)
+    {
+      talloc_free (memory);
+      forward_wait (forward, shortage);
+      return;
+    }
+  log_event (LOG_LEVEL_DEBUG, "sent",
+             "request=%s service=%s upstream=%s zone=%s reason=%s "
+             "candidates=%u cold=%d send=%u",
+             forward->request->id, forward->wanted.service, choice.upstream,
+             choice.zone, choice.reason, choice.candidates, choice.is_cold,
+             forward->sends + 1);
+  if (attempt_start (forward, &choice, memory))
+    return;
+  fleet_release (relay->fleet, choice.upstream, &forward->wanted.work,
+                 FLEET_LEFT);
+  talloc_free (memory);
+  forward_refuse (forward, "cannot-send");
+}
+
+/* Return whether the request may be sent once more, and if so count that.  */
+bool
+forward_may_repeat (forward_t *forward)
+{
+  const route_t *route = forward->route;
+  bool is_allowed
+      = forward->runs == 0
+        || (route_is_repeatable (route) && forward->runs < route->attempts);
+
+  if (!is_allowed || forward->sends >= route->attempts + EXTRA_SENDS
+      || forward->unreachable > MAX_UNREACHABLE
+      || timespec_to_ms (forward_time_left (forward)) <= 0)
+    return false;
+  /* One that reached no upstream is no repeat.  */
+  return forward->sends == 0
+         || retry_budget_take (forward->share->relay->budget,
+                               forward->wanted.service);
+}
+
+/* Find whose the request is and where it goes.  Returns RELAY_FAILURE_COUNT
+   when it can be sent.  */
+static relay_failure_t
+forward_find_route (forward_t *forward)
+{
+  const relay_request_t *request = forward->request;
+
+  forward->rules = relay_rules (forward->share->relay);
+  if (forward->rules == NULL)
+    return RELAY_NO_RULES;
+  forward->route
+      = rules_route (forward->rules, request->host, request->target);
+  if (forward->route == NULL)
+    return RELAY_NO_ROUTE;
+  if (forward->rules->has_accounts && request->key[0] != '\0')
+    forward->account = rules_account (forward->rules, request->key);
+  if (forward->rules->has_accounts && forward->account == NULL
+      && !forward->route->is_public)
+    return RELAY_NO_ACCOUNT;
+  forward->wanted.service
+      = route_choose_target (forward->route, random_next ());
+  return forward->wanted.service == NULL ? RELAY_NO_ROUTE
+                                         : RELAY_FAILURE_COUNT;
+}
+
+/* Start a request.  Returns NULL when it has ended within the call, after its
+   callback.  */
+forward_t *
+forward_start (relay_worker_t *share, const relay_request_t *request,
+               const forward_ops_t *ops, void *data)
+{
+  forward_t *forward = talloc_zero (worker_events (share->worker), forward_t);
+  relay_failure_t failure;
+
+  if (forward == NULL)
+    {
+      ops->on_failure (NULL, RELAY_NOT_RUN, (struct timespec){ 0, 0 }, data);
+      return NULL;
+    }
+  counter_add (&requests_total, 1);
+  forward->share = share;
+  forward->request = request;
+  forward->ops = ops;
+  forward->data = data;
+  forward->arrived_at = forward_now (forward);
+  forward->has_last_event = request->has_last_event;
+  forward->last_event = request->last_event;
+  LIST_INSERT_HEAD (&share->forwards, forward, link);
+  talloc_set_destructor (forward, forward_free);
+  failure = forward_find_route (forward);
+  if (failure != RELAY_FAILURE_COUNT)
+    {
+      forward_fail (forward, failure,
+                    failure == RELAY_NO_RULES
+                        ? timespec_from_ms (RETRY_AFTER_LEAST_MS)
+                        : (struct timespec){ 0, 0 });
+      return NULL;
+    }
+  forward->wanted.route = forward->route;
+  forward->wanted.work = (pick_work_t){
+    .prompt_tokens = request->prompt_tokens,
+    .output_tokens = request->output_tokens,
+    .zone = daemon_config (share->relay->daemon)->zone,
+  };
+  forward_set_deadline (forward);
+  retry_budget_note_request (share->relay->budget, forward->wanted.service);
+  forward_dispatch (forward);
+  return forward;
+}
+
+/* The client is gone: break off what is under way and free FORWARD.  */
+void
+forward_cancel (forward_t *forward)
+{
+  counter_add (&clients_left, 1);
+  log_event (LOG_LEVEL_INFO, "client-left", "request=%s ms=%lld sends=%u",
+             forward->request->id,
+             (long long)ms_since (forward, forward->arrived_at),
+             forward->sends);
+  forward_cancel_attempt (forward, FLEET_LEFT);
+  talloc_free (forward);
+}
