Add a map switch for engines that check fences, and even placement

On the platform an engine refuses old fences itself, holds the whole group before a step, and its tokens go evenly to all ranks with an expert.

--- a/include/plugins/placement.h
+++ b/include/plugins/placement.h
@@ -18,6 +18,7 @@
   PLACEMENT_MAX_EXPERTS = 4096,
   PLACEMENT_MAX_LAYERS = 128,
   PLACEMENT_MAX_SLOTS = 64,
+  PLACEMENT_FREE = 65535, /* in place of an expert: the slot is not used */
   PLACEMENT_SHARE_WHOLE = 65535 /* all tokens of an expert */
 };
 
@@ -29,7 +30,8 @@
   unsigned slots;   /* replicas that a rank holds of a layer */
 } placement_shape_t;
 
-/* One replica: EXPERT is held, and gets SHARE of the expert's tokens.  */
+/* One replica: EXPERT is held, and gets SHARE of the expert's tokens.  A free
+   slot has PLACEMENT_FREE and no share.  */
 typedef struct placement_slot
 {
   uint16_t expert;
@@ -47,6 +49,10 @@
 {
   double minimum_gain;  /* of step time, before the map is changed */
   unsigned moves_limit; /* weights loaded for one change; at least 1 */
+  /* For policies that split tokens evenly; 0 for no limit or cost.  */
+  unsigned moves_a_rank;  /* weights of a layer that a rank may load */
+  double move_seconds;    /* a rank takes to load an expert's weights */
+  double horizon_seconds; /* for how long a map is expected to fit */
 } placement_config_t;
 
 /* What was seen since the last sample.  */
@@ -86,6 +92,8 @@
 placement_slot_t *placement_map_slot (const placement_map_t *map,
                                       unsigned layer, unsigned rank,
                                       unsigned slot);
+bool placement_map_holds (const placement_map_t *map, unsigned layer,
+                          unsigned rank, unsigned expert);
 bool placement_map_is_valid (const placement_map_t *map);
 unsigned placement_map_moves (const placement_map_t *from,
                               const placement_map_t *to);
--- a/kernel/plugin.c
+++ b/kernel/plugin.c
@@ -17,8 +17,8 @@
   [PLUGIN_ENGINE] = "engine",       [PLUGIN_FRONTEND] = "frontend",
   [PLUGIN_INGRESS] = "ingress",     [PLUGIN_JOURNAL] = "journal",
   [PLUGIN_ORDER] = "order",         [PLUGIN_PICK] = "pick",
-  [PLUGIN_PLACEMENT] = "placement", [PLUGIN_STORE] = "store",
-  [PLUGIN_UPSTREAM] = "upstream",
+  [PLUGIN_PLACEMENT] = "placement", [PLUGIN_RANK_ENGINE] = "rank-engine",
+  [PLUGIN_STORE] = "store",         [PLUGIN_UPSTREAM] = "upstream",
 };
 
 /* Add PLUGIN to the registry, sorted by name within its kind.  Runs before
--- /dev/null
+++ b/pilot/switcher.c
@@ -0,0 +1,683 @@
+#include "pilot/switcher.h"
+
+#include "kernel/clock.h"
+#include "kernel/invariant.h"
+
+enum
+{
+  FENCES_A_TERM = 1 << 20, /* rounds that one leader may count */
+  FRESH_MS = 400,          /* reports older than this start no switch */
+  RESEND_MS = 100,         /* after an order that may not have arrived */
+  PREPARE_TIMEOUT_MS = 8000,
+  HOLD_TIMEOUT_MS = 2000,
+  /* Time that orders take to reach all ranks: the group is held at a step that
+     it gets to about so much later.  */
+  AHEAD_MS = 120,
+  AHEAD_MOST_STEPS = 12,
+  USUAL_STEP_MS = 50
+};
+
+static const char *const phase_names[SWITCHER_PHASE_COUNT] = {
+  [SWITCHER_OFF] = "off",
+  [SWITCHER_CLAIMING] = "claiming",
+  [SWITCHER_RESOLVING] = "resolving",
+  [SWITCHER_IDLE] = "idle",
+  [SWITCHER_PREPARING] = "preparing",
+  [SWITCHER_HOLDING] = "holding",
+  [SWITCHER_ARMING] = "arming",
+  [SWITCHER_RELEASING] = "releasing",
+  [SWITCHER_DISARMING] = "disarming",
+};
+
+/* What is known of a rank.  */
+typedef struct rank_view
+{
+  bool is_known;
+  rank_report_t report;
+  struct timespec reported_at;
+  uint64_t after_ticket;    /* orders up to it were over before the report */
+  bool is_pending;          /* an order is under way */
+  uint64_t ticket;          /* of the last order */
+  uint64_t sent_in;         /* the stage that it belongs to */
+  struct timespec again_at; /* not to be sent another order before */
+  bool is_done;             /* the order of this stage is done */
+  bool is_refused;          /* the order of this stage does not fit */
+  uint64_t over_ticket;     /* of the last order with a clear verdict */
+} rank_view_t;
+
+struct switcher
+{
+  const switcher_ops_t *ops;
+  void *data;
+  unsigned rank_count;
+  unsigned own_rank;
+  rank_view_t *ranks;
+  switcher_phase_t phase;
+  uint64_t stage; /* counts the phases entered */
+  uint64_t term;
+  uint64_t round;
+  uint64_t epoch;    /* of the group, as the ranks report it */
+  uint64_t version;  /* of the last switch that was started */
+  uint64_t switches; /* started in this term */
+  uint64_t step;     /* at which the group is held and switches */
+  unsigned holder;
+  bool may_be_held;     /* an order to hold was sent and not taken back */
+  placement_map_t *map; /* of the switch under way */
+  struct timespec phase_at;
+  uint64_t paced_step; /* to learn how long a step takes */
+  struct timespec paced_at;
+  double step_ms;
+};
+
+/* Create a switcher for a group in which the caller's own engine has the rank
+   OWN_RANK.  */
+switcher_t *
+switcher_create (TALLOC_CTX *parent, unsigned rank_count, unsigned own_rank,
+                 const switcher_ops_t *ops, void *data)
+{
+  switcher_t *switcher = talloc_zero (parent, switcher_t);
+
+  if (switcher == NULL)
+    return NULL;
+  switcher->ops = ops;
+  switcher->data = data;
+  switcher->rank_count = rank_count;
+  switcher->own_rank = own_rank;
+  switcher->holder = own_rank;
+  switcher->step_ms = USUAL_STEP_MS;
+  switcher->ranks = talloc_zero_array (switcher, rank_view_t, rank_count);
+  return switcher;
+}
+
+/* Free SWITCHER.  */
+void
+switcher_destroy (switcher_t *switcher)
+{
+  talloc_free (switcher);
+}
+
+/* Return the name of PHASE for the log.  */
+const char *
+switcher_phase_name (switcher_phase_t phase)
+{
+  return phase_names[phase];
+}
+
+/* Return what the switcher is at.  */
+switcher_phase_t
+switcher_phase (const switcher_t *switcher)
+{
+  return switcher->phase;
+}
+
+/* Return the group's epoch, as the ranks report it.  */
+uint64_t
+switcher_epoch (const switcher_t *switcher)
+{
+  return switcher->epoch;
+}
+
+/* Return the newest version that a switch has used.  */
+uint64_t
+switcher_version (const switcher_t *switcher)
+{
+  return switcher->version;
+}
+
+static void
+enter (switcher_t *switcher, switcher_phase_t phase, struct timespec now)
+{
+  switcher->phase = phase;
+  switcher->stage++;
+  switcher->phase_at = now;
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      switcher->ranks[i].is_done = false;
+      switcher->ranks[i].is_refused = false;
+    }
+}
+
+static int64_t
+phase_ms (const switcher_t *switcher, struct timespec now)
+{
+  return timespec_to_ms (timespec_subtract (now, switcher->phase_at));
+}
+
+/* Have every engine see the fence of a new round.  */
+static void
+begin_round (switcher_t *switcher, struct timespec now)
+{
+  switcher->round++;
+  enter (switcher, SWITCHER_CLAIMING, now);
+}
+
+/* Start to lead with TERM, which is higher than that of any earlier leader. */
+void
+switcher_lead (switcher_t *switcher, uint64_t term, struct timespec now)
+{
+  INVARIANT (term > switcher->term, "switcher-terms-rise");
+  switcher->term = term;
+  switcher->round = 0;
+  switcher->switches = 0;
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    switcher->ranks[i].is_known = false;
+  begin_round (switcher, now);
+}
+
+/* Send no more orders.  */
+void
+switcher_stop (switcher_t *switcher)
+{
+  switcher->phase = SWITCHER_OFF;
+}
+
+static void
+send_order (switcher_t *switcher, unsigned rank, rank_order_kind_t kind,
+            uint64_t step)
+{
+  rank_view_t *view = &switcher->ranks[rank];
+  rank_order_t order = {
+    .kind = kind,
+    .fence = switcher->term * FENCES_A_TERM + switcher->round,
+    .epoch = switcher->epoch,
+    .version = kind == RANK_DISARM ? view->report.armed : switcher->version,
+    .step = step,
+    .map = switcher->map,
+  };
+
+  view->is_pending = true;
+  view->sent_in = switcher->stage;
+  view->ticket++;
+  switcher->ops->order (rank, view->ticket, &order, switcher->data);
+}
+
+/* Whether an order may be sent once more.  */
+static bool
+may_repeat (const rank_view_t *view, struct timespec now)
+{
+  return !view->is_pending && timespec_compare (view->again_at, now) <= 0;
+}
+
+static bool
+may_send (const rank_view_t *view, struct timespec now)
+{
+  return !view->is_done && may_repeat (view, now);
+}
+
+/* Whether the newest report of VIEW is of a time after its last order was
+   over.  */
+static bool
+report_is_newer (const rank_view_t *view)
+{
+  return view->is_known && view->after_ticket >= view->over_ticket;
+}
+
+static bool
+all_done (const switcher_t *switcher)
+{
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      if (!switcher->ranks[i].is_done)
+        return false;
+    }
+  return true;
+}
+
+/* Whether all ranks have reported, of the same epoch and an open group.  */
+static bool
+all_known (const switcher_t *switcher)
+{
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      const rank_view_t *view = &switcher->ranks[i];
+
+      if (!view->is_known || view->report.epoch != switcher->epoch
+          || !view->report.is_open)
+        return false;
+    }
+  return true;
+}
+
+static void
+claim (switcher_t *switcher, struct timespec now)
+{
+  if (!all_known (switcher))
+    return;
+  /* An engine is never held at step 0, so this changes nothing but the fence
+     that it has seen.  */
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      if (may_send (&switcher->ranks[i], now))
+        send_order (switcher, i, RANK_GO, 0);
+    }
+  if (all_done (switcher))
+    enter (switcher, SWITCHER_RESOLVING, now);
+}
+
+static unsigned
+count_armed (const switcher_t *switcher, bool *is_same)
+{
+  unsigned count = 0;
+  uint64_t version = 0;
+
+  *is_same = true;
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      const rank_report_t *report = &switcher->ranks[i].report;
+
+      if (!report->is_armed)
+        continue;
+      *is_same = *is_same && (count == 0 || report->armed == version);
+      version = report->armed;
+      count++;
+    }
+  return count;
+}
+
+/* Let the group go on wherever it is held.  Returns whether it is held
+   nowhere.  */
+static bool
+release_all (switcher_t *switcher, struct timespec now)
+{
+  bool is_free = true;
+
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      rank_view_t *view = &switcher->ranks[i];
+
+      if (!view->report.is_held)
+        continue;
+      is_free = false;
+      if (may_repeat (view, now) && report_is_newer (view))
+        send_order (switcher, i, RANK_GO, view->report.held);
+    }
+  return is_free;
+}
+
+static void
+settle (switcher_t *switcher, struct timespec now)
+{
+  switcher->may_be_held = false;
+  enter (switcher, SWITCHER_IDLE, now);
+  switcher->ops->on_event (SWITCHER_SETTLED, "", switcher->data);
+}
+
+/* End what an earlier leader, or an earlier round, left behind.  All engines
+   refuse its orders by now, so what they report stays.  */
+static void
+resolve (switcher_t *switcher, struct timespec now)
+{
+  bool is_same;
+  unsigned armed;
+
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      if (!report_is_newer (&switcher->ranks[i]))
+        return;
+    }
+  armed = count_armed (switcher, &is_same);
+  if (armed > 0 && (armed < switcher->rank_count || !is_same))
+    {
+      enter (switcher, SWITCHER_DISARMING, now);
+      return;
+    }
+  if (release_all (switcher, now))
+    settle (switcher, now);
+}
+
+static void
+disarm (switcher_t *switcher, struct timespec now)
+{
+  bool is_free = true;
+
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      rank_view_t *view = &switcher->ranks[i];
+
+      if (!report_is_newer (view))
+        is_free = false;
+      else if (view->report.is_armed)
+        {
+          is_free = false;
+          if (may_repeat (view, now))
+            send_order (switcher, i, RANK_DISARM, 0);
+        }
+    }
+  if (is_free)
+    enter (switcher, SWITCHER_RESOLVING, now);
+}
+
+static void
+give_up (switcher_t *switcher, const char *reason, struct timespec now)
+{
+  TALLOC_FREE (switcher->map);
+  enter (switcher, SWITCHER_IDLE, now);
+  switcher->ops->on_event (SWITCHER_GIVEN_UP, reason, switcher->data);
+}
+
+static bool
+rank_has_prepared (const switcher_t *switcher, const rank_view_t *view)
+{
+  return view->report.has_prepared
+         && view->report.prepared == switcher->version;
+}
+
+static uint64_t
+newest_step (const switcher_t *switcher)
+{
+  uint64_t step = 0;
+
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      if (switcher->ranks[i].report.step > step)
+        step = switcher->ranks[i].report.step;
+    }
+  return step;
+}
+
+/* The step at which the group is to be held and to switch: far enough ahead
+   for the orders to arrive before it begins.  */
+static uint64_t
+step_ahead (const switcher_t *switcher)
+{
+  uint64_t ahead = (uint64_t)(AHEAD_MS / switcher->step_ms) + 2;
+
+  if (ahead > AHEAD_MOST_STEPS)
+    ahead = AHEAD_MOST_STEPS;
+  return newest_step (switcher) + ahead;
+}
+
+static void
+prepare (switcher_t *switcher, struct timespec now)
+{
+  unsigned prepared = 0;
+
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      rank_view_t *view = &switcher->ranks[i];
+
+      if (rank_has_prepared (switcher, view))
+        prepared++;
+      else if (view->is_refused && report_is_newer (view))
+        {
+          give_up (switcher, "prepare-refused", now);
+          return;
+        }
+      else if (!view->is_refused && may_send (view, now))
+        send_order (switcher, i, RANK_PREPARE, 0);
+    }
+  if (prepared == switcher->rank_count)
+    enter (switcher, SWITCHER_HOLDING, now);
+  else if (phase_ms (switcher, now) > PREPARE_TIMEOUT_MS)
+    give_up (switcher, "prepare-timeout", now);
+}
+
+static void
+hold (switcher_t *switcher, struct timespec now)
+{
+  rank_view_t *view = &switcher->ranks[switcher->holder];
+
+  if (view->is_done)
+    {
+      enter (switcher, SWITCHER_ARMING, now);
+      return;
+    }
+  if (!switcher->may_be_held && phase_ms (switcher, now) > HOLD_TIMEOUT_MS)
+    {
+      give_up (switcher, "hold-timeout", now);
+      return;
+    }
+  if (!may_send (view, now))
+    return;
+  if (!switcher->may_be_held)
+    switcher->step = step_ahead (switcher);
+  switcher->may_be_held = true;
+  send_order (switcher, switcher->holder, RANK_HOLD, switcher->step);
+}
+
+static void
+arm (switcher_t *switcher, struct timespec now)
+{
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      if (may_send (&switcher->ranks[i], now))
+        send_order (switcher, i, RANK_ARM, switcher->step);
+    }
+  if (all_done (switcher))
+    enter (switcher, SWITCHER_RELEASING, now);
+}
+
+static void
+release (switcher_t *switcher, struct timespec now)
+{
+  rank_view_t *view = &switcher->ranks[switcher->holder];
+
+  if (!view->is_done)
+    {
+      if (may_send (view, now))
+        send_order (switcher, switcher->holder, RANK_GO, switcher->step);
+      return;
+    }
+  switcher->may_be_held = false;
+  TALLOC_FREE (switcher->map);
+  enter (switcher, SWITCHER_IDLE, now);
+  switcher->ops->on_event (SWITCHER_SWITCHED, "", switcher->data);
+}
+
+/* Take the next steps.  To be called a few times a second, besides after each
+   report and verdict.  */
+void
+switcher_tick (switcher_t *switcher, struct timespec now)
+{
+  switch (switcher->phase)
+    {
+    case SWITCHER_CLAIMING:
+      claim (switcher, now);
+      break;
+    case SWITCHER_RESOLVING:
+      resolve (switcher, now);
+      break;
+    case SWITCHER_DISARMING:
+      disarm (switcher, now);
+      break;
+    case SWITCHER_PREPARING:
+      prepare (switcher, now);
+      break;
+    case SWITCHER_HOLDING:
+      hold (switcher, now);
+      break;
+    case SWITCHER_ARMING:
+      arm (switcher, now);
+      break;
+    case SWITCHER_RELEASING:
+      release (switcher, now);
+      break;
+    case SWITCHER_OFF:
+    case SWITCHER_IDLE:
+    case SWITCHER_PHASE_COUNT:
+      break;
+    }
+}
+
+/* Return whether a switch may start: nothing is under way and all ranks have
+   reported lately.  */
+bool
+switcher_is_ready (const switcher_t *switcher, struct timespec now)
+{
+  if (switcher->phase != SWITCHER_IDLE || !all_known (switcher))
+    return false;
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      const rank_view_t *view = &switcher->ranks[i];
+
+      if (view->is_pending || view->report.is_armed || view->report.is_held
+          || !report_is_newer (view)
+          || timespec_to_ms (timespec_subtract (now, view->reported_at))
+                 > FRESH_MS)
+        return false;
+    }
+  return true;
+}
+
+/* Start to switch to MAP.  Returns false, and does nothing, unless
+   switcher_is_ready.  */
+bool
+switcher_start (switcher_t *switcher, const placement_map_t *map,
+                struct timespec now)
+{
+  size_t slots
+      = (size_t)map->shape.layers * map->shape.ranks * map->shape.slots;
+
+  if (!switcher_is_ready (switcher, now))
+    return false;
+  switcher->map = talloc_zero (switcher, placement_map_t);
+  switcher->map->shape = map->shape;
+  switcher->map->slots
+      = talloc_memdup (switcher->map, map->slots, slots * sizeof *map->slots);
+  switcher->version = switcher->term * FENCES_A_TERM + ++switcher->switches;
+  enter (switcher, SWITCHER_PREPARING, now);
+  switcher_tick (switcher, now);
+  return true;
+}
+
+/* The group formed anew.  Its engines have forgotten maps, fences and what
+   they were ordered; late orders name the old epoch.  */
+static void
+restart (switcher_t *switcher, uint64_t epoch, struct timespec now)
+{
+  bool was_leading = switcher->phase != SWITCHER_OFF;
+
+  switcher->epoch = epoch;
+  switcher->may_be_held = false;
+  TALLOC_FREE (switcher->map);
+  if (!was_leading)
+    return;
+  begin_round (switcher, now);
+  switcher->ops->on_event (SWITCHER_RESTARTED, "", switcher->data);
+}
+
+/* Learn how long a step takes from reports of the own engine.  */
+static void
+note_pace (switcher_t *switcher, uint64_t step, struct timespec now)
+{
+  static const double weight = 0.3;
+  double passed_ms
+      = (double)timespec_to_us (timespec_subtract (now, switcher->paced_at))
+        / 1000;
+
+  if (step > switcher->paced_step && switcher->paced_step > 0
+      && passed_ms < 1000)
+    switcher->step_ms += weight
+                         * (passed_ms / (double)(step - switcher->paced_step)
+                            - switcher->step_ms);
+  if (step == switcher->paced_step && passed_ms < 1000)
+    return;
+  switcher->paced_step = step;
+  switcher->paced_at = now;
+}
+
+/* Take in what the engine of RANK reports.  It was asked after all orders up
+   to AFTER_TICKET were over.  */
+void
+switcher_note_report (switcher_t *switcher, unsigned rank,
+                      const rank_report_t *report, uint64_t after_ticket,
+                      struct timespec now)
+{
+  rank_view_t *view;
+
+  if (rank >= switcher->rank_count || report->epoch < switcher->epoch)
+    return;
+  if (report->epoch > switcher->epoch)
+    restart (switcher, report->epoch, now);
+  view = &switcher->ranks[rank];
+  view->report = *report;
+  view->report.group = "";
+  view->reported_at = now;
+  view->after_ticket = after_ticket;
+  view->is_known = true;
+  if (rank == switcher->own_rank)
+    note_pace (switcher, report->step, now);
+  switcher_tick (switcher, now);
+}
+
+/* An order to hold was refused: the step has begun already, or the engine is
+   held elsewhere.  Try a later step once newer reports have come.  */
+static void
+retry_hold (switcher_t *switcher, struct timespec now)
+{
+  switcher->may_be_held = false;
+  if (phase_ms (switcher, now) > HOLD_TIMEOUT_MS)
+    give_up (switcher, "hold-refused", now);
+  else
+    switcher->ranks[switcher->holder].again_at
+        = timespec_add (now, timespec_from_ms (RESEND_MS));
+}
+
+static void
+note_conflict (switcher_t *switcher, rank_view_t *view, struct timespec now)
+{
+  switch (switcher->phase)
+    {
+    case SWITCHER_PREPARING:
+      /* It may have been prepared by an order that seemed lost; the reports
+         tell, and the timeout ends it otherwise.  */
+      view->again_at
+          = timespec_add (now, timespec_from_ms (PREPARE_TIMEOUT_MS));
+      break;
+    case SWITCHER_HOLDING:
+      retry_hold (switcher, now);
+      break;
+    case SWITCHER_ARMING:
+      /* Nobody may switch: a new round makes all earlier orders void.  */
+      TALLOC_FREE (switcher->map);
+      begin_round (switcher, now);
+      switcher->ops->on_event (SWITCHER_GIVEN_UP, "arm-refused",
+                               switcher->data);
+      break;
+    default:
+      view->again_at = timespec_add (now, timespec_from_ms (RESEND_MS));
+      break;
+    }
+}
+
+/* Take in what became of the order with TICKET to RANK.  */
+void
+switcher_note_verdict (switcher_t *switcher, unsigned rank, uint64_t ticket,
+                       rank_verdict_t verdict, struct timespec now)
+{
+  rank_view_t *view;
+
+  if (rank >= switcher->rank_count)
+    return;
+  view = &switcher->ranks[rank];
+  if (!view->is_pending || view->ticket != ticket)
+    return;
+  view->is_pending = false;
+  if (verdict == RANK_DONE || verdict == RANK_CONFLICT
+      || verdict == RANK_MALFORMED)
+    view->over_ticket = ticket;
+  if (switcher->phase == SWITCHER_OFF)
+    return;
+  switch (verdict)
+    {
+    case RANK_DONE:
+      if (view->sent_in == switcher->stage)
+        view->is_done = true;
+      break;
+    case RANK_FENCED:
+      switcher->phase = SWITCHER_OFF;
+      switcher->ops->on_event (SWITCHER_DEPOSED, "", switcher->data);
+      return;
+    case RANK_CONFLICT:
+    case RANK_MALFORMED:
+      if (view->sent_in == switcher->stage)
+        note_conflict (switcher, view, now);
+      break;
+    case RANK_UNREACHABLE:
+    case RANK_LOST:
+    case RANK_VERDICT_COUNT:
+      view->again_at = timespec_add (now, timespec_from_ms (RESEND_MS));
+      break;
+    }
+  switcher_tick (switcher, now);
+}
--- a/plugins/placement/layer.c
+++ b/plugins/placement/layer.c
@@ -19,6 +19,9 @@
 
   replica->rank = rank;
   replica->slot = slot;
+  replica->expert = from->expert;
+  if (from->expert == PLACEMENT_FREE)
+    return;
   LIST_INSERT_HEAD (&layer->ranks[rank].replicas, replica, rank_link);
   layer_attach (layer, replica, from->expert);
   replica->load = from->share;
@@ -245,12 +248,15 @@
   for (unsigned i = 0; i < layer->shape.ranks * layer->shape.slots; i++)
     {
       const replica_t *replica = &layer->replicas[i];
-      const layer_expert_t *expert = &layer->experts[replica->expert];
       placement_slot_t *slot
           = placement_map_slot (map, index, replica->rank, replica->slot);
-      double part = replica->load / expert->popularity;
+      double part;
 
       slot->expert = (uint16_t)replica->expert;
+      slot->share = 0;
+      if (replica->expert == PLACEMENT_FREE)
+        continue;
+      part = replica->load / layer->experts[replica->expert].popularity;
       slot->share = (uint16_t)(part * PLACEMENT_SHARE_WHOLE + 0.5);
     }
 }
--- a/plugins/placement/map.c
+++ b/plugins/placement/map.c
@@ -68,8 +68,16 @@
   return map;
 }
 
-/* Return whether every slot of MAP holds an existing expert and every expert
-   has a slot that gets tokens.  */
+static bool
+slot_is_valid (const placement_slot_t *slot, const placement_shape_t *shape)
+{
+  if (slot->expert == PLACEMENT_FREE)
+    return slot->share == 0;
+  return slot->expert < shape->experts;
+}
+
+/* Return whether every slot of MAP is free or holds an existing expert, and
+   every expert has a slot that gets tokens.  */
 bool
 placement_map_is_valid (const placement_map_t *map)
 {
@@ -86,7 +94,7 @@
         {
           const placement_slot_t *slot = &map->slots[layer * slots + i];
 
-          is_valid = is_valid && slot->expert < shape->experts;
+          is_valid = is_valid && slot_is_valid (slot, shape);
           if (is_valid && slot->share > 0)
             is_held[slot->expert] = true;
         }
@@ -97,9 +105,10 @@
   return is_valid;
 }
 
-static bool
-rank_holds (const placement_map_t *map, unsigned layer, unsigned rank,
-            unsigned expert)
+/* Return whether RANK holds EXPERT in LAYER.  */
+bool
+placement_map_holds (const placement_map_t *map, unsigned layer, unsigned rank,
+                     unsigned expert)
 {
   for (unsigned i = 0; i < map->shape.slots; i++)
     {
@@ -126,7 +135,8 @@
               unsigned expert
                   = placement_map_slot (to, layer, rank, i)->expert;
 
-              if (!rank_holds (from, layer, rank, expert))
+              if (expert != PLACEMENT_FREE
+                  && !placement_map_holds (from, layer, rank, expert))
                 moves++;
             }
         }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -37,13 +37,13 @@
 } group_t;
 
 static group_t *
-group_create (const char *policy)
+group_create_with (const char *policy, const placement_config_t *limits)
 {
   group_t *group = talloc_zero (NULL, group_t);
 
   group->ops = plugin_ops (PLUGIN_PLACEMENT, policy);
   assert_non_null (group->ops);
-  group->placement = group->ops->create (group, &shape, &config);
+  group->placement = group->ops->create (group, &shape, limits);
   group->map = placement_map_first (group, &shape);
   for (unsigned i = 0; i < 2 * EXPERTS; i++)
     group->tokens[i] = SAMPLE_TOKENS / (i % EXPERTS + 1);
@@ -55,6 +55,12 @@
   return group;
 }
 
+static group_t *
+group_create (const char *policy)
+{
+  return group_create_with (policy, &config);
+}
+
 static void
 group_plan (group_t *group)
 {
@@ -195,6 +201,145 @@
   talloc_free (group);
 }
 
+static const placement_config_t even_config
+    = { .minimum_gain = 0.02, .moves_a_rank = 2 };
+
+/* A map in which each expert is held once, and the other slots are free.  */
+static void
+group_free_spare_slots (group_t *group)
+{
+  for (unsigned layer = 0; layer < shape.layers; layer++)
+    {
+      for (unsigned i = EXPERTS; i < RANKS * SLOTS; i++)
+        *placement_map_slot (group->map, layer, i % RANKS, i / RANKS)
+            = (placement_slot_t){ .expert = PLACEMENT_FREE };
+    }
+}
+
+/* The most weights of a layer that a rank loads to go from one map to the
+   other.  */
+static unsigned
+most_loads (const placement_map_t *from, const placement_map_t *to)
+{
+  unsigned most = 0;
+
+  for (unsigned layer = 0; layer < shape.layers; layer++)
+    {
+      for (unsigned rank = 0; rank < RANKS; rank++)
+        {
+          unsigned loads = 0;
+
+          for (unsigned slot = 0; slot < SLOTS; slot++)
+            {
+              unsigned expert
+                  = placement_map_slot (to, layer, rank, slot)->expert;
+
+              if (expert != PLACEMENT_FREE
+                  && !placement_map_holds (from, layer, rank, expert))
+                loads++;
+            }
+          most = loads > most ? loads : most;
+        }
+    }
+  return most;
+}
+
+static bool
+has_replica_twice (const placement_map_t *map)
+{
+  for (unsigned layer = 0; layer < shape.layers; layer++)
+    {
+      for (unsigned rank = 0; rank < RANKS; rank++)
+        {
+          for (unsigned slot = 1; slot < SLOTS; slot++)
+            {
+              for (unsigned before = 0; before < slot; before++)
+                {
+                  unsigned expert
+                      = placement_map_slot (map, layer, rank, slot)->expert;
+
+                  if (expert != PLACEMENT_FREE
+                      && placement_map_slot (map, layer, rank, before)->expert
+                             == expert)
+                    return true;
+                }
+            }
+        }
+    }
+  return false;
+}
+
+static void
+test_even_keeps_to_what_ranks_may_load (void **state)
+{
+  group_t *group = group_create_with ("even", &even_config);
+
+  (void)state;
+  group_free_spare_slots (group);
+  assert_true (placement_map_is_valid (group->map));
+  for (unsigned i = 0; i < 8; i++)
+    {
+      const placement_map_t *before = group->map;
+
+      group_plan (group);
+      assert_true (most_loads (before, group->map)
+                   <= even_config.moves_a_rank);
+      assert_false (has_replica_twice (group->map));
+      assert_true (group->plan.time_after <= group->plan.time_before);
+    }
+  assert_true (group->plan.time_after < 1.15 * group->plan.time_bound);
+  talloc_free (group);
+}
+
+static void
+test_even_rests_when_gain_is_small (void **state)
+{
+  group_t *group = group_create_with ("even", &even_config);
+
+  (void)state;
+  group_free_spare_slots (group);
+  for (unsigned i = 0; i < 20; i++)
+    group_plan (group);
+  assert_false (group->plan.is_change);
+  assert_string_equal (group->plan.reason, "gain-too-small");
+  talloc_free (group);
+}
+
+/* Loading takes longer than the map is expected to fit.  */
+static void
+test_even_makes_no_change_that_comes_too_late (void **state)
+{
+  placement_config_t slow = even_config;
+  group_t *group;
+
+  (void)state;
+  slow.move_seconds = 10;
+  slow.horizon_seconds = 5;
+  group = group_create_with ("even", &slow);
+  group_free_spare_slots (group);
+  group_plan (group);
+  assert_false (group->plan.is_change);
+  talloc_free (group);
+}
+
+static void
+test_even_relieves_slow_rank (void **state)
+{
+  group_t *group = group_create_with ("even", &even_config);
+  double load;
+
+  (void)state;
+  group_free_spare_slots (group);
+  for (unsigned i = 0; i < 8; i++)
+    group_plan (group);
+  load = rank_load (group, SLOW_RANK);
+  group->busy_us[SLOW_RANK] = SAMPLE_TOKENS * 2;
+  for (unsigned i = 0; i < 12; i++)
+    group_plan (group);
+  assert_true (rank_load (group, SLOW_RANK) < 0.8 * load);
+  talloc_free (group);
+}
+
 int
 main (void)
 {
@@ -206,6 +351,10 @@
     cmocka_unit_test (test_incremental_rests_when_gain_is_small),
     cmocka_unit_test (test_incremental_relieves_slow_rank),
     cmocka_unit_test (test_incremental_follows_a_new_favourite),
+    cmocka_unit_test (test_even_keeps_to_what_ranks_may_load),
+    cmocka_unit_test (test_even_rests_when_gain_is_small),
+    cmocka_unit_test (test_even_makes_no_change_that_comes_too_late),
+    cmocka_unit_test (test_even_relieves_slow_rank),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
