Add pilots that keep the expert maps at what is in demand

A first version took the reported armed version for a number (it is an object with the step), so that a switch could not be seen as armed; the report has both now, and a second order to arm moves the step in the tests' engines too.

--- a/agent/group.c
+++ b/agent/group.c
@@ -1,4 +1,5 @@
 #include "agent/group.h"
+#include "common/numbers.h"
 
 #include "kernel/counter.h"
 #include "kernel/log.h"
@@ -181,8 +182,7 @@
   counts->version = group->counted_version;
   counts->work = group->work;
   counts->busy_us = group->busy_us;
-  counts->tokens
-      = group_numbers_encode (parent, group->tokens, group->token_count);
+  counts->tokens = numbers_encode (parent, group->tokens, group->token_count);
 }
 
 static void
--- a/agent/group_plan.c
+++ b/agent/group_plan.c
@@ -1,4 +1,5 @@
 #include "agent/group_plan.h"
+#include "common/numbers.h"
 
 #include "kernel/counter.h"
 #include "kernel/log.h"
@@ -183,7 +184,7 @@
   if (counts->rank >= plan->group->rank_count || !plan_have_policy (plan))
     return;
   known = &plan->ranks[counts->rank];
-  now.tokens = group_numbers_decode (plan, counts->tokens, &now.token_count);
+  now.tokens = numbers_decode (plan, counts->tokens, &now.token_count);
   if (now.tokens == NULL)
     return;
   is_same_map = known->incarnation == now.incarnation
--- a/common/config.c
+++ b/common/config.c
@@ -39,6 +39,8 @@
   { "catalog", SCHEMA_STRING, offsetof (config_t, catalog) },
   { "ingress", SCHEMA_STRING, offsetof (config_t, ingress) },
   { "egress", SCHEMA_STRING, offsetof (config_t, egress) },
+  { "service", SCHEMA_STRING, offsetof (config_t, service) },
+  { "rank_engine", SCHEMA_STRING, offsetof (config_t, rank_engine) },
   { "store_kind", SCHEMA_STRING, offsetof (config_t, store_kind) },
   { "bounds", SCHEMA_TABLE, 0, .fields = bounds_fields },
   { "workers", SCHEMA_INTEGER, offsetof (config_t, workers), .minimum = 1,
@@ -72,6 +74,8 @@
   config->catalog = "platform";
   config->ingress = "platform";
   config->egress = "platform";
+  config->service = "";
+  config->rank_engine = "platform";
   config->store_kind = "etcd";
   config->bounds.retry_ratio = default_retry_ratio;
   config->bounds.retry_extra = default_retry_extra;
--- a/common/frame.c
+++ b/common/frame.c
@@ -7,7 +7,7 @@
 enum
 {
   HEADER_FIELDS = 10, /* items before the body's fields */
-  MAX_BODY_FIELDS = 16,
+  MAX_BODY_FIELDS = 24,
   MAX_SHORT_STRING = 4096
 };
 
@@ -120,6 +120,46 @@
         UNSIGNED (map_counts.incarnation, 0), UNSIGNED (map_counts.version, 0),
         UNSIGNED (map_counts.work, 0), UNSIGNED (map_counts.busy_us, 0),
         BLOB (map_counts.tokens) } },
+  [FRAME_RANK_REPORT] = { "rank-report",
+                          { STRING (rank_report.upstream),
+                            STRING (rank_report.group),
+                            UNSIGNED (rank_report.epoch, 0),
+                            UNSIGNED (rank_report.rank, 0),
+                            UNSIGNED (rank_report.rank_count, 0),
+                            BOOLEAN (rank_report.is_open),
+                            UNSIGNED (rank_report.started_ms, 0),
+                            UNSIGNED (rank_report.step, 0),
+                            UNSIGNED (rank_report.map, 0),
+                            BOOLEAN (rank_report.has_prepared),
+                            UNSIGNED (rank_report.prepared, 0),
+                            BOOLEAN (rank_report.is_armed),
+                            UNSIGNED (rank_report.armed, 0),
+                            UNSIGNED (rank_report.armed_step, 0),
+                            BOOLEAN (rank_report.is_held),
+                            UNSIGNED (rank_report.held, 0),
+                            UNSIGNED (rank_report.running, 0),
+                            UNSIGNED (rank_report.waiting, 0),
+                            UNSIGNED (rank_report.used_tokens, 0),
+                            UNSIGNED (rank_report.total_tokens, 0),
+                            UNSIGNED (rank_report.pace_permille, 0),
+                            UNSIGNED (rank_report.after_ticket, 0) } },
+  [FRAME_RANK_ORDER]
+  = { "rank-order",
+      { UNSIGNED (rank_order.ticket, 0), UNSIGNED (rank_order.kind, 0),
+        UNSIGNED (rank_order.fence, 0), UNSIGNED (rank_order.epoch, 0),
+        UNSIGNED (rank_order.version, 0), UNSIGNED (rank_order.step, 0),
+        BLOB (rank_order.map) } },
+  [FRAME_RANK_VERDICT] = { "rank-verdict",
+                           { UNSIGNED (rank_verdict.ticket, 0),
+                             UNSIGNED (rank_verdict.verdict, 0) } },
+  [FRAME_RANK_ASK]
+  = { "rank-ask",
+      { UNSIGNED (rank_ask.ticket, 0), UNSIGNED (rank_ask.question, 0) } },
+  [FRAME_RANK_TOLD]
+  = { "rank-told",
+      { UNSIGNED (rank_told.ticket, 0), BOOLEAN (rank_told.is_known),
+        UNSIGNED (rank_told.epoch, 0), UNSIGNED (rank_told.version, 0),
+        BLOB (rank_told.numbers) } },
 };
 
 static unsigned
--- a/common/lease_key.c
+++ b/common/lease_key.c
@@ -16,6 +16,7 @@
   lease_key_options_t options;
   int64_t lease; /* 0 while there is none */
   bool is_written;
+  bool is_changed; /* the value, while it was being written */
   bool is_withdrawn;
   worker_timer_t *timer;
 };
@@ -94,8 +95,11 @@
   if (!key->is_written)
     log_event (LOG_LEVEL_INFO, "registered", "key=%s lease=%lld",
                key->options.key, (long long)key->lease);
-  key->is_written = true;
-  lease_key_keep_later (key);
+  key->is_written = !key->is_changed;
+  if (key->is_written)
+    lease_key_keep_later (key);
+  else
+    lease_key_act (key);
 }
 
 static void
@@ -116,6 +120,7 @@
   store_txn_t *txn = store_txn_create (key);
   status_t status;
 
+  key->is_changed = false;
   store_txn_then (txn, STORE_PUT, key->options.key, key->options.value)->lease
       = key->lease;
   status = key->options.store_ops->transact (key->options.store, txn,
@@ -163,6 +168,18 @@
   return key;
 }
 
+/* Have the key hold VALUE from now on.  */
+void
+lease_key_set_value (lease_key_t *key, const char *value)
+{
+  talloc_free ((char *)key->options.value);
+  key->options.value = talloc_strdup (key, value);
+  key->is_written = false;
+  key->is_changed = true;
+  if (key->timer != NULL)
+    lease_key_act_in (key, 0);
+}
+
 static void
 lease_key_on_ended (status_t status, int64_t lease, void *data)
 {
--- /dev/null
+++ b/common/numbers.c
@@ -0,0 +1,55 @@
+#include "common/numbers.h"
+
+#include <msgpack.h>
+
+/* Encode COUNT numbers; the result belongs to PARENT.  */
+blob_t
+numbers_encode (TALLOC_CTX *parent, const uint64_t *numbers, size_t count)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  blob_t blob;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, count);
+  for (size_t i = 0; i < count; i++)
+    msgpack_pack_uint64 (&packer, numbers[i]);
+  blob = (blob_t){ .data = talloc_memdup (parent, buffer.data, buffer.size),
+                   .size = buffer.size };
+  msgpack_sbuffer_destroy (&buffer);
+  return blob;
+}
+
+/* Decode numbers into an array that belongs to PARENT.  Returns NULL when
+   ENCODED is malformed.  */
+uint64_t *
+numbers_decode (TALLOC_CTX *parent, blob_t encoded, size_t *count)
+{
+  msgpack_unpacked unpacked;
+  uint64_t *numbers = NULL;
+  size_t offset = 0;
+  bool is_right;
+
+  msgpack_unpacked_init (&unpacked);
+  is_right
+      = msgpack_unpack_next (&unpacked, encoded.data, encoded.size, &offset)
+            == MSGPACK_UNPACK_SUCCESS
+        && unpacked.data.type == MSGPACK_OBJECT_ARRAY;
+  if (is_right)
+    {
+      *count = unpacked.data.via.array.size;
+      numbers = talloc_zero_array (parent, uint64_t, *count + 1);
+      for (size_t i = 0; is_right && i < *count; i++)
+        {
+          const msgpack_object *item = &unpacked.data.via.array.ptr[i];
+
+          is_right = item->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+          numbers[i] = item->via.u64;
+        }
+    }
+  if (!is_right)
+    TALLOC_FREE (numbers);
+  msgpack_unpacked_destroy (&unpacked);
+  return numbers;
+}
--- a/common/store_mirror.c
+++ b/common/store_mirror.c
@@ -165,8 +165,8 @@
       node = table_next (mirror->keys, node);
       if (!key->is_seen)
         {
-          store_entry_t gone = { .key = key->name,
-                                 .mod_revision = mirror->read_revision };
+          store_entry_t gone
+              = { .key = key->name, .mod_revision = mirror->read_revision };
 
           mirror->ops->on_change (&gone, mirror->data);
           mirror_forget (mirror, key);
@@ -252,10 +252,10 @@
     mirror_take (mirror, entry);
   if (changes->revision > mirror->revision)
     mirror->revision = changes->revision;
-  mirror_ask_in (mirror,
-                 timespec_subtract (timespec_add (mirror->asked_at,
-                                                  mirror->options.pace),
-                                    mirror_now (mirror)));
+  mirror_ask_in (
+      mirror,
+      timespec_subtract (timespec_add (mirror->asked_at, mirror->options.pace),
+                         mirror_now (mirror)));
 }
 
 static status_t
--- /dev/null
+++ b/common/term.c
@@ -0,0 +1,236 @@
+#include "common/term.h"
+
+#include "kernel/log.h"
+
+#include <string.h>
+
+enum
+{
+  KEEP_DIVISOR = 3, /* renewals within the duration of a lease */
+  RETRY_MS = 900
+};
+
+struct term
+{
+  worker_t *worker;
+  term_options_t options;
+  const term_ops_t *ops;
+  void *data;
+  bool is_sought;
+  bool is_held;
+  bool is_asking; /* a call is under way */
+  int64_t lease;  /* 0 for none */
+  worker_timer_t *timer;
+};
+
+static void term_act (term_t *term);
+
+static void
+term_handle_timer (worker_t *worker, void *data)
+{
+  term_t *term = data;
+
+  (void)worker;
+  term->timer = NULL;
+  term_act (term);
+}
+
+static void
+term_act_in (term_t *term, int64_t delay_ms)
+{
+  TALLOC_FREE (term->timer);
+  term->timer
+      = worker_timer_start (term->worker, term, timespec_from_ms (delay_ms),
+                            term_handle_timer, term);
+}
+
+static void
+term_lose (term_t *term)
+{
+  bool was_held = term->is_held;
+
+  term->lease = 0;
+  term->is_held = false;
+  if (was_held)
+    term->ops->on_lost (term->data);
+}
+
+static void
+term_on_ended (status_t status, int64_t lease, void *data)
+{
+  const term_t *term = data;
+
+  (void)lease;
+  log_event (LOG_LEVEL_INFO, "term-left", "key=%s status=%s",
+             term->options.key, status_name (status));
+}
+
+static void
+term_end_lease (term_t *term, int64_t lease)
+{
+  if (lease != 0 && term->options.store_ops->end_lease != NULL)
+    term->options.store_ops->end_lease (term->options.store, lease,
+                                        term_on_ended, term);
+}
+
+static void
+term_on_granted (status_t status, int64_t lease, void *data)
+{
+  term_t *term = data;
+
+  term->is_asking = false;
+  if (!term->is_sought)
+    {
+      term_end_lease (term, lease);
+      return;
+    }
+  if (status != STATUS_OK)
+    {
+      term_act_in (term, RETRY_MS);
+      return;
+    }
+  term->lease = lease;
+  term_act (term);
+}
+
+static void
+term_win (term_t *term, uint64_t fence)
+{
+  term->is_held = true;
+  term_act_in (term, timespec_to_ms (term->options.duration) / KEEP_DIVISOR);
+  term->ops->on_won (fence, term->data);
+}
+
+/* The key is there already: somebody else's, or this process's own, from a
+   write whose answer was lost.  */
+static void
+term_note_holder (term_t *term, const store_entry_t *entry)
+{
+  if (entry != NULL && strcmp (entry->value, term->options.holder) == 0
+      && entry->lease == term->lease)
+    term_win (term, (uint64_t)entry->mod_revision);
+  else
+    term_act_in (term, RETRY_MS);
+}
+
+static void
+term_on_written (status_t status, const store_result_t *result, void *data)
+{
+  term_t *term = data;
+
+  term->is_asking = false;
+  if (!term->is_sought)
+    return;
+  if (status == STATUS_NOT_FOUND)
+    term->lease = 0;
+  if (status != STATUS_OK)
+    term_act_in (term, RETRY_MS);
+  else if (result->succeeded)
+    term_win (term, (uint64_t)result->revision);
+  else
+    term_note_holder (term, store_result_entry (result, 0));
+}
+
+static void
+term_on_kept (status_t status, int64_t lease, void *data)
+{
+  term_t *term = data;
+
+  (void)lease;
+  term->is_asking = false;
+  if (!term->is_sought)
+    return;
+  if (status == STATUS_NOT_FOUND)
+    term_lose (term);
+  term_act_in (term, timespec_to_ms (term->options.duration) / KEEP_DIVISOR);
+}
+
+static status_t
+term_write (term_t *term)
+{
+  const term_options_t *options = &term->options;
+  store_txn_t *txn = store_txn_create (term);
+  status_t status;
+
+  store_txn_if_absent (txn, options->key);
+  store_txn_then (txn, STORE_PUT, options->key, options->holder)->lease
+      = term->lease;
+  store_txn_else (txn, STORE_GET, options->key, NULL);
+  status = options->store_ops->transact (options->store, txn, term_on_written,
+                                         term);
+  store_txn_destroy (txn);
+  return status;
+}
+
+/* Take the next step: a lease, then the key, then renewals.  */
+static void
+term_act (term_t *term)
+{
+  const term_options_t *options = &term->options;
+  status_t status;
+
+  if (!term->is_sought || term->is_asking)
+    return;
+  term->is_asking = true;
+  if (term->lease == 0)
+    status = options->store_ops->grant (options->store, options->duration,
+                                        term_on_granted, term);
+  else if (!term->is_held)
+    status = term_write (term);
+  else
+    status = options->store_ops->keep_alive (options->store, term->lease,
+                                             term_on_kept, term);
+  if (status == STATUS_OK)
+    return;
+  term->is_asking = false;
+  term_act_in (term, RETRY_MS);
+}
+
+/* Create a term that is not sought yet.  The store is destroyed before the
+   term.  Returns NULL when memory is exhausted.  */
+term_t *
+term_create (TALLOC_CTX *parent, worker_t *worker,
+             const term_options_t *options, const term_ops_t *ops, void *data)
+{
+  term_t *term = talloc_zero (parent, term_t);
+
+  if (term == NULL)
+    return NULL;
+  term->worker = worker;
+  term->options = *options;
+  term->options.key = talloc_strdup (term, options->key);
+  term->options.holder = talloc_strdup (term, options->holder);
+  term->ops = ops;
+  term->data = data;
+  return term;
+}
+
+/* Try to win the term, as long as it takes, and keep it then.  */
+void
+term_seek (term_t *term)
+{
+  if (term->is_sought)
+    return;
+  term->is_sought = true;
+  term_act (term);
+}
+
+/* Give the term up, or stop to try.  on_lost does not run.  */
+void
+term_leave (term_t *term)
+{
+  if (!term->is_sought)
+    return;
+  term->is_sought = false;
+  term->is_held = false;
+  TALLOC_FREE (term->timer);
+  term_end_lease (term, term->lease);
+  term->lease = 0;
+}
+
+/* Return whether the term is held.  */
+bool
+term_is_held (const term_t *term)
+{
+  return term->is_held;
+}
--- a/include/agent/group_maps.h
+++ b/include/agent/group_maps.h
@@ -17,9 +17,4 @@
                           uint64_t first, uint64_t second);
 status_t group_maps_decode (group_maps_t *maps, blob_t encoded);
 
-blob_t group_numbers_encode (TALLOC_CTX *parent, const uint64_t *numbers,
-                             size_t count);
-uint64_t *group_numbers_decode (TALLOC_CTX *parent, blob_t encoded,
-                                size_t *count);
-
 #endif
--- a/include/common/config.h
+++ b/include/common/config.h
@@ -23,7 +23,8 @@
   const char *zone;
   const char *listen;     /* frames from peers (agent) or HTTP (entry) */
   const char *admin;      /* counters and health, by HTTP */
-  const char *upstream;   /* agent only: URL of the upstream beside it */
+  const char *upstream;   /* agent: URL of the upstream beside it; pilot: its
+                            ADDRESS:PORT */
   const char *engine;     /* agent of a rank only: name of an engine plug-in */
   const char *ready;      /* relay only: where readiness is told by HTTP */
   const char *region;     /* relay only */
@@ -31,7 +32,9 @@
   const char *catalog;    /* relay only: name of a catalog plug-in */
   const char *ingress;    /* relay only: name of an ingress plug-in */
   const char *egress;     /* relay only: name of an egress plug-in */
-  const char *store_kind; /* name of a store plug-in */
+  const char *service;    /* pilot only: of the upstream beside it */
+  const char *rank_engine;  /* pilot only: name of a rank-engine plug-in */
+  const char *store_kind;   /* name of a store plug-in */
   platform_bounds_t bounds; /* relay only */
   int64_t workers;
   schema_strings_t store; /* URLs */
--- a/include/common/frame.h
+++ b/include/common/frame.h
@@ -42,6 +42,11 @@
   FRAME_MAP_ORDER,
   FRAME_MAP_REPLY,
   FRAME_MAP_COUNTS,
+  FRAME_RANK_REPORT,
+  FRAME_RANK_ORDER,
+  FRAME_RANK_VERDICT,
+  FRAME_RANK_ASK,
+  FRAME_RANK_TOLD,
   FRAME_TYPE_COUNT
 } frame_type_t;
 
@@ -183,6 +188,66 @@
   blob_t tokens;    /* by layer and slot */
 } frame_map_counts_t;
 
+/* What a rank's engine reports, from its pilot; see rank_report_t.  */
+typedef struct frame_rank_report
+{
+  const char *upstream; /* address of the engine */
+  const char *group;
+  uint64_t epoch;
+  uint64_t rank;
+  uint64_t rank_count;
+  bool is_open;
+  uint64_t started_ms;
+  uint64_t step;
+  uint64_t map;
+  bool has_prepared;
+  uint64_t prepared;
+  bool is_armed;
+  uint64_t armed;
+  uint64_t armed_step;
+  bool is_held;
+  uint64_t held;
+  uint64_t running;
+  uint64_t waiting;
+  uint64_t used_tokens;
+  uint64_t total_tokens;
+  uint64_t pace_permille;
+  uint64_t after_ticket; /* the receiver's orders up to it were over before */
+} frame_rank_report_t;
+
+/* An order to a rank's engine, through its pilot; see rank_order_t.  */
+typedef struct frame_rank_order
+{
+  uint64_t ticket;
+  uint64_t kind; /* rank_order_kind_t */
+  uint64_t fence;
+  uint64_t epoch;
+  uint64_t version;
+  uint64_t step;
+  blob_t map; /* numbers: the shape and the expert of each slot */
+} frame_rank_order_t;
+
+typedef struct frame_rank_verdict
+{
+  uint64_t ticket;
+  uint64_t verdict; /* rank_verdict_t */
+} frame_rank_verdict_t;
+
+typedef struct frame_rank_ask
+{
+  uint64_t ticket;
+  uint64_t question; /* rank_question_t */
+} frame_rank_ask_t;
+
+typedef struct frame_rank_told
+{
+  uint64_t ticket;
+  bool is_known; /* false: the engine did not answer */
+  uint64_t epoch;
+  uint64_t version;
+  blob_t numbers;
+} frame_rank_told_t;
+
 typedef struct frame
 {
   frame_header_t header;
@@ -200,6 +265,11 @@
     frame_map_order_t map_order;
     frame_map_reply_t map_reply;
     frame_map_counts_t map_counts;
+    frame_rank_report_t rank_report;
+    frame_rank_order_t rank_order;
+    frame_rank_verdict_t rank_verdict;
+    frame_rank_ask_t rank_ask;
+    frame_rank_told_t rank_told;
   } body;
 } frame_t;
 
--- a/include/common/lease_key.h
+++ b/include/common/lease_key.h
@@ -22,6 +22,7 @@
 
 lease_key_t *lease_key_create (TALLOC_CTX *parent, worker_t *worker,
                                const lease_key_options_t *options);
+void lease_key_set_value (lease_key_t *key, const char *value);
 void lease_key_withdraw (lease_key_t *key);
 
 #endif
--- a/include/common/rules.h
+++ b/include/common/rules.h
@@ -94,11 +94,12 @@
   double usual_answer;    /* tokens */
   struct timespec report_lag;
   bool has_experts;
-  unsigned layers;     /* sets of layers that share a choice of experts */
-  unsigned experts;    /* of a layer set */
-  unsigned places;     /* replicas that a rank holds of a layer set */
-  unsigned spare;      /* new experts that a rank may load at a time */
-  double expert_share; /* of the work for tokens that is the experts' */
+  unsigned layers;      /* sets of layers that share a choice of experts */
+  unsigned experts;     /* of a layer set */
+  unsigned places;      /* replicas that a rank holds of a layer set */
+  unsigned spare;       /* new experts that a rank may load at a time */
+  double expert_share;  /* of the work for tokens that is the experts' */
+  double expert_load_s; /* a rank takes to load the weights of one */
   struct timespec form_time; /* until a broken group is open again */
 } engine_profile_t;
 
--- /dev/null
+++ b/include/common/term.h
@@ -0,0 +1,40 @@
+#ifndef SISKIN_COMMON_TERM_H
+#define SISKIN_COMMON_TERM_H
+
+#include "kernel/pool.h"
+#include "plugins/store.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <time.h>
+
+/* The right to lead, held by a key of the store that hangs on a lease.  Each
+   holder has a fence that is higher than those of all before it.  A holder
+   that the store cannot be reached by goes on: who takes over has the higher
+   fence, which those that are led check.  Belongs to one worker.  */
+typedef struct term term_t;
+
+typedef struct term_ops
+{
+  void (*on_won) (uint64_t fence, void *data);
+  /* The lease has ended; another may lead.  */
+  void (*on_lost) (void *data);
+} term_ops_t;
+
+typedef struct term_options
+{
+  const store_ops_t *store_ops;
+  store_t *store;
+  const char *key;
+  const char *holder;       /* unique to this run of this process */
+  struct timespec duration; /* of the lease */
+} term_options_t;
+
+term_t *term_create (TALLOC_CTX *parent, worker_t *worker,
+                     const term_options_t *options, const term_ops_t *ops,
+                     void *data);
+void term_seek (term_t *term);
+void term_leave (term_t *term);
+bool term_is_held (const term_t *term);
+
+#endif
--- /dev/null
+++ b/include/pilot/pilot.h
@@ -0,0 +1,46 @@
+#ifndef SISKIN_PILOT_PILOT_H
+#define SISKIN_PILOT_PILOT_H
+
+#include "common/daemon.h"
+#include "common/lease_key.h"
+#include "common/link.h"
+#include "plugins/catalog.h"
+#include "plugins/rank_engine.h"
+#include "plugins/store.h"
+
+#include <sys/queue.h>
+
+/* Pilots register under this, within the part of the store that is the
+   system's own.  The value is "LINK-ADDRESS UPSTREAM-ADDRESS GROUP".  */
+#define PILOT_KEYS "pilots/"
+/* The leader of a group holds a key under this.  */
+#define LEADER_KEYS "leaders/"
+
+typedef struct reporter reporter_t;
+typedef struct servant servant_t;
+typedef struct leader leader_t;
+
+/* The process beside one upstream.  All of it belongs to worker 0.  */
+typedef struct pilot
+{
+  daemon_t *daemon;
+  node_t *node;
+  worker_t *worker;
+  const clock_source_t *clock;
+  const catalog_ops_t *catalog_ops;
+  const store_ops_t *store_ops;
+  const rank_engine_ops_t *engine_ops;
+  store_t *store;
+  rank_engine_t *engine;     /* the own one */
+  lease_key_t *registration; /* NULL until the first report */
+  char *registered;          /* what it says */
+  reporter_t *reporter;
+  servant_t *servant;
+  leader_t *leader;
+} pilot_t;
+
+struct timespec pilot_now (const pilot_t *pilot);
+const char *pilot_upstream (const pilot_t *pilot);
+void pilot_note_report (pilot_t *pilot, const rank_report_t *report);
+
+#endif
--- /dev/null
+++ b/include/pilot/planner.h
@@ -0,0 +1,27 @@
+#ifndef SISKIN_PILOT_PLANNER_H
+#define SISKIN_PILOT_PLANNER_H
+
+#include "common/rules.h"
+#include "plugins/placement.h"
+#include "plugins/rank_engine.h"
+
+#include <talloc.h>
+
+/* Turns what the ranks count into the next expert map.  */
+typedef struct planner planner_t;
+
+planner_t *planner_create (TALLOC_CTX *parent, const engine_profile_t *engine,
+                           unsigned rank_count);
+void planner_destroy (planner_t *planner);
+void planner_forget_map (planner_t *planner);
+bool planner_has_map (const planner_t *planner);
+bool planner_note_held (planner_t *planner, unsigned rank,
+                        const rank_told_t *told);
+void planner_note_counts (planner_t *planner, unsigned rank,
+                          const rank_told_t *told);
+void planner_note_pace (planner_t *planner, unsigned rank, double pace);
+bool planner_plan (planner_t *planner, TALLOC_CTX *parent,
+                   placement_plan_t *plan);
+void planner_adopt (planner_t *planner, const placement_map_t *map);
+
+#endif
--- a/include/plugins/rank_engine.h
+++ b/include/plugins/rank_engine.h
@@ -30,6 +30,7 @@
   uint64_t prepared; /* version whose weights are loaded */
   bool is_armed;
   uint64_t armed; /* version that the engine will switch to */
+  uint64_t armed_step; /* as it begins this step */
   bool is_held;
   uint64_t held; /* step that the group does not begin */
   uint64_t running;
--- /dev/null
+++ b/pilot/rank_codec.c
@@ -0,0 +1,193 @@
+#include "pilot/rank_codec.h"
+
+#include "common/numbers.h"
+
+enum
+{
+  SHAPE_NUMBERS = 4,
+  PERMILLE = 1000
+};
+
+static const char *const order_names[RANK_ORDER_KIND_COUNT] = {
+  [RANK_PREPARE] = "prepare", [RANK_ARM] = "arm", [RANK_DISARM] = "disarm",
+  [RANK_HOLD] = "hold",       [RANK_GO] = "go",
+};
+
+static const char *const verdict_names[RANK_VERDICT_COUNT] = {
+  [RANK_DONE] = "done",
+  [RANK_CONFLICT] = "conflict",
+  [RANK_FENCED] = "fenced",
+  [RANK_MALFORMED] = "malformed",
+  [RANK_UNREACHABLE] = "unreachable",
+  [RANK_LOST] = "lost",
+};
+
+/* Return the name of KIND for the log.  */
+const char *
+rank_order_name (rank_order_kind_t kind)
+{
+  return order_names[kind];
+}
+
+/* Return the name of VERDICT for the log.  */
+const char *
+rank_verdict_name (rank_verdict_t verdict)
+{
+  return verdict_names[verdict];
+}
+
+/* Make FRAME the report of the engine at UPSTREAM.  */
+void
+rank_report_to_frame (const rank_report_t *report, const char *upstream,
+                      uint64_t after_ticket, frame_t *frame)
+{
+  *frame = (frame_t){
+    .header.type = FRAME_RANK_REPORT,
+    .body.rank_report = {
+      .upstream = upstream,
+      .group = report->group,
+      .epoch = report->epoch,
+      .rank = report->rank,
+      .rank_count = report->rank_count,
+      .is_open = report->is_open,
+      .started_ms = (uint64_t)report->started_ms,
+      .step = report->step,
+      .map = report->map,
+      .has_prepared = report->has_prepared,
+      .prepared = report->prepared,
+      .is_armed = report->is_armed,
+      .armed = report->armed,
+          .armed_step = report->armed_step,
+      .is_held = report->is_held,
+      .held = report->held,
+      .running = report->running,
+      .waiting = report->waiting,
+      .used_tokens = report->used_tokens,
+      .total_tokens = report->total_tokens,
+      .pace_permille = (uint64_t)(report->pace * PERMILLE),
+      .after_ticket = after_ticket,
+    },
+  };
+}
+
+/* Read a report; its text belongs to the frame.  */
+void
+rank_report_from_frame (const frame_rank_report_t *body, rank_report_t *report)
+{
+  *report = (rank_report_t){
+    .group = body->group,
+    .epoch = body->epoch,
+    .rank = body->rank,
+    .rank_count = body->rank_count,
+    .is_open = body->is_open,
+    .started_ms = (int64_t)body->started_ms,
+    .step = body->step,
+    .map = body->map,
+    .has_prepared = body->has_prepared,
+    .prepared = body->prepared,
+    .is_armed = body->is_armed,
+    .armed = body->armed,
+    .armed_step = body->armed_step,
+    .is_held = body->is_held,
+    .held = body->held,
+    .running = body->running,
+    .waiting = body->waiting,
+    .used_tokens = body->used_tokens,
+    .total_tokens = body->total_tokens,
+    .pace = (double)body->pace_permille / PERMILLE,
+  };
+}
+
+static size_t
+map_slot_count (const placement_shape_t *shape)
+{
+  return (size_t)shape->layers * shape->ranks * shape->slots;
+}
+
+static blob_t
+map_encode (TALLOC_CTX *parent, const placement_map_t *map)
+{
+  size_t slots = map_slot_count (&map->shape);
+  uint64_t *numbers = talloc_array (parent, uint64_t, SHAPE_NUMBERS + slots);
+  blob_t blob;
+
+  numbers[0] = map->shape.layers;
+  numbers[1] = map->shape.ranks;
+  numbers[2] = map->shape.experts;
+  numbers[3] = map->shape.slots;
+  for (size_t i = 0; i < slots; i++)
+    numbers[SHAPE_NUMBERS + i] = map->slots[i].expert;
+  blob = numbers_encode (parent, numbers, SHAPE_NUMBERS + slots);
+  talloc_free (numbers);
+  return blob;
+}
+
+static placement_map_t *
+map_decode (TALLOC_CTX *parent, blob_t encoded)
+{
+  size_t count = 0;
+  uint64_t *numbers = numbers_decode (parent, encoded, &count);
+  placement_map_t *map = NULL;
+
+  if (numbers != NULL && count >= SHAPE_NUMBERS
+      && numbers[0] <= PLACEMENT_MAX_LAYERS
+      && numbers[1] <= PLACEMENT_MAX_RANKS
+      && numbers[2] <= PLACEMENT_MAX_EXPERTS
+      && numbers[3] <= PLACEMENT_MAX_SLOTS)
+    {
+      placement_shape_t shape = { .layers = (unsigned)numbers[0],
+                                  .ranks = (unsigned)numbers[1],
+                                  .experts = (unsigned)numbers[2],
+                                  .slots = (unsigned)numbers[3] };
+
+      if (count == SHAPE_NUMBERS + map_slot_count (&shape))
+        map = placement_map_create (parent, &shape);
+    }
+  for (size_t i = 0; map != NULL && i < count - SHAPE_NUMBERS; i++)
+    map->slots[i].expert = (uint16_t)numbers[SHAPE_NUMBERS + i];
+  talloc_free (numbers);
+  return map;
+}
+
+/* Make FRAME the ORDER with TICKET; what it points to belongs to PARENT.  */
+void
+rank_order_to_frame (TALLOC_CTX *parent, uint64_t ticket,
+                     const rank_order_t *order, frame_t *frame)
+{
+  *frame = (frame_t){
+    .header.type = FRAME_RANK_ORDER,
+    .body.rank_order = {
+      .ticket = ticket,
+      .kind = order->kind,
+      .fence = order->fence,
+      .epoch = order->epoch,
+      .version = order->version,
+      .step = order->step,
+    },
+  };
+  if (order->kind == RANK_PREPARE)
+    frame->body.rank_order.map = map_encode (parent, order->map);
+}
+
+/* Read an order; its map belongs to PARENT.  Returns STATUS_PROTOCOL when it
+   is malformed.  */
+status_t
+rank_order_from_frame (TALLOC_CTX *parent, const frame_rank_order_t *body,
+                       rank_order_t *order)
+{
+  if (body->kind >= RANK_ORDER_KIND_COUNT)
+    return status_set (STATUS_PROTOCOL, "unknown order to a rank");
+  *order = (rank_order_t){
+    .kind = (rank_order_kind_t)body->kind,
+    .fence = body->fence,
+    .epoch = body->epoch,
+    .version = body->version,
+    .step = body->step,
+  };
+  if (order->kind != RANK_PREPARE)
+    return STATUS_OK;
+  order->map = map_decode (parent, body->map);
+  return order->map != NULL
+             ? STATUS_OK
+             : status_set (STATUS_PROTOCOL, "an order's map is malformed");
+}
--- a/pilot/switcher.c
+++ b/pilot/switcher.c
@@ -257,8 +257,8 @@
 static unsigned
 count_armed (const switcher_t *switcher, bool *is_same)
 {
+  const rank_report_t *first = NULL;
   unsigned count = 0;
-  uint64_t version = 0;
 
   *is_same = true;
   for (unsigned i = 0; i < switcher->rank_count; i++)
@@ -267,8 +267,10 @@
 
       if (!report->is_armed)
         continue;
-      *is_same = *is_same && (count == 0 || report->armed == version);
-      version = report->armed;
+      if (first == NULL)
+        first = report;
+      *is_same = *is_same && report->armed == first->armed
+                 && report->armed_step == first->armed_step;
       count++;
     }
   return count;
@@ -619,10 +621,9 @@
   switch (switcher->phase)
     {
     case SWITCHER_PREPARING:
-      /* It may have been prepared by an order that seemed lost; the reports
-         tell, and the timeout ends it otherwise.  */
-      view->again_at
-          = timespec_add (now, timespec_from_ms (PREPARE_TIMEOUT_MS));
+      /* An order that seemed lost may have been carried out; the next report
+         tells.  */
+      view->is_refused = true;
       break;
     case SWITCHER_HOLDING:
       retry_hold (switcher, now);
--- a/tests/test_switcher.c
+++ b/tests/test_switcher.c
@@ -210,8 +210,6 @@
       engine->has_prepared = true;
       return RANK_DONE;
     case RANK_ARM:
-      if (engine->is_armed && engine->armed == order->version)
-        return RANK_DONE;
       if (!engine->has_prepared || engine->prepared != order->version
           || order->step <= world->step)
         return RANK_CONFLICT;
@@ -259,6 +257,7 @@
     .prepared = engine->prepared,
     .is_armed = engine->is_armed,
     .armed = engine->armed,
+    .armed_step = engine->armed_step,
     .is_held = engine->is_held,
     .held = engine->held,
   };
