--- a/include/plugins/placement.h
+++ b/include/plugins/placement.h
@@ -51,6 +51,8 @@
   unsigned moves_limit; /* weights loaded for one change; at least 1 */
   /* For policies that split tokens evenly; 0 for no limit or cost.  */
   unsigned moves_a_rank;  /* weights of a layer that a rank may load */
+  double gain_a_move;     /* of a layer's time, that each weight loaded must
+                             bring */
   double move_seconds;    /* a rank takes to load an expert's weights */
   double horizon_seconds; /* for how long a map is expected to fit */
 } placement_config_t;
--- a/pilot/planner.c
+++ b/pilot/planner.c
@@ -7,6 +7,9 @@
 /* A map is changed when that makes the experts' part of a step this much
    shorter.  */
 static const double least_gain = 0.04;
+/* ... and when each weight that is loaded for it saves this part of a layer's
+   time, at least.  */
+static const double least_gain_a_move = 0.06;
 /* For how long a map fits what is in demand.  */
 static const double horizon_s = 4.0;
 
@@ -37,6 +40,7 @@
   planner_t *planner = talloc_zero (parent, planner_t);
   placement_config_t config = { .minimum_gain = least_gain,
                                 .moves_a_rank = engine->spare,
+                                .gain_a_move = least_gain_a_move,
                                 .move_seconds = engine->expert_load_s,
                                 .horizon_seconds = horizon_s };
   placement_shape_t shape = { .layers = engine->layers,
--- a/plugins/placement/even.c
+++ b/plugins/placement/even.c
@@ -1,6 +1,7 @@
 #include "kernel/plugin.h"
 #include "plugins/placement.h"
 
+#include <math.h>
 #include <string.h>
 
 /* For engines that split the tokens of an expert evenly among the ranks that
@@ -16,7 +17,7 @@
 
 /* Part of the older counts in the estimate when new ones come.  */
 static const double memory = 0.35;
-/* A step has to lower the cost by this part.  */
+/* A step has to lower the time of a layer, in mean ranks, by this much.  */
 static const double least_improvement = 1e-4;
 /* Experts that got no token are not believed to be without any for good.  */
 static const double popularity_floor = 1e-5;
@@ -34,6 +35,7 @@
 {
   const placement_shape_t *shape;
   unsigned moves_a_rank;
+  double gain_a_move;
   double *popularity; /* by expert; 1 in sum */
   unsigned *replicas; /* by expert */
   bool *was_held;     /* by rank and expert: under the present map */
@@ -42,6 +44,7 @@
   const double *speed;
   unsigned *used;  /* by rank: slots */
   unsigned *fresh; /* by rank: weights to be loaded */
+  double value;    /* before the step that is tried; the less the better */
 } layer_work_t;
 
 /* A step: RANK gives up EXPERT unless it is PLACEMENT_FREE, and takes TAKEN,
@@ -54,7 +57,7 @@
   unsigned other;
   unsigned victim; /* that OTHER gives up, or PLACEMENT_FREE */
   bool is_swap;    /* RANK takes the victim */
-  double cost;
+  double gain;     /* of the layer's time, less what the loads cost */
 } step_t;
 
 static placement_t *
@@ -200,21 +203,32 @@
     add_replica (work, step->other, step->victim);
 }
 
-/* The slowest rank counts most, and the others so that steps that prepare its
-   relief are seen to help.  */
+/* Return about the slowest rank's time.  The others count a little, so that
+   steps that prepare its relief are seen to help.  */
 static double
-layer_cost (const layer_work_t *work)
+layer_time (const layer_work_t *work)
 {
-  double cost = 0;
+  double sum = 0;
 
   for (unsigned rank = 0; rank < work->shape->ranks; rank++)
     {
       double square = work->load[rank] * work->load[rank];
       double fourth = square * square;
 
-      cost += fourth * fourth;
+      sum += fourth * fourth;
     }
-  return cost;
+  return sqrt (sqrt (sqrt (sum)));
+}
+
+/* The time of the layer and what the weights to be loaded cost.  */
+static double
+layer_value (const layer_work_t *work)
+{
+  unsigned loads = 0;
+
+  for (unsigned rank = 0; rank < work->shape->ranks; rank++)
+    loads += work->fresh[rank];
+  return layer_time (work) + work->gain_a_move * loads;
 }
 
 static double
@@ -243,9 +257,9 @@
 try_step (layer_work_t *work, step_t *step, step_t *best)
 {
   take_step (work, step);
-  step->cost = layer_cost (work);
+  step->gain = work->value - layer_value (work);
   undo_step (work, step);
-  if (step->cost < best->cost)
+  if (step->gain > best->gain)
     *best = *step;
 }
 
@@ -349,7 +363,8 @@
 
   layer_slowest (work, &slowest);
   expert_count = hot_experts (work, slowest, experts);
-  best->cost = layer_cost (work) * (1 - least_improvement);
+  work->value = layer_value (work);
+  best->gain = least_improvement;
   best->rank = PLACEMENT_FREE;
   for (unsigned i = 0; i < expert_count; i++)
     {
@@ -413,6 +428,7 @@
 
   work->shape = shape;
   work->moves_a_rank = moves_a_rank;
+  work->gain_a_move = placement->config.gain_a_move;
   work->speed = placement->speed;
   work->popularity = talloc_array (work, double, shape->experts);
   work->replicas = talloc_zero_array (work, unsigned, shape->experts);
