--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -318,7 +318,7 @@
   if (exchange->channel != NULL)
     {
       exchange->channel->exchanges--;
-      http_server_tune_channel (server, exchange->channel);
+      http_server_end_exchange (server, exchange->channel);
     }
   talloc_free (exchange);
 }
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -118,12 +118,23 @@
   *state = channel;
 }
 
-/* Apply the idle timeout in force to the connection of an exchange that is
-   over.  */
+static void
+channel_close (const http_channel_t *channel)
+{
+  shutdown (MHD_get_connection_info (channel->connection,
+                                     MHD_CONNECTION_INFO_CONNECTION_FD)
+                ->connect_fd,
+            SHUT_RDWR);
+}
+
+/* An exchange on CHANNEL is over: apply the idle timeout in force, or close
+   the connection.  */
 void
-http_server_tune_channel (const http_server_t *server,
+http_server_end_exchange (const http_server_t *server,
                           const http_channel_t *channel)
 {
+  if (server->closes_idle && channel->exchanges == 0)
+    channel_close (channel);
   MHD_set_connection_option (channel->connection,
                              MHD_CONNECTION_OPTION_TIMEOUT,
                              (unsigned)idle_timeout_s (&server->limits));
@@ -302,21 +313,20 @@
   http_server_kick (server);
 }
 
-/* Close the connections on which no request is under way.  One that has just
-   come and was not read yet is lost with its connection, which tells the
-   caller that it did not run.  */
+/* Close the connections on which no request is under way, and from now on each
+   one whose request has ended.  A request that has just come and was not read
+   yet is lost with its connection, which tells the caller that it did not
+   run.  */
 void
 http_server_close_idle (http_server_t *server)
 {
   const http_channel_t *channel;
 
+  server->closes_idle = true;
   LIST_FOREACH (channel, &server->channels, link)
     {
       if (channel->exchanges == 0)
-        shutdown (MHD_get_connection_info (channel->connection,
-                                           MHD_CONNECTION_INFO_CONNECTION_FD)
-                      ->connect_fd,
-                  SHUT_RDWR);
+        channel_close (channel);
     }
 }
 
--- a/common/store_mirror.c
+++ b/common/store_mirror.c
@@ -36,6 +36,8 @@
   bool is_synced;
   bool is_in_touch;
   bool needs_read;
+  bool is_asking;  /* a call is under way */
+  bool is_retired; /* to be freed when it ends */
   int64_t retry_ms;
   struct timespec answered_at;
   struct timespec asked_at;
@@ -44,6 +46,17 @@
 
 static void mirror_ask (store_mirror_t *mirror);
 
+/* A call has ended.  Returns whether the mirror lives on.  */
+static bool
+mirror_end_call (store_mirror_t *mirror)
+{
+  mirror->is_asking = false;
+  if (!mirror->is_retired)
+    return true;
+  talloc_free (mirror);
+  return false;
+}
+
 static struct timespec
 mirror_now (const store_mirror_t *mirror)
 {
@@ -205,6 +218,8 @@
   const store_response_t *response;
   const store_entry_t *entry;
 
+  if (!mirror_end_call (mirror))
+    return;
   if (status != STATUS_OK)
     {
       TALLOC_FREE (mirror->read_after);
@@ -235,6 +250,8 @@
   store_mirror_t *mirror = data;
   const store_entry_t *entry;
 
+  if (!mirror_end_call (mirror))
+    return;
   if (status == STATUS_NOT_FOUND)
     {
       mirror_note_answer (mirror);
@@ -282,19 +299,21 @@
   status_t status;
 
   mirror->asked_at = mirror_now (mirror);
+  mirror->is_asking = true;
   if (mirror->needs_read)
     status = mirror_read_page (mirror);
   else
     status = ops->poll (mirror->options.store, mirror->options.prefix,
                         mirror->revision, mirror->options.pace,
                         mirror_on_changes, mirror);
-  if (status != STATUS_OK)
-    mirror_fail (mirror, status_message ());
+  if (status == STATUS_OK)
+    return;
+  mirror->is_asking = false;
+  mirror_fail (mirror, status_message ());
 }
 
-/* Follow what OPTIONS say, telling OPS of all keys first.  The store must
-   outlive the mirror's calls: it is destroyed before the mirror.  Returns NULL
-   when memory is exhausted.  */
+/* Follow what OPTIONS say, telling OPS of all keys first.  Returns NULL when
+   memory is exhausted.  */
 store_mirror_t *
 store_mirror_create (TALLOC_CTX *parent, worker_t *worker,
                      const store_mirror_options_t *options,
@@ -317,6 +336,17 @@
   return mirror;
 }
 
+/* Tell nothing more, and free MIRROR once no call is under way.  Not to be
+   called from its own operations.  */
+void
+store_mirror_destroy (store_mirror_t *mirror)
+{
+  mirror->is_retired = true;
+  TALLOC_FREE (mirror->timer);
+  if (!mirror->is_asking)
+    talloc_free (mirror);
+}
+
 /* Return whether all keys have been told once.  */
 bool
 store_mirror_is_synced (const store_mirror_t *mirror)
--- a/common/term.c
+++ b/common/term.c
@@ -18,13 +18,25 @@
   void *data;
   bool is_sought;
   bool is_held;
-  bool is_asking; /* a call is under way */
-  int64_t lease;  /* 0 for none */
+  bool is_asking;  /* a call is under way */
+  bool is_retired; /* to be freed when it ends */
+  int64_t lease;   /* 0 for none */
   worker_timer_t *timer;
 };
 
 static void term_act (term_t *term);
 
+/* A call has ended.  Returns whether the term lives on.  */
+static bool
+term_end_call (term_t *term)
+{
+  term->is_asking = false;
+  if (!term->is_retired)
+    return true;
+  talloc_free (term);
+  return false;
+}
+
 static void
 term_handle_timer (worker_t *worker, void *data)
 {
@@ -58,11 +70,9 @@
 static void
 term_on_ended (status_t status, int64_t lease, void *data)
 {
-  const term_t *term = data;
-
-  (void)lease;
-  log_event (LOG_LEVEL_INFO, "term-left", "key=%s status=%s",
-             term->options.key, status_name (status));
+  (void)data;
+  log_event (LOG_LEVEL_INFO, "lease-ended", "lease=%lld status=%s",
+             (long long)lease, status_name (status));
 }
 
 static void
@@ -70,7 +80,7 @@
 {
   if (lease != 0 && term->options.store_ops->end_lease != NULL)
     term->options.store_ops->end_lease (term->options.store, lease,
-                                        term_on_ended, term);
+                                        term_on_ended, NULL);
 }
 
 static void
@@ -78,12 +88,10 @@
 {
   term_t *term = data;
 
-  term->is_asking = false;
   if (!term->is_sought)
-    {
-      term_end_lease (term, lease);
-      return;
-    }
+    term_end_lease (term, lease);
+  if (!term_end_call (term) || !term->is_sought)
+    return;
   if (status != STATUS_OK)
     {
       term_act_in (term, RETRY_MS);
@@ -118,8 +126,7 @@
 {
   term_t *term = data;
 
-  term->is_asking = false;
-  if (!term->is_sought)
+  if (!term_end_call (term) || !term->is_sought)
     return;
   if (status == STATUS_NOT_FOUND)
     term->lease = 0;
@@ -137,8 +144,7 @@
   term_t *term = data;
 
   (void)lease;
-  term->is_asking = false;
-  if (!term->is_sought)
+  if (!term_end_call (term) || !term->is_sought)
     return;
   if (status == STATUS_NOT_FOUND)
     term_lose (term);
@@ -186,8 +192,8 @@
   term_act_in (term, RETRY_MS);
 }
 
-/* Create a term that is not sought yet.  The store is destroyed before the
-   term.  Returns NULL when memory is exhausted.  */
+/* Create a term that is not sought yet.  Returns NULL when memory is
+   exhausted.  */
 term_t *
 term_create (TALLOC_CTX *parent, worker_t *worker,
              const term_options_t *options, const term_ops_t *ops, void *data)
@@ -205,6 +211,17 @@
   return term;
 }
 
+/* Give the term up, and free TERM once no call is under way.  Not to be called
+   from its own operations.  */
+void
+term_destroy (term_t *term)
+{
+  term_leave (term);
+  term->is_retired = true;
+  if (!term->is_asking)
+    talloc_free (term);
+}
+
 /* Try to win the term, as long as it takes, and keep it then.  */
 void
 term_seek (term_t *term)
--- a/include/common/http_exchange.h
+++ b/include/common/http_exchange.h
@@ -30,6 +30,7 @@
   const http_server_ops_t *ops;
   void *data;
   http_server_limits_t limits;
+  bool closes_idle;
   struct MHD_Daemon *daemon;
   struct tevent_fd *event;
   worker_timer_t *timer;
@@ -78,7 +79,7 @@
 };
 
 void http_server_kick (http_server_t *server);
-void http_server_tune_channel (const http_server_t *server,
+void http_server_end_exchange (const http_server_t *server,
                                const http_channel_t *channel);
 void *http_exchange_create (void *data, const char *target,
                             struct MHD_Connection *connection);
--- a/include/common/term.h
+++ b/include/common/term.h
@@ -33,6 +33,7 @@
 term_t *term_create (TALLOC_CTX *parent, worker_t *worker,
                      const term_options_t *options, const term_ops_t *ops,
                      void *data);
+void term_destroy (term_t *term);
 void term_seek (term_t *term);
 void term_leave (term_t *term);
 bool term_is_held (const term_t *term);
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -87,7 +87,8 @@
   crew_destroy (leader->crew);
   leader->crew = NULL;
   TALLOC_FREE (leader->switcher);
-  TALLOC_FREE (leader->mirror);
+  store_mirror_destroy (leader->mirror);
+  leader->mirror = NULL;
   TALLOC_FREE (leader->planner);
   TALLOC_FREE (leader->planned);
   leader->is_asking = false;
@@ -326,8 +327,8 @@
   if (leader->term != NULL)
     {
       leader_end (leader, "group-changed");
-      term_leave (leader->term);
-      TALLOC_FREE (leader->term);
+      term_destroy (leader->term);
+      leader->term = NULL;
     }
   talloc_free (leader->group);
   leader->group = talloc_strdup (leader, report->group);
