Take a held group over from a leader that is not heard, and pass by silent pilots

New: signs of life from the leader four times a second, a term that can be seized from a holder that does not answer, engines that are ordered directly when their pilot leaves an order open or is away, found by asking those listed; and the planner checks that the map it starts from is the one in use (a leader that took over between two maps planned from the old one, and a rank refused each change).

--- a/common/frame.c
+++ b/common/frame.c
@@ -155,6 +155,7 @@
   [FRAME_RANK_ASK]
   = { "rank-ask",
       { UNSIGNED (rank_ask.ticket, 0), UNSIGNED (rank_ask.question, 0) } },
+  [FRAME_RANK_LED] = { "rank-led", { UNSIGNED (rank_led.over_ticket, 0) } },
   [FRAME_RANK_TOLD]
   = { "rank-told",
       { UNSIGNED (rank_told.ticket, 0), BOOLEAN (rank_told.is_known),
--- a/common/term.c
+++ b/common/term.c
@@ -17,6 +17,8 @@
   const term_ops_t *ops;
   void *data;
   bool is_sought;
+  bool is_seized;   /* to be taken from its holder */
+  int64_t revision; /* of the holder's key, while it is being taken; or 0 */
   bool is_held;
   bool is_asking;  /* a call is under way */
   bool is_retired; /* to be freed when it ends */
@@ -105,6 +107,8 @@
 term_win (term_t *term, uint64_t fence)
 {
   term->is_held = true;
+  term->is_seized = false;
+  term->revision = 0;
   term_act_in (term, timespec_to_ms (term->options.duration) / KEEP_DIVISOR);
   term->ops->on_won (fence, term->data);
 }
@@ -116,9 +120,12 @@
 {
   if (entry != NULL && strcmp (entry->value, term->options.holder) == 0
       && entry->lease == term->lease)
-    term_win (term, (uint64_t)entry->mod_revision);
-  else
-    term_act_in (term, RETRY_MS);
+    {
+      term_win (term, (uint64_t)entry->mod_revision);
+      return;
+    }
+  term->revision = entry != NULL && term->is_seized ? entry->mod_revision : 0;
+  term_act_in (term, term->revision != 0 ? 0 : RETRY_MS);
 }
 
 static void
@@ -158,7 +165,10 @@
   store_txn_t *txn = store_txn_create (term);
   status_t status;
 
-  store_txn_if_absent (txn, options->key);
+  if (term->revision != 0)
+    store_txn_if_revision (txn, options->key, term->revision);
+  else
+    store_txn_if_absent (txn, options->key);
   store_txn_then (txn, STORE_PUT, options->key, options->holder)->lease
       = term->lease;
   store_txn_else (txn, STORE_GET, options->key, NULL);
@@ -232,6 +242,22 @@
   term_act (term);
 }
 
+/* Take the term from its holder, who is in the way and does not answer: its
+   fence is void as soon as the next one has been shown.  Returns whether this
+   is new.  */
+bool
+term_seize (term_t *term)
+{
+  if (term->is_held || term->is_seized)
+    return false;
+  term->is_seized = true;
+  if (!term->is_sought)
+    term_seek (term);
+  else if (!term->is_asking)
+    term_act_in (term, 0);
+  return true;
+}
+
 /* Give the term up, or stop to try.  on_lost does not run.  */
 void
 term_leave (term_t *term)
@@ -239,6 +265,8 @@
   if (!term->is_sought)
     return;
   term->is_sought = false;
+  term->is_seized = false;
+  term->revision = 0;
   term->is_held = false;
   TALLOC_FREE (term->timer);
   term_end_lease (term, term->lease);
--- a/include/common/frame.h
+++ b/include/common/frame.h
@@ -46,6 +46,7 @@
   FRAME_RANK_ORDER,
   FRAME_RANK_VERDICT,
   FRAME_RANK_ASK,
+  FRAME_RANK_LED,
   FRAME_RANK_TOLD,
   FRAME_TYPE_COUNT
 } frame_type_t;
@@ -233,6 +234,12 @@
   uint64_t verdict; /* rank_verdict_t */
 } frame_rank_verdict_t;
 
+/* Sign of life of a group's leader.  */
+typedef struct frame_rank_led
+{
+  uint64_t over_ticket; /* the rank's orders up to it are over */
+} frame_rank_led_t;
+
 typedef struct frame_rank_ask
 {
   uint64_t ticket;
@@ -268,6 +275,7 @@
     frame_rank_report_t rank_report;
     frame_rank_order_t rank_order;
     frame_rank_verdict_t rank_verdict;
+    frame_rank_led_t rank_led;
     frame_rank_ask_t rank_ask;
     frame_rank_told_t rank_told;
   } body;
--- a/include/common/term.h
+++ b/include/common/term.h
@@ -35,6 +35,7 @@
                      void *data);
 void term_destroy (term_t *term);
 void term_seek (term_t *term);
+bool term_seize (term_t *term);
 void term_leave (term_t *term);
 bool term_is_held (const term_t *term);
 
--- a/include/pilot/planner.h
+++ b/include/pilot/planner.h
@@ -14,7 +14,7 @@
                            unsigned rank_count);
 void planner_destroy (planner_t *planner);
 void planner_forget_map (planner_t *planner);
-bool planner_has_map (const planner_t *planner);
+bool planner_has_map (const planner_t *planner, uint64_t version);
 bool planner_note_held (planner_t *planner, unsigned rank,
                         const rank_told_t *told);
 void planner_note_counts (planner_t *planner, unsigned rank,
@@ -22,6 +22,7 @@
 void planner_note_pace (planner_t *planner, unsigned rank, double pace);
 bool planner_plan (planner_t *planner, TALLOC_CTX *parent,
                    placement_plan_t *plan);
-void planner_adopt (planner_t *planner, const placement_map_t *map);
+void planner_adopt (planner_t *planner, const placement_map_t *map,
+                    uint64_t version);
 
 #endif
--- a/include/pilot/switcher.h
+++ b/include/pilot/switcher.h
@@ -64,6 +64,8 @@
 const char *switcher_phase_name (switcher_phase_t phase);
 uint64_t switcher_epoch (const switcher_t *switcher);
 uint64_t switcher_version (const switcher_t *switcher);
+uint64_t switcher_map (const switcher_t *switcher);
+void switcher_set_holder (switcher_t *switcher, unsigned rank);
 bool switcher_is_ready (const switcher_t *switcher, struct timespec now);
 
 #endif
--- a/pilot/crew.c
+++ b/pilot/crew.c
@@ -9,10 +9,10 @@
 
 enum
 {
-  VERDICT_TIMEOUT_MS = 700, /* of an order that goes through a pilot */
+  VERDICT_TIMEOUT_MS = 300, /* of an order that goes through a pilot */
   CONNECT_AGAIN_MS = 500,
   DIRECT_POLL_MS = 400,  /* of engines whose pilot cannot be reached */
-  DIRECT_AFTER_MS = 600, /* without a report of a rank */
+  DIRECT_AFTER_MS = 300, /* without a report of a rank */
   ADDRESS_BYTES = 64,
   GROUP_BYTES = 128
 };
@@ -35,6 +35,18 @@
   unsigned rank;
 } crew_pilot_t;
 
+/* An engine that is listed; which rank it is, if any of the group, has to be
+   asked while a rank has no way to it.  */
+typedef struct crew_stranger
+{
+  LIST_ENTRY (crew_stranger) entry;
+  crew_t *crew;
+  char *address;
+  rank_engine_t *engine; /* NULL unless it was asked */
+  bool is_asked;
+  struct timespec asked_at;
+} crew_stranger_t;
+
 /* A rank and the order under way there.  */
 typedef struct crew_rank
 {
@@ -43,6 +55,7 @@
   crew_pilot_t *pilot;   /* NULL when it cannot be reached */
   char *upstream;        /* address of the engine; NULL until it is known */
   rank_engine_t *engine; /* to reach it directly; NULL until it is needed */
+  bool is_doubtful;      /* its pilot left an order unanswered */
   bool is_pending;
   uint64_t ticket;
   worker_timer_t *timer; /* of the order */
@@ -63,9 +76,11 @@
   const crew_ops_t *ops;
   void *data;
   uint64_t next_question;
+  struct timespec started_at;
   unsigned users; /* connections, and calls to the own engine */
   bool is_retired;
   LIST_HEAD (, crew_pilot) pilots;
+  LIST_HEAD (, crew_stranger) strangers;
 };
 
 /* A connection or a call has ended; the last one after the crew was destroyed
@@ -108,14 +123,17 @@
 
   (void)worker;
   rank->timer = NULL;
+  rank->is_doubtful = true;
   rank_end_order (rank, rank->ticket, RANK_LOST);
 }
 
-/* An order to the engine itself; the rank outlives it.  */
+/* An order to the engine itself; the rank outlives it.  One to the own engine
+   keeps the crew: that engine does not go with it.  */
 typedef struct direct_order
 {
   crew_rank_t *rank;
   uint64_t ticket;
+  bool is_own;
 } direct_order_t;
 
 static void
@@ -124,10 +142,12 @@
   direct_order_t *direct = data;
   crew_rank_t *rank = direct->rank;
   uint64_t ticket = direct->ticket;
+  bool is_own = direct->is_own;
 
   talloc_free (direct);
   rank_end_order (rank, ticket, verdict);
-  crew_drop_user (rank->crew);
+  if (is_own)
+    crew_drop_user (rank->crew);
 }
 
 static rank_engine_t *
@@ -157,12 +177,13 @@
     }
   direct->rank = rank;
   direct->ticket = ticket;
-  rank->crew->users++;
+  direct->is_own = rank->rank == rank->crew->own_rank;
+  rank->crew->users += direct->is_own ? 1 : 0;
   if (rank->crew->pilot->engine_ops->order (engine, order, rank_on_verdict,
                                             direct)
       == STATUS_OK)
     return true;
-  rank->crew->users--;
+  rank->crew->users -= direct->is_own ? 1 : 0;
   talloc_free (direct);
   return false;
 }
@@ -185,7 +206,7 @@
 rank_has_pilot (const crew_rank_t *rank)
 {
   return rank->pilot != NULL && rank->pilot->link != NULL
-         && link_is_open (rank->pilot->link);
+         && link_is_open (rank->pilot->link) && !rank->is_doubtful;
 }
 
 static void
@@ -242,6 +263,19 @@
   crew->ops->on_report (number, report, after_ticket, crew->data);
 }
 
+/* Note where the engine of RANK is.  Calls to another address, if any are
+   under way, end unheard; the order's own timer ends it.  */
+static void
+rank_set_upstream (crew_rank_t *rank, const char *upstream)
+{
+  if (rank->upstream != NULL && strcmp (rank->upstream, upstream) == 0)
+    return;
+  talloc_free (rank->upstream);
+  rank->upstream = talloc_strdup (rank->crew, upstream);
+  TALLOC_FREE (rank->engine);
+  rank->is_polling = false;
+}
+
 static void
 pilot_take_report (crew_pilot_t *pilot, const frame_rank_report_t *body)
 {
@@ -260,16 +294,10 @@
   if (rank->pilot != pilot)
     {
       rank->pilot = pilot;
-      talloc_free (rank->upstream);
-      rank->upstream = talloc_strdup (crew, pilot->upstream);
-      TALLOC_FREE (rank->engine);
-      /* What this connection reports was asked after all that is over.  */
-      rank->asked_ticket = rank->over_ticket;
+      rank_set_upstream (rank, pilot->upstream);
     }
-  crew_take_report (crew, rank->rank, &report,
-                    body->after_ticket > rank->asked_ticket
-                        ? body->after_ticket
-                        : rank->asked_ticket);
+  rank->is_doubtful = false;
+  crew_take_report (crew, rank->rank, &report, body->after_ticket);
 }
 
 static void
@@ -407,6 +435,129 @@
         == STATUS_OK;
 }
 
+static bool
+address_is_ranked (const crew_t *crew, const char *address)
+{
+  for (unsigned i = 0; i < crew->rank_count; i++)
+    {
+      const char *known = i == crew->own_rank ? pilot_upstream (crew->pilot)
+                                              : crew->ranks[i].upstream;
+
+      if (known != NULL && strcmp (known, address) == 0)
+        return true;
+    }
+  return false;
+}
+
+static void
+stranger_on_report (status_t status, const rank_report_t *report, void *data)
+{
+  crew_stranger_t *stranger = data;
+  crew_t *crew = stranger->crew;
+  crew_rank_t *rank;
+
+  stranger->is_asked = false;
+  if (status != STATUS_OK || strcmp (report->group, crew->group) != 0
+      || report->rank >= crew->rank_count)
+    return;
+  rank = &crew->ranks[report->rank];
+  if (rank->upstream != NULL)
+    return;
+  rank_set_upstream (rank, stranger->address);
+  log_event (LOG_LEVEL_INFO, "rank-found", "rank=%u upstream=%s", rank->rank,
+             rank->upstream);
+}
+
+/* Ask the engines of which it is not known what rank they are, while there is
+   a rank that cannot be reached.  */
+static void
+crew_ask_strangers (crew_t *crew)
+{
+  const rank_engine_ops_t *ops = crew->pilot->engine_ops;
+  crew_stranger_t *stranger;
+
+  LIST_FOREACH (stranger, &crew->strangers, entry)
+    {
+      if (stranger->is_asked || address_is_ranked (crew, stranger->address)
+          || !time_is_over (crew, stranger->asked_at, DIRECT_POLL_MS))
+        continue;
+      if (stranger->engine == NULL)
+        stranger->engine
+            = ops->create (stranger, crew->pilot->worker, stranger->address);
+      stranger->asked_at = pilot_now (crew->pilot);
+      stranger->is_asked
+          = stranger->engine != NULL
+            && ops->report (stranger->engine, stranger_on_report, stranger)
+                   == STATUS_OK;
+    }
+}
+
+/* Take in that an engine of the service is listed at ADDRESS.  */
+void
+crew_note_upstream (crew_t *crew, const char *address)
+{
+  crew_stranger_t *stranger;
+
+  LIST_FOREACH (stranger, &crew->strangers, entry)
+    {
+      if (strcmp (stranger->address, address) == 0)
+        return;
+    }
+  stranger = talloc_zero (crew, crew_stranger_t);
+  if (stranger == NULL)
+    return;
+  stranger->crew = crew;
+  stranger->address = talloc_strdup (stranger, address);
+  LIST_INSERT_HEAD (&crew->strangers, stranger, entry);
+}
+
+/* Return the rank that should hold the group in a switch: one on another
+   machine, whose pilot sees at once when this one is gone meanwhile.  */
+unsigned
+crew_choose_holder (const crew_t *crew)
+{
+  for (unsigned i = 1; i < crew->rank_count; i++)
+    {
+      unsigned rank = (crew->own_rank + i) % crew->rank_count;
+
+      if (rank_has_pilot (&crew->ranks[rank])
+          && !time_is_over (crew, crew->ranks[rank].reported_at,
+                            DIRECT_AFTER_MS))
+        return rank;
+    }
+  return crew->own_rank;
+}
+
+/* Let the other pilots know that there is a leader.  */
+void
+crew_show_leading (crew_t *crew)
+{
+  const crew_pilot_t *pilot;
+
+  LIST_FOREACH (pilot, &crew->pilots, entry)
+    {
+      frame_t frame = { .header.type = FRAME_RANK_LED };
+
+      if (pilot->link == NULL || !link_is_open (pilot->link))
+        continue;
+      if (pilot->has_rank)
+        frame.body.rank_led.over_ticket = crew->ranks[pilot->rank].over_ticket;
+      link_send (pilot->link, &frame);
+    }
+}
+
+static bool
+crew_lacks_rank (const crew_t *crew)
+{
+  for (unsigned i = 0; i < crew->rank_count; i++)
+    {
+      if (i != crew->own_rank && crew->ranks[i].upstream == NULL
+          && time_is_over (crew, crew->started_at, DIRECT_AFTER_MS))
+        return true;
+    }
+  return false;
+}
+
 /* Keep up the connections.  To be called a few times a second.  */
 void
 crew_tick (crew_t *crew)
@@ -422,6 +573,8 @@
     }
   for (unsigned i = 0; i < crew->rank_count; i++)
     rank_poll_directly (&crew->ranks[i]);
+  if (crew_lacks_rank (crew))
+    crew_ask_strangers (crew);
 }
 
 static crew_pilot_t *
@@ -596,7 +749,9 @@
   crew->ops = ops;
   crew->data = data;
   crew->ranks = talloc_zero_array (crew, crew_rank_t, rank_count);
+  crew->started_at = pilot_now (pilot);
   LIST_INIT (&crew->pilots);
+  LIST_INIT (&crew->strangers);
   for (unsigned i = 0; i < rank_count; i++)
     {
       crew->ranks[i].crew = crew;
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -16,8 +16,10 @@
 {
   TICK_MS = 50,
   TERM_MS = 2000,       /* duration of the lease on the leader's key */
-  SEEK_AFTER_MS = 300,  /* without a leader, before the first one is sought */
-  SEEK_STEP_MS = 120,   /* later for each rank number */
+  SEEK_AFTER_MS = 1000, /* without a leader, before the first one is sought */
+  SEEK_STEP_MS = 150,   /* later for each rank number */
+  SHOW_MS = 250,        /* between signs of life to the other pilots */
+  STUCK_MS = 350,       /* the group is held and no leader is heard */
   PLAN_MS = 500,        /* from one plan to the next */
   ANSWER_MS = 250,      /* ranks have to tell their counts */
   MIRROR_PACE_MS = 2000 /* of the store, while leading */
@@ -33,8 +35,9 @@
 {
   pilot_t *pilot;
   worker_timer_t *timer;
-  struct timespec led_at; /* a leader was there, or this process started */
-  term_t *term;           /* NULL until the group is known */
+  struct timespec ended_at; /* when it last ceased to lead */
+  struct timespec free_at;  /* the own engine was seen not to be held */
+  term_t *term;             /* NULL until the group is known */
   char *group;
   unsigned rank_count;
   unsigned own_rank;
@@ -51,6 +54,7 @@
   rank_question_t question;
   struct timespec asked_at;
   struct timespec planned_at;
+  struct timespec shown_at; /* the other pilots had a sign of life */
 };
 
 static int64_t
@@ -92,7 +96,7 @@
   TALLOC_FREE (leader->planner);
   TALLOC_FREE (leader->planned);
   leader->is_asking = false;
-  leader->led_at = pilot_now (leader->pilot);
+  leader->ended_at = pilot_now (leader->pilot);
 }
 
 static void
@@ -130,7 +134,7 @@
                  (unsigned long long)version,
                  (long long)ms_since (leader, leader->planned_at));
       if (leader->planner != NULL && leader->planned != NULL)
-        planner_adopt (leader->planner, leader->planned);
+        planner_adopt (leader->planner, leader->planned, version);
       TALLOC_FREE (leader->planned);
       break;
     case SWITCHER_GIVEN_UP:
@@ -180,7 +184,8 @@
   bool is_change;
 
   leader->is_asking = false;
-  if (leader->planner == NULL || !planner_has_map (leader->planner))
+  if (leader->planner == NULL
+      || !planner_has_map (leader->planner, switcher_map (leader->switcher)))
     return;
   is_change = planner_plan (leader->planner, leader, &plan);
   log_event (LOG_LEVEL_DEBUG, "planned",
@@ -192,6 +197,7 @@
     return;
   leader->planned = plan.map;
   leader->planned_at = pilot_now (leader->pilot);
+  switcher_set_holder (leader->switcher, crew_choose_holder (leader->crew));
   if (!switcher_start (leader->switcher, plan.map, leader->planned_at))
     TALLOC_FREE (leader->planned);
 }
@@ -251,6 +257,24 @@
   rules_release (rules);
 }
 
+/* Note where an engine of the own service is, in case its pilot is away.  */
+static void
+leader_take_upstream (leader_t *leader, const char *id,
+                      const store_entry_t *entry)
+{
+  const pilot_t *pilot = leader->pilot;
+  TALLOC_CTX *scratch = talloc_new (leader);
+  upstream_listing_t listing;
+
+  if (entry->value != NULL
+      && pilot->catalog_ops->read_upstream (scratch, id, entry->value,
+                                            entry->value_size, &listing)
+             == STATUS_OK
+      && strcmp (listing.service, daemon_config (pilot->daemon)->service) == 0)
+    crew_note_upstream (leader->crew, listing.address);
+  talloc_free (scratch);
+}
+
 static void
 leader_on_change (const store_entry_t *entry, void *data)
 {
@@ -262,6 +286,9 @@
     case CATALOG_RULES:
       leader_take_rules (leader, entry);
       break;
+    case CATALOG_UPSTREAM:
+      leader_take_upstream (leader, name, entry);
+      break;
     case CATALOG_OWN:
       if (strncmp (name, PILOT_KEYS, strlen (PILOT_KEYS)) == 0)
         crew_note_pilot (leader->crew, name + strlen (PILOT_KEYS),
@@ -360,6 +387,8 @@
     leader_learn_group (leader, report);
   if (leader->crew != NULL)
     crew_note_own_report (leader->crew, report);
+  if (!report->is_held || report->step + 1 < report->held)
+    leader->free_at = pilot_now (leader->pilot);
 }
 
 /* The own engine is being asked for a report.  */
@@ -387,6 +416,12 @@
 
   crew_tick (leader->crew);
   switcher_tick (leader->switcher, now);
+  if (leader_is_switching (leader)
+      || ms_since (leader, leader->shown_at) >= SHOW_MS)
+    {
+      leader->shown_at = now;
+      crew_show_leading (leader->crew);
+    }
   if (leader->is_asking && ms_since (leader, leader->asked_at) > ANSWER_MS)
     {
       leader->is_asking = false;
@@ -396,27 +431,33 @@
   if (leader->planner == NULL || leader->is_asking || leader->is_stopping
       || ms_since (leader, leader->asked_at) < PLAN_MS)
     return;
-  if (!planner_has_map (leader->planner))
+  if (!planner_has_map (leader->planner, switcher_map (leader->switcher)))
     leader_ask (leader, RANK_HELD);
   else if (switcher_is_ready (leader->switcher, now)
            || leader_is_switching (leader))
     leader_ask (leader, RANK_COUNTS);
 }
 
-/* Seek to lead when nobody has for a while.  */
+/* Seek to lead when nobody has for a while; at once when the own engine holds
+   the group up for a leader that is not heard any more.  */
 static void
 leader_look_for_one (leader_t *leader)
 {
   int64_t patience_ms
       = SEEK_AFTER_MS + SEEK_STEP_MS * (int64_t)leader->own_rank;
+  int64_t unled_ms = servant_unled_ms (leader->pilot->servant);
+  int64_t ended_ms = ms_since (leader, leader->ended_at);
 
-  if (servant_is_led (leader->pilot->servant))
+  if (unled_ms > STUCK_MS && ms_since (leader, leader->free_at) > STUCK_MS)
     {
-      leader->led_at = pilot_now (leader->pilot);
-      term_leave (leader->term);
+      if (term_seize (leader->term))
+        log_event (LOG_LEVEL_WARN, "group-stuck", "group=%s unled_ms=%lld",
+                   leader->group, (long long)unled_ms);
     }
-  else if (ms_since (leader, leader->led_at) > patience_ms)
+  else if (unled_ms > patience_ms && ended_ms > patience_ms)
     term_seek (leader->term);
+  else if (unled_ms < SEEK_AFTER_MS)
+    term_leave (leader->term);
 }
 
 static void leader_arm (leader_t *leader);
@@ -465,7 +506,7 @@
   if (leader == NULL)
     return NULL;
   leader->pilot = pilot;
-  leader->led_at = pilot_now (pilot);
+  leader->ended_at = leader->free_at = pilot_now (pilot);
   leader_arm (leader);
   return leader;
 }
--- a/pilot/planner.c
+++ b/pilot/planner.c
@@ -20,6 +20,7 @@
   placement_t *placement;
   placement_map_t *map; /* in use */
   bool *has_held;       /* by rank: MAP holds what it told */
+  uint64_t *held;       /* by rank: the version that this was of */
   uint64_t **counted;   /* by rank: its last counts, or NULL */
   uint64_t *tokens;     /* counted since the last plan, by layer and expert */
   uint64_t *work;       /* by rank, in place of its speed */
@@ -63,6 +64,7 @@
     }
   planner->placement = planner->ops->create (planner, &shape, &config);
   planner->has_held = talloc_zero_array (planner, bool, rank_count);
+  planner->held = talloc_zero_array (planner, uint64_t, rank_count);
   planner->counted = talloc_zero_array (planner, uint64_t *, rank_count);
   planner->tokens = talloc_zero_array (planner, uint64_t,
                                        (size_t)shape.layers * shape.experts);
@@ -91,13 +93,13 @@
     }
 }
 
-/* Return whether the map in use is known.  */
+/* Return whether the map of VERSION, which is in use, is known.  */
 bool
-planner_has_map (const planner_t *planner)
+planner_has_map (const planner_t *planner, uint64_t version)
 {
   for (unsigned i = 0; i < planner->shape.ranks; i++)
     {
-      if (!planner->has_held[i])
+      if (!planner->has_held[i] || planner->held[i] != version)
         return false;
     }
   return placement_map_is_valid (planner->map);
@@ -132,6 +134,7 @@
         }
     }
   planner->has_held[rank] = true;
+  planner->held[rank] = told->version;
   return true;
 }
 
@@ -183,14 +186,18 @@
   return plan->is_change;
 }
 
-/* The group uses MAP from now on.  */
+/* The group uses MAP from now on, as VERSION.  */
 void
-planner_adopt (planner_t *planner, const placement_map_t *map)
+planner_adopt (planner_t *planner, const placement_map_t *map,
+               uint64_t version)
 {
   size_t slots
       = (size_t)map->shape.layers * map->shape.ranks * map->shape.slots;
 
   memcpy (planner->map->slots, map->slots, slots * sizeof *map->slots);
   for (unsigned i = 0; i < planner->shape.ranks; i++)
-    planner->has_held[i] = true;
+    {
+      planner->has_held[i] = true;
+      planner->held[i] = version;
+    }
 }
--- a/pilot/servant.c
+++ b/pilot/servant.c
@@ -8,9 +8,8 @@
 
 enum
 {
-  LEADER_SILENCE_MS = 1700, /* then the group has no leader */
-  RELAY_REPORT_MS = 100,    /* between reports to a relay, at least */
-  QUIET_REPORT_MS = 1000    /* between reports that say nothing new */
+  RELAY_REPORT_MS = 100, /* between reports to a relay, at least */
+  QUIET_REPORT_MS = 1000 /* between reports that say nothing new */
 };
 
 COUNTER_DEFINE (orders_served, "siskin_pilot_orders_total",
@@ -22,8 +21,7 @@
   LIST_ENTRY (master) link_entry;
   servant_t *servant;
   link_t *link;
-  bool has_led; /* it has asked or ordered something */
-  struct timespec heard_at;
+  bool has_led;          /* it has asked or ordered something */
   uint64_t over_ticket;  /* the last order that is over */
   bool is_asked;         /* the engine was asked for a report since it came */
   uint64_t asked_ticket; /* over when that was */
@@ -37,6 +35,7 @@
   listener_t *listener;
   char *address;
   LIST_HEAD (, master) masters;
+  struct timespec led_at; /* a leader was heard, or this process started */
 };
 
 /* An order or question that the engine has, for a master that may be gone
@@ -174,17 +173,23 @@
   master_t *master = data;
 
   (void)link;
-  master->heard_at = pilot_now (master->servant->pilot);
-  if (frame->header.type == FRAME_RANK_ORDER)
+  switch (frame->header.type)
     {
-      master->has_led = true;
+    case FRAME_RANK_ORDER:
       servant_take_order (master, &frame->body.rank_order);
-    }
-  else if (frame->header.type == FRAME_RANK_ASK)
-    {
-      master->has_led = true;
+      break;
+    case FRAME_RANK_ASK:
       servant_take_question (master, &frame->body.rank_ask);
+      break;
+    case FRAME_RANK_LED:
+      if (frame->body.rank_led.over_ticket > master->over_ticket)
+        master->over_ticket = frame->body.rank_led.over_ticket;
+      break;
+    default:
+      return;
     }
+  master->has_led = true;
+  master->servant->led_at = pilot_now (master->servant->pilot);
 }
 
 static void
@@ -242,6 +247,7 @@
       return NULL;
     }
   servant->pilot = pilot;
+  servant->led_at = pilot_now (pilot);
   LIST_INIT (&servant->masters);
   servant->listener
       = transport_listen (node_transport (pilot->node), pilot->worker,
@@ -322,21 +328,12 @@
     }
 }
 
-/* Return whether a leader was heard lately.  */
-bool
-servant_is_led (const servant_t *servant)
+/* Return for how many milliseconds no leader has been heard.  */
+int64_t
+servant_unled_ms (const servant_t *servant)
 {
-  struct timespec now = pilot_now (servant->pilot);
-  const master_t *master;
-
-  LIST_FOREACH (master, &servant->masters, link_entry)
-    {
-      if (master->has_led
-          && timespec_to_ms (timespec_subtract (now, master->heard_at))
-                 < LEADER_SILENCE_MS)
-        return true;
-    }
-  return false;
+  return timespec_to_ms (
+      timespec_subtract (pilot_now (servant->pilot), servant->led_at));
 }
 
 /* Return the address that the pilot listens on.  */
--- a/pilot/switcher.c
+++ b/pilot/switcher.c
@@ -124,6 +124,21 @@
   return switcher->version;
 }
 
+/* Return the version of the map that the ranks report to use.  */
+uint64_t
+switcher_map (const switcher_t *switcher)
+{
+  return switcher->ranks[switcher->own_rank].report.map;
+}
+
+/* Have the group be held by RANK in switches from now on.  */
+void
+switcher_set_holder (switcher_t *switcher, unsigned rank)
+{
+  if (switcher->phase == SWITCHER_IDLE && rank < switcher->rank_count)
+    switcher->holder = rank;
+}
+
 static void
 enter (switcher_t *switcher, switcher_phase_t phase, struct timespec now)
 {
@@ -513,6 +528,7 @@
       const rank_view_t *view = &switcher->ranks[i];
 
       if (view->is_pending || view->report.is_armed || view->report.is_held
+          || view->report.map != switcher_map (switcher)
           || !report_is_newer (view)
           || timespec_to_ms (timespec_subtract (now, view->reported_at))
                  > FRESH_MS)
