Let a held group go on without the frozen machine of its leader

The fault strikes the machine that gave the order to hold. Now the leader gives it itself to an engine on another machine, arms its own rank last, and only with the permit of the pilot beside the holding engine. That pilot sees the group stand still and the leader silent, seizes the term, gives no permit any more, shows its fence to all other engines, and if what it permitted is not what they are armed with, disarms them and lets go.

--- a/common/frame.c
+++ b/common/frame.c
@@ -154,7 +154,8 @@
                              UNSIGNED (rank_verdict.verdict, 0) } },
   [FRAME_RANK_ASK]
   = { "rank-ask",
-      { UNSIGNED (rank_ask.ticket, 0), UNSIGNED (rank_ask.question, 0) } },
+      { UNSIGNED (rank_ask.ticket, 0), UNSIGNED (rank_ask.question, 0),
+        UNSIGNED (rank_ask.term, 0), UNSIGNED (rank_ask.version, 0) } },
   [FRAME_RANK_LED] = { "rank-led", { UNSIGNED (rank_led.over_ticket, 0) } },
   [FRAME_RANK_TOLD]
   = { "rank-told",
--- a/common/term.c
+++ b/common/term.c
@@ -19,6 +19,7 @@
   bool is_sought;
   bool is_seized;   /* to be taken from its holder */
   int64_t revision; /* of the holder's key, while it is being taken; or 0 */
+  char *seized_from;
   bool is_held;
   bool is_asking;  /* a call is under way */
   bool is_retired; /* to be freed when it ends */
@@ -106,11 +107,16 @@
 static void
 term_win (term_t *term, uint64_t fence)
 {
+  char *seized_from = term->seized_from;
+  term_seized_t seized = { seized_from, (uint64_t)term->revision };
+
   term->is_held = true;
   term->is_seized = false;
   term->revision = 0;
+  term->seized_from = NULL;
   term_act_in (term, timespec_to_ms (term->options.duration) / KEEP_DIVISOR);
-  term->ops->on_won (fence, term->data);
+  term->ops->on_won (fence, seized_from == NULL ? NULL : &seized, term->data);
+  talloc_free (seized_from);
 }
 
 /* The key is there already: somebody else's, or this process's own, from a
@@ -124,7 +130,13 @@
       term_win (term, (uint64_t)entry->mod_revision);
       return;
     }
-  term->revision = entry != NULL && term->is_seized ? entry->mod_revision : 0;
+  term->revision = 0;
+  if (entry != NULL && term->is_seized)
+    {
+      term->revision = entry->mod_revision;
+      talloc_free (term->seized_from);
+      term->seized_from = talloc_strdup (term, entry->value);
+    }
   term_act_in (term, term->revision != 0 ? 0 : RETRY_MS);
 }
 
@@ -267,6 +279,7 @@
   term->is_sought = false;
   term->is_seized = false;
   term->revision = 0;
+  TALLOC_FREE (term->seized_from);
   term->is_held = false;
   TALLOC_FREE (term->timer);
   term_end_lease (term, term->lease);
--- a/include/common/frame.h
+++ b/include/common/frame.h
@@ -244,6 +244,8 @@
 {
   uint64_t ticket;
   uint64_t question; /* rank_question_t */
+  uint64_t term;     /* of the leader; RANK_PERMIT only, like the next */
+  uint64_t version;
 } frame_rank_ask_t;
 
 typedef struct frame_rank_told
--- a/include/common/term.h
+++ b/include/common/term.h
@@ -14,9 +14,17 @@
    fence, which those that are led check.  Belongs to one worker.  */
 typedef struct term term_t;
 
+/* A term that was taken from its holder.  */
+typedef struct term_seized
+{
+  const char *holder;
+  uint64_t fence;
+} term_seized_t;
+
 typedef struct term_ops
 {
-  void (*on_won) (uint64_t fence, void *data);
+  /* SEIZED is the term that was taken from its holder, or NULL.  */
+  void (*on_won) (uint64_t fence, const term_seized_t *seized, void *data);
   /* The lease has ended; another may lead.  */
   void (*on_lost) (void *data);
 } term_ops_t;
--- a/include/pilot/crew.h
+++ b/include/pilot/crew.h
@@ -13,6 +13,8 @@
                      uint64_t after_ticket, void *data);
   void (*on_verdict) (unsigned rank, uint64_t ticket, rank_verdict_t verdict,
                       void *data);
+  /* The pilot of the holder lets the own rank be armed with VERSION.  */
+  void (*on_permit) (uint64_t version, void *data);
   /* TOLD is NULL when the rank did not answer.  */
   void (*on_told) (unsigned rank, rank_question_t question,
                    const rank_told_t *told, void *data);
@@ -30,6 +32,8 @@
 void crew_order (crew_t *crew, unsigned rank, uint64_t ticket,
                  const rank_order_t *order);
 unsigned crew_ask_all (crew_t *crew, rank_question_t question);
+void crew_ask_permit (crew_t *crew, unsigned rank, uint64_t term,
+                      uint64_t version);
 void crew_tick (crew_t *crew);
 
 #endif
--- a/include/pilot/servant.h
+++ b/include/pilot/servant.h
@@ -9,6 +9,8 @@
 void servant_destroy (servant_t *servant);
 void servant_note_asking (servant_t *servant);
 void servant_push_report (servant_t *servant, const rank_report_t *report);
+uint64_t servant_permitted (const servant_t *servant);
+void servant_refuse_permits (servant_t *servant, bool is_refusing);
 int64_t servant_unled_ms (const servant_t *servant);
 const char *servant_address (const servant_t *servant);
 
--- a/include/pilot/switcher.h
+++ b/include/pilot/switcher.h
@@ -13,6 +13,16 @@
    what the engines report.  Belongs to one worker.  */
 typedef struct switcher switcher_t;
 
+/* The leader before.  */
+typedef struct switcher_deposed
+{
+  unsigned rank; /* its own */
+  uint64_t term;
+  /* The last version for which this process let it arm its own rank; 0 for
+     none.  */
+  uint64_t permitted;
+} switcher_deposed_t;
+
 typedef enum switcher_phase
 {
   SWITCHER_OFF,       /* does not lead */
@@ -42,6 +52,10 @@
      next.  */
   void (*order) (unsigned rank, uint64_t ticket, const rank_order_t *order,
                  void *data);
+  /* Ask the pilot of RANK, the one that holds the group, to let the own rank
+     be armed with VERSION; answered by switcher_note_permit.  */
+  void (*ask_permit) (unsigned rank, uint64_t term, uint64_t version,
+                      void *data);
   void (*on_event) (switcher_event_t event, const char *reason, void *data);
 } switcher_ops_t;
 
@@ -49,7 +63,8 @@
                              unsigned own_rank, const switcher_ops_t *ops,
                              void *data);
 void switcher_destroy (switcher_t *switcher);
-void switcher_lead (switcher_t *switcher, uint64_t term, struct timespec now);
+void switcher_lead (switcher_t *switcher, uint64_t term,
+                    const switcher_deposed_t *deposed, struct timespec now);
 void switcher_stop (switcher_t *switcher);
 bool switcher_start (switcher_t *switcher, const placement_map_t *map,
                      struct timespec now);
@@ -59,6 +74,8 @@
 void switcher_note_verdict (switcher_t *switcher, unsigned rank,
                             uint64_t ticket, rank_verdict_t verdict,
                             struct timespec now);
+void switcher_note_permit (switcher_t *switcher, uint64_t version,
+                           struct timespec now);
 void switcher_tick (switcher_t *switcher, struct timespec now);
 switcher_phase_t switcher_phase (const switcher_t *switcher);
 const char *switcher_phase_name (switcher_phase_t phase);
--- a/include/plugins/rank_engine.h
+++ b/include/plugins/rank_engine.h
@@ -29,7 +29,7 @@
   bool has_prepared;
   uint64_t prepared; /* version whose weights are loaded */
   bool is_armed;
-  uint64_t armed; /* version that the engine will switch to */
+  uint64_t armed;      /* version that the engine will switch to */
   uint64_t armed_step; /* as it begins this step */
   bool is_held;
   uint64_t held; /* step that the group does not begin */
@@ -75,7 +75,9 @@
 typedef enum rank_question
 {
   RANK_COUNTS, /* tokens by layer and expert, since the engine's start */
-  RANK_HELD    /* experts by layer, of the map in use */
+  RANK_HELD,   /* experts by layer, of the map in use */
+  RANK_PERMIT, /* not for engines: may the leader arm its own rank now */
+  RANK_QUESTION_COUNT
 } rank_question_t;
 
 /* The answer to a question.  NUMBERS are counts by layer and expert, or, layer
--- a/pilot/crew.c
+++ b/pilot/crew.c
@@ -226,6 +226,11 @@
 {
   crew_rank_t *rank = &crew->ranks[number];
   bool is_own = number == crew->own_rank;
+  /* Holding and letting go does not depend on the machine beside the engine:
+     should this one freeze now, that one takes over.  */
+  bool is_direct = order->step > 0
+                   && (order->kind == RANK_HOLD || order->kind == RANK_GO)
+                   && rank->upstream != NULL;
   bool is_sent;
 
   rank->is_pending = true;
@@ -237,10 +242,10 @@
       number, rank_order_name (order->kind), (unsigned long long)order->fence,
       (unsigned long long)order->epoch, (unsigned long long)order->version,
       (unsigned long long)order->step,
-      is_own                  ? "own"
-      : rank_has_pilot (rank) ? "pilot"
-                              : "direct");
-  if (!is_own && rank_has_pilot (rank))
+      is_own                                ? "own"
+      : !is_direct && rank_has_pilot (rank) ? "pilot"
+                                            : "direct");
+  if (!is_own && !is_direct && rank_has_pilot (rank))
     is_sent = rank_order_through_pilot (rank, ticket, order);
   else
     is_sent = rank_order_directly (rank, ticket, order);
@@ -306,9 +311,16 @@
   crew_t *crew = pilot->crew;
   TALLOC_CTX *scratch = talloc_new (crew);
   rank_told_t told = { .epoch = body->epoch, .version = body->version };
-  /* Questions are numbered so that the lowest bit tells the kind.  */
-  rank_question_t question = (body->ticket & 1) != 0 ? RANK_HELD : RANK_COUNTS;
+  rank_question_t question
+      = (rank_question_t)(body->ticket % RANK_QUESTION_COUNT);
 
+  if (question == RANK_PERMIT)
+    {
+      talloc_free (scratch);
+      if (body->is_known && !crew->is_retired)
+        crew->ops->on_permit (body->version, crew->data);
+      return;
+    }
   if (pilot->has_rank && body->is_known)
     told.numbers = numbers_decode (scratch, body->numbers, &told.number_count);
   if (pilot->has_rank && !crew->is_retired)
@@ -698,6 +710,31 @@
   crew_drop_user (crew);
 }
 
+/* Questions are numbered so that the answer tells which one it is to.  */
+static uint64_t
+crew_question_ticket (crew_t *crew, rank_question_t question)
+{
+  return RANK_QUESTION_COUNT * crew->next_question++ + question;
+}
+
+/* Ask the pilot of RANK, which holds the group, to let the own rank be
+   armed.  */
+void
+crew_ask_permit (crew_t *crew, unsigned number, uint64_t term,
+                 uint64_t version)
+{
+  const crew_rank_t *rank = &crew->ranks[number];
+  frame_t frame = { .header.type = FRAME_RANK_ASK,
+                    .body.rank_ask
+                    = { .ticket = crew_question_ticket (crew, RANK_PERMIT),
+                        .question = RANK_PERMIT,
+                        .term = term,
+                        .version = version } };
+
+  if (rank->pilot != NULL && rank->pilot->link != NULL)
+    link_send (rank->pilot->link, &frame);
+}
+
 /* Ask the ranks that can be asked for nothing: the own one, and those with a
    pilot.  Returns how many will be told of by on_told, if they answer.  */
 unsigned
@@ -708,8 +745,7 @@
       = { .header.type = FRAME_RANK_ASK, .body.rank_ask.question = question };
   unsigned count = 0;
 
-  frame.body.rank_ask.ticket
-      = 2 * crew->next_question++ + (question == RANK_HELD ? 1 : 0);
+  frame.body.rank_ask.ticket = crew_question_ticket (crew, question);
   for (unsigned i = 0; i < crew->rank_count; i++)
     {
       const crew_rank_t *rank = &crew->ranks[i];
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -10,6 +10,7 @@
 #include "pilot/servant.h"
 #include "pilot/switcher.h"
 
+#include <stdio.h>
 #include <string.h>
 
 enum
@@ -19,12 +20,16 @@
   SEEK_AFTER_MS = 1000, /* without a leader, before the first one is sought */
   SEEK_STEP_MS = 150,   /* later for each rank number */
   SHOW_MS = 250,        /* between signs of life to the other pilots */
-  STUCK_MS = 350,       /* the group is held and no leader is heard */
+  STUCK_MS = 250,       /* the group is held and no leader is heard */
   PLAN_MS = 500,        /* from one plan to the next */
   ANSWER_MS = 250,      /* ranks have to tell their counts */
   MIRROR_PACE_MS = 2000 /* of the store, while leading */
 };
 
+/* The holder of a group's key: name, incarnation and rank.  */
+#define HOLDER_FORMAT "%s %llx %u"
+#define HOLDER_READ_FORMAT "%*s %*s %u"
+
 COUNTER_DEFINE (switches_done, "siskin_map_switches_total",
                 "Expert maps changed");
 COUNTER_DEFINE (switches_given_up, "siskin_map_switches_given_up_total",
@@ -150,7 +155,16 @@
     }
 }
 
+static void
+leader_ask_permit (unsigned rank, uint64_t term, uint64_t version, void *data)
+{
+  leader_t *leader = data;
+
+  crew_ask_permit (leader->crew, rank, term, version);
+}
+
 static const switcher_ops_t leader_switcher_ops = {
+  .ask_permit = leader_ask_permit,
   .order = leader_send_order,
   .on_event = leader_on_event,
 };
@@ -228,7 +242,16 @@
   leader->is_asking = false;
 }
 
+static void
+leader_on_permit (uint64_t version, void *data)
+{
+  leader_t *leader = data;
+
+  switcher_note_permit (leader->switcher, version, pilot_now (leader->pilot));
+}
+
 static const crew_ops_t leader_crew_ops = {
+  .on_permit = leader_on_permit,
   .on_report = leader_on_report,
   .on_verdict = leader_on_verdict,
   .on_told = leader_on_told,
@@ -304,10 +327,12 @@
 };
 
 static void
-leader_on_won (uint64_t fence, void *data)
+leader_on_won (uint64_t fence, const term_seized_t *seized, void *data)
 {
   leader_t *leader = data;
   pilot_t *pilot = leader->pilot;
+  switcher_deposed_t deposed = { 0 };
+  bool is_known;
   store_mirror_options_t options = {
     .store_ops = pilot->store_ops,
     .store = pilot->store,
@@ -316,15 +341,26 @@
   };
 
   leader_end (leader, "new-term");
-  log_event (LOG_LEVEL_INFO, "leading", "group=%s fence=%llu rank=%u",
-             leader->group, (unsigned long long)fence, leader->own_rank);
+  is_known
+      = seized != NULL
+        && sscanf (seized->holder, HOLDER_READ_FORMAT, &deposed.rank) == 1;
+  if (is_known)
+    {
+      deposed.term = seized->fence;
+      deposed.permitted = servant_permitted (pilot->servant);
+    }
+  log_event (LOG_LEVEL_INFO, "leading",
+             "group=%s fence=%llu rank=%u seized_from=\"%s\"", leader->group,
+             (unsigned long long)fence, leader->own_rank,
+             seized == NULL ? "" : seized->holder);
   counter_set (&leading, 1);
   leader->switcher
       = switcher_create (leader, leader->rank_count, leader->own_rank,
                          &leader_switcher_ops, leader);
   leader->crew = crew_create (pilot, leader->group, leader->rank_count,
                               leader->own_rank, &leader_crew_ops, leader);
-  switcher_lead (leader->switcher, fence, pilot_now (pilot));
+  switcher_lead (leader->switcher, fence, is_known ? &deposed : NULL,
+                 pilot_now (pilot));
   leader->mirror = store_mirror_create (leader, pilot->worker, &options,
                                         &leader_mirror_ops, leader);
 }
@@ -363,9 +399,9 @@
   leader->own_rank = (unsigned)report->rank;
   key = talloc_asprintf (leader, "%s" LEADER_KEYS "%s",
                          pilot->catalog_ops->own_prefix, leader->group);
-  holder
-      = talloc_asprintf (leader, "%s %llx", node_name (pilot->node),
-                         (unsigned long long)node_incarnation (pilot->node));
+  holder = talloc_asprintf (leader, HOLDER_FORMAT, node_name (pilot->node),
+                            (unsigned long long)node_incarnation (pilot->node),
+                            leader->own_rank);
   options.key = key;
   options.holder = holder;
   leader->term = term_create (leader, pilot->worker, &options,
@@ -450,6 +486,8 @@
 
   if (unled_ms > STUCK_MS && ms_since (leader, leader->free_at) > STUCK_MS)
     {
+      /* From here on the leader that was cannot arm its own rank any more.  */
+      servant_refuse_permits (leader->pilot->servant, true);
       if (term_seize (leader->term))
         log_event (LOG_LEVEL_WARN, "group-stuck", "group=%s unled_ms=%lld",
                    leader->group, (long long)unled_ms);
@@ -457,7 +495,10 @@
   else if (unled_ms > patience_ms && ended_ms > patience_ms)
     term_seek (leader->term);
   else if (unled_ms < SEEK_AFTER_MS)
-    term_leave (leader->term);
+    {
+      servant_refuse_permits (leader->pilot->servant, false);
+      term_leave (leader->term);
+    }
 }
 
 static void leader_arm (leader_t *leader);
--- a/pilot/servant.c
+++ b/pilot/servant.c
@@ -36,6 +36,8 @@
   char *address;
   LIST_HEAD (, master) masters;
   struct timespec led_at; /* a leader was heard, or this process started */
+  uint64_t permitted;     /* version that a leader may arm its own rank with */
+  bool is_refusing;       /* permits, since this pilot seeks to lead or does */
 };
 
 /* An order or question that the engine has, for a master that may be gone
@@ -144,14 +146,35 @@
   talloc_free (errand);
 }
 
+/* Let the leader arm its own rank, unless this pilot is about to take over. */
+static void
+servant_give_permit (master_t *master, const frame_rank_ask_t *body)
+{
+  servant_t *servant = master->servant;
+  frame_t frame = { .header.type = FRAME_RANK_TOLD,
+                    .body.rank_told = { .ticket = body->ticket,
+                                        .is_known = !servant->is_refusing,
+                                        .version = body->version } };
+
+  if (!servant->is_refusing)
+    servant->permitted = body->version;
+  link_send (master->link, &frame);
+}
+
 static void
 servant_take_question (master_t *master, const frame_rank_ask_t *body)
 {
   const pilot_t *pilot = master->servant->pilot;
-  errand_t *errand = errand_create (master, body->ticket);
   rank_question_t question
       = body->question == RANK_HELD ? RANK_HELD : RANK_COUNTS;
+  errand_t *errand;
 
+  if (body->question == RANK_PERMIT)
+    {
+      servant_give_permit (master, body);
+      return;
+    }
+  errand = errand_create (master, body->ticket);
   if (errand != NULL
       && pilot->engine_ops->ask (pilot->engine, question, servant_on_told,
                                  errand)
@@ -328,6 +351,21 @@
     }
 }
 
+/* Return the last version that a leader was let arm its own rank with, 0 for
+   none.  */
+uint64_t
+servant_permitted (const servant_t *servant)
+{
+  return servant->permitted;
+}
+
+/* Give no permits while IS_REFUSING.  */
+void
+servant_refuse_permits (servant_t *servant, bool is_refusing)
+{
+  servant->is_refusing = is_refusing;
+}
+
 /* Return for how many milliseconds no leader has been heard.  */
 int64_t
 servant_unled_ms (const servant_t *servant)
--- a/pilot/switcher.c
+++ b/pilot/switcher.c
@@ -5,6 +5,7 @@
 
 enum
 {
+  NO_RANK = 0xffff,
   FENCES_A_TERM = 1 << 20, /* rounds that one leader may count */
   FRESH_MS = 400,          /* reports older than this start no switch */
   RESEND_MS = 100,         /* after an order that may not have arrived */
@@ -61,8 +62,12 @@
   uint64_t switches; /* started in this term */
   uint64_t step;     /* at which the group is held and switches */
   unsigned holder;
-  bool may_be_held;     /* an order to hold was sent and not taken back */
-  placement_map_t *map; /* of the switch under way */
+  switcher_deposed_t deposed;
+  uint64_t permitted; /* version that the own rank may be armed with */
+  struct timespec permit_again_at;
+  bool is_going_without; /* the deposed rank; found to be safe */
+  bool may_be_held;      /* an order to hold was sent and not taken back */
+  placement_map_t *map;  /* of the switch under way */
   struct timespec phase_at;
   uint64_t paced_step; /* to learn how long a step takes */
   struct timespec paced_at;
@@ -163,15 +168,23 @@
 begin_round (switcher_t *switcher, struct timespec now)
 {
   switcher->round++;
+  switcher->is_going_without = false;
   enter (switcher, SWITCHER_CLAIMING, now);
 }
 
-/* Start to lead with TERM, which is higher than that of any earlier leader. */
+/* Start to lead with TERM, which is higher than that of any earlier leader.
+   DEPOSED is the leader before, if it is known, or NULL: its engine may be out
+   of reach with it, and the group need not be held for it when that is seen to
+   be safe.  */
 void
-switcher_lead (switcher_t *switcher, uint64_t term, struct timespec now)
+switcher_lead (switcher_t *switcher, uint64_t term,
+               const switcher_deposed_t *deposed, struct timespec now)
 {
+  static const switcher_deposed_t nobody = { .rank = NO_RANK };
+
   INVARIANT (term > switcher->term, "switcher-terms-rise");
   switcher->term = term;
+  switcher->deposed = deposed == NULL ? nobody : *deposed;
   switcher->round = 0;
   switcher->switches = 0;
   for (unsigned i = 0; i < switcher->rank_count; i++)
@@ -227,46 +240,43 @@
   return view->is_known && view->after_ticket >= view->over_ticket;
 }
 
+/* Whether the order of this stage is done at all ranks but EXCUSED.  */
 static bool
-all_done (const switcher_t *switcher)
+all_done_but (const switcher_t *switcher, unsigned excused)
 {
   for (unsigned i = 0; i < switcher->rank_count; i++)
     {
-      if (!switcher->ranks[i].is_done)
+      if (i != excused && !switcher->ranks[i].is_done)
         return false;
     }
   return true;
 }
 
-/* Whether all ranks have reported, of the same epoch and an open group.  */
 static bool
-all_known (const switcher_t *switcher)
+all_done (const switcher_t *switcher)
 {
-  for (unsigned i = 0; i < switcher->rank_count; i++)
-    {
-      const rank_view_t *view = &switcher->ranks[i];
+  return all_done_but (switcher, NO_RANK);
+}
 
-      if (!view->is_known || view->report.epoch != switcher->epoch
-          || !view->report.is_open)
-        return false;
-    }
-  return true;
+static bool
+is_known (const switcher_t *switcher, unsigned rank)
+{
+  const rank_view_t *view = &switcher->ranks[rank];
+
+  return view->is_known && view->report.epoch == switcher->epoch
+         && view->report.is_open;
 }
 
-static void
-claim (switcher_t *switcher, struct timespec now)
+/* Whether all ranks have reported, of the same epoch and an open group.  */
+static bool
+all_known (const switcher_t *switcher)
 {
-  if (!all_known (switcher))
-    return;
-  /* An engine is never held at step 0, so this changes nothing but the fence
-     that it has seen.  */
   for (unsigned i = 0; i < switcher->rank_count; i++)
     {
-      if (may_send (&switcher->ranks[i], now))
-        send_order (switcher, i, RANK_GO, 0);
+      if (!is_known (switcher, i))
+        return false;
     }
-  if (all_done (switcher))
-    enter (switcher, SWITCHER_RESOLVING, now);
+  return true;
 }
 
 static unsigned
@@ -311,6 +321,84 @@
   return is_free;
 }
 
+/* The engine of the leader before cannot be reached, as if its machine were
+   gone.  Return whether the group may go on all the same.  If that leader has
+   prepared a map, every engine had seen its fence, so that nothing of leaders
+   before it is left.  It armed its own rank last, and only with the permit of
+   the pilot whose engine holds the group.  If that is this process, which
+   gives no permit any more, the own rank is not armed with what it did not
+   permit, and will not be.  */
+static bool
+may_go_without (const switcher_t *switcher, unsigned missing)
+{
+  const rank_report_t *own = &switcher->ranks[switcher->own_rank].report;
+  bool has_prepared = false;
+
+  if (!own->is_held)
+    return false;
+
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      const rank_view_t *view = &switcher->ranks[i];
+
+      if (i == missing)
+        continue;
+      if (!view->is_done || !report_is_newer (view))
+        return false;
+      if (view->report.is_armed
+          && view->report.armed == switcher->deposed.permitted)
+        return false;
+      has_prepared = has_prepared
+                     || (view->report.has_prepared
+                         && view->report.prepared / FENCES_A_TERM
+                                == switcher->deposed.term);
+    }
+  return has_prepared;
+}
+
+/* Disarm and release the ranks that can be reached.  */
+static void
+go_without (switcher_t *switcher, unsigned missing, struct timespec now)
+{
+  bool is_armed = false;
+
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      rank_view_t *view = &switcher->ranks[i];
+
+      if (i == missing || !view->report.is_armed)
+        continue;
+      is_armed = true;
+      if (may_repeat (view, now) && report_is_newer (view))
+        send_order (switcher, i, RANK_DISARM, 0);
+    }
+  if (!is_armed)
+    release_all (switcher, now);
+}
+
+/* Show the fence to all engines.  One is never held at step 0, so the order
+   changes nothing else.  */
+static void
+claim (switcher_t *switcher, struct timespec now)
+{
+  unsigned deposed = switcher->deposed.rank;
+
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      if (is_known (switcher, i) && may_send (&switcher->ranks[i], now))
+        send_order (switcher, i, RANK_GO, 0);
+    }
+  if (all_done (switcher))
+    enter (switcher, SWITCHER_RESOLVING, now);
+  else if (deposed < switcher->rank_count && all_done_but (switcher, deposed)
+           && (switcher->is_going_without
+               || may_go_without (switcher, deposed)))
+    {
+      switcher->is_going_without = true;
+      go_without (switcher, deposed, now);
+    }
+}
+
 static void
 settle (switcher_t *switcher, struct timespec now)
 {
@@ -452,14 +540,45 @@
   send_order (switcher, switcher->holder, RANK_HOLD, switcher->step);
 }
 
+/* Return whether the own rank may be armed, after all others; see
+   may_go_without.  */
+static bool
+has_permit (switcher_t *switcher, struct timespec now)
+{
+  if (switcher->holder == switcher->own_rank
+      || switcher->permitted == switcher->version)
+    return true;
+  if (timespec_compare (switcher->permit_again_at, now) > 0)
+    return false;
+  switcher->permit_again_at = timespec_add (now, timespec_from_ms (RESEND_MS));
+  switcher->ops->ask_permit (switcher->holder, switcher->term,
+                             switcher->version, switcher->data);
+  return false;
+}
+
+/* Nobody may switch: a new round makes all earlier orders void.  */
+static void
+call_off (switcher_t *switcher, const char *reason, struct timespec now)
+{
+  TALLOC_FREE (switcher->map);
+  begin_round (switcher, now);
+  switcher->ops->on_event (SWITCHER_GIVEN_UP, reason, switcher->data);
+}
+
+/* Arm all ranks, the own one last.  */
 static void
 arm (switcher_t *switcher, struct timespec now)
 {
+  unsigned own = switcher->own_rank;
+
   for (unsigned i = 0; i < switcher->rank_count; i++)
     {
-      if (may_send (&switcher->ranks[i], now))
+      if (i != own && may_send (&switcher->ranks[i], now))
         send_order (switcher, i, RANK_ARM, switcher->step);
     }
+  if (all_done_but (switcher, own) && may_send (&switcher->ranks[own], now)
+      && has_permit (switcher, now))
+    send_order (switcher, own, RANK_ARM, switcher->step);
   if (all_done (switcher))
     enter (switcher, SWITCHER_RELEASING, now);
 }
@@ -645,11 +764,7 @@
       retry_hold (switcher, now);
       break;
     case SWITCHER_ARMING:
-      /* Nobody may switch: a new round makes all earlier orders void.  */
-      TALLOC_FREE (switcher->map);
-      begin_round (switcher, now);
-      switcher->ops->on_event (SWITCHER_GIVEN_UP, "arm-refused",
-                               switcher->data);
+      call_off (switcher, "arm-refused", now);
       break;
     default:
       view->again_at = timespec_add (now, timespec_from_ms (RESEND_MS));
@@ -657,6 +772,17 @@
     }
 }
 
+/* The holder's pilot lets the own rank be armed with VERSION.  */
+void
+switcher_note_permit (switcher_t *switcher, uint64_t version,
+                      struct timespec now)
+{
+  if (switcher->phase != SWITCHER_ARMING || version != switcher->version)
+    return;
+  switcher->permitted = version;
+  switcher_tick (switcher, now);
+}
+
 /* Take in what became of the order with TICKET to RANK.  */
 void
 switcher_note_verdict (switcher_t *switcher, unsigned rank, uint64_t ticket,
--- a/tests/test_switcher.c
+++ b/tests/test_switcher.c
@@ -66,7 +66,9 @@
   MESSAGE_ORDER,
   MESSAGE_VERDICT,
   MESSAGE_ASK,
-  MESSAGE_REPORT
+  MESSAGE_REPORT,
+  MESSAGE_PERMIT,
+  MESSAGE_PERMITTED
 } message_kind_t;
 
 typedef struct message
@@ -92,6 +94,8 @@
   uint64_t step;
   engine_t engines[RANKS];
   leader_t leaders[LEADERS];
+  uint64_t led_term[RANKS];  /* by rank: highest term that its pilot had */
+  uint64_t permitted[RANKS]; /* by rank: version its pilot permitted last */
   TAILQ_HEAD (, message) messages;
   unsigned mixed_steps;
   bool ignores_fences; /* a broken engine, to see that the world notices */
@@ -137,6 +141,20 @@
   return 1 + (int64_t)draw (world, strikes (world) ? 200 : 8);
 }
 
+/* Whether the machine of RANK stands still, with a leader on it that is not
+   LEADER: its engine takes steps, and cannot be reached.  */
+static bool
+is_cut_off (const world_t *world, const leader_t *leader, unsigned rank)
+{
+  for (unsigned i = 0; i < LEADERS; i++)
+    {
+      if (&world->leaders[i] != leader && world->leaders[i].is_paused
+          && world->leaders[i].number % RANKS == rank)
+        return true;
+    }
+  return false;
+}
+
 static void
 post_verdict (world_t *world, const message_t *order, rank_verdict_t verdict,
               int64_t delay_ms)
@@ -155,7 +173,7 @@
   leader_t *leader = data;
   world_t *world = leader->world;
   message_t *message;
-  bool is_late = strikes (world);
+  bool is_late = strikes (world) || is_cut_off (world, leader, rank);
 
   if (strikes (world) && strikes (world))
     {
@@ -186,7 +204,24 @@
     leader->switched++;
 }
 
+/* The pilot of RANK lets the leader arm its own rank unless it has led since
+   itself.  */
+static void
+leader_ask_permit (unsigned rank, uint64_t term, uint64_t version, void *data)
+{
+  leader_t *leader = data;
+  world_t *world = leader->world;
+  message_t *message;
+
+  if (strikes (world) || is_cut_off (world, leader, rank))
+    return;
+  message = post (world, leader, MESSAGE_PERMIT, rank, network_ms (world));
+  message->order.fence = term;
+  message->order.version = version;
+}
+
 static const switcher_ops_t leader_ops = {
+  .ask_permit = leader_ask_permit,
   .order = leader_order,
   .on_event = leader_on_event,
 };
@@ -290,6 +325,19 @@
         switcher_note_verdict (leader->switcher, rank, message->ticket,
                                message->verdict, world_now (world));
       break;
+    case MESSAGE_PERMIT:
+      if (message->order.fence < world->led_term[rank])
+        break;
+      world->permitted[rank] = message->order.version;
+      answer
+          = post (world, leader, MESSAGE_PERMITTED, rank, network_ms (world));
+      answer->order = message->order;
+      break;
+    case MESSAGE_PERMITTED:
+      if (!leader->is_paused)
+        switcher_note_permit (leader->switcher, message->order.version,
+                              world_now (world));
+      break;
     case MESSAGE_ASK:
       answer = post (world, leader, MESSAGE_REPORT, rank, network_ms (world));
       answer->ticket = message->ticket;
@@ -376,7 +424,7 @@
     {
       message_t *ask;
 
-      if (strikes (world))
+      if (strikes (world) || is_cut_off (world, leader, rank))
         continue;
       ask = post (world, leader, MESSAGE_ASK, rank, network_ms (world));
       ask->ticket = leader->over_ticket[rank];
@@ -398,6 +446,8 @@
   if (!switcher_is_ready (leader->switcher, world_now (world)))
     return;
   map = placement_map_first (world, &shape);
+  /* The next leader's engine holds the group.  */
+  switcher_set_holder (leader->switcher, (leader->number + 1) % RANKS);
   switcher_start (leader->switcher, map, world_now (world));
   talloc_free (map);
 }
@@ -406,12 +456,18 @@
 start_leader (world_t *world, unsigned number)
 {
   leader_t *leader = &world->leaders[number];
+  switcher_deposed_t deposed
+      = { .rank = (number - 1) % RANKS,
+          .term = number,
+          .permitted = world->permitted[number % RANKS] };
 
   leader->world = world;
   leader->number = number;
   leader->switcher
       = switcher_create (world, RANKS, number % RANKS, &leader_ops, leader);
-  switcher_lead (leader->switcher, number + 1, world_now (world));
+  world->led_term[number % RANKS] = number + 1;
+  switcher_lead (leader->switcher, number + 1, number > 0 ? &deposed : NULL,
+                 world_now (world));
 }
 
 static world_t *
@@ -470,7 +526,8 @@
 
   world_run (world, FAULTS_MS);
   world->fault_percent = 0;
-  world->leaders[LEADERS - 1].is_paused = false;
+  for (unsigned i = 0; i < LEADERS; i++)
+    world->leaders[i].is_paused = false;
   world_run (world, FAULTS_MS + CALM_MS / 2);
   switched = last->switched;
   world_run (world, FAULTS_MS + CALM_MS);
