--- a/include/common/frame.h
+++ b/include/common/frame.h
@@ -14,7 +14,8 @@
   FRAME_PROTOCOL_VERSION = 1,
   FRAME_PREFIX_BYTES = 4,
   FRAME_MAX_BYTES = 4 * 1024 * 1024,
-  FRAME_CHUNK_BYTES = 64 * 1024
+  FRAME_CHUNK_BYTES = 64 * 1024,
+  FRAME_PERMILLE = 1000 /* units of a whole, in numbers of frames */
 };
 
 /* Bytes that belong to someone else.  */
--- a/include/pilot/pilot.h
+++ b/include/pilot/pilot.h
@@ -10,12 +10,6 @@
 
 #include <sys/queue.h>
 
-/* Pilots register under this, within the part of the store that is the
-   system's own.  The value is "LINK-ADDRESS UPSTREAM-ADDRESS GROUP".  */
-#define PILOT_KEYS "pilots/"
-/* The leader of a group holds a key under this.  */
-#define LEADER_KEYS "leaders/"
-
 typedef struct reporter reporter_t;
 typedef struct servant servant_t;
 typedef struct leader leader_t;
--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -38,6 +38,7 @@
   FLEET_NONE_ALLOWED, /* all are leaving, in zones out, or were tried */
   FLEET_ALL_COLD,     /* those left bear no more while in cold start */
   FLEET_ALL_FAILING,  /* those left do not answer */
+  FLEET_ALL_STALLED,  /* the groups of those left take no steps */
   FLEET_SHORTAGE_COUNT
 } fleet_shortage_t;
 
@@ -65,6 +66,20 @@
   FLEET_LEFT         /* ended by the client */
 } fleet_result_t;
 
+/* What the pilot beside an upstream tells of it.  */
+typedef struct fleet_report
+{
+  const char *group; /* "" for none */
+  uint64_t epoch;
+  bool is_open; /* the group takes steps */
+  uint64_t step;
+  uint64_t running;
+  uint64_t waiting;
+  uint64_t used_tokens;
+  uint64_t total_tokens;
+  double pace; /* over 1: slower than usual */
+} fleet_report_t;
+
 fleet_t *fleet_create (TALLOC_CTX *parent, const char *zone,
                        const clock_source_t *clock, uint64_t seed);
 void fleet_destroy (fleet_t *fleet);
@@ -83,6 +98,8 @@
                     fleet_result_t result);
 void fleet_note_load (fleet_t *fleet, const char *id, uint64_t running,
                       uint64_t waiting, uint64_t slots);
+bool fleet_note_report (fleet_t *fleet, const char *address,
+                        const fleet_report_t *report);
 const char *fleet_shortage_name (fleet_shortage_t shortage);
 const char *fleet_result_name (fleet_result_t result);
 
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -24,6 +24,18 @@
   double trouble; /* share of failed requests, newer ones weighing more */
 } upstream_health_t;
 
+/* A lock-step group of upstreams.  */
+typedef struct fleet_group
+{
+  LIST_ENTRY (fleet_group) link;
+  char *name;
+  uint64_t epoch;
+  bool is_open;
+  uint64_t step;
+  struct timespec stepped_at; /* it was seen to take a step */
+  struct timespec told_at;
+} fleet_group_t;
+
 typedef struct fleet_upstream
 {
   table_node_t node;
@@ -38,6 +50,9 @@
   struct timespec cold_until; /* monotonic */
   cold_bucket_t cold;
   upstream_health_t health;
+  fleet_group_t *group; /* NULL when it is in none, as far as is known */
+  bool is_slow;         /* by its last report */
+  struct timespec reported_at;
   pick_candidate_t candidate; /* kept current; strings are the upstream's */
 } fleet_upstream_t;
 
@@ -71,6 +86,7 @@
   table_t *table;  /* fleet_upstream_t by id; guards the whole fleet */
   STAILQ_HEAD (, fleet_service) services;
   SLIST_HEAD (, fleet_zone) zones;
+  LIST_HEAD (, fleet_group) groups;
   const pick_candidate_t **candidates; /* room for every upstream */
   fleet_upstream_t **chosen_from;
 };
@@ -86,6 +102,10 @@
 void cold_restart (fleet_upstream_t *upstream, struct timespec now,
                    struct timespec cold_left);
 
+bool report_is_stalled (const fleet_t *fleet,
+                        const fleet_upstream_t *upstream);
+bool report_is_slow (const fleet_t *fleet, const fleet_upstream_t *upstream);
+
 void health_note (fleet_upstream_t *upstream, fleet_result_t result,
                   struct timespec now);
 bool health_is_shunned (const fleet_upstream_t *upstream, struct timespec now);
--- a/include/relay/relay.h
+++ b/include/relay/relay.h
@@ -15,13 +15,10 @@
 #include <stdatomic.h>
 #include <sys/queue.h>
 
-/* Relays register under this, within the part of the store that is the
-   system's own.  */
-#define RELAY_KEYS "relays/"
-
 typedef struct relay relay_t;
 typedef struct directory directory_t;
 typedef struct readiness readiness_t;
+typedef struct feed feed_t;
 
 /* One worker's share of the relay.  */
 struct relay_worker
@@ -54,6 +51,7 @@
   directory_t *directory;    /* worker 0 only */
   lease_key_t *registration; /* worker 0 only */
   readiness_t *readiness;    /* worker 0 only */
+  feed_t *feed;              /* worker 0 only */
   unsigned worker_count;
   relay_worker_t *workers;
   atomic_bool is_stopping;
--- a/pilot/crew.c
+++ b/pilot/crew.c
@@ -1,25 +1,20 @@
 #include "pilot/crew.h"
 
 #include "common/numbers.h"
+#include "common/roster.h"
 #include "kernel/log.h"
 #include "pilot/rank_codec.h"
 
-#include <stdio.h>
 #include <string.h>
 
 enum
 {
   VERDICT_TIMEOUT_MS = 300, /* of an order that goes through a pilot */
   CONNECT_AGAIN_MS = 500,
-  DIRECT_POLL_MS = 400,  /* of engines whose pilot cannot be reached */
-  DIRECT_AFTER_MS = 300, /* without a report of a rank */
-  ADDRESS_BYTES = 64,
-  GROUP_BYTES = 128
+  DIRECT_POLL_MS = 400, /* of engines whose pilot cannot be reached */
+  DIRECT_AFTER_MS = 300 /* without a report of a rank */
 };
 
-/* Bounded by ADDRESS_BYTES and GROUP_BYTES.  */
-#define PILOT_VALUE_FORMAT "%63s %63s %127s"
-
 /* A pilot of the group, by its key in the store.  */
 typedef struct crew_pilot
 {
@@ -657,19 +652,17 @@
 void
 crew_note_pilot (crew_t *crew, const char *name, const char *value)
 {
-  char address[ADDRESS_BYTES];
-  char upstream[ADDRESS_BYTES];
-  char group[GROUP_BYTES];
+  TALLOC_CTX *scratch = talloc_new (crew);
   crew_pilot_t *known = crew_find_pilot (crew, name);
+  roster_pilot_t entry;
 
   if (known != NULL)
     pilot_unlist (known);
-  if (value == NULL
-      || sscanf (value, PILOT_VALUE_FORMAT, address, upstream, group) != 3
-      || strcmp (group, crew->group) != 0
-      || strcmp (upstream, pilot_upstream (crew->pilot)) == 0)
-    return;
-  crew_add_pilot (crew, name, address, upstream);
+  if (value != NULL && roster_read_pilot (scratch, value, &entry)
+      && strcmp (entry.group, crew->group) == 0
+      && strcmp (entry.upstream, pilot_upstream (crew->pilot)) != 0)
+    crew_add_pilot (crew, name, entry.address, entry.upstream);
+  talloc_free (scratch);
 }
 
 /* Take in what the own engine reports.  */
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -1,5 +1,6 @@
 #include "pilot/leader.h"
 
+#include "common/roster.h"
 #include "common/store_mirror.h"
 #include "common/term.h"
 #include "kernel/counter.h"
@@ -313,9 +314,9 @@
       leader_take_upstream (leader, name, entry);
       break;
     case CATALOG_OWN:
-      if (strncmp (name, PILOT_KEYS, strlen (PILOT_KEYS)) == 0)
-        crew_note_pilot (leader->crew, name + strlen (PILOT_KEYS),
-                         entry->value);
+      name = roster_name (name, ROSTER_PILOTS);
+      if (name != NULL)
+        crew_note_pilot (leader->crew, name, entry->value);
       break;
     default:
       break;
@@ -397,7 +398,7 @@
   leader->group = talloc_strdup (leader, report->group);
   leader->rank_count = (unsigned)report->rank_count;
   leader->own_rank = (unsigned)report->rank;
-  key = talloc_asprintf (leader, "%s" LEADER_KEYS "%s",
+  key = talloc_asprintf (leader, "%s" ROSTER_LEADERS "%s",
                          pilot->catalog_ops->own_prefix, leader->group);
   holder = talloc_asprintf (leader, HOLDER_FORMAT, node_name (pilot->node),
                             (unsigned long long)node_incarnation (pilot->node),
--- a/pilot/pilot.c
+++ b/pilot/pilot.c
@@ -1,5 +1,6 @@
 #include "pilot/pilot.h"
 
+#include "common/roster.h"
 #include "kernel/log.h"
 #include "kernel/plugin.h"
 #include "pilot/leader.h"
@@ -39,9 +40,10 @@
       = { .store_ops = pilot->store_ops,
           .store = pilot->store,
           .duration = timespec_from_ms (REGISTRATION_MS) };
-  char *value = talloc_asprintf (
-      pilot, "%s %s %s", servant_address (pilot->servant), config->upstream,
-      report->group[0] == '\0' ? "-" : report->group);
+  const roster_pilot_t entry = { .address = servant_address (pilot->servant),
+                                 .upstream = config->upstream,
+                                 .group = report->group };
+  char *value = roster_write_pilot (pilot, &entry);
   char *key;
 
   if (pilot->registered != NULL && strcmp (pilot->registered, value) == 0)
@@ -56,7 +58,7 @@
       lease_key_set_value (pilot->registration, value);
       return;
     }
-  key = talloc_asprintf (pilot, "%s" PILOT_KEYS "%s",
+  key = talloc_asprintf (pilot, "%s" ROSTER_PILOTS "%s",
                          pilot->catalog_ops->own_prefix, config->name);
   options.key = key;
   options.value = value;
--- a/pilot/rank_codec.c
+++ b/pilot/rank_codec.c
@@ -4,8 +4,7 @@
 
 enum
 {
-  SHAPE_NUMBERS = 4,
-  PERMILLE = 1000
+  SHAPE_NUMBERS = 4
 };
 
 static const char *const order_names[RANK_ORDER_KIND_COUNT] = {
@@ -64,7 +63,7 @@
       .waiting = report->waiting,
       .used_tokens = report->used_tokens,
       .total_tokens = report->total_tokens,
-      .pace_permille = (uint64_t)(report->pace * PERMILLE),
+      .pace_permille = (uint64_t)(report->pace * FRAME_PERMILLE),
       .after_ticket = after_ticket,
     },
   };
@@ -94,7 +93,7 @@
     .waiting = body->waiting,
     .used_tokens = body->used_tokens,
     .total_tokens = body->total_tokens,
-    .pace = (double)body->pace_permille / PERMILLE,
+    .pace = (double)body->pace_permille / FRAME_PERMILLE,
   };
 }
 
--- a/relay/directory.c
+++ b/relay/directory.c
@@ -1,9 +1,11 @@
 #include "relay/directory.h"
 
+#include "common/roster.h"
 #include "common/store_mirror.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
 #include "kernel/table.h"
+#include "relay/feed.h"
 
 #include <string.h>
 
@@ -271,6 +273,20 @@
   directory_recount (directory);
 }
 
+/* An entry of a process of this system.  */
+static void
+directory_take_own (directory_t *directory, const char *key,
+                    const store_entry_t *entry)
+{
+  const char *relay = roster_name (key, ROSTER_RELAYS);
+  const char *pilot = roster_name (key, ROSTER_PILOTS);
+
+  if (relay != NULL)
+    directory_take_relay (directory, relay, entry->value == NULL);
+  if (pilot != NULL)
+    feed_note_pilot (directory->relay->feed, pilot, entry->value);
+}
+
 static void
 directory_on_change (const store_entry_t *entry, void *data)
 {
@@ -289,9 +305,7 @@
       directory_take_zone (directory, name, entry);
       break;
     case CATALOG_OWN:
-      if (strncmp (name, RELAY_KEYS, strlen (RELAY_KEYS)) == 0)
-        directory_take_relay (directory, name + strlen (RELAY_KEYS),
-                              entry->value == NULL);
+      directory_take_own (directory, name, entry);
       break;
     case CATALOG_OTHER:
       break;
--- /dev/null
+++ b/relay/feed.c
@@ -0,0 +1,212 @@
+#include "relay/feed.h"
+
+#include "common/link.h"
+#include "common/roster.h"
+#include "kernel/counter.h"
+#include "kernel/log.h"
+
+#include <string.h>
+
+enum
+{
+  CONNECT_AGAIN_MS = 700,
+  CONNECT_MOST_MS = 5000
+};
+
+GAUGE_DEFINE (pilots_connected, "siskin_feed_pilots", "Connections to pilots");
+
+/* A pilot, by its key in the store.  */
+typedef struct feed_pilot
+{
+  LIST_ENTRY (feed_pilot) entry;
+  feed_t *feed;
+  char *name;
+  net_address_t address;
+  char *value;  /* of its key */
+  link_t *link; /* NULL while there is none */
+  bool is_gone; /* its key is; it goes with its connection */
+  int64_t again_ms;
+  worker_timer_t *timer;
+} feed_pilot_t;
+
+struct feed
+{
+  relay_t *relay;
+  worker_t *worker;
+  LIST_HEAD (, feed_pilot) pilots;
+};
+
+static void pilot_connect (feed_pilot_t *pilot);
+
+static void
+pilot_handle_timer (worker_t *worker, void *data)
+{
+  feed_pilot_t *pilot = data;
+
+  (void)worker;
+  pilot->timer = NULL;
+  pilot_connect (pilot);
+}
+
+static void
+pilot_connect_later (feed_pilot_t *pilot)
+{
+  pilot->timer = worker_timer_start (pilot->feed->worker, pilot,
+                                     timespec_from_ms (pilot->again_ms),
+                                     pilot_handle_timer, pilot);
+  pilot->again_ms *= 2;
+  if (pilot->again_ms > CONNECT_MOST_MS)
+    pilot->again_ms = CONNECT_MOST_MS;
+}
+
+static void
+pilot_free (feed_pilot_t *pilot)
+{
+  LIST_REMOVE (pilot, entry);
+  talloc_free (pilot);
+}
+
+static void
+pilot_on_open (link_t *link, const frame_hello_t *peer, void *data)
+{
+  feed_pilot_t *pilot = data;
+
+  (void)link;
+  (void)peer;
+  pilot->again_ms = CONNECT_AGAIN_MS;
+  counter_add (&pilots_connected, 1);
+}
+
+static void
+pilot_on_frame (link_t *link, const frame_t *frame, void *data)
+{
+  const feed_pilot_t *pilot = data;
+  const frame_rank_report_t *body = &frame->body.rank_report;
+  fleet_report_t report;
+
+  (void)link;
+  if (frame->header.type != FRAME_RANK_REPORT)
+    return;
+  report = (fleet_report_t){
+    .group = body->group,
+    .epoch = body->epoch,
+    .is_open = body->is_open,
+    .step = body->step,
+    .running = body->running,
+    .waiting = body->waiting,
+    .used_tokens = body->used_tokens,
+    .total_tokens = body->total_tokens,
+    .pace = (double)body->pace_permille / FRAME_PERMILLE,
+  };
+  if (fleet_note_report (pilot->feed->relay->fleet, body->upstream, &report))
+    relay_announce_change (pilot->feed->relay);
+}
+
+static void
+pilot_on_closed (link_t *link, const char *reason, void *data)
+{
+  feed_pilot_t *pilot = data;
+
+  if (link_peer_incarnation (link) != 0)
+    {
+      counter_add (&pilots_connected, -1);
+      log_event (LOG_LEVEL_INFO, "pilot-lost", "pilot=%s reason=%s",
+                 pilot->name, reason);
+    }
+  pilot->link = NULL;
+  if (pilot->is_gone)
+    pilot_free (pilot);
+  else
+    pilot_connect_later (pilot);
+}
+
+static const link_ops_t pilot_link_ops = {
+  .on_open = pilot_on_open,
+  .on_frame = pilot_on_frame,
+  .on_closed = pilot_on_closed,
+};
+
+static void
+pilot_connect (feed_pilot_t *pilot)
+{
+  const feed_t *feed = pilot->feed;
+
+  pilot->link = link_connect (feed->worker, daemon_node (feed->relay->daemon),
+                              &pilot->address, &pilot_link_ops, pilot);
+  if (pilot->link == NULL)
+    pilot_connect_later (pilot);
+}
+
+/* The key of PILOT is gone or says something else.  A connection that stands
+   is kept until it ends: the key may only have lapsed.  */
+static void
+pilot_drop (feed_pilot_t *pilot)
+{
+  pilot->is_gone = true;
+  if (pilot->link == NULL)
+    pilot_free (pilot);
+}
+
+static void
+feed_add (feed_t *feed, const char *name, const char *value)
+{
+  feed_pilot_t *pilot = talloc_zero (feed, feed_pilot_t);
+  roster_pilot_t entry;
+
+  if (pilot == NULL)
+    return;
+  if (!roster_read_pilot (pilot, value, &entry)
+      || net_address_parse (pilot, entry.address, &pilot->address)
+             != STATUS_OK)
+    {
+      log_event (LOG_LEVEL_WARN, "pilot-rejected", "pilot=%s value=\"%s\"",
+                 name, value);
+      talloc_free (pilot);
+      return;
+    }
+  pilot->feed = feed;
+  pilot->name = talloc_strdup (pilot, name);
+  pilot->value = talloc_strdup (pilot, value);
+  pilot->again_ms = CONNECT_AGAIN_MS;
+  LIST_INSERT_HEAD (&feed->pilots, pilot, entry);
+  pilot_connect (pilot);
+}
+
+/* Take in the entry of the pilot NAME; a NULL VALUE: it is gone.  */
+void
+feed_note_pilot (feed_t *feed, const char *name, const char *value)
+{
+  feed_pilot_t *pilot;
+
+  LIST_FOREACH (pilot, &feed->pilots, entry)
+    {
+      if (strcmp (pilot->name, name) != 0)
+        continue;
+      if (value != NULL && strcmp (pilot->value, value) == 0)
+        {
+          pilot->is_gone = false;
+          return;
+        }
+      if (!pilot->is_gone)
+        {
+          pilot_drop (pilot);
+          break;
+        }
+    }
+  if (value != NULL)
+    feed_add (feed, name, value);
+}
+
+/* Create a feed without pilots.  */
+feed_t *
+feed_create (TALLOC_CTX *parent, relay_t *relay)
+{
+  feed_t *feed = talloc_zero (parent, feed_t);
+
+  if (feed == NULL)
+    return NULL;
+  feed->relay = relay;
+  feed->worker = pool_worker (daemon_pool (relay->daemon), 0);
+  LIST_INIT (&feed->pilots);
+  return feed;
+}
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -16,6 +16,7 @@
   [FLEET_NONE_ALLOWED] = "none-allowed",
   [FLEET_ALL_COLD] = "all-cold",
   [FLEET_ALL_FAILING] = "all-failing",
+  [FLEET_ALL_STALLED] = "all-stalled",
 };
 
 static const char *const result_names[] = {
@@ -56,6 +57,7 @@
   fleet->table = table_create (fleet, LOCK_UPSTREAMS, "fleet");
   STAILQ_INIT (&fleet->services);
   SLIST_INIT (&fleet->zones);
+  LIST_INIT (&fleet->groups);
   return fleet;
 }
 
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -30,36 +30,57 @@
          && !was_tried (request, upstream->id);
 }
 
-/* Collect the upstreams that can take REQUEST.  With IS_DESPERATE also those
-   that have failed lately.  Sets *SHORTAGE when there is none.  */
+/* How choosy a search is.  */
+typedef enum search
+{
+  SEARCH_BEST,      /* no upstream that is slow or has failed lately */
+  SEARCH_ANSWERING, /* none that has failed lately */
+  SEARCH_ANY,
+  SEARCH_COUNT
+} search_t;
+
+/* Return what keeps UPSTREAM from being chosen, or FLEET_HAS_ONE.  */
+static fleet_shortage_t
+find_obstacle (fleet_t *fleet, fleet_upstream_t *upstream,
+               const fleet_request_t *request, search_t search)
+{
+  struct timespec now = clock_monotonic (fleet->clock);
+
+  if (!is_allowed (fleet, upstream, request))
+    return FLEET_NONE_ALLOWED;
+  if (report_is_stalled (fleet, upstream))
+    return FLEET_ALL_STALLED;
+  if (search < SEARCH_ANY && health_is_shunned (upstream, now))
+    return FLEET_ALL_FAILING;
+  if (search < SEARCH_ANSWERING && report_is_slow (fleet, upstream))
+    return FLEET_ALL_FAILING;
+  if (!cold_has_room (fleet, upstream, now))
+    return FLEET_ALL_COLD;
+  return FLEET_HAS_ONE;
+}
+
+/* Collect the upstreams that can take REQUEST.  Sets *SHORTAGE when there is
+   none.  */
 static unsigned
 collect (fleet_t *fleet, const fleet_service_t *service,
-         const fleet_request_t *request, bool is_desperate,
+         const fleet_request_t *request, search_t search,
          fleet_shortage_t *shortage)
 {
-  struct timespec now = clock_monotonic (fleet->clock);
   fleet_upstream_t *upstream;
   unsigned count = 0;
 
   *shortage = FLEET_NONE_LISTED;
   STAILQ_FOREACH (upstream, &service->upstreams, link)
     {
-      if (*shortage < FLEET_NONE_ALLOWED)
-        *shortage = FLEET_NONE_ALLOWED;
-      if (!is_allowed (fleet, upstream, request))
+      fleet_shortage_t obstacle
+          = find_obstacle (fleet, upstream, request, search);
+
+      if (obstacle > *shortage)
+        *shortage = obstacle;
+      if (obstacle != FLEET_HAS_ONE)
         continue;
-      if (!is_desperate && health_is_shunned (upstream, now))
-        *shortage = FLEET_ALL_FAILING;
-      else if (!cold_has_room (fleet, upstream, now))
-        {
-          if (*shortage < FLEET_ALL_COLD)
-            *shortage = FLEET_ALL_COLD;
-        }
-      else
-        {
-          fleet->candidates[count] = &upstream->candidate;
-          fleet->chosen_from[count++] = upstream;
-        }
+      fleet->candidates[count] = &upstream->candidate;
+      fleet->chosen_from[count++] = upstream;
     }
   return count;
 }
@@ -81,13 +102,13 @@
   fleet_shortage_t shortage;
   pick_choice_t picked = { 0 };
   fleet_upstream_t *upstream;
-  unsigned count;
+  unsigned count = 0;
 
   if (service == NULL)
     return FLEET_NONE_LISTED;
-  count = collect (fleet, service, request, false, &shortage);
-  if (count == 0 && shortage == FLEET_ALL_FAILING)
-    count = collect (fleet, service, request, true, &shortage);
+  for (search_t search = SEARCH_BEST; count == 0 && search < SEARCH_COUNT;
+       search++)
+    count = collect (fleet, service, request, search, &shortage);
   if (count == 0)
     return shortage;
   service->ops->choose (service->pick, &request->work, fleet->candidates,
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -1,11 +1,13 @@
 #include "relay/relay.h"
 
 #include "common/lease_key.h"
+#include "common/roster.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
 #include "kernel/plugin.h"
 #include "kernel/table.h"
 #include "relay/directory.h"
+#include "relay/feed.h"
 #include "relay/forward.h"
 #include "relay/program.h"
 #include "relay/readiness.h"
@@ -127,7 +129,7 @@
   store_options_t options = { .urls = config_store_urls (config),
                               .timeout = config->store_timeout };
   worker_t *worker = relay->workers[0].worker;
-  char *key = talloc_asprintf (relay, "%s" RELAY_KEYS "%s",
+  char *key = talloc_asprintf (relay, "%s" ROSTER_RELAYS "%s",
                                relay->catalog_ops->own_prefix, config->name);
   lease_key_options_t registration = {
     .store_ops = relay->store_ops,
@@ -140,6 +142,7 @@
   if (relay->store == NULL)
     return STATUS_INVALID;
   registration.store = relay->store;
+  relay->feed = feed_create (worker_events (worker), relay);
   relay->directory = directory_create (worker_events (worker), relay);
   relay->registration
       = lease_key_create (worker_events (worker), worker, &registration);
