Send orders again after 80 ms, and hold further ahead while orders get lost

Now after 80 ms, and while losses are seen the group is held 500 ms ahead instead of 120. The end of an answer is logged with the time of its first part and its longest pause, by which this was found.

Listings that go in an outage of less than 1.8 s are believed at once: one of a second cannot make them lapse, and a leaving upstream was used for 1.94 of the 2.0 s allowed.

--- a/include/relay/forward.h
+++ b/include/relay/forward.h
@@ -45,6 +45,9 @@
   bool is_waiting;
   bool is_begun;  /* the client has the head of its answer */
   bool is_paused; /* the upstream waits for the client */
+  struct timespec first_at; /* the client got the first of its answer */
+  struct timespec last_at;  /* and the newest */
+  int64_t longest_gap_ms;   /* between two parts of it */
   bool has_last_event;
   int64_t last_event; /* passed on to the client, or had before */
   worker_timer_t *deadline_timer;
--- a/pilot/crew.c
+++ b/pilot/crew.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  VERDICT_TIMEOUT_MS = 300, /* of an order that goes through a pilot */
+  VERDICT_TIMEOUT_MS = 80, /* an order with no answer by then is lost */
   CONNECT_AGAIN_MS = 500,
   DIRECT_POLL_MS = 400, /* of engines whose pilot cannot be reached */
   DIRECT_AFTER_MS = 300 /* without a report of a rank */
@@ -54,6 +54,7 @@
   bool is_pending;
   uint64_t ticket;
   worker_timer_t *timer; /* of the order */
+  struct timespec sent_at;
   uint64_t over_ticket;  /* the last order with a clear verdict */
   uint64_t asked_ticket; /* over when the engine was asked directly */
   bool is_polling;
@@ -118,7 +119,8 @@
 
   (void)worker;
   rank->timer = NULL;
-  rank->is_doubtful = true;
+  /* A pilot that has reported meanwhile is there; its engine let it down.  */
+  rank->is_doubtful = timespec_compare (rank->reported_at, rank->sent_at) < 0;
   rank_end_order (rank, rank->ticket, RANK_LOST);
 }
 
@@ -230,6 +232,7 @@
 
   rank->is_pending = true;
   rank->ticket = ticket;
+  rank->sent_at = pilot_now (crew->pilot);
   log_event (
       LOG_LEVEL_DEBUG, "order",
       "rank=%u kind=%s fence=%llu epoch=%llu version=%llu step=%llu "
--- a/pilot/switcher.c
+++ b/pilot/switcher.c
@@ -12,9 +12,12 @@
   PREPARE_TIMEOUT_MS = 8000,
   HOLD_TIMEOUT_MS = 2000,
   /* Time that orders take to reach all ranks: the group is held at a step that
-     it gets to about so much later.  */
+     it gets to about so much later.  Longer while orders get lost, so that
+     they can be sent again before the group stands still.  */
   AHEAD_MS = 120,
-  AHEAD_MOST_STEPS = 12,
+  AHEAD_LOSSY_MS = 500,
+  LOSSY_MS = 6000, /* after an order that was lost */
+  AHEAD_MOST_STEPS = 24,
   USUAL_STEP_MS = 50
 };
 
@@ -69,6 +72,8 @@
   bool may_be_held;      /* an order to hold was sent and not taken back */
   placement_map_t *map;  /* of the switch under way */
   struct timespec phase_at;
+  bool has_lost; /* an order, at LOST_AT */
+  struct timespec lost_at;
   uint64_t paced_step; /* to learn how long a step takes */
   struct timespec paced_at;
   double step_ms;
@@ -483,9 +488,13 @@
 /* The step at which the group is to be held and to switch: far enough ahead
    for the orders to arrive before it begins.  */
 static uint64_t
-step_ahead (const switcher_t *switcher)
+step_ahead (const switcher_t *switcher, struct timespec now)
 {
-  uint64_t ahead = (uint64_t)(AHEAD_MS / switcher->step_ms) + 2;
+  int64_t lost_ms
+      = timespec_to_ms (timespec_subtract (now, switcher->lost_at));
+  bool is_lossy = switcher->has_lost && lost_ms < LOSSY_MS;
+  double ahead_ms = is_lossy ? AHEAD_LOSSY_MS : AHEAD_MS;
+  uint64_t ahead = (uint64_t)(ahead_ms / switcher->step_ms) + 2;
 
   if (ahead > AHEAD_MOST_STEPS)
     ahead = AHEAD_MOST_STEPS;
@@ -535,7 +544,7 @@
   if (!may_send (view, now))
     return;
   if (!switcher->may_be_held)
-    switcher->step = step_ahead (switcher);
+    switcher->step = step_ahead (switcher, now);
   switcher->may_be_held = true;
   send_order (switcher, switcher->holder, RANK_HOLD, switcher->step);
 }
@@ -816,8 +825,11 @@
       if (view->sent_in == switcher->stage)
         note_conflict (switcher, view, now);
       break;
-    case RANK_UNREACHABLE:
     case RANK_LOST:
+      switcher->has_lost = true;
+      switcher->lost_at = now;
+      break;
+    case RANK_UNREACHABLE:
     case RANK_VERDICT_COUNT:
       view->again_at = timespec_add (now, timespec_from_ms (RESEND_MS));
       break;
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -37,11 +37,29 @@
   forward->ops->on_head (forward, &head, forward->data);
 }
 
+/* Note how long the client waits between the parts of its answer.  */
+static void
+note_progress (forward_t *forward)
+{
+  struct timespec now = clock_monotonic (forward->share->relay->clock);
+  int64_t gap_ms = 0;
+
+  if (forward->first_at.tv_sec == 0 && forward->first_at.tv_nsec == 0)
+    forward->first_at = now;
+  else
+    gap_ms = timespec_to_ms (timespec_subtract (now, forward->last_at));
+  forward->last_at = now;
+  if (gap_ms > forward->longest_gap_ms)
+    forward->longest_gap_ms = gap_ms;
+}
+
 static void
 pass_data (forward_t *forward, const char *bytes, size_t size)
 {
-  if (size > 0)
-    forward->ops->on_data (forward, bytes, size, forward->data);
+  if (size == 0)
+    return;
+  note_progress (forward);
+  forward->ops->on_data (forward, bytes, size, forward->data);
 }
 
 /* Pass an event on unless the client has it already.  */
--- a/relay/directory.c
+++ b/relay/directory.c
@@ -12,9 +12,10 @@
 enum
 {
   PACE_MS = 1000, /* of polls; what is read must act within two s */
-  /* After an outage, listings that lapsed meanwhile come back within two s; an
-     upstream whose listing is gone is kept for that long.  */
-  LAPSE_OUTAGE_MS = 1000,
+  /* Listings lapse when their upstreams could not write for some seconds.
+     After an outage that long they come back within two s; an upstream whose
+     listing is gone is kept until then.  */
+  LAPSE_OUTAGE_MS = 1800,
   LAPSE_GRACE_MS = 2300,
   RELAY_MEMORY_MS = 10000 /* relays that were there so lately still count */
 };
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -74,15 +74,29 @@
   return 0;
 }
 
+/* Return after how many milliseconds the client got the first of its answer,
+   -1 if it has not.  */
+static int64_t
+forward_first_ms (const forward_t *forward)
+{
+  if (forward->first_at.tv_sec == 0 && forward->first_at.tv_nsec == 0)
+    return -1;
+  return timespec_to_ms (
+      timespec_subtract (forward->first_at, forward->arrived_at));
+}
+
 /* The client's answer is over.  */
 void
 forward_finish (forward_t *forward, bool is_complete)
 {
   counter_add (is_complete ? &ended_whole : &ended_broken, 1);
   log_event (is_complete ? LOG_LEVEL_DEBUG : LOG_LEVEL_WARN, "answer-ended",
-             "request=%s whole=%d ms=%lld sends=%u", forward->request->id,
-             is_complete, (long long)ms_since (forward, forward->arrived_at),
-             forward->sends);
+             "request=%s route=%s whole=%d ms=%lld first_ms=%lld gap_ms=%lld "
+             "sends=%u",
+             forward->request->id, forward->route->name, is_complete,
+             (long long)ms_since (forward, forward->arrived_at),
+             (long long)forward_first_ms (forward),
+             (long long)forward->longest_gap_ms, forward->sends);
   forward->ops->on_end (forward, is_complete, forward->data);
   talloc_free (forward);
 }
