Take an address for that of the upstream that started there last; plan sooner

The listing that started later now drops the other. A new leader asks for the map and for counts as soon as it can.

--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -18,11 +18,12 @@
 {
   TICK_MS = 50,
   TERM_MS = 2000,       /* duration of the lease on the leader's key */
-  SEEK_AFTER_MS = 1000, /* without a leader, before the first one is sought */
+  SEEK_AFTER_MS = 600,  /* without a leader, before the first one is sought */
   SEEK_STEP_MS = 150,   /* later for each rank number */
   SHOW_MS = 250,        /* between signs of life to the other pilots */
   STUCK_MS = 250,       /* the group is held and no leader is heard */
   PLAN_MS = 500,        /* from one plan to the next */
+  LEARN_MS = 100,       /* between questions for the map in use */
   ANSWER_MS = 250,      /* ranks have to tell their counts */
   MIRROR_PACE_MS = 2000 /* of the store, while leading */
 };
@@ -59,6 +60,7 @@
   bool is_asking;
   rank_question_t question;
   struct timespec asked_at;
+  struct timespec counted_at; /* asked for counts */
   struct timespec planned_at;
   struct timespec shown_at; /* the other pilots had a sign of life */
 };
@@ -442,6 +444,8 @@
   leader->is_asking = true;
   leader->question = question;
   leader->asked_at = pilot_now (leader->pilot);
+  if (question == RANK_COUNTS)
+    leader->counted_at = leader->asked_at;
   leader->asked = crew_ask_all (leader->crew, question);
 }
 
@@ -465,11 +469,16 @@
       if (leader->question == RANK_COUNTS)
         leader_plan (leader);
     }
-  if (leader->planner == NULL || leader->is_asking || leader->is_stopping
-      || ms_since (leader, leader->asked_at) < PLAN_MS)
+  if (leader->planner == NULL || leader->is_asking || leader->is_stopping)
     return;
   if (!planner_has_map (leader->planner, switcher_map (leader->switcher)))
-    leader_ask (leader, RANK_HELD);
+    {
+      if (ms_since (leader, leader->asked_at) >= LEARN_MS
+          && switcher_is_ready (leader->switcher, now))
+        leader_ask (leader, RANK_HELD);
+    }
+  else if (ms_since (leader, leader->counted_at) < PLAN_MS)
+    return;
   else if (switcher_is_ready (leader->switcher, now)
            || leader_is_switching (leader))
     leader_ask (leader, RANK_COUNTS);
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -249,6 +249,44 @@
     report->limit_tokens = report->limit_requests;
 }
 
+/* Return another upstream than ID at ADDRESS, or NULL.  */
+static fleet_upstream_t *
+fleet_find_other_at (const fleet_t *fleet, const char *address, const char *id)
+{
+  table_node_t *node;
+
+  TABLE_FOREACH (node, fleet->table)
+    {
+      fleet_upstream_t *upstream = CONTAINER_OF (node, fleet_upstream_t, node);
+
+      if (strcmp (upstream->address, address) == 0
+          && strcmp (upstream->id, id) != 0)
+        return upstream;
+    }
+  return NULL;
+}
+
+/* An address belongs to the upstream that started there last; the listing of
+   the one before goes only some seconds later.  Returns whether LISTING is of
+   the last one, and forgets the others.  */
+static bool
+fleet_settle_address (fleet_t *fleet, const upstream_listing_t *listing)
+{
+  fleet_upstream_t *other;
+
+  while ((other = fleet_find_other_at (fleet, listing->address, listing->id))
+         != NULL)
+    {
+      if (other->started_ms > listing->started_ms)
+        return false;
+      log_event (LOG_LEVEL_INFO, "upstream-replaced",
+                 "upstream=%s by=%s address=%s", other->id, listing->id,
+                 listing->address);
+      upstream_free (fleet, other);
+    }
+  return true;
+}
+
 /* Take in what an upstream says of itself.  Returns whether it is new, or has
    changed in what matters for the choice.  */
 bool
@@ -265,7 +303,7 @@
       upstream_free (fleet, upstream);
       upstream = NULL;
     }
-  if (upstream == NULL)
+  if (upstream == NULL && fleet_settle_address (fleet, listing))
     {
       upstream = upstream_create (fleet, listing);
       is_changed = true;
