--- a/common/rules.c
+++ b/common/rules.c
@@ -1,5 +1,7 @@
 #include "common/rules.h"
 
+#include "kernel/clock.h"
+
 #include <ctype.h>
 #include <string.h>
 
@@ -115,12 +117,35 @@
   return service;
 }
 
+/* The shortest pause between events that a route to SERVICE allows.  */
+static struct timespec
+service_gap_limit (const rules_t *rules, const service_rule_t *service)
+{
+  struct timespec limit = { 0, 0 };
+  const route_t *route;
+  const route_target_t *target;
+
+  STAILQ_FOREACH (route, &rules->routes, link)
+    {
+      if (timespec_to_us (route->gap_limit) <= 0)
+        continue;
+      STAILQ_FOREACH (target, &route->targets, link)
+        {
+          if (strcmp (target->service, service->name) == 0
+              && (timespec_to_us (limit) == 0
+                  || timespec_compare (route->gap_limit, limit) < 0))
+            limit = route->gap_limit;
+        }
+    }
+  return limit;
+}
+
 /* Make RULES ready for lookups; nothing may be added afterwards.  */
 void
 rules_finish (rules_t *rules)
 {
   const route_t *route;
-  const service_rule_t *service;
+  service_rule_t *service;
 
   STAILQ_FOREACH (route, &rules->routes, link)
     name_index_add (&rules->route_index, rules,
@@ -128,7 +153,10 @@
                                      index_separator, route->prefix),
                     route);
   STAILQ_FOREACH (service, &rules->services, link)
-    name_index_add (&rules->service_index, rules, service->name, service);
+    {
+      service->gap_limit = service_gap_limit (rules, service);
+      name_index_add (&rules->service_index, rules, service->name, service);
+    }
   name_index_sort (&rules->route_index);
   name_index_sort (&rules->key_index);
   name_index_sort (&rules->service_index);
--- a/common/store_mirror.c
+++ b/common/store_mirror.c
@@ -8,7 +8,8 @@
 enum
 {
   RETRY_FIRST_MS = 200,
-  RETRY_MOST_MS = 1000
+  RETRY_MOST_MS = 1000,
+  HURRY_GAP_MS = 150 /* between polls in a hurry */
 };
 
 COUNTER_DEFINE (full_reads, "siskin_mirror_full_reads_total",
@@ -347,6 +348,19 @@
     talloc_free (mirror);
 }
 
+/* Ask for changes now instead of at the usual pace: something else has shown
+   that what is known is out of date.  */
+void
+store_mirror_hurry (store_mirror_t *mirror)
+{
+  int64_t since_ms = timespec_to_ms (
+      timespec_subtract (mirror_now (mirror), mirror->asked_at));
+
+  if (mirror->is_asking || !mirror->is_in_touch)
+    return;
+  mirror_ask_in (mirror, timespec_from_ms (HURRY_GAP_MS - since_ms));
+}
+
 /* Return whether all keys have been told once.  */
 bool
 store_mirror_is_synced (const store_mirror_t *mirror)
--- a/include/common/rules.h
+++ b/include/common/rules.h
@@ -111,6 +111,8 @@
   unsigned connection_limit; /* of one upstream, from all callers */
   struct timespec cold_time; /* after a start */
   double cold_rate;          /* requests a second while cold; 0: any */
+  /* The shortest that a route to the service has; zero for none.  */
+  struct timespec gap_limit;
   bool has_engine;
   engine_profile_t engine;
   STAILQ_HEAD (, zone_delay) delays;
--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -25,6 +25,7 @@
 {
   const char *service;
   const route_t *route; /* for the regions it allows */
+  bool is_late; /* it gets only room that others are not about to need */
   pick_work_t work;
   const char *tried[FLEET_MAX_TRIED]; /* ids of upstreams to leave out */
   unsigned tried_count;
@@ -38,6 +39,7 @@
   FLEET_NONE_ALLOWED, /* all are leaving, in zones out, or were tried */
   FLEET_ALL_COLD,     /* those left bear no more while in cold start */
   FLEET_ALL_FAILING,  /* those left do not answer */
+  FLEET_ALL_FULL,     /* one request more would slow the others too much */
   FLEET_ALL_STALLED,  /* the groups of those left take no steps */
   FLEET_SHORTAGE_COUNT
 } fleet_shortage_t;
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -34,6 +34,8 @@
   uint64_t step;
   struct timespec stepped_at; /* it was seen to take a step */
   struct timespec told_at;
+  bool is_stalled; /* it has work and takes no step */
+  double step_ms;  /* moving average; 0 until it is known */
 } fleet_group_t;
 
 typedef struct fleet_upstream
@@ -46,7 +48,9 @@
   char *zone;
   const char *region;
   int64_t started_ms;
+  unsigned slots; /* requests at once */
   bool is_draining;
+  bool is_replaced;           /* another upstream answers at its address */
   struct timespec cold_until; /* monotonic */
   cold_bucket_t cold;
   upstream_health_t health;
@@ -62,6 +66,8 @@
   char *name;
   struct timespec cold_time;
   double cold_rate;     /* of all relays together; 0: no limit */
+  double idle_step_ms;  /* a step of a group, without any request */
+  double step_limit_ms; /* a step that takes longer makes streams late */
   double tokens_a_slot; /* usual size of a request, 0 if unknown */
   const pick_ops_t *ops;
   pick_t *pick;
@@ -104,6 +110,8 @@
 
 bool report_is_stalled (const fleet_t *fleet,
                         const fleet_upstream_t *upstream);
+bool report_is_full (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                     bool is_late);
 bool report_is_slow (const fleet_t *fleet, const fleet_upstream_t *upstream);
 
 void health_note (fleet_upstream_t *upstream, fleet_result_t result,
--- a/include/relay/forward.h
+++ b/include/relay/forward.h
@@ -41,10 +41,10 @@
   forward_attempt_t *attempt; /* NULL between attempts */
   unsigned sends;             /* that reached an upstream, or may have */
   unsigned runs;              /* of these, those that ran, or may have */
-  unsigned unreachable;       /* attempts without a connection */
+  unsigned unreachable; /* attempts that reached no upstream, or another */
   bool is_waiting;
-  bool is_begun;  /* the client has the head of its answer */
-  bool is_paused; /* the upstream waits for the client */
+  bool is_begun;            /* the client has the head of its answer */
+  bool is_paused;           /* the upstream waits for the client */
   struct timespec first_at; /* the client got the first of its answer */
   struct timespec last_at;  /* and the newest */
   int64_t longest_gap_ms;   /* between two parts of it */
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -1,11 +1,14 @@
 #include "relay/forward.h"
 
 #include "kernel/log.h"
+#include "relay/directory.h"
 
 #include <string.h>
 
 enum
 {
+  URGENCY_MOST = 9,
+  LATE_URGENCY = 4, /* steps that a late request stands back */
   /* An answer up to this size is passed on only once it is whole, so that
      another upstream can be asked when it breaks off.  */
   HELD_BODY_BYTES = 64 * 1024,
@@ -197,10 +200,12 @@
 static void
 forward_count (forward_t *forward, fleet_result_t result)
 {
-  if (result == FLEET_UNREACHABLE)
+  if (result == FLEET_UNREACHABLE || result == FLEET_MISDIRECTED)
     forward->unreachable++;
   else
     forward->sends++;
+  if (result == FLEET_MISDIRECTED)
+    directory_hurry (forward->share->relay->directory);
   if (result != FLEET_UNREACHABLE && result != FLEET_MISDIRECTED
       && result != FLEET_DECLINED)
     forward->runs++;
@@ -286,6 +291,21 @@
   .on_done = attempt_on_done,
 };
 
+/* How soon upstreams should admit the request; those that are late anyway come
+   after the others.  */
+static int64_t
+forward_urgency (const forward_t *forward)
+{
+  const client_account_t *account = forward->account;
+  int64_t urgency = account != NULL && account->has_priority
+                        ? account->priority
+                        : forward->route->priority;
+
+  if (forward->wanted.is_late)
+    urgency += LATE_URGENCY;
+  return urgency < URGENCY_MOST ? urgency : URGENCY_MOST;
+}
+
 /* Send the request to CHOICE, whose strings are in MEMORY.  Returns false when
    it cannot be sent; nothing was.  Else MEMORY belongs to the attempt.  */
 bool
@@ -302,9 +322,7 @@
     .account = account == NULL ? NULL : account->name,
     .time_left = forward_time_left (forward),
     .has_urgency = true,
-    .urgency = account != NULL && account->has_priority
-                   ? account->priority
-                   : forward->route->priority,
+    .urgency = forward_urgency (forward),
     .has_resume = forward->has_last_event,
     .resume_after = forward->last_event,
     .is_sent_once = !route_is_repeatable (forward->route),
--- a/relay/directory.c
+++ b/relay/directory.c
@@ -54,6 +54,8 @@
   LIST_HEAD (, lapsed_upstream) lapsed;
   LIST_HEAD (, relay_key) relays;
   worker_timer_t *recount_timer;
+  task_t hurry_task;
+  atomic_bool is_hurry_posted;
 };
 
 static struct timespec
@@ -351,6 +353,16 @@
   .on_lost = directory_on_lost,
 };
 
+static void
+directory_run_hurry (task_t *task, worker_t *worker)
+{
+  directory_t *directory = CONTAINER_OF (task, directory_t, hurry_task);
+
+  (void)worker;
+  atomic_store (&directory->is_hurry_posted, false);
+  store_mirror_hurry (directory->mirror);
+}
+
 /* Start to follow the store of RELAY.  */
 directory_t *
 directory_create (TALLOC_CTX *parent, relay_t *relay)
@@ -365,6 +377,7 @@
     return NULL;
   directory->relay = relay;
   directory->worker = pool_worker (daemon_pool (relay->daemon), 0);
+  directory->hurry_task.run = directory_run_hurry;
   LIST_INIT (&directory->lapsed);
   LIST_INIT (&directory->relays);
   directory->mirror
@@ -375,6 +388,15 @@
   return directory;
 }
 
+/* An upstream was not what its listing says: look for newer ones.  Callable
+   from every worker.  */
+void
+directory_hurry (directory_t *directory)
+{
+  if (!atomic_exchange (&directory->is_hurry_posted, true))
+    worker_post (directory->worker, &directory->hurry_task);
+}
+
 /* Return whether the whole store has been read once.  */
 bool
 directory_is_synced (const directory_t *directory)
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -7,6 +7,11 @@
 #include <string.h>
 #include <xxhash.h>
 
+enum
+{
+  US_PER_MS = 1000
+};
+
 GAUGE_DEFINE (upstreams_gauge, "siskin_fleet_upstreams",
               "Upstreams known to the relay");
 
@@ -16,6 +21,7 @@
   [FLEET_NONE_ALLOWED] = "none-allowed",
   [FLEET_ALL_COLD] = "all-cold",
   [FLEET_ALL_FAILING] = "all-failing",
+  [FLEET_ALL_FULL] = "all-full",
   [FLEET_ALL_STALLED] = "all-stalled",
 };
 
@@ -158,9 +164,13 @@
         continue;
       service->cold_time = rule->cold_time;
       service->cold_rate = rule->cold_rate;
-      if (rule->has_engine)
-        service->tokens_a_slot
-            = rule->engine.usual_prompt + rule->engine.usual_answer;
+      service->step_limit_ms
+          = (double)timespec_to_us (rule->gap_limit) / US_PER_MS;
+      if (!rule->has_engine)
+        continue;
+      service->tokens_a_slot
+          = rule->engine.usual_prompt + rule->engine.usual_answer;
+      service->idle_step_ms = rule->engine.step_ms * rule->engine.stride;
     }
   table_unlock (fleet->table);
 }
@@ -313,6 +323,7 @@
       is_changed = is_changed || upstream->is_draining != listing->is_draining;
       upstream->started_ms = listing->started_ms;
       upstream->is_draining = listing->is_draining;
+      upstream->slots = listing->slots > 0 ? listing->slots : 1;
       upstream_set_limits (upstream, listing);
       cold_restart (upstream, now, listing->cold_left);
     }
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -24,7 +24,7 @@
 is_allowed (fleet_t *fleet, const fleet_upstream_t *upstream,
             const fleet_request_t *request)
 {
-  return !upstream->is_draining
+  return !upstream->is_draining && !upstream->is_replaced
          && !fleet_zone_of (fleet, upstream->zone)->is_out
          && route_allows_region (request->route, upstream->region)
          && !was_tried (request, upstream->id);
@@ -50,6 +50,8 @@
     return FLEET_NONE_ALLOWED;
   if (report_is_stalled (fleet, upstream))
     return FLEET_ALL_STALLED;
+  if (report_is_full (fleet, upstream, request->is_late))
+    return FLEET_ALL_FULL;
   if (search < SEARCH_ANY && health_is_shunned (upstream, now))
     return FLEET_ALL_FAILING;
   if (search < SEARCH_ANSWERING && report_is_slow (fleet, upstream))
@@ -164,6 +166,8 @@
                                            : candidate->outstanding_tokens;
       health_note (upstream, result, clock_monotonic (fleet->clock));
     }
+  if (upstream != NULL && result == FLEET_MISDIRECTED)
+    upstream->is_replaced = true;
   table_unlock (fleet->table);
 }
 
--- a/relay/fleet_health.c
+++ b/relay/fleet_health.c
@@ -6,8 +6,7 @@
 {
   SHUN_FIRST_MS = 500, /* after an upstream could not be reached */
   SHUN_MOST_MS = 4000,
-  SHUN_TROUBLE_MS = 2000, /* after most of its answers were failures */
-  SHUN_GONE_MS = 10000    /* another upstream has its address */
+  SHUN_TROUBLE_MS = 2000 /* after most of its answers were failures */
 };
 
 /* Weight of the newest request in the share of failures.  */
@@ -68,8 +67,6 @@
       note_unreachable (upstream, now);
       break;
     case FLEET_MISDIRECTED:
-      shun (upstream, now, SHUN_GONE_MS);
-      break;
     case FLEET_DECLINED:
     case FLEET_LEFT:
       break;
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -2,18 +2,29 @@
 
 #include "kernel/log.h"
 
+#include <math.h>
 #include <string.h>
 
 enum
 {
   FRESH_MS = 1500, /* a report says nothing of now when it is older */
-  STALL_MS = 400   /* without a step, though there is work */
+  STALL_MS = 400,  /* without a step, though there is work */
+  US_PER_MS = 1000
 };
 
 /* A rank this much slower than usual gets no work while others can have it:
    all ranks wait for the slowest.  */
 static const double slow_pace = 1.25;
 
+/* Weight of the newest in the average time of a step.  */
+static const double step_weight = 0.25;
+/* The part of the longest step allowed that is aimed at.  */
+static const double step_limit_part = 0.85;
+/* The part of the limit that requests which are late anyway may fill.  */
+static const double late_part = 0.75;
+/* Requests that may wait at an upstream beyond what it works on.  */
+static const double queue_allowance = 2;
+
 static bool
 is_fresh (const fleet_t *fleet, struct timespec at)
 {
@@ -41,6 +52,27 @@
   return group;
 }
 
+/* Return how many requests a rank of GROUP has at the mean.  */
+static double
+group_mean_running (const fleet_t *fleet, const fleet_group_t *group)
+{
+  table_node_t *node;
+  double running = 0;
+  unsigned ranks = 0;
+
+  TABLE_FOREACH (node, fleet->table)
+    {
+      const fleet_upstream_t *upstream
+          = CONTAINER_OF (node, fleet_upstream_t, node);
+
+      if (upstream->group != group)
+        continue;
+      running += (double)upstream->candidate.report.outstanding_requests;
+      ranks++;
+    }
+  return ranks == 0 ? 0 : running / ranks;
+}
+
 static fleet_upstream_t *
 fleet_find_address (const fleet_t *fleet, const char *address)
 {
@@ -56,6 +88,21 @@
   return NULL;
 }
 
+/* The group has taken COUNT steps since it was seen to take one.  */
+static void
+group_note_steps (fleet_group_t *group, uint64_t count, struct timespec now)
+{
+  double passed_ms
+      = (double)timespec_to_us (timespec_subtract (now, group->stepped_at))
+        / US_PER_MS;
+
+  if (passed_ms > STALL_MS)
+    return; /* it may have been idle */
+  if (group->step_ms <= 0)
+    group->step_ms = passed_ms / (double)count;
+  group->step_ms += step_weight * (passed_ms / (double)count - group->step_ms);
+}
+
 /* Take in what a rank says of its group.  Returns whether the group has come
    to take steps, or ceased to.  */
 static bool
@@ -66,11 +113,14 @@
 
   if (report->epoch < group->epoch)
     return false;
+  if (report->epoch == group->epoch && report->step > group->step
+      && report->running > 0)
+    group_note_steps (group, report->step - group->step, now);
   if (report->epoch > group->epoch || report->step > group->step
-      || !group->is_open)
+      || !group->is_open || report->running + report->waiting == 0)
     group->stepped_at = now;
-  if (report->running + report->waiting == 0 && report->step == group->step)
-    group->stepped_at = now; /* an idle rank tells nothing of a stall */
+  group->is_stalled
+      = timespec_to_ms (timespec_subtract (now, group->stepped_at)) > STALL_MS;
   if (report->epoch > group->epoch || report->step > group->step)
     group->step = report->step;
   group->epoch = report->epoch;
@@ -133,10 +183,46 @@
 
   if (group == NULL || !is_fresh (fleet, group->told_at))
     return false;
-  return !group->is_open
-         || timespec_to_ms (timespec_subtract (clock_monotonic (fleet->clock),
-                                               group->stepped_at))
-                > STALL_MS;
+  return !group->is_open || group->is_stalled;
+}
+
+/* Return how many requests UPSTREAM may have at once so that the steps of its
+   group stay short enough for its streams.  What a step takes beyond that of
+   an idle group grows with the requests.  */
+static double
+request_limit (const fleet_t *fleet, const fleet_upstream_t *upstream)
+{
+  const fleet_service_t *service = upstream->service;
+  const fleet_group_t *group = upstream->group;
+  double limit_ms = service->step_limit_ms * step_limit_part;
+  double mean;
+
+  if (group == NULL || limit_ms <= service->idle_step_ms
+      || group->step_ms <= limit_ms || !is_fresh (fleet, group->told_at))
+    return upstream->slots;
+  mean = group_mean_running (fleet, group);
+  return mean * (limit_ms - service->idle_step_ms)
+         / (group->step_ms - service->idle_step_ms);
+}
+
+/* Return whether UPSTREAM should get no request more for now; one that IS_LATE
+   leaves some room for others.  */
+bool
+report_is_full (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                bool is_late)
+{
+  const pick_candidate_t *candidate = &upstream->candidate;
+  double requests;
+  double limit;
+
+  if (upstream->group == NULL || !is_fresh (fleet, upstream->reported_at))
+    return false;
+  requests = (double)candidate->report.outstanding_requests
+             + (double)candidate->report.queued_requests
+             + (double)candidate->outstanding_requests
+             - (double)candidate->requests_at_report;
+  limit = fmax (request_limit (fleet, upstream), 1);
+  return requests >= (is_late ? limit * late_part : limit + queue_allowance);
 }
 
 /* Return whether UPSTREAM is known to hold its group up.  */
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -11,9 +11,10 @@
   DEFAULT_PATIENCE_MS = 60000, /* of a client that tells none */
   HOLD_MOST_MS = 1600,         /* clients leave silent streams after two s */
   HOLD_DIVISOR = 2,            /* part of the time left spent waiting */
-  WAKE_MS = 20,                /* between tries for those that wait */
-  EXTRA_SENDS = 2, /* after upstreams that did not run the request */
-  MAX_UNREACHABLE = 4,
+  LATE_DIVISOR = 2, /* part of the objective after which a start is late */
+  WAKE_MS = 20,     /* between tries for those that wait */
+  EXTRA_SENDS = 2,  /* after upstreams that did not run the request */
+  MAX_UNREACHABLE = 6,
   RETRY_AFTER_DIVISOR = 4, /* clients heed up to a third of their time left */
   RETRY_AFTER_LEAST_MS = 50
 };
@@ -252,25 +253,39 @@
   share_arm_wake (forward->share);
 }
 
-/* Try once more for the requests that wait, oldest first.  */
-void
-forward_wake_waiting (relay_worker_t *share)
+/* Return whether the answer to a request that is sent now will be late.  */
+static bool
+forward_is_late (const forward_t *forward)
+{
+  return ms_since (forward, forward->arrived_at)
+         > timespec_to_ms (forward->route->objective) / LATE_DIVISOR;
+}
+
+/* Try once more for the waiting requests that are late, or for the others.
+   Each keeps its place if it has to wait on.  */
+static void
+share_try_waiting (relay_worker_t *share, bool are_late)
 {
-  unsigned count = 0;
-  const forward_t *counted;
+  forward_t *forward = TAILQ_FIRST (&share->waiting);
 
-  TAILQ_FOREACH (counted, &share->waiting, wait_link)
-    count++;
-  /* Those that still find nothing go to the end of the list in turn.  */
-  while (count-- > 0)
+  while (forward != NULL)
     {
-      forward_t *forward = TAILQ_FIRST (&share->waiting);
+      forward_t *next = TAILQ_NEXT (forward, wait_link);
 
-      if (forward == NULL)
-        break;
-      forward_stop_waiting (forward);
-      forward_dispatch (forward);
+      forward->wanted.is_late = forward_is_late (forward);
+      if (forward->wanted.is_late == are_late)
+        forward_dispatch (forward);
+      forward = next;
     }
+}
+
+/* Try once more for the requests that wait: first those that can still be in
+   time, each kind oldest first.  */
+void
+forward_wake_waiting (relay_worker_t *share)
+{
+  share_try_waiting (share, false);
+  share_try_waiting (share, true);
   share_arm_wake (share);
 }
 
@@ -290,6 +305,7 @@
       forward_wait (forward, shortage);
       return;
     }
+  forward_stop_waiting (forward);
   log_event (LOG_LEVEL_DEBUG, "sent",
              "request=%s service=%s upstream=%s zone=%s reason=%s "
              "candidates=%u cold=%d send=%u",
