Share the room that a report shows among the relays

After a power loss 180 requests were at replicas with 144 places: each relay saw the same room in a report and filled it alone, so that new requests queued at one replica after the other for up to 1.6 s.

--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -56,6 +56,11 @@
   upstream_health_t health;
   fleet_group_t *group; /* NULL when it is in none, as far as is known */
   bool is_slow;         /* by its last report */
+  /* Requests that this relay may send until the next report: its part of the
+     room that the last one showed, and of that for late requests.  */
+  unsigned quota;
+  unsigned late_quota;
+  unsigned sent; /* since that report */
   struct timespec reported_at;
   pick_candidate_t candidate; /* kept current; strings are the upstream's */
 } fleet_upstream_t;
@@ -88,6 +93,7 @@
   const char *zone;
   const clock_source_t *clock;
   uint64_t seed;
+  uint64_t draws;  /* state of the random numbers */
   unsigned relays; /* of the whole system; at least 1 */
   table_t *table;  /* fleet_upstream_t by id; guards the whole fleet */
   STAILQ_HEAD (, fleet_service) services;
@@ -112,6 +118,7 @@
                         const fleet_upstream_t *upstream);
 bool report_is_full (const fleet_t *fleet, const fleet_upstream_t *upstream,
                      bool is_late);
+bool report_is_told (const fleet_t *fleet, const fleet_upstream_t *upstream);
 bool report_is_slow (const fleet_t *fleet, const fleet_upstream_t *upstream);
 
 void health_note (fleet_upstream_t *upstream, fleet_result_t result,
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -58,7 +58,7 @@
     return NULL;
   fleet->zone = zone;
   fleet->clock = clock;
-  fleet->seed = seed;
+  fleet->seed = fleet->draws = seed;
   fleet->relays = 1;
   fleet->table = table_create (fleet, LOCK_UPSTREAMS, "fleet");
   STAILQ_INIT (&fleet->services);
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -90,6 +90,7 @@
 static void
 take (fleet_upstream_t *upstream, const pick_work_t *work)
 {
+  upstream->sent++;
   upstream->candidate.outstanding_requests++;
   upstream->candidate.outstanding_tokens
       += work->prompt_tokens + work->output_tokens;
@@ -180,7 +181,8 @@
 
   table_lock (fleet->table);
   upstream = fleet_find (fleet, id);
-  if (upstream != NULL)
+  /* What a pilot reports is newer than what comes with an answer.  */
+  if (upstream != NULL && !report_is_told (fleet, upstream))
     {
       pick_candidate_t *candidate = &upstream->candidate;
 
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -23,7 +23,7 @@
 /* The part of the limit that requests which are late anyway may fill.  */
 static const double late_part = 0.75;
 /* Requests that may wait at an upstream beyond what it works on.  */
-static const double queue_allowance = 2;
+static const double queue_allowance = 1;
 
 static bool
 is_fresh (const fleet_t *fleet, struct timespec at)
@@ -52,6 +52,16 @@
   return group;
 }
 
+/* Return a random number from 0 to below 1.  */
+static double
+fleet_draw (fleet_t *fleet)
+{
+  static const double range = 4294967296.0;
+
+  fleet->draws = fleet->draws * 6364136223846793005ULL + 1442695040888963407;
+  return (double)(fleet->draws >> 32) / range;
+}
+
 /* Return how many requests a rank of GROUP has at the mean.  */
 static double
 group_mean_running (const fleet_t *fleet, const fleet_group_t *group)
@@ -152,6 +162,50 @@
   upstream->reported_at = candidate->report.at;
 }
 
+/* Return how many requests UPSTREAM may have at once so that the steps of its
+   group stay short enough for its streams.  What a step takes beyond that of
+   an idle group grows with the requests.  */
+static double
+request_limit (const fleet_t *fleet, const fleet_upstream_t *upstream)
+{
+  const fleet_service_t *service = upstream->service;
+  const fleet_group_t *group = upstream->group;
+  double limit_ms = service->step_limit_ms * step_limit_part;
+  double mean;
+
+  if (group == NULL || limit_ms <= service->idle_step_ms
+      || group->step_ms <= limit_ms || !is_fresh (fleet, group->told_at))
+    return upstream->slots;
+  mean = group_mean_running (fleet, group);
+  return mean * (limit_ms - service->idle_step_ms)
+         / (group->step_ms - service->idle_step_ms);
+}
+
+/* This relay's part of ROOM for requests, rounded up or down by chance so that
+   the parts of all relays together are about the whole.  */
+static unsigned
+room_part (const fleet_t *fleet, double room, double chance)
+{
+  return room <= 0 ? 0 : (unsigned)(room / fleet->relays + chance);
+}
+
+/* Share the room that the last report shows among the relays.  Each of them
+   sees it, and would fill it alone otherwise.  */
+static void
+upstream_set_quota (fleet_t *fleet, fleet_upstream_t *upstream,
+                    const fleet_report_t *report)
+{
+  double limit = fmax (request_limit (fleet, upstream), 1);
+  double present = (double)(report->running + report->waiting);
+  double chance = fleet_draw (fleet);
+
+  upstream->quota
+      = room_part (fleet, limit + queue_allowance - present, chance);
+  upstream->late_quota
+      = room_part (fleet, limit * late_part - present, chance);
+  upstream->sent = 0;
+}
+
 /* Take in what the engine at ADDRESS reports to its pilot.  Returns whether
    requests that wait should be looked at again.  */
 bool
@@ -170,6 +224,7 @@
         upstream->group = fleet_group_of (fleet, report->group);
       if (upstream->group != NULL)
         is_news = group_note (fleet, upstream->group, report);
+      upstream_set_quota (fleet, upstream, report);
     }
   table_unlock (fleet->table);
   return is_news;
@@ -186,43 +241,22 @@
   return !group->is_open || group->is_stalled;
 }
 
-/* Return how many requests UPSTREAM may have at once so that the steps of its
-   group stay short enough for its streams.  What a step takes beyond that of
-   an idle group grows with the requests.  */
-static double
-request_limit (const fleet_t *fleet, const fleet_upstream_t *upstream)
-{
-  const fleet_service_t *service = upstream->service;
-  const fleet_group_t *group = upstream->group;
-  double limit_ms = service->step_limit_ms * step_limit_part;
-  double mean;
-
-  if (group == NULL || limit_ms <= service->idle_step_ms
-      || group->step_ms <= limit_ms || !is_fresh (fleet, group->told_at))
-    return upstream->slots;
-  mean = group_mean_running (fleet, group);
-  return mean * (limit_ms - service->idle_step_ms)
-         / (group->step_ms - service->idle_step_ms);
-}
-
 /* Return whether UPSTREAM should get no request more for now; one that IS_LATE
    leaves some room for others.  */
 bool
 report_is_full (const fleet_t *fleet, const fleet_upstream_t *upstream,
                 bool is_late)
 {
-  const pick_candidate_t *candidate = &upstream->candidate;
-  double requests;
-  double limit;
-
   if (upstream->group == NULL || !is_fresh (fleet, upstream->reported_at))
     return false;
-  requests = (double)candidate->report.outstanding_requests
-             + (double)candidate->report.queued_requests
-             + (double)candidate->outstanding_requests
-             - (double)candidate->requests_at_report;
-  limit = fmax (request_limit (fleet, upstream), 1);
-  return requests >= (is_late ? limit * late_part : limit + queue_allowance);
+  return upstream->sent >= (is_late ? upstream->late_quota : upstream->quota);
+}
+
+/* Return whether a pilot has told of UPSTREAM lately.  */
+bool
+report_is_told (const fleet_t *fleet, const fleet_upstream_t *upstream)
+{
+  return is_fresh (fleet, upstream->reported_at);
 }
 
 /* Return whether UPSTREAM is known to hold its group up.  */
