--- a/common/daemon.c
+++ b/common/daemon.c
@@ -31,10 +31,20 @@
   http_server_t *admin;
   void *state;
   task_t stop_task;
+  const char *config_file;
+  struct timespec stop_timeout;
   void (*on_finish) (void *data);
   void *finish_data;
 };
 
+/* Settings that were read again, on their way to worker 0.  */
+typedef struct daemon_reload
+{
+  task_t task;
+  daemon_t *daemon;
+  config_t *fresh;
+} daemon_reload_t;
+
 typedef struct daemon_arguments
 {
   const char *config_file;
@@ -168,23 +178,97 @@
   sigaddset (signals, SIGTERM);
   sigaddset (signals, SIGINT);
   sigaddset (signals, SIGUSR1);
+  sigaddset (signals, SIGHUP);
   pthread_sigmask (SIG_BLOCK, signals, NULL);
   signal (SIGPIPE, SIG_IGN);
 }
 
+static void
+daemon_run_reload (task_t *task, worker_t *worker)
+{
+  daemon_reload_t *reload = CONTAINER_OF (task, daemon_reload_t, task);
+  const daemon_t *daemon = reload->daemon;
+
+  (void)worker;
+  if (daemon->program->reload != NULL)
+    daemon->program->reload (daemon->state, reload->fresh);
+  talloc_free (reload);
+}
+
+/* Read the process's own settings again.  Those in force stay when there is a
+   fault in them.  */
+static void
+daemon_reload (daemon_t *daemon)
+{
+  daemon_reload_t *reload = talloc_zero (NULL, daemon_reload_t);
+  findings_t *findings;
+
+  if (reload == NULL)
+    return;
+  findings = findings_create (reload);
+  reload->fresh = config_load (reload, daemon->config_file, findings);
+  if (reload->fresh == NULL)
+    {
+      log_event (LOG_LEVEL_ERROR, "reload-refused", "file=%s findings=%zu",
+                 daemon->config_file, findings_count (findings));
+      findings_print (findings, stderr);
+      talloc_free (reload);
+      return;
+    }
+  log_event (LOG_LEVEL_INFO, "reloaded", "file=%s", daemon->config_file);
+  daemon->stop_timeout = reload->fresh->stop_timeout;
+  reload->daemon = daemon;
+  reload->task.run = daemon_run_reload;
+  worker_post (pool_worker (daemon->pool, 0), &reload->task);
+}
+
+/* Return the next of SIGNALS that tells to stop.  */
+static int
+daemon_wait_for_stop (daemon_t *daemon, const sigset_t *signals)
+{
+  for (;;)
+    {
+      int received = sigwaitinfo (signals, NULL);
+
+      if (received == SIGHUP)
+        daemon_reload (daemon);
+      else if (received == SIGTERM || received == SIGINT)
+        return received;
+    }
+}
+
+/* Return the next of SIGNALS after the planned stop began, or -1 when its time
+   is up.  Settings are not read again then.  */
+static int
+daemon_wait_for_finish (const daemon_t *daemon, const sigset_t *signals)
+{
+  struct timespec end
+      = timespec_add (clock_monotonic (daemon->clock), daemon->stop_timeout);
+
+  for (;;)
+    {
+      struct timespec left
+          = timespec_subtract (end, clock_monotonic (daemon->clock));
+      int received;
+
+      if (left.tv_sec < 0)
+        return -1;
+      received = sigtimedwait (signals, NULL, &left);
+      if (received != SIGHUP)
+        return received;
+    }
+}
+
 /* Wait for a signal to stop, then for the planned stop's end, a second signal
    or the end of the time allowed.  Returns the exit status.  */
 static int
 daemon_wait (daemon_t *daemon, const sigset_t *signals)
 {
-  int received;
+  int received = daemon_wait_for_stop (daemon, signals);
 
-  do
-    received = sigwaitinfo (signals, NULL);
-  while (received != SIGTERM && received != SIGINT);
   log_event (LOG_LEVEL_INFO, "stopping", "signal=%d", received);
   daemon_stop (daemon);
-  received = sigtimedwait (signals, NULL, &daemon->config->stop_timeout);
+  received = daemon_wait_for_finish (daemon, signals);
   if (received == SIGUSR1)
     return EXIT_SUCCESS;
   log_event (LOG_LEVEL_WARN, "stop-cut-short", "reason=%s",
@@ -263,6 +347,8 @@
       talloc_free (daemon);
       return EXIT_FAILURE;
     }
+  daemon->config_file = arguments.config_file;
+  daemon->stop_timeout = daemon->config->stop_timeout;
   curl_global_init (CURL_GLOBAL_DEFAULT);
   log_init (program->name, arguments.log_level);
   exit_status = daemon_run (daemon);
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -37,6 +37,8 @@
   bool is_head_seen;
   bool is_paused;
   bool is_failed; /* by http_call_fail */
+  bool is_over;   /* libcurl has done with its connection */
+  curl_socket_t fd;
   char error[ERROR_CONTEXT_BYTES];
 };
 
@@ -65,6 +67,7 @@
       curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE,
                          (char **)&call);
       curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &sent);
+      call->is_over = true;
       if (result == CURLE_OPERATION_TIMEDOUT)
         status = status_set (STATUS_TIMEOUT, "%s", call->error);
       else if (result != CURLE_OK)
@@ -105,9 +108,12 @@
 {
   http_client_t *client = data;
   watched_socket_t *watched = socket_data;
+  http_call_t *call = NULL;
   uint16_t flags = 0;
 
-  (void)easy;
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&call);
+  if (call != NULL)
+    call->fd = what == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : fd;
   if (what == CURL_POLL_REMOVE)
     {
       curl_multi_assign (client->multi, fd, NULL);
@@ -276,9 +282,21 @@
   return call->is_failed ? 0 : size * count;
 }
 
+/* Have the connection of CALL, which is broken off, reset rather than closed:
+   a request that waits on its way to the peer is not delivered later.  */
+static void
+call_reset_connection (const http_call_t *call)
+{
+  static const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+
+  if (!call->is_over && call->fd != CURL_SOCKET_BAD)
+    setsockopt (call->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
 static int
 call_free (http_call_t *call)
 {
+  call_reset_connection (call);
   LIST_REMOVE (call, link);
   if (call->easy != NULL)
     {
@@ -384,6 +402,7 @@
   call->ops = ops;
   call->data = data;
   call->send_timeout = options->send_timeout;
+  call->fd = CURL_SOCKET_BAD;
   STAILQ_INIT (&call->head.headers);
   LIST_INSERT_HEAD (&client->calls, call, link);
   talloc_set_destructor (call, call_free);
--- a/include/common/daemon.h
+++ b/include/common/daemon.h
@@ -21,6 +21,9 @@
   /* Begin the planned stop: on worker 0.  Call daemon_finish when no request
      is left.  */
   void (*stop) (void *state);
+  /* Put what may change while the program runs in force, from the process's
+     own settings as they are now: on worker 0.  NULL when nothing may.  */
+  void (*reload) (void *state, const config_t *fresh);
   /* Free everything; the workers are at rest.  */
   void (*destroy) (void *state);
 } daemon_program_t;
--- a/include/kernel/worker.h
+++ b/include/kernel/worker.h
@@ -44,7 +44,7 @@
 {
   LIST_ENTRY (worker_timer) link;
   worker_t *worker; /* NULL once its loop is gone */
-  void *event; /* the implementation's own; NULL when not armed */
+  void *event;      /* the implementation's own; NULL when not armed */
   worker_handler_t handler;
   void *data;
 };
--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -97,7 +97,10 @@
                                const fleet_request_t *request,
                                fleet_choice_t *choice);
 void fleet_release (fleet_t *fleet, const char *id, const pick_work_t *work,
-                    fleet_result_t result);
+                    fleet_result_t result, int64_t took_ms);
+double fleet_usual_ms (fleet_t *fleet, const char *service);
+bool fleet_excuses_silence (fleet_t *fleet, const char *id,
+                            struct timespec heard_at);
 void fleet_note_load (fleet_t *fleet, const char *id, uint64_t running,
                       uint64_t waiting, uint64_t slots);
 bool fleet_note_report (fleet_t *fleet, const char *address,
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -34,8 +34,9 @@
   uint64_t step;
   struct timespec stepped_at; /* it was seen to take a step */
   struct timespec told_at;
-  bool is_stalled; /* it has work and takes no step */
-  double step_ms;  /* moving average; 0 until it is known */
+  bool is_stalled;           /* it has work and takes no step */
+  struct timespec formed_at; /* it was seen in a new epoch, or broken */
+  double step_ms;            /* moving average; 0 until it is known */
 } fleet_group_t;
 
 typedef struct fleet_upstream
@@ -74,6 +75,7 @@
   double idle_step_ms;  /* a step of a group, without any request */
   double step_limit_ms; /* a step that takes longer makes streams late */
   double tokens_a_slot; /* usual size of a request, 0 if unknown */
+  double usual_ms;      /* moving average of the time to a whole answer */
   const pick_ops_t *ops;
   pick_t *pick;
   STAILQ_HEAD (, fleet_upstream) upstreams;
@@ -119,6 +121,9 @@
 bool report_is_full (const fleet_t *fleet, const fleet_upstream_t *upstream,
                      bool is_late);
 bool report_is_told (const fleet_t *fleet, const fleet_upstream_t *upstream);
+bool report_excuses_silence (const fleet_t *fleet,
+                             const fleet_upstream_t *upstream,
+                             struct timespec heard_at);
 bool report_is_slow (const fleet_t *fleet, const fleet_upstream_t *upstream);
 
 void health_note (fleet_upstream_t *upstream, fleet_result_t result,
--- a/include/relay/forward.h
+++ b/include/relay/forward.h
@@ -10,7 +10,6 @@
   egress_call_t *call;
   fleet_choice_t choice;
   struct timespec sent_at; /* monotonic */
-  bool has_head;
   unsigned http_status;
   bool is_usable;  /* the head is of an answer that may be passed on */
   bool is_not_run; /* the upstream did not run the request */
@@ -27,6 +26,7 @@
 {
   LIST_ENTRY (forward) link;
   TAILQ_ENTRY (forward) wait_link;
+  TAILQ_ENTRY (forward) heard_link;
   relay_worker_t *share;
   const relay_request_t *request;
   const forward_ops_t *ops;
@@ -43,6 +43,8 @@
   unsigned runs;              /* of these, those that ran, or may have */
   unsigned unreachable; /* attempts that reached no upstream, or another */
   bool is_waiting;
+  bool is_watched;          /* for an upstream that falls silent */
+  struct timespec heard_at; /* something came from the upstream */
   bool is_begun;            /* the client has the head of its answer */
   bool is_paused;           /* the upstream waits for the client */
   struct timespec first_at; /* the client got the first of its answer */
@@ -63,7 +65,7 @@
 void forward_cancel_attempt (forward_t *forward, fleet_result_t result);
 struct timespec forward_time_left (const forward_t *forward);
 void forward_wake_waiting (relay_worker_t *share);
-bool forward_may_repeat (forward_t *forward);
+bool forward_may_repeat (forward_t *forward, unsigned under_way);
 
 bool attempt_start (forward_t *forward, const fleet_choice_t *choice,
                     TALLOC_CTX *memory);
--- a/include/relay/relay.h
+++ b/include/relay/relay.h
@@ -30,6 +30,10 @@
   LIST_HEAD (, forward) forwards;
   TAILQ_HEAD (, forward) waiting; /* no upstream can take them yet */
   worker_timer_t *wake_timer;
+  /* Under way at an upstream, and may be sent again: those that heard of it
+     last come last.  */
+  TAILQ_HEAD (, forward) heard;
+  worker_timer_t *sweep_timer;
   task_t change_task; /* rules or fleet have changed */
   atomic_bool is_change_posted;
   task_t stop_task;
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -2,6 +2,7 @@
 
 #include "kernel/log.h"
 #include "relay/directory.h"
+#include "relay/silence.h"
 
 #include <string.h>
 
@@ -114,7 +115,7 @@
   forward_attempt_t *attempt = forward->attempt;
   bool is_success = status_is_success (head->http_status);
 
-  attempt->has_head = true;
+  silence_note (forward);
   attempt->http_status = head->http_status;
   if (head->is_foreign)
     return false;
@@ -167,6 +168,7 @@
 
   if (forward->is_paused)
     return false;
+  silence_note (forward);
   if (!attempt->is_passed)
     attempt_hold_data (forward, bytes, size);
   else if (attempt->events == NULL)
@@ -228,7 +230,7 @@
   forward_end_attempt (forward, result);
   if (is_whole)
     forward_finish (forward, true);
-  else if (forward->route->is_resumable && forward_may_repeat (forward))
+  else if (forward->route->is_resumable && forward_may_repeat (forward, 0))
     forward_dispatch (forward);
   else
     forward_finish (forward, false);
@@ -241,7 +243,7 @@
 {
   bool has_answer = result == FLEET_FAILED;
 
-  if (forward_may_repeat (forward))
+  if (forward_may_repeat (forward, 0))
     {
       forward_end_attempt (forward, result);
       forward_dispatch (forward);
@@ -342,6 +344,7 @@
     }
   talloc_steal (attempt, memory);
   forward->attempt = attempt;
+  silence_start (forward);
   return true;
 }
 
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -144,7 +144,7 @@
 
   table_lock (fleet->table);
   known = fleet_zone_of (fleet, zone);
-  if (known != NULL)
+  if (known != NULL && strcmp (known->region, region) != 0)
     known->region = talloc_strdup (known, region);
   table_unlock (fleet->table);
 }
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -5,6 +5,9 @@
 
 #include <string.h>
 
+/* Weight of the newest answer in a service's usual time.  */
+static const double usual_weight = 0.05;
+
 COUNTER_DEFINE (none_chosen, "siskin_fleet_no_candidate_total",
                 "Times that no upstream could be chosen");
 
@@ -146,10 +149,19 @@
   return shortage;
 }
 
-/* The request with WORK at the upstream ID has ended.  */
+static void
+service_note_time (fleet_service_t *service, int64_t took_ms)
+{
+  if (service->usual_ms <= 0)
+    service->usual_ms = (double)took_ms;
+  service->usual_ms += usual_weight * ((double)took_ms - service->usual_ms);
+}
+
+/* The request with WORK at the upstream ID has ended, TOOK_MS milliseconds
+   after it was sent.  */
 void
 fleet_release (fleet_t *fleet, const char *id, const pick_work_t *work,
-               fleet_result_t result)
+               fleet_result_t result, int64_t took_ms)
 {
   fleet_upstream_t *upstream;
   uint64_t tokens = work->prompt_tokens + work->output_tokens;
@@ -166,12 +178,47 @@
                                            ? tokens
                                            : candidate->outstanding_tokens;
       health_note (upstream, result, clock_monotonic (fleet->clock));
+      if (result == FLEET_SERVED)
+        service_note_time (upstream->service, took_ms);
     }
   if (upstream != NULL && result == FLEET_MISDIRECTED)
     upstream->is_replaced = true;
   table_unlock (fleet->table);
 }
 
+/* Return how many milliseconds answers of SERVICE usually take, 0 if that is
+   not known.  */
+double
+fleet_usual_ms (fleet_t *fleet, const char *service)
+{
+  const fleet_service_t *known;
+  double usual_ms;
+
+  table_lock (fleet->table);
+  known = fleet_find_service (fleet, service);
+  usual_ms = known == NULL ? 0 : known->usual_ms;
+  table_unlock (fleet->table);
+  return usual_ms;
+}
+
+/* Return whether it is known why nothing has come from the upstream ID since
+   HEARD_AT: all upstreams of its group wait, or the request waits there for
+   its turn.  */
+bool
+fleet_excuses_silence (fleet_t *fleet, const char *id,
+                       struct timespec heard_at)
+{
+  const fleet_upstream_t *upstream;
+  bool is_excused;
+
+  table_lock (fleet->table);
+  upstream = fleet_find (fleet, id);
+  is_excused
+      = upstream != NULL && report_excuses_silence (fleet, upstream, heard_at);
+  table_unlock (fleet->table);
+  return is_excused;
+}
+
 /* Note what the upstream ID told of its load.  */
 void
 fleet_note_load (fleet_t *fleet, const char *id, uint64_t running,
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -9,6 +9,8 @@
 {
   FRESH_MS = 1500, /* a report says nothing of now when it is older */
   STALL_MS = 400,  /* without a step, though there is work */
+  /* A stream has no event while its group steps on for so long: it hangs.  */
+  PASSED_BY_MS = 400,
   US_PER_MS = 1000
 };
 
@@ -131,6 +133,8 @@
     group->stepped_at = now;
   group->is_stalled
       = timespec_to_ms (timespec_subtract (now, group->stepped_at)) > STALL_MS;
+  if (report->epoch > group->epoch || !report->is_open)
+    group->formed_at = now;
   if (report->epoch > group->epoch || report->step > group->step)
     group->step = report->step;
   group->epoch = report->epoch;
@@ -241,6 +245,26 @@
   return !group->is_open || group->is_stalled;
 }
 
+/* Return whether it is known why nothing has come from UPSTREAM since
+   HEARD_AT.  */
+bool
+report_excuses_silence (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                        struct timespec heard_at)
+{
+  const fleet_group_t *group = upstream->group;
+  struct timespec since = heard_at;
+
+  if (group == NULL || !is_fresh (fleet, group->told_at))
+    return false;
+  if (is_fresh (fleet, upstream->reported_at)
+      && upstream->candidate.report.queued_requests > 0)
+    return true;
+  if (timespec_compare (group->formed_at, since) > 0)
+    since = group->formed_at;
+  return timespec_to_ms (timespec_subtract (group->stepped_at, since))
+         < PASSED_BY_MS;
+}
+
 /* Return whether UPSTREAM should get no request more for now; one that IS_LATE
    leaves some room for others.  */
 bool
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -3,6 +3,7 @@
 #include "kernel/counter.h"
 #include "kernel/log.h"
 #include "kernel/random.h"
+#include "relay/silence.h"
 
 #include <string.h>
 
@@ -71,6 +72,7 @@
   LIST_REMOVE (forward, link);
   if (forward->is_waiting)
     TAILQ_REMOVE (&forward->share->waiting, forward, wait_link);
+  silence_end (forward);
   rules_release (forward->rules);
   return 0;
 }
@@ -139,8 +141,10 @@
 
   forward->attempt = NULL;
   forward->is_paused = false;
+  silence_end (forward);
   fleet_release (forward->share->relay->fleet, attempt->choice.upstream,
-                 &forward->wanted.work, result);
+                 &forward->wanted.work, result,
+                 ms_since (forward, attempt->sent_at));
   if (forward->wanted.tried_count < FLEET_MAX_TRIED)
     forward->wanted.tried[forward->wanted.tried_count++]
         = talloc_steal (forward, attempt->choice.upstream);
@@ -315,19 +319,20 @@
   if (attempt_start (forward, &choice, memory))
     return;
   fleet_release (relay->fleet, choice.upstream, &forward->wanted.work,
-                 FLEET_LEFT);
+                 FLEET_LEFT, 0);
   talloc_free (memory);
   forward_refuse (forward, "cannot-send");
 }
 
-/* Return whether the request may be sent once more, and if so count that.  */
+/* Return whether the request may be sent once more, and if so count that.
+   UNDER_WAY sendings may have run, besides those that have ended.  */
 bool
-forward_may_repeat (forward_t *forward)
+forward_may_repeat (forward_t *forward, unsigned under_way)
 {
   const route_t *route = forward->route;
+  unsigned runs = forward->runs + under_way;
   bool is_allowed
-      = forward->runs == 0
-        || (route_is_repeatable (route) && forward->runs < route->attempts);
+      = runs == 0 || (route_is_repeatable (route) && runs < route->attempts);
 
   if (!is_allowed || forward->sends >= route->attempts + EXTRA_SENDS
       || forward->unreachable > MAX_UNREACHABLE
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -98,6 +98,7 @@
 
   LIST_INIT (&share->forwards);
   TAILQ_INIT (&share->waiting);
+  TAILQ_INIT (&share->heard);
   share->change_task.run = share_take_change;
   share->egress = relay->egress_ops->create (share->worker);
   share->ingress = relay->ingress_ops->create (
@@ -153,11 +154,11 @@
 }
 
 static void
-relay_add_zones (relay_t *relay)
+relay_add_zones (relay_t *relay, const config_t *config)
 {
   const schema_string_t *zone;
 
-  STAILQ_FOREACH (zone, &daemon_config (relay->daemon)->zones, link)
+  STAILQ_FOREACH (zone, &config->zones, link)
     {
       const char *equals = strchr (zone->text, '=');
       char *name;
@@ -193,14 +194,20 @@
   return relay->readiness == NULL ? STATUS_IO : STATUS_OK;
 }
 
+static retry_limits_t
+relay_retry_limits (const config_t *config)
+{
+  return (retry_limits_t){ .ratio = config->bounds.retry_ratio,
+                           .extra = config->bounds.retry_extra,
+                           .window = config->bounds.retry_window };
+}
+
 static status_t
 relay_start (daemon_t *daemon, void **state)
 {
   const config_t *config = daemon_config (daemon);
   relay_t *relay = talloc_zero (NULL, relay_t);
-  retry_limits_t limits = { .ratio = config->bounds.retry_ratio,
-                            .extra = config->bounds.retry_extra,
-                            .window = config->bounds.retry_window };
+  retry_limits_t limits = relay_retry_limits (config);
 
   if (relay == NULL)
     return STATUS_NO_MEMORY;
@@ -215,10 +222,22 @@
   relay->fleet
       = fleet_create (relay, config->zone, relay->clock,
                       XXH3_64bits (config->name, strlen (config->name)));
-  relay_add_zones (relay);
+  relay_add_zones (relay, config);
   return relay_set_up (relay);
 }
 
+/* What the platform allows, and the zones, may change while the relay runs;
+   addresses take a restart.  */
+static void
+relay_reload (void *state, const config_t *fresh)
+{
+  relay_t *relay = state;
+  retry_limits_t limits = relay_retry_limits (fresh);
+
+  retry_budget_set_limits (relay->budget, &limits);
+  relay_add_zones (relay, fresh);
+}
+
 static void
 share_check_stopped (worker_t *worker, void *data)
 {
@@ -316,5 +335,6 @@
   .role = NODE_ENTRY,
   .start = relay_start,
   .stop = relay_stop,
+  .reload = relay_reload,
   .destroy = relay_destroy,
 };
--- a/relay/retry_budget.c
+++ b/relay/retry_budget.c
@@ -64,6 +64,16 @@
   return budget;
 }
 
+/* Put LIMITS in force; what was counted still counts.  */
+void
+retry_budget_set_limits (retry_budget_t *budget, const retry_limits_t *limits)
+{
+  table_lock (budget->services);
+  budget->limits.ratio = limits->ratio;
+  budget->limits.extra = limits->extra;
+  table_unlock (budget->services);
+}
+
 /* Free BUDGET.  */
 void
 retry_budget_destroy (retry_budget_t *budget)
--- /dev/null
+++ b/tests/process/test_relay_answers.py
@@ -0,0 +1,203 @@
+"""Whose answers clients get from a relay, and how often requests run."""
+
+import unittest
+
+import platform_replicas as replicas
+from platform_world import ACCOUNT, KEY, Caller, Platform, ask, new_id
+from cluster import wait_until
+
+
+class RelayAnswersTest(unittest.TestCase):
+    def setUp(self):
+        self.platform = Platform().__enter__()
+        self.addCleanup(self.platform.__exit__, None, None, None)
+        self.platform.configure()
+        self.apps = [self.platform.add_replica("app", zone) for zone in "abc"]
+        self.models = [self.platform.add_replica("model", zone, slots=4)
+                       for zone in "abc"]
+        for model in self.models:
+            model.answer = replicas.stream()
+        self.relay = self.platform.start_relay()
+
+    def answer_first(self, first, apps=None):
+        """The first run is answered in one way, all later ones wholly."""
+        taken = []
+
+        async def answer(replica, request, writer):
+            if taken:
+                return await replicas.answer_whole(replica, request, writer)
+            taken.append(request)
+            return await first(replica, request, writer)
+        for app in apps or self.apps:
+            app.answer = answer
+
+    def runs_of(self, request_id):
+        return [run for run in self.platform.runs()
+                if run.headers["request-id"] == request_id]
+
+    def test_request_and_answer_pass_unchanged(self):
+        reply = ask(self.relay, "/book/a%2Fb?x=1&y=%20", method="POST",
+                    body=b"\x00\xff body", request_id="11aa",
+                    headers={"Token-Counts": "10,2", "Model": "m"})
+        run, = self.runs_of("11aa")
+        self.assertEqual(reply.status, 200)
+        self.assertTrue(reply.headers["Response-Stamp"].startswith("stamp-of"))
+        self.assertIn(b"ran /book/a%2Fb?x=1&y=%20", reply.body)
+        self.assertEqual(run.method, "POST")
+        self.assertEqual(run.target, "/book/a%2Fb?x=1&y=%20")
+        self.assertEqual(run.body, b"\x00\xff body")
+        self.assertEqual(run.headers["token-counts"], "10,2")
+        self.assertEqual(run.headers["tenant"], ACCOUNT)
+        self.assertNotIn("authorization", run.headers)
+        self.assertLessEqual(int(run.headers["deadline-ms"]), 3000)
+        self.assertNotIn(KEY, str(run.fields))
+
+    def test_client_cannot_name_its_account_or_upstream(self):
+        reply = ask(self.relay, "/check/", request_id="12aa", headers={
+            "Tenant": "other", "Expect-Replica": "i-nobody", "Not-Run": "1"})
+        run, = self.runs_of("12aa")
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(run.headers["tenant"], ACCOUNT)
+        self.assertNotIn("not-run", run.headers)
+
+    def test_unknown_key_and_route_reach_nobody(self):
+        self.assertEqual(ask(self.relay, "/check/", key="wrong").status, 401)
+        self.assertEqual(ask(self.relay, "/check/", key=None).status, 401)
+        self.assertEqual(ask(self.relay, "/nowhere").status, 404)
+        self.assertEqual(self.platform.runs(), [])
+
+    def test_failure_of_upstream_is_passed_on_as_it_is(self):
+        for app in self.apps:
+            app.answer = replicas.fail(500, body=b"broken inside")
+        reply = ask(self.relay, "/book/", method="POST")
+        self.assertEqual((reply.status, reply.body), (500, b"broken inside"))
+        self.assertIn("Response-Stamp", reply.headers)
+        self.assertEqual(len(self.platform.runs()), 1)
+
+    def test_repeatable_request_is_sent_once_more_after_a_failure(self):
+        for first in (replicas.fail(500), replicas.reset, replicas.cut_short,
+                      replicas.garbage, replicas.answer_foreign,
+                      replicas.fail(200, stamped=False),
+                      replicas.fail(200, [("Content-Encoding", "gzip")])):
+            with self.subTest(first=first):
+                request_id = new_id()
+                self.answer_first(first)
+                reply = ask(self.relay, "/check/", request_id=request_id)
+                self.assertEqual(reply.status, 200)
+                self.assertIn(b"ran /check", reply.body)
+                self.assertEqual(len(self.runs_of(request_id)), 2)
+
+    def test_repeatable_request_runs_no_oftener_than_its_route_allows(self):
+        for app in self.apps:
+            app.answer = replicas.reset
+        self.assertEqual(ask(self.relay, "/check/").status, 502)
+        self.assertEqual(len(self.platform.runs()), 2)
+
+    def test_request_that_may_have_run_is_not_sent_again(self):
+        for first in (replicas.reset, replicas.cut_short, replicas.garbage,
+                      replicas.answer_foreign,
+                      replicas.fail(200, stamped=False),
+                      replicas.fail(503, stamped=False)):
+            with self.subTest(first=first):
+                request_id = new_id()
+                self.answer_first(first)
+                reply = ask(self.relay, "/book/", method="POST",
+                            request_id=request_id)
+                self.assertEqual(reply.status, 502)
+                self.assertNotIn("Response-Stamp", reply.headers)
+                self.assertEqual(len(self.runs_of(request_id)), 1)
+
+    def test_request_that_was_declined_goes_elsewhere(self):
+        for path, method in (("/book/", "POST"), ("/check/", "GET")):
+            request_id = new_id()
+            self.answer_first(replicas.decline)
+            reply = ask(self.relay, path, method=method,
+                        request_id=request_id)
+            self.assertEqual(reply.status, 200)
+            self.assertEqual(len(self.runs_of(request_id)), 1)
+
+    def test_request_declined_by_all_is_refused_with_time_to_come_back(self):
+        for app in self.apps:
+            app.answer = replicas.decline
+        reply = ask(self.relay, "/book/", method="POST", deadline_ms=1500)
+        self.assertEqual(reply.status, 503)
+        self.assertNotIn("Response-Stamp", reply.headers)
+        self.assertGreater(float(reply.headers["Retry-After"]), 0)
+        self.assertLessEqual(float(reply.headers["Retry-After"]), 0.5)
+        self.assertEqual(self.platform.runs(), [])
+
+    def test_extra_answer_is_nobody_s(self):
+        for app in self.apps:
+            app.answer = replicas.answer_twice
+        with Caller(self.relay) as caller:
+            for i in range(20):
+                reply = caller.ask("/check/?n=%d" % i)
+                self.assertEqual(reply.status, 200)
+                self.assertTrue(reply.body.endswith(b"ran /check/?n=%d" % i))
+
+    def test_answer_without_length_is_whole_at_its_channel_s_end(self):
+        async def unframed(replica, request, writer):
+            writer.write(replicas.answer_bytes(
+                200, b"to the end", replica.stamp(request, [
+                    ("Connection", "close")]), length=False))
+            await writer.drain()
+            return False
+        for app in self.apps:
+            app.answer = unframed
+        reply = ask(self.relay, "/book/", method="POST")
+        self.assertEqual((reply.status, reply.body), (200, b"to the end"))
+
+    def test_silent_upstream_ends_at_the_route_s_time(self):
+        for app in self.apps:
+            app.answer = replicas.hang
+        reply = ask(self.relay, "/book/", method="POST", deadline_ms=600)
+        self.assertEqual(reply.status, 504)
+        self.assertEqual(len(self.platform.runs()), 1)
+
+    def test_reused_address_does_not_run_the_request(self):
+        app = self.apps[0]
+        for other in self.apps[1:]:
+            self.platform.run(other.leave())
+        wait_until(lambda: ask(self.relay, "/check/").status == 200, 5,
+                   "the last replica to serve")
+        runs = len(app.runs)
+        app.id = "i-another"  # the entry still has the old one
+        app.beating.cancel()
+        reply = ask(self.relay, "/book/", method="POST", deadline_ms=800)
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(len(app.runs), runs)
+        self.assertGreater(app.misdirected, 0)
+
+    def test_client_that_leaves_frees_its_upstream(self):
+        for app in self.apps:
+            app.answer = replicas.hang
+        caller = Caller(self.relay)
+        caller.send("/book/", method="POST", request_id="13aa")
+        wait_until(lambda: self.runs_of("13aa"), 5, "the request to run")
+        caller.reset()
+        wait_until(lambda: any("13aa" in app.broken_off for app in self.apps),
+                   2, "the upstream to be let go")
+
+    def test_hundred_bookings_run_once_each(self):
+        async def moody(replica, request, writer):
+            kind = len(replica.runs) % 5
+            action = (replicas.answer_whole, replicas.reset,
+                      replicas.decline, replicas.cut_short,
+                      replicas.fail(500))[kind]
+            return await action(replica, request, writer)
+        for app in self.apps:
+            app.answer = moody
+        refused = set()
+        for _ in range(100):
+            request_id = new_id()
+            reply = ask(self.relay, "/book/", method="POST",
+                        request_id=request_id)
+            if reply.status in (408, 421, 429, 503):
+                refused.add(request_id)
+        ids = [run.headers["request-id"] for run in self.platform.runs()]
+        self.assertEqual(len(ids), len(set(ids)))
+        self.assertEqual(refused & set(ids), set())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/process/test_relay_rules.py
@@ -0,0 +1,204 @@
+"""What relays do as the platform's documents change, and as they stop."""
+
+import os
+import signal
+import threading
+import time
+import unittest
+
+import platform_replicas as replicas
+from platform_world import Caller, Platform, ask, new_id
+from cluster import wait_until
+
+# Of the users: a version is in force within two seconds.
+APPLY_S = 2
+EVACUATE_S = 5
+DRAIN_S = 2
+
+
+class RelayRulesTest(unittest.TestCase):
+    def setUp(self):
+        self.platform = Platform().__enter__()
+        self.addCleanup(self.platform.__exit__, None, None, None)
+        self.platform.configure()
+        self.apps = [self.platform.add_replica("app", zone) for zone in "abc"]
+        self.relay = self.platform.start_relay()
+
+    def served_by(self, count=12):
+        """Returns the replicas that serve COUNT requests."""
+        before = {app.id: len(app.runs) for app in self.apps}
+        for _ in range(count):
+            self.assertEqual(ask(self.relay, "/check/").status, 200)
+        return {app.id for app in self.apps
+                if len(app.runs) > before[app.id]}
+
+    def test_not_ready_before_it_knows_rules(self):
+        self.platform.remove("op/config")
+        fresh = self.platform.start_relay("relay-2", is_ready=False)
+        time.sleep(0.5)
+        self.assertEqual(self.platform.get(fresh.ready_port, "/api/ready"),
+                         503)
+        reply = ask(fresh, "/check/")
+        self.assertEqual(reply.status, 503)
+        self.assertGreater(float(reply.headers["Retry-After"]), 0)
+        self.platform.configure()
+        wait_until(lambda: self.platform.is_ready(fresh), 5, "readiness")
+        self.assertEqual(ask(fresh, "/check/").status, 200)
+
+    def test_key_and_route_go_with_a_version(self):
+        def change(config):
+            config["tenants"][0]["keys"] = ["another"]
+            config["routes"].pop(1)
+        self.platform.configure(change)
+        wait_until(lambda: ask(self.relay, "/book/", key="another",
+                               method="POST").status == 200, APPLY_S,
+                   "the new key")
+        self.assertEqual(ask(self.relay, "/book/", method="POST").status, 401)
+        self.assertEqual(ask(self.relay, "/check/", key="another").status, 404)
+
+    def test_unreadable_documents_change_nothing(self):
+        self.platform.put("op/config", b"{nonsense")
+        self.platform.put("servers/i-x1", b"\xff\x00")
+        self.platform.put("servers/i-x2", {"service": "app"})
+        self.platform.put("servers/i-x3", {
+            "service": "app", "address": 7, "zone": "a", "slots": "6",
+            "state": "ready", "cold_left_ms": 0, "sequence": 1})
+        self.platform.put("servers/i-x4", {
+            "service": "app", "address": "127.0.0.1:1", "zone": "a",
+            "slots": 6, "state": "resting", "cold_left_ms": 0,
+            "sequence": 1})
+        time.sleep(0.3)
+        self.assertEqual(len(self.served_by()), 3)
+
+    def test_zone_that_is_out_gets_nothing_until_it_is_back(self):
+        self.platform.put("op/evacuate/b", b"")
+        zone_b = self.apps[1].id
+        wait_until(lambda: zone_b not in self.served_by(), EVACUATE_S,
+                   "the zone to be left alone")
+        self.platform.remove("op/evacuate/b")
+        wait_until(lambda: zone_b in self.served_by(), EVACUATE_S,
+                   "the zone to be used again")
+
+    def test_draining_and_vanished_upstreams_get_nothing(self):
+        self.apps[0].state = "draining"
+        self.platform.run(self.apps[0].beat())
+        self.apps[1].beating.cancel()
+        self.platform.remove("servers/" + self.apps[1].id)
+        wait_until(lambda: self.served_by() == {self.apps[2].id}, DRAIN_S,
+                   "the leaving ones to be left alone")
+
+    def test_store_away_changes_nothing_for_requests(self):
+        for trouble in ("silent", "reset", "busy"):
+            with self.subTest(trouble=trouble):
+                self.platform.store.trouble = trouble
+                end = time.monotonic() + 1.5
+                while time.monotonic() < end:
+                    self.assertEqual(ask(self.relay, "/check/").status, 200)
+                self.platform.store.trouble = None
+                self.platform.configure(lambda config: config["tenants"][0]
+                                        ["keys"].append("key-" + trouble))
+                wait_until(lambda: ask(self.relay, "/check/",
+                                       key="key-" + trouble).status == 200,
+                           5, "the version after the outage")
+
+    def test_forgotten_history_loses_no_change(self):
+        async def forget():
+            self.platform.store.trouble = "reset"
+            for writer in list(self.platform.store.connections):
+                writer.transport.abort()
+            await self.platform.store.write(
+                {}, ["servers/" + self.apps[0].id])
+            self.apps[0].beating.cancel()
+            self.platform.store.forget_history()
+            self.platform.store.trouble = None
+        self.platform.run(forget())
+        wait_until(lambda: self.apps[0].id not in self.served_by(), DRAIN_S,
+                   "the upstream that left in the gap to be left alone")
+
+    def test_planned_stop_finishes_what_was_read(self):
+        for app in self.apps:
+            app.answer = replicas.slow(1.0)
+        replies = []
+        thread = threading.Thread(target=lambda: replies.append(
+            ask(self.relay, "/book/", method="POST")))
+        thread.start()
+        wait_until(self.platform.runs, 5, "the request to run")
+        self.relay.signal(signal.SIGTERM)
+        wait_until(lambda: self.platform.get(
+            self.relay.ready_port, "/api/ready") == 503, 1, "unreadiness")
+        # Clients that have not heard of it are served.
+        self.assertEqual(ask(self.relay, "/check/").status, 200)
+        thread.join()
+        self.assertEqual(replies[0].status, 200)
+        self.assertEqual(self.relay.process.wait(8), 0)
+
+    def test_planned_stop_loses_no_request_on_kept_connections(self):
+        stop = threading.Event()
+        lost = []
+
+        def keep_asking():
+            while not stop.is_set():
+                try:
+                    with Caller(self.relay) as caller:
+                        while not stop.is_set():
+                            reply = caller.ask("/check/")
+                            if reply.status != 200 or not reply.is_whole:
+                                lost.append(reply.status)
+                            if reply.headers["Connection"] == "close":
+                                break
+                            time.sleep(0.01)
+                except ConnectionRefusedError:
+                    return  # it listens no more
+                except OSError as error:
+                    lost.append(error)
+        threads = [threading.Thread(target=keep_asking) for _ in range(8)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.3)
+        self.relay.signal(signal.SIGTERM)
+        self.assertEqual(self.relay.process.wait(8), 0)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(lost, [])
+
+    def test_hangup_reads_settings_again_and_loses_nothing(self):
+        for app in self.apps:
+            app.answer = replicas.slow(0.5)
+        replies = []
+        thread = threading.Thread(target=lambda: replies.append(
+            ask(self.relay, "/book/", method="POST")))
+        thread.start()
+        wait_until(self.platform.runs, 5, "the request to run")
+        self.relay.signal(signal.SIGHUP)
+        wait_until(lambda: "event=reloaded" in self.relay.text(), 2,
+                   "the settings to be read")
+        thread.join()
+        self.assertEqual(replies[0].status, 200)
+        self.assertIsNone(self.relay.process.poll())
+
+    def test_hangup_with_faulty_settings_keeps_those_in_force(self):
+        path = os.path.join(self.platform.folder, "relay-1.toml")
+        with open(path, "a") as stream:
+            stream.write("retry_ratio = 'much'\nunknown = 1\n")
+        self.relay.signal(signal.SIGHUP)
+        wait_until(lambda: "event=reload-refused" in self.relay.text(), 2,
+                   "the settings to be refused")
+        self.assertEqual(ask(self.relay, "/check/").status, 200)
+
+    def test_own_entry_says_where_the_relay_is_until_it_stops(self):
+        key = "siskinspur/relays/relay-1"
+        wait_until(lambda: key in self.platform.store.items, 5, "its entry")
+        self.assertEqual(self.platform.store.items[key]["value"], b"a")
+        self.relay.stop()
+        self.assertNotIn(key, self.platform.store.items)
+
+    def test_request_ids_are_used_once(self):
+        request_id = new_id()
+        ask(self.relay, "/check/", request_id=request_id)
+        self.assertEqual([run.headers["request-id"]
+                          for run in self.platform.runs()], [request_id])
+
+
+if __name__ == "__main__":
+    unittest.main()
