Have two pilots that both take themselves for leaders end it within a second

A leader froze with the group held, another pilot took over, the first one woke, found the group stuck by its own clock and seized the term back.

Now a pilot steps down when it hears a higher term or sees the key in another's hands, permits go by terms, a pause of the own process starts all waits anew, a switch that cannot be armed within 0.7 s is called off, and it is abandoned before the first rank is armed when a rank has not reported lately. A pilot that has started since the hold began does not take itself to know which permits were given. Ruled out: a lost order to go on (all were answered), and the release without the frozen rank (the group went on at once).

test_switcher has the refused permit: it fails without the time limit. A request that another upstream declined at its address counts as a repeat from now on, as it arrived there.

--- a/include/common/frame.h
+++ b/include/common/frame.h
@@ -239,6 +239,7 @@
 typedef struct frame_rank_led
 {
   uint64_t over_ticket; /* the rank's orders up to it are over */
+  uint64_t term;        /* of the leader */
 } frame_rank_led_t;
 
 typedef struct frame_rank_ask
--- a/include/pilot/crew.h
+++ b/include/pilot/crew.h
@@ -26,7 +26,7 @@
 void crew_note_pilot (crew_t *crew, const char *name, const char *value);
 void crew_note_upstream (crew_t *crew, const char *address);
 unsigned crew_choose_holder (const crew_t *crew);
-void crew_show_leading (crew_t *crew);
+void crew_show_leading (crew_t *crew, uint64_t term);
 void crew_note_own_report (crew_t *crew, const rank_report_t *report);
 void crew_note_asking (crew_t *crew);
 void crew_order (crew_t *crew, unsigned rank, uint64_t ticket,
--- a/include/pilot/switcher.h
+++ b/include/pilot/switcher.h
@@ -13,13 +13,15 @@
    what the engines report.  Belongs to one worker.  */
 typedef struct switcher switcher_t;
 
+#define SWITCHER_ANY_VERSION UINT64_MAX
+
 /* The leader before.  */
 typedef struct switcher_deposed
 {
   unsigned rank; /* its own */
   uint64_t term;
   /* The last version for which this process let it arm its own rank; 0 for
-     none.  */
+     none, SWITCHER_ANY_VERSION when it cannot know.  */
   uint64_t permitted;
 } switcher_deposed_t;
 
--- a/include/relay/forward.h
+++ b/include/relay/forward.h
@@ -41,7 +41,7 @@
   forward_attempt_t *attempt; /* NULL between attempts */
   unsigned sends;             /* that reached an upstream, or may have */
   unsigned runs;              /* of these, those that ran, or may have */
-  unsigned unreachable; /* attempts that reached no upstream, or another */
+  unsigned unreachable;       /* attempts that reached no upstream */
   bool is_waiting;
   bool is_watched;          /* for an upstream that falls silent */
   struct timespec heard_at; /* something came from the upstream */
--- a/pilot/crew.c
+++ b/pilot/crew.c
@@ -538,15 +538,16 @@
   return crew->own_rank;
 }
 
-/* Let the other pilots know that there is a leader.  */
+/* Let the other pilots know that there is a leader, with TERM.  */
 void
-crew_show_leading (crew_t *crew)
+crew_show_leading (crew_t *crew, uint64_t term)
 {
   const crew_pilot_t *pilot;
 
   LIST_FOREACH (pilot, &crew->pilots, entry)
     {
-      frame_t frame = { .header.type = FRAME_RANK_LED };
+      frame_t frame
+          = { .header.type = FRAME_RANK_LED, .body.rank_led.term = term };
 
       if (pilot->link == NULL || !link_is_open (pilot->link))
         continue;
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -22,6 +22,7 @@
   SEEK_STEP_MS = 150,   /* later for each rank number */
   SHOW_MS = 250,        /* between signs of life to the other pilots */
   STUCK_MS = 250,       /* the group is held and no leader is heard */
+  PAUSED_MS = 250,      /* between ticks, when this process stood still */
   PLAN_MS = 500,        /* from one plan to the next */
   LEARN_MS = 100,       /* between questions for the map in use */
   ANSWER_MS = 250,      /* ranks have to tell their counts */
@@ -42,6 +43,7 @@
 {
   pilot_t *pilot;
   worker_timer_t *timer;
+  struct timespec ticked_at;
   struct timespec ended_at; /* when it last ceased to lead */
   struct timespec free_at;  /* the own engine was seen not to be held */
   term_t *term;             /* NULL until the group is known */
@@ -49,6 +51,8 @@
   unsigned rank_count;
   unsigned own_rank;
   bool is_stopping;
+  bool has_seen_free; /* the own engine was not held, since the start */
+  uint64_t fence;     /* of the newest own term */
   /* While it leads.  */
   crew_t *crew;
   switcher_t *switcher;
@@ -104,7 +108,8 @@
   TALLOC_FREE (leader->planner);
   TALLOC_FREE (leader->planned);
   leader->is_asking = false;
-  leader->ended_at = pilot_now (leader->pilot);
+  leader->ended_at = leader->free_at = pilot_now (leader->pilot);
+  servant_wait_anew (leader->pilot->servant);
 }
 
 static void
@@ -301,6 +306,17 @@
   talloc_free (scratch);
 }
 
+/* The key of a group's leader has changed: another pilot may have seized
+   it.  */
+static void
+leader_take_leader (leader_t *leader, const char *group,
+                    const store_entry_t *entry)
+{
+  if (strcmp (group, leader->group) == 0 && entry->value != NULL
+      && (uint64_t)entry->mod_revision > leader->fence)
+    switcher_stop (leader->switcher);
+}
+
 static void
 leader_on_change (const store_entry_t *entry, void *data)
 {
@@ -316,9 +332,11 @@
       leader_take_upstream (leader, name, entry);
       break;
     case CATALOG_OWN:
-      name = roster_name (name, ROSTER_PILOTS);
-      if (name != NULL)
-        crew_note_pilot (leader->crew, name, entry->value);
+      if (roster_name (name, ROSTER_PILOTS) != NULL)
+        crew_note_pilot (leader->crew, roster_name (name, ROSTER_PILOTS),
+                         entry->value);
+      else if (roster_name (name, ROSTER_LEADERS) != NULL)
+        leader_take_leader (leader, roster_name (name, ROSTER_LEADERS), entry);
       break;
     default:
       break;
@@ -344,13 +362,19 @@
   };
 
   leader_end (leader, "new-term");
+  leader->fence = fence;
+  servant_permit_from (pilot->servant, fence);
   is_known
       = seized != NULL
         && sscanf (seized->holder, HOLDER_READ_FORMAT, &deposed.rank) == 1;
   if (is_known)
     {
       deposed.term = seized->fence;
-      deposed.permitted = servant_permitted (pilot->servant);
+      /* A process that has started since the hold began knows nothing of
+         permits before.  */
+      deposed.permitted = leader->has_seen_free
+                              ? servant_permitted (pilot->servant)
+                              : SWITCHER_ANY_VERSION;
     }
   log_event (LOG_LEVEL_INFO, "leading",
              "group=%s fence=%llu rank=%u seized_from=\"%s\"", leader->group,
@@ -426,6 +450,7 @@
     leader_learn_group (leader, report);
   if (leader->crew != NULL)
     crew_note_own_report (leader->crew, report);
+  leader->has_seen_free = leader->has_seen_free || !report->is_held;
   if (!report->is_held || report->step + 1 < report->held)
     leader->free_at = pilot_now (leader->pilot);
 }
@@ -461,7 +486,7 @@
       || ms_since (leader, leader->shown_at) >= SHOW_MS)
     {
       leader->shown_at = now;
-      crew_show_leading (leader->crew);
+      crew_show_leading (leader->crew, leader->fence);
     }
   if (leader->is_asking && ms_since (leader, leader->asked_at) > ANSWER_MS)
     {
@@ -497,7 +522,8 @@
   if (unled_ms > STUCK_MS && ms_since (leader, leader->free_at) > STUCK_MS)
     {
       /* From here on the leader that was cannot arm its own rank any more.  */
-      servant_refuse_permits (leader->pilot->servant, true);
+      servant_permit_from (leader->pilot->servant,
+                           servant_led_term (leader->pilot->servant) + 1);
       if (term_seize (leader->term))
         log_event (LOG_LEVEL_WARN, "group-stuck", "group=%s unled_ms=%lld",
                    leader->group, (long long)unled_ms);
@@ -505,10 +531,22 @@
   else if (unled_ms > patience_ms && ended_ms > patience_ms)
     term_seek (leader->term);
   else if (unled_ms < SEEK_AFTER_MS)
+    term_leave (leader->term);
+}
+
+/* After a pause of this process nothing is known of leaders or of the group's
+   steps meanwhile.  */
+static void
+leader_note_pause (leader_t *leader)
+{
+  struct timespec now = pilot_now (leader->pilot);
+
+  if (ms_since (leader, leader->ticked_at) > PAUSED_MS)
     {
-      servant_refuse_permits (leader->pilot->servant, false);
-      term_leave (leader->term);
+      leader->free_at = now;
+      servant_wait_anew (leader->pilot->servant);
     }
+  leader->ticked_at = now;
 }
 
 static void leader_arm (leader_t *leader);
@@ -520,8 +558,10 @@
 
   (void)worker;
   leader_arm (leader);
+  leader_note_pause (leader);
   if (leader->crew != NULL
-      && switcher_phase (leader->switcher) == SWITCHER_OFF)
+      && (switcher_phase (leader->switcher) == SWITCHER_OFF
+          || servant_led_term (leader->pilot->servant) > leader->fence))
     {
       /* Somebody else leads by now.  */
       leader_end (leader, "deposed");
@@ -557,7 +597,7 @@
   if (leader == NULL)
     return NULL;
   leader->pilot = pilot;
-  leader->ended_at = leader->free_at = pilot_now (pilot);
+  leader->ended_at = leader->free_at = leader->ticked_at = pilot_now (pilot);
   leader_arm (leader);
   return leader;
 }
--- a/pilot/servant.c
+++ b/pilot/servant.c
@@ -36,8 +36,9 @@
   char *address;
   LIST_HEAD (, master) masters;
   struct timespec led_at; /* a leader was heard, or this process started */
+  uint64_t led_term;      /* the highest term of a leader heard */
   uint64_t permitted;     /* version that a leader may arm its own rank with */
-  bool is_refusing;       /* permits, since this pilot seeks to lead or does */
+  uint64_t permit_from;   /* permits are for leaders with at least this term */
 };
 
 /* An order or question that the engine has, for a master that may be gone
@@ -146,18 +147,21 @@
   talloc_free (errand);
 }
 
-/* Let the leader arm its own rank, unless this pilot is about to take over. */
+/* Let the leader arm its own rank, unless this pilot has taken over since or
+   is about to.  */
 static void
 servant_give_permit (master_t *master, const frame_rank_ask_t *body)
 {
   servant_t *servant = master->servant;
   frame_t frame = { .header.type = FRAME_RANK_TOLD,
-                    .body.rank_told = { .ticket = body->ticket,
-                                        .is_known = !servant->is_refusing,
-                                        .version = body->version } };
+                    .body.rank_told
+                    = { .ticket = body->ticket, .version = body->version } };
 
-  if (!servant->is_refusing)
-    servant->permitted = body->version;
+  if (body->term >= servant->permit_from)
+    {
+      frame.body.rank_told.is_known = true;
+      servant->permitted = body->version;
+    }
   link_send (master->link, &frame);
 }
 
@@ -207,6 +211,8 @@
     case FRAME_RANK_LED:
       if (frame->body.rank_led.over_ticket > master->over_ticket)
         master->over_ticket = frame->body.rank_led.over_ticket;
+      if (frame->body.rank_led.term > master->servant->led_term)
+        master->servant->led_term = frame->body.rank_led.term;
       break;
     default:
       return;
@@ -359,11 +365,25 @@
   return servant->permitted;
 }
 
-/* Give no permits while IS_REFUSING.  */
+/* Give permits only to leaders with TERM or a later one from now on.  */
+void
+servant_permit_from (servant_t *servant, uint64_t term)
+{
+  servant->permit_from = term;
+}
+
+/* Return the highest term of a leader that was heard, 0 for none.  */
+uint64_t
+servant_led_term (const servant_t *servant)
+{
+  return servant->led_term;
+}
+
+/* Wait for a leader as long as if one had just been heard.  */
 void
-servant_refuse_permits (servant_t *servant, bool is_refusing)
+servant_wait_anew (servant_t *servant)
 {
-  servant->is_refusing = is_refusing;
+  servant->led_at = pilot_now (servant->pilot);
 }
 
 /* Return for how many milliseconds no leader has been heard.  */
--- a/pilot/switcher.c
+++ b/pilot/switcher.c
@@ -11,6 +11,8 @@
   RESEND_MS = 100,         /* after an order that may not have arrived */
   PREPARE_TIMEOUT_MS = 8000,
   HOLD_TIMEOUT_MS = 2000,
+  ARM_TIMEOUT_MS = 700, /* then the group goes on without the switch */
+  HEARD_MS = 250,       /* a rank that reported so lately will take an order */
   /* Time that orders take to reach all ranks: the group is held at a step that
      it gets to about so much later.  Longer while orders get lost, so that
      they can be sent again before the group stands still.  */
@@ -70,6 +72,7 @@
   struct timespec permit_again_at;
   bool is_going_without; /* the deposed rank; found to be safe */
   bool may_be_held;      /* an order to hold was sent and not taken back */
+  bool is_abandoned;     /* the switch under way; no rank was armed */
   placement_map_t *map;  /* of the switch under way */
   struct timespec phase_at;
   bool has_lost; /* an order, at LOST_AT */
@@ -189,6 +192,7 @@
 
   INVARIANT (term > switcher->term, "switcher-terms-rise");
   switcher->term = term;
+  switcher->is_abandoned = false;
   switcher->deposed = deposed == NULL ? nobody : *deposed;
   switcher->round = 0;
   switcher->switches = 0;
@@ -339,7 +343,7 @@
   const rank_report_t *own = &switcher->ranks[switcher->own_rank].report;
   bool has_prepared = false;
 
-  if (!own->is_held)
+  if (!own->is_held || switcher->deposed.permitted == SWITCHER_ANY_VERSION)
     return false;
 
   for (unsigned i = 0; i < switcher->rank_count; i++)
@@ -526,6 +530,22 @@
     give_up (switcher, "prepare-timeout", now);
 }
 
+/* Whether all ranks have reported lately, so that none is likely to be out of
+   reach while the group is held for it.  */
+static bool
+all_heard (const switcher_t *switcher, struct timespec now)
+{
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      const rank_view_t *view = &switcher->ranks[i];
+
+      if (timespec_to_ms (timespec_subtract (now, view->reported_at))
+          > HEARD_MS)
+        return false;
+    }
+  return true;
+}
+
 static void
 hold (switcher_t *switcher, struct timespec now)
 {
@@ -533,7 +553,10 @@
 
   if (view->is_done)
     {
-      enter (switcher, SWITCHER_ARMING, now);
+      switcher->is_abandoned = !all_heard (switcher, now);
+      enter (switcher,
+             switcher->is_abandoned ? SWITCHER_RELEASING : SWITCHER_ARMING,
+             now);
       return;
     }
   if (!switcher->may_be_held && phase_ms (switcher, now) > HOLD_TIMEOUT_MS)
@@ -580,6 +603,12 @@
 {
   unsigned own = switcher->own_rank;
 
+  if (phase_ms (switcher, now) > ARM_TIMEOUT_MS)
+    {
+      call_off (switcher, "arm-timeout", now);
+      return;
+    }
+
   for (unsigned i = 0; i < switcher->rank_count; i++)
     {
       if (i != own && may_send (&switcher->ranks[i], now))
@@ -604,6 +633,11 @@
       return;
     }
   switcher->may_be_held = false;
+  if (switcher->is_abandoned)
+    {
+      give_up (switcher, "rank-not-heard", now);
+      return;
+    }
   TALLOC_FREE (switcher->map);
   enter (switcher, SWITCHER_IDLE, now);
   switcher->ops->on_event (SWITCHER_SWITCHED, "", switcher->data);
@@ -681,6 +715,7 @@
   switcher->map->slots
       = talloc_memdup (switcher->map, map->slots, slots * sizeof *map->slots);
   switcher->version = switcher->term * FENCES_A_TERM + ++switcher->switches;
+  switcher->is_abandoned = false;
   enter (switcher, SWITCHER_PREPARING, now);
   switcher_tick (switcher, now);
   return true;
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -202,7 +202,7 @@
 static void
 forward_count (forward_t *forward, fleet_result_t result)
 {
-  if (result == FLEET_UNREACHABLE || result == FLEET_MISDIRECTED)
+  if (result == FLEET_UNREACHABLE)
     forward->unreachable++;
   else
     forward->sends++;
--- a/tests/test_switcher.c
+++ b/tests/test_switcher.c
@@ -587,6 +587,25 @@
   assert_true (mixed > 0);
 }
 
+/* A pilot that gives no permit, as when it takes itself for the leader, holds
+   the group up for a while only.  */
+static void
+test_group_goes_on_without_a_permit (void **state)
+{
+  world_t *world = world_create (7, 0);
+  uint64_t step;
+
+  (void)state;
+  world_run (world, LEADER_MS / 2);
+  world->led_term[1] = UINT64_MAX;
+  world_run (world, LEADER_MS / 2 + 1500);
+  step = world->step;
+  world_run (world, LEADER_MS - 500);
+  assert_true (world->step > step);
+  assert_int_equal (world->mixed_steps, 0);
+  talloc_free (world);
+}
+
 static void
 test_a_calm_switch_holds_up_no_step (void **state)
 {
@@ -608,6 +627,7 @@
     cmocka_unit_test (test_maps_never_mix_under_many_faults),
     cmocka_unit_test (test_world_notices_engines_without_fences),
     cmocka_unit_test (test_a_calm_switch_holds_up_no_step),
+    cmocka_unit_test (test_group_goes_on_without_a_permit),
   };
 
   invariant_set_fatal (true);
