--- a/common/frame.c
+++ b/common/frame.c
@@ -156,9 +156,9 @@
   = { "rank-ask",
       { UNSIGNED (rank_ask.ticket, 0), UNSIGNED (rank_ask.question, 0),
         UNSIGNED (rank_ask.term, 0), UNSIGNED (rank_ask.version, 0) } },
-  [FRAME_RANK_LED] = { "rank-led",
-                         { UNSIGNED (rank_led.over_ticket, 0),
-                           UNSIGNED (rank_led.term, 0) } },
+  [FRAME_RANK_LED]
+  = { "rank-led",
+      { UNSIGNED (rank_led.over_ticket, 0), UNSIGNED (rank_led.term, 0) } },
   [FRAME_RANK_TOLD]
   = { "rank-told",
       { UNSIGNED (rank_told.ticket, 0), BOOLEAN (rank_told.is_known),
--- a/include/pilot/crew.h
+++ b/include/pilot/crew.h
@@ -29,10 +29,10 @@
 void crew_show_leading (crew_t *crew, uint64_t term);
 void crew_note_own_report (crew_t *crew, const rank_report_t *report);
 void crew_note_asking (crew_t *crew);
-void crew_order (crew_t *crew, unsigned rank, uint64_t ticket,
+void crew_order (crew_t *crew, unsigned number, uint64_t ticket,
                  const rank_order_t *order);
 unsigned crew_ask_all (crew_t *crew, rank_question_t question);
-void crew_ask_permit (crew_t *crew, unsigned rank, uint64_t term,
+void crew_ask_permit (crew_t *crew, unsigned number, uint64_t term,
                       uint64_t version);
 void crew_tick (crew_t *crew);
 
--- a/kernel/pool.c
+++ b/kernel/pool.c
@@ -28,13 +28,13 @@
     }
 }
 
-/* Take TIMER, which stays its owner's, away from its loop.  */
+/* Take TIMER, which stays its owner's, away from WORKER's loop.  */
 static void
-timer_detach (worker_timer_t *timer)
+timer_detach (worker_t *worker, worker_timer_t *timer)
 {
   LIST_REMOVE (timer, link);
   if (timer->event != NULL)
-    timer->worker->ops->disarm (timer);
+    worker->ops->disarm (timer);
   timer->worker = NULL;
 }
 
@@ -45,7 +45,7 @@
 
   worker->is_closing = true;
   while ((timer = LIST_FIRST (&worker->timers)) != NULL)
-    timer_detach (timer);
+    timer_detach (worker, timer);
   talloc_free (worker->events);
   worker->ops->destroy (worker);
   return 0;
@@ -244,7 +244,7 @@
 timer_free (worker_timer_t *timer)
 {
   if (timer->worker != NULL)
-    timer_detach (timer);
+    timer_detach (timer->worker, timer);
   return 0;
 }
 
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -333,7 +333,7 @@
   for (unsigned i = 0; i < 8; i++)
     group_plan (group);
   load = rank_load (group, SLOW_RANK);
-  group->busy_us[SLOW_RANK] = SAMPLE_TOKENS * 2;
+  group->busy_us[SLOW_RANK] = (uint64_t)SAMPLE_TOKENS * 2;
   for (unsigned i = 0; i < 12; i++)
     group_plan (group);
   assert_true (rank_load (group, SLOW_RANK) < 0.8 * load);
--- a/tests/test_switcher.c
+++ b/tests/test_switcher.c
@@ -174,8 +174,10 @@
   world_t *world = leader->world;
   message_t *message;
   bool is_late = strikes (world) || is_cut_off (world, leader, rank);
+  bool is_unsent = strikes (world);
 
-  if (strikes (world) && strikes (world))
+  is_unsent = is_unsent && strikes (world);
+  if (is_unsent)
     {
       message_t unsent = { .leader = leader, .rank = rank, .ticket = ticket };
 
--- a/tests/test_timers.c
+++ b/tests/test_timers.c
@@ -23,8 +23,11 @@
 
 /* Stands in front of the C library's, so that the test can move the time of
    day for everything in this process.  */
+int moved_time_of_day (struct timeval *now,
+                       void *zone) __asm__("gettimeofday");
+
 int
-gettimeofday (struct timeval *restrict now, void *restrict zone)
+moved_time_of_day (struct timeval *now, void *zone)
 {
   struct timespec real;
 
