Write logs to standard output by a thread of its own, with bounds; add histograms

Cause: lines went to standard error with a write for each in the caller's thread, under the log's lock: a reader that stood still stopped requests, and nothing bounded the volume. Steps of ordinary requests were debug lines, so an engineer could not follow a request.

Now log lines go into a queue of at most 512 KiB (2000 lines and 512 KiB a second; ordinary lines get half of each), and a thread writes them out. What was left out is counted by level, in a line and in a counter. Changes of belief are of level NOTICE, steps of a request INFO. The relay's lines carry what the choice was made from and how old that was. Histograms of waits stand beside the counters on the admin address.

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -208,7 +208,7 @@
                           &address, &port, peer_accept, agent);
   if (agent->listener == NULL)
     return STATUS_IO;
-  log_event (LOG_LEVEL_INFO, "frames-listening", "port=%u", port);
+  log_event (LOG_LEVEL_NOTICE, "frames-listening", "port=%u", port);
   return STATUS_OK;
 }
 
--- a/agent/gate.c
+++ b/agent/gate.c
@@ -159,7 +159,7 @@
     gate->admission_ops->note_cold (gate->admission,
                                     clock_monotonic (gate->clock), reason);
   lock_release (gate->lock);
-  log_event (LOG_LEVEL_INFO, "upstream-cold", "upstream=%s reason=%s",
+  log_event (LOG_LEVEL_NOTICE, "upstream-cold", "upstream=%s reason=%s",
              gate->upstream, reason);
 }
 
--- a/agent/group.c
+++ b/agent/group.c
@@ -80,7 +80,7 @@
       return;
     }
   if (group->is_engine_failing)
-    log_event (LOG_LEVEL_INFO, "engine-answers", "group=%s rank=%u",
+    log_event (LOG_LEVEL_NOTICE, "engine-answers", "group=%s rank=%u",
                group->name, group->rank);
   group->is_engine_failing = false;
   group_note_counts (group, answer);
@@ -101,7 +101,7 @@
     maps = group_maps_encode (scratch, group->maps, order->schedule.base,
                               order->schedule.next);
   if (order->kind != GROUP_ENGINE_READ)
-    log_event (LOG_LEVEL_INFO, "engine-order",
+    log_event (LOG_LEVEL_NOTICE, "engine-order",
                "group=%s rank=%u order=%d base=%llu next=%llu step=%llu",
                group->name, group->rank, order->kind,
                (unsigned long long)order->schedule.base,
@@ -329,7 +329,7 @@
   group->peers = talloc_zero_array (group, group_peer_t, group->rank_count);
   group->lead = group_lead_create (group);
   group_configure (group, settings);
-  log_event (LOG_LEVEL_INFO, "group-joined", "group=%s rank=%u ranks=%u",
+  log_event (LOG_LEVEL_NOTICE, "group-joined", "group=%s rank=%u ranks=%u",
              group->name, group->rank, group->rank_count);
   return group;
 }
--- a/agent/group_lead.c
+++ b/agent/group_lead.c
@@ -76,7 +76,7 @@
 {
   group_lead_t *lead = data;
 
-  log_event (LOG_LEVEL_INFO, "group-coordinator",
+  log_event (LOG_LEVEL_NOTICE, "group-coordinator",
              "group=%s event=%s version=%llu epoch=%llu", lead->group->name,
              event_name (event), (unsigned long long)version,
              (unsigned long long)group_coordinator_epoch (lead->coordinator));
@@ -137,7 +137,7 @@
       return;
     }
   group_maps_add (group->maps, first, map);
-  log_event (LOG_LEVEL_INFO, "group-term", "group=%s rank=%u epoch=%llu",
+  log_event (LOG_LEVEL_NOTICE, "group-term", "group=%s rank=%u epoch=%llu",
              group->name, group->rank, (unsigned long long)epoch);
   counter_add (&terms_total, 1);
   counter_set (&leading_gauge, 1);
--- a/agent/group_plan.c
+++ b/agent/group_plan.c
@@ -269,7 +269,7 @@
 static void
 plan_log (const group_plan_t *plan, const placement_plan_t *decision)
 {
-  log_event (LOG_LEVEL_INFO, "placement",
+  log_event (LOG_LEVEL_NOTICE, "placement",
              "group=%s policy=%s change=%d moves=%u step_time_before=%.5f "
              "step_time_after=%.5f bound=%.5f skew_permille=%lld reason=%s",
              plan->group->name, plan->group->policy, decision->is_change,
--- a/agent/job_output.c
+++ b/agent/job_output.c
@@ -180,7 +180,7 @@
   job_wake_pump_locked (job);
   table_unlock (job->agent->jobs);
   counter_add (ended_counters[outcome], 1);
-  log_event (LOG_LEVEL_INFO, "job-ended",
+  log_event (LOG_LEVEL_NOTICE, "job-ended",
              "request=%016llx-%llu outcome=%s refusal=%s complete=%d",
              (unsigned long long)job->id.incarnation,
              (unsigned long long)job->id.sequence, outcome_name (outcome),
--- a/agent/job_run.c
+++ b/agent/job_run.c
@@ -224,7 +224,7 @@
   job->has_forwarded = true;
   job->call = job->agent->upstream_ops->start (job->share->transport, &request,
                                                &job_call_ops, job);
-  log_event (LOG_LEVEL_INFO, "job-forwarded",
+  log_event (LOG_LEVEL_NOTICE, "job-forwarded",
              "request=%016llx-%llu account=%s service=%s tokens=%llu",
              (unsigned long long)job->id.incarnation,
              (unsigned long long)job->id.sequence, job->account, job->service,
--- a/agent/peer.c
+++ b/agent/peer.c
@@ -229,7 +229,7 @@
 {
   agent_peer_t *peer = data;
 
-  log_event (LOG_LEVEL_INFO, "peer-closed", "peer=%s reason=%s",
+  log_event (LOG_LEVEL_NOTICE, "peer-closed", "peer=%s reason=%s",
              link_peer_name (link), reason);
   job_detach_link (peer->agent, link);
   LIST_REMOVE (peer, peer_link);
--- a/common/daemon.c
+++ b/common/daemon.c
@@ -2,6 +2,7 @@
 
 #include "common/http_server.h"
 #include "kernel/counter.h"
+#include "kernel/histogram.h"
 #include "kernel/log.h"
 #include "kernel/table.h"
 
@@ -93,6 +94,8 @@
   if (strcmp (path, "/metrics") == 0)
     {
       text = counter_render_all (exchange);
+      text = talloc_asprintf_append_buffer (text, "%s",
+                                            histogram_render_all (text));
       http_reply_text (exchange, 200, "text/plain; version=0.0.4", text);
       return;
     }
@@ -142,7 +145,7 @@
                                       ADMIN_BODY_BYTES, &admin_ops, daemon);
   if (daemon->admin == NULL)
     return STATUS_IO;
-  log_event (LOG_LEVEL_INFO, "admin-listening", "port=%u",
+  log_event (LOG_LEVEL_NOTICE, "admin-listening", "port=%u",
              http_server_port (daemon->admin));
   return STATUS_OK;
 }
@@ -215,7 +218,7 @@
       talloc_free (reload);
       return;
     }
-  log_event (LOG_LEVEL_INFO, "reloaded", "file=%s", daemon->config_file);
+  log_event (LOG_LEVEL_NOTICE, "reloaded", "file=%s", daemon->config_file);
   daemon->stop_timeout = reload->fresh->stop_timeout;
   reload->daemon = daemon;
   reload->task.run = daemon_run_reload;
@@ -266,7 +269,7 @@
 {
   int received = daemon_wait_for_stop (daemon, signals);
 
-  log_event (LOG_LEVEL_INFO, "stopping", "signal=%d", received);
+  log_event (LOG_LEVEL_NOTICE, "stopping", "signal=%d", received);
   daemon_stop (daemon);
   received = daemon_wait_for_finish (daemon, signals);
   if (received == SIGUSR1)
@@ -350,9 +353,9 @@
   daemon->config_file = arguments.config_file;
   daemon->stop_timeout = daemon->config->stop_timeout;
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  log_init (program->name, arguments.log_level);
+  log_init (program->name, arguments.log_level, STDOUT_FILENO);
   exit_status = daemon_run (daemon);
-  log_event (LOG_LEVEL_INFO, "stopped", "status=%d", exit_status);
+  log_event (LOG_LEVEL_NOTICE, "stopped", "status=%d", exit_status);
   talloc_free (daemon);
   log_close ();
   curl_global_cleanup ();
--- a/common/lease_key.c
+++ b/common/lease_key.c
@@ -93,7 +93,7 @@
       return;
     }
   if (!key->is_written)
-    log_event (LOG_LEVEL_INFO, "registered", "key=%s lease=%lld",
+    log_event (LOG_LEVEL_NOTICE, "registered", "key=%s lease=%lld",
                key->options.key, (long long)key->lease);
   key->is_written = !key->is_changed;
   if (key->is_written)
@@ -186,7 +186,7 @@
   const lease_key_t *key = data;
 
   (void)lease;
-  log_event (LOG_LEVEL_INFO, "registration-ended", "key=%s status=%s",
+  log_event (LOG_LEVEL_NOTICE, "registration-ended", "key=%s status=%s",
              key->options.key, status_name (status));
 }
 
--- a/common/node.c
+++ b/common/node.c
@@ -297,7 +297,7 @@
     {
       counter_set (&settings_revision, (int64_t)settings->revision);
       counter_add (&settings_adopted, 1);
-      log_event (LOG_LEVEL_INFO, "settings-adopted",
+      log_event (LOG_LEVEL_NOTICE, "settings-adopted",
                  "revision=%llu previous=%llu",
                  (unsigned long long)settings->revision,
                  (unsigned long long)old_revision);
--- a/common/settings_peers.c
+++ b/common/settings_peers.c
@@ -172,7 +172,7 @@
     return;
   if (peers->is_timed_out || peers_all_asked (peers, revision))
     {
-      log_event (LOG_LEVEL_INFO, "settings-from-peers", "revision=%llu",
+      log_event (LOG_LEVEL_NOTICE, "settings-from-peers", "revision=%llu",
                  (unsigned long long)revision);
       settings_peers_finish (peers);
     }
--- a/common/term.c
+++ b/common/term.c
@@ -74,7 +74,7 @@
 term_on_ended (status_t status, int64_t lease, void *data)
 {
   (void)data;
-  log_event (LOG_LEVEL_INFO, "lease-ended", "lease=%lld status=%s",
+  log_event (LOG_LEVEL_NOTICE, "lease-ended", "lease=%lld status=%s",
              (long long)lease, status_name (status));
 }
 
--- a/entry/agent_link.c
+++ b/entry/agent_link.c
@@ -105,7 +105,7 @@
 
   (void)link;
   agent_link->link = NULL;
-  log_event (LOG_LEVEL_INFO, "agent-link-closed", "upstream=%s reason=%s",
+  log_event (LOG_LEVEL_NOTICE, "agent-link-closed", "upstream=%s reason=%s",
              agent_link->upstream, reason);
   if (agent_link->is_wanted)
     router_set_reachable (share->entry->router, agent_link->upstream,
--- a/entry/call.c
+++ b/entry/call.c
@@ -112,7 +112,7 @@
   call_leave_upstream (call);
   call_leave_table (call);
   counter_add (ended_counters[final.outcome], 1);
-  log_event (LOG_LEVEL_INFO, "call-ended",
+  log_event (LOG_LEVEL_NOTICE, "call-ended",
              "request=%016llx-%llu outcome=%s refusal=%s complete=%d "
              "bytes=%llu attempts=%u detail=\"%s\"",
              (unsigned long long)call->id.incarnation,
@@ -229,7 +229,7 @@
 static void
 call_log_route (const call_t *call, const router_route_t *route)
 {
-  log_event (LOG_LEVEL_INFO, "routed",
+  log_event (LOG_LEVEL_NOTICE, "routed",
              "request=%016llx-%llu job=%llu account=%s service=%s "
              "upstream=%s zone=%s policy=%s reason=%s candidates=%u "
              "attempt=%u",
@@ -322,7 +322,7 @@
   call->wait_timer = worker_timer_start (share->worker, call,
                                          timespec_from_ms (WAIT_PATIENCE_MS),
                                          call_give_up_wait, call);
-  log_event (LOG_LEVEL_INFO, "call-waits",
+  log_event (LOG_LEVEL_NOTICE, "call-waits",
              "request=%016llx-%llu service=%s reason=no-upstream",
              (unsigned long long)call->id.incarnation,
              (unsigned long long)call->id.sequence, call->submit.service);
--- a/entry/call_answer.c
+++ b/entry/call_answer.c
@@ -86,7 +86,7 @@
                            .detail = refuse->detail };
 
   call_send_plain (call, FRAME_ACK, call->received, true);
-  log_event (LOG_LEVEL_INFO, "refused",
+  log_event (LOG_LEVEL_NOTICE, "refused",
              "request=%016llx-%llu upstream=%s refusal=%s outcome=%s",
              (unsigned long long)call->id.incarnation,
              (unsigned long long)call->id.sequence,
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -120,7 +120,7 @@
       share->subscription.data = share;
       node_subscribe (entry->node, &share->subscription);
     }
-  log_event (LOG_LEVEL_INFO, "http-listening", "port=%u", port);
+  log_event (LOG_LEVEL_NOTICE, "http-listening", "port=%u", port);
   entry->workers[0].store
       = entry->store_ops->create (entry->workers[0].worker, &store_options);
   if (entry->workers[0].store == NULL)
--- a/include/kernel/lock.h
+++ b/include/kernel/lock.h
@@ -18,7 +18,8 @@
   LOCK_PEERS,      /* connections to other processes of the system */
   LOCK_SETTINGS,   /* the settings snapshot pointer */
   LOCK_TASKS,      /* a worker's task queue */
-  LOCK_LOG,        /* the log's output */
+  LOCK_LOG,        /* the log's layout */
+  LOCK_LOG_QUEUE,  /* log lines on their way out */
   LOCK_RANK_COUNT
 } lock_rank_t;
 
--- a/include/kernel/log.h
+++ b/include/kernel/log.h
@@ -5,13 +5,15 @@
 
 typedef enum log_level
 {
-  LOG_LEVEL_ERROR,
-  LOG_LEVEL_WARN,
-  LOG_LEVEL_INFO,
-  LOG_LEVEL_DEBUG
+  LOG_LEVEL_ERROR,  /* something is broken and needs a person */
+  LOG_LEVEL_WARN,   /* a request failed, or a dependency is lost */
+  LOG_LEVEL_NOTICE, /* the process changed what it believes */
+  LOG_LEVEL_INFO,   /* an ordinary step of a request */
+  LOG_LEVEL_DEBUG,
+  LOG_LEVEL_COUNT
 } log_level_t;
 
-status_t log_init (const char *program, log_level_t level);
+status_t log_init (const char *program, log_level_t level, int descriptor);
 void log_close (void);
 void log_event (log_level_t level, const char *event, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
--- /dev/null
+++ b/include/kernel/log_sink.h
@@ -0,0 +1,19 @@
+#ifndef SISKIN_KERNEL_LOG_SINK_H
+#define SISKIN_KERNEL_LOG_SINK_H
+
+#include "kernel/log.h"
+
+#include <stddef.h>
+#include <time.h>
+
+/* Where finished log lines go: a bounded queue, and a thread of its own that
+   writes it out.  A reader that stands still costs lines, never the time of
+   the caller.  */
+typedef struct log_sink log_sink_t;
+
+log_sink_t *log_sink_create (int descriptor, const char *program);
+void log_sink_destroy (log_sink_t *sink);
+void log_sink_put (log_sink_t *sink, log_level_t level, struct timespec now,
+                   const char *line, size_t size);
+
+#endif
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -129,6 +129,5 @@
 void health_note (fleet_upstream_t *upstream, fleet_result_t result,
                   struct timespec now);
 bool health_is_shunned (const fleet_upstream_t *upstream, struct timespec now);
-void health_reset (fleet_upstream_t *upstream);
 
 #endif
--- a/include/relay/forward.h
+++ b/include/relay/forward.h
@@ -11,6 +11,7 @@
   fleet_choice_t choice;
   struct timespec sent_at; /* monotonic */
   unsigned http_status;
+  char *error;     /* why it failed, NULL if it did not */
   bool is_usable;  /* the head is of an answer that may be passed on */
   bool is_not_run; /* the upstream did not run the request */
   bool is_misdirected;
@@ -53,7 +54,6 @@
   bool has_last_event;
   int64_t last_event; /* passed on to the client, or had before */
   worker_timer_t *deadline_timer;
-  worker_timer_t *hold_timer;
 };
 
 void forward_dispatch (forward_t *forward);
--- a/kernel/log.c
+++ b/kernel/log.c
@@ -1,11 +1,13 @@
 #include "kernel/log.h"
 
 #include "kernel/lock.h"
+#include "kernel/log_sink.h"
 
 #include <log4c.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
 #include <talloc.h>
 #include <time.h>
 
@@ -19,12 +21,15 @@
 static const int priorities[] = {
   [LOG_LEVEL_ERROR] = LOG4C_PRIORITY_ERROR,
   [LOG_LEVEL_WARN] = LOG4C_PRIORITY_WARN,
+  [LOG_LEVEL_NOTICE] = LOG4C_PRIORITY_NOTICE,
   [LOG_LEVEL_INFO] = LOG4C_PRIORITY_INFO,
   [LOG_LEVEL_DEBUG] = LOG4C_PRIORITY_DEBUG,
 };
 
 static log4c_category_t *category;
 static lock_t *output_lock;
+static log_sink_t *sink;
+static log_level_t event_level; /* of the event being laid out */
 static const char *program_name;
 
 /* Layout: one line of key=value pairs.  log4c hands over one event at a time,
@@ -54,12 +59,17 @@
   .format = layout_key_value,
 };
 
-/* log4c's own stream appenders put their name before each line.  */
+/* Hand the finished line to the sink.  */
 static int
-appender_write (log4c_appender_t *appender, const log4c_logging_event_t *event)
+appender_put (log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
+  struct timespec now;
+
   (void)appender;
-  return fputs (event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+  clock_gettime (CLOCK_MONOTONIC_COARSE, &now);
+  log_sink_put (sink, event_level, now, event->evt_rendered_msg,
+                strlen (event->evt_rendered_msg));
+  return 0;
 }
 
 static int
@@ -70,16 +80,17 @@
 }
 
 static const log4c_appender_type_t appender_type = {
-  .name = "siskin-stderr",
+  .name = "siskin-sink",
   .open = appender_do_nothing,
-  .append = appender_write,
+  .append = appender_put,
   .close = appender_do_nothing,
 };
 
-/* Open the log: lines of LEVEL and above go to standard error.  PROGRAM is
-   kept by reference.  Returns STATUS_IO when log4c cannot start.  */
+/* Open the log: lines of LEVEL and above go to DESCRIPTOR, which stays the
+   caller's.  PROGRAM is kept by reference.  Returns STATUS_IO when log4c or
+   the thread that writes cannot start.  */
 status_t
-log_init (const char *program, log_level_t level)
+log_init (const char *program, log_level_t level, int descriptor)
 {
   log4c_layout_t *layout;
   log4c_appender_t *appender;
@@ -87,6 +98,9 @@
   program_name = program;
   if (log4c_init () != 0)
     return status_set (STATUS_IO, "log4c cannot start");
+  sink = log_sink_create (descriptor, program);
+  if (sink == NULL)
+    return status_set (STATUS_IO, "the log's thread cannot start");
   output_lock = lock_create (NULL, LOCK_LOG, "log");
   log4c_layout_type_set (&layout_type);
   layout = log4c_layout_get ("siskin-layout");
@@ -110,6 +124,8 @@
     return;
   category = NULL;
   log4c_fini ();
+  log_sink_destroy (sink);
+  sink = NULL;
   lock_destroy (output_lock);
   output_lock = NULL;
 }
@@ -134,6 +150,7 @@
   vsnprintf (line + used, sizeof line - (size_t)used, format, arguments);
   va_end (arguments);
   lock_acquire (output_lock);
+  event_level = level;
   log4c_category_log (category, priorities[level], "%s", line);
   lock_release (output_lock);
 }
--- a/pilot/crew.c
+++ b/pilot/crew.c
@@ -106,7 +106,7 @@
   if (verdict != RANK_LOST && verdict != RANK_UNREACHABLE)
     rank->over_ticket = ticket;
   if (verdict != RANK_DONE)
-    log_event (LOG_LEVEL_INFO, "order-failed",
+    log_event (LOG_LEVEL_NOTICE, "order-failed",
                "rank=%u ticket=%llu verdict=%s", rank->rank,
                (unsigned long long)ticket, rank_verdict_name (verdict));
   rank->crew->ops->on_verdict (rank->rank, ticket, verdict, rank->crew->data);
@@ -378,7 +378,7 @@
   crew_t *crew = pilot->crew;
 
   (void)link;
-  log_event (LOG_LEVEL_INFO, "pilot-lost", "pilot=%s reason=%s", pilot->name,
+  log_event (LOG_LEVEL_NOTICE, "pilot-lost", "pilot=%s reason=%s", pilot->name,
              reason);
   pilot->link = NULL;
   pilot->connect_at = timespec_add (pilot_now (crew->pilot),
@@ -474,7 +474,7 @@
   if (rank->upstream != NULL)
     return;
   rank_set_upstream (rank, stranger->address);
-  log_event (LOG_LEVEL_INFO, "rank-found", "rank=%u upstream=%s", rank->rank,
+  log_event (LOG_LEVEL_NOTICE, "rank-found", "rank=%u upstream=%s", rank->rank,
              rank->upstream);
 }
 
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -96,7 +96,7 @@
 {
   if (leader->crew == NULL)
     return;
-  log_event (LOG_LEVEL_INFO, "leading-ended", "group=%s why=%s", leader->group,
+  log_event (LOG_LEVEL_NOTICE, "leading-ended", "group=%s why=%s", leader->group,
              why);
   counter_set (&leading, 0);
   switcher_stop (leader->switcher);
@@ -131,7 +131,7 @@
     {
     case SWITCHER_SETTLED:
     case SWITCHER_RESTARTED:
-      log_event (LOG_LEVEL_INFO,
+      log_event (LOG_LEVEL_NOTICE,
                  event == SWITCHER_SETTLED ? "group-settled"
                                            : "group-restarted",
                  "group=%s epoch=%llu", leader->group,
@@ -142,7 +142,7 @@
       break;
     case SWITCHER_SWITCHED:
       counter_add (&switches_done, 1);
-      log_event (LOG_LEVEL_INFO, "map-switched",
+      log_event (LOG_LEVEL_NOTICE, "map-switched",
                  "group=%s version=%llu ms=%lld", leader->group,
                  (unsigned long long)version,
                  (long long)ms_since (leader, leader->planned_at));
@@ -376,7 +376,7 @@
                               ? servant_permitted (pilot->servant)
                               : SWITCHER_ANY_VERSION;
     }
-  log_event (LOG_LEVEL_INFO, "leading",
+  log_event (LOG_LEVEL_NOTICE, "leading",
              "group=%s fence=%llu rank=%u seized_from=\"%s\"", leader->group,
              (unsigned long long)fence, leader->own_rank,
              seized == NULL ? "" : seized->holder);
--- a/pilot/reporter.c
+++ b/pilot/reporter.c
@@ -38,7 +38,7 @@
   if (reporter->is_known
       && (reporter->last.epoch != report->epoch
           || reporter->last.is_open != report->is_open))
-    log_event (LOG_LEVEL_INFO, "group-changed",
+    log_event (LOG_LEVEL_NOTICE, "group-changed",
                "group=%s rank=%llu epoch=%llu open=%d step=%llu",
                report->group, (unsigned long long)report->rank,
                (unsigned long long)report->epoch, report->is_open,
@@ -60,7 +60,7 @@
   reporter_arm (reporter,
                 leader_is_switching (pilot->leader) ? HURRY_MS : POLL_MS);
   if ((status != STATUS_OK) != reporter->is_failing)
-    log_event (status == STATUS_OK ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
+    log_event (status == STATUS_OK ? LOG_LEVEL_NOTICE : LOG_LEVEL_WARN,
                status == STATUS_OK ? "engine-regained" : "engine-lost",
                "upstream=%s error=\"%s\"", pilot_upstream (pilot),
                status == STATUS_OK ? "" : status_message ());
--- a/pilot/servant.c
+++ b/pilot/servant.c
@@ -226,7 +226,7 @@
 {
   master_t *master = data;
 
-  log_event (LOG_LEVEL_INFO, "peer-closed", "peer=%s leader=%d reason=%s",
+  log_event (LOG_LEVEL_NOTICE, "peer-closed", "peer=%s leader=%d reason=%s",
              link_peer_name (link), master->has_led, reason);
   LIST_REMOVE (master, link_entry);
   talloc_free (master);
@@ -287,7 +287,7 @@
       return NULL;
     }
   servant->address = talloc_asprintf (servant, "%s:%u", address.host, port);
-  log_event (LOG_LEVEL_INFO, "frames-listening", "port=%u", port);
+  log_event (LOG_LEVEL_NOTICE, "frames-listening", "port=%u", port);
   return servant;
 }
 
--- a/plugins/admission/slow_start.c
+++ b/plugins/admission/slow_start.c
@@ -108,7 +108,7 @@
   if (admission->scale > SCALE_ONE)
     {
       counter_add (&falls_total, 1);
-      log_event (LOG_LEVEL_INFO, "limit-fell", "reason=%s from_scale=%llu",
+      log_event (LOG_LEVEL_NOTICE, "limit-fell", "reason=%s from_scale=%llu",
                  reason, (unsigned long long)admission->scale);
     }
   slow_start_fall (admission, now);
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -273,12 +273,8 @@
 
   attempt->call = NULL;
   forward_count (forward, result);
-  if (result != FLEET_SERVED)
-    log_event (LOG_LEVEL_INFO, "attempt-ended",
-               "request=%s upstream=%s result=%s status=%u error=\"%s\"",
-               forward->request->id, attempt->choice.upstream,
-               fleet_result_name (result), attempt->http_status,
-               status == STATUS_OK ? "" : status_message ());
+  if (status != STATUS_OK)
+    attempt->error = talloc_strdup (attempt, status_message ());
   if (attempt->is_passed || forward->is_begun)
     forward_end_passed (forward, result, is_whole && attempt->is_passed);
   else if (result == FLEET_SERVED)
--- a/relay/directory.c
+++ b/relay/directory.c
@@ -88,7 +88,7 @@
     }
   version = rules->version;
   if (relay_adopt_rules (directory->relay, rules))
-    log_event (LOG_LEVEL_INFO, "rules-adopted", "version=%llu revision=%lld",
+    log_event (LOG_LEVEL_NOTICE, "rules-adopted", "version=%llu revision=%lld",
                (unsigned long long)version, (long long)entry->mod_revision);
 }
 
@@ -117,7 +117,7 @@
                          const char *why)
 {
   if (fleet_remove (directory->relay->fleet, id))
-    log_event (LOG_LEVEL_INFO, "upstream-gone", "upstream=%s why=%s", id, why);
+    log_event (LOG_LEVEL_NOTICE, "upstream-gone", "upstream=%s why=%s", id, why);
 }
 
 static void
@@ -184,7 +184,7 @@
       if (lapsed != NULL)
         lapsed_forget (lapsed);
       if (fleet_put (directory->relay->fleet, &listing))
-        log_event (LOG_LEVEL_INFO, "upstream-listed",
+        log_event (LOG_LEVEL_NOTICE, "upstream-listed",
                    "upstream=%s service=%s zone=%s draining=%d "
                    "cold_left_ms=%lld revision=%lld",
                    id, listing.service, listing.zone, listing.is_draining,
@@ -201,7 +201,7 @@
   bool is_out = entry->value != NULL;
 
   fleet_set_zone_out (directory->relay->fleet, zone, is_out);
-  log_event (LOG_LEVEL_INFO, is_out ? "zone-out" : "zone-back",
+  log_event (LOG_LEVEL_NOTICE, is_out ? "zone-out" : "zone-back",
              "zone=%s revision=%lld", zone, (long long)entry->mod_revision);
 }
 
@@ -321,7 +321,7 @@
 {
   const directory_t *directory = data;
 
-  log_event (LOG_LEVEL_INFO, "store-read", "upstreams=%u",
+  log_event (LOG_LEVEL_NOTICE, "store-read", "upstreams=%u",
              fleet_count (directory->relay->fleet));
 }
 
@@ -331,7 +331,7 @@
   directory_t *directory = data;
 
   counter_set (&store_in_touch, 1);
-  log_event (LOG_LEVEL_INFO, "store-regained", "silence_ms=%lld",
+  log_event (LOG_LEVEL_NOTICE, "store-regained", "silence_ms=%lld",
              (long long)timespec_to_ms (silence));
   if (timespec_to_ms (silence) >= LAPSE_OUTAGE_MS)
     directory->lapse_until = timespec_add (directory_now (directory),
--- a/relay/feed.c
+++ b/relay/feed.c
@@ -110,7 +110,7 @@
   if (link_peer_incarnation (link) != 0)
     {
       counter_add (&pilots_connected, -1);
-      log_event (LOG_LEVEL_INFO, "pilot-lost", "pilot=%s reason=%s",
+      log_event (LOG_LEVEL_NOTICE, "pilot-lost", "pilot=%s reason=%s",
                  pilot->name, reason);
     }
   pilot->link = NULL;
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -289,7 +289,7 @@
     {
       if (other->started_ms > listing->started_ms)
         return false;
-      log_event (LOG_LEVEL_INFO, "upstream-replaced",
+      log_event (LOG_LEVEL_NOTICE, "upstream-replaced",
                  "upstream=%s by=%s address=%s", other->id, listing->id,
                  listing->address);
       upstream_free (fleet, other);
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -99,6 +99,17 @@
       += work->prompt_tokens + work->output_tokens;
 }
 
+/* Return how old what UPSTREAM told of its load is, -1 if it told nothing.  */
+static int64_t
+upstream_report_age_ms (const fleet_upstream_t *upstream, struct timespec now)
+{
+  const pick_report_t *report = &upstream->candidate.report;
+
+  if (report->at.tv_sec == 0 && report->at.tv_nsec == 0)
+    return -1;
+  return timespec_to_ms (timespec_subtract (now, report->at));
+}
+
 static fleet_shortage_t
 choose_locked (fleet_t *fleet, TALLOC_CTX *parent,
                const fleet_request_t *request, fleet_choice_t *choice)
@@ -127,6 +138,8 @@
     .reason = picked.reason,
     .is_cold = cold_is_cold (upstream, now),
     .candidates = count,
+    .running = upstream->candidate.outstanding_requests,
+    .report_age_ms = upstream_report_age_ms (upstream, now),
   };
   cold_take (upstream);
   take (upstream, &request->work);
--- a/relay/fleet_health.c
+++ b/relay/fleet_health.c
@@ -1,6 +1,6 @@
 #include "relay/fleet_state.h"
 
-#include <string.h>
+#include "kernel/log.h"
 
 enum
 {
@@ -15,12 +15,17 @@
 static const double trouble_limit = 0.6;
 
 static void
-shun (fleet_upstream_t *upstream, struct timespec now, int64_t for_ms)
+shun (fleet_upstream_t *upstream, struct timespec now, int64_t for_ms,
+      const char *why)
 {
   struct timespec until = timespec_add (now, timespec_from_ms (for_ms));
 
-  if (timespec_compare (until, upstream->health.shunned_till) > 0)
-    upstream->health.shunned_till = until;
+  if (timespec_compare (until, upstream->health.shunned_till) <= 0)
+    return;
+  upstream->health.shunned_till = until;
+  log_event (LOG_LEVEL_NOTICE, "upstream-shunned",
+             "upstream=%s why=%s for_ms=%lld failures=%u", upstream->id, why,
+             (long long)for_ms, upstream->health.failures);
 }
 
 static void
@@ -32,7 +37,8 @@
        i++)
     for_ms *= 2;
   upstream->health.failures++;
-  shun (upstream, now, for_ms < SHUN_MOST_MS ? for_ms : SHUN_MOST_MS);
+  shun (upstream, now, for_ms < SHUN_MOST_MS ? for_ms : SHUN_MOST_MS,
+        "unreachable");
 }
 
 static void
@@ -43,7 +49,7 @@
   health->trouble += trouble_weight * ((is_failure ? 1 : 0) - health->trouble);
   if (health->trouble <= trouble_limit)
     return;
-  shun (upstream, now, SHUN_TROUBLE_MS);
+  shun (upstream, now, SHUN_TROUBLE_MS, "failures");
   health->trouble = trouble_limit / 2; /* to be tried again */
 }
 
@@ -79,10 +85,3 @@
 {
   return timespec_compare (now, upstream->health.shunned_till) < 0;
 }
-
-/* Forget what is known of how UPSTREAM answers.  */
-void
-health_reset (fleet_upstream_t *upstream)
-{
-  memset (&upstream->health, 0, sizeof upstream->health);
-}
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -122,6 +122,7 @@
 {
   struct timespec now = clock_monotonic (fleet->clock);
   bool was_open = group->is_open;
+  bool was_stalled = group->is_stalled;
 
   if (report->epoch < group->epoch)
     return false;
@@ -140,8 +141,14 @@
   group->epoch = report->epoch;
   group->is_open = report->is_open;
   group->told_at = now;
+  if (was_stalled != group->is_stalled)
+    log_event (LOG_LEVEL_NOTICE,
+               group->is_stalled ? "group-stalled" : "group-steps-again",
+               "group=%s epoch=%llu step=%llu", group->name,
+               (unsigned long long)group->epoch,
+               (unsigned long long)group->step);
   if (was_open != group->is_open)
-    log_event (LOG_LEVEL_INFO, group->is_open ? "group-open" : "group-broken",
+    log_event (LOG_LEVEL_NOTICE, group->is_open ? "group-open" : "group-broken",
                "group=%s epoch=%llu step=%llu", group->name,
                (unsigned long long)group->epoch,
                (unsigned long long)group->step);
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -1,6 +1,7 @@
 #include "relay/forward.h"
 
 #include "kernel/counter.h"
+#include "kernel/histogram.h"
 #include "kernel/log.h"
 #include "kernel/random.h"
 #include "relay/silence.h"
@@ -30,6 +31,14 @@
                 "Clients that left before their answer's end");
 COUNTER_DEFINE (failures_total, "siskin_relay_failures_total",
                 "Requests that got no upstream's answer");
+HISTOGRAM_DEFINE (first_part, "siskin_relay_first_part_seconds",
+                  "From a request's arrival to the first part of its answer");
+HISTOGRAM_DEFINE (longest_gap, "siskin_relay_longest_gap_seconds",
+                  "The longest wait between two parts of an answer");
+HISTOGRAM_DEFINE (whole_time, "siskin_relay_answer_seconds",
+                  "From a request's arrival to the end of its answer");
+HISTOGRAM_DEFINE (queue_time, "siskin_relay_queue_seconds",
+                  "From a request's arrival to its first sending");
 
 static const char *const failure_names[RELAY_FAILURE_COUNT] = {
   [RELAY_NO_RULES] = "no-rules-known-yet", [RELAY_NO_ROUTE] = "no-route",
@@ -92,14 +101,21 @@
 void
 forward_finish (forward_t *forward, bool is_complete)
 {
+  int64_t first_ms = forward_first_ms (forward);
+  int64_t took_ms = ms_since (forward, forward->arrived_at);
+
   counter_add (is_complete ? &ended_whole : &ended_broken, 1);
-  log_event (is_complete ? LOG_LEVEL_DEBUG : LOG_LEVEL_WARN, "answer-ended",
+  histogram_note (&whole_time, took_ms);
+  histogram_note (&longest_gap, forward->longest_gap_ms);
+  if (first_ms >= 0)
+    histogram_note (&first_part, first_ms);
+  log_event (is_complete ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "answer-ended",
              "request=%s route=%s whole=%d ms=%lld first_ms=%lld gap_ms=%lld "
-             "sends=%u",
+             "sends=%u runs=%u",
              forward->request->id, forward->route->name, is_complete,
-             (long long)ms_since (forward, forward->arrived_at),
-             (long long)forward_first_ms (forward),
-             (long long)forward->longest_gap_ms, forward->sends);
+             (long long)took_ms, (long long)first_ms,
+             (long long)forward->longest_gap_ms, forward->sends,
+             forward->runs);
   forward->ops->on_end (forward, is_complete, forward->data);
   talloc_free (forward);
 }
@@ -111,10 +127,13 @@
 {
   counter_add (&failures_total, 1);
   log_event (LOG_LEVEL_WARN, "request-failed",
-             "request=%s failure=%s ms=%lld sends=%u retry_after_ms=%lld",
-             forward->request->id, relay_failure_name (failure),
+             "request=%s host=%s failure=%s ms=%lld sends=%u runs=%u "
+             "unreachable=%u retry_after_ms=%lld",
+             forward->request->id, forward->request->host,
+             relay_failure_name (failure),
              (long long)ms_since (forward, forward->arrived_at),
-             forward->sends, (long long)timespec_to_ms (retry_after));
+             forward->sends, forward->runs, forward->unreachable,
+             (long long)timespec_to_ms (retry_after));
   forward->ops->on_failure (forward, failure, retry_after, forward->data);
   talloc_free (forward);
 }
@@ -126,19 +145,38 @@
   int64_t left_ms = timespec_to_ms (forward_time_left (forward));
   int64_t retry_ms = left_ms / RETRY_AFTER_DIVISOR;
 
-  log_event (LOG_LEVEL_INFO, "refused", "request=%s why=%s",
+  log_event (LOG_LEVEL_NOTICE, "refused", "request=%s why=%s",
              forward->request->id, why);
   if (retry_ms < RETRY_AFTER_LEAST_MS)
     retry_ms = RETRY_AFTER_LEAST_MS;
   forward_fail (forward, RELAY_NOT_RUN, timespec_from_ms (retry_ms));
 }
 
+static void
+forward_log_attempt (const forward_t *forward, fleet_result_t result)
+{
+  const forward_attempt_t *attempt = forward->attempt;
+
+  log_event (result == FLEET_SERVED ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE,
+             "attempt-ended",
+             "request=%s upstream=%s result=%s status=%u ms=%lld "
+             "silent_ms=%lld begun=%d error=\"%s\"",
+             forward->request->id, attempt->choice.upstream,
+             fleet_result_name (result), attempt->http_status,
+             (long long)ms_since (forward, attempt->sent_at),
+             (long long)(forward->is_watched
+                             ? ms_since (forward, forward->heard_at)
+                             : 0),
+             forward->is_begun, attempt->error == NULL ? "" : attempt->error);
+}
+
 /* The attempt is over; RESULT is what the fleet learns of it.  */
 void
 forward_end_attempt (forward_t *forward, fleet_result_t result)
 {
   forward_attempt_t *attempt = forward->attempt;
 
+  forward_log_attempt (forward, result);
   forward->attempt = NULL;
   forward->is_paused = false;
   silence_end (forward);
@@ -249,8 +287,9 @@
     }
   if (!forward->is_waiting)
     {
-      log_event (LOG_LEVEL_DEBUG, "waits", "request=%s why=%s",
-                 forward->request->id, fleet_shortage_name (shortage));
+      log_event (LOG_LEVEL_INFO, "waits", "request=%s service=%s why=%s",
+                 forward->request->id, forward->wanted.service,
+                 fleet_shortage_name (shortage));
       forward->is_waiting = true;
       TAILQ_INSERT_TAIL (&forward->share->waiting, forward, wait_link);
     }
@@ -310,12 +349,19 @@
       return;
     }
   forward_stop_waiting (forward);
-  log_event (LOG_LEVEL_DEBUG, "sent",
-             "request=%s service=%s upstream=%s zone=%s reason=%s "
-             "candidates=%u cold=%d send=%u",
-             forward->request->id, forward->wanted.service, choice.upstream,
-             choice.zone, choice.reason, choice.candidates, choice.is_cold,
-             forward->sends + 1);
+  if (forward->sends + forward->unreachable == 0)
+    histogram_note (&queue_time, ms_since (forward, forward->arrived_at));
+  log_event (
+      LOG_LEVEL_INFO, "sent",
+      "request=%s service=%s upstream=%s zone=%s reason=%s "
+      "candidates=%u cold=%d running=%llu report_age_ms=%lld rules=%llu "
+      "send=%u after_ms=%lld left_ms=%lld",
+      forward->request->id, forward->wanted.service, choice.upstream,
+      choice.zone, choice.reason, choice.candidates, choice.is_cold,
+      (unsigned long long)choice.running, (long long)choice.report_age_ms,
+      (unsigned long long)forward->rules->version, forward->sends + 1,
+      (long long)ms_since (forward, forward->arrived_at),
+      (long long)timespec_to_ms (forward_time_left (forward)));
   if (attempt_start (forward, &choice, memory))
     return;
   fleet_release (relay->fleet, choice.upstream, &forward->wanted.work,
@@ -331,17 +377,30 @@
 {
   const route_t *route = forward->route;
   unsigned runs = forward->runs + under_way;
-  bool is_allowed
-      = runs == 0 || (route_is_repeatable (route) && runs < route->attempts);
-
-  if (!is_allowed || forward->sends >= route->attempts + EXTRA_SENDS
-      || forward->unreachable > MAX_UNREACHABLE
-      || timespec_to_ms (forward_time_left (forward)) <= 0)
-    return false;
+  const char *why_not = NULL;
+
+  if (runs > 0 && !route_is_repeatable (route))
+    why_not = "not-repeatable";
+  else if ((runs > 0 && runs >= route->attempts)
+           || forward->sends >= route->attempts + EXTRA_SENDS)
+    why_not = "attempts-used";
+  else if (forward->unreachable > MAX_UNREACHABLE)
+    why_not = "unreachable";
+  else if (timespec_to_ms (forward_time_left (forward)) <= 0)
+    why_not = "no-time-left";
   /* One that reached no upstream is no repeat.  */
-  return forward->sends == 0
-         || retry_budget_take (forward->share->relay->budget,
-                               forward->wanted.service);
+  else if (forward->sends > 0
+           && !retry_budget_take (forward->share->relay->budget,
+                                  forward->wanted.service))
+    why_not = "no-budget";
+  if (why_not == NULL)
+    return true;
+  if (under_way == 0)
+    log_event (LOG_LEVEL_NOTICE, "no-repeat",
+               "request=%s why=%s sends=%u runs=%u attempts=%u",
+               forward->request->id, why_not, forward->sends, forward->runs,
+               route->attempts);
+  return false;
 }
 
 /* Find whose the request is and where it goes.  Returns RELAY_FAILURE_COUNT
@@ -419,7 +478,7 @@
 forward_cancel (forward_t *forward)
 {
   counter_add (&clients_left, 1);
-  log_event (LOG_LEVEL_INFO, "client-left", "request=%s ms=%lld sends=%u",
+  log_event (LOG_LEVEL_NOTICE, "client-left", "request=%s ms=%lld sends=%u",
              forward->request->id,
              (long long)ms_since (forward, forward->arrived_at),
              forward->sends);
--- a/relay/readiness.c
+++ b/relay/readiness.c
@@ -39,7 +39,7 @@
   bool is_ready = readiness_is_ready (readiness);
 
   if (is_ready != readiness->was_ready)
-    log_event (LOG_LEVEL_INFO, "readiness", "ready=%d stopping=%d", is_ready,
+    log_event (LOG_LEVEL_NOTICE, "readiness", "ready=%d stopping=%d", is_ready,
                (int)atomic_load (&readiness->relay->is_stopping));
   readiness->was_ready = is_ready;
   http_reply_text (exchange, is_ready ? 200 : 503, "text/plain",
@@ -82,7 +82,7 @@
       talloc_free (readiness);
       return NULL;
     }
-  log_event (LOG_LEVEL_INFO, "ready-listening", "port=%u",
+  log_event (LOG_LEVEL_NOTICE, "ready-listening", "port=%u",
              http_server_port (readiness->server));
   return readiness;
 }
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -186,7 +186,7 @@
     }
   if (status != STATUS_OK)
     return status;
-  log_event (LOG_LEVEL_INFO, "clients-listening", "port=%u", port);
+  log_event (LOG_LEVEL_NOTICE, "clients-listening", "port=%u", port);
   status = relay_follow_store (relay);
   if (status != STATUS_OK)
     return status;
--- a/relay/silence.c
+++ b/relay/silence.c
@@ -58,7 +58,7 @@
                                 attempt->choice.upstream, forward->heard_at)
       || !forward_may_repeat (forward, 1))
     return;
-  log_event (LOG_LEVEL_INFO, "attempt-given-up",
+  log_event (LOG_LEVEL_NOTICE, "attempt-given-up",
              "request=%s upstream=%s silent_ms=%lld begun=%d",
              forward->request->id, attempt->choice.upstream,
              (long long)waited_ms, forward->is_begun);
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -54,7 +54,7 @@
 fault_log (const char *what, fault_t fault, const sim_process_t *left,
            const sim_process_t *right)
 {
-  log_event (LOG_LEVEL_INFO, what, "fault=%s left=%s right=%s at_ms=%lld",
+  log_event (LOG_LEVEL_NOTICE, what, "fault=%s left=%s right=%s at_ms=%lld",
              fault_names[fault], left == NULL ? "" : left->name,
              right == NULL ? "" : right->name,
              (long long)timespec_to_ms (sim_now ()));
