Give a relay that has just started no part of the extra repeats

Each new process knew nothing of what its predecessor had sent again, counted only the relays that were there, and so took up to 94 extra repeats for itself.

--- a/relay/retry_budget.c
+++ b/relay/retry_budget.c
@@ -41,7 +41,9 @@
   const clock_source_t *clock;
   retry_limits_t limits;
   int64_t slot_us;
+  struct timespec created_at;
   unsigned relays;
+  struct timespec most_at; /* when there were that many, or more, last */
   table_t *services; /* by name; guards the whole budget */
 };
 
@@ -59,6 +61,7 @@
   budget->slot_us = timespec_to_us (limits->window) / SLOTS_A_WINDOW;
   if (budget->slot_us <= 0)
     budget->slot_us = 1;
+  budget->created_at = clock_monotonic (clock);
   budget->relays = 1;
   budget->services = table_create (budget, LOCK_ACCOUNTS, "retry-budget");
   return budget;
@@ -81,12 +84,23 @@
   talloc_free (budget);
 }
 
-/* Note how many relays share what is allowed besides.  */
+/* Note how many relays share what is allowed besides.  What those that have
+   gone sent counts for a window more, so the number falls only then.  */
 void
 retry_budget_set_relays (retry_budget_t *budget, unsigned count)
 {
+  struct timespec now = clock_monotonic (budget->clock);
+
   table_lock (budget->services);
-  budget->relays = count > 0 ? count : 1;
+  if (count >= budget->relays
+      || timespec_compare (timespec_add (budget->most_at,
+                                         budget->limits.window),
+                           now)
+             <= 0)
+    {
+      budget->relays = count > 0 ? count : 1;
+      budget->most_at = now;
+    }
   table_unlock (budget->services);
 }
 
@@ -137,11 +151,25 @@
   table_unlock (budget->services);
 }
 
+/* Return this relay's part of what is allowed besides.  A relay that has just
+   started may be the successor of one that has used it, and does not know yet
+   how many others there are.  */
+static double
+budget_extra (const retry_budget_t *budget)
+{
+  struct timespec age = timespec_subtract (clock_monotonic (budget->clock),
+                                           budget->created_at);
+
+  if (timespec_compare (age, budget->limits.window) < 0)
+    return 0;
+  return budget->limits.extra / budget->relays;
+}
+
 static bool
 budget_allows (const retry_budget_t *budget, const budget_service_t *service)
 {
   int64_t now = budget_slot_number (budget);
-  double allowed = budget->limits.extra / budget->relays;
+  double allowed = budget_extra (budget);
   unsigned repeats = 0;
 
   for (unsigned i = 0; i < SLOTS; i++)
