Never have the HTTP library send a client's request a second time

Cause: over a kept connection that turns out dead libcurl sends the request again by itself; the relay neither counted that in the retry budget nor saw it. test_relay_answers: 57 arrivals for 30 requests and no repeat counted. Now the call ends with an error at the second sending (PREREQFUNCTION), and the relay's own rules decide. A relay that has just started may repeat three requests besides the ratio, out of the part that steady relays leave unused; all of its part at the first start of the whole system.

--- a/common/config.c
+++ b/common/config.c
@@ -23,6 +23,7 @@
     .maximum = 1e9 },
   { "retry_window", SCHEMA_DURATION, offsetof (config_t, bounds.retry_window),
     .minimum = 100, .maximum = 3600000 },
+  { "first_start", SCHEMA_BOOLEAN, offsetof (config_t, bounds.first_start) },
   { NULL, SCHEMA_END, 0 },
 };
 
@@ -34,7 +35,6 @@
   { "upstream", SCHEMA_STRING, offsetof (config_t, upstream) },
   { "engine", SCHEMA_STRING, offsetof (config_t, engine) },
   { "ready", SCHEMA_STRING, offsetof (config_t, ready) },
-  { "region", SCHEMA_STRING, offsetof (config_t, region) },
   { "zones", SCHEMA_STRINGS, offsetof (config_t, zones) },
   { "catalog", SCHEMA_STRING, offsetof (config_t, catalog) },
   { "ingress", SCHEMA_STRING, offsetof (config_t, ingress) },
@@ -70,7 +70,6 @@
   config->upstream = "";
   config->engine = "unfenced";
   config->ready = "127.0.0.1:0";
-  config->region = "";
   config->catalog = "platform";
   config->ingress = "platform";
   config->egress = "platform";
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -38,6 +38,8 @@
   bool is_paused;
   bool is_failed; /* by http_call_fail */
   bool is_over;   /* libcurl has done with its connection */
+  bool is_never_resent;
+  unsigned sends; /* times that libcurl began to send the request */
   curl_socket_t fd;
   char error[ERROR_CONTEXT_BYTES];
 };
@@ -321,6 +323,23 @@
   return CURL_SOCKOPT_OK;
 }
 
+/* libcurl is about to send the request; a second time if a kept connection
+   turned out to be dead.  */
+static int
+call_note_sending (void *data, char *peer, char *own, int peer_port,
+                   int own_port)
+{
+  http_call_t *call = data;
+
+  (void)peer;
+  (void)own;
+  (void)peer_port;
+  (void)own_port;
+  call->sends++;
+  return call->is_never_resent && call->sends > 1 ? CURL_PREREQFUNC_ABORT
+                                                  : CURL_PREREQFUNC_OK;
+}
+
 static void
 call_add_header (http_call_t *call, const char *name, const char *value)
 {
@@ -402,6 +421,7 @@
   call->ops = ops;
   call->data = data;
   call->send_timeout = options->send_timeout;
+  call->is_never_resent = options->is_never_resent;
   call->fd = CURL_SOCKET_BAD;
   STAILQ_INIT (&call->head.headers);
   LIST_INSERT_HEAD (&client->calls, call, link);
@@ -426,6 +446,8 @@
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, call_take_data);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, call_note_sending);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
   if (options->is_sent_once)
     {
       curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
--- a/include/common/config.h
+++ b/include/common/config.h
@@ -5,6 +5,7 @@
 #include "kernel/findings.h"
 
 #include <stdint.h>
+#include <stdbool.h>
 #include <talloc.h>
 
 /* What the platform allows and expects; for programs that run on it.  */
@@ -13,6 +14,7 @@
   double retry_ratio; /* of the requests of a window */
   double retry_extra; /* in a window, besides */
   struct timespec retry_window;
+  bool first_start; /* of the whole system: this relay succeeds none */
 } platform_bounds_t;
 
 /* What one process learns from its own file: who and where it is.  The
@@ -27,7 +29,6 @@
                             ADDRESS:PORT */
   const char *engine;     /* agent of a rank only: name of an engine plug-in */
   const char *ready;      /* relay only: where readiness is told by HTTP */
-  const char *region;     /* relay only */
   schema_strings_t zones; /* relay only: "ZONE=REGION" of all zones */
   const char *catalog;    /* relay only: name of a catalog plug-in */
   const char *ingress;    /* relay only: name of an ingress plug-in */
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -49,9 +49,12 @@
   struct timespec connect_timeout; /* zero for the client's own */
   struct timespec send_timeout;    /* for bytes sent to be acknowledged by the
                                       peer's host; zero for the system's */
-  /* Use a connection of its own: libcurl silently sends a request a second
-     time when a kept connection turns out to be dead.  */
+  /* Use a connection of its own, so that what an earlier call left behind on a
+     kept one cannot spoil this one.  */
   bool is_sent_once;
+  /* End the call with an error when a kept connection turns out to be dead:
+     libcurl would silently send the request a second time.  */
+  bool is_never_resent;
   unsigned idle_limit_s; /* no use of connections idle for longer; 0: the
                             client's own limit */
 } http_call_options_t;
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -199,7 +199,8 @@
 {
   return (retry_limits_t){ .ratio = config->bounds.retry_ratio,
                            .extra = config->bounds.retry_extra,
-                           .window = config->bounds.retry_window };
+                           .window = config->bounds.retry_window,
+                           .is_first_start = config->bounds.first_start };
 }
 
 static status_t
--- a/relay/retry_budget.c
+++ b/relay/retry_budget.c
@@ -9,7 +9,8 @@
 {
   SLOTS_A_WINDOW = 10,
   /* One slot more than a window, so that every sliding window is covered.  */
-  SLOTS = SLOTS_A_WINDOW + 1
+  SLOTS = SLOTS_A_WINDOW + 1,
+  SUCCESSOR_REPEATS = 3 /* besides, in the first window after a start */
 };
 
 /* The part of what is allowed that is used: relays do not see each other's
@@ -151,18 +152,21 @@
   table_unlock (budget->services);
 }
 
-/* Return this relay's part of what is allowed besides.  A relay that has just
-   started may be the successor of one that has used it, and does not know yet
-   how many others there are.  */
+/* Return how many repeats this relay may make besides.  One that has just
+   started may be the successor of one that has made them, and does not know
+   yet how many others there are: it gets little, out of the unused part.  */
 static double
 budget_extra (const retry_budget_t *budget)
 {
   struct timespec age = timespec_subtract (clock_monotonic (budget->clock),
                                            budget->created_at);
+  double extra = budget->limits.extra / budget->relays;
 
-  if (timespec_compare (age, budget->limits.window) < 0)
-    return 0;
-  return budget->limits.extra / budget->relays;
+  if (budget->limits.is_first_start
+      || timespec_compare (age, budget->limits.window) >= 0)
+    return extra * used_part;
+  extra *= 1 - used_part;
+  return extra < SUCCESSOR_REPEATS ? extra : SUCCESSOR_REPEATS;
 }
 
 static bool
@@ -181,9 +185,9 @@
       repeats += slot->repeats;
       /* The oldest slot may lie outside the window that counts.  */
       if (now - slot->number < SLOTS_A_WINDOW)
-        allowed += budget->limits.ratio * slot->requests;
+        allowed += budget->limits.ratio * slot->requests * used_part;
     }
-  return repeats + 1 <= allowed * used_part;
+  return repeats + 1 <= allowed;
 }
 
 /* Take the right to send a request to SERVICE once more.  Returns whether it
--- a/tests/process/platform_world.py
+++ b/tests/process/platform_world.py
@@ -32,7 +32,6 @@
 RELAY = """
 name = "%(name)s"
 zone = "%(zone)s"
-region = "south"
 zones = ["a=south", "b=south", "c=south"]
 listen = "127.0.0.1:0"
 ready = "127.0.0.1:0"
@@ -47,6 +46,7 @@
 retry_ratio = 0.2
 retry_extra = 94
 retry_window = "10 s"
+first_start = %(first_start)s
 """
 
 
@@ -170,8 +170,10 @@
             stream.write(text)
         return path
 
-    def relay_settings(self, name, zone="a", workers=1, store=None):
+    def relay_settings(self, name, zone="a", workers=1, store=None,
+                       first_start=True):
         return RELAY % {"name": name, "zone": zone, "workers": workers,
+                        "first_start": str(first_start).lower(),
                         "store": store or
                         "http://127.0.0.1:%d" % self.store.port}
 
@@ -213,6 +215,13 @@
         connection.close()
         return text
 
+    def metric(self, program, name):
+        """Returns the value of one counter or gauge."""
+        for line in self.metrics(program).splitlines():
+            if line.startswith(name + " "):
+                return float(line.split()[1])
+        raise KeyError(name)
+
 
 def new_id():
     return uuid.uuid4().hex[:16]
--- a/tests/process/test_relay_answers.py
+++ b/tests/process/test_relay_answers.py
@@ -93,6 +93,28 @@
         self.assertEqual(ask(self.relay, "/check/").status, 502)
         self.assertEqual(len(self.platform.runs()), 2)
 
+    def test_dead_kept_channel_adds_no_sending(self):
+        # Each channel bears one request; the next one on it arrives and then
+        # the channel breaks.
+        async def answer(replica, request, writer):
+            if getattr(writer, "is_used", False):
+                writer.transport.abort()
+                return False
+            writer.is_used = True
+            return await replicas.answer_whole(replica, request, writer)
+        for app in self.apps:
+            app.answer = answer
+        for _ in range(30):
+            request_id = new_id()
+            reply = ask(self.relay, "/check/", request_id=request_id)
+            runs = self.runs_of(request_id)
+            self.assertEqual(reply.status, 200)
+            self.assertLessEqual(len(runs), 2)
+        granted = self.platform.metric(self.relay,
+                                       "siskin_retries_granted_total")
+        self.assertEqual(len(self.platform.runs()), 30 + granted)
+        self.assertGreater(granted, 0)
+
     def test_request_that_may_have_run_is_not_sent_again(self):
         for first in (replicas.reset, replicas.cut_short, replicas.garbage,
                       replicas.answer_foreign,
