--- a/relay/forward.c
+++ b/relay/forward.c
@@ -382,14 +382,14 @@
   if (runs > 0 && !route_is_repeatable (route))
     why_not = "not-repeatable";
   else if ((runs > 0 && runs >= route->attempts)
-           || forward->sends >= route->attempts + EXTRA_SENDS)
+           || forward->sends + under_way >= route->attempts + EXTRA_SENDS)
     why_not = "attempts-used";
   else if (forward->unreachable > MAX_UNREACHABLE)
     why_not = "unreachable";
   else if (timespec_to_ms (forward_time_left (forward)) <= 0)
     why_not = "no-time-left";
   /* One that reached no upstream is no repeat.  */
-  else if (forward->sends > 0
+  else if (forward->sends + under_way > 0
            && !retry_budget_take (forward->share->relay->budget,
                                   forward->wanted.service))
     why_not = "no-budget";
--- a/tests/process/test_relay_streams.py
+++ b/tests/process/test_relay_streams.py
@@ -116,6 +116,13 @@
         ask(self.relay, "/look/x", method="POST", body=b"p")
         self.assertEqual(len(self.platform.runs()), 2)
 
+    def test_leaving_a_silent_upstream_counts_as_a_repeat(self):
+        self.answer(replicas.hang)
+        ask(self.relay, "/look/x", method="POST", body=b"p")
+        self.assertEqual(len(self.platform.runs()), 2)
+        self.assertEqual(self.platform.metric(
+            self.relay, "siskin_retries_granted_total"), 1)
+
     def test_stream_that_never_starts_is_tried_elsewhere(self):
         self.answer(replicas.hang)
         start = time.monotonic()
