--- a/tests/process/test_relay_answers.py
+++ b/tests/process/test_relay_answers.py
@@ -1,5 +1,6 @@
 """Whose answers clients get from a relay, and how often requests run."""
 
+import time
 import unittest
 
 import platform_replicas as replicas
@@ -93,6 +94,27 @@
         self.assertEqual(ask(self.relay, "/check/").status, 502)
         self.assertEqual(len(self.platform.runs()), 2)
 
+    def test_kept_channels_rest_no_longer_than_upstreams_say(self):
+        writers = []
+
+        async def answer(replica, request, writer):
+            writers.append(writer)
+            writer.write(replicas.answer_bytes(200, b"ok", replica.stamp(
+                request, [("Keep-Alive", "timeout=3")])))
+            await writer.drain()
+            return True
+        for app in self.apps:
+            app.answer = answer
+        for _ in range(6):
+            ask(self.relay, "/check/")
+        before = set(writers)
+        self.assertLess(len(before), 6)
+        time.sleep(2.2)
+        writers.clear()
+        for _ in range(6):
+            ask(self.relay, "/check/")
+        self.assertEqual(before & set(writers), set())
+
     def test_dead_kept_channel_adds_no_sending(self):
         # Each channel bears one request; the next one on it arrives and then
         # the channel breaks.
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -42,8 +42,7 @@
   ssize_t got;
 
   assert_non_null (text);
-  while ((got
-          = read (descriptor, text + size, (size_t)TEXT_BYTES - 1 - size))
+  while ((got = read (descriptor, text + size, (size_t)TEXT_BYTES - 1 - size))
          > 0)
     size += (size_t)got;
   return text;
@@ -54,7 +53,8 @@
 {
   unsigned count = 0;
 
-  for (text = strstr (text, part); text != NULL; text = strstr (text + 1, part))
+  for (text = strstr (text, part); text != NULL;
+       text = strstr (text + 1, part))
     count++;
   return count;
 }
