--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -169,6 +169,11 @@
                    * upstream->service->tokens_a_slot);
   candidate->requests_at_report = candidate->outstanding_requests;
   candidate->tokens_at_report = candidate->outstanding_tokens;
+  if (upstream->is_slow != (report->pace > slow_pace))
+    log_event (LOG_LEVEL_NOTICE,
+               upstream->is_slow ? "upstream-quick-again" : "upstream-slow",
+               "upstream=%s group=%s pace=%.2f step=%llu", upstream->id,
+               report->group, report->pace, (unsigned long long)report->step);
   upstream->is_slow = report->pace > slow_pace;
   upstream->reported_at = candidate->report.at;
 }
