Tell a request's story from collected logs: siskinctl explain

Each log line now names its process. explain takes the lines of one request and, before and among them, what the process came to believe of the upstreams and groups concerned, and what pilots say of the group; it says when lines are missing. test_explain covers three kinds of failed request of a real run and logs written for the purpose.

--- a/common/daemon.c
+++ b/common/daemon.c
@@ -353,7 +353,8 @@
   daemon->config_file = arguments.config_file;
   daemon->stop_timeout = daemon->config->stop_timeout;
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  log_init (program->name, arguments.log_level, STDOUT_FILENO);
+  log_init (program->name, daemon->config->name, arguments.log_level,
+            STDOUT_FILENO);
   exit_status = daemon_run (daemon);
   log_event (LOG_LEVEL_NOTICE, "stopped", "status=%d", exit_status);
   talloc_free (daemon);
--- a/include/kernel/log.h
+++ b/include/kernel/log.h
@@ -13,7 +13,8 @@
   LOG_LEVEL_COUNT
 } log_level_t;
 
-status_t log_init (const char *program, log_level_t level, int descriptor);
+status_t log_init (const char *program, const char *name, log_level_t level,
+                   int descriptor);
 void log_close (void);
 void log_event (log_level_t level, const char *event, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
--- a/include/kernel/log_sink.h
+++ b/include/kernel/log_sink.h
@@ -11,7 +11,8 @@
    the caller.  */
 typedef struct log_sink log_sink_t;
 
-log_sink_t *log_sink_create (int descriptor, const char *program);
+log_sink_t *log_sink_create (int descriptor, const char *program,
+                             const char *name);
 void log_sink_destroy (log_sink_t *sink);
 void log_sink_put (log_sink_t *sink, log_level_t level, struct timespec now,
                    const char *line, size_t size);
--- a/kernel/log.c
+++ b/kernel/log.c
@@ -31,6 +31,7 @@
 static log_sink_t *sink;
 static log_level_t event_level; /* of the event being laid out */
 static const char *program_name;
+static const char *process_name;
 
 /* Layout: one line of key=value pairs.  log4c hands over one event at a time,
    under the output lock, so a static buffer is enough.  */
@@ -47,10 +48,10 @@
   clock_gettime (CLOCK_REALTIME, &now);
   gmtime_r (&now.tv_sec, &utc);
   strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
-  snprintf (line, sizeof line, "time=%s.%03ldZ level=%s program=%s %s\n",
+  snprintf (line, sizeof line, "time=%s.%03ldZ level=%s program=%s name=%s %s\n",
             stamp, now.tv_nsec / NS_PER_MS,
             log4c_priority_to_string (event->evt_priority), program_name,
-            event->evt_msg);
+            process_name, event->evt_msg);
   return line;
 }
 
@@ -87,18 +88,21 @@
 };
 
 /* Open the log: lines of LEVEL and above go to DESCRIPTOR, which stays the
-   caller's.  PROGRAM is kept by reference.  Returns STATUS_IO when log4c or
+   caller's.  PROGRAM and NAME, which tells
+   this process from others of the program, are kept by reference.  Returns STATUS_IO when log4c or
    the thread that writes cannot start.  */
 status_t
-log_init (const char *program, log_level_t level, int descriptor)
+log_init (const char *program, const char *name, log_level_t level,
+          int descriptor)
 {
   log4c_layout_t *layout;
   log4c_appender_t *appender;
 
   program_name = program;
+  process_name = name;
   if (log4c_init () != 0)
     return status_set (STATUS_IO, "log4c cannot start");
-  sink = log_sink_create (descriptor, program);
+  sink = log_sink_create (descriptor, program, name);
   if (sink == NULL)
     return status_set (STATUS_IO, "the log's thread cannot start");
   output_lock = lock_create (NULL, LOCK_LOG, "log");
--- a/kernel/log_sink.c
+++ b/kernel/log_sink.c
@@ -54,6 +54,7 @@
   pthread_t writer;
   int descriptor;
   const char *program;
+  const char *name;
 };
 
 COUNTER_DEFINE (lines_written, "siskin_log_lines_total", "Log lines written");
@@ -116,9 +117,9 @@
     return;
   size = snprintf (
       text, sizeof text,
-      "level=WARN program=%s event=lines-left-out error=%u warn=%u notice=%u "
+      "level=WARN program=%s name=%s event=lines-left-out error=%u warn=%u notice=%u "
       "info=%u debug=%u\n",
-      sink->program, count[LOG_LEVEL_ERROR], count[LOG_LEVEL_WARN],
+      sink->program, sink->name, count[LOG_LEVEL_ERROR], count[LOG_LEVEL_WARN],
       count[LOG_LEVEL_NOTICE], count[LOG_LEVEL_INFO], count[LOG_LEVEL_DEBUG]);
   if (size <= 0 || (size_t)size >= sizeof text
       || !sink_has_room (sink, LOG_LEVEL_WARN, (size_t)size))
@@ -262,10 +263,10 @@
 }
 
 /* Create a sink that writes to DESCRIPTOR, which stays the caller's; PROGRAM
-   is kept by reference and named in the sink's own lines.  Returns NULL when
+   and NAME are kept by reference and stand in the sink's own lines.  Returns NULL when
    memory or threads are exhausted.  */
 log_sink_t *
-log_sink_create (int descriptor, const char *program)
+log_sink_create (int descriptor, const char *program, const char *name)
 {
   log_sink_t *sink = talloc_zero (NULL, log_sink_t);
 
@@ -275,6 +276,7 @@
   STAILQ_INIT (&sink->lines);
   sink->descriptor = descriptor;
   sink->program = program;
+  sink->name = name;
   sem_init (&sink->work, 0, 0);
   sem_init (&sink->ended, 0, 0);
   if (sink->lock != NULL
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -481,7 +481,7 @@
   log_event (LOG_LEVEL_NOTICE, "client-left", "request=%s ms=%lld sends=%u",
              forward->request->id,
              (long long)ms_since (forward, forward->arrived_at),
-             forward->sends);
+             forward->sends + (forward->attempt != NULL));
   forward_cancel_attempt (forward, FLEET_LEFT);
   talloc_free (forward);
 }
--- /dev/null
+++ b/tests/process/test_explain.py
@@ -0,0 +1,119 @@
+"""The story that siskinctl tells of a request from the logs of a run."""
+
+import json
+import subprocess
+import unittest
+
+import platform_replicas as replicas
+from cluster import BUILD, wait_until
+from platform_world import Platform, ask
+
+EXIT_NOTHING = 1
+EXIT_LINES_MISSING = 6
+
+
+def explain(request, *files, text=None):
+    return subprocess.run([BUILD + "/ctl/siskinctl", "explain", request,
+                           *files], input=text, capture_output=True,
+                          text=True, timeout=20)
+
+
+def line(second, event, details, name="relay-1", program="siskin-relay"):
+    return ("front-1 out: time=2026-01-01T00:00:%06.3fZ level=INFO program=%s "
+            "name=%s event=%s %s\n" % (second, program, name, event, details))
+
+
+class ExplainRunTest(unittest.TestCase):
+    """Logs of a relay that has really run."""
+
+    def setUp(self):
+        self.platform = Platform().__enter__()
+        self.addCleanup(self.platform.__exit__, None, None, None)
+        self.platform.configure()
+        self.app = self.platform.add_replica("app", "a")
+        self.relay = self.platform.start_relay()
+
+    def story(self, request):
+        def ended():
+            self.result = explain(request, self.relay.log_name)
+            return self.result.returncode == 0
+        wait_until(ended, 5, "the request's last line")
+        return self.result.stdout
+
+    def test_refused_request(self):
+        self.app.answer = replicas.decline
+        self.assertEqual(ask(self.relay, "/check/", request_id="a1").status,
+                         503)
+        story = self.story("a1")
+        self.assertIn("upstream=%s result=declined" % self.app.id, story)
+        self.assertIn("refused", story)
+        self.assertIn("failure=not-run", story)
+
+    def test_answer_that_breaks_off_midway(self):
+        self.app.answer = replicas.cut_short
+        ask(self.relay, "/book/", method="POST", request_id="a2")
+        story = self.story("a2")
+        self.assertIn("reason=", story)
+        self.assertIn("report_age_ms=", story)
+        self.assertIn("result=broke-off", story)
+        self.assertIn("no-repeat request=a2 why=not-repeatable", story)
+
+    def test_unknown_outcome_after_silence(self):
+        self.app.answer = replicas.hang
+        ask(self.relay, "/book/", method="POST", request_id="a3")
+        story = self.story("a3")
+        self.assertIn("result=silent", story)
+        self.assertIn("failure=timeout", story)
+
+
+class ExplainTextTest(unittest.TestCase):
+    """Logs written for the test, with what a collector puts in front."""
+
+    log = (line(1, "upstream-slow", "upstream=u1 group=g pace=4.00 step=3")
+           + line(1.5, "upstream-slow", "upstream=u1 group=g", "relay-2")
+           + line(2, "sent", "request=r1 service=s upstream=u1 send=1")
+           + line(2.1, "sent", "request=r2 service=s upstream=u1 send=1")
+           + line(2.2, "group-stalled", "group=g epoch=1 step=4")
+           + line(2.5, "answer-ended", "request=r1 whole=0 ms=500"))
+    pilot_log = line(2.3, "deposed", "group=g", "pilot-1", "siskin-pilot")
+
+    def test_lines_come_in_order_with_what_was_known(self):
+        story = explain("r1", text=self.log + self.pilot_log)
+        lines = [" ".join(row.split()[:6]) for row in
+                 story.stdout.splitlines()]
+        self.assertEqual(story.returncode, 0)
+        self.assertEqual(lines, [
+            "-1000 ms knew relay-1 upstream-slow upstream=u1",
+            "+0 ms relay-1 sent request=r1 service=s",
+            "+200 ms sees relay-1 group-stalled group=g",
+            "+300 ms sees pilot-1 deposed group=g",
+            "+500 ms relay-1 answer-ended request=r1 whole=0"])
+
+    def test_json(self):
+        story = subprocess.run(
+            [BUILD + "/ctl/siskinctl", "--json", "explain", "r1"],
+            input=self.log, capture_output=True, text=True, timeout=20)
+        events = [row["event"] for row in json.loads(story.stdout)["story"]]
+        self.assertEqual(events, ["upstream-slow", "sent", "group-stalled",
+                                  "answer-ended"])
+
+    def test_missing_lines_are_told(self):
+        self.assertEqual(explain("r2", text=self.log).returncode,
+                         EXIT_LINES_MISSING)
+        story = explain("r1", text=self.log + line(
+            2.1, "lines-left-out", "error=0 warn=0 notice=0 info=9 debug=0"))
+        self.assertEqual(story.returncode, EXIT_LINES_MISSING)
+        self.assertIn("lines are missing: error=0 warn=0 notice=0 info=9",
+                      story.stdout)
+
+    def test_unknown_request_and_unreadable_file(self):
+        story = explain("r9", text=self.log)
+        self.assertEqual(story.returncode, EXIT_NOTHING)
+        self.assertIn("no line is about request r9", story.stderr)
+        story = explain("r1", "/nonexistent/log")
+        self.assertEqual(story.returncode, EXIT_NOTHING)
+        self.assertIn("/nonexistent/log", story.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -200,7 +200,7 @@
       options->steps = (unsigned)strtoul (argument, NULL, 10);
       return 0;
     case 'v':
-      log_init ("sim", LOG_LEVEL_NOTICE, STDERR_FILENO);
+      log_init ("sim", "sim", LOG_LEVEL_NOTICE, STDERR_FILENO);
       return 0;
     case 'b':
       for (int i = 0; i < SIM_BROKEN_COUNT; i++)
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -72,7 +72,7 @@
 
   (void)state;
   assert_int_equal (pipe (ends), 0);
-  sink = log_sink_create (ends[1], "test");
+  sink = log_sink_create (ends[1], "test", "test-1");
   assert_non_null (sink);
   clock_gettime (CLOCK_MONOTONIC, &begin);
   for (unsigned i = 0; i < LINES; i++)
@@ -114,7 +114,7 @@
   (void)state;
   assert_int_equal (pipe (ends), 0);
   fcntl (ends[0], F_SETPIPE_SZ, 1024 * 1024);
-  sink = log_sink_create (ends[1], "test");
+  sink = log_sink_create (ends[1], "test", "test-1");
   assert_non_null (sink);
   for (unsigned i = 0; i < 2 * LINES_A_SECOND; i++)
     log_sink_put (sink, LOG_LEVEL_INFO, now, "event=ordinary\n", 15);
@@ -141,7 +141,7 @@
 
   (void)state;
   assert_int_equal (pipe (ends), 0);
-  assert_int_equal (log_init ("test", LOG_LEVEL_INFO, ends[1]), STATUS_OK);
+  assert_int_equal (log_init ("test", "test-1", LOG_LEVEL_INFO, ends[1]), STATUS_OK);
   log_event (LOG_LEVEL_NOTICE, "seen", "request=%s", "r-1");
   log_event (LOG_LEVEL_DEBUG, "hidden", "request=%s", "r-1");
   log_close ();
@@ -149,7 +149,7 @@
   text = read_all (ends[0]);
   close (ends[0]);
   assert_int_equal (strncmp (text, "time=2", 6), 0);
-  assert_non_null (strstr (text, "Z level=NOTICE program=test event=seen "
+  assert_non_null (strstr (text, "Z level=NOTICE program=test name=test-1 event=seen "
                                  "request=r-1\n"));
   assert_null (strstr (text, "hidden"));
   free (text);
