--- a/common/daemon.c
+++ b/common/daemon.c
@@ -19,6 +19,7 @@
 {
   ADMIN_BODY_BYTES = 4096,
   EXIT_USAGE = 64,
+  KEY_CHECK = 0x100,
   EXIT_CUT_OFF = 3 /* a planned stop ran out of time */
 };
 
@@ -50,11 +51,14 @@
 {
   const char *config_file;
   log_level_t log_level;
+  bool is_check;
 } daemon_arguments_t;
 
 static const struct argp_option daemon_options[] = {
   { "config", 'c', "FILE", 0, "Read this process's own settings from FILE",
     0 },
+  { "check", KEY_CHECK, NULL, 0,
+    "Only say what is wrong with the settings file", 0 },
   { "verbose", 'v', NULL, 0, "Log debug lines too", 0 },
   { NULL, 0, NULL, 0, NULL, 0 },
 };
@@ -69,6 +73,9 @@
     case 'c':
       arguments->config_file = argument;
       return 0;
+    case KEY_CHECK:
+      arguments->is_check = true;
+      return 0;
     case 'v':
       arguments->log_level = LOG_LEVEL_DEBUG;
       return 0;
@@ -340,6 +347,7 @@
   int exit_status;
 
   argp_err_exit_status = EXIT_USAGE;
+  argp_program_version = SISKIN_VERSION;
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
   daemon->program = program;
   daemon->on_finish = daemon_signal_finish;
@@ -350,6 +358,12 @@
       talloc_free (daemon);
       return EXIT_FAILURE;
     }
+  if (arguments.is_check)
+    {
+      printf ("%s is good\n", arguments.config_file);
+      talloc_free (daemon);
+      return EXIT_SUCCESS;
+    }
   daemon->config_file = arguments.config_file;
   daemon->stop_timeout = daemon->config->stop_timeout;
   curl_global_init (CURL_GLOBAL_DEFAULT);
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -175,6 +175,7 @@
   int result;
 
   argp_err_exit_status = CTL_USAGE;
+  argp_program_version = SISKIN_VERSION;
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
   if (arguments.store_count == 0 && getenv ("SISKIN_STORE") != NULL)
     arguments.stores[arguments.store_count++] = getenv ("SISKIN_STORE");
