--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -37,6 +37,7 @@
   bool is_stalled;           /* it has work and takes no step */
   struct timespec formed_at; /* it was seen in a new epoch, or broken */
   double step_ms;            /* moving average; 0 until it is known */
+  double last_step_ms;       /* whatever it was, even a stall */
 } fleet_group_t;
 
 typedef struct fleet_upstream
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -9,8 +9,10 @@
 {
   FRESH_MS = 1500, /* a report says nothing of now when it is older */
   STALL_MS = 400,  /* without a step, though there is work */
-  /* A stream has no event while its group steps on for so long: it hangs.  */
+  /* A stream has no event while its group steps on for so long, and for so
+     many steps: it hangs.  */
   PASSED_BY_MS = 400,
+  PASSED_BY_STEPS = 4,
   US_PER_MS = 1000
 };
 
@@ -108,6 +110,7 @@
       = (double)timespec_to_us (timespec_subtract (now, group->stepped_at))
         / US_PER_MS;
 
+  group->last_step_ms = passed_ms / (double)count;
   if (passed_ms > STALL_MS)
     return; /* it may have been idle */
   if (group->step_ms <= 0)
@@ -148,10 +151,10 @@
                (unsigned long long)group->epoch,
                (unsigned long long)group->step);
   if (was_open != group->is_open)
-    log_event (LOG_LEVEL_NOTICE, group->is_open ? "group-open" : "group-broken",
-               "group=%s epoch=%llu step=%llu", group->name,
-               (unsigned long long)group->epoch,
-               (unsigned long long)group->step);
+    log_event (
+        LOG_LEVEL_NOTICE, group->is_open ? "group-open" : "group-broken",
+        "group=%s epoch=%llu step=%llu", group->name,
+        (unsigned long long)group->epoch, (unsigned long long)group->step);
   return was_open != group->is_open;
 }
 
@@ -273,8 +276,8 @@
     return true;
   if (timespec_compare (group->formed_at, since) > 0)
     since = group->formed_at;
-  return timespec_to_ms (timespec_subtract (group->stepped_at, since))
-         < PASSED_BY_MS;
+  return (double)timespec_to_ms (timespec_subtract (group->stepped_at, since))
+         < fmax (PASSED_BY_MS, PASSED_BY_STEPS * group->last_step_ms);
 }
 
 /* Return whether UPSTREAM should get no request more for now; one that IS_LATE
