Renew pilots' entries each 10 s instead of 4

Others keep their connection when an entry lapses, so its lease only bounds how long a pilot that is gone stays listed.

--- a/pilot/pilot.c
+++ b/pilot/pilot.c
@@ -12,7 +12,9 @@
 
 enum
 {
-  REGISTRATION_MS = 12000, /* duration of the lease on the pilot's key */
+  /* Duration of the lease on the pilot's key.  Those that found the pilot by
+     it keep to their connection when it ends.  */
+  REGISTRATION_MS = 30000,
   STOP_POLL_MS = 20
 };
 
