Read the store twice in the shortest time that the platform allows for a change

Was each second whatever the platform's bounds; a site with shorter ones would have been served late. test_relay_rules fails with the fixed second.

--- a/common/config.c
+++ b/common/config.c
@@ -9,6 +9,7 @@
   MAX_WORKERS = 64,
   DEFAULT_STORE_TIMEOUT_MS = 1000,
   DEFAULT_STOP_TIMEOUT_MS = 60000,
+  DEFAULT_ACT_WITHIN_MS = 2000,
   DEFAULT_RETRY_WINDOW_MS = 10000
 };
 
@@ -23,6 +24,10 @@
     .maximum = 1e9 },
   { "retry_window", SCHEMA_DURATION, offsetof (config_t, bounds.retry_window),
     .minimum = 100, .maximum = 3600000 },
+  { "act_within", SCHEMA_DURATION, offsetof (config_t, bounds.act_within),
+    .minimum = 20, .maximum = 60000 },
+  { "leave_within", SCHEMA_DURATION, offsetof (config_t, bounds.leave_within),
+    .minimum = 20, .maximum = 60000 },
   { "first_start", SCHEMA_BOOLEAN, offsetof (config_t, bounds.first_start) },
   { NULL, SCHEMA_END, 0 },
 };
@@ -79,6 +84,8 @@
   config->bounds.retry_ratio = default_retry_ratio;
   config->bounds.retry_extra = default_retry_extra;
   config->bounds.retry_window = timespec_from_ms (DEFAULT_RETRY_WINDOW_MS);
+  config->bounds.act_within = timespec_from_ms (DEFAULT_ACT_WITHIN_MS);
+  config->bounds.leave_within = timespec_from_ms (DEFAULT_ACT_WITHIN_MS);
   config->workers = DEFAULT_WORKERS;
   config->store_timeout = timespec_from_ms (DEFAULT_STORE_TIMEOUT_MS);
   config->stop_timeout = timespec_from_ms (DEFAULT_STOP_TIMEOUT_MS);
--- a/include/common/config.h
+++ b/include/common/config.h
@@ -14,6 +14,10 @@
   double retry_ratio; /* of the requests of a window */
   double retry_extra; /* in a window, besides */
   struct timespec retry_window;
+  /* For a change of the operators' to act, and for an upstream that leaves to
+     get no more requests, after it was written to the store.  */
+  struct timespec act_within;
+  struct timespec leave_within;
   bool first_start; /* of the whole system: this relay succeeds none */
 } platform_bounds_t;
 
--- a/relay/directory.c
+++ b/relay/directory.c
@@ -11,7 +11,7 @@
 
 enum
 {
-  PACE_MS = 1000, /* of polls; what is read must act within two s */
+  PACE_DIVISOR = 2, /* polls in the time in which a change must act */
   /* Listings lapse when their upstreams could not write for some seconds.
      After an outage that long they come back within two s; an upstream whose
      listing is gone is kept until then.  */
@@ -363,6 +363,18 @@
   store_mirror_hurry (directory->mirror);
 }
 
+/* Return how often to read the store, so that what is read acts in time.  */
+static struct timespec
+directory_pace (const relay_t *relay)
+{
+  const platform_bounds_t *bounds = &daemon_config (relay->daemon)->bounds;
+  struct timespec least = bounds->act_within;
+
+  if (timespec_compare (bounds->leave_within, least) < 0)
+    least = bounds->leave_within;
+  return timespec_from_ms (timespec_to_ms (least) / PACE_DIVISOR);
+}
+
 /* Start to follow the store of RELAY.  */
 directory_t *
 directory_create (TALLOC_CTX *parent, relay_t *relay)
@@ -371,7 +383,7 @@
   store_mirror_options_t options = { .store_ops = relay->store_ops,
                                      .store = relay->store,
                                      .prefix = "",
-                                     .pace = timespec_from_ms (PACE_MS) };
+                                     .pace = directory_pace (relay) };
 
   if (directory == NULL)
     return NULL;
--- a/tests/process/platform_world.py
+++ b/tests/process/platform_world.py
@@ -46,6 +46,7 @@
 retry_ratio = 0.2
 retry_extra = 94
 retry_window = "10 s"
+act_within = "%(act_within)d ms"
 first_start = %(first_start)s
 """
 
@@ -171,8 +172,9 @@
         return path
 
     def relay_settings(self, name, zone="a", workers=1, store=None,
-                       first_start=True):
+                       first_start=True, act_within=2000):
         return RELAY % {"name": name, "zone": zone, "workers": workers,
+                        "act_within": act_within,
                         "first_start": str(first_start).lower(),
                         "store": store or
                         "http://127.0.0.1:%d" % self.store.port}
--- a/tests/process/test_command_line.py
+++ b/tests/process/test_command_line.py
@@ -60,7 +60,9 @@
     def test_templates_of_the_platform_are_good_once_filled_in(self):
         filled = {"zones": '"a=south"', "limits.cores": "1",
                   "bootstrap": "true", "bounds.grace_s": "8",
-                  "bounds.budget_window_s": "10"}
+                  "bounds.budget_window_s": "10",
+                  "bounds.config_apply_ms": "2000",
+                  "bounds.drain_ms": "2000"}
         for path in glob.glob(os.path.join(ROOT, "deploy", "*.toml")):
             name = os.path.basename(path)[:-len(".toml")]
             if name == "system":
--- a/tests/process/test_relay_rules.py
+++ b/tests/process/test_relay_rules.py
@@ -56,6 +56,16 @@
         self.assertEqual(ask(self.relay, "/book/", method="POST").status, 401)
         self.assertEqual(ask(self.relay, "/check/", key="another").status, 404)
 
+    def test_change_acts_within_the_platform_s_bound(self):
+        relay = self.platform.start_relay("relay-2", act_within=300)
+        for number in range(5):
+            def change(config):
+                config["tenants"][0]["keys"] = ["key-%d" % number]
+            self.platform.configure(change)
+            time.sleep(0.3)
+            self.assertEqual(ask(relay, "/check/", key="key-%d" % number)
+                             .status, 200)
+
     def test_unreadable_documents_change_nothing(self):
         self.platform.put("op/config", b"{nonsense")
         self.platform.put("servers/i-x1", b"\xff\x00")
