--- a/common/daemon.c
+++ b/common/daemon.c
@@ -306,18 +306,16 @@
 }
 
 static int
-daemon_run (daemon_t *daemon)
+daemon_run (daemon_t *daemon, const sigset_t *signals)
 {
-  sigset_t signals;
   status_t status;
   int exit_status = EXIT_FAILURE;
 
-  daemon_block_signals (&signals);
   status = daemon_set_up (daemon);
   if (status == STATUS_OK)
     status = pool_start (daemon->pool);
   if (status == STATUS_OK)
-    exit_status = daemon_wait (daemon, &signals);
+    exit_status = daemon_wait (daemon, signals);
   else
     log_event (LOG_LEVEL_ERROR, "start-failed", "error=\"%s\"",
                status_message ());
@@ -344,6 +342,7 @@
                        .doc = program->summary };
   daemon_t *daemon = talloc_zero (NULL, daemon_t);
   findings_t *findings = findings_create (daemon);
+  sigset_t signals;
   int exit_status;
 
   argp_err_exit_status = EXIT_USAGE;
@@ -366,10 +365,13 @@
     }
   daemon->config_file = arguments.config_file;
   daemon->stop_timeout = daemon->config->stop_timeout;
+  /* Before any thread, so that all inherit it.  */
+  daemon_block_signals (&signals);
+  talloc_set_log_stderr ();
   curl_global_init (CURL_GLOBAL_DEFAULT);
   log_init (program->name, daemon->config->name, arguments.log_level,
             STDOUT_FILENO);
-  exit_status = daemon_run (daemon);
+  exit_status = daemon_run (daemon, &signals);
   log_event (LOG_LEVEL_NOTICE, "stopped", "status=%d", exit_status);
   talloc_free (daemon);
   log_close ();
--- a/include/relay/forward.h
+++ b/include/relay/forward.h
@@ -47,6 +47,7 @@
   bool is_watched;          /* for an upstream that falls silent */
   struct timespec heard_at; /* something came from the upstream */
   bool is_begun;            /* the client has the head of its answer */
+  bool has_events;          /* which is a stream of events */
   bool is_paused;           /* the upstream waits for the client */
   struct timespec first_at; /* the client got the first of its answer */
   struct timespec last_at;  /* and the newest */
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -83,17 +83,29 @@
   pass_data (forward, bytes, size);
 }
 
+/* Return whether HEADERS say that a stream of events follows.  */
+static bool
+headers_tell_events (const http_headers_t *headers)
+{
+  static const char wanted[] = "text/event-stream";
+  const char *type = http_headers_find (headers, "Content-Type");
+
+  return type != NULL && strncmp (type, wanted, sizeof wanted - 1) == 0;
+}
+
 /* Have the answer go on to the client as it comes.  */
 static void
 attempt_start_passing (forward_t *forward)
 {
   forward_attempt_t *attempt = forward->attempt;
-  const char *type = http_headers_find (&attempt->headers, "Content-Type");
 
   attempt->is_passed = true;
-  if (type != NULL && strncmp (type, "text/event-stream", 17) == 0)
-    attempt->events
-        = event_stream_create (attempt, attempt_take_event, forward);
+  if (headers_tell_events (&attempt->headers))
+    {
+      forward->has_events = true;
+      attempt->events
+          = event_stream_create (attempt, attempt_take_event, forward);
+    }
   if (!forward->is_begun)
     pass_head (forward, false);
 }
@@ -114,6 +126,8 @@
   forward_t *forward = data;
   forward_attempt_t *attempt = forward->attempt;
   bool is_success = status_is_success (head->http_status);
+  bool is_stream = is_success && forward->route->kind == ROUTE_STREAM
+                   && headers_tell_events (head->headers);
 
   silence_note (forward);
   attempt->http_status = head->http_status;
@@ -127,10 +141,10 @@
   attempt->is_usable = !head->is_not_run && head->has_proof
                        && !(is_success && head->is_encoded);
   /* A stream goes on only with events.  */
-  if (!attempt->is_usable || (forward->is_begun && !is_success))
+  if (!attempt->is_usable || (forward->is_begun && !is_stream))
     return false;
   attempt_keep_headers (attempt, head->headers);
-  if (is_success && forward->route->kind == ROUTE_STREAM)
+  if (is_stream)
     attempt_start_passing (forward);
   return true;
 }
@@ -230,7 +244,8 @@
   forward_end_attempt (forward, result);
   if (is_whole)
     forward_finish (forward, true);
-  else if (forward->route->is_resumable && forward_may_repeat (forward, 0))
+  else if (forward->has_events && forward->route->is_resumable
+           && forward_may_repeat (forward, 0))
     forward_dispatch (forward);
   else
     forward_finish (forward, false);
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -314,12 +314,13 @@
     {
       relay_worker_t *share = &relay->workers[i];
 
+      /* What is still open ends with its client's connection.  */
+      if (share->ingress != NULL)
+        relay->ingress_ops->destroy (share->ingress);
       while ((forward = LIST_FIRST (&share->forwards)) != NULL)
         talloc_free (forward);
       if (share->egress != NULL)
         relay->egress_ops->destroy (share->egress);
-      if (share->ingress != NULL)
-        relay->ingress_ops->destroy (share->ingress);
     }
   if (relay->readiness != NULL)
     readiness_destroy (relay->readiness);
--- a/tests/process/test_relay_rules.py
+++ b/tests/process/test_relay_rules.py
@@ -172,6 +172,19 @@
             thread.join()
         self.assertEqual(lost, [])
 
+    def test_stop_that_is_cut_short_ends_in_order(self):
+        for app in self.apps:
+            app.answer = replicas.hang
+        with Caller(self.relay) as waiting, Caller(self.relay) as idle:
+            idle.ask("/nowhere")
+            waiting.send("/check/")
+            wait_until(self.platform.runs, 5, "the request to run")
+            self.relay.signal(signal.SIGTERM)
+            wait_until(lambda: "event=stopping" in self.relay.text(), 2,
+                       "the stop to begin")
+            self.relay.signal(signal.SIGTERM)
+            self.assertEqual(self.relay.process.wait(8), 3)
+
     def test_hangup_reads_settings_again_and_loses_nothing(self):
         for app in self.apps:
             app.answer = replicas.slow(0.5)
--- a/tests/process/test_relay_streams.py
+++ b/tests/process/test_relay_streams.py
@@ -54,6 +54,18 @@
                            if "last-event-id" in run.headers]
                 self.assertIn(str(stop_after), resumed)
 
+    def test_cut_answer_without_events_is_not_joined_to_a_stream(self):
+        self.answer(replicas.cut_short)
+        reply = ask(self.relay, "/look/x", method="POST", body=b"p")
+        self.assertEqual(reply.body, WHOLE)
+
+    def test_stream_is_not_joined_to_an_answer_without_events(self):
+        self.answer(replicas.stream(stop_after=2),
+                    lambda: replicas.answer_whole)
+        reply = ask(self.relay, "/look/x", method="POST", body=b"p")
+        self.assertEqual(reply.body, replicas.event(1) + replicas.event(2))
+        self.assertFalse(reply.is_whole)
+
     def test_stream_cut_within_an_event_goes_on_with_that_event(self):
         async def within(replica, request, writer):
             writer.write(replicas.answer_bytes(200, b"", replica.stamp(
