--- a/pilot/switcher.c
+++ b/pilot/switcher.c
@@ -1,14 +1,11 @@
-#include "pilot/switcher.h"
+#include "pilot/switcher_state.h"
 
-#include "kernel/clock.h"
 #include "kernel/invariant.h"
 
 enum
 {
-  NO_RANK = 0xffff,
-  FENCES_A_TERM = 1 << 20, /* rounds that one leader may count */
-  FRESH_MS = 400,          /* reports older than this start no switch */
-  RESEND_MS = 100,         /* after an order that may not have arrived */
+  FRESH_MS = 400,  /* reports older than this start no switch */
+  RESEND_MS = 100, /* after an order that may not have arrived */
   PREPARE_TIMEOUT_MS = 8000,
   HOLD_TIMEOUT_MS = 2000,
   ARM_TIMEOUT_MS = 700, /* then the group goes on without the switch */
@@ -35,53 +32,6 @@
   [SWITCHER_DISARMING] = "disarming",
 };
 
-/* What is known of a rank.  */
-typedef struct rank_view
-{
-  bool is_known;
-  rank_report_t report;
-  struct timespec reported_at;
-  uint64_t after_ticket;    /* orders up to it were over before the report */
-  bool is_pending;          /* an order is under way */
-  uint64_t ticket;          /* of the last order */
-  uint64_t sent_in;         /* the stage that it belongs to */
-  struct timespec again_at; /* not to be sent another order before */
-  bool is_done;             /* the order of this stage is done */
-  bool is_refused;          /* the order of this stage does not fit */
-  uint64_t over_ticket;     /* of the last order with a clear verdict */
-} rank_view_t;
-
-struct switcher
-{
-  const switcher_ops_t *ops;
-  void *data;
-  unsigned rank_count;
-  unsigned own_rank;
-  rank_view_t *ranks;
-  switcher_phase_t phase;
-  uint64_t stage; /* counts the phases entered */
-  uint64_t term;
-  uint64_t round;
-  uint64_t epoch;    /* of the group, as the ranks report it */
-  uint64_t version;  /* of the last switch that was started */
-  uint64_t switches; /* started in this term */
-  uint64_t step;     /* at which the group is held and switches */
-  unsigned holder;
-  switcher_deposed_t deposed;
-  uint64_t permitted; /* version that the own rank may be armed with */
-  struct timespec permit_again_at;
-  bool is_going_without; /* the deposed rank; found to be safe */
-  bool may_be_held;      /* an order to hold was sent and not taken back */
-  bool is_abandoned;     /* the switch under way; no rank was armed */
-  placement_map_t *map;  /* of the switch under way */
-  struct timespec phase_at;
-  bool has_lost; /* an order, at LOST_AT */
-  struct timespec lost_at;
-  uint64_t paced_step; /* to learn how long a step takes */
-  struct timespec paced_at;
-  double step_ms;
-};
-
 /* Create a switcher for a group in which the caller's own engine has the rank
    OWN_RANK.  */
 switcher_t *
@@ -152,34 +102,6 @@
     switcher->holder = rank;
 }
 
-static void
-enter (switcher_t *switcher, switcher_phase_t phase, struct timespec now)
-{
-  switcher->phase = phase;
-  switcher->stage++;
-  switcher->phase_at = now;
-  for (unsigned i = 0; i < switcher->rank_count; i++)
-    {
-      switcher->ranks[i].is_done = false;
-      switcher->ranks[i].is_refused = false;
-    }
-}
-
-static int64_t
-phase_ms (const switcher_t *switcher, struct timespec now)
-{
-  return timespec_to_ms (timespec_subtract (now, switcher->phase_at));
-}
-
-/* Have every engine see the fence of a new round.  */
-static void
-begin_round (switcher_t *switcher, struct timespec now)
-{
-  switcher->round++;
-  switcher->is_going_without = false;
-  enter (switcher, SWITCHER_CLAIMING, now);
-}
-
 /* Start to lead with TERM, which is higher than that of any earlier leader.
    DEPOSED is the leader before, if it is known, or NULL: its engine may be out
    of reach with it, and the group need not be held for it when that is seen to
@@ -188,7 +110,7 @@
 switcher_lead (switcher_t *switcher, uint64_t term,
                const switcher_deposed_t *deposed, struct timespec now)
 {
-  static const switcher_deposed_t nobody = { .rank = NO_RANK };
+  static const switcher_deposed_t nobody = { .rank = SWITCHER_NO_RANK };
 
   INVARIANT (term > switcher->term, "switcher-terms-rise");
   switcher->term = term;
@@ -198,7 +120,7 @@
   switcher->switches = 0;
   for (unsigned i = 0; i < switcher->rank_count; i++)
     switcher->ranks[i].is_known = false;
-  begin_round (switcher, now);
+  switcher_begin_round (switcher, now);
 }
 
 /* Send no more orders.  */
@@ -208,274 +130,6 @@
   switcher->phase = SWITCHER_OFF;
 }
 
-static void
-send_order (switcher_t *switcher, unsigned rank, rank_order_kind_t kind,
-            uint64_t step)
-{
-  rank_view_t *view = &switcher->ranks[rank];
-  rank_order_t order = {
-    .kind = kind,
-    .fence = switcher->term * FENCES_A_TERM + switcher->round,
-    .epoch = switcher->epoch,
-    .version = kind == RANK_DISARM ? view->report.armed : switcher->version,
-    .step = step,
-    .map = switcher->map,
-  };
-
-  view->is_pending = true;
-  view->sent_in = switcher->stage;
-  view->ticket++;
-  switcher->ops->order (rank, view->ticket, &order, switcher->data);
-}
-
-/* Whether an order may be sent once more.  */
-static bool
-may_repeat (const rank_view_t *view, struct timespec now)
-{
-  return !view->is_pending && timespec_compare (view->again_at, now) <= 0;
-}
-
-static bool
-may_send (const rank_view_t *view, struct timespec now)
-{
-  return !view->is_done && may_repeat (view, now);
-}
-
-/* Whether the newest report of VIEW is of a time after its last order was
-   over.  */
-static bool
-report_is_newer (const rank_view_t *view)
-{
-  return view->is_known && view->after_ticket >= view->over_ticket;
-}
-
-/* Whether the order of this stage is done at all ranks but EXCUSED.  */
-static bool
-all_done_but (const switcher_t *switcher, unsigned excused)
-{
-  for (unsigned i = 0; i < switcher->rank_count; i++)
-    {
-      if (i != excused && !switcher->ranks[i].is_done)
-        return false;
-    }
-  return true;
-}
-
-static bool
-all_done (const switcher_t *switcher)
-{
-  return all_done_but (switcher, NO_RANK);
-}
-
-static bool
-is_known (const switcher_t *switcher, unsigned rank)
-{
-  const rank_view_t *view = &switcher->ranks[rank];
-
-  return view->is_known && view->report.epoch == switcher->epoch
-         && view->report.is_open;
-}
-
-/* Whether all ranks have reported, of the same epoch and an open group.  */
-static bool
-all_known (const switcher_t *switcher)
-{
-  for (unsigned i = 0; i < switcher->rank_count; i++)
-    {
-      if (!is_known (switcher, i))
-        return false;
-    }
-  return true;
-}
-
-static unsigned
-count_armed (const switcher_t *switcher, bool *is_same)
-{
-  const rank_report_t *first = NULL;
-  unsigned count = 0;
-
-  *is_same = true;
-  for (unsigned i = 0; i < switcher->rank_count; i++)
-    {
-      const rank_report_t *report = &switcher->ranks[i].report;
-
-      if (!report->is_armed)
-        continue;
-      if (first == NULL)
-        first = report;
-      *is_same = *is_same && report->armed == first->armed
-                 && report->armed_step == first->armed_step;
-      count++;
-    }
-  return count;
-}
-
-/* Let the group go on wherever it is held.  Returns whether it is held
-   nowhere.  */
-static bool
-release_all (switcher_t *switcher, struct timespec now)
-{
-  bool is_free = true;
-
-  for (unsigned i = 0; i < switcher->rank_count; i++)
-    {
-      rank_view_t *view = &switcher->ranks[i];
-
-      if (!view->report.is_held)
-        continue;
-      is_free = false;
-      if (may_repeat (view, now) && report_is_newer (view))
-        send_order (switcher, i, RANK_GO, view->report.held);
-    }
-  return is_free;
-}
-
-/* The engine of the leader before cannot be reached, as if its machine were
-   gone.  Return whether the group may go on all the same.  If that leader has
-   prepared a map, every engine had seen its fence, so that nothing of leaders
-   before it is left.  It armed its own rank last, and only with the permit of
-   the pilot whose engine holds the group.  If that is this process, which
-   gives no permit any more, the own rank is not armed with what it did not
-   permit, and will not be.  */
-static bool
-may_go_without (const switcher_t *switcher, unsigned missing)
-{
-  const rank_report_t *own = &switcher->ranks[switcher->own_rank].report;
-  bool has_prepared = false;
-
-  if (!own->is_held || switcher->deposed.permitted == SWITCHER_ANY_VERSION)
-    return false;
-
-  for (unsigned i = 0; i < switcher->rank_count; i++)
-    {
-      const rank_view_t *view = &switcher->ranks[i];
-
-      if (i == missing)
-        continue;
-      if (!view->is_done || !report_is_newer (view))
-        return false;
-      if (view->report.is_armed
-          && view->report.armed == switcher->deposed.permitted)
-        return false;
-      has_prepared = has_prepared
-                     || (view->report.has_prepared
-                         && view->report.prepared / FENCES_A_TERM
-                                == switcher->deposed.term);
-    }
-  return has_prepared;
-}
-
-/* Disarm and release the ranks that can be reached.  */
-static void
-go_without (switcher_t *switcher, unsigned missing, struct timespec now)
-{
-  bool is_armed = false;
-
-  for (unsigned i = 0; i < switcher->rank_count; i++)
-    {
-      rank_view_t *view = &switcher->ranks[i];
-
-      if (i == missing || !view->report.is_armed)
-        continue;
-      is_armed = true;
-      if (may_repeat (view, now) && report_is_newer (view))
-        send_order (switcher, i, RANK_DISARM, 0);
-    }
-  if (!is_armed)
-    release_all (switcher, now);
-}
-
-/* Show the fence to all engines.  One is never held at step 0, so the order
-   changes nothing else.  */
-static void
-claim (switcher_t *switcher, struct timespec now)
-{
-  unsigned deposed = switcher->deposed.rank;
-
-  for (unsigned i = 0; i < switcher->rank_count; i++)
-    {
-      if (is_known (switcher, i) && may_send (&switcher->ranks[i], now))
-        send_order (switcher, i, RANK_GO, 0);
-    }
-  if (all_done (switcher))
-    enter (switcher, SWITCHER_RESOLVING, now);
-  else if (deposed < switcher->rank_count && all_done_but (switcher, deposed)
-           && (switcher->is_going_without
-               || may_go_without (switcher, deposed)))
-    {
-      switcher->is_going_without = true;
-      go_without (switcher, deposed, now);
-    }
-}
-
-static void
-settle (switcher_t *switcher, struct timespec now)
-{
-  switcher->may_be_held = false;
-  enter (switcher, SWITCHER_IDLE, now);
-  switcher->ops->on_event (SWITCHER_SETTLED, "", switcher->data);
-}
-
-/* End what an earlier leader, or an earlier round, left behind.  All engines
-   refuse its orders by now, so what they report stays.  */
-static void
-resolve (switcher_t *switcher, struct timespec now)
-{
-  bool is_same;
-  unsigned armed;
-
-  for (unsigned i = 0; i < switcher->rank_count; i++)
-    {
-      if (!report_is_newer (&switcher->ranks[i]))
-        return;
-    }
-  armed = count_armed (switcher, &is_same);
-  if (armed > 0 && (armed < switcher->rank_count || !is_same))
-    {
-      enter (switcher, SWITCHER_DISARMING, now);
-      return;
-    }
-  if (release_all (switcher, now))
-    settle (switcher, now);
-}
-
-static void
-disarm (switcher_t *switcher, struct timespec now)
-{
-  bool is_free = true;
-
-  for (unsigned i = 0; i < switcher->rank_count; i++)
-    {
-      rank_view_t *view = &switcher->ranks[i];
-
-      if (!report_is_newer (view))
-        is_free = false;
-      else if (view->report.is_armed)
-        {
-          is_free = false;
-          if (may_repeat (view, now))
-            send_order (switcher, i, RANK_DISARM, 0);
-        }
-    }
-  if (is_free)
-    enter (switcher, SWITCHER_RESOLVING, now);
-}
-
-static void
-give_up (switcher_t *switcher, const char *reason, struct timespec now)
-{
-  TALLOC_FREE (switcher->map);
-  enter (switcher, SWITCHER_IDLE, now);
-  switcher->ops->on_event (SWITCHER_GIVEN_UP, reason, switcher->data);
-}
-
-static bool
-rank_has_prepared (const switcher_t *switcher, const rank_view_t *view)
-{
-  return view->report.has_prepared
-         && view->report.prepared == switcher->version;
-}
-
 static uint64_t
 newest_step (const switcher_t *switcher)
 {
@@ -514,20 +168,20 @@
     {
       rank_view_t *view = &switcher->ranks[i];
 
-      if (rank_has_prepared (switcher, view))
+      if (switcher_has_prepared (switcher, view))
         prepared++;
-      else if (view->is_refused && report_is_newer (view))
+      else if (view->is_refused && rank_view_is_newer (view))
         {
-          give_up (switcher, "prepare-refused", now);
+          switcher_give_up (switcher, "prepare-refused", now);
           return;
         }
-      else if (!view->is_refused && may_send (view, now))
-        send_order (switcher, i, RANK_PREPARE, 0);
+      else if (!view->is_refused && rank_view_may_send (view, now))
+        switcher_send_order (switcher, i, RANK_PREPARE, 0);
     }
   if (prepared == switcher->rank_count)
-    enter (switcher, SWITCHER_HOLDING, now);
-  else if (phase_ms (switcher, now) > PREPARE_TIMEOUT_MS)
-    give_up (switcher, "prepare-timeout", now);
+    switcher_enter (switcher, SWITCHER_HOLDING, now);
+  else if (switcher_phase_ms (switcher, now) > PREPARE_TIMEOUT_MS)
+    switcher_give_up (switcher, "prepare-timeout", now);
 }
 
 /* Whether all ranks have reported lately, so that none is likely to be out of
@@ -554,22 +208,23 @@
   if (view->is_done)
     {
       switcher->is_abandoned = !all_heard (switcher, now);
-      enter (switcher,
-             switcher->is_abandoned ? SWITCHER_RELEASING : SWITCHER_ARMING,
-             now);
+      switcher_enter (
+          switcher,
+          switcher->is_abandoned ? SWITCHER_RELEASING : SWITCHER_ARMING, now);
       return;
     }
-  if (!switcher->may_be_held && phase_ms (switcher, now) > HOLD_TIMEOUT_MS)
+  if (!switcher->may_be_held
+      && switcher_phase_ms (switcher, now) > HOLD_TIMEOUT_MS)
     {
-      give_up (switcher, "hold-timeout", now);
+      switcher_give_up (switcher, "hold-timeout", now);
       return;
     }
-  if (!may_send (view, now))
+  if (!rank_view_may_send (view, now))
     return;
   if (!switcher->may_be_held)
     switcher->step = step_ahead (switcher, now);
   switcher->may_be_held = true;
-  send_order (switcher, switcher->holder, RANK_HOLD, switcher->step);
+  switcher_send_order (switcher, switcher->holder, RANK_HOLD, switcher->step);
 }
 
 /* Return whether the own rank may be armed, after all others; see
@@ -593,7 +248,7 @@
 call_off (switcher_t *switcher, const char *reason, struct timespec now)
 {
   TALLOC_FREE (switcher->map);
-  begin_round (switcher, now);
+  switcher_begin_round (switcher, now);
   switcher->ops->on_event (SWITCHER_GIVEN_UP, reason, switcher->data);
 }
 
@@ -603,7 +258,7 @@
 {
   unsigned own = switcher->own_rank;
 
-  if (phase_ms (switcher, now) > ARM_TIMEOUT_MS)
+  if (switcher_phase_ms (switcher, now) > ARM_TIMEOUT_MS)
     {
       call_off (switcher, "arm-timeout", now);
       return;
@@ -611,14 +266,15 @@
 
   for (unsigned i = 0; i < switcher->rank_count; i++)
     {
-      if (i != own && may_send (&switcher->ranks[i], now))
-        send_order (switcher, i, RANK_ARM, switcher->step);
+      if (i != own && rank_view_may_send (&switcher->ranks[i], now))
+        switcher_send_order (switcher, i, RANK_ARM, switcher->step);
     }
-  if (all_done_but (switcher, own) && may_send (&switcher->ranks[own], now)
+  if (switcher_all_done_but (switcher, own)
+      && rank_view_may_send (&switcher->ranks[own], now)
       && has_permit (switcher, now))
-    send_order (switcher, own, RANK_ARM, switcher->step);
-  if (all_done (switcher))
-    enter (switcher, SWITCHER_RELEASING, now);
+    switcher_send_order (switcher, own, RANK_ARM, switcher->step);
+  if (switcher_all_done (switcher))
+    switcher_enter (switcher, SWITCHER_RELEASING, now);
 }
 
 static void
@@ -628,18 +284,19 @@
 
   if (!view->is_done)
     {
-      if (may_send (view, now))
-        send_order (switcher, switcher->holder, RANK_GO, switcher->step);
+      if (rank_view_may_send (view, now))
+        switcher_send_order (switcher, switcher->holder, RANK_GO,
+                             switcher->step);
       return;
     }
   switcher->may_be_held = false;
   if (switcher->is_abandoned)
     {
-      give_up (switcher, "rank-not-heard", now);
+      switcher_give_up (switcher, "rank-not-heard", now);
       return;
     }
   TALLOC_FREE (switcher->map);
-  enter (switcher, SWITCHER_IDLE, now);
+  switcher_enter (switcher, SWITCHER_IDLE, now);
   switcher->ops->on_event (SWITCHER_SWITCHED, "", switcher->data);
 }
 
@@ -651,13 +308,13 @@
   switch (switcher->phase)
     {
     case SWITCHER_CLAIMING:
-      claim (switcher, now);
+      switcher_claim (switcher, now);
       break;
     case SWITCHER_RESOLVING:
-      resolve (switcher, now);
+      switcher_resolve (switcher, now);
       break;
     case SWITCHER_DISARMING:
-      disarm (switcher, now);
+      switcher_disarm (switcher, now);
       break;
     case SWITCHER_PREPARING:
       prepare (switcher, now);
@@ -683,7 +340,7 @@
 bool
 switcher_is_ready (const switcher_t *switcher, struct timespec now)
 {
-  if (switcher->phase != SWITCHER_IDLE || !all_known (switcher))
+  if (switcher->phase != SWITCHER_IDLE || !switcher_knows_all (switcher))
     return false;
   for (unsigned i = 0; i < switcher->rank_count; i++)
     {
@@ -691,7 +348,7 @@
 
       if (view->is_pending || view->report.is_armed || view->report.is_held
           || view->report.map != switcher_map (switcher)
-          || !report_is_newer (view)
+          || !rank_view_is_newer (view)
           || timespec_to_ms (timespec_subtract (now, view->reported_at))
                  > FRESH_MS)
         return false;
@@ -714,9 +371,10 @@
   switcher->map->shape = map->shape;
   switcher->map->slots
       = talloc_memdup (switcher->map, map->slots, slots * sizeof *map->slots);
-  switcher->version = switcher->term * FENCES_A_TERM + ++switcher->switches;
+  switcher->version
+      = switcher->term * SWITCHER_FENCES_A_TERM + ++switcher->switches;
   switcher->is_abandoned = false;
-  enter (switcher, SWITCHER_PREPARING, now);
+  switcher_enter (switcher, SWITCHER_PREPARING, now);
   switcher_tick (switcher, now);
   return true;
 }
@@ -733,7 +391,7 @@
   TALLOC_FREE (switcher->map);
   if (!was_leading)
     return;
-  begin_round (switcher, now);
+  switcher_begin_round (switcher, now);
   switcher->ops->on_event (SWITCHER_RESTARTED, "", switcher->data);
 }
 
@@ -787,8 +445,8 @@
 retry_hold (switcher_t *switcher, struct timespec now)
 {
   switcher->may_be_held = false;
-  if (phase_ms (switcher, now) > HOLD_TIMEOUT_MS)
-    give_up (switcher, "hold-refused", now);
+  if (switcher_phase_ms (switcher, now) > HOLD_TIMEOUT_MS)
+    switcher_give_up (switcher, "hold-refused", now);
   else
     switcher->ranks[switcher->holder].again_at
         = timespec_add (now, timespec_from_ms (RESEND_MS));
