--- a/ctl/commands/explain.c
+++ b/ctl/commands/explain.c
@@ -108,11 +108,11 @@
 
   report_line (story->ctl, "%+8lld ms %s %s %s %s", offset, mark, record->name,
                record->event, record->details);
-  json_array_append_new (
-      story->lines,
-      json_pack ("{s:I,s:s,s:s,s:s}", "offset_ms", (json_int_t)offset, "name",
-                 record->name, "event", record->event, "details",
-                 record->details));
+  json_array_append_new (story->lines,
+                         json_pack ("{s:I,s:s,s:s,s:s}", "offset_ms",
+                                    (json_int_t)offset, "name", record->name,
+                                    "event", record->event, "details",
+                                    record->details));
 }
 
 /* Print the newest beliefs from before the request, oldest first.  A newer one
@@ -172,9 +172,9 @@
     {
       if (strcmp (record->name, story->first->name) != 0)
         continue;
-      has_end = has_end
-                || (log_record_is_of (record, story->request)
-                    && is_end (record));
+      has_end
+          = has_end
+            || (log_record_is_of (record, story->request) && is_end (record));
       if (strcmp (record->event, "lines-left-out") == 0
           && record->at_ms <= story->last->at_ms)
         {
--- a/ctl/log_record.c
+++ b/ctl/log_record.c
@@ -25,8 +25,7 @@
         continue;
       found++;
       if (*found == '"')
-        return talloc_strndup (parent, found + 1,
-                               strcspn (found + 1, "\"\n"));
+        return talloc_strndup (parent, found + 1, strcspn (found + 1, "\"\n"));
       return talloc_strndup (parent, found, strcspn (found, " \n"));
     }
   return NULL;
@@ -71,8 +70,7 @@
     }
   details += strcspn (details + 1, " \n") + 1;
   details += strspn (details, " ");
-  record->details
-      = talloc_strndup (record, details, strcspn (details, "\n"));
+  record->details = talloc_strndup (record, details, strcspn (details, "\n"));
   return record;
 }
 
--- a/include/common/config.h
+++ b/include/common/config.h
@@ -4,8 +4,8 @@
 #include "common/schema.h"
 #include "kernel/findings.h"
 
-#include <stdint.h>
 #include <stdbool.h>
+#include <stdint.h>
 #include <talloc.h>
 
 /* What the platform allows and expects; for programs that run on it.  */
--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -53,7 +53,7 @@
   const char *reason; /* a constant, for the log */
   bool is_cold;
   unsigned candidates;
-  uint64_t running; /* requests of this relay there, without this one */
+  uint64_t running;      /* requests of this relay there, without this one */
   int64_t report_age_ms; /* of the upstream's load; -1: never told */
 } fleet_choice_t;
 
--- a/include/relay/retry_budget.h
+++ b/include/relay/retry_budget.h
@@ -17,7 +17,7 @@
   double ratio;           /* of the requests of a window */
   double extra;           /* besides, in a window, of all relays together */
   struct timespec window; /* any span of this length counts */
-  bool is_first_start; /* no relay before this one has used its part */
+  bool is_first_start;    /* no relay before this one has used its part */
 } retry_limits_t;
 
 retry_budget_t *retry_budget_create (TALLOC_CTX *parent,
--- a/kernel/log.c
+++ b/kernel/log.c
@@ -48,8 +48,9 @@
   clock_gettime (CLOCK_REALTIME, &now);
   gmtime_r (&now.tv_sec, &utc);
   strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
-  snprintf (line, sizeof line, "time=%s.%03ldZ level=%s program=%s name=%s %s\n",
-            stamp, now.tv_nsec / NS_PER_MS,
+  snprintf (line, sizeof line,
+            "time=%s.%03ldZ level=%s program=%s name=%s %s\n", stamp,
+            now.tv_nsec / NS_PER_MS,
             log4c_priority_to_string (event->evt_priority), program_name,
             process_name, event->evt_msg);
   return line;
@@ -89,8 +90,8 @@
 
 /* Open the log: lines of LEVEL and above go to DESCRIPTOR, which stays the
    caller's.  PROGRAM and NAME, which tells
-   this process from others of the program, are kept by reference.  Returns STATUS_IO when log4c or
-   the thread that writes cannot start.  */
+   this process from others of the program, are kept by reference.  Returns
+   STATUS_IO when log4c or the thread that writes cannot start.  */
 status_t
 log_init (const char *program, const char *name, log_level_t level,
           int descriptor)
--- a/kernel/log_sink.c
+++ b/kernel/log_sink.c
@@ -47,7 +47,7 @@
   unsigned second_lines;
   size_t second_bytes;
   unsigned left_out[LOG_LEVEL_COUNT]; /* since the last report of them */
-  time_t left_out_at; /* the second of the newest */
+  time_t left_out_at;                 /* the second of the newest */
   bool is_closing;
   sem_t work;
   sem_t ended;
@@ -115,12 +115,13 @@
                  + count[LOG_LEVEL_DEBUG]
              == 0)
     return;
-  size = snprintf (
-      text, sizeof text,
-      "level=WARN program=%s name=%s event=lines-left-out error=%u warn=%u notice=%u "
-      "info=%u debug=%u\n",
-      sink->program, sink->name, count[LOG_LEVEL_ERROR], count[LOG_LEVEL_WARN],
-      count[LOG_LEVEL_NOTICE], count[LOG_LEVEL_INFO], count[LOG_LEVEL_DEBUG]);
+  size = snprintf (text, sizeof text,
+                   "level=WARN program=%s name=%s event=lines-left-out "
+                   "error=%u warn=%u notice=%u "
+                   "info=%u debug=%u\n",
+                   sink->program, sink->name, count[LOG_LEVEL_ERROR],
+                   count[LOG_LEVEL_WARN], count[LOG_LEVEL_NOTICE],
+                   count[LOG_LEVEL_INFO], count[LOG_LEVEL_DEBUG]);
   if (size <= 0 || (size_t)size >= sizeof text
       || !sink_has_room (sink, LOG_LEVEL_WARN, (size_t)size))
     return;
@@ -263,8 +264,8 @@
 }
 
 /* Create a sink that writes to DESCRIPTOR, which stays the caller's; PROGRAM
-   and NAME are kept by reference and stand in the sink's own lines.  Returns NULL when
-   memory or threads are exhausted.  */
+   and NAME are kept by reference and stand in the sink's own lines.  Returns
+   NULL when memory or threads are exhausted.  */
 log_sink_t *
 log_sink_create (int descriptor, const char *program, const char *name)
 {
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -1,4 +1,4 @@
-#include "pilot/leader.h"
+#include "pilot/leader_state.h"
 
 #include "common/roster.h"
 #include "common/store_mirror.h"
@@ -17,16 +17,15 @@
 enum
 {
   TICK_MS = 50,
-  TERM_MS = 2000,       /* duration of the lease on the leader's key */
-  SEEK_AFTER_MS = 600,  /* without a leader, before the first one is sought */
-  SEEK_STEP_MS = 150,   /* later for each rank number */
-  SHOW_MS = 250,        /* between signs of life to the other pilots */
-  STUCK_MS = 250,       /* the group is held and no leader is heard */
-  PAUSED_MS = 250,      /* between ticks, when this process stood still */
-  PLAN_MS = 500,        /* from one plan to the next */
-  LEARN_MS = 100,       /* between questions for the map in use */
-  ANSWER_MS = 250,      /* ranks have to tell their counts */
-  MIRROR_PACE_MS = 2000 /* of the store, while leading */
+  TERM_MS = 2000,      /* duration of the lease on the leader's key */
+  SEEK_AFTER_MS = 600, /* without a leader, before the first one is sought */
+  SEEK_STEP_MS = 150,  /* later for each rank number */
+  SHOW_MS = 250,       /* between signs of life to the other pilots */
+  STUCK_MS = 250,      /* the group is held and no leader is heard */
+  PAUSED_MS = 250,     /* between ticks, when this process stood still */
+  PLAN_MS = 500,       /* from one plan to the next */
+  LEARN_MS = 100,      /* between questions for the map in use */
+  ANSWER_MS = 250      /* ranks have to tell their counts */
 };
 
 /* The holder of a group's key: name, incarnation and rank.  */
@@ -39,36 +38,6 @@
                 "Changes of the expert map that were given up");
 GAUGE_DEFINE (leading, "siskin_leading", "Whether this pilot leads its group");
 
-struct leader
-{
-  pilot_t *pilot;
-  worker_timer_t *timer;
-  struct timespec ticked_at;
-  struct timespec ended_at; /* when it last ceased to lead */
-  struct timespec free_at;  /* the own engine was seen not to be held */
-  term_t *term;             /* NULL until the group is known */
-  char *group;
-  unsigned rank_count;
-  unsigned own_rank;
-  bool is_stopping;
-  bool has_seen_free; /* the own engine was not held, since the start */
-  uint64_t fence;     /* of the newest own term */
-  /* While it leads.  */
-  crew_t *crew;
-  switcher_t *switcher;
-  store_mirror_t *mirror;
-  char *service; /* of the own engine */
-  planner_t *planner;
-  placement_map_t *planned; /* of the switch under way */
-  unsigned asked;           /* ranks that are to tell */
-  bool is_asking;
-  rank_question_t question;
-  struct timespec asked_at;
-  struct timespec counted_at; /* asked for counts */
-  struct timespec planned_at;
-  struct timespec shown_at; /* the other pilots had a sign of life */
-};
-
 static int64_t
 ms_since (const leader_t *leader, struct timespec then)
 {
@@ -96,8 +65,8 @@
 {
   if (leader->crew == NULL)
     return;
-  log_event (LOG_LEVEL_NOTICE, "leading-ended", "group=%s why=%s", leader->group,
-             why);
+  log_event (LOG_LEVEL_NOTICE, "leading-ended", "group=%s why=%s",
+             leader->group, why);
   counter_set (&leading, 0);
   switcher_stop (leader->switcher);
   crew_destroy (leader->crew);
@@ -265,88 +234,6 @@
   .on_told = leader_on_told,
 };
 
-static void
-leader_take_rules (leader_t *leader, const store_entry_t *entry)
-{
-  const service_rule_t *service;
-  rules_t *rules;
-
-  if (entry->value == NULL
-      || leader->pilot->catalog_ops->read_rules (entry->value,
-                                                 entry->value_size, &rules)
-             != STATUS_OK)
-    {
-      log_event (LOG_LEVEL_WARN, "rules-rejected", "revision=%lld action=keep",
-                 (long long)entry->mod_revision);
-      return;
-    }
-  service
-      = rules_service (rules, daemon_config (leader->pilot->daemon)->service);
-  if (leader->planner == NULL && service != NULL && service->has_engine)
-    leader->planner
-        = planner_create (leader, &service->engine, leader->rank_count);
-  rules_release (rules);
-}
-
-/* Note where an engine of the own service is, in case its pilot is away.  */
-static void
-leader_take_upstream (leader_t *leader, const char *id,
-                      const store_entry_t *entry)
-{
-  const pilot_t *pilot = leader->pilot;
-  TALLOC_CTX *scratch = talloc_new (leader);
-  upstream_listing_t listing;
-
-  if (entry->value != NULL
-      && pilot->catalog_ops->read_upstream (scratch, id, entry->value,
-                                            entry->value_size, &listing)
-             == STATUS_OK
-      && strcmp (listing.service, daemon_config (pilot->daemon)->service) == 0)
-    crew_note_upstream (leader->crew, listing.address);
-  talloc_free (scratch);
-}
-
-/* The key of a group's leader has changed: another pilot may have seized
-   it.  */
-static void
-leader_take_leader (leader_t *leader, const char *group,
-                    const store_entry_t *entry)
-{
-  if (strcmp (group, leader->group) == 0 && entry->value != NULL
-      && (uint64_t)entry->mod_revision > leader->fence)
-    switcher_stop (leader->switcher);
-}
-
-static void
-leader_on_change (const store_entry_t *entry, void *data)
-{
-  leader_t *leader = data;
-  const char *name;
-
-  switch (leader->pilot->catalog_ops->classify (entry->key, &name))
-    {
-    case CATALOG_RULES:
-      leader_take_rules (leader, entry);
-      break;
-    case CATALOG_UPSTREAM:
-      leader_take_upstream (leader, name, entry);
-      break;
-    case CATALOG_OWN:
-      if (roster_name (name, ROSTER_PILOTS) != NULL)
-        crew_note_pilot (leader->crew, roster_name (name, ROSTER_PILOTS),
-                         entry->value);
-      else if (roster_name (name, ROSTER_LEADERS) != NULL)
-        leader_take_leader (leader, roster_name (name, ROSTER_LEADERS), entry);
-      break;
-    default:
-      break;
-    }
-}
-
-static const store_mirror_ops_t leader_mirror_ops = {
-  .on_change = leader_on_change,
-};
-
 static void
 leader_on_won (uint64_t fence, const term_seized_t *seized, void *data)
 {
@@ -354,12 +241,6 @@
   pilot_t *pilot = leader->pilot;
   switcher_deposed_t deposed = { 0 };
   bool is_known;
-  store_mirror_options_t options = {
-    .store_ops = pilot->store_ops,
-    .store = pilot->store,
-    .prefix = "",
-    .pace = timespec_from_ms (MIRROR_PACE_MS),
-  };
 
   leader_end (leader, "new-term");
   leader->fence = fence;
@@ -388,8 +269,7 @@
                               leader->own_rank, &leader_crew_ops, leader);
   switcher_lead (leader->switcher, fence, is_known ? &deposed : NULL,
                  pilot_now (pilot));
-  leader->mirror = store_mirror_create (leader, pilot->worker, &options,
-                                        &leader_mirror_ops, leader);
+  leader_follow_store (leader);
 }
 
 static void
--- a/relay/directory.c
+++ b/relay/directory.c
@@ -117,7 +117,8 @@
                          const char *why)
 {
   if (fleet_remove (directory->relay->fleet, id))
-    log_event (LOG_LEVEL_NOTICE, "upstream-gone", "upstream=%s why=%s", id, why);
+    log_event (LOG_LEVEL_NOTICE, "upstream-gone", "upstream=%s why=%s", id,
+               why);
 }
 
 static void
--- a/relay/retry_budget.c
+++ b/relay/retry_budget.c
@@ -45,7 +45,7 @@
   struct timespec created_at;
   unsigned relays;
   struct timespec most_at; /* when there were that many, or more, last */
-  table_t *services; /* by name; guards the whole budget */
+  table_t *services;       /* by name; guards the whole budget */
 };
 
 /* Create a budget for one relay.  */
@@ -94,9 +94,8 @@
 
   table_lock (budget->services);
   if (count >= budget->relays
-      || timespec_compare (timespec_add (budget->most_at,
-                                         budget->limits.window),
-                           now)
+      || timespec_compare (
+             timespec_add (budget->most_at, budget->limits.window), now)
              <= 0)
     {
       budget->relays = count > 0 ? count : 1;
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -141,7 +141,8 @@
 
   (void)state;
   assert_int_equal (pipe (ends), 0);
-  assert_int_equal (log_init ("test", "test-1", LOG_LEVEL_INFO, ends[1]), STATUS_OK);
+  assert_int_equal (log_init ("test", "test-1", LOG_LEVEL_INFO, ends[1]),
+                    STATUS_OK);
   log_event (LOG_LEVEL_NOTICE, "seen", "request=%s", "r-1");
   log_event (LOG_LEVEL_DEBUG, "hidden", "request=%s", "r-1");
   log_close ();
@@ -149,8 +150,9 @@
   text = read_all (ends[0]);
   close (ends[0]);
   assert_int_equal (strncmp (text, "time=2", 6), 0);
-  assert_non_null (strstr (text, "Z level=NOTICE program=test name=test-1 event=seen "
-                                 "request=r-1\n"));
+  assert_non_null (
+      strstr (text, "Z level=NOTICE program=test name=test-1 event=seen "
+                    "request=r-1\n"));
   assert_null (strstr (text, "hidden"));
   free (text);
 }
