--- a/tests/process/platform_replicas.py
+++ b/tests/process/platform_replicas.py
@@ -126,11 +126,13 @@
     return ("id: %d\ndata: piece-%d\n\n" % (number, number)).encode()
 
 
-def stream(pieces=STREAM_PIECES, gap_s=0.02, stop_after=None, then="close"):
-    """A stream whose events are numbered from 1, from Last-Event-Id on.  It
-    may stop after an event: then "close" or "hang"."""
+def stream(pieces=STREAM_PIECES, gap_s=0.02, stop_after=None, then="close",
+           starts_over=False):
+    """A stream whose events are numbered from 1, from Last-Event-Id on unless
+    it starts over.  It may stop after an event: then "close" or "hang"."""
     async def answer(replica, request, writer):
-        first = int(request.headers.get("last-event-id", 0)) + 1
+        first = 1 if starts_over else \
+            int(request.headers.get("last-event-id", 0)) + 1
         writer.write(answer_bytes(
             200, b"", replica.stamp(request, [
                 ("Content-Type", "text/event-stream"),
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -126,8 +126,9 @@
         self.platform.configure(allow_attempts)
         self.apps = [self.add("app", zone, replicas.answer_whole)
                      for zone in "abc"]
-        self.models = [self.add("model", zone, replicas.stream(PIECES))
-                       for zone in "abca"]
+        self.models = [self.add("model", zone, replicas.stream(
+            PIECES, starts_over=number % 2 == 1))
+                       for number, zone in enumerate("abca")]
         self.store_proxies = [self.start_proxy(self.platform.store.port)
                               for _ in range(RELAYS)]
         self.relays = [self.start_relay(i, True) for i in range(RELAYS)]
@@ -217,11 +218,12 @@
 
     def sicken_replica(self):
         replica = self.random.choice(self.apps + self.models)
-        answers = [replicas.fail(500), replicas.reset, replicas.cut_short,
-                   replicas.garbage, replicas.decline, replicas.answer_twice,
-                   replicas.answer_foreign, replicas.hang]
+        # Broken off most of all.
+        answers = 3 * [replicas.reset, replicas.cut_short] + [
+            replicas.fail(500), replicas.garbage, replicas.decline,
+            replicas.answer_twice, replicas.answer_foreign, replicas.hang]
         if replica.service == "model":
-            answers += [replicas.stream(PIECES, stop_after=3),
+            answers += [*3 * [replicas.stream(PIECES, stop_after=3)],
                         replicas.stream(PIECES, stop_after=2, then="hang")]
         replica.answer = self.random.choice(answers)
         return replica.id, lambda: setattr(replica, "answer", replica.usual)
