--- a/common/net.c
+++ b/common/net.c
@@ -1,9 +1,11 @@
 #include "common/net.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -17,6 +19,15 @@
   LISTEN_BACKLOG = 1024
 };
 
+static bool
+is_ip_number (const char *host)
+{
+  struct in6_addr number;
+
+  return inet_pton (AF_INET, host, &number) == 1
+         || inet_pton (AF_INET6, host, &number) == 1;
+}
+
 /* Parse TEXT as HOST:PORT into ADDRESS, whose host belongs to PARENT.  The
    host is an IP number; names are not resolved.  Returns STATUS_INVALID.  */
 status_t
@@ -41,6 +52,8 @@
       length -= 2;
     }
   address->host = talloc_strndup (parent, start, length);
+  if (!is_ip_number (address->host))
+    return status_set (STATUS_INVALID, "'%s' has no IP number", text);
   address->port = (uint16_t)port;
   return STATUS_OK;
 }
