Let go of a group that a late order holds while nothing is under way

Now an idle leader that sees a rank held begins a new round, which fences off all such orders and releases the group. test_pilots has the case without chance; it failed before.

--- a/pilot/switcher.c
+++ b/pilot/switcher.c
@@ -300,6 +300,25 @@
   switcher->ops->on_event (SWITCHER_SWITCHED, "", switcher->data);
 }
 
+/* Nothing is under way.  An order to hold that was lost may be carried out
+   late all the same and hold the group again: a new round fences off all such
+   orders, and ends what they did.  */
+static void
+watch (switcher_t *switcher, struct timespec now)
+{
+  for (unsigned i = 0; i < switcher->rank_count; i++)
+    {
+      const rank_view_t *view = &switcher->ranks[i];
+
+      if (view->report.is_held && rank_view_is_newer (view)
+          && !view->is_pending)
+        {
+          switcher_begin_round (switcher, now);
+          return;
+        }
+    }
+}
+
 /* Take the next steps.  To be called a few times a second, besides after each
    report and verdict.  */
 void
@@ -328,8 +347,10 @@
     case SWITCHER_RELEASING:
       release (switcher, now);
       break;
-    case SWITCHER_OFF:
     case SWITCHER_IDLE:
+      watch (switcher, now);
+      break;
+    case SWITCHER_OFF:
     case SWITCHER_PHASE_COUNT:
       break;
     }
--- a/tests/process/platform_group.py
+++ b/tests/process/platform_group.py
@@ -81,6 +81,11 @@
     def stands_for(self):
         return time.monotonic() - self.stood_since
 
+    def describe(self):
+        return "step %d, stands for %.1f s, %s" % (
+            self.step, self.stands_for(), [vars(rank) | {"counts": None}
+                                           for rank in self.ranks])
+
     # Calls.
 
     def call(self, replica, request):
--- a/tests/process/test_pilots.py
+++ b/tests/process/test_pilots.py
@@ -29,8 +29,12 @@
 
     def wait_for_maps(self, more):
         wanted = len(self.group.versions) + more
-        wait_until(lambda: len(self.group.versions) >= wanted, SWITCH_S,
-                   "%d more maps" % more)
+        try:
+            wait_until(lambda: len(self.group.versions) >= wanted, SWITCH_S,
+                       "%d more maps" % more)
+        except AssertionError as error:
+            raise AssertionError("%s; %s" % (
+                error, self.group.describe())) from None
 
     def leading(self):
         return [pilot for pilot in self.pilots
@@ -93,6 +97,15 @@
         self.wait_for_maps(2)
         self.assert_no_long_stand()
 
+    def test_hold_that_is_carried_out_after_its_switch(self):
+        self.leader()
+        for rank in self.group.ranks:
+            self.wait_for_maps(1)
+            self.forget_stands()
+            rank.held = self.group.step + 1
+            time.sleep(STAND_S)
+            self.assert_no_long_stand()
+
     def test_store_away_stops_no_leader(self):
         self.forget_stands()
         self.platform.store.trouble = "silent"
