--- a/common/store_mirror.c
+++ b/common/store_mirror.c
@@ -367,17 +367,3 @@
 {
   return mirror->is_synced;
 }
-
-/* Return whether the last call was answered.  */
-bool
-store_mirror_is_in_touch (const store_mirror_t *mirror)
-{
-  return mirror->is_in_touch;
-}
-
-/* Return for how long the store has not answered.  */
-struct timespec
-store_mirror_silence (const store_mirror_t *mirror)
-{
-  return timespec_subtract (mirror_now (mirror), mirror->answered_at);
-}
--- a/common/term.c
+++ b/common/term.c
@@ -285,10 +285,3 @@
   term_end_lease (term, term->lease);
   term->lease = 0;
 }
-
-/* Return whether the term is held.  */
-bool
-term_is_held (const term_t *term)
-{
-  return term->is_held;
-}
--- a/include/common/store_mirror.h
+++ b/include/common/store_mirror.h
@@ -43,7 +43,5 @@
 void store_mirror_destroy (store_mirror_t *mirror);
 void store_mirror_hurry (store_mirror_t *mirror);
 bool store_mirror_is_synced (const store_mirror_t *mirror);
-bool store_mirror_is_in_touch (const store_mirror_t *mirror);
-struct timespec store_mirror_silence (const store_mirror_t *mirror);
 
 #endif
--- a/include/common/term.h
+++ b/include/common/term.h
@@ -45,6 +45,5 @@
 void term_seek (term_t *term);
 bool term_seize (term_t *term);
 void term_leave (term_t *term);
-bool term_is_held (const term_t *term);
 
 #endif
--- a/include/kernel/clock.h
+++ b/include/kernel/clock.h
@@ -31,6 +31,5 @@
 int64_t timespec_to_ms (struct timespec value);
 struct timespec timespec_from_us (int64_t microseconds);
 int64_t timespec_to_us (struct timespec value);
-struct timeval timespec_to_timeval (struct timespec value);
 
 #endif
--- a/include/pilot/reporter.h
+++ b/include/pilot/reporter.h
@@ -6,7 +6,6 @@
 /* Asks the own engine several times a second how it is, which costs nothing
    from the engine's own machine, and tells those who want to know.  */
 reporter_t *reporter_create (pilot_t *pilot);
-const rank_report_t *reporter_last (const reporter_t *reporter);
 void reporter_hurry (reporter_t *reporter);
 
 #endif
--- a/kernel/clock.c
+++ b/kernel/clock.c
@@ -185,11 +185,3 @@
 {
   return (int64_t)value.tv_sec * US_PER_S + value.tv_nsec / NS_PER_US;
 }
-
-/* Return VALUE as a timeval, rounded down to the microsecond.  */
-struct timeval
-timespec_to_timeval (struct timespec value)
-{
-  return (struct timeval){ .tv_sec = value.tv_sec,
-                           .tv_usec = value.tv_nsec / NS_PER_US };
-}
--- a/pilot/reporter.c
+++ b/pilot/reporter.c
@@ -107,13 +107,6 @@
   return reporter;
 }
 
-/* Return the engine's last report, or NULL when there is none yet.  */
-const rank_report_t *
-reporter_last (const reporter_t *reporter)
-{
-  return reporter->is_known ? &reporter->last : NULL;
-}
-
 /* Ask the engine again soon.  */
 void
 reporter_hurry (reporter_t *reporter)
