--- a/plugins/engine/http.c
+++ b/plugins/engine/http.c
@@ -1,4 +1,5 @@
 #include "common/base64.h"
+#include "common/buffer.h"
 #include "common/http_client.h"
 #include "kernel/plugin.h"
 #include "plugins/engine.h"
@@ -33,8 +34,7 @@
   engine_done_t done;
   void *data;
   unsigned http_status;
-  char *body;
-  size_t size;
+  buffer_t body;
 } engine_call_t;
 
 static engine_t *
@@ -141,11 +141,8 @@
   engine_call_t *call = data;
 
   (void)http;
-  if (call->size + size > ANSWER_MAX_BYTES)
-    return true;
-  call->body = talloc_realloc (call, call->body, char, call->size + size);
-  memcpy (call->body + call->size, bytes, size);
-  call->size += size;
+  /* What is cut short is found to be malformed.  */
+  buffer_append (call, &call->body, bytes, size);
   return true;
 }
 
@@ -165,8 +162,8 @@
                          call->http_status);
   if (status == STATUS_OK)
     {
-      root = json_loadb (call->body == NULL ? "" : call->body, call->size, 0,
-                         NULL);
+      root = json_loadb (call->body.text == NULL ? "" : call->body.text,
+                         call->body.size, 0, NULL);
       if (root == NULL || !read_answer (call, root, &answer))
         status = status_set (STATUS_PROTOCOL, "engine's state is malformed");
     }
@@ -228,6 +225,8 @@
           .timeout = timespec_from_ms (ORDER_TIMEOUT_MS),
           .is_sent_once = true };
 
+  call->body.what = "the engine's state";
+  call->body.limit = ANSWER_MAX_BYTES;
   call->done = done;
   call->data = data;
   options.body = order_text (call, engine, order, maps, wants_maps);
--- a/plugins/store/etcd.c
+++ b/plugins/store/etcd.c
@@ -8,11 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum
-{
-  MAX_ANSWER_BYTES = 16 * 1024 * 1024
-};
-
 COUNTER_DEFINE_LABELLED (calls_read, "siskin_store_calls_total",
                          "kind=\"read\"", "Calls to the key-value service");
 COUNTER_DEFINE_LABELLED (calls_write, "siskin_store_calls_total",
@@ -30,36 +25,13 @@
   http_call_t *http;
   unsigned url_index; /* the one this call went to */
   unsigned http_status;
-  char *answer;
-  size_t answer_size;
+  buffer_t answer;
   status_t fault; /* found while the answer came in */
   store_done_t done;
   store_lease_done_t lease_done;
   void *data;
 };
 
-/* Append BYTES to *BUFFER, which stays terminated and belongs to PARENT.
-   Returns STATUS_TOO_LARGE past the limit of one answer.  */
-status_t
-etcd_append (TALLOC_CTX *parent, char **buffer, size_t *used,
-             const char *bytes, size_t size)
-{
-  char *larger = *buffer;
-
-  if (*used + size > MAX_ANSWER_BYTES)
-    return status_set (STATUS_TOO_LARGE, "the store's answer is over %d bytes",
-                       MAX_ANSWER_BYTES);
-  if (talloc_get_size (larger) < *used + size + 1)
-    larger = talloc_realloc (parent, *buffer, char, (*used + size) * 2 + 1);
-  if (larger == NULL)
-    return status_set (STATUS_NO_MEMORY, "no memory for the store's answer");
-  memcpy (larger + *used, bytes, size);
-  *used += size;
-  larger[*used] = '\0';
-  *buffer = larger;
-  return STATUS_OK;
-}
-
 /* Start a POST of BODY, whose reference is taken, to the address in use.  */
 http_call_t *
 etcd_post (store_t *store, const char *path, json_t *body,
@@ -98,8 +70,7 @@
 
   (void)http;
   if (call->fault == STATUS_OK)
-    call->fault
-        = etcd_append (call, &call->answer, &call->answer_size, bytes, size);
+    call->fault = buffer_append (call, &call->answer, bytes, size);
   return true;
 }
 
@@ -121,11 +92,11 @@
     return call->fault;
   if (call->http_status == 400 || call->http_status == 413)
     return status_set (STATUS_INVALID, "the store refused the call: %s",
-                       call->answer == NULL ? "" : call->answer);
+                       call->answer.text == NULL ? "" : call->answer.text);
   if (call->http_status == 404)
     return status_set (STATUS_NOT_FOUND, "the store does not know it: %s",
-                       call->answer == NULL ? "" : call->answer);
-  if (call->http_status == 200 && call->answer != NULL)
+                       call->answer.text == NULL ? "" : call->answer.text);
+  if (call->http_status == 200 && call->answer.text != NULL)
     return STATUS_OK;
   etcd_rotate (call->store, call->url_index);
   return status_set (STATUS_IO, "the store answered HTTP %u",
@@ -147,7 +118,7 @@
   status = call_check_answer (call);
   if (status != STATUS_OK)
     return status;
-  *root = json_loadb (call->answer, call->answer_size, 0, NULL);
+  *root = json_loadb (call->answer.text, call->answer.size, 0, NULL);
   if (*root == NULL)
     return status_set (STATUS_PROTOCOL, "the store's answer is not JSON");
   return STATUS_OK;
@@ -244,6 +215,8 @@
   if (call == NULL)
     return NULL;
   call->store = store;
+  call->answer.what = "the store's answer";
+  call->answer.limit = ETCD_MAX_ANSWER_BYTES;
   call->url_index = store->url_index;
   call->data = data;
   return call;
--- a/plugins/store/etcd.h
+++ b/plugins/store/etcd.h
@@ -1,11 +1,17 @@
 #ifndef SISKIN_PLUGINS_STORE_ETCD_H
 #define SISKIN_PLUGINS_STORE_ETCD_H
 
+#include "common/buffer.h"
 #include "common/http_client.h"
 #include "plugins/store.h"
 
 #include <jansson.h>
 
+enum
+{
+  ETCD_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+};
+
 struct store
 {
   worker_t *worker;
@@ -20,8 +26,6 @@
                         struct timespec timeout, const http_call_ops_t *ops,
                         void *data);
 void etcd_rotate (store_t *store, unsigned url_index);
-status_t etcd_append (TALLOC_CTX *parent, char **buffer, size_t *used,
-                      const char *bytes, size_t size);
 store_watch_t *etcd_watch (store_t *store, const char *key,
                            int64_t start_revision,
                            const store_watch_ops_t *ops, void *data);
--- a/plugins/store/etcd_watch.c
+++ b/plugins/store/etcd_watch.c
@@ -20,8 +20,7 @@
   http_call_t *http; /* NULL once the call has ended */
   const store_watch_ops_t *ops;
   void *data;
-  char *line;
-  size_t line_size;
+  buffer_t line;
   unsigned url_index; /* the one this watch went to */
   unsigned http_status;
   bool is_dead;        /* no callback runs any more */
@@ -123,17 +122,17 @@
 
   while (!watch->is_dead)
     {
-      char *start = watch->line + taken;
-      char *newline = memchr (start, '\n', watch->line_size - taken);
+      char *start = watch->line.text + taken;
+      char *newline = memchr (start, '\n', watch->line.size - taken);
 
       if (newline == NULL)
         break;
       if (newline > start)
         watch_handle_line (watch, start, (size_t)(newline - start));
-      taken = (size_t)(newline - watch->line) + 1;
+      taken = (size_t)(newline - watch->line.text) + 1;
     }
-  watch->line_size -= taken;
-  memmove (watch->line, watch->line + taken, watch->line_size);
+  watch->line.size -= taken;
+  memmove (watch->line.text, watch->line.text + taken, watch->line.size);
 }
 
 static void
@@ -155,7 +154,7 @@
   if (watch->is_dead || watch->http_status != 200)
     return true;
   watch->is_in_callback = true;
-  status = etcd_append (watch, &watch->line, &watch->line_size, bytes, size);
+  status = buffer_append (watch, &watch->line, bytes, size);
   if (status == STATUS_OK)
     watch_take_lines (watch);
   else
@@ -214,6 +213,8 @@
   if (watch == NULL)
     return NULL;
   watch->store = store;
+  watch->line.what = "the store's answer";
+  watch->line.limit = ETCD_MAX_ANSWER_BYTES;
   watch->ops = ops;
   watch->data = data;
   watch->url_index = store->url_index;
