Drop no-op callbacks and documents' fields that nothing reads

The catalog decoded a dozen fields of routes, services and engines, and the egress one, that no part used.

--- a/common/daemon.c
+++ b/common/daemon.c
@@ -126,17 +126,8 @@
   http_reply_text (exchange, 404, "text/plain", "not found\n");
 }
 
-static void
-admin_on_end (http_exchange_t *exchange, void *data)
-{
-  (void)exchange;
-  (void)data;
-}
-
 static const http_server_ops_t admin_ops = {
   .on_request = admin_on_request,
-  .on_gone = admin_on_end,
-  .on_finished = admin_on_end,
 };
 
 static status_t
--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -47,7 +47,8 @@
   exchange->is_gone = true;
   exchange->is_aborted = true;
   counter_add (&exchanges_gone, 1);
-  exchange->server->ops->on_gone (exchange, exchange->server->data);
+  if (exchange->server->ops->on_gone != NULL)
+    exchange->server->ops->on_gone (exchange, exchange->server->data);
 }
 
 static int
@@ -310,7 +311,8 @@
   if (exchange->is_dispatched)
     {
       exchange_note_gone (exchange);
-      server->ops->on_finished (exchange, server->data);
+      if (server->ops->on_finished != NULL)
+        server->ops->on_finished (exchange, server->data);
     }
   if (exchange->response != NULL)
     MHD_destroy_response (exchange->response);
--- a/common/rules.c
+++ b/common/rules.c
@@ -112,7 +112,6 @@
   if (service == NULL)
     return NULL;
   service->name = talloc_strdup (service, name);
-  STAILQ_INIT (&service->delays);
   STAILQ_INSERT_TAIL (&rules->services, service, link);
   return service;
 }
--- a/include/common/rules.h
+++ b/include/common/rules.h
@@ -49,7 +49,6 @@
   route_kind_t kind;
   bool is_resumable; /* a stream may go on at another upstream */
   bool is_public;    /* needs no key */
-  bool has_prompts;  /* requests tell the tokens of their prompt */
   struct timespec timeout;
   struct timespec objective; /* for the answer, or a stream's first event */
   struct timespec gap_limit; /* between events; zero for none */
@@ -69,36 +68,19 @@
   int64_t priority;
 } client_account_t;
 
-/* The path from one zone to another.  */
-typedef struct zone_delay
-{
-  STAILQ_ENTRY (zone_delay) link;
-  const char *from;
-  const char *to;
-  double delay_ms; /* one way */
-} zone_delay_t;
-
 /* How a model engine works through its batch, in pass after pass.  */
 typedef struct engine_profile
 {
-  unsigned slots;         /* requests at once */
-  uint64_t memory_tokens; /* of all requests together */
-  unsigned stride;        /* token steps in a pass that writes */
-  double step_ms;         /* each token step */
-  double per_request_ms;  /* more, for each request that writes */
-  double per_context_ms;  /* more, for each 1,000 tokens of context */
-  double read_per_ms;     /* prompt tokens read in a ms */
-  double pair_ms;         /* for each million pairs of tokens */
-  unsigned chunk;         /* prompt tokens read in a step, at most */
-  double usual_prompt;    /* tokens */
-  double usual_answer;    /* tokens */
-  struct timespec report_lag;
+  unsigned stride;     /* token steps in a pass that writes */
+  double step_ms;      /* each token step */
+  double read_per_ms;  /* prompt tokens read in a ms */
+  double usual_prompt; /* tokens */
+  double usual_answer; /* tokens */
   bool has_experts;
   unsigned layers;      /* sets of layers that share a choice of experts */
   unsigned experts;     /* of a layer set */
   unsigned places;      /* replicas that a rank holds of a layer set */
   unsigned spare;       /* new experts that a rank may load at a time */
-  double expert_share;  /* of the work for tokens that is the experts' */
   double expert_load_s; /* a rank takes to load the weights of one */
   struct timespec form_time; /* until a broken group is open again */
 } engine_profile_t;
@@ -107,15 +89,12 @@
 {
   STAILQ_ENTRY (service_rule) link;
   const char *name;
-  const char *health_path;
-  unsigned connection_limit; /* of one upstream, from all callers */
   struct timespec cold_time; /* after a start */
   double cold_rate;          /* requests a second while cold; 0: any */
   /* The shortest that a route to the service has; zero for none.  */
   struct timespec gap_limit;
   bool has_engine;
   engine_profile_t engine;
-  STAILQ_HEAD (, zone_delay) delays;
 } service_rule_t;
 
 typedef struct client_limits
--- a/include/plugins/catalog.h
+++ b/include/plugins/catalog.h
@@ -24,8 +24,6 @@
   catalog_kind_t (*classify) (const char *key, const char **name);
   /* What this system writes goes under this prefix.  */
   const char *own_prefix;
-  /* The prefix of all that the operators write.  */
-  const char *operator_prefix;
   /* The prefix of the listings.  */
   const char *upstream_prefix;
   /* Read a document of rules.  STATUS_INVALID with the status message set
--- a/include/plugins/egress.h
+++ b/include/plugins/egress.h
@@ -49,7 +49,6 @@
   bool is_not_run;               /* the upstream did not run the request */
   bool is_misdirected;           /* another upstream has the address now */
   bool is_encoded;               /* the body is not as the upstream made it */
-  const char *at_fault; /* id of the upstream that is to blame, or NULL */
   egress_load_t load;
 } egress_head_t;
 
--- a/kernel/log_sink.c
+++ b/kernel/log_sink.c
@@ -1,5 +1,6 @@
 #include "kernel/log_sink.h"
 
+#include "kernel/clock.h"
 #include "kernel/counter.h"
 #include "kernel/lock.h"
 
@@ -47,6 +48,7 @@
   unsigned second_lines;
   size_t second_bytes;
   unsigned left_out[LOG_LEVEL_COUNT]; /* since the last report of them */
+  bool has_left_out;                  /* any of these is not 0 */
   time_t left_out_at;                 /* the second of the newest */
   bool is_closing;
   sem_t work;
@@ -58,18 +60,19 @@
 };
 
 COUNTER_DEFINE (lines_written, "siskin_log_lines_total", "Log lines written");
+static const char left_out_help[]
+    = "Log lines left out because of the rate or a reader that stands still";
+
 COUNTER_DEFINE_LABELLED (error_left_out, "siskin_log_lines_left_out_total",
-                         "level=\"error\"",
-                         "Log lines left out because of the rate or a reader "
-                         "that stands still");
+                         "level=\"error\"", left_out_help);
 COUNTER_DEFINE_LABELLED (warn_left_out, "siskin_log_lines_left_out_total",
-                         "level=\"warn\"", "");
+                         "level=\"warn\"", left_out_help);
 COUNTER_DEFINE_LABELLED (notice_left_out, "siskin_log_lines_left_out_total",
-                         "level=\"notice\"", "");
+                         "level=\"notice\"", left_out_help);
 COUNTER_DEFINE_LABELLED (info_left_out, "siskin_log_lines_left_out_total",
-                         "level=\"info\"", "");
+                         "level=\"info\"", left_out_help);
 COUNTER_DEFINE_LABELLED (debug_left_out, "siskin_log_lines_left_out_total",
-                         "level=\"debug\"", "");
+                         "level=\"debug\"", left_out_help);
 
 static counter_t *const left_out_counters[LOG_LEVEL_COUNT] = {
   [LOG_LEVEL_ERROR] = &error_left_out,   [LOG_LEVEL_WARN] = &warn_left_out,
@@ -109,11 +112,7 @@
   char text[SINK_REPORT_BYTES];
   int size;
 
-  if (now.tv_sec == sink->left_out_at
-      || count[LOG_LEVEL_ERROR] + count[LOG_LEVEL_WARN]
-                 + count[LOG_LEVEL_NOTICE] + count[LOG_LEVEL_INFO]
-                 + count[LOG_LEVEL_DEBUG]
-             == 0)
+  if (!sink->has_left_out || now.tv_sec == sink->left_out_at)
     return;
   size = snprintf (text, sizeof text,
                    "level=WARN program=%s name=%s event=lines-left-out "
@@ -127,6 +126,7 @@
     return;
   sink_append (sink, text, (size_t)size);
   memset (sink->left_out, 0, sizeof sink->left_out);
+  sink->has_left_out = false;
 }
 
 /* Queue LINE of SIZE bytes for writing at NOW, or count it as left out.  Never
@@ -155,6 +155,7 @@
   else
     {
       sink->left_out[level]++;
+      sink->has_left_out = true;
       sink->left_out_at = now.tv_sec;
       counter_add (left_out_counters[level], 1);
     }
@@ -299,12 +300,7 @@
   lock_release (sink->lock);
   sem_post (&sink->work);
   clock_gettime (CLOCK_REALTIME, &end);
-  end.tv_nsec += SINK_LAST_WAIT_MS * 1000000L;
-  if (end.tv_nsec >= 1000000000L)
-    {
-      end.tv_nsec -= 1000000000L;
-      end.tv_sec++;
-    }
+  end = timespec_add (end, timespec_from_ms (SINK_LAST_WAIT_MS));
   while (sem_timedwait (&sink->ended, &end) != 0)
     {
       if (errno != ETIMEDOUT)
--- a/plugins/frontend/http.c
+++ b/plugins/frontend/http.c
@@ -263,19 +263,11 @@
     call_note_taken (caller->call, http_reply_pending (exchange));
 }
 
-static void
-http_on_finished (http_exchange_t *exchange, void *data)
-{
-  (void)exchange;
-  (void)data;
-}
-
 static const http_server_ops_t server_ops = {
   .on_request = http_on_request,
   .on_too_large = http_on_too_large,
   .on_gone = http_on_gone,
   .on_drained = http_on_drained,
-  .on_finished = http_on_finished,
 };
 
 static frontend_t *
--- a/relay/readiness.c
+++ b/relay/readiness.c
@@ -46,17 +46,8 @@
                    is_ready ? "ready\n" : "not ready\n");
 }
 
-static void
-readiness_on_end (http_exchange_t *exchange, void *data)
-{
-  (void)exchange;
-  (void)data;
-}
-
 static const http_server_ops_t readiness_ops = {
   .on_request = readiness_on_request,
-  .on_gone = readiness_on_end,
-  .on_finished = readiness_on_end,
 };
 
 /* Answer any request at ADDRESS with 200 while the relay is ready, else with
--- a/tests/standin/rank.c
+++ b/tests/standin/rank.c
@@ -350,17 +350,8 @@
     http_reply_text (exchange, 404, "text/plain", "no such path\n");
 }
 
-static void
-rank_on_end (http_exchange_t *exchange, void *data)
-{
-  (void)exchange;
-  (void)data;
-}
-
 static const http_server_ops_t rank_server_ops = {
   .on_request = rank_on_request,
-  .on_gone = rank_on_end,
-  .on_finished = rank_on_end,
 };
 
 static void *
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -236,13 +236,6 @@
   json_decref (request);
 }
 
-static void
-store_on_gone (http_exchange_t *exchange, void *data)
-{
-  (void)exchange;
-  (void)data;
-}
-
 static void
 store_on_finished (http_exchange_t *exchange, void *data)
 {
@@ -261,7 +254,6 @@
 
 static const http_server_ops_t store_ops = {
   .on_request = store_on_request,
-  .on_gone = store_on_gone,
   .on_finished = store_on_finished,
 };
 
--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -318,17 +318,9 @@
   answer_finish (answer);
 }
 
-static void
-upstream_on_finished (http_exchange_t *exchange, void *data)
-{
-  (void)exchange;
-  (void)data;
-}
-
 static const http_server_ops_t upstream_server_ops = {
   .on_request = upstream_on_request,
   .on_gone = upstream_on_gone,
-  .on_finished = upstream_on_finished,
 };
 
 static void *
