Write a time's being unset and an upstream's load once

timespec_is_zero stands for four spelled-out comparisons, report_note_load for two copies that note what an upstream told of its load.

--- a/include/kernel/clock.h
+++ b/include/kernel/clock.h
@@ -1,6 +1,7 @@
 #ifndef SISKIN_KERNEL_CLOCK_H
 #define SISKIN_KERNEL_CLOCK_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <talloc.h>
 #include <time.h>
@@ -26,6 +27,7 @@
 struct timespec timespec_add (struct timespec left, struct timespec right);
 struct timespec timespec_subtract (struct timespec left,
                                    struct timespec right);
+bool timespec_is_zero (struct timespec value);
 int timespec_compare (struct timespec left, struct timespec right);
 struct timespec timespec_from_ms (int64_t milliseconds);
 int64_t timespec_to_ms (struct timespec value);
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -121,6 +121,8 @@
                         const fleet_upstream_t *upstream);
 bool report_is_full (const fleet_t *fleet, const fleet_upstream_t *upstream,
                      bool is_late);
+void report_note_load (const fleet_t *fleet, fleet_upstream_t *upstream,
+                       uint64_t running, uint64_t waiting);
 bool report_is_told (const fleet_t *fleet, const fleet_upstream_t *upstream);
 bool report_excuses_silence (const fleet_t *fleet,
                              const fleet_upstream_t *upstream,
--- a/kernel/clock.c
+++ b/kernel/clock.c
@@ -139,6 +139,13 @@
   return difference;
 }
 
+/* Return whether VALUE is zero, as times are that were never set.  */
+bool
+timespec_is_zero (struct timespec value)
+{
+  return value.tv_sec == 0 && value.tv_nsec == 0;
+}
+
 /* Return -1, 0 or 1 as LEFT is before, at or after RIGHT.  */
 int
 timespec_compare (struct timespec left, struct timespec right)
--- a/kernel/worker_thread.c
+++ b/kernel/worker_thread.c
@@ -239,7 +239,7 @@
     return;
   armed->timer = timer;
   timer->event = armed;
-  if (delay.tv_sec == 0 && delay.tv_nsec == 0)
+  if (timespec_is_zero (delay))
     {
       armed->immediate = tevent_create_immediate (armed);
       tevent_schedule_immediate (armed->immediate, timer->worker->events,
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -48,7 +48,7 @@
   struct timespec now = clock_monotonic (forward->share->relay->clock);
   int64_t gap_ms = 0;
 
-  if (forward->first_at.tv_sec == 0 && forward->first_at.tv_nsec == 0)
+  if (timespec_is_zero (forward->first_at))
     forward->first_at = now;
   else
     gap_ms = timespec_to_ms (timespec_subtract (now, forward->last_at));
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -105,7 +105,7 @@
 {
   const pick_report_t *report = &upstream->candidate.report;
 
-  if (report->at.tv_sec == 0 && report->at.tv_nsec == 0)
+  if (timespec_is_zero (report->at))
     return -1;
   return timespec_to_ms (timespec_subtract (now, report->at));
 }
@@ -244,18 +244,9 @@
   /* What a pilot reports is newer than what comes with an answer.  */
   if (upstream != NULL && !report_is_told (fleet, upstream))
     {
-      pick_candidate_t *candidate = &upstream->candidate;
-
-      candidate->report.at = clock_monotonic (fleet->clock);
-      candidate->report.outstanding_requests = running;
-      candidate->report.queued_requests = waiting;
+      report_note_load (fleet, upstream, running, waiting);
       if (slots > 0)
-        candidate->report.limit_requests = slots;
-      candidate->report.outstanding_tokens
-          = (uint64_t)((double)(running + waiting)
-                       * upstream->service->tokens_a_slot);
-      candidate->requests_at_report = candidate->outstanding_requests;
-      candidate->tokens_at_report = candidate->outstanding_tokens;
+        upstream->candidate.report.limit_requests = slots;
     }
   table_unlock (fleet->table);
 }
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -158,27 +158,35 @@
   return was_open != group->is_open;
 }
 
-static void
-upstream_note (fleet_t *fleet, fleet_upstream_t *upstream,
-               const fleet_report_t *report)
+/* Note that UPSTREAM has so many requests, from whomever, by now.  */
+void
+report_note_load (const fleet_t *fleet, fleet_upstream_t *upstream,
+                  uint64_t running, uint64_t waiting)
 {
   pick_candidate_t *candidate = &upstream->candidate;
 
   candidate->report.at = clock_monotonic (fleet->clock);
-  candidate->report.outstanding_requests = report->running;
-  candidate->report.queued_requests = report->waiting;
+  candidate->report.outstanding_requests = running;
+  candidate->report.queued_requests = waiting;
   candidate->report.outstanding_tokens
-      = (uint64_t)((double)(report->running + report->waiting)
+      = (uint64_t)((double)(running + waiting)
                    * upstream->service->tokens_a_slot);
   candidate->requests_at_report = candidate->outstanding_requests;
   candidate->tokens_at_report = candidate->outstanding_tokens;
+}
+
+static void
+upstream_note (const fleet_t *fleet, fleet_upstream_t *upstream,
+               const fleet_report_t *report)
+{
+  report_note_load (fleet, upstream, report->running, report->waiting);
   if (upstream->is_slow != (report->pace > slow_pace))
     log_event (LOG_LEVEL_NOTICE,
                upstream->is_slow ? "upstream-quick-again" : "upstream-slow",
                "upstream=%s group=%s pace=%.2f step=%llu", upstream->id,
                report->group, report->pace, (unsigned long long)report->step);
   upstream->is_slow = report->pace > slow_pace;
-  upstream->reported_at = candidate->report.at;
+  upstream->reported_at = upstream->candidate.report.at;
 }
 
 /* Return how many requests UPSTREAM may have at once so that the steps of its
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -91,7 +91,7 @@
 static int64_t
 forward_first_ms (const forward_t *forward)
 {
-  if (forward->first_at.tv_sec == 0 && forward->first_at.tv_nsec == 0)
+  if (timespec_is_zero (forward->first_at))
     return -1;
   return timespec_to_ms (
       timespec_subtract (forward->first_at, forward->arrived_at));
--- a/tests/process/platform_world.py
+++ b/tests/process/platform_world.py
@@ -314,9 +314,3 @@
 def ask(relay, path, **more):
     with Caller(relay) as caller:
         return caller.ask(path, **more)
-
-
-def elapsed(function):
-    start = time.monotonic()
-    result = function()
-    return time.monotonic() - start, result
