Check the peers again when deferred settings are received

Cause: the frame that shows a peer's revision comes before the settings. The check at that frame finds none and returns; after the settings were adopted nothing checked again, so a process that starts without the store kept them deferred until some other frame came.

Change: node_defer_settings takes a subscription that runs when newer settings are received meanwhile, whoever sent them; settings_peers checks then.

--- a/common/node.c
+++ b/common/node.c
@@ -38,12 +38,14 @@
   const clock_source_t *clock;
   transport_t *transport;
   lock_t *lock;
-  settings_t *settings;         /* NULL until the first revision is received */
-  bool is_deferring;            /* received settings are not applied yet */
-  bool is_confirmed;            /* CONFIRMED_AT is set */
-  struct timespec confirmed_at; /* when SETTINGS was last known to be the
-                                   newest in the store */
-  struct timespec ticked_at;    /* last call of node_detect_pause */
+  settings_t *settings; /* NULL until the first revision is received */
+  bool is_deferring;    /* received settings are not applied yet */
+  node_subscription_t *deferral; /* runs when settings are received while
+                                    IS_DEFERRING */
+  bool is_confirmed;             /* CONFIRMED_AT is set */
+  struct timespec confirmed_at;  /* when SETTINGS was last known to be the
+                                    newest in the store */
+  struct timespec ticked_at;     /* last call of node_detect_pause */
   struct timespec running_since; /* start, or end of the last suspension */
   uint64_t fetch_revision; /* last revision requested from a peer, or 0 */
   struct timespec fetch_started_at;
@@ -156,6 +158,13 @@
   subscription->handler (worker, subscription->data);
 }
 
+static void
+subscription_post (node_subscription_t *subscription)
+{
+  if (!atomic_exchange (&subscription->is_posted, true))
+    worker_post (subscription->worker, &subscription->task);
+}
+
 /* Run SUBSCRIPTION's handler each time new settings are applied, and once now
    if there are current settings already.  The caller sets worker, handler and
    data.  */
@@ -166,9 +175,8 @@
   atomic_init (&subscription->is_posted, false);
   lock_acquire (node->lock);
   STAILQ_INSERT_TAIL (&node->subscriptions, subscription, link);
-  if (node->settings != NULL && !node->is_deferring
-      && !atomic_exchange (&subscription->is_posted, true))
-    worker_post (subscription->worker, &subscription->task);
+  if (node->settings != NULL && !node->is_deferring)
+    subscription_post (subscription);
   lock_release (node->lock);
 }
 
@@ -178,22 +186,26 @@
   node_subscription_t *subscription;
 
   if (node->is_deferring)
-    return;
-  STAILQ_FOREACH (subscription, &node->subscriptions, link)
     {
-      if (!atomic_exchange (&subscription->is_posted, true))
-        worker_post (subscription->worker, &subscription->task);
+      subscription_post (node->deferral);
+      return;
     }
+  STAILQ_FOREACH (subscription, &node->subscriptions, link)
+    subscription_post (subscription);
 }
 
 /* Unless there are settings already, keep those received from now on without
    applying them until node_apply_deferred_settings.  Deferred settings are not
-   reported to peers.  */
+   reported to peers.  RECEIVED's handler runs each time newer ones were
+   received meanwhile; the caller sets worker, handler and data.  */
 void
-node_defer_settings (node_t *node)
+node_defer_settings (node_t *node, node_subscription_t *received)
 {
+  received->task.run = subscription_run;
+  atomic_init (&received->is_posted, false);
   lock_acquire (node->lock);
   node->is_deferring = node->settings == NULL;
+  node->deferral = received;
   lock_release (node->lock);
 }
 
--- a/common/settings_peers.c
+++ b/common/settings_peers.c
@@ -31,6 +31,7 @@
   bool is_finished;
   bool is_timed_out;
   worker_timer_t *timer;
+  node_subscription_t received; /* runs peers_handle_received */
   STAILQ_HEAD (, settings_peer) list;
 };
 
@@ -187,6 +188,15 @@
                                        peers_handle_timer, peers);
 }
 
+/* The frame that shows a peer's revision comes before the settings themselves,
+   and after these the peer may send nothing more.  */
+static void
+peers_handle_received (worker_t *worker, void *data)
+{
+  (void)worker;
+  peers_check (data);
+}
+
 /* Connect to the peers in CONFIG, on WORKER's event loop, and let NODE defer
    received settings until settings_peers_finish.  Returns NULL when there are
    no peers.  */
@@ -204,7 +214,10 @@
   peers->worker = worker;
   peers->node = node;
   STAILQ_INIT (&peers->list);
-  node_defer_settings (node);
+  peers->received = (node_subscription_t){ .worker = worker,
+                                           .handler = peers_handle_received,
+                                           .data = peers };
+  node_defer_settings (node, &peers->received);
   STAILQ_FOREACH (text, &config->peers, link)
     {
       settings_peer_t *peer = talloc_zero (peers, settings_peer_t);
--- a/include/common/node.h
+++ b/include/common/node.h
@@ -52,8 +52,9 @@
 /* Unless there are settings already, keep those received from now on without
    applying them: until node_apply_deferred_settings, node_settings returns
    NULL, no subscription runs and peers get revision 0.  Used at the start,
-   when the first settings received may not be the newest.  */
-void node_defer_settings (node_t *node);
+   when the first settings received may not be the newest.  RECEIVED's handler
+   runs each time newer settings were received meanwhile.  */
+void node_defer_settings (node_t *node, node_subscription_t *received);
 void node_apply_deferred_settings (node_t *node);
 uint64_t node_settings_revision (node_t *node);
 /* Return whether there are settings, but a peer has reported a newer revision,
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -1,4 +1,6 @@
+#include "common/link.h"
 #include "common/node.h"
+#include "common/settings_peers.h"
 #include "common/settings_watchers.h"
 
 #include <setjmp.h>
@@ -18,7 +20,8 @@
 {
   ZONE_COUNT = 4,
   ENTRY_COUNT = 410,
-  WATCHERS_PER_ZONE = 3
+  WATCHERS_PER_ZONE = 3,
+  START_TIMEOUT_MS = 5000 /* for a process to apply the settings of a peer */
 };
 
 typedef struct fixture
@@ -169,9 +172,14 @@
   fixture_t *fixture = *state;
   frame_header_t header = { 0 };
   settings_t *settings;
+  bool has_run = false;
+  node_subscription_t received = { .worker = pool_worker (fixture->pool, 0),
+                                   .handler = set_flag,
+                                   .data = &has_run };
 
-  node_defer_settings (fixture->node);
+  node_defer_settings (fixture->node, &received);
   adopt (fixture, 1);
+  worker_run_until (received.worker, &has_run);
   adopt (fixture, 2);
   node_fill_header (fixture->node, &header);
   assert_null (node_settings (fixture->node));
@@ -183,6 +191,94 @@
   settings_release (settings);
 }
 
+/* A peer that answers requests for settings and sends nothing else.  */
+typedef struct quiet_peer
+{
+  node_t *node;
+  worker_t *worker;
+} quiet_peer_t;
+
+static void
+quiet_on_open (link_t *link, const frame_hello_t *hello, void *data)
+{
+  (void)link;
+  (void)hello;
+  (void)data;
+}
+
+static void
+quiet_on_frame (link_t *link, const frame_t *frame, void *data)
+{
+  (void)link;
+  (void)frame;
+  (void)data;
+}
+
+static void
+quiet_on_closed (link_t *link, const char *reason, void *data)
+{
+  (void)link;
+  (void)reason;
+  (void)data;
+}
+
+static const link_ops_t quiet_ops = {
+  .on_open = quiet_on_open,
+  .on_frame = quiet_on_frame,
+  .on_closed = quiet_on_closed,
+};
+
+static void
+quiet_peer_accept (stream_t *stream, void *data)
+{
+  const quiet_peer_t *peer = data;
+
+  link_accept (peer->worker, peer->node, stream, &quiet_ops, NULL);
+}
+
+/* A process that starts without the store applies the settings of its only
+   peer even if that peer sends no other frame after them: the frame that shows
+   the peer's revision comes before the settings, so the check at that frame
+   finds none.  */
+static void
+test_settings_of_a_quiet_peer_are_applied (void **state)
+{
+  fixture_t *fixture = *state;
+  clock_source_t *clock = clock_create_system (fixture);
+  pool_t *pool = pool_create (fixture, 1, clock);
+  worker_t *worker = pool_worker (pool, 0);
+  quiet_peer_t peer
+      = { .node = node_create (fixture, NODE_AGENT, "u", "z0", clock),
+          .worker = worker };
+  node_t *node = node_create (fixture, NODE_ENTRY, "e", "z0", clock);
+  char *document = make_document (fixture, 7, 0, 0);
+  net_address_t address = { .host = "127.0.0.1" };
+  config_t config = { .peers = STAILQ_HEAD_INITIALIZER (config.peers) };
+  schema_string_t text = { 0 };
+  uint16_t port;
+  bool is_over = false;
+  node_subscription_t subscription
+      = { .worker = worker, .handler = set_flag, .data = &is_over };
+  settings_t *settings;
+
+  assert_int_equal (
+      node_adopt_settings (peer.node, document, strlen (document)), STATUS_OK);
+  assert_non_null (transport_listen (transport_tcp (), worker, &address, &port,
+                                     quiet_peer_accept, &peer));
+  text.text = talloc_asprintf (fixture, "127.0.0.1:%u", port);
+  STAILQ_INSERT_TAIL (&config.peers, &text, link);
+  assert_non_null (settings_peers_create (worker, node, &config));
+  node_subscribe (node, &subscription);
+  worker_timer_start (worker, fixture, timespec_from_ms (START_TIMEOUT_MS),
+                      set_flag, &is_over);
+  worker_run_until (worker, &is_over);
+  settings = node_settings (node);
+  assert_non_null (settings);
+  assert_int_equal (settings->revision, 7);
+  settings_release (settings);
+  pool_destroy (pool);
+}
+
 static unsigned
 count_watchers (const settings_t *settings, bool *is_watcher)
 {
@@ -258,6 +354,8 @@
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_deferred_settings_are_not_applied,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_settings_of_a_quiet_peer_are_applied,
+                                     set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_watchers_per_zone_are_limited,
                                      set_up, tear_down),
   };
