Win an election only with a lease that lasts, and end a term that a pause outlived

Cause: a pilot that campaigns while another one leads kept the lease of its first attempt and did not renew it. It could win in the last moments of that lease, lost it before the first renewal, and the pilot that it had replaced won again. A second fault, read in the same file: the answer to a call made before a resignation counted for the next campaign, so that a process could lead with a lease that had ended.

Change: a lease older than a third of its duration is renewed before the key is written, the first renewal follows from the age of the lease, and answers from before a resignation are ignored. After a pause that outlived its lease a leader sends no command and ends its term; the clock goes on while a machine is suspended.

--- a/common/election.c
+++ b/common/election.c
@@ -23,23 +23,45 @@
   char *displaced_holder;  /* value of the key to replace, or NULL */
   bool is_leader;
   bool is_call_pending; /* a call to the store has not ended yet */
-  bool is_destroyed;    /* freed when the pending call ends */
-  int64_t lease;        /* ID of this process's lease; 0: none */
+  /* The pending call was made before this process resigned, which ended the
+     lease that the call was about.  */
+  bool is_call_outdated;
+  bool is_destroyed;         /* freed when the pending call ends */
+  struct timespec called_at; /* start of the last call */
+  int64_t lease;             /* ID of this process's lease; 0: none */
+  /* Start of the call that granted or last renewed the lease.  It lasts at
+     least for its duration from then on.  */
+  struct timespec renewed_at;
   worker_timer_t *timer;
 };
 
 static void election_step (election_t *election);
 
-/* Handle the end of a call to the store.  Frees ELECTION and returns false
-   when it was destroyed during the call.  */
+static struct timespec
+election_now (const election_t *election)
+{
+  return clock_monotonic (worker_clock (election->worker));
+}
+
+/* Handle the end of a call to the store.  Returns whether its result is to be
+   used.  Otherwise this process has resigned during the call, and the next
+   step of a new campaign is started; or ELECTION was destroyed and is
+   freed.  */
 static bool
 election_end_call (election_t *election)
 {
+  bool is_outdated = election->is_call_outdated;
+
   election->is_call_pending = false;
-  if (!election->is_destroyed)
-    return true;
-  talloc_free (election);
-  return false;
+  election->is_call_outdated = false;
+  if (election->is_destroyed)
+    {
+      talloc_free (election);
+      return false;
+    }
+  if (is_outdated)
+    election_step (election);
+  return !is_outdated;
 }
 
 static void
@@ -62,6 +84,30 @@
                                         election_handle_timer, election);
 }
 
+static int64_t
+election_renewal_interval_ms (const election_t *election)
+{
+  return timespec_to_ms (election->options.duration) / RENEWALS_PER_LEASE;
+}
+
+static int64_t
+election_lease_age_ms (const election_t *election)
+{
+  return timespec_to_ms (
+      timespec_subtract (election_now (election), election->renewed_at));
+}
+
+/* Schedule the renewal for the time at which the lease is as old as the
+   renewal interval.  */
+static void
+election_schedule_renewal (election_t *election)
+{
+  int64_t delay_ms = election_renewal_interval_ms (election)
+                     - election_lease_age_ms (election);
+
+  election_schedule_step (election, delay_ms > 0 ? delay_ms : 0);
+}
+
 /* Handle the expiry of the lease, and with it the end of the leadership if
    this process was the leader.  */
 static void
@@ -96,9 +142,9 @@
 {
   election_t *election = data;
 
-  if (!election->is_campaigning)
+  if (election->is_call_outdated)
     election_revoke_lease (election, lease);
-  if (!election_end_call (election) || !election->is_campaigning)
+  if (!election_end_call (election))
     return;
   if (status != STATUS_OK)
     {
@@ -106,6 +152,7 @@
       return;
     }
   election->lease = lease;
+  election->renewed_at = election->called_at;
   election_step (election);
 }
 
@@ -122,8 +169,7 @@
   election->is_taking_over = false;
   election->holder_revision = 0;
   election->displaced_holder = NULL;
-  election_schedule_step (election, timespec_to_ms (election->options.duration)
-                                        / RENEWALS_PER_LEASE);
+  election_schedule_renewal (election);
   election->ops->on_won (fence, displaced_holder == NULL ? NULL : &displaced,
                          election->data);
   talloc_free (displaced_holder);
@@ -157,7 +203,7 @@
 {
   election_t *election = data;
 
-  if (!election_end_call (election) || !election->is_campaigning)
+  if (!election_end_call (election))
     return;
   if (status == STATUS_NOT_FOUND)
     election->lease = 0;
@@ -175,12 +221,17 @@
   election_t *election = data;
 
   (void)lease;
-  if (!election_end_call (election) || !election->is_campaigning)
+  if (!election_end_call (election))
     return;
-  if (status == STATUS_NOT_FOUND)
+  if (status == STATUS_OK)
+    election->renewed_at = election->called_at;
+  else if (status == STATUS_NOT_FOUND)
     election_lose (election);
-  election_schedule_step (election, timespec_to_ms (election->options.duration)
-                                        / RENEWALS_PER_LEASE);
+  if (election->is_leader)
+    election_schedule_step (election, election_renewal_interval_ms (election));
+  else
+    election_schedule_step (election,
+                            status == STATUS_OK ? 0 : RETRY_DELAY_MS);
 }
 
 static status_t
@@ -203,8 +254,19 @@
   return status;
 }
 
-/* Send the next request: first for a lease, then to write the key, then to
-   renew the lease.  */
+/* Return whether the lease is due for renewal.  A process that campaigns while
+   another one leads may have to renew its lease several times, so that it does
+   not win with one that is about to end.  */
+static bool
+election_needs_renewal (const election_t *election)
+{
+  return election->is_leader
+         || election_lease_age_ms (election)
+                >= election_renewal_interval_ms (election);
+}
+
+/* Make the next call: first for a lease, then to write the key, then to renew
+   the lease.  */
 static void
 election_step (election_t *election)
 {
@@ -214,14 +276,15 @@
   if (!election->is_campaigning || election->is_call_pending)
     return;
   election->is_call_pending = true;
+  election->called_at = election_now (election);
   if (election->lease == 0)
     status = options->store_ops->grant (options->store, options->duration,
                                         election_on_granted, election);
-  else if (!election->is_leader)
-    status = election_write (election);
-  else
+  else if (election_needs_renewal (election))
     status = options->store_ops->keep_alive (options->store, election->lease,
                                              election_on_renewed, election);
+  else
+    status = election_write (election);
   if (status == STATUS_OK)
     return;
   election->is_call_pending = false;
@@ -296,6 +359,7 @@
   if (!election->is_campaigning)
     return;
   election->is_campaigning = false;
+  election->is_call_outdated = election->is_call_pending;
   election->is_taking_over = false;
   election->holder_revision = 0;
   TALLOC_FREE (election->displaced_holder);
@@ -304,3 +368,12 @@
   election_revoke_lease (election, election->lease);
   election->lease = 0;
 }
+
+/* Return whether the lease may have expired, since it was not renewed for its
+   duration.  */
+bool
+election_is_lease_over (const election_t *election)
+{
+  return election_lease_age_ms (election)
+         >= timespec_to_ms (election->options.duration);
+}
--- a/include/common/election.h
+++ b/include/common/election.h
@@ -54,5 +54,8 @@
 void election_campaign (election_t *election);
 bool election_take_over (election_t *election);
 void election_resign (election_t *election);
+/* Return whether the lease may have expired, since it was not renewed for its
+   duration: another process may be the leader.  */
+bool election_is_lease_over (const election_t *election);
 
 #endif
--- a/kernel/clock.c
+++ b/kernel/clock.c
@@ -23,7 +23,9 @@
   struct timespec now;
 
   (void)clock;
-  clock_gettime (CLOCK_MONOTONIC, &now);
+  /* It goes on while the machine is suspended, unlike CLOCK_MONOTONIC, so that
+     leases and deadlines end meanwhile.  */
+  clock_gettime (CLOCK_BOOTTIME, &now);
   return now;
 }
 
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -88,12 +88,26 @@
   pilot_server_reset_leader_timeout (leader->pilot->server);
 }
 
+/* Returns whether this process was paused until now and its lease may have
+   ended meanwhile.  Without a pause the leader goes on when it cannot renew
+   its lease, since no other pilot reaches the store either.  */
+static bool
+leader_has_overslept (const leader_t *leader)
+{
+  return ms_since (leader, leader->ticked_at) > PAUSE_MIN_MS
+         && election_is_lease_over (leader->term);
+}
+
+/* Sends a command, unless this pilot may have been replaced during a pause:
+   the next tick ends its term then.  */
 static void
 leader_send_command (unsigned rank, uint64_t ticket,
                      const rank_command_t *command, void *data)
 {
   leader_t *leader = data;
 
+  if (leader_has_overslept (leader))
+    return;
   members_send_command (leader->members, rank, ticket, command);
 }
 
@@ -439,18 +453,24 @@
 
 /* After a pause of this process the elapsed time says nothing about
    whether a leader was active or the group was held: restart both
-   timeouts.  */
+   timeouts.  If the lease may have ended meanwhile, the term ends too.  */
 static void
 leader_detect_pause (leader_t *leader)
 {
   struct timespec now = pilot_now (leader->pilot);
+  bool was_paused = ms_since (leader, leader->ticked_at) > PAUSE_MIN_MS;
+  bool has_overslept
+      = leader->members != NULL && leader_has_overslept (leader);
 
-  if (ms_since (leader, leader->ticked_at) > PAUSE_MIN_MS)
-    {
-      leader->not_held_at = now;
-      pilot_server_reset_leader_timeout (leader->pilot->server);
-    }
   leader->ticked_at = now;
+  if (!was_paused)
+    return;
+  leader->not_held_at = now;
+  pilot_server_reset_leader_timeout (leader->pilot->server);
+  if (!has_overslept)
+    return;
+  leader_end_term (leader, "paused");
+  election_resign (leader->term);
 }
 
 static void leader_start_timer (leader_t *leader);
--- /dev/null
+++ b/tests/test_election.c
@@ -0,0 +1,396 @@
+/* The leader election with a store that answers late: a process leads only
+   while the store holds its key, however long it campaigned and whatever call
+   was pending when it resigned.  */
+
+#include "common/election.h"
+#include "kernel/scheduler.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+enum
+{
+  LEASE_MS = 2000,
+  MAX_LEASES = 64
+};
+
+/* A store with one key and leases.  A call takes effect half of the latency
+   after it was made and is answered after the whole of it.  */
+struct store
+{
+  worker_t *worker;
+  int64_t latency_ms;
+  struct timespec lease_ends[MAX_LEASES]; /* by ID; zero if it has ended */
+  int64_t last_lease;
+  const char *holder; /* NULL if the key does not exist */
+  int64_t key_lease;
+  int64_t revision;
+};
+
+typedef struct fixture
+{
+  clock_source_t *clock;
+  scheduler_t *scheduler;
+  pool_t *pool;
+  store_t store;
+  election_t *election;
+  bool is_leader;
+  unsigned won;
+  unsigned lost;
+} fixture_t;
+
+typedef enum call_kind
+{
+  CALL_GRANT,
+  CALL_RENEW,
+  CALL_REVOKE,
+  CALL_WRITE
+} call_kind_t;
+
+typedef struct call
+{
+  store_t *store;
+  call_kind_t kind;
+  int64_t lease;
+  const char *value; /* for a write */
+  store_lease_done_t lease_done;
+  store_done_t done;
+  void *data;
+  status_t status;
+  bool succeeded;
+} call_t;
+
+static bool
+lease_is_alive (const store_t *store, int64_t lease)
+{
+  return timespec_compare (clock_monotonic (worker_clock (store->worker)),
+                           store->lease_ends[lease])
+         < 0;
+}
+
+static void
+store_extend (store_t *store, int64_t lease)
+{
+  store->lease_ends[lease]
+      = timespec_add (clock_monotonic (worker_clock (store->worker)),
+                      timespec_from_ms (LEASE_MS));
+}
+
+static void
+store_expire_key (store_t *store)
+{
+  if (store->key_lease != 0 && !lease_is_alive (store, store->key_lease))
+    {
+      store->holder = NULL;
+      store->key_lease = 0;
+    }
+}
+
+static void
+call_write (call_t *call)
+{
+  store_t *store = call->store;
+
+  if (!lease_is_alive (store, call->lease))
+    {
+      call->status = STATUS_NOT_FOUND;
+      return;
+    }
+  call->succeeded = store->holder == NULL;
+  if (!call->succeeded)
+    return;
+  store->holder = call->value;
+  store->key_lease = call->lease;
+  store->revision++;
+}
+
+static void
+call_take_effect (call_t *call)
+{
+  store_t *store = call->store;
+
+  store_expire_key (store);
+  call->status = STATUS_OK;
+  switch (call->kind)
+    {
+    case CALL_GRANT:
+      call->lease = ++store->last_lease;
+      store_extend (store, call->lease);
+      break;
+    case CALL_RENEW:
+      if (lease_is_alive (store, call->lease))
+        store_extend (store, call->lease);
+      else
+        call->status = STATUS_NOT_FOUND;
+      break;
+    case CALL_REVOKE:
+      store->lease_ends[call->lease] = (struct timespec){ 0, 0 };
+      store_expire_key (store);
+      break;
+    case CALL_WRITE:
+      call_write (call);
+      break;
+    }
+}
+
+static void
+call_answer (worker_t *worker, void *data)
+{
+  call_t *call = data;
+  store_result_t result
+      = { .succeeded = call->succeeded, .revision = call->store->revision };
+  store_response_t response = { .kind = STORE_GET };
+  store_entry_t entry = { .key = "leader",
+                          .value = call->store->holder,
+                          .mod_revision = call->store->revision,
+                          .lease = call->store->key_lease };
+
+  (void)worker;
+  STAILQ_INIT (&result.responses);
+  STAILQ_INIT (&response.entries);
+  if (entry.value != NULL)
+    STAILQ_INSERT_TAIL (&response.entries, &entry, link);
+  STAILQ_INSERT_TAIL (&result.responses, &response, link);
+  if (call->kind == CALL_WRITE)
+    call->done (call->status, call->status == STATUS_OK ? &result : NULL,
+                call->data);
+  else
+    call->lease_done (call->status,
+                      call->status == STATUS_OK ? call->lease : 0, call->data);
+  talloc_free (call);
+}
+
+static void
+call_arrive (worker_t *worker, void *data)
+{
+  call_t *call = data;
+
+  call_take_effect (call);
+  worker_timer_start (worker, call,
+                      timespec_from_ms (call->store->latency_ms / 2),
+                      call_answer, call);
+}
+
+static call_t *
+call_start (store_t *store, call_kind_t kind, int64_t lease, void *data)
+{
+  call_t *call = talloc_zero (worker_events (store->worker), call_t);
+
+  call->store = store;
+  call->kind = kind;
+  call->lease = lease;
+  call->data = data;
+  worker_timer_start (store->worker, call,
+                      timespec_from_ms (store->latency_ms / 2), call_arrive,
+                      call);
+  return call;
+}
+
+static status_t
+store_grant (store_t *store, struct timespec duration, store_lease_done_t done,
+             void *data)
+{
+  (void)duration;
+  call_start (store, CALL_GRANT, 0, data)->lease_done = done;
+  return STATUS_OK;
+}
+
+static status_t
+store_keep_alive (store_t *store, int64_t lease, store_lease_done_t done,
+                  void *data)
+{
+  call_start (store, CALL_RENEW, lease, data)->lease_done = done;
+  return STATUS_OK;
+}
+
+static status_t
+store_revoke_lease (store_t *store, int64_t lease, store_lease_done_t done,
+                    void *data)
+{
+  call_start (store, CALL_REVOKE, lease, data)->lease_done = done;
+  return STATUS_OK;
+}
+
+static status_t
+store_transact (store_t *store, const store_txn_t *txn, store_done_t done,
+                void *data)
+{
+  const store_op_t *put = STAILQ_FIRST (&txn->success);
+  call_t *call = call_start (store, CALL_WRITE, put->lease, data);
+
+  call->value = talloc_strdup (worker_events (store->worker), put->value);
+  call->done = done;
+  return STATUS_OK;
+}
+
+static const store_ops_t test_store_ops = {
+  .grant = store_grant,
+  .keep_alive = store_keep_alive,
+  .revoke_lease = store_revoke_lease,
+  .transact = store_transact,
+};
+
+static void
+fixture_on_won (uint64_t fence, const displaced_leader_t *displaced,
+                void *data)
+{
+  fixture_t *fixture = data;
+
+  (void)fence;
+  (void)displaced;
+  fixture->is_leader = true;
+  fixture->won++;
+}
+
+static void
+fixture_on_lost (void *data)
+{
+  fixture_t *fixture = data;
+
+  fixture->is_leader = false;
+  fixture->lost++;
+}
+
+static const election_ops_t fixture_ops
+    = { .on_won = fixture_on_won, .on_lost = fixture_on_lost };
+
+static fixture_t *
+fixture_create (int64_t latency_ms)
+{
+  fixture_t *fixture = talloc_zero (NULL, fixture_t);
+  election_options_t options = { .store_ops = &test_store_ops,
+                                 .store = &fixture->store,
+                                 .key = "leader",
+                                 .holder = "me",
+                                 .duration = timespec_from_ms (LEASE_MS) };
+
+  fixture->clock
+      = clock_create_virtual (fixture, (struct timespec){ .tv_sec = 100 });
+  fixture->scheduler = scheduler_create (fixture, fixture->clock, 1);
+  fixture->pool = scheduler_create_pool (fixture->scheduler, fixture, 1);
+  fixture->store.worker = pool_worker (fixture->pool, 0);
+  fixture->store.latency_ms = latency_ms;
+  fixture->election = election_create (fixture, fixture->store.worker,
+                                       &options, &fixture_ops, fixture);
+  return fixture;
+}
+
+static void
+fixture_destroy (fixture_t *fixture)
+{
+  pool_destroy (fixture->pool);
+  talloc_free (fixture);
+}
+
+static void
+fixture_resign (fixture_t *fixture)
+{
+  election_resign (fixture->election);
+  fixture->is_leader = false;
+}
+
+/* Run for MS.  The process must not lead while the store does not hold its
+   key, except until the answer of a renewal can tell it.  */
+static void
+fixture_run (fixture_t *fixture, int64_t ms)
+{
+  scheduler_run_for (fixture->scheduler, timespec_from_ms (ms));
+  store_expire_key (&fixture->store);
+}
+
+static void
+assert_leads (const fixture_t *fixture)
+{
+  assert_true (fixture->is_leader);
+  assert_non_null (fixture->store.holder);
+  assert_string_equal (fixture->store.holder, "me");
+}
+
+/* A process that campaigns while another one leads wins only when that key is
+   gone, up to the whole duration of its lease after the lease was granted.
+   The lease must not end right after the victory.  */
+static void
+test_lease_is_fresh_after_a_long_campaign (void **state)
+{
+  (void)state;
+  for (int64_t gone_ms = 0; gone_ms < 2 * LEASE_MS; gone_ms += 100)
+    {
+      fixture_t *fixture = fixture_create (8);
+
+      fixture->store.holder = "other";
+      election_campaign (fixture->election);
+      fixture_run (fixture, gone_ms);
+      fixture->store.holder = NULL;
+      fixture_run (fixture, LEASE_MS);
+      assert_leads (fixture);
+      fixture_run (fixture, 2 * LEASE_MS);
+      assert_leads (fixture);
+      assert_int_equal (fixture->lost, 0);
+      fixture_destroy (fixture);
+    }
+}
+
+/* A process resigns, which ends its lease, and campaigns again before the
+   answer to an earlier call has come.  That answer says nothing about the new
+   campaign.  */
+static void
+test_answer_from_before_a_resignation_is_ignored (void **state)
+{
+  (void)state;
+  for (int64_t resign_ms = 0; resign_ms < 2000; resign_ms += 50)
+    {
+      fixture_t *fixture = fixture_create (400);
+
+      election_campaign (fixture->election);
+      fixture_run (fixture, resign_ms);
+      fixture_resign (fixture);
+      fixture_run (fixture, 50);
+      election_campaign (fixture->election);
+      for (unsigned i = 0; i < 100; i++)
+        {
+          fixture_run (fixture, 50);
+          if (fixture->is_leader)
+            assert_leads (fixture);
+        }
+      assert_leads (fixture);
+      fixture_destroy (fixture);
+    }
+}
+
+/* A process that was suspended for longer than its lease cannot know whether
+   it still leads, which it can tell at once.  */
+static void
+test_lease_is_over_after_a_pause (void **state)
+{
+  fixture_t *fixture = fixture_create (8);
+
+  (void)state;
+  election_campaign (fixture->election);
+  fixture_run (fixture, 10 * LEASE_MS);
+  assert_leads (fixture);
+  assert_false (election_is_lease_over (fixture->election));
+  scheduler_freeze (fixture->scheduler, fixture->pool);
+  fixture_run (fixture, LEASE_MS);
+  assert_true (election_is_lease_over (fixture->election));
+  scheduler_thaw (fixture->scheduler, fixture->pool);
+  fixture_run (fixture, 100);
+  assert_int_equal (fixture->lost, 1);
+  fixture_destroy (fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_lease_is_fresh_after_a_long_campaign),
+    cmocka_unit_test (test_answer_from_before_a_resignation_is_ignored),
+    cmocka_unit_test (test_lease_is_over_after_a_pause),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
