Let a relay use its share of a service's free capacity at any upstream

Cause: every relay divided the free places of each upstream by the number of relays and rounded at random. What it did not draw it could not use, though other places drawn by nobody stayed free, so requests waited for the next reports. Each report also compared its address with every upstream and summed the running requests over all of them.

Change: the share is that of the service's total; places drawn of an upstream come first, then others with reported room, and the policy samples among those with room instead of taking the least loaded of all, which every relay would take. Upstreams are found by address in a table, sums of a group are kept as they change, and a choice makes one pass. fleet_add_zone now also moves the upstreams of a zone to its region. FLEET_ALL_FAILING, never returned, is gone.

--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -26,8 +26,8 @@
   const char *service;
   const route_t *route; /* limits the regions of the upstream */
   /* The request has waited so long that it is likely to miss the response time
-     objective of its route.  It gets only a part of the capacity (late_quota),
-     so that it does not make requests miss theirs that can still meet it.  */
+     objective of its route.  It gets only a part of the capacity, so that it
+     does not make requests miss theirs that can still meet it.  */
   bool is_late;
   pick_request_t work; /* size and prompt prefix of the request */
   const char *tried[FLEET_MAX_TRIED]; /* ids of upstreams to exclude */
@@ -47,10 +47,9 @@
      before.  */
   FLEET_NO_ALLOWED_UPSTREAM,
   FLEET_ALL_COLD, /* in cold start, and at the rate limit for it */
-  /* Ejected, or slowing down their group.  fleet_choose does not return it: if
-     nothing else is left, it chooses among such upstreams too.  */
-  FLEET_ALL_FAILING,
-  FLEET_ALL_FULL,    /* this relay has used its quota of them */
+  /* They have reported no free capacity, or this relay has used its share of
+     the total.  */
+  FLEET_ALL_FULL,
   FLEET_ALL_STALLED, /* in a group that takes no steps */
   FLEET_SHORTAGE_COUNT
 } fleet_shortage_t;
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -9,6 +9,15 @@
 /* State shared by the source files of the fleet.  */
 typedef struct fleet_service fleet_service_t;
 
+/* An availability zone.  */
+typedef struct fleet_zone
+{
+  SLIST_ENTRY (fleet_zone) link;
+  char *name;
+  char *region;
+  bool is_out;
+} fleet_zone_t;
+
 /* Token bucket that limits the requests to an upstream in cold start.  */
 typedef struct cold_bucket
 {
@@ -26,13 +35,32 @@
   double failure_ratio; /* moving average of the share of failed requests */
 } upstream_health_t;
 
+enum
+{
+  QUOTA_UNITS_PER_REQUEST = 1000
+};
+
+/* Capacity for requests that was free in the last reports, and the requests
+   that this relay has sent since.  In units of a thousandth of a request, so
+   that sums are exact.  */
+typedef struct fleet_quota
+{
+  int64_t free;
+  /* The same for requests that are likely to miss their response time
+     objective (fleet_request_t.is_late); at most FREE.  */
+  int64_t late_free;
+  int64_t sent;
+} fleet_quota_t;
+
 /* A group of upstreams, its ranks, that take their steps together.  */
 typedef struct fleet_group
 {
   LIST_ENTRY (fleet_group) link;
   char *name;
   uint64_t epoch;
-  bool is_open; /* it takes steps */
+  bool is_open;              /* it takes steps */
+  unsigned known_ranks;      /* upstreams whose group it is */
+  uint64_t running_requests; /* sum over them, as last reported */
   uint64_t step;
   struct timespec last_step_at; /* when the last step was observed */
   struct timespec last_report_at;
@@ -50,12 +78,12 @@
 typedef struct fleet_upstream
 {
   table_node_t node;
+  table_node_t address_node;
   STAILQ_ENTRY (fleet_upstream) link; /* in SERVICE's list */
   fleet_service_t *service;
   char *id;
   char *address;
-  char *zone;
-  const char *region;
+  fleet_zone_t *zone;
   int64_t started_ms;
   unsigned slots; /* requests that it can run at once */
   bool is_draining;
@@ -67,14 +95,12 @@
   /* The last report showed that it slows down its group.  The report may be
      outdated, which fleet_upstream_is_slow takes into account.  */
   bool is_slow;
-  /* Requests that this relay may send until the next report of the pilot: its
-     share of the free capacity in the last one.  */
-  unsigned quota;
-  /* The same for requests that are likely to miss their response time
-     objective (fleet_request_t.is_late); at most QUOTA.  */
-  unsigned late_quota;
-  unsigned sent;               /* requests sent since the last report */
   struct timespec reported_at; /* last report of its pilot */
+  /* The report is recent, and its capacity part of SERVICE's.  */
+  bool has_quota;
+  fleet_quota_t quota;
+  int64_t quota_rounding; /* below QUOTA_UNITS_PER_REQUEST; random */
+  TAILQ_ENTRY (fleet_upstream) reported_link; /* while HAS_QUOTA */
   /* What the policy sees of the upstream.  Kept up to date; its strings belong
      to the upstream.  */
   pick_candidate_t candidate;
@@ -105,17 +131,14 @@
   const pick_ops_t *ops;
   pick_t *pick;
   STAILQ_HEAD (, fleet_upstream) upstreams;
+  /* Upstreams with a recent report of their pilot, the oldest report first,
+     and the sum of their quotas.  */
+  TAILQ_HEAD (, fleet_upstream) reported;
+  fleet_quota_t quota;
+  int64_t quota_rounding; /* below QUOTA_UNITS_PER_REQUEST; random */
+  struct timespec rounded_at;
 };
 
-/* An availability zone.  */
-typedef struct fleet_zone
-{
-  SLIST_ENTRY (fleet_zone) link;
-  char *name;
-  char *region;
-  bool is_out;
-} fleet_zone_t;
-
 struct fleet
 {
   const char *zone; /* zone of this relay */
@@ -125,6 +148,7 @@
   unsigned relays;       /* number of relays in the system; at least 1 */
   /* Entries of fleet_upstream_t by id; its lock protects the whole fleet.  */
   table_t *table;
+  table_t *by_address; /* the same entries; protected by TABLE's lock */
   STAILQ_HEAD (, fleet_service) services;
   SLIST_HEAD (, fleet_zone) zones;
   LIST_HEAD (, fleet_group) groups;
@@ -134,6 +158,10 @@
 };
 
 fleet_upstream_t *fleet_find (const fleet_t *fleet, const char *id);
+fleet_upstream_t *fleet_find_by_address (const fleet_t *fleet,
+                                         const char *address);
+/* Return a random number from 0 to below 1.  */
+double fleet_random (fleet_t *fleet);
 fleet_service_t *fleet_find_service (const fleet_t *fleet, const char *name);
 fleet_zone_t *fleet_find_or_add_zone (fleet_t *fleet, const char *name);
 
@@ -154,7 +182,8 @@
 bool fleet_upstream_is_stalled (const fleet_t *fleet,
                                 const fleet_upstream_t *upstream);
 bool fleet_upstream_is_full (const fleet_t *fleet,
-                             const fleet_upstream_t *upstream, bool is_late);
+                             const fleet_upstream_t *upstream, bool is_late,
+                             bool is_share_used);
 void fleet_upstream_record_load (const fleet_t *fleet,
                                  fleet_upstream_t *upstream, uint64_t running,
                                  uint64_t waiting);
@@ -167,6 +196,20 @@
 bool fleet_upstream_is_slow (const fleet_t *fleet,
                              const fleet_upstream_t *upstream);
 
+void fleet_upstream_set_group (fleet_upstream_t *upstream,
+                               fleet_group_t *group);
+
+/* This relay's share of the free capacity of a service (fleet_quota.c).  */
+void quota_set (fleet_t *fleet, fleet_upstream_t *upstream, double capacity,
+                double late_capacity);
+void quota_forget (fleet_upstream_t *upstream);
+void quota_count_sent (fleet_upstream_t *upstream);
+bool quota_is_share_used (fleet_t *fleet, fleet_service_t *service,
+                          bool is_late);
+bool quota_is_upstream_full (const fleet_upstream_t *upstream, bool is_late);
+bool quota_is_within_share (const fleet_t *fleet,
+                            const fleet_upstream_t *upstream, bool is_late);
+
 /* Ejection of an upstream after failures (fleet_health.c).  */
 void health_record_result (fleet_upstream_t *upstream, fleet_result_t result,
                            struct timespec now);
--- a/plugins/pick/load.c
+++ b/plugins/pick/load.c
@@ -164,22 +164,25 @@
   return load_is_better (load, &search->best_load);
 }
 
-static void
+/* Consider the candidate INDEX.  Returns whether it has room.  */
+static bool
 search_consider (search_t *search, size_t index)
 {
   load_t load = load_estimate (search->candidates[index], search->request,
                                &search->others, search->now);
 
-  if (!search_prefers (search, index, &load))
-    return;
-  search->best = index;
-  search->best_load = load;
-  search->has_any = true;
+  if (search_prefers (search, index, &load))
+    {
+      search->best = index;
+      search->best_load = load;
+      search->has_any = true;
+    }
+  return load.tier == LOAD_HAS_ROOM;
 }
 
-/* Return the index of the least loaded of a few candidates drawn at random or,
-   if none of these has room, of all candidates.  The random draw makes entries
-   with the same reports choose different upstreams.  */
+/* Return the index of the least loaded of a few candidates drawn at random
+   among those that have room, or of all if none has.  The random draw makes
+   entries with the same reports choose different upstreams.  */
 size_t
 load_pick_least (load_random_t *random, const pick_request_t *request,
                  const pick_candidate_t *const *candidates, size_t count,
@@ -189,13 +192,16 @@
                       .candidates = candidates,
                       .others = load_average_others (candidates, count),
                       .now = now };
+  size_t start;
+  unsigned with_room = 0;
 
   for (unsigned i = 0; i < SAMPLED_CANDIDATES && count > SAMPLED_CANDIDATES;
        i++)
     search_consider (&search, (size_t)(load_random_next (random) % count));
   if (search.has_any && search.best_load.tier == LOAD_HAS_ROOM)
     return search.best;
-  for (size_t i = 0; i < count; i++)
-    search_consider (&search, i);
+  start = (size_t)(load_random_next (random) % count);
+  for (size_t i = 0; i < count && with_room < SAMPLED_CANDIDATES; i++)
+    with_room += search_consider (&search, (start + i) % count);
   return search.best;
 }
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -20,7 +20,6 @@
   [FLEET_NO_UPSTREAM] = "no-upstream",
   [FLEET_NO_ALLOWED_UPSTREAM] = "none-allowed",
   [FLEET_ALL_COLD] = "all-cold",
-  [FLEET_ALL_FAILING] = "all-failing",
   [FLEET_ALL_FULL] = "all-full",
   [FLEET_ALL_STALLED] = "all-stalled",
 };
@@ -61,6 +60,7 @@
   fleet->seed = fleet->random_state = seed;
   fleet->relays = 1;
   fleet->table = table_create (fleet, LOCK_UPSTREAMS, "fleet");
+  fleet->by_address = table_create (fleet, LOCK_UPSTREAMS, "fleet-addresses");
   STAILQ_INIT (&fleet->services);
   SLIST_INIT (&fleet->zones);
   LIST_INIT (&fleet->groups);
@@ -83,6 +83,17 @@
   return node == NULL ? NULL : CONTAINER_OF (node, fleet_upstream_t, node);
 }
 
+/* Return the upstream at ADDRESS, or NULL.  The table must be locked.  */
+fleet_upstream_t *
+fleet_find_by_address (const fleet_t *fleet, const char *address)
+{
+  table_node_t *node
+      = table_find (fleet->by_address, address, strlen (address));
+
+  return node == NULL ? NULL
+                      : CONTAINER_OF (node, fleet_upstream_t, address_node);
+}
+
 /* Return the service NAME, or NULL.  The table must be locked.  */
 fleet_service_t *
 fleet_find_service (const fleet_t *fleet, const char *name)
@@ -111,6 +122,7 @@
   service->ops = plugin_ops (PLUGIN_PICK, "least-tokens");
   service->pick = service->ops->create (service, fleet->seed);
   STAILQ_INIT (&service->upstreams);
+  TAILQ_INIT (&service->reported);
   STAILQ_INSERT_TAIL (&fleet->services, service, link);
   return service;
 }
@@ -202,7 +214,10 @@
   if (upstream->service != NULL)
     STAILQ_REMOVE (&upstream->service->upstreams, upstream, fleet_upstream,
                    link);
+  quota_forget (upstream);
+  fleet_upstream_set_group (upstream, NULL);
   table_remove (fleet->table, &upstream->node);
+  table_remove (fleet->by_address, &upstream->address_node);
   talloc_free (upstream);
 }
 
@@ -221,16 +236,17 @@
     }
   upstream->id = talloc_strdup (upstream, listing->id);
   upstream->address = talloc_strdup (upstream, listing->address);
-  upstream->zone = zone->name;
-  upstream->region = zone->region;
+  upstream->zone = zone;
   upstream->candidate.name = upstream->id;
   upstream->candidate.name_hash
       = XXH3_64bits (upstream->id, strlen (upstream->id));
-  upstream->candidate.zone = upstream->zone;
+  upstream->candidate.zone = zone->name;
   upstream->service = service;
   STAILQ_INSERT_TAIL (&service->upstreams, upstream, link);
   table_insert (fleet->table, &upstream->node, upstream->id,
                 strlen (upstream->id));
+  table_insert (fleet->by_address, &upstream->address_node, upstream->address,
+                strlen (upstream->address));
   fleet_reserve_candidates (fleet);
   return upstream;
 }
@@ -243,7 +259,7 @@
 {
   return strcmp (upstream->address, listing->address) != 0
          || strcmp (upstream->service->name, listing->service) != 0
-         || strcmp (upstream->zone, listing->zone) != 0
+         || strcmp (upstream->zone->name, listing->zone) != 0
          || upstream->started_ms != listing->started_ms;
 }
 
@@ -262,44 +278,23 @@
     report->limit_tokens = report->limit_requests;
 }
 
-/* Return an upstream other than ID at ADDRESS, or NULL.  */
-static fleet_upstream_t *
-fleet_find_other_by_address (const fleet_t *fleet, const char *address,
-                             const char *id)
-{
-  table_node_t *node;
-
-  TABLE_FOREACH (node, fleet->table)
-    {
-      fleet_upstream_t *upstream = CONTAINER_OF (node, fleet_upstream_t, node);
-
-      if (strcmp (upstream->address, address) == 0
-          && strcmp (upstream->id, id) != 0)
-        return upstream;
-    }
-  return NULL;
-}
-
 /* An address belongs to the upstream that started last; the listing of its
    predecessor disappears only some seconds later.  Returns whether LISTING is
    that of the last upstream started at its address; if so, removes the
-   others.  */
+   other.  */
 static bool
 fleet_claim_address (fleet_t *fleet, const upstream_listing_t *listing)
 {
-  fleet_upstream_t *other;
-
-  while ((other
-          = fleet_find_other_by_address (fleet, listing->address, listing->id))
-         != NULL)
-    {
-      if (other->started_ms > listing->started_ms)
-        return false;
-      log_event (LOG_LEVEL_NOTICE, "upstream-replaced",
-                 "upstream=%s by=%s address=%s", other->id, listing->id,
-                 listing->address);
-      upstream_free (fleet, other);
-    }
+  fleet_upstream_t *other = fleet_find_by_address (fleet, listing->address);
+
+  if (other == NULL)
+    return true;
+  if (other->started_ms > listing->started_ms)
+    return false;
+  log_event (LOG_LEVEL_NOTICE, "upstream-replaced",
+             "upstream=%s by=%s address=%s", other->id, listing->id,
+             listing->address);
+  upstream_free (fleet, other);
   return true;
 }
 
@@ -371,7 +366,7 @@
         fleet_upstream_t *upstream
             = CONTAINER_OF (node, fleet_upstream_t, node);
 
-        if (strcmp (upstream->zone, zone) == 0)
+        if (upstream->zone == known)
           cold_start_set_remaining (upstream, now,
                                     upstream->service->cold_time);
       }
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -24,67 +24,88 @@
 
 /* Return whether UPSTREAM is eligible for REQUEST, regardless of its load.  */
 static bool
-upstream_is_allowed (fleet_t *fleet, const fleet_upstream_t *upstream,
+upstream_is_allowed (const fleet_upstream_t *upstream,
                      const fleet_request_t *request)
 {
   return !upstream->is_draining && !upstream->is_replaced
-         && !fleet_find_or_add_zone (fleet, upstream->zone)->is_out
-         && route_allows_region (request->route, upstream->region)
+         && !upstream->zone->is_out
+         && route_allows_region (request->route, upstream->zone->region)
          && !request_has_tried (request, upstream->id);
 }
 
-/* How strictly upstreams are filtered.  */
-typedef enum search_level
+/* How desirable an upstream is that can be chosen; one of a later value is
+   chosen only if there is none of an earlier one.  */
+typedef enum preference
 {
-  SEARCH_HEALTHY_AND_FAST, /* excludes slow and ejected upstreams */
-  SEARCH_HEALTHY,          /* excludes ejected upstreams */
-  SEARCH_ANY,
-  SEARCH_COUNT
-} search_level_t;
+  PREFER_WITHIN_SHARE, /* this relay's share of its capacity is not used */
+  PREFER_HEALTHY,
+  PREFER_SLOW, /* slows down its group */
+  PREFER_EJECTED,
+  PREFERENCE_COUNT
+} preference_t;
+
+static preference_t
+upstream_preference (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                     const fleet_request_t *request, struct timespec now)
+{
+  if (health_is_ejected (upstream, now))
+    return PREFER_EJECTED;
+  if (fleet_upstream_is_slow (fleet, upstream))
+    return PREFER_SLOW;
+  if (!upstream->has_quota
+      || quota_is_within_share (fleet, upstream, request->is_late))
+    return PREFER_WITHIN_SHARE;
+  return PREFER_HEALTHY;
+}
 
 /* Return the reason why UPSTREAM cannot be chosen, or FLEET_NO_SHORTAGE.  */
 static fleet_shortage_t
-find_obstacle (fleet_t *fleet, fleet_upstream_t *upstream,
-               const fleet_request_t *request, search_level_t search_level)
+find_obstacle (const fleet_t *fleet, fleet_upstream_t *upstream,
+               const fleet_request_t *request, bool is_share_used,
+               struct timespec now)
 {
-  struct timespec now = clock_monotonic (fleet->clock);
-
-  if (!upstream_is_allowed (fleet, upstream, request))
+  if (!upstream_is_allowed (upstream, request))
     return FLEET_NO_ALLOWED_UPSTREAM;
   if (fleet_upstream_is_stalled (fleet, upstream))
     return FLEET_ALL_STALLED;
-  if (fleet_upstream_is_full (fleet, upstream, request->is_late))
+  if (fleet_upstream_is_full (fleet, upstream, request->is_late,
+                              is_share_used))
     return FLEET_ALL_FULL;
-  if (search_level < SEARCH_ANY && health_is_ejected (upstream, now))
-    return FLEET_ALL_FAILING;
-  if (search_level < SEARCH_HEALTHY
-      && fleet_upstream_is_slow (fleet, upstream))
-    return FLEET_ALL_FAILING;
   if (!cold_start_has_token (fleet, upstream, now))
     return FLEET_ALL_COLD;
   return FLEET_NO_SHORTAGE;
 }
 
-/* Collect the upstreams that can serve REQUEST as candidates and return their
-   number.  *SHORTAGE is the reason if there are none.  */
+/* Collect the most desirable upstreams that can serve REQUEST as candidates
+   and return their number.  *SHORTAGE is the reason if there are
+   none.  */
 static unsigned
-collect_candidates (fleet_t *fleet, const fleet_service_t *service,
-                    const fleet_request_t *request,
-                    search_level_t search_level, fleet_shortage_t *shortage)
+collect_candidates (fleet_t *fleet, fleet_service_t *service,
+                    const fleet_request_t *request, struct timespec now,
+                    fleet_shortage_t *shortage)
 {
+  bool is_share_used = quota_is_share_used (fleet, service, request->is_late);
+  preference_t best = PREFERENCE_COUNT;
   fleet_upstream_t *upstream;
   unsigned count = 0;
 
   *shortage = FLEET_NO_UPSTREAM;
   STAILQ_FOREACH (upstream, &service->upstreams, link)
     {
+      preference_t preference;
       fleet_shortage_t obstacle
-          = find_obstacle (fleet, upstream, request, search_level);
+          = find_obstacle (fleet, upstream, request, is_share_used, now);
 
       if (obstacle > *shortage)
         *shortage = obstacle;
       if (obstacle != FLEET_NO_SHORTAGE)
         continue;
+      preference = upstream_preference (fleet, upstream, request, now);
+      if (preference > best)
+        continue;
+      if (preference < best)
+        count = 0;
+      best = preference;
       fleet->candidates[count] = &upstream->candidate;
       fleet->candidate_upstreams[count++] = upstream;
     }
@@ -94,7 +115,7 @@
 static void
 upstream_count_request (fleet_upstream_t *upstream, const pick_request_t *work)
 {
-  upstream->sent++;
+  quota_count_sent (upstream);
   upstream->candidate.outstanding_requests++;
   upstream->candidate.outstanding_tokens
       += work->prompt_tokens + work->output_tokens;
@@ -122,14 +143,11 @@
   fleet_shortage_t shortage;
   pick_choice_t pick_choice = { 0 };
   fleet_upstream_t *upstream;
-  unsigned count = 0;
+  unsigned count;
 
   if (service == NULL)
     return FLEET_NO_UPSTREAM;
-  for (search_level_t search_level = SEARCH_HEALTHY_AND_FAST;
-       count == 0 && search_level < SEARCH_COUNT; search_level++)
-    count = collect_candidates (fleet, service, request, search_level,
-                                &shortage);
+  count = collect_candidates (fleet, service, request, now, &shortage);
   if (count == 0)
     return shortage;
   service->ops->choose (service->pick, &request->work, fleet->candidates,
@@ -138,7 +156,7 @@
   *choice = (fleet_choice_t){
     .upstream = talloc_strdup (parent, upstream->id),
     .address = talloc_strdup (parent, upstream->address),
-    .zone = talloc_strdup (parent, upstream->zone),
+    .zone = talloc_strdup (parent, upstream->zone->name),
     .reason = pick_choice.reason,
     .is_cold = cold_start_is_active (upstream, now),
     .candidates = count,
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -57,7 +57,7 @@
 }
 
 /* Return a random number from 0 to below 1.  */
-static double
+double
 fleet_random (fleet_t *fleet)
 {
   static const double range = 4294967296.0;
@@ -69,38 +69,32 @@
 
 /* Return the mean number of running requests per rank of GROUP.  */
 static double
-group_mean_running (const fleet_t *fleet, const fleet_group_t *group)
+group_mean_running (const fleet_group_t *group)
 {
-  table_node_t *node;
-  double running = 0;
-  unsigned ranks = 0;
-
-  TABLE_FOREACH (node, fleet->table)
-    {
-      const fleet_upstream_t *upstream
-          = CONTAINER_OF (node, fleet_upstream_t, node);
-
-      if (upstream->group != group)
-        continue;
-      running += (double)upstream->candidate.report.outstanding_requests;
-      ranks++;
-    }
-  return ranks == 0 ? 0 : running / ranks;
+  return group->known_ranks == 0
+             ? 0
+             : (double)group->running_requests / group->known_ranks;
 }
 
-static fleet_upstream_t *
-fleet_find_by_address (const fleet_t *fleet, const char *address)
+/* Make UPSTREAM a rank of GROUP, or of no group if it is NULL.  */
+void
+fleet_upstream_set_group (fleet_upstream_t *upstream, fleet_group_t *group)
 {
-  table_node_t *node;
+  uint64_t running = upstream->candidate.report.outstanding_requests;
 
-  TABLE_FOREACH (node, fleet->table)
+  if (upstream->group == group)
+    return;
+  if (upstream->group != NULL)
     {
-      fleet_upstream_t *upstream = CONTAINER_OF (node, fleet_upstream_t, node);
-
-      if (strcmp (upstream->address, address) == 0)
-        return upstream;
+      upstream->group->known_ranks--;
+      upstream->group->running_requests -= running;
     }
-  return NULL;
+  if (group != NULL)
+    {
+      group->known_ranks++;
+      group->running_requests += running;
+    }
+  upstream->group = group;
 }
 
 /* Update the mean step time: the group has taken COUNT steps since
@@ -171,6 +165,12 @@
 {
   pick_candidate_t *candidate = &upstream->candidate;
 
+  if (upstream->group != NULL)
+    {
+      upstream->group->running_requests
+          -= candidate->report.outstanding_requests;
+      upstream->group->running_requests += running;
+    }
   candidate->report.at = clock_monotonic (fleet->clock);
   candidate->report.outstanding_requests = running;
   candidate->report.queued_requests = waiting;
@@ -214,35 +214,25 @@
       || group->mean_step_ms <= limit_ms
       || !is_recent (fleet, group->last_report_at))
     return upstream->slots;
-  mean_running = group_mean_running (fleet, group);
+  mean_running = group_mean_running (group);
   return mean_running * (limit_ms - service->idle_step_ms)
          / (group->mean_step_ms - service->idle_step_ms);
 }
 
-/* Return this relay's share of CAPACITY.  ROUNDING is a random number from 0
-   to below 1 that rounds the share up or down, so that the shares of all
-   relays add up to about CAPACITY.  */
-static unsigned
-relay_quota (const fleet_t *fleet, double capacity, double rounding)
-{
-  return capacity <= 0 ? 0 : (unsigned)(capacity / fleet->relays + rounding);
-}
-
-/* Set this relay's share of the capacity that the last report shows.  Every
-   relay gets the same report, and would use all of the capacity otherwise.  */
+/* Set the free capacity of UPSTREAM from REPORT.  A group that takes no steps
+   has none.  */
 static void
 upstream_set_quota (fleet_t *fleet, fleet_upstream_t *upstream,
                     const fleet_report_t *report)
 {
   double limit = fmax (request_limit (fleet, upstream), 1);
   double current = (double)(report->running + report->waiting);
-  double rounding = fleet_random (fleet);
 
-  upstream->quota
-      = relay_quota (fleet, limit + max_queued_requests - current, rounding);
-  upstream->late_quota
-      = relay_quota (fleet, limit * late_limit_ratio - current, rounding);
-  upstream->sent = 0;
+  if (upstream->group != NULL && !upstream->group->is_open)
+    quota_set (fleet, upstream, 0, 0);
+  else
+    quota_set (fleet, upstream, limit + max_queued_requests - current,
+               limit * late_limit_ratio - current);
 }
 
 /* Record the report of the engine at ADDRESS, which its pilot passed on.
@@ -260,7 +250,8 @@
     {
       upstream_apply_report (fleet, upstream, report);
       if (report->group[0] != '\0')
-        upstream->group = fleet_find_or_add_group (fleet, report->group);
+        fleet_upstream_set_group (
+            upstream, fleet_find_or_add_group (fleet, report->group));
       if (upstream->group != NULL)
         is_state_changed = group_update (fleet, upstream->group, report);
       upstream_set_quota (fleet, upstream, report);
@@ -306,15 +297,15 @@
                  STREAM_STALL_STEPS * group->last_step_ms);
 }
 
-/* Return whether this relay has used its quota of UPSTREAM, or for a request
-   that IS_LATE the lower quota of late requests.  */
+/* Return whether UPSTREAM has reported no capacity for another request of this
+   relay, or if IS_SHARE_USED, any.  */
 bool
 fleet_upstream_is_full (const fleet_t *fleet, const fleet_upstream_t *upstream,
-                        bool is_late)
+                        bool is_late, bool is_share_used)
 {
   if (upstream->group == NULL || !is_recent (fleet, upstream->reported_at))
     return false;
-  return upstream->sent >= (is_late ? upstream->late_quota : upstream->quota);
+  return is_share_used || quota_is_upstream_full (upstream, is_late);
 }
 
 /* Return whether a pilot has reported on UPSTREAM recently.  */
