Plan expert maps in stages, and forget old counts after a shift

Change: the search is a module of its own with incremental sums, moves in rounds over the layers, and offers maps with more and more loads; the plan takes the one that costs the least step time until the best one is reached after it. Older counts are dropped when the new ones overlap less than 0.9 with them.

--- a/plugins/placement/even.c
+++ b/plugins/placement/even.c
@@ -1,33 +1,27 @@
 #include "kernel/plugin.h"
 #include "plugins/placement.h"
+#include "plugins/placement/layer_search.h"
 
 #include <math.h>
 #include <string.h>
 
 /* A policy for engines that split the tokens of an expert evenly among its
-   replicas and let a rank load only a few experts at a time.  A local
-   search applies the move that helps the slowest rank most until no move
-   helps.  */
+   replicas and let a rank load only a few experts at a time.  */
 
 enum
 {
-  /* Number of the slowest rank's most loaded experts that are tried as the
-     expert to move.  */
-  HOT_EXPERT_CANDIDATES = 4,
-  /* Number of the least loaded ranks that are tried as the target of a
-     move.  */
-  TARGET_RANK_CANDIDATES = 4,
-  MAX_MOVES_PER_LAYER = 64
+  MAX_MOVES_PER_LAYER = 64, /* in a stage */
+  MAX_STAGES = 16
 };
 
 /* Weight of the older counts when new ones are added.  */
 static const double history_weight = 0.35;
-/* Minimum reduction of a layer's cost by a move.  The unit is the time of
-   a balanced layer.  */
-static const double min_improvement = 1e-4;
-/* Lower limit of the popularity: an expert without tokens may get some
-   later.  */
-static const double min_popularity = 1e-5;
+/* If the new counts share less than this part of their distribution with the
+   older ones, the popularity has shifted and the older ones are dropped.  */
+static const double min_overlap = 0.9;
+/* Time from the plan to the switch, in seconds, apart from loading the
+   weights: the commands to all ranks.  */
+static const double switch_s = 0.2;
 
 struct placement
 {
@@ -37,37 +31,6 @@
   double *speed;  /* by rank; 1 is the baseline */
 };
 
-/* The state of the search on one layer.  */
-typedef struct layer_search
-{
-  const placement_shape_t *shape;
-  unsigned max_loads_per_rank;
-  double min_gain_per_load;
-  double *popularity; /* by expert; sums to 1 */
-  unsigned *replicas; /* by expert */
-  bool *was_held;     /* by rank and expert: in the current map */
-  bool *is_held;      /* by rank and expert: after the moves */
-  double *load;       /* by rank: its time relative to the mean rank's */
-  const double *speed;
-  unsigned *used;  /* by rank: slots in use */
-  unsigned *loads; /* by rank: experts to be loaded */
-  double cost;     /* cost before the move being evaluated */
-} layer_search_t;
-
-/* A change of the layer: EXPERT is moved or copied from the rank SOURCE to
-   the rank TARGET, which may drop EVICTED, or give it to SOURCE in
-   exchange.  Without a target, SOURCE only drops EXPERT.  */
-typedef struct move
-{
-  unsigned source;
-  unsigned expert;
-  bool is_copied; /* SOURCE keeps EXPERT */
-  unsigned target;
-  unsigned evicted; /* dropped by TARGET, or PLACEMENT_SLOT_FREE */
-  bool is_swap;     /* SOURCE gets EVICTED */
-  double gain;      /* reduction of the layer's cost */
-} move_t;
-
 static placement_t *
 even_create (TALLOC_CTX *parent, const placement_shape_t *shape,
              const placement_config_t *config)
@@ -92,498 +55,260 @@
   talloc_free (placement);
 }
 
-static void
-even_observe (placement_t *placement, const placement_sample_t *sample)
+/* Returns the part that the distributions of LEFT and RIGHT over COUNT experts
+   have in common, from 0 to 1, or 1 if one of them is empty.  */
+static double
+distribution_overlap (const double *left, const uint64_t *right,
+                      unsigned count)
 {
-  size_t count = (size_t)placement->shape.layers * placement->shape.experts;
+  double left_total = 0;
+  double right_total = 0;
+  double overlap = 0;
 
-  for (size_t i = 0; i < count; i++)
-    placement->counts[i]
-        = placement->counts[i] * history_weight + (double)sample->tokens[i];
-  for (unsigned i = 0; i < placement->shape.ranks; i++)
+  for (unsigned i = 0; i < count; i++)
     {
-      if (sample->busy_us[i] > 0 && sample->work[i] > 0)
-        placement->speed[i]
-            = (double)sample->work[i] / (double)sample->busy_us[i];
+      left_total += left[i];
+      right_total += (double)right[i];
     }
+  if (left_total <= 0 || right_total <= 0)
+    return 1;
+  for (unsigned i = 0; i < count; i++)
+    overlap += fmin (left[i] / left_total, (double)right[i] / right_total);
+  return overlap;
 }
 
-static bool *
-held_flag (const layer_search_t *search, unsigned rank, unsigned expert)
-{
-  return &search->is_held[(size_t)rank * search->shape->experts + expert];
-}
-
-static bool
-was_held (const layer_search_t *search, unsigned rank, unsigned expert)
-{
-  return search->was_held[(size_t)rank * search->shape->experts + expert];
-}
-
-/* Returns the load that a replica of EXPERT adds to RANK if the expert has
-   REPLICAS of them.  */
+/* Returns the weight of the older counts.  It is the same for all layers,
+   whose experts are chosen for the same tokens.  */
 static double
-replica_load (const layer_search_t *search, unsigned expert, unsigned replicas,
-              unsigned rank)
-{
-  return search->popularity[expert] * search->shape->ranks / replicas
-         / search->speed[rank];
-}
-
-/* Changes the number of replicas of EXPERT and updates the load of the
-   ranks that hold it.  */
-static void
-set_replica_count (layer_search_t *search, unsigned expert, unsigned replicas)
+even_history_weight (const placement_t *placement,
+                     const placement_sample_t *sample)
 {
-  unsigned before = search->replicas[expert];
+  const placement_shape_t *shape = &placement->shape;
+  double overlap = 0;
 
-  for (unsigned rank = 0; rank < search->shape->ranks; rank++)
+  for (unsigned layer = 0; layer < shape->layers; layer++)
     {
-      if (*held_flag (search, rank, expert))
-        search->load[rank] += replica_load (search, expert, replicas, rank)
-                              - replica_load (search, expert, before, rank);
-    }
-  search->replicas[expert] = replicas;
-}
-
-static void
-add_replica (layer_search_t *search, unsigned rank, unsigned expert)
-{
-  set_replica_count (search, expert, search->replicas[expert] + 1);
-  *held_flag (search, rank, expert) = true;
-  search->load[rank]
-      += replica_load (search, expert, search->replicas[expert], rank);
-  search->used[rank]++;
-  if (!was_held (search, rank, expert))
-    search->loads[rank]++;
-}
-
-static void
-drop_replica (layer_search_t *search, unsigned rank, unsigned expert)
-{
-  search->load[rank]
-      -= replica_load (search, expert, search->replicas[expert], rank);
-  *held_flag (search, rank, expert) = false;
-  set_replica_count (search, expert, search->replicas[expert] - 1);
-  search->used[rank]--;
-  if (!was_held (search, rank, expert))
-    search->loads[rank]--;
-}
+      size_t first = (size_t)layer * shape->experts;
 
-/* Moves the replica of EXPERT from one rank to another.  */
-static void
-move_replica (layer_search_t *search, unsigned from, unsigned to,
-              unsigned expert)
-{
-  add_replica (search, to, expert);
-  drop_replica (search, from, expert);
-}
-
-static void
-apply_move (layer_search_t *search, const move_t *move)
-{
-  if (move->is_swap)
-    {
-      move_replica (search, move->source, move->target, move->expert);
-      move_replica (search, move->target, move->source, move->evicted);
-      return;
+      overlap += distribution_overlap (&placement->counts[first],
+                                       &sample->tokens[first], shape->experts);
     }
-  if (move->target != PLACEMENT_SLOT_FREE
-      && move->evicted != PLACEMENT_SLOT_FREE)
-    drop_replica (search, move->target, move->evicted);
-  if (move->target != PLACEMENT_SLOT_FREE)
-    add_replica (search, move->target, move->expert);
-  if (!move->is_copied)
-    drop_replica (search, move->source, move->expert);
+  return overlap < min_overlap * shape->layers ? 0 : history_weight;
 }
 
 static void
-undo_move (layer_search_t *search, const move_t *move)
-{
-  if (move->is_swap)
-    {
-      move_replica (search, move->source, move->target, move->evicted);
-      move_replica (search, move->target, move->source, move->expert);
-      return;
-    }
-  if (!move->is_copied)
-    add_replica (search, move->source, move->expert);
-  if (move->target != PLACEMENT_SLOT_FREE)
-    drop_replica (search, move->target, move->expert);
-  if (move->target != PLACEMENT_SLOT_FREE
-      && move->evicted != PLACEMENT_SLOT_FREE)
-    add_replica (search, move->target, move->evicted);
-}
-
-/* Returns a smooth approximation of the slowest rank's time (the 8-norm of
-   the loads).  The other ranks contribute a little, so that moves that
-   only prepare a later gain are recognized as progress.  */
-static double
-search_time (const layer_search_t *search)
+even_observe (placement_t *placement, const placement_sample_t *sample)
 {
-  double sum = 0;
+  size_t count = (size_t)placement->shape.layers * placement->shape.experts;
+  double weight = even_history_weight (placement, sample);
 
-  for (unsigned rank = 0; rank < search->shape->ranks; rank++)
+  for (size_t i = 0; i < count; i++)
+    placement->counts[i]
+        = placement->counts[i] * weight + (double)sample->tokens[i];
+  for (unsigned i = 0; i < placement->shape.ranks; i++)
     {
-      double square = search->load[rank] * search->load[rank];
-      double fourth = square * square;
-
-      sum += fourth * fourth;
+      if (sample->busy_us[i] > 0 && sample->work[i] > 0)
+        placement->speed[i]
+            = (double)sample->work[i] / (double)sample->busy_us[i];
     }
-  return sqrt (sqrt (sqrt (sum)));
 }
 
-/* Returns the layer's time plus a penalty for each expert to be loaded.  */
-static double
-search_cost (const layer_search_t *search)
+/* A plan in the making: a search for each layer.  */
+typedef struct even_attempt
 {
-  unsigned loads = 0;
-
-  for (unsigned rank = 0; rank < search->shape->ranks; rank++)
-    loads += search->loads[rank];
-  return search_time (search) + search->min_gain_per_load * loads;
-}
+  const placement_t *placement;
+  layer_search_options_t options;
+  layer_search_t **searches; /* by layer */
+} even_attempt_t;
 
 static double
-search_max_time (const layer_search_t *search, unsigned *slowest)
+attempt_time (const even_attempt_t *attempt)
 {
-  double max_time = 0;
-
-  for (unsigned rank = 0; rank < search->shape->ranks; rank++)
-    {
-      if (search->load[rank] <= max_time)
-        continue;
-      max_time = search->load[rank];
-      *slowest = rank;
-    }
-  return max_time;
-}
+  double time = 0;
 
-static bool
-can_load (const layer_search_t *search, unsigned rank, unsigned expert)
-{
-  return was_held (search, rank, expert) || search->max_loads_per_rank == 0
-         || search->loads[rank] < search->max_loads_per_rank;
+  for (unsigned i = 0; i < attempt->placement->shape.layers; i++)
+    time += layer_search_time (attempt->searches[i]);
+  return time;
 }
 
-static void
-evaluate_move (layer_search_t *search, move_t *move, move_t *best)
-{
-  apply_move (search, move);
-  move->gain = search->cost - search_cost (search);
-  undo_move (search, move);
-  if (move->gain > best->gain)
-    *best = *move;
-}
-
-/* Evaluates moving, copying and swapping EXPERT from SOURCE to TARGET.  */
-static void
-evaluate_target (layer_search_t *search, unsigned source, unsigned expert,
-                 unsigned target, move_t *best)
-{
-  move_t move = { .source = source,
-                  .expert = expert,
-                  .is_copied = true,
-                  .target = target,
-                  .evicted = PLACEMENT_SLOT_FREE };
-
-  if (*held_flag (search, target, expert)
-      || !can_load (search, target, expert))
-    return;
-  if (search->used[target] < search->shape->slots)
-    {
-      evaluate_move (search, &move, best);
-      move.is_copied = false;
-      evaluate_move (search, &move, best);
-      return;
-    }
-  for (unsigned evicted = 0; evicted < search->shape->experts; evicted++)
-    {
-      if (!*held_flag (search, target, evicted))
-        continue;
-      move.evicted = evicted;
-      move.is_swap = false;
-      move.is_copied = true;
-      if (search->replicas[evicted] > 1)
-        evaluate_move (search, &move, best);
-      move.is_swap = true;
-      if (!*held_flag (search, source, evicted)
-          && can_load (search, source, evicted))
-        evaluate_move (search, &move, best);
-    }
-}
-
-/* Fills RANKS with the least loaded ranks in ascending order.  RANKS has
-   room for TARGET_RANK_CANDIDATES + 1.  Returns their number.  */
+/* Returns the highest number of experts that a rank has to load.  */
 static unsigned
-search_least_loaded (const layer_search_t *search, unsigned *ranks)
+attempt_max_loads (const even_attempt_t *attempt)
 {
-  unsigned count = 0;
+  const placement_shape_t *shape = &attempt->placement->shape;
+  unsigned max_loads = 0;
 
-  for (unsigned rank = 0; rank < search->shape->ranks; rank++)
+  for (unsigned rank = 0; rank < shape->ranks; rank++)
     {
-      unsigned position = count;
+      unsigned loads = 0;
 
-      while (position > 0
-             && search->load[ranks[position - 1]] > search->load[rank])
-        position--;
-      if (position == TARGET_RANK_CANDIDATES)
-        continue;
-      if (count < TARGET_RANK_CANDIDATES)
-        count++;
-      memmove (&ranks[position + 1], &ranks[position],
-               (count - 1 - position) * sizeof *ranks);
-      ranks[position] = rank;
+      for (unsigned i = 0; i < shape->layers; i++)
+        loads += layer_search_loads (attempt->searches[i], rank);
+      if (loads > max_loads)
+        max_loads = loads;
     }
-  return count;
+  return max_loads;
 }
 
-/* Fills EXPERTS with the experts that load RANK most, in descending order.
-   EXPERTS has room for HOT_EXPERT_CANDIDATES + 1.  Returns their number.  */
-static unsigned
-search_hottest_experts (const layer_search_t *search, unsigned rank,
-                        unsigned *experts)
+/* Starts a plan from CURRENT in which no rank loads an expert yet.  Returns
+   NULL when memory is exhausted.  */
+static even_attempt_t *
+attempt_create (const placement_t *placement, const placement_map_t *current)
 {
-  double loads[HOT_EXPERT_CANDIDATES];
-  unsigned count = 0;
-
-  for (unsigned expert = 0; expert < search->shape->experts; expert++)
-    {
-      unsigned position = count;
-      double load;
-
-      if (!*held_flag (search, rank, expert))
-        continue;
-      load = replica_load (search, expert, search->replicas[expert], rank);
-      while (position > 0 && loads[position - 1] < load)
-        position--;
-      if (position == HOT_EXPERT_CANDIDATES)
-        continue;
-      if (count < HOT_EXPERT_CANDIDATES)
-        count++;
-      memmove (&experts[position + 1], &experts[position],
-               (count - 1 - position) * sizeof *experts);
-      memmove (&loads[position + 1], &loads[position],
-               (count - 1 - position) * sizeof *loads);
-      experts[position] = expert;
-      loads[position] = load;
-    }
-  return count;
-}
+  const placement_shape_t *shape = &placement->shape;
+  even_attempt_t *attempt = talloc_zero (NULL, even_attempt_t);
+  bool is_complete;
 
-static bool
-find_best_move (layer_search_t *search, move_t *best)
-{
-  unsigned slowest = 0;
-  unsigned targets[TARGET_RANK_CANDIDATES + 1];
-  unsigned experts[HOT_EXPERT_CANDIDATES + 1];
-  unsigned target_count = search_least_loaded (search, targets);
-  unsigned expert_count;
-
-  search_max_time (search, &slowest);
-  expert_count = search_hottest_experts (search, slowest, experts);
-  search->cost = search_cost (search);
-  best->gain = min_improvement;
-  best->source = PLACEMENT_SLOT_FREE;
-  for (unsigned i = 0; i < expert_count; i++)
+  if (attempt == NULL)
+    return NULL;
+  attempt->placement = placement;
+  attempt->options = (layer_search_options_t){
+    .max_loads_per_rank = placement->config.max_loads_per_rank,
+    .loads_left = talloc_zero_array (attempt, unsigned, shape->ranks),
+    .min_gain_per_load = placement->config.min_gain_per_load,
+  };
+  attempt->searches
+      = talloc_zero_array (attempt, layer_search_t *, shape->layers);
+  is_complete
+      = attempt->options.loads_left != NULL && attempt->searches != NULL;
+  for (unsigned i = 0; is_complete && i < shape->layers; i++)
     {
-      move_t drop = { .source = slowest,
-                      .expert = experts[i],
-                      .target = PLACEMENT_SLOT_FREE,
-                      .evicted = PLACEMENT_SLOT_FREE };
-
-      if (search->replicas[experts[i]] > 1)
-        evaluate_move (search, &drop, best);
-      for (unsigned j = 0; j < target_count; j++)
-        {
-          if (targets[j] != slowest)
-            evaluate_target (search, slowest, experts[i], targets[j], best);
-        }
+      attempt->searches[i] = layer_search_create (
+          attempt, current, i, &placement->counts[(size_t)i * shape->experts],
+          placement->speed, &attempt->options);
+      is_complete = attempt->searches[i] != NULL;
     }
-  return best->source != PLACEMENT_SLOT_FREE;
+  if (!is_complete)
+    TALLOC_FREE (attempt);
+  return attempt;
 }
 
+/* Moves experts in rounds of one move for each layer, so that the layers share
+   the loads, until no layer can be improved.  */
 static void
-search_read_map (layer_search_t *search, const placement_map_t *map,
-                 unsigned layer)
+attempt_run (even_attempt_t *attempt)
 {
-  const placement_shape_t *shape = search->shape;
+  unsigned layers = attempt->placement->shape.layers;
+  bool is_improved = true;
 
-  for (unsigned rank = 0; rank < shape->ranks; rank++)
-    {
-      for (unsigned slot = 0; slot < shape->slots; slot++)
-        {
-          unsigned expert
-              = placement_map_slot (map, layer, rank, slot)->expert;
-
-          if (expert == PLACEMENT_SLOT_FREE
-              || *held_flag (search, rank, expert))
-            continue;
-          *held_flag (search, rank, expert) = true;
-          search->replicas[expert]++;
-          search->used[rank]++;
-        }
-    }
-  memcpy (search->was_held, search->is_held,
-          (size_t)shape->ranks * shape->experts * sizeof *search->is_held);
-  for (unsigned rank = 0; rank < shape->ranks; rank++)
+  for (unsigned i = 0; i < MAX_MOVES_PER_LAYER && is_improved; i++)
     {
-      for (unsigned expert = 0; expert < shape->experts; expert++)
-        {
-          if (*held_flag (search, rank, expert))
-            search->load[rank] += replica_load (
-                search, expert, search->replicas[expert], rank);
-        }
+      is_improved = false;
+      for (unsigned layer = 0; layer < layers; layer++)
+        is_improved
+            = layer_search_step (attempt->searches[layer]) || is_improved;
     }
 }
 
-static layer_search_t *
-layer_search_create (const placement_t *placement, const placement_map_t *map,
-                     unsigned layer, unsigned max_loads_per_rank)
+/* Lets each rank load MORE experts.  */
+static void
+attempt_allow_loads (even_attempt_t *attempt, unsigned more)
 {
-  const placement_shape_t *shape = &placement->shape;
-  size_t pairs = (size_t)shape->ranks * shape->experts;
-  const double *counts = &placement->counts[(size_t)layer * shape->experts];
-  layer_search_t *search = talloc_zero (NULL, layer_search_t);
-  double total = 0;
-
-  search->shape = shape;
-  search->max_loads_per_rank = max_loads_per_rank;
-  search->min_gain_per_load = placement->config.min_gain_per_load;
-  search->speed = placement->speed;
-  search->popularity = talloc_array (search, double, shape->experts);
-  search->replicas = talloc_zero_array (search, unsigned, shape->experts);
-  search->was_held = talloc_zero_array (search, bool, pairs);
-  search->is_held = talloc_zero_array (search, bool, pairs);
-  search->load = talloc_zero_array (search, double, shape->ranks);
-  search->used = talloc_zero_array (search, unsigned, shape->ranks);
-  search->loads = talloc_zero_array (search, unsigned, shape->ranks);
-  for (unsigned i = 0; i < shape->experts; i++)
-    total += counts[i];
-  for (unsigned i = 0; i < shape->experts; i++)
-    {
-      search->popularity[i]
-          = total > 0 ? counts[i] / total : 1.0 / shape->experts;
-      if (search->popularity[i] < min_popularity)
-        search->popularity[i] = min_popularity;
-    }
-  search_read_map (search, map, layer);
-  return search;
+  for (unsigned i = 0; i < attempt->placement->shape.ranks; i++)
+    attempt->options.loads_left[i] += more;
 }
 
-static void
-search_write_map (const layer_search_t *search, placement_map_t *map,
-                  unsigned layer)
+/* A possible plan: the map after LOADS loads of a rank at most.  */
+typedef struct even_stage
 {
-  const placement_shape_t *shape = search->shape;
-
-  for (unsigned rank = 0; rank < shape->ranks; rank++)
-    {
-      unsigned slot = 0;
-
-      for (unsigned expert = 0; expert < shape->experts; expert++)
-        {
-          if (*held_flag (search, rank, expert))
-            *placement_map_slot (map, layer, rank, slot++)
-                = (placement_slot_t){
-                    .expert = (uint16_t)expert,
-                    .share = (uint16_t)(PLACEMENT_SHARE_FULL
-                                        / search->replicas[expert])
-                  };
-        }
-      while (slot < shape->slots)
-        *placement_map_slot (map, layer, rank, slot++)
-            = (placement_slot_t){ .expert = PLACEMENT_SLOT_FREE };
-    }
-}
+  unsigned loads;
+  double time_after;
+  placement_map_t *map;
+} even_stage_t;
 
-/* Plans with at most MAX_LOADS_PER_RANK experts loaded by each rank in
-   each layer.  Returns the highest number of experts that any rank loads
-   over all layers.  */
+/* Improves ATTEMPT with more and more loads and fills STAGES, which has room
+   for MAX_STAGES, with the maps on the way.  Returns their number.  */
 static unsigned
-plan_with_limit (const placement_t *placement, TALLOC_CTX *parent,
-                 const placement_map_t *current, unsigned max_loads_per_rank,
-                 placement_plan_t *plan)
+attempt_run_stages (even_attempt_t *attempt, even_stage_t *stages)
 {
-  const placement_shape_t *shape = &placement->shape;
-  unsigned *loads = talloc_zero_array (NULL, unsigned, shape->ranks);
-  unsigned max_loads = 0;
-  unsigned slowest;
+  const placement_shape_t *shape = &attempt->placement->shape;
+  unsigned limit
+      = attempt->placement->config.max_loads_per_rank * shape->layers;
+  unsigned count = 0;
 
-  *plan = (placement_plan_t){ .map = placement_map_create (parent, shape),
-                              .time_bound = shape->layers };
-  for (unsigned layer = 0; layer < shape->layers; layer++)
+  for (unsigned loads = 1; loads / 2 < limit && count < MAX_STAGES; loads *= 2)
     {
-      layer_search_t *search = layer_search_create (placement, current, layer,
-                                                    max_loads_per_rank);
-      move_t move;
-
-      plan->time_before += search_max_time (search, &slowest);
-      for (unsigned i = 0;
-           i < MAX_MOVES_PER_LAYER && find_best_move (search, &move); i++)
-        apply_move (search, &move);
-      plan->time_after += search_max_time (search, &slowest);
-      for (unsigned rank = 0; rank < shape->ranks; rank++)
-        loads[rank] += search->loads[rank];
-      search_write_map (search, plan->map, layer);
-      talloc_free (search);
+      even_stage_t *stage = &stages[count];
+
+      attempt_allow_loads (attempt, loads - loads / 2);
+      attempt_run (attempt);
+      stage->loads = attempt_max_loads (attempt);
+      stage->time_after = attempt_time (attempt);
+      stage->map = placement_map_create (attempt, shape);
+      if (stage->map == NULL)
+        break;
+      for (unsigned i = 0; i < shape->layers; i++)
+        layer_search_write_map (attempt->searches[i], stage->map, i);
+      count++;
     }
-  for (unsigned rank = 0; rank < shape->ranks; rank++)
-    max_loads = loads[rank] > max_loads ? loads[rank] : max_loads;
-  talloc_free (loads);
-  plan->moves = placement_map_moves (current, plan->map);
-  return max_loads;
+  return count;
 }
 
-/* Returns the benefit of a plan: the step time saved, times how long the
-   map remains useful after its weights are loaded.  */
+/* Returns the time from a plan to its switch, in seconds.  */
 static double
-plan_benefit (const placement_t *placement, const placement_plan_t *plan,
-              unsigned loads)
+switch_delay_s (const placement_config_t *config, unsigned loads)
 {
-  const placement_config_t *config = &placement->config;
-  double useful_s = config->horizon_seconds - config->load_seconds * loads;
+  return switch_s + config->load_seconds * loads;
+}
 
-  if (config->horizon_seconds <= 0)
-    useful_s = 1;
-  return useful_s <= 0 ? 0 : useful_s * (plan->time_before - plan->time_after);
+/* Returns the sum of the step time over the horizon if the group switches to
+   STAGE first and to LAST, the best map, after that.  */
+static double
+stage_cost (const placement_config_t *config, double time_before,
+            const even_stage_t *stage, const even_stage_t *last)
+{
+  double first_s = switch_delay_s (config, stage->loads);
+  double second_s = last->loads > stage->loads
+                        ? switch_delay_s (config, last->loads - stage->loads)
+                        : 0;
+  double rest_s = config->horizon_seconds - first_s - second_s;
+
+  return time_before * first_s + stage->time_after * second_s
+         + last->time_after * (rest_s > 0 ? rest_s : 0);
 }
 
-/* Plans with increasing limits of loaded experts and keeps the plan with
-   the highest benefit.  */
+/* Chooses among maps with more and more loads: more of them make a better map,
+   which is in use later.  */
 static void
 even_plan (placement_t *placement, TALLOC_CTX *parent,
            const placement_map_t *current, placement_plan_t *plan)
 {
-  unsigned limit = placement->config.max_loads_per_rank;
-  double best_benefit = 0;
-
-  *plan = (placement_plan_t){ .reason = "gain-too-small" };
-  for (unsigned max_loads = 1; max_loads <= limit || max_loads == 1;
-       max_loads *= 2)
+  const placement_config_t *config = &placement->config;
+  even_attempt_t *attempt = attempt_create (placement, current);
+  even_stage_t stages[MAX_STAGES];
+  double best_cost;
+  unsigned count;
+
+  *plan = (placement_plan_t){ .reason = "gain-too-small",
+                              .time_bound = placement->shape.layers };
+  if (attempt == NULL)
+    return;
+  plan->time_before = plan->time_after = attempt_time (attempt);
+  best_cost = config->horizon_seconds > 0
+                  ? plan->time_before * config->horizon_seconds
+                  : INFINITY;
+  count = attempt_run_stages (attempt, stages);
+  for (unsigned i = 0; i < count; i++)
     {
-      placement_plan_t candidate;
-      unsigned loads = plan_with_limit (placement, parent, current, max_loads,
-                                        &candidate);
-      double benefit = plan_benefit (placement, &candidate, loads);
-      double gain = 1.0 - candidate.time_after / candidate.time_before;
-
-      if (plan->time_before == 0)
-        {
-          plan->time_before = plan->time_after = candidate.time_before;
-          plan->time_bound = candidate.time_bound;
-        }
-      if (benefit <= best_benefit || gain < placement->config.minimum_gain)
-        {
-          talloc_free (candidate.map);
-          continue;
-        }
-      best_benefit = benefit;
-      talloc_free (plan->map);
-      *plan = candidate;
+      double cost = stage_cost (config, plan->time_before, &stages[i],
+                                &stages[count - 1]);
+
+      if (cost >= best_cost
+          || 1.0 - stages[i].time_after / plan->time_before
+                 < config->minimum_gain)
+        continue;
+      best_cost = cost;
       plan->is_change = true;
       plan->reason = "gain-pays-moves";
+      plan->time_after = stages[i].time_after;
+      plan->map = stages[i].map;
+    }
+  if (plan->is_change)
+    {
+      talloc_steal (parent, plan->map);
+      plan->moves = placement_map_moves (current, plan->map);
     }
+  talloc_free (attempt);
 }
 
 static const placement_ops_t even_ops = {
