--- a/common/config.c
+++ b/common/config.c
@@ -6,6 +6,8 @@
 enum
 {
   DEFAULT_WORKERS = 2,
+  DEFAULT_LINK_MBPS = 100,
+  MAX_LINK_MBPS = 1000000,
   MAX_WORKERS = 64,
   DEFAULT_STORE_TIMEOUT_MS = 1000,
   DEFAULT_STOP_TIMEOUT_MS = 60000,
@@ -50,6 +52,8 @@
   { "bounds", SCHEMA_TABLE, 0, .fields = bounds_fields },
   { "workers", SCHEMA_INTEGER, offsetof (config_t, workers), .minimum = 1,
     .maximum = MAX_WORKERS },
+  { "link_mbps", SCHEMA_REAL, offsetof (config_t, link_mbps), .minimum = 1,
+    .maximum = MAX_LINK_MBPS },
   { "store", SCHEMA_STRINGS, offsetof (config_t, store), .is_required = true },
   { "peers", SCHEMA_STRINGS, offsetof (config_t, peers) },
   { "store_timeout", SCHEMA_DURATION, offsetof (config_t, store_timeout),
@@ -88,6 +92,7 @@
   config->bounds.act_within = timespec_from_ms (DEFAULT_ACT_WITHIN_MS);
   config->bounds.leave_within = timespec_from_ms (DEFAULT_ACT_WITHIN_MS);
   config->workers = DEFAULT_WORKERS;
+  config->link_mbps = DEFAULT_LINK_MBPS;
   config->store_timeout = timespec_from_ms (DEFAULT_STORE_TIMEOUT_MS);
   config->stop_timeout = timespec_from_ms (DEFAULT_STOP_TIMEOUT_MS);
   return config;
--- a/include/common/config.h
+++ b/include/common/config.h
@@ -60,9 +60,10 @@
   const char *store_kind;   /* name of a store plug-in */
   platform_bounds_t bounds; /* relay only */
   int64_t workers;          /* number of worker threads */
-  schema_strings_t store;   /* URLs of the store */
-  schema_strings_t peers;   /* ADDRESS:PORT of processes that are asked for the
-                               settings while the store is unavailable */
+  double link_mbps; /* pilot only: bandwidth of the VM's link in Mbit/s */
+  schema_strings_t store; /* URLs of the store */
+  schema_strings_t peers; /* ADDRESS:PORT of processes that are asked for the
+                             settings while the store is unavailable */
   struct timespec store_timeout; /* maximum time of a request to the store */
   struct timespec stop_timeout;  /* maximum time for a graceful stop */
 } config_t;
--- a/include/pilot/leader_state.h
+++ b/include/pilot/leader_state.h
@@ -41,13 +41,15 @@
   char *service;            /* service of this pilot's engine */
   planner_t *planner;       /* NULL until the rules are known */
   placement_map_t *planned; /* map of the switch in progress */
-  unsigned pending_replies; /* ranks whose reply to QUERY is outstanding */
+  /* The query of the map in use, RANK_QUERY_HELD_EXPERTS.  */
   bool is_querying;
-  rank_query_t query;                /* last query to all ranks */
-  struct timespec queried_at;        /* start of QUERY */
-  struct timespec counts_queried_at; /* last RANK_QUERY_EXPERT_COUNTS query */
-  struct timespec planned_at;        /* start of the switch to PLANNED */
-  struct timespec heartbeat_at;      /* last heartbeat to the other pilots */
+  unsigned pending_replies; /* ranks whose reply is outstanding */
+  struct timespec queried_at;
+  unsigned next_counted_rank; /* next one to be queried for its counts */
+  struct timespec counts_queried_at; /* start of the current round of ranks */
+  bool is_replan_due;           /* a switch has ended since the last plan */
+  struct timespec planned_at;   /* last plan */
+  struct timespec heartbeat_at; /* last heartbeat to the other pilots */
 };
 
 void leader_start_mirror (leader_t *leader);
--- a/include/pilot/members.h
+++ b/include/pilot/members.h
@@ -46,9 +46,20 @@
 void members_handle_own_poll_started (members_t *members);
 void members_send_command (members_t *members, unsigned rank_number,
                            uint64_t ticket, const rank_command_t *command);
-/* Queries this pilot's engine and the ranks with a connected pilot.  Returns
-   the number of queries sent; at most one on_reply follows for each.  */
+/* Sets the map of the RANK_COMMAND_PREPARE commands that follow.  BASE is the
+   map in use.  Neither is needed after the call.  */
+void members_set_map (members_t *members, const placement_map_t *base,
+                      const placement_map_t *map);
+/* Ends the commands that wait to be sent, with RANK_UNREACHABLE.  */
+void members_cancel_waiting (members_t *members);
+/* Queries this pilot's engine or a rank with a connected pilot.  Returns
+   whether a query was sent; at most one on_reply follows.  */
+bool members_query (members_t *members, unsigned rank_number,
+                    rank_query_t query);
+/* Queries all ranks.  Returns the number of queries sent.  */
 unsigned members_query_all (members_t *members, rank_query_t query);
+/* Bytes that the link of this VM transfers in MS milliseconds.  */
+size_t members_link_bytes (const members_t *members, int64_t ms);
 /* Sends RANK_QUERY_ARM_PERMISSION to the pilot of RANK_NUMBER; on_permit
    follows if that pilot grants it.  */
 void members_request_permit (members_t *members, unsigned rank_number,
--- a/include/pilot/members_state.h
+++ b/include/pilot/members_state.h
@@ -43,9 +43,16 @@
   char *engine_address;  /* NULL until known */
   /* Client for direct calls; NULL until the first one.  */
   rank_engine_t *engine;
-  bool is_pilot_suspect; /* its pilot did not reply to a command in time */
-  bool is_pending;       /* the command TICKET is in progress */
-  uint64_t ticket;       /* last command sent */
+  bool is_pilot_suspect;  /* its pilot did not reply to a command in time */
+  bool is_pending;        /* the command TICKET is in progress */
+  uint64_t ticket;        /* last command sent */
+  rank_command_t command; /* that command, without its map */
+  /* The command waits until the commands to other ranks were answered.  */
+  bool is_waiting;
+  TAILQ_ENTRY (member_rank) waiting_link;
+  size_t unanswered_bytes; /* of the command on its way */
+  /* Its pilot lacks the map that MAP_CHANGES of the members is based on.  */
+  bool needs_whole_map;
   worker_timer_t *timer; /* timeout of the command */
   struct timespec sent_at;
   uint64_t finished_ticket; /* last command whose outcome is known */
@@ -73,6 +80,13 @@
      MEMBERS after members_destroy.  */
   unsigned references;
   bool is_closing; /* members_destroy was called */
+  /* The map of the switch in progress, encoded; its bytes belong to
+     MAP_DATA.  */
+  TALLOC_CTX *map_data;
+  blob_t map_whole;
+  blob_t map_changes; /* to the map in use; no bytes if that is not shorter */
+  TAILQ_HEAD (, member_rank) waiting;
+  size_t unanswered_bytes; /* of all ranks */
   LIST_HEAD (, member_pilot) pilots;
   LIST_HEAD (, listed_engine) listed_engines;
 };
@@ -80,6 +94,9 @@
 void members_unref (members_t *members);
 void member_rank_finish_command (member_rank_t *rank, uint64_t ticket,
                                  rank_verdict_t verdict);
+/* Sends the command TICKET again, with the whole map, as the pilot of RANK
+   lacks the base of the changes.  Ignored unless it is in progress.  */
+void member_rank_send_whole_map (member_rank_t *rank, uint64_t ticket);
 rank_engine_t *member_rank_engine (member_rank_t *rank);
 bool member_rank_has_pilot (const member_rank_t *rank);
 void members_handle_report (members_t *members, unsigned rank_number,
--- a/include/pilot/pilot.h
+++ b/include/pilot/pilot.h
@@ -4,6 +4,8 @@
 #include "common/daemon.h"
 #include "common/lease_key.h"
 #include "common/link.h"
+#include "pilot/expert_counts.h"
+#include "pilot/map_history.h"
 #include "plugins/catalog.h"
 #include "plugins/rank_engine.h"
 #include "plugins/store.h"
@@ -29,6 +31,8 @@
   rank_engine_t *engine;     /* client of the engine beside this pilot */
   lease_key_t *registration; /* NULL until the first report */
   char *registered;          /* value of the registration key */
+  expert_counts_t *counts;   /* what was reported of the engine's counts */
+  map_history_t *maps;       /* maps received from leaders */
   reporter_t *reporter;
   pilot_server_t *server;
   leader_t *leader;
--- a/include/pilot/planner.h
+++ b/include/pilot/planner.h
@@ -13,8 +13,8 @@
 planner_t *planner_create (TALLOC_CTX *parent, const engine_profile_t *engine,
                            unsigned rank_count);
 void planner_destroy (planner_t *planner);
-/* Discards the known map in use and the last counts, after a takeover or when
-   the group was re-formed.  */
+/* Discards the known map in use, after a takeover or when the group was
+   re-formed.  */
 void planner_forget_map (planner_t *planner);
 /* Whether the map in use is known from all ranks and has VERSION.  */
 bool planner_has_map (const planner_t *planner, uint64_t version);
@@ -23,9 +23,17 @@
    shape of the group.  */
 bool planner_read_map (planner_t *planner, unsigned rank,
                        const rank_reply_t *reply);
-void planner_add_counts (planner_t *planner, unsigned rank,
-                         const rank_reply_t *reply);
+/* Adds token counts of a rank since its last reply.  */
+void planner_add_counts (planner_t *planner, const rank_reply_t *reply);
+/* Whether counts were added since the last plan.  */
+bool planner_has_new_counts (const planner_t *planner);
+/* Returns the map in use; valid if planner_has_map.  */
+const placement_map_t *planner_map (const planner_t *planner);
+/* Returns the size of the reply of a rank with its counts, in numbers.  */
+size_t planner_count_numbers (const planner_t *planner);
 void planner_set_slowdown (planner_t *planner, unsigned rank, double slowdown);
+/* Plans from the counts so far.  Returns whether the map should change; the
+   plan's map belongs to PARENT.  */
 bool planner_plan (planner_t *planner, TALLOC_CTX *parent,
                    placement_plan_t *plan);
 /* Records that the group has switched to MAP, so that MAP, which is copied, is
--- a/include/pilot/rank_codec.h
+++ b/include/pilot/rank_codec.h
@@ -2,6 +2,7 @@
 #define SISKIN_PILOT_RANK_CODEC_H
 
 #include "common/frame.h"
+#include "pilot/map_history.h"
 #include "plugins/rank_engine.h"
 
 /* Encodes reports, commands and maps of ranks as frame bodies and decodes
@@ -10,10 +11,17 @@
                            uint64_t after_ticket, frame_t *frame);
 void rank_report_from_frame (const frame_rank_report_t *body,
                              rank_report_t *report);
-void rank_command_to_frame (TALLOC_CTX *parent, uint64_t ticket,
-                            const rank_command_t *command, frame_t *frame);
+/* A map as a blob of a frame: the whole of it, or its changes to a BASE that
+   the receiver has.  */
+blob_t rank_map_encode (TALLOC_CTX *parent, const placement_map_t *map);
+blob_t rank_map_encode_changes (TALLOC_CTX *parent,
+                                const placement_map_t *base,
+                                const placement_map_t *map);
+void rank_command_to_frame (uint64_t ticket, const rank_command_t *command,
+                            blob_t map, frame_t *frame);
 status_t rank_command_from_frame (TALLOC_CTX *parent,
                                   const frame_rank_command_t *body,
+                                  map_history_t *history,
                                   rank_command_t *command);
 
 #endif
--- a/include/plugins/placement.h
+++ b/include/plugins/placement.h
@@ -100,6 +100,19 @@
                                        const placement_shape_t *shape);
 placement_map_t *placement_map_create_initial (TALLOC_CTX *parent,
                                                const placement_shape_t *shape);
+/* Like placement_map_create_initial, but with one replica of each expert; the
+   remaining slots are free.  */
+placement_map_t *
+placement_map_create_rotation (TALLOC_CTX *parent,
+                               const placement_shape_t *shape);
+/* Returns a copy of MAP, or NULL when memory is exhausted.  */
+placement_map_t *placement_map_copy (TALLOC_CTX *parent,
+                                     const placement_map_t *map);
+/* Sorts the experts of each rank and layer.  All ranks of a group must be
+   given a map in the same order, since engines may compare maps literally.  */
+void placement_map_sort (placement_map_t *map);
+/* A hash of the experts that each rank holds, in any order.  */
+uint64_t placement_map_digest (const placement_map_t *map);
 placement_slot_t *placement_map_slot (const placement_map_t *map,
                                       unsigned layer, unsigned rank,
                                       unsigned slot);
--- a/include/plugins/rank_engine.h
+++ b/include/plugins/rank_engine.h
@@ -75,6 +75,9 @@
   /* No verdict was received: the command may have been carried out or may
      still be.  */
   RANK_OUTCOME_UNKNOWN,
+  /* The pilot lacks the map that the new one is based on, and has not passed
+     the command on to its engine.  Only between pilots.  */
+  RANK_BASE_UNKNOWN,
   RANK_VERDICT_COUNT
 } rank_verdict_t;
 
@@ -96,11 +99,13 @@
   RANK_QUERY_COUNT
 } rank_query_t;
 
-/* An engine's reply to a query.  For RANK_QUERY_EXPERT_COUNTS, NUMBERS
-   contains the counts by layer and expert; for RANK_QUERY_HELD_EXPERTS, for
-   each layer the number of experts and then the experts.  The reply to
-   RANK_QUERY_ARM_PERMISSION has no rank_reply_t: it is a frame from the pilot
-   with success and the version, see members_ops_t.on_permit.  */
+/* A reply to a query.  For RANK_QUERY_EXPERT_COUNTS, NUMBERS contains the
+   counts by layer and expert: an engine replies with the counts since its
+   start, and its pilot passes on those since the last reply.  For
+   RANK_QUERY_HELD_EXPERTS, for each layer the number of experts and then the
+   experts.  The reply to RANK_QUERY_ARM_PERMISSION has no rank_reply_t: it is
+   a frame from the pilot with success and the version, see
+   members_ops_t.on_permit.  */
 typedef struct rank_reply
 {
   uint64_t epoch;
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -28,9 +28,14 @@
   HOLD_TAKEOVER_TIMEOUT_MS = 250,
   /* A longer gap between ticks means that the process was paused.  */
   PAUSE_MIN_MS = 250,
-  PLAN_INTERVAL_MS = 500,
+  PLAN_INTERVAL_MS = 250,
   MAP_QUERY_INTERVAL_MS = 100, /* queries of the map in use */
-  QUERY_TIMEOUT_MS = 250       /* wait for the replies of all ranks */
+  QUERY_TIMEOUT_MS = 250,      /* wait for the replies of all ranks */
+  /* Minimum time from a rank's reply with its counts to the next query.  */
+  COUNTS_INTERVAL_MS = 250,
+  /* The replies with counts may use one part in this many of the link.  */
+  COUNTS_LINK_DIVISOR = 3,
+  COUNTS_OVERHEAD_BYTES = 128 /* of a reply, besides its numbers */
 };
 
 /* Value of the leader key of a group, which names the leader: pilot name,
@@ -83,7 +88,8 @@
   leader->mirror = NULL;
   TALLOC_FREE (leader->planner);
   TALLOC_FREE (leader->planned);
-  leader->is_querying = false;
+  leader->is_querying = leader->is_replan_due = false;
+  leader->next_counted_rank = 0;
   leader->ended_at = leader->not_held_at = pilot_now (leader->pilot);
   pilot_server_reset_leader_timeout (leader->pilot->server);
 }
@@ -128,6 +134,7 @@
                  (unsigned long long)switcher_epoch (leader->switcher));
       if (leader->planner != NULL)
         planner_forget_map (leader->planner);
+      members_cancel_waiting (leader->members);
       TALLOC_FREE (leader->planned);
       break;
     case SWITCHER_SWITCHED:
@@ -138,6 +145,7 @@
                  (long long)ms_since (leader, leader->planned_at));
       if (leader->planner != NULL && leader->planned != NULL)
         planner_set_map (leader->planner, leader->planned, version);
+      leader->is_replan_due = true;
       TALLOC_FREE (leader->planned);
       break;
     case SWITCHER_ABORTED:
@@ -145,6 +153,7 @@
       log_event (LOG_LEVEL_WARN, "map-given-up",
                  "group=%s version=%llu reason=%s", leader->group,
                  (unsigned long long)version, reason);
+      members_cancel_waiting (leader->members);
       TALLOC_FREE (leader->planned);
       break;
     case SWITCHER_DEPOSED:
@@ -190,19 +199,16 @@
                            pilot_now (leader->pilot));
 }
 
+/* Plans from the counts so far and starts a switch if it pays.  */
 static void
 leader_plan (leader_t *leader)
 {
   placement_plan_t plan;
   bool is_change;
 
-  leader->is_querying = false;
-  if (leader->planner == NULL
-      || !planner_has_map (leader->planner,
-                           switcher_map_version (leader->switcher)))
-    return;
+  leader->planned_at = pilot_now (leader->pilot);
   is_change = planner_plan (leader->planner, leader, &plan);
-  log_event (LOG_LEVEL_DEBUG, "planned",
+  log_event (LOG_LEVEL_INFO, "planned",
              "group=%s change=%d reason=%s moves=%u before=%.3f after=%.3f "
              "bound=%.3f",
              leader->group, is_change, plan.reason, plan.moves,
@@ -210,7 +216,7 @@
   if (!is_change)
     return;
   leader->planned = plan.map;
-  leader->planned_at = pilot_now (leader->pilot);
+  members_set_map (leader->members, planner_map (leader->planner), plan.map);
   switcher_set_holding_rank (leader->switcher,
                              members_choose_holding_rank (leader->members));
   if (!switcher_start_switch (leader->switcher, plan.map, leader->planned_at))
@@ -222,25 +228,23 @@
                  void *data)
 {
   leader_t *leader = data;
+  bool is_valid = leader->planner != NULL && reply != NULL
+                  && reply->epoch == switcher_epoch (leader->switcher);
 
-  if (leader->planner == NULL || !leader->is_querying
-      || query != leader->query)
-    return;
-  if (reply != NULL && reply->epoch == switcher_epoch (leader->switcher))
+  if (query == RANK_QUERY_EXPERT_COUNTS)
     {
-      if (query == RANK_QUERY_EXPERT_COUNTS)
-        planner_add_counts (leader->planner, rank, reply);
-      else if (!planner_read_map (leader->planner, rank, reply))
-        log_event (LOG_LEVEL_WARN, "bad-map", "group=%s rank=%u",
-                   leader->group, rank);
+      if (is_valid)
+        planner_add_counts (leader->planner, reply);
+      return;
     }
+  if (!leader->is_querying)
+    return;
+  if (is_valid && !planner_read_map (leader->planner, rank, reply))
+    log_event (LOG_LEVEL_WARN, "bad-map", "group=%s rank=%u", leader->group,
+               rank);
   if (leader->pending_replies > 0)
     leader->pending_replies--;
-  if (leader->pending_replies > 0)
-    return;
-  if (query == RANK_QUERY_EXPERT_COUNTS)
-    leader_plan (leader);
-  leader->is_querying = false;
+  leader->is_querying = leader->pending_replies > 0;
 }
 
 static void
@@ -371,20 +375,84 @@
     members_handle_own_poll_started (leader->members);
 }
 
+/* Queries the map in use, which an earlier leader may have set.  */
 static void
-leader_query (leader_t *leader, rank_query_t query)
+leader_query_map (leader_t *leader)
 {
+  if (leader->is_querying
+      && ms_since (leader, leader->queried_at) > QUERY_TIMEOUT_MS)
+    leader->is_querying = false;
+  if (leader->is_querying
+      || ms_since (leader, leader->queried_at) < MAP_QUERY_INTERVAL_MS)
+    return;
   leader->is_querying = true;
-  leader->query = query;
   leader->queried_at = pilot_now (leader->pilot);
-  if (query == RANK_QUERY_EXPERT_COUNTS)
-    leader->counts_queried_at = leader->queried_at;
-  leader->pending_replies = members_query_all (leader->members, query);
+  leader->pending_replies
+      = members_query_all (leader->members, RANK_QUERY_HELD_EXPERTS);
+}
+
+/* Returns how many ranks can be queried for their counts in a tick, so that
+   the replies leave room on the link for everything else.  */
+static unsigned
+leader_counts_per_tick (const leader_t *leader)
+{
+  size_t reply_bytes
+      = planner_count_numbers (leader->planner) + COUNTS_OVERHEAD_BYTES;
+  size_t link_bytes = members_link_bytes (leader->members, TICK_INTERVAL_MS)
+                      / COUNTS_LINK_DIVISOR;
+
+  return link_bytes < reply_bytes ? 1 : (unsigned)(link_bytes / reply_bytes);
+}
+
+/* Queries the next ranks for their counts.  The ranks take turns.  */
+static void
+leader_query_counts (leader_t *leader)
+{
+  unsigned budget = leader_counts_per_tick (leader);
+
+  if (leader->next_counted_rank == 0)
+    {
+      if (ms_since (leader, leader->counts_queried_at) < COUNTS_INTERVAL_MS)
+        return;
+      leader->counts_queried_at = pilot_now (leader->pilot);
+    }
+  for (unsigned i = 0; i < budget; i++)
+    {
+      members_query (leader->members, leader->next_counted_rank,
+                     RANK_QUERY_EXPERT_COUNTS);
+      leader->next_counted_rank
+          = (leader->next_counted_rank + 1) % leader->rank_count;
+      if (leader->next_counted_rank == 0)
+        break;
+    }
+}
+
+/* Plans when there are new counts, and right after a switch, which may have
+   been the first of several stages.  */
+static void
+leader_run_planner (leader_t *leader)
+{
+  if (!planner_has_map (leader->planner,
+                        switcher_map_version (leader->switcher)))
+    {
+      if (switcher_is_ready (leader->switcher, pilot_now (leader->pilot)))
+        leader_query_map (leader);
+      return;
+    }
+  leader_query_counts (leader);
+  if (!switcher_is_ready (leader->switcher, pilot_now (leader->pilot)))
+    return;
+  if (leader->is_replan_due
+      || (planner_has_new_counts (leader->planner)
+          && ms_since (leader, leader->planned_at) >= PLAN_INTERVAL_MS))
+    {
+      leader->is_replan_due = false;
+      leader_plan (leader);
+    }
 }
 
-/* Runs one tick of this pilot's term as leader: sends heartbeats, queries the
-   map in use until it is known, and then queries token counts and plans every
-   PLAN_INTERVAL_MS.  */
+/* Runs one tick of this pilot's term as leader: sends heartbeats, and lets the
+   planner collect counts and plan.  */
 static void
 leader_run_term (leader_t *leader)
 {
@@ -398,27 +466,8 @@
       leader->heartbeat_at = now;
       members_send_heartbeat (leader->members, leader->fence);
     }
-  if (leader->is_querying
-      && ms_since (leader, leader->queried_at) > QUERY_TIMEOUT_MS)
-    {
-      leader->is_querying = false;
-      if (leader->query == RANK_QUERY_EXPERT_COUNTS)
-        leader_plan (leader);
-    }
-  if (leader->planner == NULL || leader->is_querying || leader->is_stopping)
-    return;
-  if (!planner_has_map (leader->planner,
-                        switcher_map_version (leader->switcher)))
-    {
-      if (ms_since (leader, leader->queried_at) >= MAP_QUERY_INTERVAL_MS
-          && switcher_is_ready (leader->switcher, now))
-        leader_query (leader, RANK_QUERY_HELD_EXPERTS);
-    }
-  else if (ms_since (leader, leader->counts_queried_at) < PLAN_INTERVAL_MS)
-    return;
-  else if (switcher_is_ready (leader->switcher, now)
-           || leader_is_switching (leader))
-    leader_query (leader, RANK_QUERY_EXPERT_COUNTS);
+  if (leader->planner != NULL && !leader->is_stopping)
+    leader_run_planner (leader);
 }
 
 /* Campaigns when no leader has been seen for the election delay.  Seizes
--- a/pilot/members.c
+++ b/pilot/members.c
@@ -10,7 +10,8 @@
   /* Poll interval of an engine whose pilot does not report.  */
   DIRECT_POLL_INTERVAL_MS = 400,
   /* A rank without a report for this long is polled directly.  */
-  REPORT_TIMEOUT_MS = 300
+  REPORT_TIMEOUT_MS = 300,
+  BYTES_PER_MBPS_MS = 125 /* a Mbit/s transfers this many in a millisecond */
 };
 
 /* Drops a reference that a connection or a pending call held.  After
@@ -238,10 +239,18 @@
   members_t *members = own->members;
   rank_query_t query = own->query;
 
-  talloc_free (own);
+  rank_reply_t increments = { 0 };
+
+  if (status == STATUS_OK)
+    increments = *reply;
+  if (status == STATUS_OK && query == RANK_QUERY_EXPERT_COUNTS)
+    increments.numbers
+        = expert_counts_take (members->pilot->counts, own, reply);
   if (!members->is_closing)
     members->ops->on_reply (members->own_rank, query,
-                            status == STATUS_OK ? reply : NULL, members->data);
+                            increments.numbers == NULL ? NULL : &increments,
+                            members->data);
+  talloc_free (own);
   members_unref (members);
 }
 
@@ -272,41 +281,63 @@
     link_send (rank->pilot->link, &frame);
 }
 
-/* Queries this pilot's engine and all ranks with a connected pilot; these
-   queries cost nothing, unlike direct calls to a remote engine.  Returns
-   the number of queries sent; each is followed by on_reply if the rank
-   replies.  */
-unsigned
-members_query_all (members_t *members, rank_query_t query)
+static bool
+members_query_own (members_t *members, rank_query_t query)
 {
   own_query_t *own = talloc_zero (members, own_query_t);
-  frame_t frame
-      = { .header.type = FRAME_RANK_QUERY, .body.rank_query.query = query };
-  unsigned count = 0;
 
-  frame.body.rank_query.ticket = members_query_ticket (members, query);
-  for (unsigned i = 0; i < members->rank_count; i++)
-    {
-      const member_rank_t *rank = &members->ranks[i];
-
-      if (member_rank_has_pilot (rank)
-          && link_send (rank->pilot->link, &frame) == STATUS_OK)
-        count++;
-    }
   if (own == NULL)
-    return count;
+    return false;
   own->members = members;
   own->query = query;
   members->references++;
   if (members->pilot->engine_ops->query (members->pilot->engine, query,
                                          members_on_own_reply, own)
       == STATUS_OK)
-    return count + 1;
+    return true;
   members->references--;
   talloc_free (own);
+  return false;
+}
+
+/* Queries this pilot's engine, or RANK_NUMBER through its pilot: these queries
+   cost nothing, unlike direct calls to a remote engine.  Returns whether a
+   query was sent; on_reply follows if the rank replies.  */
+bool
+members_query (members_t *members, unsigned rank_number, rank_query_t query)
+{
+  const member_rank_t *rank = &members->ranks[rank_number];
+  frame_t frame
+      = { .header.type = FRAME_RANK_QUERY,
+          .body.rank_query = { .ticket = members_query_ticket (members, query),
+                               .query = query } };
+
+  if (rank_number == members->own_rank)
+    return members_query_own (members, query);
+  return member_rank_has_pilot (rank)
+         && link_send (rank->pilot->link, &frame) == STATUS_OK;
+}
+
+/* Queries all ranks.  Returns the number of queries sent.  */
+unsigned
+members_query_all (members_t *members, rank_query_t query)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < members->rank_count; i++)
+    count += members_query (members, i, query);
   return count;
 }
 
+/* Returns the bytes that the link of this VM transfers in MS milliseconds.  */
+size_t
+members_link_bytes (const members_t *members, int64_t ms)
+{
+  double mbps = daemon_config (members->pilot->daemon)->link_mbps;
+
+  return (size_t)(mbps * (double)ms * BYTES_PER_MBPS_MS);
+}
+
 /* Creates the members of the group GROUP of RANK_COUNT ranks, in which
    this pilot's engine is OWN_RANK.  OPS and DATA must stay valid until
    members_destroy.  Returns NULL when memory is exhausted.  */
@@ -328,6 +359,7 @@
   members->started_at = pilot_now (pilot);
   LIST_INIT (&members->pilots);
   LIST_INIT (&members->listed_engines);
+  TAILQ_INIT (&members->waiting);
   for (unsigned i = 0; i < rank_count; i++)
     {
       members->ranks[i].members = members;
--- a/pilot/members_commands.c
+++ b/pilot/members_commands.c
@@ -5,11 +5,33 @@
 
 enum
 {
-  /* The outcome of a command without a verdict after this time counts as
-     unknown.  */
-  COMMAND_TIMEOUT_MS = 80
+  /* The outcome of a command without a verdict after this time, and the time
+     to transfer what is on its way, counts as unknown.  */
+  COMMAND_TIMEOUT_MS = 80,
+  /* Commands with a map are sent as long as the link transfers the unanswered
+     ones in this time, so that they don't delay heartbeats.  */
+  SEND_WINDOW_MS = 50,
+  /* Bytes of an expert's number in the text of a direct command.  */
+  TEXT_BYTES_PER_SLOT = 4,
+  MS_PER_S = 1000
 };
 
+static void members_send_waiting (members_t *members);
+
+/* Takes the command of RANK out of the queue or the bytes on their way.  */
+static void
+rank_stop_sending (member_rank_t *rank)
+{
+  members_t *members = rank->members;
+
+  if (rank->is_waiting)
+    TAILQ_REMOVE (&members->waiting, rank, waiting_link);
+  rank->is_waiting = false;
+  members->unanswered_bytes -= rank->unanswered_bytes;
+  rank->unanswered_bytes = 0;
+  TALLOC_FREE (rank->timer);
+}
+
 /* Finishes the command TICKET to RANK with VERDICT and reports it to the
    owner.  Ignored unless that command is in progress.  */
 void
@@ -19,7 +41,7 @@
   if (!rank->is_pending || rank->ticket != ticket || rank->members->is_closing)
     return;
   rank->is_pending = false;
-  TALLOC_FREE (rank->timer);
+  rank_stop_sending (rank);
   if (verdict != RANK_OUTCOME_UNKNOWN && verdict != RANK_UNREACHABLE)
     rank->finished_ticket = ticket;
   if (verdict != RANK_DONE)
@@ -28,6 +50,8 @@
                (unsigned long long)ticket, rank_verdict_name (verdict));
   rank->members->ops->on_verdict (rank->rank, ticket, verdict,
                                   rank->members->data);
+  if (!rank->members->is_closing)
+    members_send_waiting (rank->members);
 }
 
 static void
@@ -108,20 +132,6 @@
   return false;
 }
 
-static bool
-rank_send_through_pilot (member_rank_t *rank, uint64_t ticket,
-                         const rank_command_t *command)
-{
-  TALLOC_CTX *scratch = talloc_new (rank->members);
-  frame_t frame;
-  status_t status;
-
-  rank_command_to_frame (scratch, ticket, command, &frame);
-  status = link_send (rank->pilot->link, &frame);
-  talloc_free (scratch);
-  return status == STATUS_OK;
-}
-
 /* Returns whether RANK can be reached through its pilot.  */
 bool
 member_rank_has_pilot (const member_rank_t *rank)
@@ -140,6 +150,175 @@
   member_rank_finish_command (rank, rank->ticket, RANK_UNREACHABLE);
 }
 
+/* Starts the timeout of the command to RANK, of which BYTES are on their way.
+   They share the link with those to other ranks.  */
+static void
+rank_start_timeout (member_rank_t *rank, size_t bytes)
+{
+  members_t *members = rank->members;
+  size_t bytes_per_s = members_link_bytes (members, MS_PER_S);
+  int64_t transfer_ms;
+
+  members->unanswered_bytes += bytes;
+  rank->unanswered_bytes = bytes;
+  transfer_ms = (int64_t)(members->unanswered_bytes * MS_PER_S / bytes_per_s);
+  rank->sent_at = pilot_now (members->pilot);
+  rank->timer = worker_timer_start (
+      members->pilot->worker, members,
+      timespec_from_ms (COMMAND_TIMEOUT_MS + 2 * transfer_ms), rank_on_timeout,
+      rank);
+}
+
+/* The command to RANK could not be sent.  The verdict follows from the event
+   loop.  */
+static void
+rank_fail_unsent (member_rank_t *rank)
+{
+  rank->timer
+      = worker_timer_start (rank->members->pilot->worker, rank->members,
+                            timespec_from_ms (0), rank_on_unsent, rank);
+}
+
+/* Returns the encoded map of the command to RANK, without bytes if it has
+   none.  */
+static blob_t
+rank_command_map (const member_rank_t *rank)
+{
+  const members_t *members = rank->members;
+
+  if (rank->command.kind != RANK_COMMAND_PREPARE)
+    return (blob_t){ 0 };
+  return rank->needs_whole_map || members->map_changes.data == NULL
+             ? members->map_whole
+             : members->map_changes;
+}
+
+static void
+rank_send_through_pilot (member_rank_t *rank)
+{
+  blob_t map = rank_command_map (rank);
+  frame_t frame;
+
+  rank_command_to_frame (rank->ticket, &rank->command, map, &frame);
+  if (member_rank_has_pilot (rank)
+      && link_send (rank->pilot->link, &frame) == STATUS_OK)
+    rank_start_timeout (rank, map.size);
+  else
+    rank_fail_unsent (rank);
+}
+
+/* Returns whether the link can take a command with MAP_BYTES now.  */
+static bool
+members_can_send (const members_t *members, size_t map_bytes)
+{
+  return map_bytes == 0 || members->unanswered_bytes == 0
+         || members->unanswered_bytes + map_bytes
+                <= members_link_bytes (members, SEND_WINDOW_MS);
+}
+
+/* Sends the waiting commands that the link can take.  */
+static void
+members_send_waiting (members_t *members)
+{
+  member_rank_t *rank;
+
+  while ((rank = TAILQ_FIRST (&members->waiting)) != NULL
+         && members_can_send (members, rank_command_map (rank).size))
+    {
+      TAILQ_REMOVE (&members->waiting, rank, waiting_link);
+      rank->is_waiting = false;
+      rank_send_through_pilot (rank);
+    }
+}
+
+static void
+rank_send_or_wait (member_rank_t *rank)
+{
+  members_t *members = rank->members;
+
+  if (TAILQ_EMPTY (&members->waiting)
+      && members_can_send (members, rank_command_map (rank).size))
+    {
+      rank_send_through_pilot (rank);
+      return;
+    }
+  rank->is_waiting = true;
+  TAILQ_INSERT_TAIL (&members->waiting, rank, waiting_link);
+}
+
+/* Sends the command TICKET again, with the whole map.  */
+void
+member_rank_send_whole_map (member_rank_t *rank, uint64_t ticket)
+{
+  if (!rank->is_pending || rank->ticket != ticket || rank->needs_whole_map
+      || rank->members->is_closing)
+    return;
+  log_event (LOG_LEVEL_NOTICE, "map-sent-whole", "rank=%u ticket=%llu",
+             rank->rank, (unsigned long long)ticket);
+  rank_stop_sending (rank);
+  rank->needs_whole_map = true;
+  rank_send_or_wait (rank);
+}
+
+/* Sets the map of the RANK_COMMAND_PREPARE commands that follow.  */
+void
+members_set_map (members_t *members, const placement_map_t *base,
+                 const placement_map_t *map)
+{
+  talloc_free (members->map_data);
+  members->map_data = talloc_new (members);
+  members->map_whole = rank_map_encode (members->map_data, map);
+  members->map_changes
+      = rank_map_encode_changes (members->map_data, base, map);
+  if (members->map_changes.size >= members->map_whole.size)
+    members->map_changes = (blob_t){ 0 };
+  for (unsigned i = 0; i < members->rank_count; i++)
+    members->ranks[i].needs_whole_map = false;
+}
+
+/* Ends the commands that wait to be sent.  */
+void
+members_cancel_waiting (members_t *members)
+{
+  member_rank_t *rank;
+
+  while ((rank = TAILQ_FIRST (&members->waiting)) != NULL)
+    {
+      rank_stop_sending (rank);
+      rank_fail_unsent (rank);
+    }
+}
+
+/* Returns whether COMMAND goes to the engine of RANK directly.  Hold and
+   release do, so that they do not depend on the machine of its pilot: if that
+   freezes now, that pilot takes over.  */
+static bool
+rank_is_sent_directly (const member_rank_t *rank,
+                       const rank_command_t *command)
+{
+  bool stops_group = command->step > 0
+                     && (command->kind == RANK_COMMAND_HOLD
+                         || command->kind == RANK_COMMAND_RELEASE);
+
+  return rank->rank == rank->members->own_rank
+         || (stops_group && rank->engine_address != NULL)
+         || !member_rank_has_pilot (rank);
+}
+
+/* Returns the bytes that COMMAND to the engine of RANK takes on the link.  */
+static size_t
+direct_command_bytes (const member_rank_t *rank, const rank_command_t *command)
+{
+  const placement_shape_t *shape;
+
+  if (command->kind != RANK_COMMAND_PREPARE
+      || rank->rank == rank->members->own_rank)
+    return 0;
+  shape = &command->map->shape;
+  return (size_t)shape->layers * shape->ranks * shape->slots
+         * TEXT_BYTES_PER_SLOT;
+}
+
 /* Sends COMMAND with TICKET to RANK_NUMBER.  on_verdict is called once, never
    within this call.  */
 void
@@ -147,18 +326,13 @@
                       uint64_t ticket, const rank_command_t *command)
 {
   member_rank_t *rank = &members->ranks[rank_number];
-  bool is_own = rank_number == members->own_rank;
-  /* Hold and release go to the engine directly, so that they do not depend
-     on its pilot's machine: if this machine freezes now, that pilot takes
-     over.  */
-  bool is_direct = command->step > 0
-                   && (command->kind == RANK_COMMAND_HOLD
-                       || command->kind == RANK_COMMAND_RELEASE)
-                   && rank->engine_address != NULL;
-  bool is_sent;
+  bool is_direct = rank_is_sent_directly (rank, command);
 
+  rank_stop_sending (rank);
   rank->is_pending = true;
   rank->ticket = ticket;
+  rank->command = *command;
+  rank->command.map = NULL;
   rank->sent_at = pilot_now (members->pilot);
   log_event (
       LOG_LEVEL_DEBUG, "order",
@@ -167,18 +341,11 @@
       rank_number, rank_command_name (command->kind),
       (unsigned long long)command->fence, (unsigned long long)command->epoch,
       (unsigned long long)command->version, (unsigned long long)command->step,
-      is_own                                       ? "own"
-      : !is_direct && member_rank_has_pilot (rank) ? "pilot"
-                                                   : "direct");
-  if (!is_own && !is_direct && member_rank_has_pilot (rank))
-    is_sent = rank_send_through_pilot (rank, ticket, command);
-  else
-    is_sent = rank_send_directly (rank, ticket, command);
-  if (!rank->is_pending)
-    return;
-  TALLOC_FREE (rank->timer);
-  rank->timer = worker_timer_start (
-      members->pilot->worker, members,
-      timespec_from_ms (is_sent ? COMMAND_TIMEOUT_MS : 0),
-      is_sent ? rank_on_timeout : rank_on_unsent, rank);
+      is_direct ? "engine" : "pilot");
+  if (!is_direct)
+    rank_send_or_wait (rank);
+  else if (!rank_send_directly (rank, ticket, command))
+    rank_fail_unsent (rank);
+  else if (rank->is_pending)
+    rank_start_timeout (rank, direct_command_bytes (rank, command));
 }
--- a/pilot/members_pilots.c
+++ b/pilot/members_pilots.c
@@ -87,6 +87,16 @@
   (void)data;
 }
 
+static void
+pilot_handle_verdict (member_rank_t *rank, const frame_rank_verdict_t *body)
+{
+  if (body->verdict == RANK_BASE_UNKNOWN)
+    member_rank_send_whole_map (rank, body->ticket);
+  else
+    member_rank_finish_command (rank, body->ticket,
+                                (rank_verdict_t)body->verdict);
+}
+
 static void
 pilot_on_frame (link_t *link, const frame_t *frame, void *data)
 {
@@ -100,9 +110,8 @@
     pilot_handle_reply (pilot, &frame->body.rank_query_reply);
   else if (frame->header.type == FRAME_RANK_VERDICT && pilot->has_rank
            && frame->body.rank_verdict.verdict < RANK_VERDICT_COUNT)
-    member_rank_finish_command (
-        &members->ranks[pilot->rank], frame->body.rank_verdict.ticket,
-        (rank_verdict_t)frame->body.rank_verdict.verdict);
+    pilot_handle_verdict (&members->ranks[pilot->rank],
+                          &frame->body.rank_verdict);
 }
 
 /* Detaches PILOT from its rank.  A command sent through it may have been
--- a/pilot/pilot.c
+++ b/pilot/pilot.c
@@ -105,6 +105,10 @@
   pilot->server = pilot_server_create (pilot, config->listen);
   if (pilot->engine == NULL || pilot->server == NULL)
     return STATUS_IO;
+  pilot->counts = expert_counts_create (pilot);
+  pilot->maps = map_history_create (pilot);
+  if (pilot->counts == NULL || pilot->maps == NULL)
+    return STATUS_NO_MEMORY;
   pilot->leader = leader_create (pilot);
   pilot->reporter = reporter_create (pilot);
   return pilot->leader == NULL || pilot->reporter == NULL ? STATUS_NO_MEMORY
--- a/pilot/pilot_server.c
+++ b/pilot/pilot_server.c
@@ -58,6 +58,7 @@
   /* Incarnation of the client's process, which may have reconnected.  */
   uint64_t incarnation;
   uint64_t ticket;
+  rank_query_t query; /* if it is one */
 } client_request_t;
 
 static client_t *
@@ -116,22 +117,45 @@
   talloc_free (request);
 }
 
+/* Passes COMMAND on to the engine.  */
 static void
-server_handle_command (client_t *client, const frame_rank_command_t *body)
+server_run_command (client_t *client, uint64_t ticket,
+                    const rank_command_t *command)
 {
   pilot_t *pilot = client->server->pilot;
+  client_request_t *request = client_request_create (client, ticket);
+
+  if (request != NULL
+      && pilot->engine_ops->command (pilot->engine, command, server_on_verdict,
+                                     request)
+             == STATUS_OK)
+    return;
+  talloc_free (request);
+  send_verdict (client, ticket, RANK_UNREACHABLE);
+}
+
+static void
+server_handle_command (client_t *client, const frame_rank_command_t *body)
+{
+  map_history_t *maps = client->server->pilot->maps;
   TALLOC_CTX *scratch = talloc_new (client);
-  client_request_t *request = client_request_create (client, body->ticket);
   rank_command_t command;
 
-  if (request == NULL
-      || rank_command_from_frame (scratch, body, &command) != STATUS_OK
-      || pilot->engine_ops->command (pilot->engine, &command,
-                                     server_on_verdict, request)
-             != STATUS_OK)
+  switch (rank_command_from_frame (scratch, body, maps, &command))
     {
-      talloc_free (request);
-      send_verdict (client, body->ticket, RANK_UNREACHABLE);
+    case STATUS_OK:
+      if (command.map != NULL)
+        map_history_add (maps, command.map);
+      server_run_command (client, body->ticket, &command);
+      break;
+    case STATUS_NOT_FOUND:
+      send_verdict (client, body->ticket, RANK_BASE_UNKNOWN);
+      break;
+    default:
+      log_event (LOG_LEVEL_WARN, "order-rejected", "peer=%s error=\"%s\"",
+                 link_peer_name (client->link), status_message ());
+      send_verdict (client, body->ticket, RANK_MALFORMED);
+      break;
     }
   talloc_free (scratch);
 }
@@ -146,12 +170,19 @@
           .body.rank_query_reply = { .ticket = request->ticket,
                                      .is_successful = status == STATUS_OK } };
 
-  if (client != NULL && status == STATUS_OK)
+  const uint64_t *numbers = status == STATUS_OK ? reply->numbers : NULL;
+
+  if (status == STATUS_OK && request->query == RANK_QUERY_EXPERT_COUNTS)
+    numbers
+        = expert_counts_take (request->server->pilot->counts, request, reply);
+  if (numbers == NULL)
+    frame.body.rank_query_reply.is_successful = false;
+  else if (client != NULL)
     {
       frame.body.rank_query_reply.group_epoch = reply->epoch;
       frame.body.rank_query_reply.version = reply->version;
       frame.body.rank_query_reply.numbers
-          = numbers_encode (request, reply->numbers, reply->number_count);
+          = numbers_encode (request, numbers, reply->number_count);
     }
   if (client != NULL)
     link_send (client->link, &frame);
@@ -191,6 +222,8 @@
       return;
     }
   request = client_request_create (client, body->ticket);
+  if (request != NULL)
+    request->query = query;
   if (request != NULL
       && pilot->engine_ops->query (pilot->engine, query, server_on_reply,
                                    request)
--- a/pilot/planner.c
+++ b/pilot/planner.c
@@ -9,7 +9,7 @@
 static const double min_gain = 0.04;
 /* Minimum reduction of a layer's time for each expert whose weights are
    loaded, as a fraction of the time of a balanced layer.  */
-static const double min_gain_per_load = 0.06;
+static const double min_gain_per_load = 0.004;
 /* How long a map is expected to match the load.  */
 static const double horizon_s = 4.0;
 
@@ -22,10 +22,10 @@
   bool *has_reply;         /* by rank: MAP contains its reply to
                               RANK_QUERY_HELD_EXPERTS */
   uint64_t *reply_version; /* by rank: the map version of that reply */
-  uint64_t **last_counts;  /* by rank: its last cumulative counts, or NULL */
   uint64_t *tokens; /* token counts since the last plan, by layer and expert */
-  uint64_t *work;   /* by rank: a constant, so that WORK / BUSY_US is the
-                       relative speed */
+  bool has_new_counts; /* TOKENS are not all zero */
+  uint64_t *work;      /* by rank: a constant, so that WORK / BUSY_US is the
+                          relative speed */
   uint64_t *busy_us;
 };
 
@@ -68,7 +68,6 @@
   planner->placement = planner->ops->create (planner, &shape, &config);
   planner->has_reply = talloc_zero_array (planner, bool, rank_count);
   planner->reply_version = talloc_zero_array (planner, uint64_t, rank_count);
-  planner->last_counts = talloc_zero_array (planner, uint64_t *, rank_count);
   planner->tokens = talloc_zero_array (planner, uint64_t,
                                        (size_t)shape.layers * shape.experts);
   planner->work = talloc_array (planner, uint64_t, rank_count);
@@ -85,16 +84,13 @@
   talloc_free (planner);
 }
 
-/* Discards the known map in use and the last counts, after a takeover or when
-   the group was re-formed.  */
+/* Discards the known map in use, after a takeover or when the group was
+   re-formed.  */
 void
 planner_forget_map (planner_t *planner)
 {
   for (unsigned i = 0; i < planner->shape.ranks; i++)
-    {
-      planner->has_reply[i] = false;
-      TALLOC_FREE (planner->last_counts[i]);
-    }
+    planner->has_reply[i] = false;
 }
 
 /* Returns whether the map in use is known completely and has VERSION.  */
@@ -144,29 +140,37 @@
   return true;
 }
 
-/* Adds the token counts of RANK since its last reply; ranks report
-   cumulative counts since their engine's start.  */
-void
-planner_add_counts (planner_t *planner, unsigned rank,
-                    const rank_reply_t *reply)
+/* Returns the size of the reply of a rank with its counts, in numbers.  */
+size_t
+planner_count_numbers (const planner_t *planner)
 {
-  size_t count = (size_t)planner->shape.layers * planner->shape.experts;
-  uint64_t *last = planner->last_counts[rank];
+  return (size_t)planner->shape.layers * planner->shape.experts;
+}
 
-  if (reply->number_count != count)
+/* Adds the token counts of a rank since its last reply.  A reply of another
+   size than the group's is ignored.  */
+void
+planner_add_counts (planner_t *planner, const rank_reply_t *reply)
+{
+  if (reply->number_count != planner_count_numbers (planner))
     return;
-  for (size_t i = 0; i < count; i++)
-    {
-      uint64_t last_count = last == NULL ? 0 : last[i];
+  for (size_t i = 0; i < reply->number_count; i++)
+    planner->tokens[i] += reply->numbers[i];
+  planner->has_new_counts = true;
+}
 
-      /* A restarted engine counts from zero.  */
-      planner->tokens[i] += reply->numbers[i] >= last_count
-                                ? reply->numbers[i] - last_count
-                                : reply->numbers[i];
-    }
-  talloc_free (last);
-  planner->last_counts[rank] = talloc_memdup (planner, reply->numbers,
-                                              count * sizeof *reply->numbers);
+/* Returns whether counts were added since the last plan.  */
+bool
+planner_has_new_counts (const planner_t *planner)
+{
+  return planner->has_new_counts;
+}
+
+/* Returns the map in use.  */
+const placement_map_t *
+planner_map (const planner_t *planner)
+{
+  return planner->map;
 }
 
 /* Sets the slowdown factor of RANK relative to its baseline; above 1 is
@@ -178,19 +182,23 @@
       = (uint64_t)((slowdown > 1 ? slowdown : 1) * (double)SPEED_SCALE);
 }
 
-/* Plans from the counts since the last plan.  Returns whether the map
-   should change; the plan's map belongs to PARENT.  */
+/* Plans from the counts so far.  Returns whether the map should change; the
+   plan's map belongs to PARENT.  */
 bool
 planner_plan (planner_t *planner, TALLOC_CTX *parent, placement_plan_t *plan)
 {
   placement_sample_t sample = { .tokens = planner->tokens,
                                 .work = planner->work,
                                 .busy_us = planner->busy_us };
-  size_t count = (size_t)planner->shape.layers * planner->shape.experts;
 
-  planner->ops->observe (planner->placement, &sample);
-  memset (planner->tokens, 0, count * sizeof *planner->tokens);
+  if (planner->has_new_counts)
+    planner->ops->observe (planner->placement, &sample);
+  planner->has_new_counts = false;
+  memset (planner->tokens, 0,
+          planner_count_numbers (planner) * sizeof *planner->tokens);
   planner->ops->plan (planner->placement, parent, planner->map, plan);
+  if (plan->is_change)
+    placement_map_sort (plan->map);
   return plan->is_change;
 }
 
--- a/pilot/rank_codec.c
+++ b/pilot/rank_codec.c
@@ -2,9 +2,14 @@
 
 #include "common/numbers.h"
 
+/* A map is encoded as numbers: its shape and, if HAS_BASE, the digest of the
+   base and the changes, three numbers each: the cell, counted from that of the
+   change before, and the expert that leaves and the one that joins it.  A cell
+   is a rank in a layer.  Without a base, the experts of all slots follow.  */
 enum
 {
-  MAP_HEADER_NUMBERS = 4
+  MAP_HEADER_NUMBERS = 5, /* the shape, and whether there is a base */
+  MAP_CHANGE_NUMBERS = 3
 };
 
 static const char *const command_names[RANK_COMMAND_KIND_COUNT] = {
@@ -20,6 +25,7 @@
   [RANK_MALFORMED] = "malformed",
   [RANK_UNREACHABLE] = "unreachable",
   [RANK_OUTCOME_UNKNOWN] = "lost",
+  [RANK_BASE_UNKNOWN] = "base-unknown",
 };
 
 /* Returns the name of KIND for the log.  */
@@ -106,57 +112,222 @@
   return (size_t)shape->layers * shape->ranks * shape->slots;
 }
 
-static blob_t
-map_encode (TALLOC_CTX *parent, const placement_map_t *map)
+static size_t
+map_write_header (uint64_t *numbers, const placement_shape_t *shape,
+                  bool has_base)
+{
+  numbers[0] = shape->layers;
+  numbers[1] = shape->ranks;
+  numbers[2] = shape->experts;
+  numbers[3] = shape->slots;
+  numbers[4] = has_base;
+  return MAP_HEADER_NUMBERS;
+}
+
+/* Encodes the whole of MAP.  The bytes belong to PARENT; there are none when
+   memory is exhausted.  */
+blob_t
+rank_map_encode (TALLOC_CTX *parent, const placement_map_t *map)
 {
   size_t slots = map_slot_count (&map->shape);
   uint64_t *numbers
       = talloc_array (parent, uint64_t, MAP_HEADER_NUMBERS + slots);
-  blob_t blob;
+  blob_t blob = { 0 };
+  size_t count;
 
-  numbers[0] = map->shape.layers;
-  numbers[1] = map->shape.ranks;
-  numbers[2] = map->shape.experts;
-  numbers[3] = map->shape.slots;
+  if (numbers == NULL)
+    return blob;
+  count = map_write_header (numbers, &map->shape, false);
   for (size_t i = 0; i < slots; i++)
-    numbers[MAP_HEADER_NUMBERS + i] = map->slots[i].expert;
-  blob = numbers_encode (parent, numbers, MAP_HEADER_NUMBERS + slots);
+    numbers[count++] = map->slots[i].expert;
+  blob = numbers_encode (parent, numbers, count);
+  talloc_free (numbers);
+  return blob;
+}
+
+/* Returns the slot of the cell at SLOTS that holds EXPERT, or NULL.  */
+static placement_slot_t *
+cell_find (placement_slot_t *slots, unsigned slot_count, uint64_t expert)
+{
+  for (unsigned i = 0; i < slot_count; i++)
+    {
+      if (slots[i].expert == expert)
+        return &slots[i];
+    }
+  return NULL;
+}
+
+/* Returns the next expert from SLOT *AT of the cell LEFT on that the cell
+   RIGHT does not hold, or PLACEMENT_SLOT_FREE.  */
+static uint64_t
+cell_next_missing (placement_slot_t *left, placement_slot_t *right,
+                   unsigned slot_count, unsigned *at)
+{
+  while (*at < slot_count)
+    {
+      uint64_t expert = left[(*at)++].expert;
+
+      if (expert != PLACEMENT_SLOT_FREE
+          && cell_find (right, slot_count, expert) == NULL)
+        return expert;
+    }
+  return PLACEMENT_SLOT_FREE;
+}
+
+/* Encodes MAP as the changes to BASE, which has the same shape.  The bytes
+   belong to PARENT; there are none when memory is exhausted.  */
+blob_t
+rank_map_encode_changes (TALLOC_CTX *parent, const placement_map_t *base,
+                         const placement_map_t *map)
+{
+  unsigned slots = map->shape.slots;
+  size_t cells = (size_t)map->shape.layers * map->shape.ranks;
+  uint64_t *numbers
+      = talloc_array (parent, uint64_t,
+                      MAP_HEADER_NUMBERS + 1
+                          + MAP_CHANGE_NUMBERS * map_slot_count (&map->shape));
+  blob_t blob = { 0 };
+  size_t last_cell = 0;
+  size_t count;
+
+  if (numbers == NULL)
+    return blob;
+  count = map_write_header (numbers, &map->shape, true);
+  numbers[count++] = placement_map_digest (base);
+  for (size_t cell = 0; cell < cells; cell++)
+    {
+      placement_slot_t *before = &base->slots[cell * slots];
+      placement_slot_t *after = &map->slots[cell * slots];
+      unsigned before_at = 0;
+      unsigned after_at = 0;
+
+      while (true)
+        {
+          uint64_t leaves
+              = cell_next_missing (before, after, slots, &before_at);
+          uint64_t joins = cell_next_missing (after, before, slots, &after_at);
+
+          if (leaves == PLACEMENT_SLOT_FREE && joins == PLACEMENT_SLOT_FREE)
+            break;
+          numbers[count++] = cell - last_cell;
+          numbers[count++] = leaves;
+          numbers[count++] = joins;
+          last_cell = cell;
+        }
+    }
+  blob = numbers_encode (parent, numbers, count);
   talloc_free (numbers);
   return blob;
 }
 
+/* Applies the COUNT numbers of changes at NUMBERS to MAP.  Returns false if
+   they do not fit.  */
+static bool
+map_apply_changes (placement_map_t *map, const uint64_t *numbers, size_t count)
+{
+  unsigned slots = map->shape.slots;
+  size_t cells = (size_t)map->shape.layers * map->shape.ranks;
+  size_t cell = 0;
+
+  if (count % MAP_CHANGE_NUMBERS != 0)
+    return false;
+  for (size_t i = 0; i < count; i += MAP_CHANGE_NUMBERS)
+    {
+      placement_slot_t *slot;
+
+      if (numbers[i] >= cells - cell)
+        return false;
+      cell += numbers[i];
+      slot = cell_find (&map->slots[cell * slots], slots, numbers[i + 1]);
+      if (slot == NULL
+          || (numbers[i + 2] >= map->shape.experts
+              && numbers[i + 2] != PLACEMENT_SLOT_FREE))
+        return false;
+      slot->expert = (uint16_t)numbers[i + 2];
+    }
+  return true;
+}
+
+static bool
+map_read_shape (const uint64_t *numbers, size_t count,
+                placement_shape_t *shape)
+{
+  if (count < MAP_HEADER_NUMBERS || numbers[MAP_HEADER_NUMBERS - 1] > 1
+      || numbers[0] > PLACEMENT_MAX_LAYERS || numbers[1] > PLACEMENT_MAX_RANKS
+      || numbers[2] > PLACEMENT_MAX_EXPERTS
+      || numbers[3] > PLACEMENT_MAX_SLOTS)
+    return false;
+  *shape = (placement_shape_t){ .layers = (unsigned)numbers[0],
+                                .ranks = (unsigned)numbers[1],
+                                .experts = (unsigned)numbers[2],
+                                .slots = (unsigned)numbers[3] };
+  return true;
+}
+
 static placement_map_t *
-map_decode (TALLOC_CTX *parent, blob_t encoded)
+map_decode_whole (TALLOC_CTX *parent, const placement_shape_t *shape,
+                  const uint64_t *numbers, size_t count)
+{
+  placement_map_t *map = placement_map_create (parent, shape);
+
+  if (map == NULL || count != map_slot_count (shape))
+    {
+      talloc_free (map);
+      return NULL;
+    }
+  for (size_t i = 0; i < count; i++)
+    map->slots[i].expert = (uint16_t)numbers[i];
+  return map;
+}
+
+/* Decodes ENCODED into *MAP, which belongs to PARENT.  Returns
+   STATUS_NOT_FOUND when HISTORY lacks the base.  */
+static status_t
+map_decode (TALLOC_CTX *parent, blob_t encoded, map_history_t *history,
+            placement_map_t **map)
 {
   size_t count = 0;
   uint64_t *numbers = numbers_decode (parent, encoded, &count);
-  placement_map_t *map = NULL;
+  const placement_map_t *base = NULL;
+  placement_shape_t shape;
+  bool has_base;
 
-  if (numbers != NULL && count >= MAP_HEADER_NUMBERS
-      && numbers[0] <= PLACEMENT_MAX_LAYERS
-      && numbers[1] <= PLACEMENT_MAX_RANKS
-      && numbers[2] <= PLACEMENT_MAX_EXPERTS
-      && numbers[3] <= PLACEMENT_MAX_SLOTS)
+  *map = NULL;
+  if (numbers == NULL || !map_read_shape (numbers, count, &shape))
     {
-      placement_shape_t shape = { .layers = (unsigned)numbers[0],
-                                  .ranks = (unsigned)numbers[1],
-                                  .experts = (unsigned)numbers[2],
-                                  .slots = (unsigned)numbers[3] };
-
-      if (count == MAP_HEADER_NUMBERS + map_slot_count (&shape))
-        map = placement_map_create (parent, &shape);
+      talloc_free (numbers);
+      return status_set (STATUS_PROTOCOL, "the map in a command is malformed");
     }
-  for (size_t i = 0; map != NULL && i < count - MAP_HEADER_NUMBERS; i++)
-    map->slots[i].expert = (uint16_t)numbers[MAP_HEADER_NUMBERS + i];
+  has_base
+      = numbers[MAP_HEADER_NUMBERS - 1] != 0 && count > MAP_HEADER_NUMBERS;
+  if (has_base)
+    base = map_history_find (history, &shape, numbers[MAP_HEADER_NUMBERS]);
+  if (base != NULL)
+    *map = placement_map_copy (parent, base);
+  if (*map != NULL
+      && !map_apply_changes (*map, numbers + MAP_HEADER_NUMBERS + 1,
+                             count - MAP_HEADER_NUMBERS - 1))
+    TALLOC_FREE (*map);
+  if (!has_base)
+    *map = map_decode_whole (parent, &shape, numbers + MAP_HEADER_NUMBERS,
+                             count - MAP_HEADER_NUMBERS);
   talloc_free (numbers);
-  return map;
+  if (*map != NULL)
+    {
+      placement_map_sort (*map);
+      return STATUS_OK;
+    }
+  return has_base && base == NULL
+             ? status_set (STATUS_NOT_FOUND, "the base of a map is unknown")
+             : status_set (STATUS_PROTOCOL,
+                           "the map in a command is malformed");
 }
 
-/* Encodes the command COMMAND with TICKET in FRAME; data that FRAME points
-   to belongs to PARENT.  */
+/* Encodes the command COMMAND with TICKET in FRAME.  MAP is the encoded map of
+   RANK_COMMAND_PREPARE; FRAME points to it.  */
 void
-rank_command_to_frame (TALLOC_CTX *parent, uint64_t ticket,
-                       const rank_command_t *command, frame_t *frame)
+rank_command_to_frame (uint64_t ticket, const rank_command_t *command,
+                       blob_t map, frame_t *frame)
 {
   *frame = (frame_t){
     .header.type = FRAME_RANK_COMMAND,
@@ -170,15 +341,19 @@
     },
   };
   if (command->kind == RANK_COMMAND_PREPARE)
-    frame->body.rank_command.map = map_encode (parent, command->map);
+    frame->body.rank_command.map = map;
 }
 
 /* Decodes a command; its map belongs to PARENT.  Returns STATUS_PROTOCOL
-   when it is malformed.  */
+   when it is malformed, and STATUS_NOT_FOUND when its map is based on one that
+   HISTORY lacks.  */
 status_t
 rank_command_from_frame (TALLOC_CTX *parent, const frame_rank_command_t *body,
-                         rank_command_t *command)
+                         map_history_t *history, rank_command_t *command)
 {
+  placement_map_t *map;
+  status_t status;
+
   if (body->kind >= RANK_COMMAND_KIND_COUNT)
     return status_set (STATUS_PROTOCOL, "unknown command to a rank");
   *command = (rank_command_t){
@@ -190,9 +365,7 @@
   };
   if (command->kind != RANK_COMMAND_PREPARE)
     return STATUS_OK;
-  command->map = map_decode (parent, body->map);
-  return command->map != NULL
-             ? STATUS_OK
-             : status_set (STATUS_PROTOCOL,
-                           "the map in a command is malformed");
+  status = map_decode (parent, body->map, history, &map);
+  command->map = map;
+  return status;
 }
--- a/pilot/switcher.c
+++ b/pilot/switcher.c
@@ -568,6 +568,7 @@
       switcher->unknown_outcome_at = now;
       break;
     case RANK_UNREACHABLE:
+    case RANK_BASE_UNKNOWN:
     case RANK_VERDICT_COUNT:
       view->retry_at = timespec_add (now, timespec_from_ms (RESEND_DELAY_MS));
       break;
--- a/plugins/placement/map.c
+++ b/plugins/placement/map.c
@@ -1,5 +1,9 @@
 #include "plugins/placement.h"
 
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
 static size_t
 shape_slot_count (const placement_shape_t *shape)
 {
@@ -70,6 +74,80 @@
   return map;
 }
 
+/* Creates a map with one replica of each expert, in rotation over the ranks.
+   Returns NULL like placement_map_create.  */
+placement_map_t *
+placement_map_create_rotation (TALLOC_CTX *parent,
+                               const placement_shape_t *shape)
+{
+  placement_map_t *map = placement_map_create_initial (parent, shape);
+
+  if (map == NULL)
+    return NULL;
+  for (unsigned layer = 0; layer < shape->layers; layer++)
+    {
+      for (unsigned i = 0; i < shape->ranks * shape->slots; i++)
+        *placement_map_slot (map, layer, i % shape->ranks, i / shape->ranks)
+            = i < shape->experts
+                  ? (placement_slot_t){ .expert = (uint16_t)i,
+                                        .share = PLACEMENT_SHARE_FULL }
+                  : (placement_slot_t){ .expert = PLACEMENT_SLOT_FREE };
+    }
+  return map;
+}
+
+static int
+slot_compare (const void *left, const void *right)
+{
+  const placement_slot_t *a = left;
+  const placement_slot_t *b = right;
+
+  return (int)a->expert - (int)b->expert;
+}
+
+/* Sorts the experts of each rank and layer, free slots last.  */
+void
+placement_map_sort (placement_map_t *map)
+{
+  const placement_shape_t *shape = &map->shape;
+  size_t cells = (size_t)shape->layers * shape->ranks;
+
+  for (size_t cell = 0; cell < cells; cell++)
+    qsort (&map->slots[cell * shape->slots], shape->slots, sizeof *map->slots,
+           slot_compare);
+}
+
+/* Returns a copy of MAP, or NULL when memory is exhausted.  */
+placement_map_t *
+placement_map_copy (TALLOC_CTX *parent, const placement_map_t *map)
+{
+  placement_map_t *copy = placement_map_create (parent, &map->shape);
+
+  if (copy != NULL)
+    memcpy (copy->slots, map->slots,
+            shape_slot_count (&map->shape) * sizeof *map->slots);
+  return copy;
+}
+
+/* Returns the sum of a hash of each replica, which does not depend on the
+   order of a rank's slots.  */
+uint64_t
+placement_map_digest (const placement_map_t *map)
+{
+  const placement_shape_t *shape = &map->shape;
+  size_t cells = (size_t)shape->layers * shape->ranks;
+  uint64_t digest = 0;
+
+  for (size_t i = 0; i < cells * shape->slots; i++)
+    {
+      uint64_t replica[2] = { i / shape->slots, map->slots[i].expert };
+
+      if (map->slots[i].expert != PLACEMENT_SLOT_FREE)
+        digest += XXH3_64bits (replica, sizeof replica);
+    }
+  return digest;
+}
+
 static bool
 slot_is_valid (const placement_slot_t *slot, const placement_shape_t *shape)
 {
--- a/tests/process/platform_group.py
+++ b/tests/process/platform_group.py
@@ -21,7 +21,8 @@
         self.number = number
         self.version = 0
         self.experts = experts  # by layer
-        self.prepared = None  # (version, experts)
+        self.map = None  # of all ranks, as in the order; None for the first map
+        self.prepared = None  # (version, map)
         self.armed = None  # (version, step)
         self.held = None  # step that must not begin
         self.fence = 0
@@ -63,11 +64,13 @@
         self.step += 1
         for rank in self.ranks:
             if rank.armed is not None and rank.armed[1] == self.step:
-                rank.version, rank.experts = rank.prepared
+                rank.version, rank.map = rank.prepared
+                rank.experts = [layer[rank.number] for layer in rank.map]
                 rank.armed = rank.prepared = None
             self.count_tokens(rank)
         versions = {rank.version for rank in self.ranks}
-        self.mixed_steps += len(versions) > 1
+        maps = {repr(rank.map) for rank in self.ranks}
+        self.mixed_steps += len(versions) > 1 or len(maps) > 1
         if len(versions) == 1 and versions != set(self.versions[-1:]):
             self.versions += versions
 
@@ -137,8 +140,7 @@
         if command["version"] <= rank.newest_version or rank.armed is not None:
             return False
         rank.newest_version = command["version"]
-        rank.prepared = (command["version"], [layer[rank.number]
-                                            for layer in command["map"]])
+        rank.prepared = (command["version"], command["map"])
         return True
 
     def arm(self, rank, command):
