--- a/bench/relay_model.c
+++ b/bench/relay_model.c
@@ -218,7 +218,23 @@
   STAILQ_INSERT_TAIL (&relay->waiting, request, link);
 }
 
-/* Let the requests of this tick arrive: a Poisson process at each relay.  */
+/* Return a random number with the Poisson distribution of MEAN.  */
+static unsigned
+model_random_poisson (relay_model_t *model, double mean)
+{
+  double limit = exp (-mean);
+  double product = model_random (model);
+  unsigned count = 0;
+
+  while (product > limit)
+    {
+      product *= model_random (model);
+      count++;
+    }
+  return count;
+}
+
+/* Let the requests of this tick arrive.  */
 static void
 model_run_arrivals (relay_model_t *model)
 {
@@ -229,11 +245,11 @@
 
   for (unsigned i = 0; i < options->relays; i++)
     {
-      double limit = exp (-mean * model->relays[i].weight);
-      double product = model_random (model);
+      model_relay_t *relay = &model->relays[i];
+      unsigned count = model_random_poisson (model, mean * relay->weight);
 
-      for (; product > limit; product *= model_random (model))
-        model_add_request (model, &model->relays[i]);
+      for (unsigned j = 0; j < count; j++)
+        model_add_request (model, relay);
     }
 }
 
--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -318,7 +318,7 @@
 test_lease_is_fresh_after_a_long_campaign (void **state)
 {
   (void)state;
-  for (int64_t gone_ms = 0; gone_ms < 2 * LEASE_MS; gone_ms += 100)
+  for (int64_t gone_ms = 0; gone_ms < 2LL * LEASE_MS; gone_ms += 100)
     {
       fixture_t *fixture = fixture_create (8);
 
@@ -328,7 +328,7 @@
       fixture->store.holder = NULL;
       fixture_run (fixture, LEASE_MS);
       assert_leads (fixture);
-      fixture_run (fixture, 2 * LEASE_MS);
+      fixture_run (fixture, 2LL * LEASE_MS);
       assert_leads (fixture);
       assert_int_equal (fixture->lost, 0);
       fixture_destroy (fixture);
@@ -371,7 +371,7 @@
 
   (void)state;
   election_campaign (fixture->election);
-  fixture_run (fixture, 10 * LEASE_MS);
+  fixture_run (fixture, 10LL * LEASE_MS);
   assert_leads (fixture);
   assert_false (election_is_lease_over (fixture->election));
   scheduler_freeze (fixture->scheduler, fixture->pool);
