--- a/include/pilot/leader_state.h
+++ b/include/pilot/leader_state.h
@@ -37,10 +37,12 @@
   /* The rest is valid only during a term.  */
   members_t *members;
   switcher_t *switcher;
-  store_mirror_t *mirror;
-  char *service;            /* service of this pilot's engine */
-  planner_t *planner;       /* NULL until the rules are known */
-  placement_map_t *planned; /* map of the switch in progress */
+  store_mirror_t *own_mirror;      /* keys that this system writes */
+  store_mirror_t *upstream_mirror; /* listings of the upstreams */
+  store_mirror_t *rules_mirror;    /* the rules; NULL once they are known */
+  char *service;                   /* service of this pilot's engine */
+  planner_t *planner;              /* NULL until the rules are known */
+  placement_map_t *planned;        /* map of the switch in progress */
   /* The query of the map in use, RANK_QUERY_HELD_EXPERTS.  */
   bool is_querying;
   unsigned pending_replies; /* ranks whose reply is outstanding */
@@ -52,6 +54,8 @@
   struct timespec heartbeat_at; /* last heartbeat to the other pilots */
 };
 
-void leader_start_mirror (leader_t *leader);
+void leader_start_mirrors (leader_t *leader);
+void leader_stop_reading_rules (leader_t *leader);
+void leader_stop_mirrors (leader_t *leader);
 
 #endif
--- a/include/plugins/catalog.h
+++ b/include/plugins/catalog.h
@@ -24,6 +24,8 @@
   /* Return the kind of the item KEY.  Sets *NAME to the part of KEY after the
      prefix of its kind, or to all of KEY if its kind has no prefix.  */
   catalog_kind_t (*classify) (const char *key, const char **name);
+  /* Key of the operators' configuration.  */
+  const char *rules_key;
   /* Prefix of the keys that this system writes.  */
   const char *own_prefix;
   /* Prefix of the upstream listings.  */
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -84,8 +84,7 @@
   members_destroy (leader->members);
   leader->members = NULL;
   TALLOC_FREE (leader->switcher);
-  store_mirror_destroy (leader->mirror);
-  leader->mirror = NULL;
+  leader_stop_mirrors (leader);
   TALLOC_FREE (leader->planner);
   TALLOC_FREE (leader->planned);
   leader->is_querying = leader->is_replan_due = false;
@@ -300,7 +299,7 @@
                         leader->own_rank, &leader_members_ops, leader);
   switcher_start_term (leader->switcher, fence, is_known ? &deposed : NULL,
                        pilot_now (pilot));
-  leader_start_mirror (leader);
+  leader_start_mirrors (leader);
 }
 
 static void
@@ -458,6 +457,7 @@
 {
   struct timespec now = pilot_now (leader->pilot);
 
+  leader_stop_reading_rules (leader);
   members_tick (leader->members);
   switcher_tick (leader->switcher, now);
   if (leader_is_switching (leader)
--- a/pilot/leader_store.c
+++ b/pilot/leader_store.c
@@ -96,20 +96,57 @@
   .on_change = leader_on_change,
 };
 
-/* Mirrors the part of the store that a leader uses: rules, upstreams,
-   pilots and the leader key.  The mirror is destroyed at the end of the
-   term.  */
-void
-leader_start_mirror (leader_t *leader)
+static store_mirror_t *
+leader_create_mirror (leader_t *leader, const char *prefix)
 {
   pilot_t *pilot = leader->pilot;
   store_mirror_options_t options = {
     .store_ops = pilot->store_ops,
     .store = pilot->store,
-    .prefix = "",
+    .prefix = prefix,
     .poll_interval = timespec_from_ms (MIRROR_POLL_INTERVAL_MS),
   };
 
-  leader->mirror = store_mirror_create (leader, pilot->worker, &options,
-                                        &leader_mirror_ops, leader);
+  return store_mirror_create (leader, pilot->worker, &options,
+                              &leader_mirror_ops, leader);
+}
+
+/* Mirrors the parts of the store that a leader uses: the pilots and the leader
+   key, the upstreams, and the rules until they are known.  */
+void
+leader_start_mirrors (leader_t *leader)
+{
+  const catalog_ops_t *catalog = leader->pilot->catalog_ops;
+
+  leader->own_mirror = leader_create_mirror (leader, catalog->own_prefix);
+  leader->upstream_mirror
+      = leader_create_mirror (leader, catalog->upstream_prefix);
+  leader->rules_mirror = leader_create_mirror (leader, catalog->rules_key);
+}
+
+static void
+leader_stop_mirror (store_mirror_t **mirror)
+{
+  if (*mirror != NULL)
+    store_mirror_destroy (*mirror);
+  *mirror = NULL;
+}
+
+/* Stops mirroring the rules once the planner is created.  The profile of the
+   engines does not change in a term, and a large document would take the link
+   of this VM from the commands to the ranks.  */
+void
+leader_stop_reading_rules (leader_t *leader)
+{
+  if (leader->planner != NULL)
+    leader_stop_mirror (&leader->rules_mirror);
+}
+
+/* Stops mirroring the store.  */
+void
+leader_stop_mirrors (leader_t *leader)
+{
+  leader_stop_mirror (&leader->own_mirror);
+  leader_stop_mirror (&leader->upstream_mirror);
+  leader_stop_mirror (&leader->rules_mirror);
 }
--- a/tests/process/platform_store.py
+++ b/tests/process/platform_store.py
@@ -60,6 +60,7 @@
         self.compacted_revision = 0  # newest one without events
         self.leases = {}  # number: (seconds, time of expiry)
         self.last_lease = 100
+        self.sent_keys = {}  # how often the item of each key was sent
         self.changed = asyncio.Condition()
         self.failure_mode = None  # "busy", "silent", "reset" or "refuse-some"
         self.responses_to_drop = 0  # to writes, which are executed
@@ -116,6 +117,7 @@
         self.events.clear()
 
     def item_json(self, key):
+        self.sent_keys[key] = self.sent_keys.get(key, 0) + 1
         item = self.items[key]
         return {"key": key, "rev": item["rev"], "created": item["created"],
                 "lease": item["lease"],
@@ -200,6 +202,9 @@
                      if revision > after and key.startswith(query["prefix"])]
             remaining_s = end - asyncio.get_running_loop().time()
             if found or remaining_s <= 0:
+                for event in found:
+                    self.sent_keys[event["key"]] = (
+                        self.sent_keys.get(event["key"], 0) + 1)
                 return 200, {"events": found, "store_revision": self.revision}
             async with self.changed:
                 try:
--- a/tests/process/test_pilots.py
+++ b/tests/process/test_pilots.py
@@ -117,6 +117,20 @@
         self.wait_for_maps(2)
         self.leader()
 
+    def test_leader_does_not_fetch_new_rules(self):
+        """A large document of rules would keep a leader's link busy while the
+        group is held for a switch.  It needs only the profile of the
+        engines, which it has read."""
+        self.leader()
+        self.wait_for_maps(1)
+        sent = dict(self.platform.store.sent_keys)
+        for _ in range(3):
+            self.platform.configure()
+            time.sleep(1)
+        self.wait_for_maps(1)
+        self.assertEqual(self.platform.store.sent_keys["op/config"],
+                         sent["op/config"])
+
     def test_all_pilots_killed_and_restarted(self):
         self.reset_longest_stall()
         for pilot in self.pilots:
