--- a/tests/process/platform_store.py
+++ b/tests/process/platform_store.py
@@ -116,8 +116,12 @@
         self.compacted_revision = self.revision
         self.events.clear()
 
+    def count_sent(self, items):
+        for item in items:
+            key = item["key"]
+            self.sent_keys[key] = self.sent_keys.get(key, 0) + 1
+
     def item_json(self, key):
-        self.sent_keys[key] = self.sent_keys.get(key, 0) + 1
         item = self.items[key]
         return {"key": key, "rev": item["rev"], "created": item["created"],
                 "lease": item["lease"],
@@ -180,14 +184,17 @@
     def get(self, key):
         if key not in self.items:
             return 404, {"store_revision": self.revision}
-        return 200, dict(self.item_json(key), store_revision=self.revision)
+        item = self.item_json(key)
+        self.count_sent([item])
+        return 200, dict(item, store_revision=self.revision)
 
     def range(self, query):
         keys = sorted(key for key in self.items
                       if key.startswith(query.get("prefix", ""))
                       and key > query.get("after", ""))
-        return 200, {"items": [self.item_json(key)
-                               for key in keys[:PAGE_ITEMS]],
+        items = [self.item_json(key) for key in keys[:PAGE_ITEMS]]
+        self.count_sent(items)
+        return 200, {"items": items,
                      "has_more": len(keys) > PAGE_ITEMS,
                      "store_revision": self.revision}
 
@@ -202,9 +209,7 @@
                      if revision > after and key.startswith(query["prefix"])]
             remaining_s = end - asyncio.get_running_loop().time()
             if found or remaining_s <= 0:
-                for event in found:
-                    self.sent_keys[event["key"]] = (
-                        self.sent_keys.get(event["key"], 0) + 1)
+                self.count_sent(found)
                 return 200, {"events": found, "store_revision": self.revision}
             async with self.changed:
                 try:
