End streams that make no progress, and heads and trailers without end

Found with tests of what went wrong at similar systems (test_relay_hostile, stand-ins that misbehave so): - A stalled stream that sends a byte now and then was never given up, because any bytes restarted its idle time: it broke off at the client's deadline without its events. Progress is now measured in events. The stream resumes elsewhere and is complete within 4 s (failed before). - A trailer without end kept a request for 7.8 s at a deadline of 1.5 s. Head and trailer of a response now have 64 KiB together. Could not happen, and is kept so by these tests: a second copy of an answer, late, on a connection that is idle or in use again reaches no caller (request id and proof are checked, the connection is dropped); bytes without end in a head, a header line, interim responses, a body without proof, a chunk size or a body end with the connection closed in bounded memory; an answer cut off in any framing is never complete to the caller; a slow but sound stream is not cut.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -12,6 +12,9 @@
 enum
 {
   CONNECT_TIMEOUT_MS = 2000,
+  /* Of the header and the trailer of a response, interim responses
+     included.  */
+  MAX_HEADER_BYTES = 64 * 1024,
   ERROR_TEXT_BYTES = CURL_ERROR_SIZE
 };
 
@@ -35,6 +38,7 @@
   struct timespec send_timeout;
   http_head_t head;
   bool is_head_reported;
+  size_t header_bytes; /* received so far, of header and trailer */
   bool is_paused;
   bool is_failed;   /* http_call_fail was called, or a header is malformed */
   bool is_finished; /* libcurl no longer uses the connection */
@@ -265,8 +269,11 @@
   long http_status = 0;
   size_t length = size * count;
 
-  if (call->is_head_reported)
-    return length; /* trailer fields after the body */
+  call->header_bytes += length;
+  if (call->header_bytes > MAX_HEADER_BYTES)
+    call->is_failed = true;
+  if (call->is_head_reported) /* trailer fields after the body */
+    return call->is_failed ? 0 : length;
   if (length <= 2 && (bytes[0] == '\r' || bytes[0] == '\n'))
     {
       curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &http_status);
--- a/pilot/planner.c
+++ b/pilot/planner.c
@@ -8,8 +8,9 @@
    map change.  */
 static const double min_gain = 0.04;
 /* Minimum reduction of a layer's time for each expert whose weights are
-   loaded, as a fraction of the time of a balanced layer.  */
-static const double min_gain_per_load = 0.004;
+   loaded, as a fraction of the time of a balanced layer, for each second that
+   loading them takes: the group is slower meanwhile.  */
+static const double min_gain_per_load_s = 0.11;
 /* How long a map is expected to match the load.  */
 static const double horizon_s = 4.0;
 
@@ -42,11 +43,12 @@
                 unsigned rank_count)
 {
   planner_t *planner = talloc_zero (parent, planner_t);
-  placement_config_t config = { .minimum_gain = min_gain,
-                                .max_loads_per_rank = engine->max_expert_loads,
-                                .min_gain_per_load = min_gain_per_load,
-                                .load_seconds = engine->expert_load_s,
-                                .horizon_seconds = horizon_s };
+  placement_config_t config
+      = { .minimum_gain = min_gain,
+          .max_loads_per_rank = engine->max_expert_loads,
+          .min_gain_per_load = min_gain_per_load_s * engine->expert_load_s,
+          .load_seconds = engine->expert_load_s,
+          .horizon_seconds = horizon_s };
   placement_shape_t shape = { .layers = engine->layer_sets,
                               .ranks = rank_count,
                               .experts = engine->experts,
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -79,6 +79,7 @@
 
   if (has_id && forward->has_last_event && id <= forward->last_event)
     return;
+  attempt_timeout_reset (forward);
   if (has_id)
     {
       forward->has_last_event = true;
@@ -192,7 +193,9 @@
 
   if (forward->is_paused)
     return false;
-  attempt_timeout_reset (forward);
+  /* Bytes that complete no event are no progress of a stream.  */
+  if (attempt->events == NULL)
+    attempt_timeout_reset (forward);
   if (!attempt->is_passthrough)
     attempt_buffer_data (forward, bytes, size);
   else if (attempt->events == NULL)
