Spare the search for a map while the step time has not grown

The leader searched all layers at every plan, 4 times a second, also when the last search had found nothing and the popularity had not changed.

--- a/plugins/placement/even.c
+++ b/plugins/placement/even.c
@@ -19,6 +19,9 @@
 /* If the new counts share less than this part of their distribution with the
    older ones, the popularity has shifted and the older ones are dropped.  */
 static const double min_overlap = 0.9;
+/* A search is made only if the step time has grown by this part since one has
+   found nothing.  */
+static const double min_growth = 0.02;
 /* Time from the plan to the switch, in seconds, apart from loading the
    weights: the commands to all ranks.  */
 static const double switch_s = 0.2;
@@ -29,6 +32,9 @@
   placement_config_t config;
   double *counts; /* token counts by layer and expert, smoothed */
   double *speed;  /* by rank; 1 is the baseline */
+  /* Least step time at which a search has found no better map; 0 if there was
+     none yet.  */
+  double settled_time;
 };
 
 static placement_t *
@@ -267,6 +273,17 @@
          + last->time_after * (rest_s > 0 ? rest_s : 0);
 }
 
+/* Returns whether a search can be spared, as the step time TIME has hardly
+   grown since the last one that found nothing.  */
+static bool
+even_is_settled (placement_t *placement, double time)
+{
+  if (time > placement->settled_time * (1 + min_growth))
+    return false;
+  placement->settled_time = fmin (placement->settled_time, time);
+  return true;
+}
+
 /* Chooses among maps with more and more loads: more of them make a better map,
    which is in use later.  */
 static void
@@ -284,6 +301,11 @@
   if (attempt == NULL)
     return;
   plan->time_before = plan->time_after = attempt_time (attempt);
+  if (even_is_settled (placement, plan->time_before))
+    {
+      talloc_free (attempt);
+      return;
+    }
   best_cost = config->horizon_seconds > 0
                   ? plan->time_before * config->horizon_seconds
                   : INFINITY;
@@ -308,6 +330,8 @@
       talloc_steal (parent, plan->map);
       plan->moves = placement_map_moves (current, plan->map);
     }
+  else
+    placement->settled_time = plan->time_before;
   talloc_free (attempt);
 }
 
