Answer what has arrived when a planned stop closes idle connections

Shown by test_planned_stop_answers_a_request_that_was_not_read_yet (a relay that is delayed while it stops; the request arrives after the timer is due), which failed for two reasons, each by itself: - A kept connection was closed although a request lay unread in its socket: the client got a reset. Such a connection now stays open for the request, and the process does not end before it is answered. - The wait for the end of a planned stop took the interruption by a pause (EINTR) for the stop timeout, so a process that was suspended while it stopped cut off all its open requests.

--- a/common/daemon.c
+++ b/common/daemon.c
@@ -257,7 +257,8 @@
       if (remaining.tv_sec < 0)
         return -1;
       received = sigtimedwait (signals, NULL, &remaining);
-      if (received != SIGHUP)
+      /* The wait is interrupted when the process was suspended.  */
+      if (received > 0 && received != SIGHUP)
         return received;
     }
 }
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -323,21 +323,42 @@
   http_server_schedule_resume (server);
 }
 
+/* Return whether bytes have arrived on CONNECTION that were not read yet.  */
+static bool
+connection_has_unread (const http_connection_t *connection)
+{
+  char byte;
+
+  return recv (MHD_get_connection_info (connection->mhd_connection,
+                                        MHD_CONNECTION_INFO_CONNECTION_FD)
+                   ->connect_fd,
+               &byte, 1, MSG_PEEK | MSG_DONTWAIT)
+         > 0;
+}
+
 /* Close the connections without a request in progress, and from now on every
-   connection as soon as its request has ended.  A request that has arrived but
-   was not read yet is lost; from the closed connection the client knows that
-   it was not executed.  */
-void
+   connection as soon as its request has ended.  A connection on which a
+   request has arrived but was not read yet stays open for it.  Returns the
+   number of those; the caller calls again until there are none.  */
+unsigned
 http_server_close_idle (http_server_t *server)
 {
   const http_connection_t *connection;
+  unsigned unread = 0;
 
   server->is_closing_idle = true;
   LIST_FOREACH (connection, &server->connections, link)
     {
-      if (connection->exchanges == 0)
+      if (connection->exchanges > 0)
+        continue;
+      if (connection_has_unread (connection))
+        unread++;
+      else
         connection_close (connection);
     }
+  if (unread > 0)
+    http_server_schedule_resume (server);
+  return unread;
 }
 
 /* Return the port that the server listens on.  */
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -56,7 +56,7 @@
 void http_server_set_limits (http_server_t *server,
                              const http_server_limits_t *limits);
 void http_server_stop_listening (http_server_t *server);
-void http_server_close_idle (http_server_t *server);
+unsigned http_server_close_idle (http_server_t *server);
 uint16_t http_server_port (const http_server_t *server);
 unsigned http_server_open_exchanges (const http_server_t *server);
 
--- a/include/plugins/ingress.h
+++ b/include/plugins/ingress.h
@@ -30,8 +30,9 @@
      and then close_idle.  */
   void (*start_closing) (ingress_t *ingress);
   void (*stop_listening) (ingress_t *ingress);
-  /* Close the connections without a request in progress.  */
-  void (*close_idle) (ingress_t *ingress);
+  /* Close the connections without a request in progress, except those on which
+     one has arrived, and return the number of these.  */
+  unsigned (*close_idle) (ingress_t *ingress);
   /* Return the number of requests in progress: being received, or without a
      complete response.  */
   unsigned (*open_count) (const ingress_t *ingress);
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -246,32 +246,25 @@
   relay_add_zones (relay, config);
 }
 
-/* Poll until the worker has no open requests; the last worker ends the
-   process.  */
+/* Close idle connections until the worker has no open requests and none that
+   has arrived; the last worker ends the process.  */
 static void
-relay_worker_check_stopped (worker_t *worker, void *data)
+relay_worker_close_idle (worker_t *worker, void *data)
 {
   relay_worker_t *relay_worker = data;
   relay_t *relay = relay_worker->relay;
+  unsigned unread = relay->ingress_ops->close_idle (relay_worker->ingress);
 
-  if (relay->ingress_ops->open_count (relay_worker->ingress) == 0)
+  if (unread == 0
+      && relay->ingress_ops->open_count (relay_worker->ingress) == 0)
     {
       if (atomic_fetch_sub (&relay->busy_workers, 1) == 1)
         daemon_finish (relay->daemon);
       return;
     }
   worker_timer_start (worker, worker_events (worker),
-                      timespec_from_ms (STOP_POLL_MS),
-                      relay_worker_check_stopped, relay_worker);
-}
-
-static void
-relay_worker_close_idle (worker_t *worker, void *data)
-{
-  relay_worker_t *relay_worker = data;
-
-  relay_worker->relay->ingress_ops->close_idle (relay_worker->ingress);
-  relay_worker_check_stopped (worker, relay_worker);
+                      timespec_from_ms (STOP_POLL_MS), relay_worker_close_idle,
+                      relay_worker);
 }
 
 static void
--- a/tests/process/test_relay_rules.py
+++ b/tests/process/test_relay_rules.py
@@ -13,6 +13,8 @@
 # Relays must apply a new version within two seconds.
 APPLY_S = 2
 EVACUATE_S = 5
+STOP_LISTENING_S = 2.7  # from SIGTERM until the relay has stopped listening
+STOP_CLOSE_S = 3.0  # from SIGTERM until it closes idle connections
 DRAIN_S = 2
 
 
@@ -173,6 +175,24 @@
             thread.join()
         self.assertEqual(lost, [])
 
+    def test_planned_stop_answers_a_request_that_was_not_read_yet(self):
+        """A request arrives on a kept connection while the relay, delayed on a
+        busy machine, is about to close its idle connections: the timer is due
+        before the request has arrived, and is handled after it."""
+        with Caller(self.relay) as caller:
+            self.assertEqual(caller.ask("/check/").status, 200)
+            self.relay.signal(signal.SIGTERM)
+            time.sleep(STOP_LISTENING_S)
+            self.relay.signal(signal.SIGSTOP)
+            time.sleep(STOP_CLOSE_S - STOP_LISTENING_S + 0.3)
+            caller.send("/check/")
+            time.sleep(0.1)
+            self.relay.signal(signal.SIGCONT)
+            reply = caller.receive()
+            self.assertEqual(reply.status, 200)
+            self.assertTrue(reply.is_complete)
+        self.assertEqual(self.relay.process.wait(8), 0)
+
     def test_stop_that_is_cut_short_ends_in_order(self):
         for app in self.apps:
             app.answer = replicas.hang
