Start the cold start buckets of the relays at random levels

Cause: after a loss of power all upstreams are cold, and each relay may send its part of their rate: 18/s over 53 relays is one request in 3 s to each upstream. Buckets that were not used filled up at all relays alike, so that together they could send 53 at once.

Change: a bucket starts at a random level, and a token that is not used for half a second is lost where the share is below a token.

Result: test_fleet, 50 relays at a rate of 8/s for each of 4 upstreams: 0 sent in the first second before, 16 to 48 now, and at most half more than the rate in any second, also after a time without requests.

--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -174,8 +174,8 @@
 void cold_start_consume_token (fleet_upstream_t *upstream);
 /* REMAINING comes from each listing of the upstream.  When its zone returns to
    service, it is the service's cold time until the next listing.  */
-void cold_start_set_remaining (fleet_upstream_t *upstream, struct timespec now,
-                               struct timespec remaining);
+void cold_start_set_remaining (fleet_t *fleet, fleet_upstream_t *upstream,
+                               struct timespec now, struct timespec remaining);
 
 /* The load of an upstream and the state of its group, as last reported
    (fleet_report.c).  */
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -326,7 +326,8 @@
       upstream->is_draining = listing->is_draining;
       upstream->slots = listing->slots > 0 ? listing->slots : 1;
       upstream_set_limits (upstream, listing);
-      cold_start_set_remaining (upstream, now, listing->cold_start_remaining);
+      cold_start_set_remaining (fleet, upstream, now,
+                                listing->cold_start_remaining);
     }
   counter_set (&upstreams_gauge, (int64_t)table_count (fleet->table));
   table_unlock (fleet->table);
@@ -367,7 +368,7 @@
             = CONTAINER_OF (node, fleet_upstream_t, node);
 
         if (upstream->zone == known)
-          cold_start_set_remaining (upstream, now,
+          cold_start_set_remaining (fleet, upstream, now,
                                     upstream->service->cold_time);
       }
   if (known != NULL)
--- a/relay/fleet_cold.c
+++ b/relay/fleet_cold.c
@@ -1,10 +1,12 @@
 #include "relay/fleet_state.h"
 
+#include <math.h>
+
 /* The request rate of an upstream in cold start is shared by all relays: each
-   relay limits itself to its share with a token bucket that holds half a
-   second's worth of tokens, but at least one.  */
+   relay limits itself to its share with a token bucket that holds what is
+   filled in this time, so that the relays together exceed the rate by this
+   part in a second at most.  */
 static const double bucket_capacity_s = 0.5;
-static const double min_bucket_size = 1.0;
 static const double us_per_s = 1000000;
 
 /* Return whether UPSTREAM is in cold start, as far as is known.  */
@@ -20,12 +22,17 @@
   return upstream->service->cold_rate / fleet->relays;
 }
 
+/* Limit TOKENS to what the bucket holds at RATE.  If that is less than one
+   token, as among many relays, a token can be used for as long as the bucket
+   takes to fill and is lost then.  */
 static double
-bucket_size (double rate)
+limit_tokens (double tokens, double rate)
 {
   double size = rate * bucket_capacity_s;
 
-  return size > min_bucket_size ? size : min_bucket_size;
+  if (size >= 1)
+    return fmin (tokens, size);
+  return tokens > 1 + size ? fmod (tokens, 1) : tokens;
 }
 
 /* Return whether UPSTREAM may get one more request from this relay now: it is
@@ -36,7 +43,6 @@
 {
   cold_bucket_t *bucket = &upstream->cold;
   double rate = cold_rate_per_relay (fleet, upstream);
-  double size = bucket_size (rate);
   double elapsed_s;
 
   if (upstream->service->cold_rate <= 0
@@ -45,9 +51,7 @@
   elapsed_s
       = (double)timespec_to_us (timespec_subtract (now, bucket->filled_at))
         / us_per_s;
-  bucket->tokens += elapsed_s * rate;
-  if (bucket->tokens > size)
-    bucket->tokens = size;
+  bucket->tokens = limit_tokens (bucket->tokens + elapsed_s * rate, rate);
   bucket->filled_at = now;
   return bucket->tokens >= 1;
 }
@@ -60,12 +64,15 @@
     upstream->cold.tokens -= 1;
 }
 
-/* Set the remaining cold start time of UPSTREAM to REMAINING.  */
+/* Set the remaining cold start time of UPSTREAM to REMAINING.  The bucket
+   starts at a random level, so that the relays get their first tokens one
+   after the other from the start on.  */
 void
-cold_start_set_remaining (fleet_upstream_t *upstream, struct timespec now,
-                          struct timespec remaining)
+cold_start_set_remaining (fleet_t *fleet, fleet_upstream_t *upstream,
+                          struct timespec now, struct timespec remaining)
 {
   if (!cold_start_is_active (upstream, now))
-    upstream->cold = (cold_bucket_t){ .filled_at = now };
+    upstream->cold
+        = (cold_bucket_t){ .tokens = fleet_random (fleet), .filled_at = now };
   upstream->cold_until = timespec_add (now, remaining);
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -47,7 +47,7 @@
 }
 
 static fixture_t *
-fixture_create (int64_t cold_ms)
+fixture_create_with_seed (int64_t cold_ms, uint64_t seed)
 {
   fixture_t *fixture = talloc_zero (NULL, fixture_t);
   service_rule_t *service;
@@ -62,7 +62,7 @@
   service->cold_time = timespec_from_ms (10000);
   service->cold_rate = 8;
   rules_finish (fixture->rules);
-  fixture->fleet = fleet_create (fixture, "a", fixture->clock, 7);
+  fixture->fleet = fleet_create (fixture, "a", fixture->clock, seed);
   fleet_add_zone (fixture->fleet, "a", "south");
   fleet_add_zone (fixture->fleet, "b", "south");
   fleet_configure (fixture->fleet, fixture->rules);
@@ -71,6 +71,12 @@
   return fixture;
 }
 
+static fixture_t *
+fixture_create (int64_t cold_ms)
+{
+  return fixture_create_with_seed (cold_ms, 7);
+}
+
 static void
 fixture_destroy (fixture_t *fixture)
 {
@@ -221,6 +227,54 @@
   fixture_destroy (fixture);
 }
 
+/* Among many relays each one's share of the cold start rate is less than a
+   request a second.  Together they must use the rate from the first second on,
+   and never exceed it by more than the platform's allowance of a half, also
+   when no request came for a while.  */
+static void
+test_cold_upstreams_are_used_by_many_relays (void **state)
+{
+  enum
+  {
+    RELAYS = 50,
+    RATE = 8,
+    TICK_MS = 20,
+    TICKS_PER_S = 50,
+    IDLE_MS = 3000
+  };
+  fixture_t *relays[RELAYS];
+  unsigned used = 0;
+  unsigned sent[4 * TICKS_PER_S] = { 0 };
+
+  (void)state;
+  for (unsigned i = 0; i < RELAYS; i++)
+    {
+      relays[i] = fixture_create_with_seed (20000, i + 1);
+      fleet_set_relays (relays[i]->fleet, RELAYS);
+    }
+  for (unsigned tick = 0; tick < 4 * TICKS_PER_S; tick++)
+    {
+      for (unsigned i = 0; i < RELAYS; i++)
+        {
+          fixture_advance_ms (relays[i],
+                              tick == 2 * TICKS_PER_S ? IDLE_MS : TICK_MS);
+          sent[tick] += fixture_count_chosen (relays[i], RANKS, NULL);
+        }
+      used += tick < TICKS_PER_S ? sent[tick] : 0;
+    }
+  assert_in_range (used, RATE * RANKS / 2, RATE * RANKS * 3 / 2);
+  for (unsigned start = 0; start + TICKS_PER_S <= 4 * TICKS_PER_S; start++)
+    {
+      unsigned in_second = 0;
+
+      for (unsigned i = 0; i < TICKS_PER_S; i++)
+        in_second += sent[start + i];
+      assert_in_range (in_second, 0, RATE * RANKS * 3 / 2 + RANKS);
+    }
+  for (unsigned i = 0; i < RELAYS; i++)
+    fixture_destroy (relays[i]);
+}
+
 static void
 test_unreachable_upstream_is_ejected_temporarily (void **state)
 {
@@ -305,6 +359,7 @@
     cmocka_unit_test (test_requests_spread_and_skip_tried_upstreams),
     cmocka_unit_test (test_zone_out_gets_no_requests),
     cmocka_unit_test (test_cold_upstreams_get_share_of_one_relay),
+    cmocka_unit_test (test_cold_upstreams_are_used_by_many_relays),
     cmocka_unit_test (test_unreachable_upstream_is_ejected_temporarily),
     cmocka_unit_test (test_slow_rank_gets_nothing_while_others_have_capacity),
     cmocka_unit_test (test_stalled_group_gets_no_requests),
