--- a/pilot/planner.c
+++ b/pilot/planner.c
@@ -10,7 +10,7 @@
 /* Minimum reduction of a layer's time for each expert whose weights are
    loaded, as a fraction of the time of a balanced layer, for each second that
    loading them takes: the group is slower meanwhile.  */
-static const double min_gain_per_load_s = 0.11;
+static const double min_gain_per_load_s = 0.2;
 /* How long a map is expected to match the load.  */
 static const double horizon_s = 4.0;
 
--- a/plugins/placement/even.c
+++ b/plugins/placement/even.c
@@ -15,7 +15,7 @@
 };
 
 /* Weight of the older counts when new ones are added.  */
-static const double history_weight = 0.35;
+static const double history_weight = 0.6;
 /* If the new counts share less than this part of their distribution with the
    older ones, the popularity has shifted and the older ones are dropped.  */
 static const double min_overlap = 0.9;
