Refuse at once what no upstream may serve, and don't wait after a refused connection

While the test was written another fault showed: a refused connection cost 200 ms before the next replica was tried, since libcurl waits for another address family, which an IP number does not have.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -411,6 +411,9 @@
 
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS,
                     (long)timespec_to_ms (options->timeout));
+  /* All addresses are IP numbers: there is no other address family to wait for
+     after a refused connection.  */
+  curl_easy_setopt (call->easy, CURLOPT_HAPPY_EYEBALLS_TIMEOUT_MS, 1L);
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS,
                     connect_ms > 0 ? (long)connect_ms
                                    : (long)CONNECT_TIMEOUT_MS);
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -16,6 +16,9 @@
   QUEUE_TIME_DIVISOR = 2,
   /* A request is late once its objective divided by this has passed.  */
   LATE_START_DIVISOR = 2,
+  /* The same if no upstream of the service may be used at all: enough for a
+     refresh of the listings, which may show a new one.  */
+  UNUSABLE_QUEUE_MAX_MS = 100,
   QUEUE_RETRY_MS = 20, /* interval between attempts to send queued requests */
   /* Attempts beyond the route's limit, for upstreams that did not run the
      request.  */
@@ -292,12 +295,27 @@
   TAILQ_REMOVE (&forward->relay_worker->queued, forward, queue_link);
 }
 
+/* Return whether it makes no sense to wait longer for an upstream.  An
+   upstream that is full, cold or stalled will take requests again; without one
+   that may be used, the client does better to come back.  */
+static bool
+forward_has_waited_enough (const forward_t *forward, fleet_shortage_t shortage)
+{
+  bool is_unusable
+      = shortage == FLEET_NO_UPSTREAM || shortage == FLEET_NO_ALLOWED_UPSTREAM;
+
+  return timespec_compare (forward_now (forward), forward->queue_until) >= 0
+         || (is_unusable
+             && ms_since (forward, forward->arrived_at)
+                    >= UNUSABLE_QUEUE_MAX_MS);
+}
+
 /* Queue the request until an upstream can take it, or end it if it has been
    queued for too long.  */
 static void
 forward_enqueue_or_fail (forward_t *forward, fleet_shortage_t shortage)
 {
-  if (timespec_compare (forward_now (forward), forward->queue_until) >= 0)
+  if (forward_has_waited_enough (forward, shortage))
     {
       if (forward->is_head_sent)
         forward_finish (forward, false);
--- a/tests/process/test_relay_answers.py
+++ b/tests/process/test_relay_answers.py
@@ -8,6 +8,10 @@
 from cluster import wait_until
 
 
+MAX_DETOUR_S = 0.15  # for a request whose first connections are refused
+MAX_REFUSAL_S = 0.4  # for a request that cannot be served
+
+
 class RelayAnswersTest(unittest.TestCase):
     def setUp(self):
         self.platform = Platform().__enter__()
@@ -171,6 +175,32 @@
         self.assertLessEqual(float(reply.headers["Retry-After"]), 0.5)
         self.assertEqual(self.platform.runs(), [])
 
+    def test_refused_connection_costs_no_time(self):
+        """A replica has crashed and is still listed.  The refusal of the
+        connection is known at once, and another replica is tried."""
+        for app in self.apps[1:]:
+            self.platform.run(app.crash())
+        for i in range(3):
+            started = time.monotonic()
+            self.assertEqual(ask(self.relay, "/check/").status, 200)
+            self.assertLess(time.monotonic() - started, MAX_DETOUR_S)
+
+    def test_request_without_any_upstream_is_refused_at_once(self):
+        """All replicas of a service are leaving or gone.  Nothing can take the
+        request before its time is over, so that its client is told when to
+        come back instead of waiting."""
+        for app in self.apps:
+            self.platform.run(app.leave())
+        wait_until(lambda: self.platform.metric(
+            self.relay, "siskin_fleet_upstreams") == len(self.models), 5,
+            "the relay to know that all are gone")
+        for method, path in (("GET", "/check/"), ("POST", "/book/")):
+            started = time.monotonic()
+            reply = ask(self.relay, path, method=method, deadline_ms=3000)
+            self.assertEqual(reply.status, 503)
+            self.assertLess(time.monotonic() - started, MAX_REFUSAL_S)
+            self.assertGreater(float(reply.headers["Retry-After"]), 0)
+
     def test_surplus_response_is_discarded(self):
         for app in self.apps:
             app.answer = replicas.answer_twice
