--- a/bench/relay_model.c
+++ b/bench/relay_model.c
@@ -38,7 +38,6 @@
   uint64_t arrived_ms;
   uint64_t work_ms;
   uint64_t ends_ms;
-  bool has_waited; /* in the relay */
   bool is_counted; /* arrived after the warm-up */
 } model_request_t;
 
@@ -214,7 +213,6 @@
       model->sent_at_once += request->is_counted;
       return;
     }
-  request->has_waited = true;
   STAILQ_INSERT_TAIL (&relay->waiting, request, link);
 }
 
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -97,7 +97,7 @@
    ended meanwhile.  Without a pause the leader goes on when it cannot renew
    its lease, since no other pilot reaches the store either.  */
 static bool
-leader_has_overslept (const leader_t *leader)
+leader_was_paused_past_lease (const leader_t *leader)
 {
   return ms_since (leader, leader->ticked_at) > PAUSE_MIN_MS
          && election_is_lease_over (leader->term);
@@ -111,7 +111,7 @@
 {
   leader_t *leader = data;
 
-  if (leader_has_overslept (leader))
+  if (leader_was_paused_past_lease (leader))
     return;
   members_send_command (leader->members, rank, ticket, command);
 }
@@ -508,15 +508,15 @@
 {
   struct timespec now = pilot_now (leader->pilot);
   bool was_paused = ms_since (leader, leader->ticked_at) > PAUSE_MIN_MS;
-  bool has_overslept
-      = leader->members != NULL && leader_has_overslept (leader);
+  bool is_past_lease
+      = leader->members != NULL && leader_was_paused_past_lease (leader);
 
   leader->ticked_at = now;
   if (!was_paused)
     return;
   leader->not_held_at = now;
   pilot_server_reset_leader_timeout (leader->pilot->server);
-  if (!has_overslept)
+  if (!is_past_lease)
     return;
   leader_end_term (leader, "paused");
   election_resign (leader->term);
--- a/plugins/placement/even.c
+++ b/plugins/placement/even.c
@@ -120,28 +120,28 @@
 }
 
 /* A plan in the making: a search for each layer.  */
-typedef struct even_attempt
+typedef struct even_draft
 {
   const placement_t *placement;
   layer_search_options_t options;
   layer_search_t **searches; /* by layer */
-} even_attempt_t;
+} even_draft_t;
 
 static double
-attempt_time (const even_attempt_t *attempt)
+draft_time (const even_draft_t *draft)
 {
   double time = 0;
 
-  for (unsigned i = 0; i < attempt->placement->shape.layers; i++)
-    time += layer_search_time (attempt->searches[i]);
+  for (unsigned i = 0; i < draft->placement->shape.layers; i++)
+    time += layer_search_time (draft->searches[i]);
   return time;
 }
 
 /* Returns the highest number of experts that a rank has to load.  */
 static unsigned
-attempt_max_loads (const even_attempt_t *attempt)
+draft_max_loads (const even_draft_t *draft)
 {
-  const placement_shape_t *shape = &attempt->placement->shape;
+  const placement_shape_t *shape = &draft->placement->shape;
   unsigned max_loads = 0;
 
   for (unsigned rank = 0; rank < shape->ranks; rank++)
@@ -149,7 +149,7 @@
       unsigned loads = 0;
 
       for (unsigned i = 0; i < shape->layers; i++)
-        loads += layer_search_loads (attempt->searches[i], rank);
+        loads += layer_search_loads (draft->searches[i], rank);
       if (loads > max_loads)
         max_loads = loads;
     }
@@ -158,43 +158,41 @@
 
 /* Starts a plan from CURRENT in which no rank loads an expert yet.  Returns
    NULL when memory is exhausted.  */
-static even_attempt_t *
-attempt_create (const placement_t *placement, const placement_map_t *current)
+static even_draft_t *
+draft_create (const placement_t *placement, const placement_map_t *current)
 {
   const placement_shape_t *shape = &placement->shape;
-  even_attempt_t *attempt = talloc_zero (NULL, even_attempt_t);
+  even_draft_t *draft = talloc_zero (NULL, even_draft_t);
   bool is_complete;
 
-  if (attempt == NULL)
+  if (draft == NULL)
     return NULL;
-  attempt->placement = placement;
-  attempt->options = (layer_search_options_t){
+  draft->placement = placement;
+  draft->options = (layer_search_options_t){
     .max_loads_per_rank = placement->config.max_loads_per_rank,
-    .loads_left = talloc_zero_array (attempt, unsigned, shape->ranks),
+    .loads_left = talloc_zero_array (draft, unsigned, shape->ranks),
     .min_gain_per_load = placement->config.min_gain_per_load,
   };
-  attempt->searches
-      = talloc_zero_array (attempt, layer_search_t *, shape->layers);
-  is_complete
-      = attempt->options.loads_left != NULL && attempt->searches != NULL;
+  draft->searches = talloc_zero_array (draft, layer_search_t *, shape->layers);
+  is_complete = draft->options.loads_left != NULL && draft->searches != NULL;
   for (unsigned i = 0; is_complete && i < shape->layers; i++)
     {
-      attempt->searches[i] = layer_search_create (
-          attempt, current, i, &placement->counts[(size_t)i * shape->experts],
-          placement->speed, &attempt->options);
-      is_complete = attempt->searches[i] != NULL;
+      draft->searches[i] = layer_search_create (
+          draft, current, i, &placement->counts[(size_t)i * shape->experts],
+          placement->speed, &draft->options);
+      is_complete = draft->searches[i] != NULL;
     }
   if (!is_complete)
-    TALLOC_FREE (attempt);
-  return attempt;
+    TALLOC_FREE (draft);
+  return draft;
 }
 
 /* Moves experts in rounds of one move for each layer, so that the layers share
    the loads, until no layer can be improved.  */
 static void
-attempt_run (even_attempt_t *attempt)
+draft_run (even_draft_t *draft)
 {
-  unsigned layers = attempt->placement->shape.layers;
+  unsigned layers = draft->placement->shape.layers;
   bool is_improved = true;
 
   for (unsigned i = 0; i < MAX_MOVES_PER_LAYER && is_improved; i++)
@@ -202,16 +200,16 @@
       is_improved = false;
       for (unsigned layer = 0; layer < layers; layer++)
         is_improved
-            = layer_search_step (attempt->searches[layer]) || is_improved;
+            = layer_search_step (draft->searches[layer]) || is_improved;
     }
 }
 
 /* Lets each rank load MORE experts.  */
 static void
-attempt_allow_loads (even_attempt_t *attempt, unsigned more)
+draft_allow_loads (even_draft_t *draft, unsigned more)
 {
-  for (unsigned i = 0; i < attempt->placement->shape.ranks; i++)
-    attempt->options.loads_left[i] += more;
+  for (unsigned i = 0; i < draft->placement->shape.ranks; i++)
+    draft->options.loads_left[i] += more;
 }
 
 /* A possible plan: the map after LOADS loads of a rank at most.  */
@@ -222,29 +220,28 @@
   placement_map_t *map;
 } even_stage_t;
 
-/* Improves ATTEMPT with more and more loads and fills STAGES, which has room
+/* Improves DRAFT with more and more loads and fills STAGES, which has room
    for MAX_STAGES, with the maps on the way.  Returns their number.  */
 static unsigned
-attempt_run_stages (even_attempt_t *attempt, even_stage_t *stages)
+draft_run_stages (even_draft_t *draft, even_stage_t *stages)
 {
-  const placement_shape_t *shape = &attempt->placement->shape;
-  unsigned limit
-      = attempt->placement->config.max_loads_per_rank * shape->layers;
+  const placement_shape_t *shape = &draft->placement->shape;
+  unsigned limit = draft->placement->config.max_loads_per_rank * shape->layers;
   unsigned count = 0;
 
   for (unsigned loads = 1; loads / 2 < limit && count < MAX_STAGES; loads *= 2)
     {
       even_stage_t *stage = &stages[count];
 
-      attempt_allow_loads (attempt, loads - loads / 2);
-      attempt_run (attempt);
-      stage->loads = attempt_max_loads (attempt);
-      stage->time_after = attempt_time (attempt);
-      stage->map = placement_map_create (attempt, shape);
+      draft_allow_loads (draft, loads - loads / 2);
+      draft_run (draft);
+      stage->loads = draft_max_loads (draft);
+      stage->time_after = draft_time (draft);
+      stage->map = placement_map_create (draft, shape);
       if (stage->map == NULL)
         break;
       for (unsigned i = 0; i < shape->layers; i++)
-        layer_search_write_map (attempt->searches[i], stage->map, i);
+        layer_search_write_map (draft->searches[i], stage->map, i);
       count++;
     }
   return count;
@@ -291,25 +288,25 @@
            const placement_map_t *current, placement_plan_t *plan)
 {
   const placement_config_t *config = &placement->config;
-  even_attempt_t *attempt = attempt_create (placement, current);
+  even_draft_t *draft = draft_create (placement, current);
   even_stage_t stages[MAX_STAGES];
   double best_cost;
   unsigned count;
 
   *plan = (placement_plan_t){ .reason = "gain-too-small",
                               .time_bound = placement->shape.layers };
-  if (attempt == NULL)
+  if (draft == NULL)
     return;
-  plan->time_before = plan->time_after = attempt_time (attempt);
+  plan->time_before = plan->time_after = draft_time (draft);
   if (even_is_settled (placement, plan->time_before))
     {
-      talloc_free (attempt);
+      talloc_free (draft);
       return;
     }
   best_cost = config->horizon_seconds > 0
                   ? plan->time_before * config->horizon_seconds
                   : INFINITY;
-  count = attempt_run_stages (attempt, stages);
+  count = draft_run_stages (draft, stages);
   for (unsigned i = 0; i < count; i++)
     {
       double cost = stage_cost (config, plan->time_before, &stages[i],
@@ -332,7 +329,7 @@
     }
   else
     placement->settled_time = plan->time_before;
-  talloc_free (attempt);
+  talloc_free (draft);
 }
 
 static const placement_ops_t even_ops = {
