--- a/bench/bench_relays.c
+++ b/bench/bench_relays.c
@@ -17,7 +17,7 @@
 {
   unsigned relays;
   unsigned upstreams;
-} sizes[] = { { 3, 16 }, { 14, 64 }, { 53, 192 } };
+} sizes[] = { { 3, 16 }, { 14, 64 }, { 53, 192 }, { 200, 800 } };
 
 int
 main (int argc, char **argv)
