--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -31,7 +31,8 @@
   PLAN_INTERVAL_MS = 250,
   MAP_QUERY_INTERVAL_MS = 100, /* queries of the map in use */
   QUERY_TIMEOUT_MS = 250,      /* wait for the replies of all ranks */
-  /* Minimum time from a rank's reply with its counts to the next query.  */
+  /* Minimum time between the starts of two rounds in which every rank is
+     queried for its counts.  */
   COUNTS_INTERVAL_MS = 250,
   /* The replies with counts may use one part in this many of the link.  */
   COUNTS_LINK_DIVISOR = 3,
