--- a/include/relay/forward.h
+++ b/include/relay/forward.h
@@ -23,6 +23,7 @@
   char *body;             /* response data that is buffered */
   size_t body_size;
   event_stream_t *events; /* NULL unless the response is an event stream */
+  unsigned event_count;   /* events received */
 } forward_attempt_t;
 
 /* A client request that is being forwarded; belongs to one worker.  */
--- a/include/relay/request.h
+++ b/include/relay/request.h
@@ -10,6 +10,11 @@
 
 /* A client's request as parsed by an ingress.  Everything in it remains valid
    until its forward has ended.  */
+enum
+{
+  REQUEST_MAX_SEGMENTS = 16
+};
+
 typedef struct relay_request
 {
   /* Chosen by the client; when the client itself sends a request again, it
@@ -30,6 +35,10 @@
   int64_t last_event;
   uint64_t prompt_tokens;
   uint64_t output_tokens; /* upper bound */
+  /* Ids of the parts of the prompt that other requests may share, from the
+     start of the prompt on; a longer prompt's further parts are left out.  */
+  uint64_t segments[REQUEST_MAX_SEGMENTS];
+  unsigned segment_count;
 } relay_request_t;
 
 /* The reason why a client gets no upstream's response.  */
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -77,6 +77,7 @@
 {
   forward_t *forward = data;
 
+  forward->attempt->event_count++;
   if (has_id && forward->has_last_event && id <= forward->last_event)
     return;
   attempt_timeout_reset (forward);
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -165,6 +165,19 @@
   forward_fail (forward, RELAY_NOT_RUN, timespec_from_ms (retry_ms));
 }
 
+/* Return the ids of the prompt's shared segments as text for the log, owned by
+   PARENT.  */
+static const char *
+request_segments_text (TALLOC_CTX *parent, const relay_request_t *request)
+{
+  char *text = talloc_strdup (parent, "");
+
+  for (unsigned i = 0; i < request->segment_count; i++)
+    text = talloc_asprintf_append (text, "%s%llx", i == 0 ? "" : ",",
+                                   (unsigned long long)request->segments[i]);
+  return text == NULL ? "" : text;
+}
+
 static void
 forward_log_attempt_end (const forward_t *forward, fleet_result_t result)
 {
@@ -173,14 +186,15 @@
   log_event (result == FLEET_SERVED ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE,
              "attempt-ended",
              "request=%s upstream=%s result=%s status=%u ms=%lld "
-             "silent_ms=%lld begun=%d error=\"%s\"",
+             "silent_ms=%lld begun=%d events=%u segments=%s error=\"%s\"",
              forward->request->id, attempt->choice.upstream,
              fleet_result_name (result), attempt->http_status,
              (long long)ms_since (forward, attempt->sent_at),
              (long long)(forward->is_watched
                              ? ms_since (forward, forward->last_received_at)
                              : 0),
-             forward->is_head_sent,
+             forward->is_head_sent, attempt->event_count,
+             request_segments_text (forward->attempt, forward->request),
              attempt->error == NULL ? "" : attempt->error);
 }
 
