Reproduce prompts that crash one replica after the other

Three relays, six engines with pilots; every 250 ms a request with the same segment in an otherwise new prompt, which crashes the engine that begins to answer it.

--- a/tests/process/platform_replicas.py
+++ b/tests/process/platform_replicas.py
@@ -69,6 +69,15 @@
         """Stops serving without removing its store entry."""
         self.close()
 
+    async def crash_for(self, seconds):
+        """Crashes and starts again as another upstream at the same
+        address."""
+        await self.crash()
+        await asyncio.sleep(seconds)
+        self.id = "i-%d" % next(self.numbers)
+        self.born = int(time.time() * MS_PER_S)
+        await self.start(self.port)
+
     async def leave(self):
         await self.crash()
         await self.store.write({}, ["servers/" + self.id])
@@ -157,6 +166,21 @@
     return answer
 
 
+def stream_unless_deadly(segment, down_s=1.0):
+    """Streams, but crashes as it begins to answer a prompt with SEGMENT."""
+    async def answer(replica, request, writer):
+        if segment not in request.headers.get("prompt-prefix", ""):
+            return await stream()(replica, request, writer)
+        writer.write(response_bytes(
+            200, b"", replica.stamp(request, [
+                ("Content-Type", "text/event-stream"),
+                ("Transfer-Encoding", "chunked")]), length=False))
+        await writer.drain()
+        asyncio.ensure_future(replica.crash_for(down_s))
+        await asyncio.sleep(3600)
+    return answer
+
+
 def fail(status, fields=(), stamped=True, body=b"no"):
     async def answer(replica, request, writer):
         stamp_fields = replica.stamp(request) if stamped else []
--- /dev/null
+++ b/tests/process/test_relay_crashes.py
@@ -0,0 +1,102 @@
+"""Prompts that crash each replica that begins to answer them: they must stop
+reaching replicas through any relay, while other prompts are served."""
+
+import concurrent.futures
+import itertools
+import time
+import unittest
+
+import platform_replicas as replicas
+from platform_fixture import Platform, ask
+from cluster import wait_until
+
+RELAYS = 3
+RANKS = 6
+DEADLY = "dead1"
+SHARED = ["a%d" % i for i in range(5)]
+DEADLY_INTERVAL_S = 0.25
+PLAY_S = 12.0
+STABILITY_WINDOW_S = 3.0
+CRASHES_TO_LEARN = 5
+MAX_LATE_DEADLY = 3
+
+
+class RelayCrashesTest(unittest.TestCase):
+    def setUp(self):
+        self.platform = Platform().__enter__()
+        self.addCleanup(self.platform.__exit__, None, None, None)
+        self.platform.configure()
+        self.platform.start_group(RANKS)
+        self.relays = [self.platform.start_relay("relay-%d" % i)
+                       for i in range(RELAYS)]
+        self.deadly_runs = []  # times
+        self.numbers = itertools.count()
+        for replica in self.platform.replicas:
+            replica.answer = self.count_deadly(
+                replicas.stream_unless_deadly(DEADLY))
+        wait_until(lambda: all(self.ask_sound(relay).status == 200
+                               for relay in self.relays), 10, "service")
+
+    def count_deadly(self, answer):
+        async def counted(replica, request, writer):
+            if DEADLY in request.headers["prompt-prefix"]:
+                self.deadly_runs.append(time.monotonic())
+            return await answer(replica, request, writer)
+        return counted
+
+    def ask(self, relay, *segments):
+        own = next(self.numbers)
+        prompt = ",".join("%s:40" % segment for segment in segments)
+        return ask(relay, "/look/x", method="POST", body=b"p",
+                   headers=[("Prompt-Prefix", "%s,%x:200" % (
+                       prompt, 0xffff0000 + own))])
+
+    def ask_sound(self, relay):
+        return self.ask(relay, SHARED[next(self.numbers) % len(SHARED)])
+
+    def ask_deadly(self, relay):
+        return self.ask(relay, SHARED[next(self.numbers) % len(SHARED)],
+                        DEADLY)
+
+    def play(self):
+        """Sends both kinds of requests through all relays.  Returns the
+        times and statuses of the sound ones."""
+        sound = []
+
+        def send_sound(relay):
+            started = time.monotonic()
+            sound.append((started, self.ask_sound(relay).status))
+        with concurrent.futures.ThreadPoolExecutor(64) as pool:
+            end = time.monotonic() + PLAY_S
+            for relay in itertools.cycle(self.relays):
+                if time.monotonic() >= end:
+                    break
+                pool.submit(self.ask_deadly, relay)
+                for _ in range(2):
+                    pool.submit(send_sound, relay)
+                time.sleep(DEADLY_INTERVAL_S)
+        return sound
+
+    def test_prompts_that_crash_replicas_stop_reaching_them(self):
+        sound = self.play()
+        if len(self.deadly_runs) >= CRASHES_TO_LEARN:
+            known_at = (self.deadly_runs[CRASHES_TO_LEARN - 1]
+                        + STABILITY_WINDOW_S)
+            late = [at for at in self.deadly_runs if at > known_at]
+            self.assertLessEqual(len(late), MAX_LATE_DEADLY,
+                                 len(self.deadly_runs))
+        last = [status for at, status in sound
+                if at > self.deadly_runs[0] + 2 * STABILITY_WINDOW_S]
+        self.assertGreater(last.count(200), len(last) / 2, last)
+
+    def test_restarted_relay_learns_which_prompts_crash_replicas(self):
+        self.play()
+        runs = len(self.deadly_runs)
+        relay = self.platform.start_relay("relay-0", first_start=False)
+        wait_until(lambda: self.ask_sound(relay).status == 200, 10, "service")
+        self.assertEqual(self.ask_deadly(relay).status, 503)
+        self.assertEqual(len(self.deadly_runs), runs)
+
+
+if __name__ == "__main__":
+    unittest.main()
