Stop prompts that crash replicas from reaching them through any relay

Cause: nothing linked crashes to what was being run. A response that breaks off before its first event was taken for a fault of the replica, repeated elsewhere, and forgotten; the next request with the same part met the next replica. The class: the request, not the server, is what is faulty.

Change: a relay keeps attempts that ended without data until a pilot reports its engine lost or the listing shows a new start; then the segments of their prompts are suspected (relay/crashes.c). common/suspects.c decides: any answer clears a segment, enough crashes quarantine it, quarantines expire and are tried by one request at a time. Pilots report a lost engine, and pass on what one relay has learned to all others, also to those that start later (common/gossip.c). A quarantined request is refused at once as not run, with the rest of the time.

--- a/common/frame.c
+++ b/common/frame.c
@@ -176,6 +176,11 @@
                                  UNSIGNED (rank_query_reply.group_epoch, 0),
                                  UNSIGNED (rank_query_reply.version, 0),
                                  BLOB (rank_query_reply.numbers) } },
+  [FRAME_ENGINE_LOST] = { "engine-lost", { STRING (engine_lost.upstream) } },
+  [FRAME_SUSPECT]
+  = { "suspect",
+      { UNSIGNED (suspect.segment, 0), UNSIGNED (suspect.answered_age_ms, 0),
+        UNSIGNED (suspect.trial_age_ms, 0), BLOB (suspect.crashes) } },
 };
 
 static unsigned
--- /dev/null
+++ b/common/gossip.c
@@ -0,0 +1,93 @@
+#include "common/gossip.h"
+
+typedef struct gossip_topic
+{
+  SLIST_ENTRY (gossip_topic) link;
+  const gossip_topic_ops_t *ops;
+  void *table;
+} gossip_topic_t;
+
+struct gossip
+{
+  SLIST_HEAD (, gossip_topic) topics;
+};
+
+/* Create a gossip without topics.  Returns NULL when memory is exhausted.  */
+gossip_t *
+gossip_create (TALLOC_CTX *parent)
+{
+  gossip_t *gossip = talloc_zero (parent, gossip_t);
+
+  if (gossip != NULL)
+    SLIST_INIT (&gossip->topics);
+  return gossip;
+}
+
+/* Free GOSSIP, but not the tables of its topics.  */
+void
+gossip_destroy (gossip_t *gossip)
+{
+  talloc_free (gossip);
+}
+
+/* Add the topic whose records are in TABLE, which must remain valid.  */
+status_t
+gossip_add_topic (gossip_t *gossip, const gossip_topic_ops_t *ops, void *table)
+{
+  gossip_topic_t *topic = talloc_zero (gossip, gossip_topic_t);
+
+  if (topic == NULL)
+    return status_set (STATUS_NO_MEMORY, "no memory for a gossip topic");
+  topic->ops = ops;
+  topic->table = table;
+  SLIST_INSERT_HEAD (&gossip->topics, topic, link);
+  return STATUS_OK;
+}
+
+/* Take a record of any topic that this process has changed since it was last
+   taken.  */
+bool
+gossip_take_news (const gossip_t *gossip, TALLOC_CTX *parent, frame_t *frame)
+{
+  const gossip_topic_t *topic;
+
+  SLIST_FOREACH (topic, &gossip->topics, link)
+    {
+      if (topic->ops->take_news (topic->table, parent, frame))
+        return true;
+    }
+  return false;
+}
+
+/* Merge *FRAME if it belongs to a topic.  Returns whether it was news here and
+   should be passed on.  */
+bool
+gossip_merge (const gossip_t *gossip, TALLOC_CTX *parent, frame_t *frame)
+{
+  const gossip_topic_t *topic;
+
+  SLIST_FOREACH (topic, &gossip->topics, link)
+    {
+      if (topic->ops->type == frame->header.type)
+        return topic->ops->merge (topic->table, parent, frame);
+    }
+  return false;
+}
+
+/* Send all records to the peer of LINK.  */
+void
+gossip_send_all (const gossip_t *gossip, link_t *link)
+{
+  TALLOC_CTX *scratch = talloc_new (gossip);
+  const gossip_topic_t *topic;
+
+  SLIST_FOREACH (topic, &gossip->topics, link)
+    {
+      unsigned count = 0;
+      frame_t *frames = topic->ops->list (topic->table, scratch, &count);
+
+      for (unsigned i = 0; i < count; i++)
+        link_send (link, &frames[i]);
+    }
+  talloc_free (scratch);
+}
--- /dev/null
+++ b/common/suspect_codec.c
@@ -0,0 +1,122 @@
+#include "common/suspect_codec.h"
+
+#include "common/numbers.h"
+
+enum
+{
+  NUMBERS_PER_CRASH = 3
+};
+
+static uint64_t
+age_to_frame (int64_t age_ms)
+{
+  return age_ms < 0 ? UINT64_MAX : (uint64_t)age_ms;
+}
+
+static int64_t
+age_from_frame (uint64_t age_ms)
+{
+  return age_ms > INT32_MAX ? SUSPECT_NEVER : (int64_t)age_ms;
+}
+
+/* Set *FRAME to RECORD.  Its data is owned by PARENT.  */
+void
+suspect_to_frame (TALLOC_CTX *parent, const suspect_record_t *record,
+                  frame_t *frame)
+{
+  uint64_t numbers[SUSPECT_MAX_CRASHES * NUMBERS_PER_CRASH];
+  size_t count = 0;
+
+  for (unsigned i = 0; i < record->crash_count; i++)
+    {
+      numbers[count++] = record->crashes[i].id;
+      numbers[count++] = age_to_frame (record->crashes[i].age_ms);
+      numbers[count++] = record->crashes[i].weight;
+    }
+  *frame = (frame_t){
+    .header.type = FRAME_SUSPECT,
+    .body.suspect
+    = { .segment = record->segment,
+        .answered_age_ms = age_to_frame (record->answered_age_ms),
+        .trial_age_ms = age_to_frame (record->trial_age_ms),
+        .crashes = numbers_encode (parent, numbers, count) },
+  };
+}
+
+/* Set *RECORD from BODY.  Returns STATUS_PROTOCOL if it is malformed.  */
+status_t
+suspect_from_frame (const frame_suspect_t *body, suspect_record_t *record)
+{
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  size_t count = 0;
+  uint64_t *numbers = numbers_decode (scratch, body->crashes, &count);
+
+  *record = (suspect_record_t){
+    .segment = body->segment,
+    .answered_age_ms = age_from_frame (body->answered_age_ms),
+    .trial_age_ms = age_from_frame (body->trial_age_ms),
+    .crash_count = (unsigned)(count / NUMBERS_PER_CRASH),
+  };
+  if (numbers == NULL || count % NUMBERS_PER_CRASH != 0
+      || count > SUSPECT_MAX_CRASHES * NUMBERS_PER_CRASH)
+    {
+      talloc_free (scratch);
+      return status_set (STATUS_PROTOCOL, "suspect frame: malformed crashes");
+    }
+  for (unsigned i = 0; i < record->crash_count; i++)
+    {
+      const uint64_t *fields = &numbers[i * NUMBERS_PER_CRASH];
+      bool is_begun = fields[2] >= SUSPECT_BEGUN;
+
+      record->crashes[i]
+          = (suspect_crash_t){ .id = fields[0],
+                               .age_ms = age_from_frame (fields[1]),
+                               .weight
+                               = is_begun ? SUSPECT_BEGUN : SUSPECT_QUEUED };
+    }
+  talloc_free (scratch);
+  return STATUS_OK;
+}
+
+static bool
+suspects_topic_take_news (void *table, TALLOC_CTX *parent, frame_t *frame)
+{
+  suspect_record_t record;
+
+  if (!suspects_take_news (table, &record))
+    return false;
+  suspect_to_frame (parent, &record, frame);
+  return true;
+}
+
+static bool
+suspects_topic_merge (void *table, TALLOC_CTX *parent, frame_t *frame)
+{
+  suspect_record_t record;
+
+  if (suspect_from_frame (&frame->body.suspect, &record) != STATUS_OK
+      || !suspects_merge (table, &record))
+    return false;
+  suspect_to_frame (parent, &record, frame);
+  return true;
+}
+
+static frame_t *
+suspects_topic_list (void *table, TALLOC_CTX *parent, unsigned *count)
+{
+  suspect_record_t *records = suspects_list (parent, table, count);
+  frame_t *frames = talloc_array (parent, frame_t, *count);
+
+  if (frames == NULL)
+    *count = 0;
+  for (unsigned i = 0; i < *count; i++)
+    suspect_to_frame (parent, &records[i], &frames[i]);
+  return frames;
+}
+
+const gossip_topic_ops_t suspects_topic = {
+  .type = FRAME_SUSPECT,
+  .take_news = suspects_topic_take_news,
+  .merge = suspects_topic_merge,
+  .list = suspects_topic_list,
+};
--- a/include/common/frame.h
+++ b/include/common/frame.h
@@ -62,6 +62,10 @@
   FRAME_RANK_QUERY, /* from the leader: query to the rank's engine or pilot */
   FRAME_RANK_HEARTBEAT,   /* from the leader */
   FRAME_RANK_QUERY_REPLY, /* from a rank */
+  /* Between relays and pilots.  Pilots pass on to all relays what one of them
+     has learned.  */
+  FRAME_ENGINE_LOST, /* from a pilot: its engine has ended */
+  FRAME_SUSPECT,     /* a prompt segment suspected of crashes */
   FRAME_TYPE_COUNT
 } frame_type_t;
 
@@ -341,6 +345,22 @@
   blob_t numbers;   /* as in rank_reply_t, encoded by numbers_encode */
 } frame_rank_query_reply_t;
 
+/* The engine beside the sender no longer accepts connections, or has started
+   again.  */
+typedef struct frame_engine_lost
+{
+  const char *upstream; /* address of the engine */
+} frame_engine_lost_t;
+
+/* See suspect_record_t.  Ages are in milliseconds; UINT64_MAX: never.  */
+typedef struct frame_suspect
+{
+  uint64_t segment;
+  uint64_t answered_age_ms;
+  uint64_t trial_age_ms;
+  blob_t crashes; /* id, age and weight of each; see numbers_encode */
+} frame_suspect_t;
+
 typedef struct frame
 {
   frame_header_t header;
@@ -364,6 +384,8 @@
     frame_rank_heartbeat_t rank_heartbeat;
     frame_rank_query_t rank_query;
     frame_rank_query_reply_t rank_query_reply;
+    frame_engine_lost_t engine_lost;
+    frame_suspect_t suspect;
   } body;
 } frame_t;
 
--- a/include/pilot/pilot.h
+++ b/include/pilot/pilot.h
@@ -2,8 +2,10 @@
 #define SISKIN_PILOT_PILOT_H
 
 #include "common/daemon.h"
+#include "common/gossip.h"
 #include "common/lease_key.h"
 #include "common/link.h"
+#include "common/suspects.h"
 #include "pilot/expert_counts.h"
 #include "pilot/map_history.h"
 #include "plugins/catalog.h"
@@ -33,6 +35,8 @@
   char *registered;          /* value of the registration key */
   expert_counts_t *counts;   /* what was reported of the engine's counts */
   map_history_t *maps;       /* maps received from leaders */
+  suspects_t *suspects;
+  gossip_t *gossip; /* what relays tell each other through this pilot */
   reporter_t *reporter;
   pilot_server_t *server;
   leader_t *leader;
--- a/include/pilot/pilot_server.h
+++ b/include/pilot/pilot_server.h
@@ -29,4 +29,6 @@
 int64_t pilot_server_leaderless_ms (const pilot_server_t *server);
 const char *pilot_server_address (const pilot_server_t *server);
 
+void pilot_server_push_engine_lost (pilot_server_t *server);
+
 #endif
--- /dev/null
+++ b/include/relay/crashes.h
@@ -0,0 +1,35 @@
+#ifndef SISKIN_RELAY_CRASHES_H
+#define SISKIN_RELAY_CRASHES_H
+
+#include "common/suspects.h"
+
+/* Attempts that ended without an answer because their upstream broke the
+   connection.  If it turns out that the upstream has crashed, the prompt
+   segments of these attempts are suspected of it; a connection alone that
+   breaks says nothing.  Callable from every worker.  */
+typedef struct crashes crashes_t;
+
+/* An attempt that the upstream broke off before the first data of its
+   response.  */
+typedef struct crash_attempt
+{
+  const char *upstream; /* id */
+  const char *address;  /* of the upstream */
+  uint64_t incarnation; /* of the upstream; identifies the crash */
+  const uint64_t *segments;
+  unsigned segment_count;
+  suspect_weight_t weight;
+} crash_attempt_t;
+
+crashes_t *crashes_create (TALLOC_CTX *parent, const clock_source_t *clock,
+                           suspects_t *suspects);
+void crashes_destroy (crashes_t *crashes);
+/* Each returns whether SUSPECTS has news for the other processes.  */
+bool crashes_record_attempt (crashes_t *crashes,
+                             const crash_attempt_t *attempt);
+bool crashes_confirm_address (crashes_t *crashes, const char *address);
+bool crashes_confirm_gone (crashes_t *crashes, const char *upstream);
+bool crashes_confirm_start (crashes_t *crashes, const char *address,
+                            uint64_t incarnation);
+
+#endif
--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -58,6 +58,7 @@
 typedef struct fleet_choice
 {
   const char *upstream; /* id */
+  uint64_t incarnation; /* hash of the id and the start time */
   const char *address;
   const char *zone;
   const char *reason;  /* a constant, for the log */
@@ -98,6 +99,9 @@
   double slowdown;
 } fleet_report_t;
 
+/* Returns a hash that identifies an upstream from its start, in milliseconds,
+   to its end, in all processes.  */
+uint64_t fleet_incarnation (const char *id, int64_t started_ms);
 fleet_t *fleet_create (TALLOC_CTX *parent, const char *zone,
                        const clock_source_t *clock, uint64_t seed);
 void fleet_destroy (fleet_t *fleet);
--- a/include/relay/relay.h
+++ b/include/relay/relay.h
@@ -2,6 +2,7 @@
 #define SISKIN_RELAY_RELAY_H
 
 #include "common/daemon.h"
+#include "common/gossip.h"
 #include "common/lease_key.h"
 #include "common/rules.h"
 #include "kernel/lock.h"
@@ -9,6 +10,7 @@
 #include "plugins/egress.h"
 #include "plugins/ingress.h"
 #include "plugins/store.h"
+#include "relay/crashes.h"
 #include "relay/fleet.h"
 #include "relay/retry_budget.h"
 
@@ -48,6 +50,9 @@
   const clock_source_t *clock;
   fleet_t *fleet;
   retry_budget_t *budget;
+  suspects_t *suspects;
+  crashes_t *crashes;
+  gossip_t *gossip;
   lock_t *rules_lock;
   rules_t *rules; /* current rules, guarded by RULES_LOCK; NULL until the first
                      are read */
--- a/pilot/pilot.c
+++ b/pilot/pilot.c
@@ -1,6 +1,7 @@
 #include "pilot/pilot.h"
 
 #include "common/roster.h"
+#include "common/suspect_codec.h"
 #include "kernel/log.h"
 #include "kernel/plugin.h"
 #include "pilot/leader.h"
@@ -87,6 +88,16 @@
   return STATUS_OK;
 }
 
+static status_t
+pilot_create_gossip (pilot_t *pilot)
+{
+  pilot->gossip = gossip_create (pilot);
+  pilot->suspects = suspects_create (pilot, pilot->clock);
+  if (pilot->gossip == NULL || pilot->suspects == NULL)
+    return STATUS_NO_MEMORY;
+  return gossip_add_topic (pilot->gossip, &suspects_topic, pilot->suspects);
+}
+
 static status_t
 pilot_set_up (pilot_t *pilot)
 {
@@ -95,6 +106,8 @@
                               .timeout = config->store_timeout };
   status_t status = pilot_find_plugins (pilot);
 
+  if (status == STATUS_OK)
+    status = pilot_create_gossip (pilot);
   if (status != STATUS_OK)
     return status;
   pilot->store = pilot->store_ops->create (pilot->worker, &options);
--- a/pilot/pilot_server.c
+++ b/pilot/pilot_server.c
@@ -231,12 +231,54 @@
     talloc_free (request);
 }
 
+/* Send FRAME to all relays, except NOT_TO.  */
+static void
+server_broadcast (const pilot_server_t *server, const frame_t *frame,
+                  const client_t *not_to)
+{
+  const client_t *client;
+
+  LIST_FOREACH (client, &server->clients, entry)
+    {
+      if (client != not_to && link_is_open (client->link)
+          && link_peer_role (client->link) == NODE_ENTRY)
+        link_send (client->link, frame);
+    }
+}
+
+/* Pass on to the other relays what one of them has learned.  */
+static void
+server_handle_gossip (const client_t *client, const frame_t *frame)
+{
+  const pilot_server_t *server = client->server;
+  TALLOC_CTX *scratch = talloc_new (client);
+  frame_t sum = *frame;
+
+  if (gossip_merge (server->pilot->gossip, scratch, &sum))
+    server_broadcast (server, &sum, client);
+  while (gossip_take_news (server->pilot->gossip, scratch, &sum))
+    server_broadcast (server, &sum, NULL);
+  talloc_free (scratch);
+}
+
+/* Tell the relays that the engine has ended.  */
+void
+pilot_server_push_engine_lost (pilot_server_t *server)
+{
+  frame_t frame
+      = { .header.type = FRAME_ENGINE_LOST,
+          .body.engine_lost.upstream = pilot_upstream (server->pilot) };
+
+  server_broadcast (server, &frame, NULL);
+}
+
 static void
 client_on_open (link_t *link, const frame_hello_t *peer, void *data)
 {
-  (void)link;
-  (void)data;
+  const client_t *client = data;
+
   log_event (LOG_LEVEL_DEBUG, "peer-open", "peer=%s", peer->name);
+  gossip_send_all (client->server->pilot->gossip, link);
 }
 
 static void
@@ -261,6 +303,7 @@
         client->server->leader_term = frame->body.rank_heartbeat.term;
       break;
     default:
+      server_handle_gossip (client, frame);
       return;
     }
   client->is_leader = true;
--- a/pilot/reporter.c
+++ b/pilot/reporter.c
@@ -32,6 +32,14 @@
                                         reporter_poll, reporter);
 }
 
+/* Return whether the engine that sent REPORT has started since its last
+   report.  */
+static bool
+reporter_sees_restart (const reporter_t *reporter, const rank_report_t *report)
+{
+  return reporter->is_known && report->started_ms > reporter->last.started_ms;
+}
+
 static void
 reporter_store_report (reporter_t *reporter, const rank_report_t *report)
 {
@@ -65,6 +73,9 @@
                status == STATUS_OK ? "engine-regained" : "engine-lost",
                "upstream=%s error=\"%s\"", pilot_upstream (pilot),
                status == STATUS_OK ? "" : status_message ());
+  if (status != STATUS_OK ? !reporter->is_failing
+                          : reporter_sees_restart (reporter, report))
+    pilot_server_push_engine_lost (pilot->server);
   reporter->is_failing = status != STATUS_OK;
   if (status != STATUS_OK)
     return;
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -3,6 +3,7 @@
 #include "kernel/log.h"
 #include "relay/attempt_timeout.h"
 #include "relay/discovery.h"
+#include "relay/feed.h"
 
 #include <string.h>
 
@@ -61,11 +62,26 @@
     forward->longest_gap_ms = gap_ms;
 }
 
+/* The upstream answers the request, so its prompt is not what crashes
+   upstreams.  */
+static void
+forward_record_answer (const forward_t *forward)
+{
+  relay_t *relay = forward->relay_worker->relay;
+  const relay_request_t *request = forward->request;
+
+  if (suspects_record_answer (relay->suspects, request->segments,
+                              request->segment_count))
+    feed_send_news (relay->feed);
+}
+
 static void
 forward_send_data (forward_t *forward, const char *bytes, size_t size)
 {
   if (size == 0)
     return;
+  if (timespec_is_zero (forward->first_data_at))
+    forward_record_answer (forward);
   forward_track_gap (forward);
   forward->ops->on_data (forward, bytes, size, forward->data);
 }
@@ -228,6 +244,27 @@
                                                   : FLEET_SERVED;
 }
 
+/* The upstream broke the attempt off.  Unless it has sent data, the prompt may
+   be the reason.  */
+static void
+forward_record_broken_attempt (const forward_t *forward)
+{
+  relay_t *relay = forward->relay_worker->relay;
+  const forward_attempt_t *attempt = forward->attempt;
+  crash_attempt_t broken = {
+    .upstream = attempt->choice.upstream,
+    .incarnation = attempt->choice.incarnation,
+    .address = attempt->choice.address,
+    .segments = forward->request->segments,
+    .segment_count = forward->request->segment_count,
+    .weight = attempt->http_status == 0 ? SUSPECT_QUEUED : SUSPECT_BEGUN,
+  };
+
+  if (attempt->body_size == 0 && timespec_is_zero (forward->first_data_at)
+      && crashes_record_attempt (relay->crashes, &broken))
+    feed_send_news (relay->feed);
+}
+
 /* Count the attempt.  A misdirected one shows that the listings are outdated,
    so the store is polled at once.  */
 static void
@@ -310,6 +347,8 @@
 
   attempt->call = NULL;
   forward_count_attempt (forward, result);
+  if (result == FLEET_INTERRUPTED)
+    forward_record_broken_attempt (forward);
   if (status != STATUS_OK)
     attempt->error = talloc_strdup (attempt, status_message ());
   if (attempt->is_passthrough || forward->is_head_sent)
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -123,6 +123,8 @@
 discovery_drop_upstream (discovery_t *discovery, const char *id,
                          const char *why)
 {
+  if (crashes_confirm_gone (discovery->relay->crashes, id))
+    feed_send_news (discovery->relay->feed);
   if (fleet_remove_upstream (discovery->relay->fleet, id))
     log_event (LOG_LEVEL_NOTICE, "upstream-gone", "upstream=%s why=%s", id,
                why);
@@ -194,6 +196,9 @@
     {
       if (expired != NULL)
         expired_listing_free (expired);
+      if (crashes_confirm_start (discovery->relay->crashes, listing.address,
+                                 fleet_incarnation (id, listing.started_ms)))
+        feed_send_news (discovery->relay->feed);
       if (fleet_update_upstream (discovery->relay->fleet, &listing))
         log_event (LOG_LEVEL_NOTICE, "upstream-listed",
                    "upstream=%s service=%s zone=%s draining=%d "
--- a/relay/feed.c
+++ b/relay/feed.c
@@ -4,13 +4,19 @@
 #include "common/roster.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
+#include "kernel/table.h"
 
 #include <string.h>
 
 enum
 {
   RECONNECT_MIN_MS = 700,
-  RECONNECT_MAX_MS = 5000
+  RECONNECT_MAX_MS = 5000,
+  /* Pilots that get a piece of news; some may be cut off from other relays. */
+  NEWS_COPIES = 3,
+  /* All records are sent to one pilot each time, in turn, for relays that have
+     missed the news.  */
+  REPEAT_INTERVAL_MS = 2000
 };
 
 GAUGE_DEFINE (pilots_connected, "siskin_feed_pilots", "Connections to pilots");
@@ -18,7 +24,7 @@
 /* A pilot, known by its key in the store.  */
 typedef struct feed_pilot
 {
-  LIST_ENTRY (feed_pilot) entry;
+  TAILQ_ENTRY (feed_pilot) entry;
   feed_t *feed;
   char *name;
   net_address_t address;
@@ -34,7 +40,9 @@
 {
   relay_t *relay;
   worker_t *worker;
-  LIST_HEAD (, feed_pilot) pilots;
+  TAILQ_HEAD (, feed_pilot) pilots; /* next to get news first */
+  task_t news_task;
+  atomic_bool is_news_posted;
 };
 
 static void pilot_connect (feed_pilot_t *pilot);
@@ -64,7 +72,7 @@
 static void
 pilot_free (feed_pilot_t *pilot)
 {
-  LIST_REMOVE (pilot, entry);
+  TAILQ_REMOVE (&pilot->feed->pilots, pilot, entry);
   talloc_free (pilot);
 }
 
@@ -73,24 +81,18 @@
 {
   feed_pilot_t *pilot = data;
 
-  (void)link;
   (void)peer;
   pilot->reconnect_ms = RECONNECT_MIN_MS;
   counter_add (&pilots_connected, 1);
+  gossip_send_all (pilot->feed->relay->gossip, link);
 }
 
 /* Pass the pilot's report of a rank to the fleet.  */
 static void
-pilot_on_frame (link_t *link, const frame_t *frame, void *data)
+pilot_handle_report (const feed_pilot_t *pilot,
+                     const frame_rank_report_t *body)
 {
-  const feed_pilot_t *pilot = data;
-  const frame_rank_report_t *body = &frame->body.rank_report;
-  fleet_report_t report;
-
-  (void)link;
-  if (frame->header.type != FRAME_RANK_REPORT)
-    return;
-  report = (fleet_report_t){
+  fleet_report_t report = {
     .group = body->group,
     .epoch = body->group_epoch,
     .is_open = body->is_open,
@@ -101,10 +103,55 @@
     .total_tokens = body->total_tokens,
     .slowdown = (double)body->slowdown_permille / FRAME_PERMILLE,
   };
+
   if (fleet_record_report (pilot->feed->relay->fleet, body->upstream, &report))
     relay_notify_workers (pilot->feed->relay);
 }
 
+static void
+pilot_handle_engine_lost (const feed_pilot_t *pilot,
+                          const frame_engine_lost_t *body)
+{
+  relay_t *relay = pilot->feed->relay;
+
+  log_event (LOG_LEVEL_NOTICE, "engine-lost", "pilot=%s address=%s",
+             pilot->name, body->upstream);
+  if (crashes_confirm_address (relay->crashes, body->upstream))
+    feed_send_news (pilot->feed);
+}
+
+/* Merge what another relay has learned.  */
+static void
+pilot_handle_gossip (const feed_pilot_t *pilot, const frame_t *frame)
+{
+  TALLOC_CTX *scratch = talloc_new (pilot);
+  frame_t sum = *frame;
+
+  gossip_merge (pilot->feed->relay->gossip, scratch, &sum);
+  feed_send_news (pilot->feed);
+  talloc_free (scratch);
+}
+
+static void
+pilot_on_frame (link_t *link, const frame_t *frame, void *data)
+{
+  const feed_pilot_t *pilot = data;
+
+  (void)link;
+  switch (frame->header.type)
+    {
+    case FRAME_RANK_REPORT:
+      pilot_handle_report (pilot, &frame->body.rank_report);
+      break;
+    case FRAME_ENGINE_LOST:
+      pilot_handle_engine_lost (pilot, &frame->body.engine_lost);
+      break;
+    default:
+      pilot_handle_gossip (pilot, frame);
+      break;
+    }
+}
+
 static void
 pilot_on_closed (link_t *link, const char *reason, void *data)
 {
@@ -171,7 +218,7 @@
   pilot->name = talloc_strdup (pilot, name);
   pilot->value = talloc_strdup (pilot, value);
   pilot->reconnect_ms = RECONNECT_MIN_MS;
-  LIST_INSERT_HEAD (&feed->pilots, pilot, entry);
+  TAILQ_INSERT_TAIL (&feed->pilots, pilot, entry);
   pilot_connect (pilot);
 }
 
@@ -182,7 +229,7 @@
 {
   feed_pilot_t *pilot;
 
-  LIST_FOREACH (pilot, &feed->pilots, entry)
+  TAILQ_FOREACH (pilot, &feed->pilots, entry)
     {
       if (strcmp (pilot->name, name) != 0)
         continue;
@@ -201,6 +248,74 @@
     feed_add (feed, name, value);
 }
 
+static bool
+pilot_is_connected (const feed_pilot_t *pilot)
+{
+  return pilot->link != NULL && link_is_open (pilot->link);
+}
+
+/* Return the connected pilot that has been waiting longest for its turn, or
+   NULL.  It becomes the last.  */
+static feed_pilot_t *
+feed_next_pilot (feed_t *feed)
+{
+  feed_pilot_t *pilot;
+
+  TAILQ_FOREACH (pilot, &feed->pilots, entry)
+    {
+      if (!pilot_is_connected (pilot))
+        continue;
+      TAILQ_REMOVE (&feed->pilots, pilot, entry);
+      TAILQ_INSERT_TAIL (&feed->pilots, pilot, entry);
+      return pilot;
+    }
+  return NULL;
+}
+
+/* Send what this relay has learned to some of the pilots.  */
+static void
+feed_run_news (task_t *task, worker_t *worker)
+{
+  feed_t *feed = CONTAINER_OF (task, feed_t, news_task);
+  TALLOC_CTX *scratch = talloc_new (feed);
+  frame_t frame;
+
+  (void)worker;
+  atomic_store (&feed->is_news_posted, false);
+  while (gossip_take_news (feed->relay->gossip, scratch, &frame))
+    {
+      for (unsigned i = 0; i < NEWS_COPIES; i++)
+        {
+          const feed_pilot_t *pilot = feed_next_pilot (feed);
+
+          if (pilot != NULL)
+            link_send (pilot->link, &frame);
+        }
+    }
+  talloc_free (scratch);
+}
+
+/* Send what this relay has learned to other relays, through the pilots.
+   Callable from every worker.  */
+void
+feed_send_news (feed_t *feed)
+{
+  if (!atomic_exchange (&feed->is_news_posted, true))
+    worker_post (feed->worker, &feed->news_task);
+}
+
+static void
+feed_handle_repeat (worker_t *worker, void *data)
+{
+  feed_t *feed = data;
+  const feed_pilot_t *pilot = feed_next_pilot (feed);
+
+  if (pilot != NULL)
+    gossip_send_all (feed->relay->gossip, pilot->link);
+  worker_timer_start (worker, feed, timespec_from_ms (REPEAT_INTERVAL_MS),
+                      feed_handle_repeat, feed);
+}
+
 /* Create a feed without pilots.  Returns NULL when memory is exhausted.  */
 feed_t *
 feed_create (TALLOC_CTX *parent, relay_t *relay)
@@ -211,6 +326,10 @@
     return NULL;
   feed->relay = relay;
   feed->worker = pool_worker (daemon_pool (relay->daemon), 0);
-  LIST_INIT (&feed->pilots);
+  TAILQ_INIT (&feed->pilots);
+  feed->news_task.run = feed_run_news;
+  worker_timer_start (feed->worker, feed,
+                      timespec_from_ms (REPEAT_INTERVAL_MS),
+                      feed_handle_repeat, feed);
   return feed;
 }
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -45,6 +45,13 @@
   return result_names[result];
 }
 
+/* Return a hash that identifies one run of the upstream ID.  */
+uint64_t
+fleet_incarnation (const char *id, int64_t started_ms)
+{
+  return XXH3_64bits_withSeed (id, strlen (id), (XXH64_hash_t)started_ms);
+}
+
 /* Create an empty fleet for a relay in ZONE; the string is not copied.  SEED
    differs between relays so that they do not all make the same choices.  */
 fleet_t *
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -155,6 +155,7 @@
   upstream = fleet->candidate_upstreams[pick_choice.index];
   *choice = (fleet_choice_t){
     .upstream = talloc_strdup (parent, upstream->id),
+    .incarnation = fleet_incarnation (upstream->id, upstream->started_ms),
     .address = talloc_strdup (parent, upstream->address),
     .zone = talloc_strdup (parent, upstream->zone->name),
     .reason = pick_choice.reason,
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -5,6 +5,7 @@
 #include "kernel/log.h"
 #include "kernel/random.h"
 #include "relay/attempt_timeout.h"
+#include "relay/feed.h"
 
 #include <string.h>
 
@@ -150,19 +151,34 @@
   talloc_free (forward);
 }
 
-/* Fail the request with RELAY_NOT_RUN, as no upstream has run it or will run
-   it.  WHY is for the log.  Frees FORWARD.  */
-void
-forward_fail_not_run (forward_t *forward, const char *why)
+/* Return the time after which the client may retry a request that found no
+   upstream.  */
+static struct timespec
+forward_default_retry_after (const forward_t *forward)
 {
   int64_t remaining_ms = timespec_to_ms (forward_remaining_time (forward));
   int64_t retry_ms = remaining_ms / RETRY_AFTER_DIVISOR;
 
+  return timespec_from_ms (retry_ms < RETRY_AFTER_MIN_MS ? RETRY_AFTER_MIN_MS
+                                                         : retry_ms);
+}
+
+/* Fail the request with RELAY_NOT_RUN, as no upstream has run it or will run
+   it.  WHY is for the log.  Frees FORWARD.  */
+static void
+forward_refuse (forward_t *forward, const char *why,
+                struct timespec retry_after)
+{
   log_event (LOG_LEVEL_NOTICE, "refused", "request=%s why=%s",
              forward->request->id, why);
-  if (retry_ms < RETRY_AFTER_MIN_MS)
-    retry_ms = RETRY_AFTER_MIN_MS;
-  forward_fail (forward, RELAY_NOT_RUN, timespec_from_ms (retry_ms));
+  forward_fail (forward, RELAY_NOT_RUN, retry_after);
+}
+
+/* Refuse the request; the client may retry it as long as it has time.  */
+void
+forward_fail_not_run (forward_t *forward, const char *why)
+{
+  forward_refuse (forward, why, forward_default_retry_after (forward));
 }
 
 /* Return the ids of the prompt's shared segments as text for the log, owned by
@@ -324,27 +340,34 @@
                     >= UNUSABLE_QUEUE_MAX_MS);
 }
 
-/* Queue the request until an upstream can take it, or end it if it has been
-   queued for too long.  */
+/* End the request, which is not sent to another upstream.  WHY is for the
+   log; RETRY_AFTER applies if no upstream has run it.  */
+static void
+forward_give_up (forward_t *forward, const char *why,
+                 struct timespec retry_after)
+{
+  if (forward->is_head_sent)
+    forward_finish (forward, false);
+  else if (forward->run_attempts > 0)
+    forward_fail (forward, RELAY_OUTCOME_UNKNOWN, (struct timespec){ 0, 0 });
+  else
+    forward_refuse (forward, why, retry_after);
+}
+
+/* Queue the request until an upstream can take it, or end it if it HAS_WAITED
+   for too long.  */
 static void
-forward_enqueue_or_fail (forward_t *forward, fleet_shortage_t shortage)
+forward_enqueue_or_fail (forward_t *forward, bool has_waited, const char *why)
 {
-  if (forward_has_waited_enough (forward, shortage))
+  if (has_waited)
     {
-      if (forward->is_head_sent)
-        forward_finish (forward, false);
-      else if (forward->run_attempts > 0)
-        forward_fail (forward, RELAY_OUTCOME_UNKNOWN,
-                      (struct timespec){ 0, 0 });
-      else
-        forward_fail_not_run (forward, fleet_shortage_name (shortage));
+      forward_give_up (forward, why, forward_default_retry_after (forward));
       return;
     }
   if (!forward->is_queued)
     {
       log_event (LOG_LEVEL_INFO, "waits", "request=%s service=%s why=%s",
-                 forward->request->id, forward->criteria.service,
-                 fleet_shortage_name (shortage));
+                 forward->request->id, forward->criteria.service, why);
       forward->is_queued = true;
       TAILQ_INSERT_TAIL (&forward->relay_worker->queued, forward, queue_link);
     }
@@ -387,24 +410,60 @@
   relay_worker_start_retry_timer (relay_worker);
 }
 
+/* Return whether the request may be sent as far as its prompt is concerned.
+   Otherwise it has been queued or ended.  */
+static bool
+forward_admit_prompt (forward_t *forward)
+{
+  const relay_request_t *request = forward->request;
+  struct timespec retry_after = { 0, 0 };
+
+  switch (suspects_check (forward->relay_worker->relay->suspects,
+                          request->segments, request->segment_count,
+                          &retry_after))
+    {
+    case SUSPECT_ADMITTED:
+      return true;
+    case SUSPECT_ON_TRIAL:
+      forward_enqueue_or_fail (
+          forward,
+          timespec_compare (forward_now (forward), forward->queue_until) >= 0,
+          "prompt-on-trial");
+      return false;
+    case SUSPECT_QUARANTINED:
+      forward_give_up (forward, "prompt-quarantined", retry_after);
+      return false;
+    }
+  return true;
+}
+
 /* Choose an upstream and send the request there.  If there is none, queue the
    request, or fail it if it has been queued for too long.  */
 void
 forward_dispatch (forward_t *forward)
 {
   relay_t *relay = forward->relay_worker->relay;
-  TALLOC_CTX *choice_ctx = talloc_new (forward);
+  TALLOC_CTX *choice_ctx;
   fleet_choice_t choice;
-  fleet_shortage_t shortage
-      = fleet_choose (relay->fleet, choice_ctx, &forward->criteria, &choice);
+  fleet_shortage_t shortage;
 
+  if (!forward_admit_prompt (forward))
+    return;
+  choice_ctx = talloc_new (forward);
+  shortage
+      = fleet_choose (relay->fleet, choice_ctx, &forward->criteria, &choice);
   if (shortage != FLEET_NO_SHORTAGE)
     {
       talloc_free (choice_ctx);
-      forward_enqueue_or_fail (forward, shortage);
+      forward_enqueue_or_fail (forward,
+                               forward_has_waited_enough (forward, shortage),
+                               fleet_shortage_name (shortage));
       return;
     }
   forward_dequeue (forward);
+  if (suspects_record_sent (relay->suspects, forward->request->segments,
+                            forward->request->segment_count))
+    feed_send_news (relay->feed);
   if (forward->sent_attempts + forward->unreachable_attempts == 0)
     histogram_record (&queue_time, ms_since (forward, forward->arrived_at));
   log_event (
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -2,6 +2,7 @@
 
 #include "common/lease_key.h"
 #include "common/roster.h"
+#include "common/suspect_codec.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
 #include "kernel/plugin.h"
@@ -210,6 +211,19 @@
                            .is_first_start = config->bounds.first_start };
 }
 
+static status_t
+relay_create_suspects (relay_t *relay)
+{
+  relay->suspects = suspects_create (relay, relay->clock);
+  relay->gossip = gossip_create (relay);
+  if (relay->suspects == NULL || relay->gossip == NULL)
+    return STATUS_NO_MEMORY;
+  relay->crashes = crashes_create (relay, relay->clock, relay->suspects);
+  if (relay->crashes == NULL)
+    return STATUS_NO_MEMORY;
+  return gossip_add_topic (relay->gossip, &suspects_topic, relay->suspects);
+}
+
 static status_t
 relay_start (daemon_t *daemon, void **state)
 {
@@ -231,6 +245,8 @@
       = fleet_create (relay, config->zone, relay->clock,
                       XXH3_64bits (config->name, strlen (config->name)));
   relay_add_zones (relay, config);
+  if (relay_create_suspects (relay) != STATUS_OK)
+    return STATUS_NO_MEMORY;
   return relay_set_up (relay);
 }
 
--- /dev/null
+++ b/tests/test_suspects.c
@@ -0,0 +1,371 @@
+/* Prompt segments that are suspected of crashes: guilty ones must be found and
+   stopped, harmless ones must not be blamed for what others did, and records
+   that come late, twice or through a codec must not change the result.  */
+
+#include "common/suspect_codec.h"
+#include "common/suspects.h"
+#include "relay/crashes.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+enum
+{
+  GUILTY = 0xdead,
+  SHARED = 0xa,
+  OTHER = 0xb,
+  GAP_MS = 1000, /* between crashes */
+  QUARANTINE_MS = 30000,
+  MANY = 10000
+};
+
+static const uint64_t guilty_prompt[] = { SHARED, GUILTY };
+static const uint64_t sound_prompt[] = { SHARED, OTHER };
+
+typedef struct fixture
+{
+  clock_source_t *clock;
+  suspects_t *suspects;
+  suspects_t *peer;
+  crashes_t *crashes;
+  uint64_t next_crash;
+} fixture_t;
+
+static int
+set_up (void **state)
+{
+  fixture_t *fixture = talloc_zero (NULL, fixture_t);
+
+  fixture->clock
+      = clock_create_virtual (fixture, (struct timespec){ .tv_sec = 1000 });
+  fixture->suspects = suspects_create (fixture, fixture->clock);
+  fixture->peer = suspects_create (fixture, fixture->clock);
+  fixture->crashes
+      = crashes_create (fixture, fixture->clock, fixture->suspects);
+  *state = fixture;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  talloc_free (*state);
+  return 0;
+}
+
+static void
+wait_ms (fixture_t *fixture, int64_t ms)
+{
+  clock_advance (fixture->clock, timespec_from_ms (ms));
+}
+
+static suspect_verdict_t
+check (suspects_t *suspects, const uint64_t *prompt)
+{
+  struct timespec retry_after;
+
+  return suspects_check (suspects, prompt, 2, &retry_after);
+}
+
+/* An upstream crashes with PROMPT, for which a response was begun.  */
+static void
+crash (fixture_t *fixture, const uint64_t *prompt)
+{
+  wait_ms (fixture, GAP_MS);
+  suspects_record_crash (fixture->suspects, ++fixture->next_crash,
+                         clock_monotonic (fixture->clock), prompt, 2,
+                         SUSPECT_BEGUN);
+}
+
+static void
+answer (fixture_t *fixture, const uint64_t *prompt)
+{
+  suspects_record_answer (fixture->suspects, prompt, 2);
+}
+
+/* Send all of FIXTURE's news to its peer, COPIES times, as frames.  */
+static void
+gossip (fixture_t *fixture, unsigned copies)
+{
+  TALLOC_CTX *scratch = talloc_new (fixture);
+  frame_t frame;
+
+  while (suspects_topic.take_news (fixture->suspects, scratch, &frame))
+    {
+      for (unsigned i = 0; i < copies; i++)
+        {
+          size_t size;
+          char *encoded = frame_encode (scratch, &frame, &size);
+          frame_t decoded;
+
+          assert_int_equal (frame_decode (scratch,
+                                          encoded + FRAME_PREFIX_BYTES,
+                                          size - FRAME_PREFIX_BYTES, &decoded),
+                            STATUS_OK);
+          assert_int_equal (
+              suspects_topic.merge (fixture->peer, scratch, &decoded), i == 0);
+        }
+    }
+  talloc_free (scratch);
+}
+
+static void
+test_guilty_segment_is_quarantined_and_its_companions_are_not (void **state)
+{
+  fixture_t *fixture = *state;
+
+  answer (fixture, sound_prompt);
+  crash (fixture, guilty_prompt);
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_ADMITTED);
+  crash (fixture, guilty_prompt);
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_QUARANTINED);
+  assert_int_equal (check (fixture->suspects, sound_prompt), SUSPECT_ADMITTED);
+}
+
+static void
+test_segment_that_was_answered_before_can_become_guilty (void **state)
+{
+  fixture_t *fixture = *state;
+
+  answer (fixture, guilty_prompt);
+  for (unsigned i = 0; i < 4; i++)
+    {
+      assert_int_equal (check (fixture->suspects, guilty_prompt),
+                        SUSPECT_ADMITTED);
+      crash (fixture, guilty_prompt);
+      answer (fixture, sound_prompt);
+    }
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_QUARANTINED);
+  assert_int_equal (check (fixture->suspects, sound_prompt), SUSPECT_ADMITTED);
+}
+
+static void
+test_answer_clears_a_segment (void **state)
+{
+  fixture_t *fixture = *state;
+
+  for (unsigned i = 0; i < 10; i++)
+    {
+      crash (fixture, sound_prompt);
+      answer (fixture, sound_prompt);
+      assert_int_equal (check (fixture->suspects, sound_prompt),
+                        SUSPECT_ADMITTED);
+    }
+}
+
+/* A power failure takes many upstreams that had the same popular prompt.  */
+static void
+test_crashes_at_the_same_moment_blame_no_popular_segment (void **state)
+{
+  fixture_t *fixture = *state;
+
+  answer (fixture, sound_prompt);
+  wait_ms (fixture, GAP_MS);
+  for (unsigned i = 0; i < 20; i++)
+    suspects_record_crash (fixture->suspects, i,
+                           clock_monotonic (fixture->clock), sound_prompt, 2,
+                           SUSPECT_BEGUN);
+  assert_int_equal (check (fixture->suspects, sound_prompt), SUSPECT_ADMITTED);
+}
+
+static void
+test_queued_prompts_weigh_less (void **state)
+{
+  fixture_t *fixture = *state;
+
+  for (unsigned i = 0; i < 4; i++)
+    {
+      assert_int_not_equal (check (fixture->suspects, guilty_prompt),
+                            SUSPECT_QUARANTINED);
+      wait_ms (fixture, GAP_MS);
+      suspects_record_crash (fixture->suspects, i,
+                             clock_monotonic (fixture->clock), guilty_prompt,
+                             2, SUSPECT_QUEUED);
+    }
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_QUARANTINED);
+}
+
+static void
+test_suspect_is_tried_one_request_at_a_time (void **state)
+{
+  fixture_t *fixture = *state;
+
+  crash (fixture, guilty_prompt);
+  assert_true (suspects_record_sent (fixture->suspects, guilty_prompt, 2));
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_ON_TRIAL);
+  gossip (fixture, 1);
+  assert_int_equal (check (fixture->peer, guilty_prompt), SUSPECT_ON_TRIAL);
+  answer (fixture, guilty_prompt);
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_ADMITTED);
+}
+
+/* A quarantine ends, is tried by one request, and is twice as long after
+   another crash; it ends for good with an answer.  */
+static void
+test_quarantine_is_checked_again (void **state)
+{
+  fixture_t *fixture = *state;
+
+  crash (fixture, guilty_prompt);
+  crash (fixture, guilty_prompt);
+  wait_ms (fixture, QUARANTINE_MS);
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_ADMITTED);
+  suspects_record_sent (fixture->suspects, guilty_prompt, 2);
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_ON_TRIAL);
+  crash (fixture, guilty_prompt);
+  wait_ms (fixture, QUARANTINE_MS);
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_QUARANTINED);
+  wait_ms (fixture, QUARANTINE_MS);
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_ADMITTED);
+  answer (fixture, guilty_prompt);
+  crash (fixture, guilty_prompt);
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_ADMITTED);
+}
+
+static void
+test_peers_learn_from_each_other_whatever_comes_twice (void **state)
+{
+  fixture_t *fixture = *state;
+
+  answer (fixture, sound_prompt);
+  crash (fixture, guilty_prompt);
+  crash (fixture, guilty_prompt);
+  gossip (fixture, 3);
+  assert_int_equal (check (fixture->peer, guilty_prompt), SUSPECT_QUARANTINED);
+  assert_int_equal (check (fixture->peer, sound_prompt), SUSPECT_ADMITTED);
+}
+
+/* The same crash, reported by two relays.  */
+static void
+test_crash_counts_once (void **state)
+{
+  fixture_t *fixture = *state;
+
+  for (unsigned i = 0; i < 5; i++)
+    suspects_record_crash (fixture->suspects, 1,
+                           clock_monotonic (fixture->clock), guilty_prompt, 2,
+                           SUSPECT_BEGUN);
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_ADMITTED);
+}
+
+static void
+test_memory_is_bounded (void **state)
+{
+  fixture_t *fixture = *state;
+  unsigned count;
+
+  for (uint64_t i = 0; i < MANY; i++)
+    {
+      suspects_record_answer (fixture->suspects, &i, 1);
+      suspects_record_crash (fixture->suspects, i,
+                             clock_monotonic (fixture->clock),
+                             &(uint64_t){ MANY + i }, 1, SUSPECT_BEGUN);
+    }
+  talloc_free (suspects_list (fixture, fixture->suspects, &count));
+  assert_in_range (count, 1, 200);
+  assert_in_range (talloc_total_size (fixture->suspects), 0, 4 << 20);
+}
+
+/* Connections break also when no upstream crashes.  */
+static void
+test_broken_connection_alone_blames_nobody (void **state)
+{
+  fixture_t *fixture = *state;
+  crash_attempt_t attempt = { .upstream = "u1",
+                              .incarnation = 1,
+                              .address = "10.0.0.1:80",
+                              .segments = guilty_prompt,
+                              .segment_count = 2,
+                              .weight = SUSPECT_BEGUN };
+
+  for (unsigned i = 0; i < 10; i++)
+    {
+      attempt.incarnation = i;
+      assert_false (crashes_record_attempt (fixture->crashes, &attempt));
+      wait_ms (fixture, GAP_MS);
+    }
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_ADMITTED);
+}
+
+/* The pilot's notice may come before or after the connection's end, or not at
+   all, and the listing later.  */
+static void
+test_crash_is_confirmed_by_pilot_or_listing (void **state)
+{
+  fixture_t *fixture = *state;
+  crash_attempt_t attempt = { .upstream = "u1",
+                              .address = "10.0.0.1:80",
+                              .segments = guilty_prompt,
+                              .segment_count = 2,
+                              .weight = SUSPECT_BEGUN };
+
+  attempt.incarnation = 1;
+  assert_false (crashes_record_attempt (fixture->crashes, &attempt));
+  assert_false (crashes_confirm_address (fixture->crashes, "10.0.0.2:80"));
+  assert_true (crashes_confirm_address (fixture->crashes, "10.0.0.1:80"));
+  wait_ms (fixture, GAP_MS);
+  attempt.incarnation = 2;
+  assert_true (crashes_record_attempt (fixture->crashes, &attempt));
+  wait_ms (fixture, 2 * GAP_MS);
+  attempt.incarnation = 3;
+  assert_false (crashes_record_attempt (fixture->crashes, &attempt));
+  wait_ms (fixture, 2 * GAP_MS);
+  assert_false (crashes_confirm_start (fixture->crashes, "10.0.0.1:80", 3));
+  assert_true (crashes_confirm_start (fixture->crashes, "10.0.0.1:80", 4));
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_QUARANTINED);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (
+        test_guilty_segment_is_quarantined_and_its_companions_are_not, set_up,
+        tear_down),
+    cmocka_unit_test_setup_teardown (
+        test_segment_that_was_answered_before_can_become_guilty, set_up,
+        tear_down),
+    cmocka_unit_test_setup_teardown (test_answer_clears_a_segment, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (
+        test_crashes_at_the_same_moment_blame_no_popular_segment, set_up,
+        tear_down),
+    cmocka_unit_test_setup_teardown (test_queued_prompts_weigh_less, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (
+        test_suspect_is_tried_one_request_at_a_time, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_quarantine_is_checked_again, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (
+        test_peers_learn_from_each_other_whatever_comes_twice, set_up,
+        tear_down),
+    cmocka_unit_test_setup_teardown (test_crash_counts_once, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (test_memory_is_bounded, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (
+        test_broken_connection_alone_blames_nobody, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        test_crash_is_confirmed_by_pilot_or_listing, set_up, tear_down),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
