Log the rate limit that an upstream names

No line was about limits. The egress reads the limit of a response, and attempt-ended has it as limit=.

--- a/include/plugins/egress.h
+++ b/include/plugins/egress.h
@@ -61,6 +61,9 @@
   bool is_body_encoded; /* a content coding was applied: the body is not as the
                            upstream produced it */
   egress_load_t load;
+  /* Requests a second that the upstream accepts from all relays together;
+     negative if it names no limit.  */
+  double rate_limit;
 } egress_head_t;
 
 typedef struct egress_events
--- a/include/relay/forward.h
+++ b/include/relay/forward.h
@@ -24,6 +24,7 @@
   size_t body_size;
   event_stream_t *events; /* NULL unless the response is an event stream */
   unsigned event_count;   /* events received */
+  double rate_limit;      /* named by the upstream; negative for none */
 } forward_attempt_t;
 
 /* A client request that is being forwarded; belongs to one worker.  */
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -161,6 +161,7 @@
     return false;
   attempt->is_not_run = head->is_not_run;
   attempt->is_misdirected = head->is_misdirected;
+  attempt->rate_limit = head->rate_limit;
   if (head->load.is_known)
     fleet_record_load (forward->relay_worker->relay->fleet,
                        attempt->choice.upstream, head->load.running,
@@ -411,6 +412,7 @@
     return false;
   attempt->choice = *choice;
   attempt->sent_at = clock_monotonic (relay->clock);
+  attempt->rate_limit = -1;
   STAILQ_INIT (&attempt->headers);
   attempt->call = relay->egress_ops->send (forward->relay_worker->egress,
                                            &send, &attempt_events, forward);
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -199,19 +199,20 @@
 {
   const forward_attempt_t *attempt = forward->attempt;
 
-  log_event (result == FLEET_SERVED ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE,
-             "attempt-ended",
-             "request=%s upstream=%s result=%s status=%u ms=%lld "
-             "silent_ms=%lld begun=%d events=%u segments=%s error=\"%s\"",
-             forward->request->id, attempt->choice.upstream,
-             fleet_result_name (result), attempt->http_status,
-             (long long)ms_since (forward, attempt->sent_at),
-             (long long)(forward->is_watched
-                             ? ms_since (forward, forward->last_received_at)
-                             : 0),
-             forward->is_head_sent, attempt->event_count,
-             request_segments_text (forward->attempt, forward->request),
-             attempt->error == NULL ? "" : attempt->error);
+  log_event (
+      result == FLEET_SERVED ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE,
+      "attempt-ended",
+      "request=%s upstream=%s result=%s status=%u ms=%lld "
+      "silent_ms=%lld begun=%d events=%u segments=%s limit=%.3f error=\"%s\"",
+      forward->request->id, attempt->choice.upstream,
+      fleet_result_name (result), attempt->http_status,
+      (long long)ms_since (forward, attempt->sent_at),
+      (long long)(forward->is_watched
+                      ? ms_since (forward, forward->last_received_at)
+                      : 0),
+      forward->is_head_sent, attempt->event_count,
+      request_segments_text (forward->attempt, forward->request),
+      attempt->rate_limit, attempt->error == NULL ? "" : attempt->error);
 }
 
 /* Free the current attempt, which has ended, and record RESULT in the
