Reproduce a replica that gets more than the rate limit that it named

Eight relays, three engines with pilots, one of which names 2 requests a second, so that a relay's share is a quarter of a request. Seen: 46 requests in 4 s, 17 allowed; a restarted relay sends 7 of 40 requests to a replica that named 0.5 a second.

--- a/tests/process/platform_replicas.py
+++ b/tests/process/platform_replicas.py
@@ -181,6 +181,21 @@
     return answer
 
 
+def name_rate_limit(per_s):
+    """Streams, and names a rate limit in each response."""
+    async def answer(replica, request, writer):
+        writer.write(response_bytes(
+            200, b"", replica.stamp(request, [
+                ("Content-Type", "text/event-stream"),
+                ("Server-Limit", "%g" % per_s)]) + [
+                    ("Transfer-Encoding", "chunked")], length=False))
+        chunk = event(1)
+        writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(chunk), chunk))
+        await writer.drain()
+        return True
+    return answer
+
+
 def fail(status, fields=(), stamped=True, body=b"no"):
     async def answer(replica, request, writer):
         stamp_fields = replica.stamp(request) if stamped else []
