Keep to the rate limit that a replica names, over all relays together

Cause: the relays did not read the limit. The class: a bound for all relays together that each learns by itself. Reading it alone is not enough: two relays sent 15 of 19 requests, a share of the limit is below one request among many relays, and a relay that starts knows nothing.

Change: common/rate_limits.c deals the slots of a replica, 1 / limit apart, to the relays by their position in the roster, so that the sum is exact for any number of relays and has no bursts; the records go the way of the other gossip. The choice passes over replicas without a slot (all-limited). A successful response without a limit ends it everywhere; a limit of zero is checked again. Repeats of gossip are at most 16 records of a topic every 2 s.

--- a/bench/relay_model.c
+++ b/bench/relay_model.c
@@ -387,7 +387,8 @@
                                model->options.seed + relay->index);
   fleet_add_zone (relay->fleet, "z", "region");
   fleet_configure (relay->fleet, rules);
-  fleet_set_relays (relay->fleet, model->options.relays);
+  fleet_set_share (relay->fleet,
+                   &(rate_share_t){ .relays = model->options.relays });
   STAILQ_INIT (&relay->waiting);
   for (unsigned i = 0; i < model->options.upstreams; i++)
     {
--- a/common/frame.c
+++ b/common/frame.c
@@ -181,6 +181,12 @@
   = { "suspect",
       { UNSIGNED (suspect.segment, 0), UNSIGNED (suspect.answered_age_ms, 0),
         UNSIGNED (suspect.trial_age_ms, 0), BLOB (suspect.crashes) } },
+  [FRAME_RATE_LIMIT]
+  = { "rate-limit",
+      { UNSIGNED (rate_limit.upstream, 0), BOOLEAN (rate_limit.is_limited),
+        UNSIGNED (rate_limit.limit_permille, INT64_MAX),
+        UNSIGNED (rate_limit.seen_age_ms, INT32_MAX),
+        UNSIGNED (rate_limit.since_age_ms, INT32_MAX) } },
 };
 
 static unsigned
--- a/common/gossip.c
+++ b/common/gossip.c
@@ -1,5 +1,7 @@
 #include "common/gossip.h"
 
+#include <limits.h>
+
 typedef struct gossip_topic
 {
   SLIST_ENTRY (gossip_topic) link;
@@ -74,20 +76,36 @@
   return false;
 }
 
+/* Send COUNT of the records of TOPIC to the peer of LINK, from the one at
+   FIRST on and after the last one from the start.  */
+static void
+topic_send (const gossip_topic_t *topic, link_t *link, unsigned first,
+            unsigned count)
+{
+  TALLOC_CTX *scratch = talloc_new (topic);
+  unsigned total = 0;
+  const frame_t *frames = topic->ops->list (topic->table, scratch, &total);
+
+  for (unsigned i = 0; i < total && i < count; i++)
+    link_send (link, &frames[(first + i) % total]);
+  talloc_free (scratch);
+}
+
 /* Send all records to the peer of LINK.  */
 void
 gossip_send_all (const gossip_t *gossip, link_t *link)
 {
-  TALLOC_CTX *scratch = talloc_new (gossip);
+  gossip_send_some (gossip, link, 0, UINT_MAX);
+}
+
+/* Send at most MAX records of each topic to the peer of LINK, others in each
+   TURN.  */
+void
+gossip_send_some (const gossip_t *gossip, link_t *link, unsigned turn,
+                  unsigned max)
+{
   const gossip_topic_t *topic;
 
   SLIST_FOREACH (topic, &gossip->topics, link)
-    {
-      unsigned count = 0;
-      frame_t *frames = topic->ops->list (topic->table, scratch, &count);
-
-      for (unsigned i = 0; i < count; i++)
-        link_send (link, &frames[i]);
-    }
-  talloc_free (scratch);
+    topic_send (topic, link, turn * max, max);
 }
--- a/include/common/frame.h
+++ b/include/common/frame.h
@@ -66,6 +66,7 @@
      has learned.  */
   FRAME_ENGINE_LOST, /* from a pilot: its engine has ended */
   FRAME_SUSPECT,     /* a prompt segment suspected of crashes */
+  FRAME_RATE_LIMIT,  /* the rate limit that an upstream has named */
   FRAME_TYPE_COUNT
 } frame_type_t;
 
@@ -361,6 +362,16 @@
   blob_t crashes; /* id, age and weight of each; see numbers_encode */
 } frame_suspect_t;
 
+/* See rate_limit_record_t.  */
+typedef struct frame_rate_limit
+{
+  uint64_t upstream;
+  bool is_limited;
+  uint64_t limit_permille; /* thousandths of a request a second */
+  uint64_t seen_age_ms;
+  uint64_t since_age_ms;
+} frame_rate_limit_t;
+
 typedef struct frame
 {
   frame_header_t header;
@@ -386,6 +397,7 @@
     frame_rank_query_reply_t rank_query_reply;
     frame_engine_lost_t engine_lost;
     frame_suspect_t suspect;
+    frame_rate_limit_t rate_limit;
   } body;
 } frame_t;
 
--- a/include/common/gossip.h
+++ b/include/common/gossip.h
@@ -32,5 +32,8 @@
                        frame_t *frame);
 bool gossip_merge (const gossip_t *gossip, TALLOC_CTX *parent, frame_t *frame);
 void gossip_send_all (const gossip_t *gossip, link_t *link);
+/* Sends at most MAX records of each topic, other ones in each TURN.  */
+void gossip_send_some (const gossip_t *gossip, link_t *link, unsigned turn,
+                       unsigned max);
 
 #endif
--- a/include/kernel/lock.h
+++ b/include/kernel/lock.h
@@ -14,19 +14,20 @@
   /* A local copy of keys of the store.  Only one worker uses it; it has a lock
      only because every table_t has one.  */
   LOCK_MIRROR = 1,
-  LOCK_GROUPS,    /* lock-step groups and their expert maps */
-  LOCK_UPSTREAMS, /* upstreams known to this process */
-  LOCK_ACCOUNTS,  /* queue shares by account, retry budgets by service */
-  LOCK_ADMISSION, /* the admission gate and its queue */
-  LOCK_REQUESTS,  /* requests in flight */
-  LOCK_CRASHES,   /* attempts that may show a crash */
-  LOCK_SUSPECTS,  /* prompt segments suspected of crashes */
-  LOCK_CLAIMS,    /* claims on idempotency keys */
-  LOCK_PEERS,     /* connections to other processes of the system */
-  LOCK_SETTINGS,  /* pointers to the current settings and rules */
-  LOCK_TASKS,     /* a worker's task queue */
-  LOCK_LOG,       /* formatting of log lines */
-  LOCK_LOG_QUEUE, /* formatted log lines to be written */
+  LOCK_GROUPS,      /* lock-step groups and their expert maps */
+  LOCK_UPSTREAMS,   /* upstreams known to this process */
+  LOCK_RATE_LIMITS, /* limits that upstreams have named */
+  LOCK_ACCOUNTS,    /* queue shares by account, retry budgets by service */
+  LOCK_ADMISSION,   /* the admission gate and its queue */
+  LOCK_REQUESTS,    /* requests in flight */
+  LOCK_CRASHES,     /* attempts that may show a crash */
+  LOCK_SUSPECTS,    /* prompt segments suspected of crashes */
+  LOCK_CLAIMS,      /* claims on idempotency keys */
+  LOCK_PEERS,       /* connections to other processes of the system */
+  LOCK_SETTINGS,    /* pointers to the current settings and rules */
+  LOCK_TASKS,       /* a worker's task queue */
+  LOCK_LOG,         /* formatting of log lines */
+  LOCK_LOG_QUEUE,   /* formatted log lines to be written */
   LOCK_RANK_COUNT
 } lock_rank_t;
 
--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -1,6 +1,7 @@
 #ifndef SISKIN_RELAY_FLEET_H
 #define SISKIN_RELAY_FLEET_H
 
+#include "common/rate_limits.h"
 #include "common/rules.h"
 #include "common/upstream_listing.h"
 #include "kernel/clock.h"
@@ -46,7 +47,8 @@
      is out of service, in a region that the route does not allow, or tried
      before.  */
   FLEET_NO_ALLOWED_UPSTREAM,
-  FLEET_ALL_COLD, /* in cold start, and at the rate limit for it */
+  FLEET_ALL_COLD,    /* in cold start, and at the rate limit for it */
+  FLEET_ALL_LIMITED, /* at the rate limit that they have named */
   /* They have reported no free capacity, or this relay has used its share of
      the total.  */
   FLEET_ALL_FULL,
@@ -107,7 +109,9 @@
 void fleet_destroy (fleet_t *fleet);
 void fleet_add_zone (fleet_t *fleet, const char *zone, const char *region);
 void fleet_configure (fleet_t *fleet, const rules_t *rules);
-void fleet_set_relays (fleet_t *fleet, unsigned count);
+void fleet_set_share (fleet_t *fleet, const rate_share_t *share);
+/* LIMITS must remain valid; without it no upstream has a limit.  */
+void fleet_set_rate_limits (fleet_t *fleet, rate_limits_t *limits);
 bool fleet_update_upstream (fleet_t *fleet, const upstream_listing_t *listing);
 bool fleet_remove_upstream (fleet_t *fleet, const char *id);
 void fleet_set_zone_out (fleet_t *fleet, const char *zone, bool is_out);
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -85,7 +85,8 @@
   char *address;
   fleet_zone_t *zone;
   int64_t started_ms;
-  unsigned slots; /* requests that it can run at once */
+  uint64_t incarnation; /* see fleet_incarnation */
+  unsigned slots;       /* requests that it can run at once */
   bool is_draining;
   bool is_replaced;           /* another upstream responds at its address */
   struct timespec cold_until; /* monotonic */
@@ -145,7 +146,8 @@
   const clock_source_t *clock;
   uint64_t seed;         /* given to the policies; differs between relays */
   uint64_t random_state; /* state of the random number generator */
-  unsigned relays;       /* number of relays in the system; at least 1 */
+  rate_share_t share;    /* of the system's limits */
+  rate_limits_t *limits; /* of the upstreams; NULL if there are none */
   /* Entries of fleet_upstream_t by id; its lock protects the whole fleet.  */
   table_t *table;
   table_t *by_address; /* the same entries; protected by TABLE's lock */
--- a/include/relay/relay.h
+++ b/include/relay/relay.h
@@ -52,6 +52,7 @@
   retry_budget_t *budget;
   suspects_t *suspects;
   crashes_t *crashes;
+  rate_limits_t *limits; /* of upstreams */
   gossip_t *gossip;
   lock_t *rules_lock;
   rules_t *rules; /* current rules, guarded by RULES_LOCK; NULL until the first
--- a/pilot/pilot.c
+++ b/pilot/pilot.c
@@ -1,5 +1,6 @@
 #include "pilot/pilot.h"
 
+#include "common/rate_limit_codec.h"
 #include "common/roster.h"
 #include "common/suspect_codec.h"
 #include "kernel/log.h"
@@ -91,11 +92,18 @@
 static status_t
 pilot_create_gossip (pilot_t *pilot)
 {
+  status_t status;
+
   pilot->gossip = gossip_create (pilot);
   pilot->suspects = suspects_create (pilot, pilot->clock);
-  if (pilot->gossip == NULL || pilot->suspects == NULL)
+  pilot->limits = rate_limits_create (pilot, pilot->clock);
+  if (pilot->gossip == NULL || pilot->suspects == NULL
+      || pilot->limits == NULL)
     return STATUS_NO_MEMORY;
-  return gossip_add_topic (pilot->gossip, &suspects_topic, pilot->suspects);
+  status = gossip_add_topic (pilot->gossip, &suspects_topic, pilot->suspects);
+  if (status != STATUS_OK)
+    return status;
+  return gossip_add_topic (pilot->gossip, &rate_limits_topic, pilot->limits);
 }
 
 static status_t
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -145,6 +145,21 @@
     http_headers_add (&attempt->headers, attempt, header->name, header->value);
 }
 
+/* Record whether the upstream names a rate limit.  A refusal without one says
+   nothing.  */
+static void
+attempt_record_rate_limit (const forward_t *forward, const egress_head_t *head)
+{
+  relay_t *relay = forward->relay_worker->relay;
+  uint64_t upstream = forward->attempt->choice.incarnation;
+
+  if (head->is_misdirected || !(head->is_from_upstream || head->is_not_run)
+      || (head->rate_limit < 0 && !status_is_success (head->http_status)))
+    return;
+  if (rate_limits_record (relay->limits, upstream, head->rate_limit))
+    feed_send_news (relay->feed);
+}
+
 /* Decide from the response head whether the response can be used.  */
 static bool
 attempt_on_head (const egress_head_t *head, void *data)
@@ -162,6 +177,7 @@
   attempt->is_not_run = head->is_not_run;
   attempt->is_misdirected = head->is_misdirected;
   attempt->rate_limit = head->rate_limit;
+  attempt_record_rate_limit (forward, head);
   if (head->load.is_known)
     fleet_record_load (forward->relay_worker->relay->fleet,
                        attempt->choice.upstream, head->load.running,
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -241,8 +241,9 @@
 {
   struct timespec now = discovery_now (discovery);
   struct timespec retention = timespec_from_ms (GONE_RELAY_RETENTION_MS);
+  const char *own_name = daemon_config (discovery->relay->daemon)->name;
   relay_key_t *key = LIST_FIRST (&discovery->relays);
-  unsigned count = 0;
+  rate_share_t share = { 0 };
   bool has_gone = false;
 
   while (key != NULL)
@@ -259,12 +260,14 @@
       else
         {
           has_gone = has_gone || key->is_gone;
-          count++;
+          share.relays++;
+          if (strcmp (key->name, own_name) < 0)
+            share.position++;
         }
       key = next;
     }
-  fleet_set_relays (discovery->relay->fleet, count);
-  retry_budget_set_relays (discovery->relay->budget, count);
+  fleet_set_share (discovery->relay->fleet, &share);
+  retry_budget_set_relays (discovery->relay->budget, share.relays);
   if (has_gone && discovery->recount_timer == NULL)
     discovery->recount_timer
         = worker_timer_start (discovery->worker, discovery, retention,
--- a/relay/feed.c
+++ b/relay/feed.c
@@ -14,9 +14,10 @@
   RECONNECT_MAX_MS = 5000,
   /* Pilots that get a piece of news; some may be cut off from other relays. */
   NEWS_COPIES = 3,
-  /* All records are sent to one pilot each time, in turn, for relays that have
-     missed the news.  */
-  REPEAT_INTERVAL_MS = 2000
+  /* Some records are sent to one pilot each time, in turn, for relays that
+     have missed the news.  */
+  REPEAT_INTERVAL_MS = 2000,
+  REPEAT_MAX_RECORDS = 16
 };
 
 GAUGE_DEFINE (pilots_connected, "siskin_feed_pilots", "Connections to pilots");
@@ -43,6 +44,7 @@
   TAILQ_HEAD (, feed_pilot) pilots; /* next to get news first */
   task_t news_task;
   atomic_bool is_news_posted;
+  unsigned repeats; /* number so far */
 };
 
 static void pilot_connect (feed_pilot_t *pilot);
@@ -311,7 +313,8 @@
   const feed_pilot_t *pilot = feed_next_pilot (feed);
 
   if (pilot != NULL)
-    gossip_send_all (feed->relay->gossip, pilot->link);
+    gossip_send_some (feed->relay->gossip, pilot->link, feed->repeats++,
+                      REPEAT_MAX_RECORDS);
   worker_timer_start (worker, feed, timespec_from_ms (REPEAT_INTERVAL_MS),
                       feed_handle_repeat, feed);
 }
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -20,6 +20,7 @@
   [FLEET_NO_UPSTREAM] = "no-upstream",
   [FLEET_NO_ALLOWED_UPSTREAM] = "none-allowed",
   [FLEET_ALL_COLD] = "all-cold",
+  [FLEET_ALL_LIMITED] = "all-limited",
   [FLEET_ALL_FULL] = "all-full",
   [FLEET_ALL_STALLED] = "all-stalled",
 };
@@ -65,7 +66,7 @@
   fleet->zone = zone;
   fleet->clock = clock;
   fleet->seed = fleet->random_state = seed;
-  fleet->relays = 1;
+  fleet->share.relays = 1;
   fleet->table = table_create (fleet, LOCK_UPSTREAMS, "fleet");
   fleet->by_address = table_create (fleet, LOCK_UPSTREAMS, "fleet-addresses");
   STAILQ_INIT (&fleet->services);
@@ -195,12 +196,23 @@
   table_unlock (fleet->table);
 }
 
-/* Set the number of relays that share the system-wide limits.  */
+/* Set this relay's share of the system-wide limits.  */
 void
-fleet_set_relays (fleet_t *fleet, unsigned count)
+fleet_set_share (fleet_t *fleet, const rate_share_t *share)
 {
   table_lock (fleet->table);
-  fleet->relays = count > 0 ? count : 1;
+  fleet->share = *share;
+  if (fleet->share.relays == 0)
+    fleet->share.relays = 1;
+  table_unlock (fleet->table);
+}
+
+/* Choose upstreams within LIMITS from now on.  */
+void
+fleet_set_rate_limits (fleet_t *fleet, rate_limits_t *limits)
+{
+  table_lock (fleet->table);
+  fleet->limits = limits;
   table_unlock (fleet->table);
 }
 
@@ -222,6 +234,8 @@
     STAILQ_REMOVE (&upstream->service->upstreams, upstream, fleet_upstream,
                    link);
   quota_forget (upstream);
+  if (fleet->limits != NULL)
+    rate_limits_forget (fleet->limits, upstream->incarnation);
   fleet_upstream_set_group (upstream, NULL);
   table_remove (fleet->table, &upstream->node);
   table_remove (fleet->by_address, &upstream->address_node);
@@ -330,6 +344,8 @@
     {
       is_changed = is_changed || upstream->is_draining != listing->is_draining;
       upstream->started_ms = listing->started_ms;
+      upstream->incarnation
+          = fleet_incarnation (upstream->id, listing->started_ms);
       upstream->is_draining = listing->is_draining;
       upstream->slots = listing->slots > 0 ? listing->slots : 1;
       upstream_set_limits (upstream, listing);
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -73,6 +73,10 @@
     return FLEET_ALL_FULL;
   if (!cold_start_has_token (fleet, upstream, now))
     return FLEET_ALL_COLD;
+  if (fleet->limits != NULL
+      && !rate_limits_has_slot (fleet->limits, upstream->incarnation,
+                                &fleet->share))
+    return FLEET_ALL_LIMITED;
   return FLEET_NO_SHORTAGE;
 }
 
@@ -155,7 +159,7 @@
   upstream = fleet->candidate_upstreams[pick_choice.index];
   *choice = (fleet_choice_t){
     .upstream = talloc_strdup (parent, upstream->id),
-    .incarnation = fleet_incarnation (upstream->id, upstream->started_ms),
+    .incarnation = upstream->incarnation,
     .address = talloc_strdup (parent, upstream->address),
     .zone = talloc_strdup (parent, upstream->zone->name),
     .reason = pick_choice.reason,
@@ -165,6 +169,8 @@
     .report_age_ms = upstream_report_age_ms (upstream, now),
   };
   cold_start_consume_token (upstream);
+  if (fleet->limits != NULL)
+    rate_limits_use_slot (fleet->limits, upstream->incarnation, &fleet->share);
   upstream_count_request (upstream, &request->work);
   return FLEET_NO_SHORTAGE;
 }
--- a/relay/fleet_cold.c
+++ b/relay/fleet_cold.c
@@ -19,7 +19,7 @@
 static double
 cold_rate_per_relay (const fleet_t *fleet, const fleet_upstream_t *upstream)
 {
-  return upstream->service->cold_rate / fleet->relays;
+  return upstream->service->cold_rate / fleet->share.relays;
 }
 
 /* Limit TOKENS to what the bucket holds at RATE.  If that is less than one
--- a/relay/fleet_quota.c
+++ b/relay/fleet_quota.c
@@ -103,7 +103,7 @@
 
   service_expire_reports (fleet, service);
   service_draw_rounding (fleet, service);
-  share = (is_late ? quota->late_free : quota->free) / fleet->relays
+  share = (is_late ? quota->late_free : quota->free) / fleet->share.relays
           + service->quota_rounding;
   return quota->sent + PER_REQUEST > share;
 }
@@ -131,5 +131,5 @@
   int64_t free = is_late ? quota->late_free : quota->free;
 
   return quota->sent + PER_REQUEST
-         <= free / fleet->relays + upstream->quota_rounding;
+         <= free / fleet->share.relays + upstream->quota_rounding;
 }
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -1,6 +1,7 @@
 #include "relay/relay.h"
 
 #include "common/lease_key.h"
+#include "common/rate_limit_codec.h"
 #include "common/roster.h"
 #include "common/suspect_codec.h"
 #include "kernel/counter.h"
@@ -211,17 +212,26 @@
                            .is_first_start = config->bounds.first_start };
 }
 
+/* Create the tables of what this relay learns and tells the others.  */
 static status_t
-relay_create_suspects (relay_t *relay)
+relay_create_gossip (relay_t *relay)
 {
-  relay->suspects = suspects_create (relay, relay->clock);
+  status_t status;
+
   relay->gossip = gossip_create (relay);
-  if (relay->suspects == NULL || relay->gossip == NULL)
+  relay->suspects = suspects_create (relay, relay->clock);
+  relay->limits = rate_limits_create (relay, relay->clock);
+  if (relay->gossip == NULL || relay->suspects == NULL
+      || relay->limits == NULL)
     return STATUS_NO_MEMORY;
   relay->crashes = crashes_create (relay, relay->clock, relay->suspects);
   if (relay->crashes == NULL)
     return STATUS_NO_MEMORY;
-  return gossip_add_topic (relay->gossip, &suspects_topic, relay->suspects);
+  fleet_set_rate_limits (relay->fleet, relay->limits);
+  status = gossip_add_topic (relay->gossip, &suspects_topic, relay->suspects);
+  if (status != STATUS_OK)
+    return status;
+  return gossip_add_topic (relay->gossip, &rate_limits_topic, relay->limits);
 }
 
 static status_t
@@ -245,7 +255,7 @@
       = fleet_create (relay, config->zone, relay->clock,
                       XXH3_64bits (config->name, strlen (config->name)));
   relay_add_zones (relay, config);
-  if (relay_create_suspects (relay) != STATUS_OK)
+  if (relay_create_gossip (relay) != STATUS_OK)
     return STATUS_NO_MEMORY;
   return relay_set_up (relay);
 }
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -214,9 +214,10 @@
                        name + " to be ready")
         return program
 
-    def start_group(self, ranks=3):
+    def start_group(self, ranks=3, slots=6):
         """Starts a group of engines and a pilot for each."""
-        self.group = Group([self.add_replica("model", "abc"[i % 3])
+        self.group = Group([self.add_replica("model", "abc"[i % 3],
+                                             slots=slots)
                             for i in range(ranks)])
         asyncio.run_coroutine_threadsafe(self.group.run(), self.loop)
         return [self.start_pilot(i) for i in range(ranks)]
--- a/tests/process/test_relay_limits.py
+++ b/tests/process/test_relay_limits.py
@@ -13,6 +13,7 @@
 
 RELAYS = 8
 RANKS = 3
+SLOTS = 32  # far more than are used
 LIMIT_PER_S = 2.0  # a quarter of a request for each relay
 STABILITY_WINDOW_S = 3.0
 WINDOW_S = 4.0
@@ -25,7 +26,7 @@
         self.platform = Platform().__enter__()
         self.addCleanup(self.platform.__exit__, None, None, None)
         self.platform.configure()
-        self.platform.start_group(RANKS)
+        self.platform.start_group(RANKS, SLOTS)
         for replica in self.platform.replicas:
             replica.answer = replicas.stream(gap_s=0.005)
         self.relays = [self.platform.start_relay("relay-%d" % i)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -207,7 +207,7 @@
   unsigned in_second;
 
   (void)state;
-  fleet_set_relays (fixture->fleet, 2);
+  fleet_set_share (fixture->fleet, &(rate_share_t){ .relays = 2 });
   fixture_advance_ms (fixture, 1000);
   fixture_count_chosen (fixture, 100, NULL);
   for (unsigned second = 0; second < 4; second++)
@@ -250,7 +250,8 @@
   for (unsigned i = 0; i < RELAYS; i++)
     {
       relays[i] = fixture_create_with_seed (20000, i + 1);
-      fleet_set_relays (relays[i]->fleet, RELAYS);
+      fleet_set_share (relays[i]->fleet,
+                       &(rate_share_t){ .relays = RELAYS, .position = i });
     }
   for (unsigned tick = 0; tick < 4 * TICKS_PER_S; tick++)
     {
