Take an unframed stream that ends without an event for broken off

Callers saw: a replica that crashed after such a head and before the first event gave them an empty stream as a complete one, and the crash was counted as a served request, so that its prompt was not suspected. Likewise a stream cut inside an event was resumed, but counted as served.

Cause: the end of the connection was taken for the end of the response, which it is for such a framing, also where nothing had been said.

test_unframed_stream_that_breaks_off_resumes_elsewhere failed (an empty complete body) and passes; the cases cut within an event and reset, and the complete unframed stream, passed before.

--- a/include/plugins/egress.h
+++ b/include/plugins/egress.h
@@ -56,6 +56,9 @@
   bool is_from_upstream;
   /* The response has the id of another request, so it must not be used.  */
   bool is_for_other_request;
+  /* The body has neither a length nor chunks, so it ends with the connection,
+     whether the upstream has ended or not.  */
+  bool has_open_end;
   bool is_not_run; /* the upstream states that it did not run the request */
   bool is_misdirected;  /* another upstream has the address now */
   bool is_body_encoded; /* a content coding was applied: the body is not as the
--- a/include/relay/forward.h
+++ b/include/relay/forward.h
@@ -15,6 +15,7 @@
   bool is_usable;      /* the response may be sent to the client */
   bool is_not_run;     /* the upstream did not run the request */
   bool is_misdirected; /* another upstream has the address now */
+  bool has_open_end;   /* the end of the connection ends the response */
   /* Data is sent to the client as it arrives: the response is an event stream
      of a streaming route, or too large for the buffer.  Any other response is
      buffered until it is complete, so that the request can be retried.  */
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -175,6 +175,7 @@
   if (head->is_for_other_request)
     return false;
   attempt->is_not_run = head->is_not_run;
+  attempt->has_open_end = head->has_open_end;
   attempt->is_misdirected = head->is_misdirected;
   attempt->rate_limit = head->rate_limit;
   attempt_record_rate_limit (forward, head);
@@ -243,10 +244,24 @@
   return true;
 }
 
+/* Return whether the response is complete after its call has ended with
+   STATUS.  A stream that has sent nothing and ends with its connection has
+   been broken off.  */
+static bool
+attempt_is_complete (const forward_attempt_t *attempt, status_t status)
+{
+  if (status != STATUS_OK)
+    return false;
+  if (attempt->events == NULL)
+    return true;
+  return event_stream_is_at_boundary (attempt->events)
+         && !(attempt->has_open_end && attempt->event_count == 0);
+}
+
 /* Return the result of an attempt that has ended, as recorded by the
    fleet.  */
 static fleet_result_t
-attempt_result (const forward_attempt_t *attempt, status_t status,
+attempt_result (const forward_attempt_t *attempt, bool is_complete,
                 bool may_have_run)
 {
   if (!may_have_run)
@@ -255,7 +270,7 @@
     return FLEET_MISDIRECTED;
   if (attempt->is_not_run)
     return FLEET_DECLINED;
-  if (status != STATUS_OK || !attempt->is_usable)
+  if (!is_complete || !attempt->is_usable)
     return FLEET_INTERRUPTED;
   return status_is_failure (attempt->http_status) ? FLEET_FAILED
                                                   : FLEET_SERVED;
@@ -357,10 +372,8 @@
 {
   forward_t *forward = data;
   forward_attempt_t *attempt = forward->attempt;
-  fleet_result_t result = attempt_result (attempt, status, may_have_run);
-  bool is_complete = status == STATUS_OK
-                     && (attempt->events == NULL
-                         || event_stream_is_at_boundary (attempt->events));
+  bool is_complete = attempt_is_complete (attempt, status);
+  fleet_result_t result = attempt_result (attempt, is_complete, may_have_run);
 
   attempt->call = NULL;
   forward_count_attempt (forward, result);
--- a/tests/process/test_relay_streams.py
+++ b/tests/process/test_relay_streams.py
@@ -1,5 +1,7 @@
 """Streams through a relay deliver each event once, in order, to the end."""
 
+import asyncio
+import socket
 import time
 import unittest
 
@@ -11,6 +13,23 @@
     replicas.event(i) for i in range(1, replicas.STREAM_PIECES + 1))
 
 
+def unframed_stream(body, is_reset=False):
+    """Streams BODY with neither a length nor chunks, and ends with its
+    connection."""
+    async def answer(replica, request, writer):
+        writer.write(replicas.response_bytes(200, b"", replica.stamp(
+            request, [("Content-Type", "text/event-stream"),
+                      ("Connection", "close")]), length=False) + body)
+        await writer.drain()
+        if is_reset:
+            await asyncio.sleep(0.05)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            writer.transport.abort()
+        return False
+    return answer
+
+
 class RelayStreamsTest(unittest.TestCase):
     def setUp(self):
         self.platform = Platform().__enter__()
@@ -82,6 +101,25 @@
         reply = ask(self.relay, "/look/x", method="POST", body=b"p")
         self.assertEqual(reply.body, COMPLETE_STREAM)
 
+    def test_unframed_stream_is_complete_at_connection_close(self):
+        self.answer(unframed_stream(COMPLETE_STREAM))
+        reply = ask(self.relay, "/look/x", method="POST", body=b"p")
+        self.assertEqual(reply.body, COMPLETE_STREAM)
+        self.assertTrue(reply.is_complete)
+        self.assertEqual(len(self.platform.runs()), 1)
+
+    def test_unframed_stream_that_breaks_off_resumes_elsewhere(self):
+        part = replicas.event(1) + replicas.event(2)[:-4]
+        for name, answer in {
+                "within an event": unframed_stream(part),
+                "without an event": unframed_stream(b""),
+                "reset": unframed_stream(replicas.event(1), True)}.items():
+            with self.subTest(name):
+                self.answer(answer)
+                reply = ask(self.relay, "/look/x", method="POST", body=b"p")
+                self.assertEqual(reply.body, COMPLETE_STREAM)
+                self.assertTrue(reply.is_complete)
+
     def test_stream_truncated_again_is_not_reported_as_complete(self):
         self.answer(replicas.stream(stop_after=2),
                     lambda: replicas.stream(stop_after=4))
