Don't take crashes back that a full record has dropped

Found on reading: a record holds the last eight crashes. A process with nine known crashes took the oldest back from each record of a peer, dropping a later one, and reported that as news each time, so that two of them would never agree and pilots would pass it on at each repeat. test_full_records_converge failed.

--- a/common/suspect_history.c
+++ b/common/suspect_history.c
@@ -75,12 +75,23 @@
   return apart_ms > -SAME_CAUSE_MS && apart_ms < SAME_CAUSE_MS;
 }
 
-/* Add CRASH, unless an answer has refuted it.  */
+/* Return whether CRASH says nothing about the segment any more: an answer has
+   refuted it, or there is no room for one that is older than all others.  */
+static bool
+history_is_past (const suspect_history_t *history,
+                 const segment_crash_t *crash)
+{
+  return timespec_compare (crash->at, history->answered_at) <= 0
+         || (history->crash_count == SUSPECT_MAX_CRASHES
+             && timespec_compare (crash->at, history->crashes[0].at) < 0);
+}
+
+/* Add CRASH, unless it is in the past.  */
 bool
 suspect_history_add_crash (suspect_history_t *history,
                            const segment_crash_t *crash)
 {
-  if (timespec_compare (crash->at, history->answered_at) <= 0)
+  if (history_is_past (history, crash))
     return false;
   for (unsigned i = 0; i < history->crash_count; i++)
     {
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -20,6 +20,7 @@
   OTHER = 0xb,
   GAP_MS = 1000, /* between crashes */
   QUARANTINE_MS = 30000,
+  MEMORY_MS = 600001,
   MANY = 10000
 };
 
@@ -250,6 +251,44 @@
   assert_int_equal (check (fixture->peer, sound_prompt), SUSPECT_ADMITTED);
 }
 
+/* Each process has room for the last crashes only.  */
+static void
+test_full_records_converge (void **state)
+{
+  fixture_t *fixture = *state;
+  suspect_record_t *records;
+  unsigned count;
+
+  for (unsigned i = 0; i < SUSPECT_MAX_CRASHES + 3; i++)
+    {
+      crash (fixture, guilty_prompt);
+      if (i == SUSPECT_MAX_CRASHES)
+        gossip (fixture, 1);
+    }
+  records = suspects_list (fixture, fixture->peer, &count);
+  assert_int_equal (count, 2);
+  for (unsigned i = 0; i < count; i++)
+    assert_false (suspects_merge (fixture->suspects, &records[i]));
+}
+
+static void
+test_suspicion_expires (void **state)
+{
+  fixture_t *fixture = *state;
+  unsigned count;
+
+  crash (fixture, guilty_prompt);
+  suspects_record_sent (fixture->suspects, guilty_prompt, 2);
+  wait_ms (fixture, MEMORY_MS);
+  crash (fixture, guilty_prompt);
+  assert_int_equal (check (fixture->suspects, guilty_prompt),
+                    SUSPECT_ADMITTED);
+  wait_ms (fixture, MEMORY_MS);
+  check (fixture->suspects, guilty_prompt);
+  suspects_list (fixture, fixture->suspects, &count);
+  assert_int_equal (count, 0);
+}
+
 /* The same crash, reported by two relays.  */
 static void
 test_crash_counts_once (void **state)
@@ -357,6 +396,10 @@
     cmocka_unit_test_setup_teardown (
         test_peers_learn_from_each_other_whatever_comes_twice, set_up,
         tear_down),
+    cmocka_unit_test_setup_teardown (test_full_records_converge, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (test_suspicion_expires, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_crash_counts_once, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_memory_is_bounded, set_up,
