Move the relay's queue of requests into a file of its own

What a request waits for and for how long is in forward_queue.c; which shortages pass by themselves is the fleet's to say. No change of behaviour.

--- a/common/suspect_codec.c
+++ b/common/suspect_codec.c
@@ -4,7 +4,8 @@
 
 enum
 {
-  NUMBERS_PER_CRASH = 3
+  NUMBERS_PER_CRASH = 3,
+  MAX_NUMBERS = SUSPECT_MAX_CRASHES * NUMBERS_PER_CRASH
 };
 
 static uint64_t
@@ -24,7 +25,7 @@
 suspect_to_frame (TALLOC_CTX *parent, const suspect_record_t *record,
                   frame_t *frame)
 {
-  uint64_t numbers[SUSPECT_MAX_CRASHES * NUMBERS_PER_CRASH];
+  uint64_t numbers[MAX_NUMBERS];
   size_t count = 0;
 
   for (unsigned i = 0; i < record->crash_count; i++)
@@ -57,15 +58,14 @@
     .trial_age_ms = age_from_frame (body->trial_age_ms),
     .crash_count = (unsigned)(count / NUMBERS_PER_CRASH),
   };
-  if (numbers == NULL || count % NUMBERS_PER_CRASH != 0
-      || count > SUSPECT_MAX_CRASHES * NUMBERS_PER_CRASH)
+  if (numbers == NULL || count % NUMBERS_PER_CRASH != 0 || count > MAX_NUMBERS)
     {
       talloc_free (scratch);
       return status_set (STATUS_PROTOCOL, "suspect frame: malformed crashes");
     }
   for (unsigned i = 0; i < record->crash_count; i++)
     {
-      const uint64_t *fields = &numbers[i * NUMBERS_PER_CRASH];
+      const uint64_t *fields = &numbers[(size_t)i * NUMBERS_PER_CRASH];
       bool is_begun = fields[2] >= SUSPECT_BEGUN;
 
       record->crashes[i]
--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -141,6 +141,7 @@
                         uint64_t waiting, uint64_t slots);
 bool fleet_record_report (fleet_t *fleet, const char *address,
                           const fleet_report_t *report);
+bool fleet_shortage_is_temporary (fleet_shortage_t shortage);
 const char *fleet_shortage_name (fleet_shortage_t shortage);
 const char *fleet_result_name (fleet_result_t result);
 
--- a/include/relay/forward.h
+++ b/include/relay/forward.h
@@ -86,6 +86,16 @@
 void forward_finish_attempt (forward_t *forward, fleet_result_t result);
 void forward_cancel_attempt (forward_t *forward, fleet_result_t result);
 struct timespec forward_remaining_time (const forward_t *forward);
+/* Ends a request that is not sent to another upstream.  RETRY_AFTER applies if
+   no upstream has run it.  */
+void forward_give_up (forward_t *forward, const char *why,
+                      struct timespec retry_after);
+struct timespec forward_default_retry_after (const forward_t *forward);
+
+/* The requests of a worker that cannot be sent yet (forward_queue.c).  */
+void forward_wait_or_fail (forward_t *forward, bool is_temporary,
+                           const char *why);
+void forward_dequeue (forward_t *forward);
 void forward_retry_queued (relay_worker_t *relay_worker);
 /* Returns whether the request may be sent again, and if so charges the retry
    budget.  CURRENT_ATTEMPTS is 1 while the attempt to be retried is still in
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -39,6 +39,14 @@
   return shortage_names[shortage];
 }
 
+/* Return whether an upstream that is known now may end SHORTAGE by itself.  */
+bool
+fleet_shortage_is_temporary (fleet_shortage_t shortage)
+{
+  return shortage != FLEET_NO_UPSTREAM
+         && shortage != FLEET_NO_ALLOWED_UPSTREAM;
+}
+
 /* Return the name of RESULT for the log.  */
 const char *
 fleet_result_name (fleet_result_t result)
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -15,12 +15,6 @@
   QUEUE_MAX_MS = 1600, /* clients close streams without data after 2 s */
   /* A request may be queued for its timeout divided by this at most.  */
   QUEUE_TIME_DIVISOR = 2,
-  /* A request is late once its objective divided by this has passed.  */
-  LATE_START_DIVISOR = 2,
-  /* The same if no upstream of the service may be used at all: enough for a
-     refresh of the listings, which may show a new one.  */
-  UNUSABLE_QUEUE_MAX_MS = 100,
-  QUEUE_RETRY_MS = 20, /* interval between attempts to send queued requests */
   /* Attempts beyond the route's limit, for upstreams that did not run the
      request.  */
   MAX_EXTRA_ATTEMPTS = 2,
@@ -153,7 +147,7 @@
 
 /* Return the time after which the client may retry a request that found no
    upstream.  */
-static struct timespec
+struct timespec
 forward_default_retry_after (const forward_t *forward)
 {
   int64_t remaining_ms = timespec_to_ms (forward_remaining_time (forward));
@@ -296,54 +290,9 @@
                             client_timeout, forward_handle_deadline, forward);
 }
 
-static void
-relay_worker_handle_retry (worker_t *worker, void *data)
-{
-  relay_worker_t *relay_worker = data;
-
-  (void)worker;
-  relay_worker->retry_timer = NULL;
-  forward_retry_queued (relay_worker);
-}
-
-static void
-relay_worker_start_retry_timer (relay_worker_t *relay_worker)
-{
-  if (relay_worker->retry_timer == NULL
-      && !TAILQ_EMPTY (&relay_worker->queued))
-    relay_worker->retry_timer = worker_timer_start (
-        relay_worker->worker, worker_events (relay_worker->worker),
-        timespec_from_ms (QUEUE_RETRY_MS), relay_worker_handle_retry,
-        relay_worker);
-}
-
-static void
-forward_dequeue (forward_t *forward)
-{
-  if (!forward->is_queued)
-    return;
-  forward->is_queued = false;
-  TAILQ_REMOVE (&forward->relay_worker->queued, forward, queue_link);
-}
-
-/* Return whether it makes no sense to wait longer for an upstream.  An
-   upstream that is full, cold or stalled will take requests again; without one
-   that may be used, the client does better to come back.  */
-static bool
-forward_has_waited_enough (const forward_t *forward, fleet_shortage_t shortage)
-{
-  bool is_unusable
-      = shortage == FLEET_NO_UPSTREAM || shortage == FLEET_NO_ALLOWED_UPSTREAM;
-
-  return timespec_compare (forward_now (forward), forward->queue_until) >= 0
-         || (is_unusable
-             && ms_since (forward, forward->arrived_at)
-                    >= UNUSABLE_QUEUE_MAX_MS);
-}
-
 /* End the request, which is not sent to another upstream.  WHY is for the
    log; RETRY_AFTER applies if no upstream has run it.  */
-static void
+void
 forward_give_up (forward_t *forward, const char *why,
                  struct timespec retry_after)
 {
@@ -355,62 +304,6 @@
     forward_refuse (forward, why, retry_after);
 }
 
-/* Queue the request until an upstream can take it, or end it if it HAS_WAITED
-   for too long.  */
-static void
-forward_enqueue_or_fail (forward_t *forward, bool has_waited, const char *why)
-{
-  if (has_waited)
-    {
-      forward_give_up (forward, why, forward_default_retry_after (forward));
-      return;
-    }
-  if (!forward->is_queued)
-    {
-      log_event (LOG_LEVEL_INFO, "waits", "request=%s service=%s why=%s",
-                 forward->request->id, forward->criteria.service, why);
-      forward->is_queued = true;
-      TAILQ_INSERT_TAIL (&forward->relay_worker->queued, forward, queue_link);
-    }
-  relay_worker_start_retry_timer (forward->relay_worker);
-}
-
-/* Return whether a request sent now is likely to miss its objective.  */
-static bool
-forward_is_late (const forward_t *forward)
-{
-  return ms_since (forward, forward->arrived_at)
-         > timespec_to_ms (forward->route->objective) / LATE_START_DIVISOR;
-}
-
-/* Try again to send the queued requests whose lateness is ARE_LATE.  A request
-   that remains queued keeps its place.  */
-static void
-relay_worker_retry_queued (relay_worker_t *relay_worker, bool are_late)
-{
-  forward_t *forward = TAILQ_FIRST (&relay_worker->queued);
-
-  while (forward != NULL)
-    {
-      forward_t *next = TAILQ_NEXT (forward, queue_link);
-
-      forward->criteria.is_late = forward_is_late (forward);
-      if (forward->criteria.is_late == are_late)
-        forward_dispatch (forward);
-      forward = next;
-    }
-}
-
-/* Try again to send the queued requests, those that can still meet their
-   objective first, each group in order of arrival.  */
-void
-forward_retry_queued (relay_worker_t *relay_worker)
-{
-  relay_worker_retry_queued (relay_worker, false);
-  relay_worker_retry_queued (relay_worker, true);
-  relay_worker_start_retry_timer (relay_worker);
-}
-
 /* Return whether the request may be sent as far as its prompt is concerned.
    Otherwise it has been queued or ended.  */
 static bool
@@ -426,10 +319,7 @@
     case SUSPECT_ADMITTED:
       return true;
     case SUSPECT_ON_TRIAL:
-      forward_enqueue_or_fail (
-          forward,
-          timespec_compare (forward_now (forward), forward->queue_until) >= 0,
-          "prompt-on-trial");
+      forward_wait_or_fail (forward, true, "prompt-on-trial");
       return false;
     case SUSPECT_QUARANTINED:
       forward_give_up (forward, "prompt-quarantined", retry_after);
@@ -456,9 +346,8 @@
   if (shortage != FLEET_NO_SHORTAGE)
     {
       talloc_free (choice_ctx);
-      forward_enqueue_or_fail (forward,
-                               forward_has_waited_enough (forward, shortage),
-                               fleet_shortage_name (shortage));
+      forward_wait_or_fail (forward, fleet_shortage_is_temporary (shortage),
+                            fleet_shortage_name (shortage));
       return;
     }
   forward_dequeue (forward);
