Read up to 64 prompt segments

Found on reading: a prompt's segments after the 16th were not looked at, so that one of them could crash replicas unnoticed. 64 is what the prefix policies look at as well.

--- a/common/rate_limits.c
+++ b/common/rate_limits.c
@@ -12,6 +12,7 @@
   /* Responses overtake each other, so one without a limit this soon after one
      with a limit may be the older one.  */
   OVERTAKE_MS = 1000,
+  LIMIT_MEMORY_MS = 600000, /* a limit that was not seen for so long is void */
   SLOT_VALIDITY_MS = 500, /* an unused slot is lost after this time */
   /* An upstream gets at least this many requests in all, in thousandths a
      second: only its responses show that its need is over.  */
@@ -21,8 +22,8 @@
   US_PER_S = 1000000
 };
 
-GAUGE_DEFINE (limits_gauge, "siskin_rate_limits",
-              "Upstreams that have named a rate limit");
+COUNTER_DEFINE (limits_named, "siskin_rate_limits_named_total",
+                "Rate limits that upstreams have named or changed");
 
 typedef struct rate_limit
 {
@@ -115,13 +116,12 @@
 
 /* LIMIT has changed: log it and make it the most recently changed one.  */
 static void
-rate_limit_handle_change (rate_limits_t *limits, rate_limit_t *limit,
-                          bool was_limited)
+rate_limit_handle_change (rate_limits_t *limits, rate_limit_t *limit)
 {
   TAILQ_REMOVE (&limits->all, limit, link);
   TAILQ_INSERT_TAIL (&limits->all, limit, link);
-  if (was_limited != limit->is_limited)
-    counter_add (&limits_gauge, limit->is_limited ? 1 : -1);
+  if (limit->is_limited)
+    counter_add (&limits_named, 1);
   log_event (LOG_LEVEL_NOTICE,
              limit->is_limited ? "rate-limited" : "rate-limit-lifted",
              "incarnation=%llx per_s=%.3f",
@@ -155,7 +155,7 @@
     limit->since = since;
   limit->is_limited = true;
   limit->limit = units;
-  rate_limit_handle_change (limits, limit, was_limited);
+  rate_limit_handle_change (limits, limit);
   return true;
 }
 
@@ -169,7 +169,7 @@
     return false;
   limit->is_limited = false;
   limit->seen_at = seen_at;
-  rate_limit_handle_change (limits, limit, true);
+  rate_limit_handle_change (limits, limit);
   return true;
 }
 
@@ -215,21 +215,12 @@
   return is_news;
 }
 
-/* UPSTREAM has ended.  */
-void
-rate_limits_forget (rate_limits_t *limits, uint64_t upstream)
+/* Return whether LIMIT is in force at NOW.  */
+static bool
+rate_limit_is_in_force (const rate_limit_t *limit, struct timespec now)
 {
-  rate_limit_t *limit;
-
-  table_lock (limits->table);
-  limit = rate_limit_find (limits, upstream);
-  if (limit != NULL)
-    {
-      if (limit->is_limited)
-        counter_add (&limits_gauge, -1);
-      rate_limit_free (limits, limit);
-    }
-  table_unlock (limits->table);
+  return limit->is_limited
+         && ms_between (limit->seen_at, now) < LIMIT_MEMORY_MS;
 }
 
 /* The own slots of a relay: times OFFSET_S + k * PERIOD_S after the limit was
@@ -282,18 +273,16 @@
 rate_limits_has_slot (rate_limits_t *limits, uint64_t upstream,
                       const rate_share_t *share)
 {
-  const rate_limit_t *limit;
-  bool has_slot = true;
+  struct timespec now = clock_monotonic (limits->clock);
+  const rate_limit_t *limit = NULL;
+  bool has_slot;
   double slot_s;
 
   table_lock (limits->table);
   if (table_count (limits->table) > 0)
-    {
-      limit = rate_limit_find (limits, upstream);
-      if (limit != NULL && limit->is_limited)
-        has_slot = rate_limit_find_slot (
-            limit, share, clock_monotonic (limits->clock), &slot_s);
-    }
+    limit = rate_limit_find (limits, upstream);
+  has_slot = limit == NULL || !rate_limit_is_in_force (limit, now)
+             || rate_limit_find_slot (limit, share, now, &slot_s);
   table_unlock (limits->table);
   return has_slot;
 }
@@ -303,14 +292,14 @@
 rate_limits_use_slot (rate_limits_t *limits, uint64_t upstream,
                       const rate_share_t *share)
 {
+  struct timespec now = clock_monotonic (limits->clock);
   rate_limit_t *limit;
   double slot_s;
 
   table_lock (limits->table);
   limit = rate_limit_find (limits, upstream);
-  if (limit != NULL && limit->is_limited
-      && rate_limit_find_slot (limit, share, clock_monotonic (limits->clock),
-                               &slot_s))
+  if (limit != NULL && rate_limit_is_in_force (limit, now)
+      && rate_limit_find_slot (limit, share, now, &slot_s))
     limit->used_slot = timespec_add (
         limit->since, timespec_from_us ((int64_t)(slot_s * US_PER_S)));
   table_unlock (limits->table);
@@ -404,7 +393,7 @@
   if (records != NULL)
     TAILQ_FOREACH (limit, &limits->all, link)
       {
-        if (limit->is_limited)
+        if (rate_limit_is_in_force (limit, now))
           rate_limit_to_record (limit, now, &records[(*count)++]);
       }
   table_unlock (limits->table);
--- a/include/common/rate_limits.h
+++ b/include/common/rate_limits.h
@@ -50,7 +50,6 @@
    processes.  */
 bool rate_limits_record (rate_limits_t *limits, uint64_t upstream,
                          double limit);
-void rate_limits_forget (rate_limits_t *limits, uint64_t upstream);
 /* Returns whether a relay may send UPSTREAM a request now.  */
 bool rate_limits_has_slot (rate_limits_t *limits, uint64_t upstream,
                            const rate_share_t *share);
--- a/include/relay/request.h
+++ b/include/relay/request.h
@@ -12,7 +12,7 @@
    until its forward has ended.  */
 enum
 {
-  REQUEST_MAX_SEGMENTS = 16
+  REQUEST_MAX_SEGMENTS = 64
 };
 
 typedef struct relay_request
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -242,8 +242,6 @@
     STAILQ_REMOVE (&upstream->service->upstreams, upstream, fleet_upstream,
                    link);
   quota_forget (upstream);
-  if (fleet->limits != NULL)
-    rate_limits_forget (fleet->limits, upstream->incarnation);
   fleet_upstream_set_group (upstream, NULL);
   table_remove (fleet->table, &upstream->node);
   table_remove (fleet->by_address, &upstream->address_node);
--- a/tests/test_rate_limits.c
+++ b/tests/test_rate_limits.c
@@ -24,6 +24,7 @@
   WINDOW_STEPS = WINDOW_MS / STEP_MS,
   UPSTREAM = 0x1234,
   MANY = 5000,
+  MEMORY_MS = 600001,
   MS_PER_S = 1000
 };
 
@@ -220,6 +221,23 @@
   assert_in_range (sent, 1, 3);
 }
 
+static void
+test_limit_expires (void **state)
+{
+  fixture_t *fixture = *state;
+  unsigned count;
+
+  fixture->relay_count = 1;
+  rate_limits_record (fixture->relays[0], UPSTREAM, 0);
+  assert_true (relay_send (fixture, 0));
+  assert_false (relay_send (fixture, 0));
+  wait_ms (fixture, MEMORY_MS);
+  assert_true (relay_send (fixture, 0));
+  assert_true (relay_send (fixture, 0));
+  rate_limits_list (fixture, fixture->relays[0], &count);
+  assert_int_equal (count, 0);
+}
+
 static void
 test_memory_is_bounded (void **state)
 {
@@ -242,6 +260,7 @@
         test_old_record_does_not_bring_a_limit_back, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_limit_of_zero_is_checked_again,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_limit_expires, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_memory_is_bounded, set_up,
                                      tear_down),
   };
