--- a/common/rate_limits.c
+++ b/common/rate_limits.c
@@ -13,7 +13,7 @@
      with a limit may be the older one.  */
   OVERTAKE_MS = 1000,
   LIMIT_MEMORY_MS = 600000, /* a limit that was not seen for so long is void */
-  SLOT_VALIDITY_MS = 500, /* an unused slot is lost after this time */
+  SLOT_VALIDITY_MS = 500,   /* an unused slot is lost after this time */
   /* An upstream gets at least this many requests in all, in thousandths a
      second: only its responses show that its need is over.  */
   LIMIT_MIN = 100,
