Make the topics of the gossip plug-ins that register themselves

The relay and the pilot each created both tables and added them to the gossip. A topic is a plug-in of the new kind gossip now, a file with its table of functions; gossip_create makes a table for each that is linked in, so that a new topic reaches both programs by a file alone. The codecs move into these files.

--- a/common/gossip.c
+++ b/common/gossip.c
@@ -1,10 +1,14 @@
 #include "common/gossip.h"
 
+#include "kernel/plugin.h"
+
 #include <limits.h>
+#include <string.h>
 
 typedef struct gossip_topic
 {
   SLIST_ENTRY (gossip_topic) link;
+  const char *name;
   const gossip_topic_ops_t *ops;
   void *table;
 } gossip_topic_t;
@@ -14,36 +18,60 @@
   SLIST_HEAD (, gossip_topic) topics;
 };
 
-/* Create a gossip without topics.  Returns NULL when memory is exhausted.  */
+static bool
+gossip_add_topic (gossip_t *gossip, const plugin_t *plugin,
+                  const clock_source_t *clock)
+{
+  gossip_topic_t *topic = talloc_zero (gossip, gossip_topic_t);
+
+  if (topic == NULL)
+    return false;
+  topic->name = plugin->name;
+  topic->ops = plugin->ops;
+  topic->table = topic->ops->create (topic, clock);
+  SLIST_INSERT_HEAD (&gossip->topics, topic, link);
+  return topic->table != NULL;
+}
+
+/* Create a gossip with a table for each topic that is linked in.  */
 gossip_t *
-gossip_create (TALLOC_CTX *parent)
+gossip_create (TALLOC_CTX *parent, const clock_source_t *clock)
 {
   gossip_t *gossip = talloc_zero (parent, gossip_t);
+  const plugin_t *plugin = plugin_next (PLUGIN_GOSSIP, NULL);
 
-  if (gossip != NULL)
-    SLIST_INIT (&gossip->topics);
+  if (gossip == NULL)
+    return NULL;
+  SLIST_INIT (&gossip->topics);
+  for (; plugin != NULL; plugin = plugin_next (PLUGIN_GOSSIP, plugin))
+    {
+      if (gossip_add_topic (gossip, plugin, clock))
+        continue;
+      talloc_free (gossip);
+      return NULL;
+    }
   return gossip;
 }
 
-/* Free GOSSIP, but not the tables of its topics.  */
+/* Free GOSSIP and the tables of its topics.  */
 void
 gossip_destroy (gossip_t *gossip)
 {
   talloc_free (gossip);
 }
 
-/* Add the topic whose records are in TABLE, which must remain valid.  */
-status_t
-gossip_add_topic (gossip_t *gossip, const gossip_topic_ops_t *ops, void *table)
+/* Return the table of the topic NAME, or NULL if it is not linked in.  */
+void *
+gossip_table (const gossip_t *gossip, const char *name)
 {
-  gossip_topic_t *topic = talloc_zero (gossip, gossip_topic_t);
+  const gossip_topic_t *topic;
 
-  if (topic == NULL)
-    return status_set (STATUS_NO_MEMORY, "no memory for a gossip topic");
-  topic->ops = ops;
-  topic->table = table;
-  SLIST_INSERT_HEAD (&gossip->topics, topic, link);
-  return STATUS_OK;
+  SLIST_FOREACH (topic, &gossip->topics, link)
+    {
+      if (strcmp (topic->name, name) == 0)
+        return topic->table;
+    }
+  return NULL;
 }
 
 /* Take a record of any topic that this process has changed since it was last
--- a/include/kernel/plugin.h
+++ b/include/kernel/plugin.h
@@ -18,6 +18,7 @@
      own protocol, in which the agents coordinate switches of the map.  */
   PLUGIN_ENGINE,
   PLUGIN_FRONTEND,  /* client protocol of the entry */
+  PLUGIN_GOSSIP,    /* topic of what relays tell each other */
   PLUGIN_INGRESS,   /* client protocol of the relay */
   PLUGIN_JOURNAL,   /* claims on idempotency keys */
   PLUGIN_ORDER,     /* queueing policy: order of queued requests */
--- a/include/pilot/pilot.h
+++ b/include/pilot/pilot.h
@@ -5,8 +5,6 @@
 #include "common/gossip.h"
 #include "common/lease_key.h"
 #include "common/link.h"
-#include "common/rate_limits.h"
-#include "common/suspects.h"
 #include "pilot/expert_counts.h"
 #include "pilot/map_history.h"
 #include "plugins/catalog.h"
@@ -36,9 +34,7 @@
   char *registered;          /* value of the registration key */
   expert_counts_t *counts;   /* what was reported of the engine's counts */
   map_history_t *maps;       /* maps received from leaders */
-  suspects_t *suspects;
-  rate_limits_t *limits;
-  gossip_t *gossip; /* what relays tell each other through this pilot */
+  gossip_t *gossip;          /* what relays tell each other through here */
   reporter_t *reporter;
   pilot_server_t *server;
   leader_t *leader;
--- a/include/relay/relay.h
+++ b/include/relay/relay.h
@@ -50,10 +50,10 @@
   const clock_source_t *clock;
   fleet_t *fleet;
   retry_budget_t *budget;
-  suspects_t *suspects;
-  crashes_t *crashes;
-  rate_limits_t *limits; /* of upstreams */
   gossip_t *gossip;
+  suspects_t *suspects;  /* owned by GOSSIP */
+  rate_limits_t *limits; /* of upstreams; owned by GOSSIP */
+  crashes_t *crashes;
   lock_t *rules_lock;
   rules_t *rules; /* current rules, guarded by RULES_LOCK; NULL until the first
                      are read */
--- a/include/relay/request.h
+++ b/include/relay/request.h
@@ -8,13 +8,13 @@
 #include <stdint.h>
 #include <time.h>
 
-/* A client's request as parsed by an ingress.  Everything in it remains valid
-   until its forward has ended.  */
 enum
 {
   REQUEST_MAX_SEGMENTS = 64
 };
 
+/* A client's request as parsed by an ingress.  Everything in it remains valid
+   until its forward has ended.  */
 typedef struct relay_request
 {
   /* Chosen by the client; when the client itself sends a request again, it
--- a/kernel/plugin.c
+++ b/kernel/plugin.c
@@ -12,13 +12,21 @@
 static struct plugin_list registry[PLUGIN_KIND_COUNT];
 
 static const char *const kind_names[PLUGIN_KIND_COUNT] = {
-  [PLUGIN_ADMISSION] = "admission", [PLUGIN_CATALOG] = "catalog",
-  [PLUGIN_COMMAND] = "command",     [PLUGIN_EGRESS] = "egress",
-  [PLUGIN_ENGINE] = "engine",       [PLUGIN_FRONTEND] = "frontend",
-  [PLUGIN_INGRESS] = "ingress",     [PLUGIN_JOURNAL] = "journal",
-  [PLUGIN_ORDER] = "order",         [PLUGIN_PICK] = "pick",
-  [PLUGIN_PLACEMENT] = "placement", [PLUGIN_RANK_ENGINE] = "rank-engine",
-  [PLUGIN_STORE] = "store",         [PLUGIN_UPSTREAM] = "upstream",
+  [PLUGIN_ADMISSION] = "admission",
+  [PLUGIN_CATALOG] = "catalog",
+  [PLUGIN_COMMAND] = "command",
+  [PLUGIN_EGRESS] = "egress",
+  [PLUGIN_ENGINE] = "engine",
+  [PLUGIN_FRONTEND] = "frontend",
+  [PLUGIN_GOSSIP] = "gossip",
+  [PLUGIN_INGRESS] = "ingress",
+  [PLUGIN_JOURNAL] = "journal",
+  [PLUGIN_ORDER] = "order",
+  [PLUGIN_PICK] = "pick",
+  [PLUGIN_PLACEMENT] = "placement",
+  [PLUGIN_RANK_ENGINE] = "rank-engine",
+  [PLUGIN_STORE] = "store",
+  [PLUGIN_UPSTREAM] = "upstream",
 };
 
 /* Add PLUGIN to the registry, sorted by name within its kind.  Called by
--- a/pilot/pilot.c
+++ b/pilot/pilot.c
@@ -1,8 +1,6 @@
 #include "pilot/pilot.h"
 
-#include "common/rate_limit_codec.h"
 #include "common/roster.h"
-#include "common/suspect_codec.h"
 #include "kernel/log.h"
 #include "kernel/plugin.h"
 #include "pilot/leader.h"
@@ -89,23 +87,6 @@
   return STATUS_OK;
 }
 
-static status_t
-pilot_create_gossip (pilot_t *pilot)
-{
-  status_t status;
-
-  pilot->gossip = gossip_create (pilot);
-  pilot->suspects = suspects_create (pilot, pilot->clock);
-  pilot->limits = rate_limits_create (pilot, pilot->clock);
-  if (pilot->gossip == NULL || pilot->suspects == NULL
-      || pilot->limits == NULL)
-    return STATUS_NO_MEMORY;
-  status = gossip_add_topic (pilot->gossip, &suspects_topic, pilot->suspects);
-  if (status != STATUS_OK)
-    return status;
-  return gossip_add_topic (pilot->gossip, &rate_limits_topic, pilot->limits);
-}
-
 static status_t
 pilot_set_up (pilot_t *pilot)
 {
@@ -114,10 +95,11 @@
                               .timeout = config->store_timeout };
   status_t status = pilot_find_plugins (pilot);
 
-  if (status == STATUS_OK)
-    status = pilot_create_gossip (pilot);
   if (status != STATUS_OK)
     return status;
+  pilot->gossip = gossip_create (pilot, pilot->clock);
+  if (pilot->gossip == NULL)
+    return STATUS_NO_MEMORY;
   pilot->store = pilot->store_ops->create (pilot->worker, &options);
   if (pilot->store == NULL)
     return STATUS_INVALID;
--- a/common/rate_limit_codec.c
+++ b/plugins/gossip/rate_limits.c
@@ -1,6 +1,7 @@
-#include "common/rate_limit_codec.h"
+#include "plugins/gossip.h"
 
 #include "common/rate_limits.h"
+#include "kernel/plugin.h"
 
 static uint64_t
 age_to_frame (int64_t age_ms)
@@ -24,7 +25,7 @@
 }
 
 static bool
-rate_limits_topic_take_news (void *table, TALLOC_CTX *parent, frame_t *frame)
+rate_limits_gossip_take_news (void *table, TALLOC_CTX *parent, frame_t *frame)
 {
   rate_limit_record_t record;
 
@@ -36,7 +37,7 @@
 }
 
 static bool
-rate_limits_topic_merge (void *table, TALLOC_CTX *parent, frame_t *frame)
+rate_limits_gossip_merge (void *table, TALLOC_CTX *parent, frame_t *frame)
 {
   const frame_rate_limit_t *body = &frame->body.rate_limit;
   rate_limit_record_t record = {
@@ -52,7 +53,7 @@
 }
 
 static frame_t *
-rate_limits_topic_list (void *table, TALLOC_CTX *parent, unsigned *count)
+rate_limits_gossip_list (void *table, TALLOC_CTX *parent, unsigned *count)
 {
   rate_limit_record_t *records = rate_limits_list (parent, table, count);
   frame_t *frames = talloc_array (parent, frame_t, *count);
@@ -64,9 +65,20 @@
   return frames;
 }
 
-const gossip_topic_ops_t rate_limits_topic = {
+static void *
+rate_limits_gossip_create (TALLOC_CTX *parent, const clock_source_t *clock)
+{
+  return rate_limits_create (parent, clock);
+}
+
+static const gossip_topic_ops_t rate_limits_gossip_ops = {
   .type = FRAME_RATE_LIMIT,
-  .take_news = rate_limits_topic_take_news,
-  .merge = rate_limits_topic_merge,
-  .list = rate_limits_topic_list,
+  .create = rate_limits_gossip_create,
+  .take_news = rate_limits_gossip_take_news,
+  .merge = rate_limits_gossip_merge,
+  .list = rate_limits_gossip_list,
 };
+
+PLUGIN_REGISTER (rate_limits_gossip, PLUGIN_GOSSIP, GOSSIP_RATE_LIMITS,
+                 "rate limits that upstreams have named",
+                 &rate_limits_gossip_ops);
--- a/common/suspect_codec.c
+++ b/plugins/gossip/suspects.c
@@ -1,6 +1,8 @@
-#include "common/suspect_codec.h"
+#include "plugins/gossip.h"
 
 #include "common/numbers.h"
+#include "common/suspects.h"
+#include "kernel/plugin.h"
 
 enum
 {
@@ -21,7 +23,7 @@
 }
 
 /* Set *FRAME to RECORD.  Its data is owned by PARENT.  */
-void
+static void
 suspect_to_frame (TALLOC_CTX *parent, const suspect_record_t *record,
                   frame_t *frame)
 {
@@ -45,7 +47,7 @@
 }
 
 /* Set *RECORD from BODY.  Returns STATUS_PROTOCOL if it is malformed.  */
-status_t
+static status_t
 suspect_from_frame (const frame_suspect_t *body, suspect_record_t *record)
 {
   TALLOC_CTX *scratch = talloc_new (NULL);
@@ -79,7 +81,7 @@
 }
 
 static bool
-suspects_topic_take_news (void *table, TALLOC_CTX *parent, frame_t *frame)
+suspects_gossip_take_news (void *table, TALLOC_CTX *parent, frame_t *frame)
 {
   suspect_record_t record;
 
@@ -90,7 +92,7 @@
 }
 
 static bool
-suspects_topic_merge (void *table, TALLOC_CTX *parent, frame_t *frame)
+suspects_gossip_merge (void *table, TALLOC_CTX *parent, frame_t *frame)
 {
   suspect_record_t record;
 
@@ -102,7 +104,7 @@
 }
 
 static frame_t *
-suspects_topic_list (void *table, TALLOC_CTX *parent, unsigned *count)
+suspects_gossip_list (void *table, TALLOC_CTX *parent, unsigned *count)
 {
   suspect_record_t *records = suspects_list (parent, table, count);
   frame_t *frames = talloc_array (parent, frame_t, *count);
@@ -114,9 +116,19 @@
   return frames;
 }
 
-const gossip_topic_ops_t suspects_topic = {
+static void *
+suspects_gossip_create (TALLOC_CTX *parent, const clock_source_t *clock)
+{
+  return suspects_create (parent, clock);
+}
+
+static const gossip_topic_ops_t suspects_gossip_ops = {
   .type = FRAME_SUSPECT,
-  .take_news = suspects_topic_take_news,
-  .merge = suspects_topic_merge,
-  .list = suspects_topic_list,
+  .create = suspects_gossip_create,
+  .take_news = suspects_gossip_take_news,
+  .merge = suspects_gossip_merge,
+  .list = suspects_gossip_list,
 };
+
+PLUGIN_REGISTER (suspects_gossip, PLUGIN_GOSSIP, GOSSIP_SUSPECTS,
+                 "prompt segments suspected of crashes", &suspects_gossip_ops);
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -1,9 +1,7 @@
 #include "relay/relay.h"
 
 #include "common/lease_key.h"
-#include "common/rate_limit_codec.h"
 #include "common/roster.h"
-#include "common/suspect_codec.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
 #include "kernel/plugin.h"
@@ -216,22 +214,14 @@
 static status_t
 relay_create_gossip (relay_t *relay)
 {
-  status_t status;
-
-  relay->gossip = gossip_create (relay);
-  relay->suspects = suspects_create (relay, relay->clock);
-  relay->limits = rate_limits_create (relay, relay->clock);
-  if (relay->gossip == NULL || relay->suspects == NULL
-      || relay->limits == NULL)
+  relay->gossip = gossip_create (relay, relay->clock);
+  if (relay->gossip == NULL)
     return STATUS_NO_MEMORY;
+  relay->suspects = gossip_table (relay->gossip, GOSSIP_SUSPECTS);
+  relay->limits = gossip_table (relay->gossip, GOSSIP_RATE_LIMITS);
   relay->crashes = crashes_create (relay, relay->clock, relay->suspects);
-  if (relay->crashes == NULL)
-    return STATUS_NO_MEMORY;
   fleet_set_rate_limits (relay->fleet, relay->limits);
-  status = gossip_add_topic (relay->gossip, &suspects_topic, relay->suspects);
-  if (status != STATUS_OK)
-    return status;
-  return gossip_add_topic (relay->gossip, &rate_limits_topic, relay->limits);
+  return relay->crashes == NULL ? STATUS_NO_MEMORY : STATUS_OK;
 }
 
 static status_t
--- a/tests/test_rate_limits.c
+++ b/tests/test_rate_limits.c
@@ -2,8 +2,9 @@
    relays send must keep to the limit and come close to it, however many relays
    there are and whichever of them heard of it first.  */
 
-#include "common/rate_limit_codec.h"
 #include "common/rate_limits.h"
+#include "kernel/plugin.h"
+#include "plugins/gossip.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -66,10 +67,12 @@
 static void
 gossip (fixture_t *fixture, unsigned from)
 {
+  const gossip_topic_ops_t *topic
+      = plugin_ops (PLUGIN_GOSSIP, GOSSIP_RATE_LIMITS);
   TALLOC_CTX *scratch = talloc_new (fixture);
   frame_t frame;
 
-  while (rate_limits_topic.take_news (fixture->relays[from], scratch, &frame))
+  while (topic->take_news (fixture->relays[from], scratch, &frame))
     {
       size_t size;
       char *encoded = frame_encode (scratch, &frame, &size);
@@ -81,7 +84,7 @@
       for (unsigned i = 0; i < fixture->relay_count; i++)
         {
           if (i != from)
-            rate_limits_topic.merge (fixture->relays[i], scratch, &decoded);
+            topic->merge (fixture->relays[i], scratch, &decoded);
         }
     }
   talloc_free (scratch);
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -2,8 +2,9 @@
    stopped, harmless ones must not be blamed for what others did, and records
    that come late, twice or through a codec must not change the result.  */
 
-#include "common/suspect_codec.h"
 #include "common/suspects.h"
+#include "kernel/plugin.h"
+#include "plugins/gossip.h"
 #include "relay/crashes.h"
 
 #include <setjmp.h>
@@ -93,10 +94,12 @@
 static void
 gossip (fixture_t *fixture, unsigned copies)
 {
+  const gossip_topic_ops_t *topic
+      = plugin_ops (PLUGIN_GOSSIP, GOSSIP_SUSPECTS);
   TALLOC_CTX *scratch = talloc_new (fixture);
   frame_t frame;
 
-  while (suspects_topic.take_news (fixture->suspects, scratch, &frame))
+  while (topic->take_news (fixture->suspects, scratch, &frame))
     {
       for (unsigned i = 0; i < copies; i++)
         {
@@ -108,8 +111,8 @@
                                           encoded + FRAME_PREFIX_BYTES,
                                           size - FRAME_PREFIX_BYTES, &decoded),
                             STATUS_OK);
-          assert_int_equal (
-              suspects_topic.merge (fixture->peer, scratch, &decoded), i == 0);
+          assert_int_equal (topic->merge (fixture->peer, scratch, &decoded),
+                            i == 0);
         }
     }
   talloc_free (scratch);
