Pass on gossip only when it is news at its sender

Cause: merging says what is new here, not what is new at all. Frames of records that have just changed are marked now, and only these are passed on. What a relay has missed reaches it by repeats, which pilots send as well, to one relay at a time, 8 records of a topic every 2 s. test_repeats_are_learned_and_not_ passed_on fails with the merge as it was before.

--- a/include/common/gossip.h
+++ b/include/common/gossip.h
@@ -8,11 +8,18 @@
 
 /* What relays learn and tell each other through the pilots.  A relay sends its
    news to a few pilots; a pilot keeps it and passes it on to all relays, also
-   to those that connect later.  Each kind of news is a topic, a plug-in with a
-   table of its own, whose records are merged in any order and any number of
-   times.  */
+   to those that connect later.  Both also repeat some of what they know to one
+   peer at a time, for those that have missed the news.  Each kind of news is a
+   topic, a plug-in with a table of its own, whose records are merged in any
+   order and any number of times.  */
 typedef struct gossip gossip_t;
 
+enum
+{
+  GOSSIP_REPEAT_INTERVAL_MS = 2000,
+  GOSSIP_REPEAT_RECORDS = 8 /* of each topic at a time */
+};
+
 /* Create a table for each topic that is linked in.  Returns NULL when memory
    is exhausted.  */
 gossip_t *gossip_create (TALLOC_CTX *parent, const clock_source_t *clock);
--- a/pilot/pilot_server.c
+++ b/pilot/pilot_server.c
@@ -20,7 +20,7 @@
 /* A connection from a relay or a leader.  */
 typedef struct client
 {
-  LIST_ENTRY (client) entry;
+  TAILQ_ENTRY (client) entry;
   pilot_server_t *server;
   link_t *link;
   bool is_leader;           /* it has sent a leader's frame */
@@ -39,7 +39,7 @@
   pilot_t *pilot;
   listener_t *listener;
   char *address;
-  LIST_HEAD (, client) clients;
+  TAILQ_HEAD (, client) clients;  /* next to get gossip first */
   struct timespec leader_seen_at; /* last frame of a leader, or the start of
                                      this process */
   uint64_t leader_term;           /* highest term of a leader seen */
@@ -48,6 +48,7 @@
   uint64_t granted_version;
   /* Permits are granted only to leaders of this term or a later one.  */
   uint64_t min_permit_term;
+  unsigned repeats; /* of gossip, so far */
 };
 
 /* A command or query forwarded to the engine for a client, which may
@@ -66,7 +67,7 @@
 {
   client_t *client;
 
-  LIST_FOREACH (client, &request->server->clients, entry)
+  TAILQ_FOREACH (client, &request->server->clients, entry)
     {
       if (link_is_open (client->link)
           && link_peer_incarnation (client->link) == request->incarnation)
@@ -231,6 +232,13 @@
     talloc_free (request);
 }
 
+static bool
+client_is_relay (const client_t *client)
+{
+  return link_is_open (client->link)
+         && link_peer_role (client->link) == NODE_ENTRY;
+}
+
 /* Send FRAME to all relays, except NOT_TO.  */
 static void
 server_broadcast (const pilot_server_t *server, const frame_t *frame,
@@ -238,10 +246,9 @@
 {
   const client_t *client;
 
-  LIST_FOREACH (client, &server->clients, entry)
+  TAILQ_FOREACH (client, &server->clients, entry)
     {
-      if (client != not_to && link_is_open (client->link)
-          && link_peer_role (client->link) == NODE_ENTRY)
+      if (client != not_to && client_is_relay (client))
         link_send (client->link, frame);
     }
 }
@@ -261,6 +268,38 @@
   talloc_free (scratch);
 }
 
+/* Return the relay that has been waiting longest for its turn, or NULL.  It
+   becomes the last.  */
+static client_t *
+server_next_relay (pilot_server_t *server)
+{
+  client_t *client;
+
+  TAILQ_FOREACH (client, &server->clients, entry)
+    {
+      if (!client_is_relay (client))
+        continue;
+      TAILQ_REMOVE (&server->clients, client, entry);
+      TAILQ_INSERT_TAIL (&server->clients, client, entry);
+      return client;
+    }
+  return NULL;
+}
+
+static void
+server_handle_repeat (worker_t *worker, void *data)
+{
+  pilot_server_t *server = data;
+  const client_t *client = server_next_relay (server);
+
+  if (client != NULL)
+    gossip_send_some (server->pilot->gossip, client->link, server->repeats++,
+                      GOSSIP_REPEAT_RECORDS);
+  worker_timer_start (worker, server,
+                      timespec_from_ms (GOSSIP_REPEAT_INTERVAL_MS),
+                      server_handle_repeat, server);
+}
+
 /* Tell the relays that the engine has ended.  */
 void
 pilot_server_push_engine_lost (pilot_server_t *server)
@@ -317,7 +356,7 @@
 
   log_event (LOG_LEVEL_NOTICE, "peer-closed", "peer=%s leader=%d reason=%s",
              link_peer_name (link), client->is_leader, reason);
-  LIST_REMOVE (client, entry);
+  TAILQ_REMOVE (&client->server->clients, client, entry);
   talloc_free (client);
 }
 
@@ -347,7 +386,7 @@
       talloc_free (client);
       return;
     }
-  LIST_INSERT_HEAD (&server->clients, client, entry);
+  TAILQ_INSERT_TAIL (&server->clients, client, entry);
 }
 
 /* Listens on ADDRESS_TEXT.  Returns NULL with the status message set on
@@ -368,7 +407,7 @@
     }
   server->pilot = pilot;
   server->leader_seen_at = pilot_now (pilot);
-  LIST_INIT (&server->clients);
+  TAILQ_INIT (&server->clients);
   server->listener
       = transport_listen (node_transport (pilot->node), pilot->worker,
                           &address, &port, server_on_accept, server);
@@ -378,6 +417,9 @@
       return NULL;
     }
   server->address = talloc_asprintf (server, "%s:%u", address.host, port);
+  worker_timer_start (pilot->worker, server,
+                      timespec_from_ms (GOSSIP_REPEAT_INTERVAL_MS),
+                      server_handle_repeat, server);
   log_event (LOG_LEVEL_NOTICE, "frames-listening", "port=%u", port);
   return server;
 }
@@ -398,7 +440,7 @@
 {
   client_t *client;
 
-  LIST_FOREACH (client, &server->clients, entry)
+  TAILQ_FOREACH (client, &server->clients, entry)
     {
       client->is_polled = true;
       client->poll_after_ticket = client->finished_ticket;
@@ -439,7 +481,7 @@
   client_t *client;
   frame_t frame;
 
-  LIST_FOREACH (client, &server->clients, entry)
+  TAILQ_FOREACH (client, &server->clients, entry)
     {
       if (!client_needs_report (client, report, now))
         continue;
--- a/plugins/gossip/rate_limits.c
+++ b/plugins/gossip/rate_limits.c
@@ -33,6 +33,7 @@
   if (!rate_limits_take_news (table, &record))
     return false;
   rate_limit_to_frame (&record, frame);
+  frame->body.rate_limit.is_news = true;
   return true;
 }
 
@@ -49,7 +50,7 @@
   };
 
   (void)parent;
-  return rate_limits_merge (table, &record);
+  return rate_limits_merge (table, &record) && body->is_news;
 }
 
 static frame_t *
--- a/plugins/gossip/suspects.c
+++ b/plugins/gossip/suspects.c
@@ -88,19 +88,22 @@
   if (!suspects_take_news (table, &record))
     return false;
   suspect_to_frame (parent, &record, frame);
+  frame->body.suspect.is_news = true;
   return true;
 }
 
 static bool
 suspects_gossip_merge (void *table, TALLOC_CTX *parent, frame_t *frame)
 {
+  bool is_news = frame->body.suspect.is_news;
   suspect_record_t record;
 
   if (suspect_from_frame (&frame->body.suspect, &record) != STATUS_OK
       || !suspects_merge (table, &record))
     return false;
   suspect_to_frame (parent, &record, frame);
-  return true;
+  frame->body.suspect.is_news = is_news;
+  return is_news;
 }
 
 static frame_t *
--- a/relay/feed.c
+++ b/relay/feed.c
@@ -13,11 +13,7 @@
   RECONNECT_MIN_MS = 700,
   RECONNECT_MAX_MS = 5000,
   /* Pilots that get a piece of news; some may be cut off from other relays. */
-  NEWS_COPIES = 3,
-  /* Some records are sent to one pilot each time, in turn, for relays that
-     have missed the news.  */
-  REPEAT_INTERVAL_MS = 2000,
-  REPEAT_MAX_RECORDS = 16
+  NEWS_COPIES = 3
 };
 
 GAUGE_DEFINE (pilots_connected, "siskin_feed_pilots", "Connections to pilots");
@@ -314,8 +310,9 @@
 
   if (pilot != NULL)
     gossip_send_some (feed->relay->gossip, pilot->link, feed->repeats++,
-                      REPEAT_MAX_RECORDS);
-  worker_timer_start (worker, feed, timespec_from_ms (REPEAT_INTERVAL_MS),
+                      GOSSIP_REPEAT_RECORDS);
+  worker_timer_start (worker, feed,
+                      timespec_from_ms (GOSSIP_REPEAT_INTERVAL_MS),
                       feed_handle_repeat, feed);
 }
 
@@ -332,7 +329,7 @@
   TAILQ_INIT (&feed->pilots);
   feed->news_task.run = feed_run_news;
   worker_timer_start (feed->worker, feed,
-                      timespec_from_ms (REPEAT_INTERVAL_MS),
+                      timespec_from_ms (GOSSIP_REPEAT_INTERVAL_MS),
                       feed_handle_repeat, feed);
   return feed;
 }
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -255,6 +255,26 @@
   assert_int_equal (check (fixture->peer, sound_prompt), SUSPECT_ADMITTED);
 }
 
+/* Otherwise each pilot would send a record to all relays once it hears of
+   it.  */
+static void
+test_repeats_are_learned_and_not_passed_on (void **state)
+{
+  fixture_t *fixture = *state;
+  const gossip_topic_ops_t *topic
+      = plugin_ops (PLUGIN_GOSSIP, GOSSIP_SUSPECTS);
+  frame_t *frames;
+  unsigned count;
+
+  answer (fixture, sound_prompt);
+  crash (fixture, guilty_prompt);
+  crash (fixture, guilty_prompt);
+  frames = topic->list (fixture->suspects, fixture, &count);
+  assert_int_equal (count, 1);
+  assert_false (topic->merge (fixture->peer, fixture, &frames[0]));
+  assert_int_equal (check (fixture->peer, guilty_prompt), SUSPECT_QUARANTINED);
+}
+
 /* Each process has room for the last crashes only.  */
 static void
 test_full_records_converge (void **state)
@@ -400,6 +420,8 @@
     cmocka_unit_test_setup_teardown (
         test_peers_learn_from_each_other_whatever_comes_twice, set_up,
         tear_down),
+    cmocka_unit_test_setup_teardown (
+        test_repeats_are_learned_and_not_passed_on, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_full_records_converge, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_suspicion_expires, set_up,
