--- a/common/frame.c
+++ b/common/frame.c
@@ -179,12 +179,12 @@
   [FRAME_ENGINE_LOST] = { "engine-lost", { STRING (engine_lost.upstream) } },
   [FRAME_SUSPECT]
   = { "suspect",
-      { BOOLEAN (suspect.is_news), UNSIGNED (suspect.segment, 0),
+      { BOOLEAN (suspect.is_update), UNSIGNED (suspect.segment, 0),
         UNSIGNED (suspect.answered_age_ms, 0),
-        UNSIGNED (suspect.trial_age_ms, 0), BLOB (suspect.crashes) } },
+        UNSIGNED (suspect.probe_age_ms, 0), BLOB (suspect.crashes) } },
   [FRAME_RATE_LIMIT]
   = { "rate-limit",
-      { BOOLEAN (rate_limit.is_news), UNSIGNED (rate_limit.upstream, 0),
+      { BOOLEAN (rate_limit.is_update), UNSIGNED (rate_limit.upstream, 0),
         BOOLEAN (rate_limit.is_limited),
         UNSIGNED (rate_limit.limit_permille, INT64_MAX),
         UNSIGNED (rate_limit.seen_age_ms, INT32_MAX),
--- a/common/gossip.c
+++ b/common/gossip.c
@@ -77,20 +77,20 @@
 /* Take a record of any topic that this process has changed since it was last
    taken.  */
 bool
-gossip_take_news (const gossip_t *gossip, TALLOC_CTX *parent, frame_t *frame)
+gossip_take_update (const gossip_t *gossip, TALLOC_CTX *parent, frame_t *frame)
 {
   const gossip_topic_t *topic;
 
   SLIST_FOREACH (topic, &gossip->topics, link)
     {
-      if (topic->ops->take_news (topic->table, parent, frame))
+      if (topic->ops->take_update (topic->table, parent, frame))
         return true;
     }
   return false;
 }
 
-/* Merge *FRAME if it belongs to a topic.  Returns whether it was news here and
-   should be passed on.  */
+/* Merge *FRAME if it belongs to a topic.  Returns whether it should be
+   passed on.  */
 bool
 gossip_merge (const gossip_t *gossip, TALLOC_CTX *parent, frame_t *frame)
 {
--- a/common/rate_limits.c
+++ b/common/rate_limits.c
@@ -17,7 +17,7 @@
   /* An upstream gets at least this many requests in all, in thousandths a
      second: only its responses show that its need is over.  */
   LIMIT_MIN = 100,
-  CHANGE_DIVISOR = 20, /* smaller changes of a limit are no news */
+  CHANGE_DIVISOR = 20, /* smaller changes of a limit are ignored */
   MS_PER_S = 1000,
   US_PER_S = 1000000
 };
@@ -29,14 +29,14 @@
 {
   table_node_t node;
   TAILQ_ENTRY (rate_limit) link; /* least recently changed first */
-  TAILQ_ENTRY (rate_limit) news_link;
+  TAILQ_ENTRY (rate_limit) update_link;
   uint64_t upstream;
   bool is_limited;
   uint64_t limit; /* in units */
   struct timespec seen_at;
   struct timespec since;
   struct timespec used_slot; /* time of the last slot that was used */
-  bool is_news;
+  bool is_update; /* it is in UPDATES */
 } rate_limit_t;
 
 struct rate_limits
@@ -44,7 +44,7 @@
   const clock_source_t *clock;
   table_t *table; /* by upstream; its lock protects everything */
   TAILQ_HEAD (rate_limit_list, rate_limit) all;
-  struct rate_limit_list news;
+  struct rate_limit_list updates;
 };
 
 /* Create an empty table.  Returns NULL when memory is exhausted.  */
@@ -58,7 +58,7 @@
   limits->clock = clock;
   limits->table = table_create (limits, LOCK_RATE_LIMITS, "rate-limits");
   TAILQ_INIT (&limits->all);
-  TAILQ_INIT (&limits->news);
+  TAILQ_INIT (&limits->updates);
   return limits;
 }
 
@@ -87,8 +87,8 @@
 rate_limit_free (rate_limits_t *limits, rate_limit_t *limit)
 {
   TAILQ_REMOVE (&limits->all, limit, link);
-  if (limit->is_news)
-    TAILQ_REMOVE (&limits->news, limit, news_link);
+  if (limit->is_update)
+    TAILQ_REMOVE (&limits->updates, limit, update_link);
   table_remove (limits->table, &limit->node);
   talloc_free (limit);
 }
@@ -188,31 +188,31 @@
 {
   struct timespec now = clock_monotonic (limits->clock);
   rate_limit_t *known = rate_limit_find (limits, upstream);
-  bool is_news;
+  bool is_update;
 
   if (known == NULL && limit >= 0)
     known = rate_limit_add (limits, upstream);
   if (known == NULL)
     return false;
-  is_news = limit < 0 ? rate_limit_lift (limits, known, now)
-                      : rate_limit_set (limits, known, limit_units (limit),
-                                        now, now);
-  if (is_news && !known->is_news)
-    TAILQ_INSERT_TAIL (&limits->news, known, news_link);
-  known->is_news = known->is_news || is_news;
-  return is_news;
+  is_update = limit < 0 ? rate_limit_lift (limits, known, now)
+                        : rate_limit_set (limits, known, limit_units (limit),
+                                          now, now);
+  if (is_update && !known->is_update)
+    TAILQ_INSERT_TAIL (&limits->updates, known, update_link);
+  known->is_update = known->is_update || is_update;
+  return is_update;
 }
 
 /* Record the limit that a response of UPSTREAM named.  */
 bool
 rate_limits_record (rate_limits_t *limits, uint64_t upstream, double limit)
 {
-  bool is_news;
+  bool is_update;
 
   table_lock (limits->table);
-  is_news = rate_limits_record_locked (limits, upstream, limit);
+  is_update = rate_limits_record_locked (limits, upstream, limit);
   table_unlock (limits->table);
-  return is_news;
+  return is_update;
 }
 
 /* Return whether LIMIT is in force at NOW.  */
@@ -250,8 +250,8 @@
          / US_PER_S;
 }
 
-/* Find the oldest own slot of LIMIT that may still be used at NOW and set
- *SLOT_S to it, in seconds since the limit was first named.  */
+/* Find the oldest own slot of LIMIT that may still be used at NOW.  SLOT_S is
+   set to it, in seconds since the limit was first named.  */
 static bool
 rate_limit_find_slot (const rate_limit_t *limit, const rate_share_t *share,
                       struct timespec now, double *slot_s)
@@ -320,16 +320,16 @@
 
 /* Take a record that has changed since it was last taken.  */
 bool
-rate_limits_take_news (rate_limits_t *limits, rate_limit_record_t *record)
+rate_limits_take_update (rate_limits_t *limits, rate_limit_record_t *record)
 {
   rate_limit_t *limit;
 
   table_lock (limits->table);
-  limit = TAILQ_FIRST (&limits->news);
+  limit = TAILQ_FIRST (&limits->updates);
   if (limit != NULL)
     {
-      TAILQ_REMOVE (&limits->news, limit, news_link);
-      limit->is_news = false;
+      TAILQ_REMOVE (&limits->updates, limit, update_link);
+      limit->is_update = false;
       rate_limit_to_record (limit, clock_monotonic (limits->clock), record);
     }
   table_unlock (limits->table);
--- a/common/suspect_history.c
+++ b/common/suspect_history.c
@@ -6,14 +6,13 @@
   /* Crashes closer to each other may have the same cause: replicas that share
      a power supply or a group crash together.  */
   SAME_CAUSE_MS = 300,
-  /* Sums of suspect_weight_t from which on a segment is quarantined.  A
-     segment that has been answered before is more likely at the scene by
-     chance.  */
-  GUILT_UNKNOWN = 4,
-  GUILT_ANSWERED_BEFORE = 8,
+  /* Scores from which on a segment is quarantined.  One that has been answered
+     before is more likely to be in use at a crash by chance.  */
+  SCORE_LIMIT = 4,
+  SCORE_LIMIT_ANSWERED = 8,
   QUARANTINE_MIN_MS = 30000,
   QUARANTINE_MAX_MS = 240000,
-  TRIAL_MS = 2000 /* a response begins within this time, or not at all */
+  PROBE_MS = 2000 /* a response begins within this time, or not at all */
 };
 
 static int64_t
@@ -58,8 +57,8 @@
 }
 
 /* Return whether CRASH counts as the same as KNOWN.  A segment that is often
-   used is at the scene of each of several crashes at once by chance, but not
-   one that a response was begun for and that was never answered.  */
+   used is in use at each of several crashes at once by chance.  That does not
+   hold for one that was never answered and that a response was begun for.  */
 static bool
 history_is_same_crash (const suspect_history_t *history,
                        const segment_crash_t *known,
@@ -75,8 +74,8 @@
   return apart_ms > -SAME_CAUSE_MS && apart_ms < SAME_CAUSE_MS;
 }
 
-/* Return whether CRASH says nothing about the segment any more: an answer has
-   refuted it, or there is no room for one that is older than all others.  */
+/* Return whether CRASH says nothing about the segment any more: an answer
+   came later, or there is no room for one that is older than all others.  */
 static bool
 history_is_past (const suspect_history_t *history,
                  const segment_crash_t *crash)
@@ -106,7 +105,7 @@
   return true;
 }
 
-/* Forget the crashes that an answer has refuted or that are too long ago.  */
+/* Forget the crashes before the last answer and those too long ago.  */
 bool
 suspect_history_forget (suspect_history_t *history, struct timespec now)
 {
@@ -123,67 +122,68 @@
   return is_changed;
 }
 
-/* Return the guilt of the segment.  */
-segment_guilt_t
-suspect_history_guilt (const suspect_history_t *history)
+/* Return how strongly the segment is suspected.  */
+segment_score_t
+suspect_history_score (const suspect_history_t *history)
 {
-  segment_guilt_t guilt = { .limit = suspect_history_was_answered (history)
-                                         ? GUILT_ANSWERED_BEFORE
-                                         : GUILT_UNKNOWN };
+  segment_score_t score = { .limit = suspect_history_was_answered (history)
+                                         ? SCORE_LIMIT_ANSWERED
+                                         : SCORE_LIMIT };
 
   for (unsigned i = 0; i < history->crash_count; i++)
     {
-      if (guilt.sum >= guilt.limit)
-        guilt.surplus++;
-      guilt.sum += history->crashes[i].weight;
-      guilt.last_crash = history->crashes[i].at;
+      if (score.sum >= score.limit)
+        score.surplus++;
+      score.sum += history->crashes[i].weight;
+      score.last_crash = history->crashes[i].at;
     }
-  return guilt;
+  return score;
 }
 
-/* Return the end of the quarantine of a segment with GUILT.  */
+/* Return the end of the quarantine of a segment with SCORE.  */
 static struct timespec
-guilt_quarantine_end (const segment_guilt_t *guilt)
+score_quarantine_end (const segment_score_t *score)
 {
   int64_t duration_ms = QUARANTINE_MIN_MS;
 
-  for (unsigned i = 0; i < guilt->surplus && duration_ms < QUARANTINE_MAX_MS;
+  for (unsigned i = 0; i < score->surplus && duration_ms < QUARANTINE_MAX_MS;
        i++)
     duration_ms *= 2;
-  return timespec_add (guilt->last_crash, timespec_from_ms (duration_ms));
+  return timespec_add (score->last_crash, timespec_from_ms (duration_ms));
 }
 
-/* Return whether requests with the segment may be sent only one at a time: it
-   is guilty, or suspected and not known to be harmless.  */
+/* Return whether requests with the segment may be sent only one at a time, as
+   probes: its score has reached the limit, or it is suspected and was never
+   answered.  */
 bool
-suspect_history_needs_trial (const suspect_history_t *history)
+suspect_history_needs_probe (const suspect_history_t *history)
 {
-  segment_guilt_t guilt = suspect_history_guilt (history);
+  segment_score_t score = suspect_history_score (history);
 
-  return guilt.sum >= guilt.limit
-         || (guilt.sum > 0 && !suspect_history_was_answered (history));
+  return score.sum >= score.limit
+         || (score.sum > 0 && !suspect_history_was_answered (history));
 }
 
-/* Return whether a request with the segment may be sent at NOW.
- *RETRY_AFTER is set to the rest of its quarantine.  */
+/* Return whether a request with the segment may be sent at NOW, and set
+ *RETRY_AFTER to the rest of its quarantine.  */
 suspect_verdict_t
 suspect_history_check (const suspect_history_t *history, struct timespec now,
                        struct timespec *retry_after)
 {
-  segment_guilt_t guilt = suspect_history_guilt (history);
+  segment_score_t score = suspect_history_score (history);
 
-  if (!suspect_history_needs_trial (history))
+  if (!suspect_history_needs_probe (history))
     return SUSPECT_ADMITTED;
-  if (guilt.sum >= guilt.limit)
+  if (score.sum >= score.limit)
     {
-      *retry_after = timespec_subtract (guilt_quarantine_end (&guilt), now);
+      *retry_after = timespec_subtract (score_quarantine_end (&score), now);
       if (timespec_to_us (*retry_after) > 0)
         return SUSPECT_QUARANTINED;
     }
-  if (!timespec_is_zero (history->trial_at)
-      && ms_between (history->trial_at, now) < TRIAL_MS
-      && timespec_compare (guilt.last_crash, history->trial_at) <= 0)
-    return SUSPECT_ON_TRIAL;
+  if (!timespec_is_zero (history->probed_at)
+      && ms_between (history->probed_at, now) < PROBE_MS
+      && timespec_compare (score.last_crash, history->probed_at) <= 0)
+    return SUSPECT_PROBED;
   return SUSPECT_ADMITTED;
 }
 
@@ -222,7 +222,7 @@
   *record = (suspect_record_t){
     .segment = history->segment,
     .answered_age_ms = age_of (now, history->answered_at),
-    .trial_age_ms = age_of (now, history->trial_at),
+    .probe_age_ms = age_of (now, history->probed_at),
     .crash_count = history->crash_count,
   };
   for (unsigned i = 0; i < history->crash_count; i++)
@@ -257,7 +257,7 @@
 suspect_history_merge (suspect_history_t *history,
                        const suspect_record_t *record, struct timespec now)
 {
-  struct timespec trial_at = time_from_age (now, record->trial_age_ms);
+  struct timespec probed_at = time_from_age (now, record->probe_age_ms);
   bool is_changed = !suspect_history_was_answered (history)
                     && record->answered_age_ms != SUSPECT_NEVER;
 
@@ -265,9 +265,9 @@
              time_from_age (now, record->answered_age_ms));
   is_changed = suspect_history_forget (history, now) || is_changed;
   is_changed = history_merge_crashes (history, record, now) || is_changed;
-  /* The age of a trial differs a little on each way that it comes.  */
-  is_changed
-      = is_changed || ms_between (history->trial_at, trial_at) > SAME_CAUSE_MS;
-  set_later (&history->trial_at, trial_at);
+  /* The age of a probe differs a little on each way that it comes.  */
+  is_changed = is_changed
+               || ms_between (history->probed_at, probed_at) > SAME_CAUSE_MS;
+  set_later (&history->probed_at, probed_at);
   return is_changed;
 }
--- a/common/suspects.c
+++ b/common/suspects.c
@@ -20,9 +20,9 @@
 {
   table_node_t node;
   TAILQ_ENTRY (suspect) link; /* in ANSWERED or SUSPECTED */
-  TAILQ_ENTRY (suspect) news_link;
+  TAILQ_ENTRY (suspect) update_link;
   suspect_history_t history;
-  bool is_news;
+  bool is_update; /* it is in UPDATES */
   bool is_counted; /* its quarantine, in the metrics */
 } suspect_t;
 
@@ -37,7 +37,7 @@
   unsigned answered_count;
   struct suspect_list suspected; /* with crashes */
   unsigned suspected_count;
-  struct suspect_list news;
+  struct suspect_list updates;
 };
 
 /* Create an empty table.  Returns NULL when memory is exhausted.  */
@@ -52,7 +52,7 @@
   suspects->table = table_create (suspects, LOCK_SUSPECTS, "suspects");
   TAILQ_INIT (&suspects->answered);
   TAILQ_INIT (&suspects->suspected);
-  TAILQ_INIT (&suspects->news);
+  TAILQ_INIT (&suspects->updates);
   return suspects;
 }
 
@@ -107,8 +107,8 @@
 suspect_free (suspects_t *suspects, suspect_t *suspect)
 {
   suspect_unlink (suspects, suspect);
-  if (suspect->is_news)
-    TAILQ_REMOVE (&suspects->news, suspect, news_link);
+  if (suspect->is_update)
+    TAILQ_REMOVE (&suspects->updates, suspect, update_link);
   table_remove (suspects->table, &suspect->node);
   talloc_free (suspect);
 }
@@ -146,25 +146,25 @@
 }
 
 static void
-suspect_set_news (suspects_t *suspects, suspect_t *suspect)
+suspect_set_updated (suspects_t *suspects, suspect_t *suspect)
 {
-  if (suspect->is_news)
+  if (suspect->is_update)
     return;
-  suspect->is_news = true;
-  TAILQ_INSERT_TAIL (&suspects->news, suspect, news_link);
+  suspect->is_update = true;
+  TAILQ_INSERT_TAIL (&suspects->updates, suspect, update_link);
 }
 
 static void
 suspect_log (suspect_t *suspect)
 {
-  segment_guilt_t guilt = suspect_history_guilt (&suspect->history);
-  bool is_proved = guilt.sum >= guilt.limit;
+  segment_score_t score = suspect_history_score (&suspect->history);
+  bool is_proved = score.sum >= score.limit;
 
   log_event (LOG_LEVEL_NOTICE, "segment-suspected",
-             "segment=%llx crashes=%u guilt=%llu limit=%llu",
+             "segment=%llx crashes=%u score=%llu limit=%llu",
              (unsigned long long)suspect->history.segment,
-             suspect->history.crash_count, (unsigned long long)guilt.sum,
-             (unsigned long long)guilt.limit);
+             suspect->history.crash_count, (unsigned long long)score.sum,
+             (unsigned long long)score.limit);
   if (is_proved && !suspect->is_counted)
     counter_add (&quarantines, 1);
   suspect->is_counted = is_proved;
@@ -195,7 +195,7 @@
                        unsigned count, suspect_weight_t weight)
 {
   segment_crash_t entry = { .id = crash, .at = at, .weight = weight };
-  bool is_news = false;
+  bool is_update = false;
 
   table_lock (suspects->table);
   for (unsigned i = 0; i < count; i++)
@@ -205,12 +205,12 @@
       if (suspect == NULL || !suspect_add_crash (suspects, suspect, &entry))
         continue;
       suspect_log (suspect);
-      suspect_set_news (suspects, suspect);
-      is_news = true;
+      suspect_set_updated (suspects, suspect);
+      is_update = true;
     }
   suspects_trim (suspects);
   table_unlock (suspects->table);
-  return is_news;
+  return is_update;
 }
 
 /* An upstream has answered a prompt with SUSPECT at NOW.  Returns whether that
@@ -238,7 +238,7 @@
                         unsigned count)
 {
   struct timespec now = clock_monotonic (suspects->clock);
-  bool is_news = false;
+  bool is_update = false;
 
   table_lock (suspects->table);
   for (unsigned i = 0; i < count; i++)
@@ -247,35 +247,35 @@
 
       if (suspect == NULL || !suspect_record_answer (suspects, suspect, now))
         continue;
-      suspect_set_news (suspects, suspect);
-      is_news = true;
+      suspect_set_updated (suspects, suspect);
+      is_update = true;
     }
   suspects_trim (suspects);
   table_unlock (suspects->table);
-  return is_news;
+  return is_update;
 }
 
-/* Record that a prompt with the COUNT SEGMENTS is sent: it is the trial of
-   those that need one.  */
+/* Record that a prompt with the COUNT SEGMENTS is sent: it probes those that
+   need it.  */
 bool
 suspects_record_sent (suspects_t *suspects, const uint64_t *segments,
                       unsigned count)
 {
-  bool is_news = false;
+  bool is_update = false;
 
   table_lock (suspects->table);
   for (unsigned i = 0; i < count && suspects->suspected_count > 0; i++)
     {
       suspect_t *suspect = suspect_find (suspects, segments[i]);
 
-      if (suspect == NULL || !suspect_history_needs_trial (&suspect->history))
+      if (suspect == NULL || !suspect_history_needs_probe (&suspect->history))
         continue;
-      suspect->history.trial_at = clock_monotonic (suspects->clock);
-      suspect_set_news (suspects, suspect);
-      is_news = true;
+      suspect->history.probed_at = clock_monotonic (suspects->clock);
+      suspect_set_updated (suspects, suspect);
+      is_update = true;
     }
   table_unlock (suspects->table);
-  return is_news;
+  return is_update;
 }
 
 /* Forget crashes of SUSPECT that are too long ago.  */
@@ -313,7 +313,8 @@
   return worst;
 }
 
-/* Merge RECORD into SUSPECT.  Returns whether it was news.  */
+/* Merge RECORD into SUSPECT.  Returns whether anything has
+   changed.  */
 static bool
 suspect_merge (suspects_t *suspects, suspect_t *suspect,
                const suspect_record_t *record, struct timespec now)
@@ -321,10 +322,10 @@
   unsigned crashes = suspect->history.crash_count;
   bool is_changed;
 
-  /* The sender would judge the segment otherwise if it knew this.  */
+  /* The sender has a lower limit for the score if it does not know this.  */
   if (suspect_history_was_answered (&suspect->history)
       && record->answered_age_ms == SUSPECT_NEVER)
-    suspect_set_news (suspects, suspect);
+    suspect_set_updated (suspects, suspect);
   suspect_unlink (suspects, suspect);
   is_changed = suspect_history_merge (&suspect->history, record, now);
   suspect_link (suspects, suspect);
@@ -333,8 +334,8 @@
   return is_changed;
 }
 
-/* Merge *RECORD, what another process knows.  Returns whether any of it was
-   news here, and then sets *RECORD to the sum.  */
+/* Merge *RECORD, what another process knows.  Returns whether anything has
+   changed here, and then sets *RECORD to the sum.  */
 bool
 suspects_merge (suspects_t *suspects, suspect_record_t *record)
 {
@@ -355,16 +356,16 @@
 
 /* Take a record that has changed since it was last taken.  */
 bool
-suspects_take_news (suspects_t *suspects, suspect_record_t *record)
+suspects_take_update (suspects_t *suspects, suspect_record_t *record)
 {
   suspect_t *suspect;
 
   table_lock (suspects->table);
-  suspect = TAILQ_FIRST (&suspects->news);
+  suspect = TAILQ_FIRST (&suspects->updates);
   if (suspect != NULL)
     {
-      TAILQ_REMOVE (&suspects->news, suspect, news_link);
-      suspect->is_news = false;
+      TAILQ_REMOVE (&suspects->updates, suspect, update_link);
+      suspect->is_update = false;
       suspect_history_to_record (&suspect->history,
                                  clock_monotonic (suspects->clock), record);
     }
@@ -387,7 +388,7 @@
   if (records != NULL)
     TAILQ_FOREACH (suspect, &suspects->suspected, link)
       {
-        if (suspect_history_needs_trial (&suspect->history))
+        if (suspect_history_needs_probe (&suspect->history))
           suspect_history_to_record (&suspect->history, now,
                                      &records[(*count)++]);
       }
--- a/include/common/frame.h
+++ b/include/common/frame.h
@@ -356,17 +356,17 @@
 /* See suspect_record_t.  Ages are in milliseconds; UINT64_MAX: never.  */
 typedef struct frame_suspect
 {
-  bool is_news; /* it has just changed at the sender; pilots pass it on */
+  bool is_update; /* it has just changed at the sender; pilots pass it on */
   uint64_t segment;
   uint64_t answered_age_ms;
-  uint64_t trial_age_ms;
+  uint64_t probe_age_ms;
   blob_t crashes; /* id, age and weight of each; see numbers_encode */
 } frame_suspect_t;
 
 /* See rate_limit_record_t.  */
 typedef struct frame_rate_limit
 {
-  bool is_news; /* as in frame_suspect_t */
+  bool is_update; /* as in frame_suspect_t */
   uint64_t upstream;
   bool is_limited;
   uint64_t limit_permille; /* thousandths of a request a second */
--- a/include/common/rate_limits.h
+++ b/include/common/rate_limits.h
@@ -46,8 +46,8 @@
 void rate_limits_destroy (rate_limits_t *limits);
 
 /* Record the limit that a response of UPSTREAM named, in requests a second;
-   negative if it named none.  Returns whether that is news for the other
-   processes.  */
+   negative if it named none.  Returns whether that is an update for the
+   other processes.  */
 bool rate_limits_record (rate_limits_t *limits, uint64_t upstream,
                          double limit);
 /* Returns whether a relay may send UPSTREAM a request now.  */
@@ -57,9 +57,9 @@
 void rate_limits_use_slot (rate_limits_t *limits, uint64_t upstream,
                            const rate_share_t *share);
 
-bool rate_limits_take_news (rate_limits_t *limits,
-                            rate_limit_record_t *record);
-/* Returns whether *RECORD was news here.  */
+bool rate_limits_take_update (rate_limits_t *limits,
+                              rate_limit_record_t *record);
+/* Returns whether anything has changed here.  */
 bool rate_limits_merge (rate_limits_t *limits,
                         const rate_limit_record_t *record);
 rate_limit_record_t *rate_limits_list (TALLOC_CTX *parent,
--- a/include/common/suspect_history.h
+++ b/include/common/suspect_history.h
@@ -16,23 +16,23 @@
 {
   uint64_t segment;
   struct timespec answered_at; /* last time that an upstream answered it */
-  struct timespec trial_at;    /* start of the last trial */
+  struct timespec probed_at;   /* when the last probe was sent */
   segment_crash_t crashes[SUSPECT_MAX_CRASHES]; /* oldest first */
   unsigned crash_count;
 } suspect_history_t;
 
-/* The guilt of a segment.  */
-typedef struct segment_guilt
+/* How strongly a segment is suspected.  */
+typedef struct segment_score
 {
   uint64_t sum;               /* of the weights of its crashes */
   uint64_t limit;             /* from which on it is quarantined */
-  unsigned surplus;           /* crashes beyond those that prove it guilty */
+  unsigned surplus;           /* crashes since SUM reached LIMIT */
   struct timespec last_crash; /* valid if SUM is not 0 */
-} segment_guilt_t;
+} segment_score_t;
 
 bool suspect_history_was_answered (const suspect_history_t *history);
-segment_guilt_t suspect_history_guilt (const suspect_history_t *history);
-bool suspect_history_needs_trial (const suspect_history_t *history);
+segment_score_t suspect_history_score (const suspect_history_t *history);
+bool suspect_history_needs_probe (const suspect_history_t *history);
 suspect_verdict_t suspect_history_check (const suspect_history_t *history,
                                          struct timespec now,
                                          struct timespec *retry_after);
--- a/include/plugins/gossip.h
+++ b/include/plugins/gossip.h
@@ -15,15 +15,15 @@
   /* Create an empty table.  Returns NULL when memory is exhausted.  */
   void *(*create) (TALLOC_CTX *parent, const clock_source_t *clock);
   /* Take a record that this process has changed since it was last taken, as a
-     frame with is_news.  Data of FRAME is owned by PARENT.  Returns false if
+     frame with is_update.  Data of FRAME is owned by PARENT.  Returns false if
      there is none.  */
-  bool (*take_news) (void *table, TALLOC_CTX *parent, frame_t *frame);
+  bool (*take_update) (void *table, TALLOC_CTX *parent, frame_t *frame);
   /* Merge the record in *FRAME.  Returns whether it should be passed on: it
-     was sent as news, and is news here.  *FRAME is then the sum of what was
-     known and the record.  */
+     was sent as an update, and has changed something here.  *FRAME is then the
+     sum of what was known and the record.  */
   bool (*merge) (void *table, TALLOC_CTX *parent, frame_t *frame);
-  /* Return all records, *COUNT of them, as frames without is_news in an array
-     owned by PARENT.  */
+  /* Return all records, *COUNT of them, as frames without is_update in an
+     array owned by PARENT.  */
   frame_t *(*list) (void *table, TALLOC_CTX *parent, unsigned *count);
 } gossip_topic_ops_t;
 
--- a/include/relay/crashes.h
+++ b/include/relay/crashes.h
@@ -24,7 +24,7 @@
 crashes_t *crashes_create (TALLOC_CTX *parent, const clock_source_t *clock,
                            suspects_t *suspects);
 void crashes_destroy (crashes_t *crashes);
-/* Each returns whether SUSPECTS has news for the other processes.  */
+/* Each returns whether SUSPECTS has an update for the other processes.  */
 bool crashes_record_attempt (crashes_t *crashes,
                              const crash_attempt_t *attempt);
 bool crashes_confirm_address (crashes_t *crashes, const char *address);
--- a/include/relay/feed.h
+++ b/include/relay/feed.h
@@ -12,6 +12,6 @@
 
 /* Sends what this relay has learned to other relays.  Callable from every
    worker.  */
-void feed_send_news (feed_t *feed);
+void feed_send_updates (feed_t *feed);
 
 #endif
--- a/pilot/pilot_server.c
+++ b/pilot/pilot_server.c
@@ -263,7 +263,7 @@
 
   if (gossip_merge (server->pilot->gossip, scratch, &sum))
     server_broadcast (server, &sum, client);
-  while (gossip_take_news (server->pilot->gossip, scratch, &sum))
+  while (gossip_take_update (server->pilot->gossip, scratch, &sum))
     server_broadcast (server, &sum, NULL);
   talloc_free (scratch);
 }
--- a/plugins/gossip/rate_limits.c
+++ b/plugins/gossip/rate_limits.c
@@ -25,15 +25,16 @@
 }
 
 static bool
-rate_limits_gossip_take_news (void *table, TALLOC_CTX *parent, frame_t *frame)
+rate_limits_gossip_take_update (void *table, TALLOC_CTX *parent,
+                                frame_t *frame)
 {
   rate_limit_record_t record;
 
   (void)parent;
-  if (!rate_limits_take_news (table, &record))
+  if (!rate_limits_take_update (table, &record))
     return false;
   rate_limit_to_frame (&record, frame);
-  frame->body.rate_limit.is_news = true;
+  frame->body.rate_limit.is_update = true;
   return true;
 }
 
@@ -50,7 +51,7 @@
   };
 
   (void)parent;
-  return rate_limits_merge (table, &record) && body->is_news;
+  return rate_limits_merge (table, &record) && body->is_update;
 }
 
 static frame_t *
@@ -75,7 +76,7 @@
 static const gossip_topic_ops_t rate_limits_gossip_ops = {
   .type = FRAME_RATE_LIMIT,
   .create = rate_limits_gossip_create,
-  .take_news = rate_limits_gossip_take_news,
+  .take_update = rate_limits_gossip_take_update,
   .merge = rate_limits_gossip_merge,
   .list = rate_limits_gossip_list,
 };
--- a/plugins/gossip/suspects.c
+++ b/plugins/gossip/suspects.c
@@ -41,7 +41,7 @@
     .body.suspect
     = { .segment = record->segment,
         .answered_age_ms = age_to_frame (record->answered_age_ms),
-        .trial_age_ms = age_to_frame (record->trial_age_ms),
+        .probe_age_ms = age_to_frame (record->probe_age_ms),
         .crashes = numbers_encode (parent, numbers, count) },
   };
 }
@@ -57,7 +57,7 @@
   *record = (suspect_record_t){
     .segment = body->segment,
     .answered_age_ms = age_from_frame (body->answered_age_ms),
-    .trial_age_ms = age_from_frame (body->trial_age_ms),
+    .probe_age_ms = age_from_frame (body->probe_age_ms),
     .crash_count = (unsigned)(count / NUMBERS_PER_CRASH),
   };
   if (numbers == NULL || count % NUMBERS_PER_CRASH != 0 || count > MAX_NUMBERS)
@@ -81,29 +81,29 @@
 }
 
 static bool
-suspects_gossip_take_news (void *table, TALLOC_CTX *parent, frame_t *frame)
+suspects_gossip_take_update (void *table, TALLOC_CTX *parent, frame_t *frame)
 {
   suspect_record_t record;
 
-  if (!suspects_take_news (table, &record))
+  if (!suspects_take_update (table, &record))
     return false;
   suspect_to_frame (parent, &record, frame);
-  frame->body.suspect.is_news = true;
+  frame->body.suspect.is_update = true;
   return true;
 }
 
 static bool
 suspects_gossip_merge (void *table, TALLOC_CTX *parent, frame_t *frame)
 {
-  bool is_news = frame->body.suspect.is_news;
+  bool is_update = frame->body.suspect.is_update;
   suspect_record_t record;
 
   if (suspect_from_frame (&frame->body.suspect, &record) != STATUS_OK
       || !suspects_merge (table, &record))
     return false;
   suspect_to_frame (parent, &record, frame);
-  frame->body.suspect.is_news = is_news;
-  return is_news;
+  frame->body.suspect.is_update = is_update;
+  return is_update;
 }
 
 static frame_t *
@@ -128,7 +128,7 @@
 static const gossip_topic_ops_t suspects_gossip_ops = {
   .type = FRAME_SUSPECT,
   .create = suspects_gossip_create,
-  .take_news = suspects_gossip_take_news,
+  .take_update = suspects_gossip_take_update,
   .merge = suspects_gossip_merge,
   .list = suspects_gossip_list,
 };
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -72,7 +72,7 @@
 
   if (suspects_record_answer (relay->suspects, request->segments,
                               request->segment_count))
-    feed_send_news (relay->feed);
+    feed_send_updates (relay->feed);
 }
 
 static void
@@ -157,7 +157,7 @@
       || (head->rate_limit < 0 && !status_is_success (head->http_status)))
     return;
   if (rate_limits_record (relay->limits, upstream, head->rate_limit))
-    feed_send_news (relay->feed);
+    feed_send_updates (relay->feed);
 }
 
 /* Decide from the response head whether the response can be used.  */
@@ -294,7 +294,7 @@
 
   if (attempt->body_size == 0 && timespec_is_zero (forward->first_data_at)
       && crashes_record_attempt (relay->crashes, &broken))
-    feed_send_news (relay->feed);
+    feed_send_updates (relay->feed);
 }
 
 /* Count the attempt.  A misdirected one shows that the listings are outdated,
--- a/relay/crashes.c
+++ b/relay/crashes.c
@@ -156,7 +156,7 @@
 crashes_record_attempt (crashes_t *crashes, const crash_attempt_t *attempt)
 {
   broken_attempt_t *broken;
-  bool is_news = false;
+  bool is_update = false;
 
   if (attempt->segment_count == 0)
     return false;
@@ -165,7 +165,7 @@
   broken = broken_attempt_create (crashes, attempt);
   if (broken != NULL && crashes_has_lost_engine (crashes, attempt->address))
     {
-      is_news = broken_attempt_confirm (crashes, broken);
+      is_update = broken_attempt_confirm (crashes, broken);
       talloc_free (broken);
     }
   else if (broken != NULL)
@@ -174,7 +174,7 @@
       crashes->broken_count++;
     }
   lock_release (crashes->lock);
-  return is_news;
+  return is_update;
 }
 
 /* Selects broken attempts.  */
@@ -206,7 +206,7 @@
 crashes_confirm (crashes_t *crashes, const crash_filter_t *filter)
 {
   broken_attempt_t *broken = STAILQ_FIRST (&crashes->broken);
-  bool is_news = false;
+  bool is_update = false;
 
   while (broken != NULL)
     {
@@ -214,12 +214,12 @@
 
       if (broken_attempt_matches (crashes, broken, filter))
         {
-          is_news = broken_attempt_confirm (crashes, broken) || is_news;
+          is_update = broken_attempt_confirm (crashes, broken) || is_update;
           broken_attempt_remove (crashes, broken);
         }
       broken = next;
     }
-  return is_news;
+  return is_update;
 }
 
 static void
@@ -241,14 +241,14 @@
 {
   crash_filter_t filter
       = { .address = address, .max_age_ms = PILOT_NOTICE_MS };
-  bool is_news;
+  bool is_update;
 
   lock_acquire (crashes->lock);
   crashes_expire (crashes);
-  is_news = crashes_confirm (crashes, &filter);
+  is_update = crashes_confirm (crashes, &filter);
   crashes_add_lost_engine (crashes, address);
   lock_release (crashes->lock);
-  return is_news;
+  return is_update;
 }
 
 /* UPSTREAM is no longer listed.  */
@@ -257,13 +257,13 @@
 {
   crash_filter_t filter
       = { .upstream = upstream, .max_age_ms = LISTING_NOTICE_MS };
-  bool is_news;
+  bool is_update;
 
   lock_acquire (crashes->lock);
   crashes_expire (crashes);
-  is_news = crashes_confirm (crashes, &filter);
+  is_update = crashes_confirm (crashes, &filter);
   lock_release (crashes->lock);
-  return is_news;
+  return is_update;
 }
 
 /* The upstream INCARNATION is listed at ADDRESS, so that any other there has
@@ -275,11 +275,11 @@
   crash_filter_t filter = { .address = address,
                             .next_incarnation = incarnation,
                             .max_age_ms = LISTING_NOTICE_MS };
-  bool is_news;
+  bool is_update;
 
   lock_acquire (crashes->lock);
   crashes_expire (crashes);
-  is_news = crashes_confirm (crashes, &filter);
+  is_update = crashes_confirm (crashes, &filter);
   lock_release (crashes->lock);
-  return is_news;
+  return is_update;
 }
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -124,7 +124,7 @@
                          const char *why)
 {
   if (crashes_confirm_gone (discovery->relay->crashes, id))
-    feed_send_news (discovery->relay->feed);
+    feed_send_updates (discovery->relay->feed);
   if (fleet_remove_upstream (discovery->relay->fleet, id))
     log_event (LOG_LEVEL_NOTICE, "upstream-gone", "upstream=%s why=%s", id,
                why);
@@ -198,7 +198,7 @@
         expired_listing_free (expired);
       if (crashes_confirm_start (discovery->relay->crashes, listing.address,
                                  fleet_incarnation (id, listing.started_ms)))
-        feed_send_news (discovery->relay->feed);
+        feed_send_updates (discovery->relay->feed);
       if (fleet_update_upstream (discovery->relay->fleet, &listing))
         log_event (LOG_LEVEL_NOTICE, "upstream-listed",
                    "upstream=%s service=%s zone=%s draining=%d "
--- a/relay/feed.c
+++ b/relay/feed.c
@@ -12,8 +12,8 @@
 {
   RECONNECT_MIN_MS = 700,
   RECONNECT_MAX_MS = 5000,
-  /* Pilots that get a piece of news; some may be cut off from other relays. */
-  NEWS_COPIES = 3
+  /* Pilots that get an update; some may be cut off from other relays.  */
+  UPDATE_COPIES = 3
 };
 
 GAUGE_DEFINE (pilots_connected, "siskin_feed_pilots", "Connections to pilots");
@@ -37,9 +37,9 @@
 {
   relay_t *relay;
   worker_t *worker;
-  TAILQ_HEAD (, feed_pilot) pilots; /* next to get news first */
-  task_t news_task;
-  atomic_bool is_news_posted;
+  TAILQ_HEAD (, feed_pilot) pilots; /* next to get an update first */
+  task_t update_task;
+  atomic_bool is_update_posted;
   unsigned repeats; /* number so far */
 };
 
@@ -115,7 +115,7 @@
   log_event (LOG_LEVEL_NOTICE, "engine-lost", "pilot=%s address=%s",
              pilot->name, body->upstream);
   if (crashes_confirm_address (relay->crashes, body->upstream))
-    feed_send_news (pilot->feed);
+    feed_send_updates (pilot->feed);
 }
 
 /* Merge what another relay has learned.  */
@@ -126,7 +126,7 @@
   frame_t sum = *frame;
 
   gossip_merge (pilot->feed->relay->gossip, scratch, &sum);
-  feed_send_news (pilot->feed);
+  feed_send_updates (pilot->feed);
   talloc_free (scratch);
 }
 
@@ -272,17 +272,17 @@
 
 /* Send what this relay has learned to some of the pilots.  */
 static void
-feed_run_news (task_t *task, worker_t *worker)
+feed_run_updates (task_t *task, worker_t *worker)
 {
-  feed_t *feed = CONTAINER_OF (task, feed_t, news_task);
+  feed_t *feed = CONTAINER_OF (task, feed_t, update_task);
   TALLOC_CTX *scratch = talloc_new (feed);
   frame_t frame;
 
   (void)worker;
-  atomic_store (&feed->is_news_posted, false);
-  while (gossip_take_news (feed->relay->gossip, scratch, &frame))
+  atomic_store (&feed->is_update_posted, false);
+  while (gossip_take_update (feed->relay->gossip, scratch, &frame))
     {
-      for (unsigned i = 0; i < NEWS_COPIES; i++)
+      for (unsigned i = 0; i < UPDATE_COPIES; i++)
         {
           const feed_pilot_t *pilot = feed_next_pilot (feed);
 
@@ -296,10 +296,10 @@
 /* Send what this relay has learned to other relays, through the pilots.
    Callable from every worker.  */
 void
-feed_send_news (feed_t *feed)
+feed_send_updates (feed_t *feed)
 {
-  if (!atomic_exchange (&feed->is_news_posted, true))
-    worker_post (feed->worker, &feed->news_task);
+  if (!atomic_exchange (&feed->is_update_posted, true))
+    worker_post (feed->worker, &feed->update_task);
 }
 
 static void
@@ -327,7 +327,7 @@
   feed->relay = relay;
   feed->worker = pool_worker (daemon_pool (relay->daemon), 0);
   TAILQ_INIT (&feed->pilots);
-  feed->news_task.run = feed_run_news;
+  feed->update_task.run = feed_run_updates;
   worker_timer_start (feed->worker, feed,
                       timespec_from_ms (GOSSIP_REPEAT_INTERVAL_MS),
                       feed_handle_repeat, feed);
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -318,8 +318,8 @@
     {
     case SUSPECT_ADMITTED:
       return true;
-    case SUSPECT_ON_TRIAL:
-      forward_wait_or_fail (forward, true, "prompt-on-trial");
+    case SUSPECT_PROBED:
+      forward_wait_or_fail (forward, true, "prompt-probed");
       return false;
     case SUSPECT_QUARANTINED:
       forward_give_up (forward, "prompt-quarantined", retry_after);
@@ -353,7 +353,7 @@
   forward_dequeue (forward);
   if (suspects_record_sent (relay->suspects, forward->request->segments,
                             forward->request->segment_count))
-    feed_send_news (relay->feed);
+    feed_send_updates (relay->feed);
   if (forward->sent_attempts + forward->unreachable_attempts == 0)
     histogram_record (&queue_time, ms_since (forward, forward->arrived_at));
   log_event (
--- a/tests/test_rate_limits.c
+++ b/tests/test_rate_limits.c
@@ -63,7 +63,7 @@
   clock_advance (fixture->clock, timespec_from_ms (ms));
 }
 
-/* Pass the news of relay FROM on to all others, as frames.  */
+/* Pass the updates of relay FROM on to all others, as frames.  */
 static void
 gossip (fixture_t *fixture, unsigned from)
 {
@@ -72,7 +72,7 @@
   TALLOC_CTX *scratch = talloc_new (fixture);
   frame_t frame;
 
-  while (topic->take_news (fixture->relays[from], scratch, &frame))
+  while (topic->take_update (fixture->relays[from], scratch, &frame))
     {
       size_t size;
       char *encoded = frame_encode (scratch, &frame, &size);
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -1,5 +1,5 @@
-/* Prompt segments that are suspected of crashes: guilty ones must be found and
-   stopped, harmless ones must not be blamed for what others did, and records
+/* Prompt segments that are suspected of crashes: harmful ones must be stopped,
+   others must not be stopped for crashes of another cause, and records
    that come late, twice or through a codec must not change the result.  */
 
 #include "common/suspects.h"
@@ -16,7 +16,7 @@
 
 enum
 {
-  GUILTY = 0xdead,
+  HARMFUL = 0xdead,
   SHARED = 0xa,
   OTHER = 0xb,
   GAP_MS = 1000, /* between crashes */
@@ -26,7 +26,7 @@
   MANY = 10000
 };
 
-static const uint64_t guilty_prompt[] = { SHARED, GUILTY };
+static const uint64_t harmful_prompt[] = { SHARED, HARMFUL };
 static const uint64_t sound_prompt[] = { SHARED, OTHER };
 
 typedef struct fixture
@@ -90,7 +90,7 @@
   suspects_record_answer (fixture->suspects, prompt, 2);
 }
 
-/* Send all of FIXTURE's news to its peer, COPIES times, as frames.  */
+/* Send all of FIXTURE's updates to its peer, COPIES times, as frames.  */
 static void
 gossip (fixture_t *fixture, unsigned copies)
 {
@@ -99,7 +99,7 @@
   TALLOC_CTX *scratch = talloc_new (fixture);
   frame_t frame;
 
-  while (topic->take_news (fixture->suspects, scratch, &frame))
+  while (topic->take_update (fixture->suspects, scratch, &frame))
     {
       for (unsigned i = 0; i < copies; i++)
         {
@@ -119,34 +119,34 @@
 }
 
 static void
-test_guilty_segment_is_quarantined_and_its_companions_are_not (void **state)
+test_harmful_segment_is_quarantined_and_its_companions_are_not (void **state)
 {
   fixture_t *fixture = *state;
 
   answer (fixture, sound_prompt);
-  crash (fixture, guilty_prompt);
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
+  crash (fixture, harmful_prompt);
+  assert_int_equal (check (fixture->suspects, harmful_prompt),
                     SUSPECT_ADMITTED);
-  crash (fixture, guilty_prompt);
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
+  crash (fixture, harmful_prompt);
+  assert_int_equal (check (fixture->suspects, harmful_prompt),
                     SUSPECT_QUARANTINED);
   assert_int_equal (check (fixture->suspects, sound_prompt), SUSPECT_ADMITTED);
 }
 
 static void
-test_segment_that_was_answered_before_can_become_guilty (void **state)
+test_segment_that_was_answered_before_can_become_harmful (void **state)
 {
   fixture_t *fixture = *state;
 
-  answer (fixture, guilty_prompt);
+  answer (fixture, harmful_prompt);
   for (unsigned i = 0; i < 4; i++)
     {
-      assert_int_equal (check (fixture->suspects, guilty_prompt),
+      assert_int_equal (check (fixture->suspects, harmful_prompt),
                         SUSPECT_ADMITTED);
-      crash (fixture, guilty_prompt);
+      crash (fixture, harmful_prompt);
       answer (fixture, sound_prompt);
     }
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
+  assert_int_equal (check (fixture->suspects, harmful_prompt),
                     SUSPECT_QUARANTINED);
   assert_int_equal (check (fixture->suspects, sound_prompt), SUSPECT_ADMITTED);
 }
@@ -167,7 +167,7 @@
 
 /* A power failure takes many upstreams that had the same popular prompt.  */
 static void
-test_crashes_at_the_same_moment_blame_no_popular_segment (void **state)
+test_crashes_at_the_same_moment_stop_no_popular_segment (void **state)
 {
   fixture_t *fixture = *state;
 
@@ -187,58 +187,56 @@
 
   for (unsigned i = 0; i < 4; i++)
     {
-      assert_int_not_equal (check (fixture->suspects, guilty_prompt),
+      assert_int_not_equal (check (fixture->suspects, harmful_prompt),
                             SUSPECT_QUARANTINED);
       wait_ms (fixture, GAP_MS);
       suspects_record_crash (fixture->suspects, i,
-                             clock_monotonic (fixture->clock), guilty_prompt,
+                             clock_monotonic (fixture->clock), harmful_prompt,
                              2, SUSPECT_QUEUED);
     }
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
+  assert_int_equal (check (fixture->suspects, harmful_prompt),
                     SUSPECT_QUARANTINED);
 }
 
 static void
-test_suspect_is_tried_one_request_at_a_time (void **state)
+test_suspect_is_probed_by_one_request_at_a_time (void **state)
 {
   fixture_t *fixture = *state;
 
-  crash (fixture, guilty_prompt);
-  assert_true (suspects_record_sent (fixture->suspects, guilty_prompt, 2));
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
-                    SUSPECT_ON_TRIAL);
+  crash (fixture, harmful_prompt);
+  assert_true (suspects_record_sent (fixture->suspects, harmful_prompt, 2));
+  assert_int_equal (check (fixture->suspects, harmful_prompt), SUSPECT_PROBED);
   gossip (fixture, 1);
-  assert_int_equal (check (fixture->peer, guilty_prompt), SUSPECT_ON_TRIAL);
-  answer (fixture, guilty_prompt);
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
+  assert_int_equal (check (fixture->peer, harmful_prompt), SUSPECT_PROBED);
+  answer (fixture, harmful_prompt);
+  assert_int_equal (check (fixture->suspects, harmful_prompt),
                     SUSPECT_ADMITTED);
 }
 
-/* A quarantine ends, is tried by one request, and is twice as long after
+/* A quarantine ends, is probed by one request, and is twice as long after
    another crash; it ends for good with an answer.  */
 static void
 test_quarantine_is_checked_again (void **state)
 {
   fixture_t *fixture = *state;
 
-  crash (fixture, guilty_prompt);
-  crash (fixture, guilty_prompt);
+  crash (fixture, harmful_prompt);
+  crash (fixture, harmful_prompt);
   wait_ms (fixture, QUARANTINE_MS);
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
+  assert_int_equal (check (fixture->suspects, harmful_prompt),
                     SUSPECT_ADMITTED);
-  suspects_record_sent (fixture->suspects, guilty_prompt, 2);
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
-                    SUSPECT_ON_TRIAL);
-  crash (fixture, guilty_prompt);
+  suspects_record_sent (fixture->suspects, harmful_prompt, 2);
+  assert_int_equal (check (fixture->suspects, harmful_prompt), SUSPECT_PROBED);
+  crash (fixture, harmful_prompt);
   wait_ms (fixture, QUARANTINE_MS);
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
+  assert_int_equal (check (fixture->suspects, harmful_prompt),
                     SUSPECT_QUARANTINED);
   wait_ms (fixture, QUARANTINE_MS);
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
+  assert_int_equal (check (fixture->suspects, harmful_prompt),
                     SUSPECT_ADMITTED);
-  answer (fixture, guilty_prompt);
-  crash (fixture, guilty_prompt);
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
+  answer (fixture, harmful_prompt);
+  crash (fixture, harmful_prompt);
+  assert_int_equal (check (fixture->suspects, harmful_prompt),
                     SUSPECT_ADMITTED);
 }
 
@@ -248,10 +246,11 @@
   fixture_t *fixture = *state;
 
   answer (fixture, sound_prompt);
-  crash (fixture, guilty_prompt);
-  crash (fixture, guilty_prompt);
+  crash (fixture, harmful_prompt);
+  crash (fixture, harmful_prompt);
   gossip (fixture, 3);
-  assert_int_equal (check (fixture->peer, guilty_prompt), SUSPECT_QUARANTINED);
+  assert_int_equal (check (fixture->peer, harmful_prompt),
+                    SUSPECT_QUARANTINED);
   assert_int_equal (check (fixture->peer, sound_prompt), SUSPECT_ADMITTED);
 }
 
@@ -267,12 +266,13 @@
   unsigned count;
 
   answer (fixture, sound_prompt);
-  crash (fixture, guilty_prompt);
-  crash (fixture, guilty_prompt);
+  crash (fixture, harmful_prompt);
+  crash (fixture, harmful_prompt);
   frames = topic->list (fixture->suspects, fixture, &count);
   assert_int_equal (count, 1);
   assert_false (topic->merge (fixture->peer, fixture, &frames[0]));
-  assert_int_equal (check (fixture->peer, guilty_prompt), SUSPECT_QUARANTINED);
+  assert_int_equal (check (fixture->peer, harmful_prompt),
+                    SUSPECT_QUARANTINED);
 }
 
 /* Each process has room for the last crashes only.  */
@@ -285,7 +285,7 @@
 
   for (unsigned i = 0; i < SUSPECT_MAX_CRASHES + 3; i++)
     {
-      crash (fixture, guilty_prompt);
+      crash (fixture, harmful_prompt);
       if (i == SUSPECT_MAX_CRASHES)
         gossip (fixture, 1);
     }
@@ -301,14 +301,14 @@
   fixture_t *fixture = *state;
   unsigned count;
 
-  crash (fixture, guilty_prompt);
-  suspects_record_sent (fixture->suspects, guilty_prompt, 2);
+  crash (fixture, harmful_prompt);
+  suspects_record_sent (fixture->suspects, harmful_prompt, 2);
   wait_ms (fixture, MEMORY_MS);
-  crash (fixture, guilty_prompt);
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
+  crash (fixture, harmful_prompt);
+  assert_int_equal (check (fixture->suspects, harmful_prompt),
                     SUSPECT_ADMITTED);
   wait_ms (fixture, MEMORY_MS);
-  check (fixture->suspects, guilty_prompt);
+  check (fixture->suspects, harmful_prompt);
   suspects_list (fixture, fixture->suspects, &count);
   assert_int_equal (count, 0);
 }
@@ -321,9 +321,9 @@
 
   for (unsigned i = 0; i < 5; i++)
     suspects_record_crash (fixture->suspects, 1,
-                           clock_monotonic (fixture->clock), guilty_prompt, 2,
+                           clock_monotonic (fixture->clock), harmful_prompt, 2,
                            SUSPECT_BEGUN);
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
+  assert_int_equal (check (fixture->suspects, harmful_prompt),
                     SUSPECT_ADMITTED);
 }
 
@@ -347,13 +347,13 @@
 
 /* Connections break also when no upstream crashes.  */
 static void
-test_broken_connection_alone_blames_nobody (void **state)
+test_broken_connection_alone_is_no_crash (void **state)
 {
   fixture_t *fixture = *state;
   crash_attempt_t attempt = { .upstream = "u1",
                               .incarnation = 1,
                               .address = "10.0.0.1:80",
-                              .segments = guilty_prompt,
+                              .segments = harmful_prompt,
                               .segment_count = 2,
                               .weight = SUSPECT_BEGUN };
 
@@ -363,7 +363,7 @@
       assert_false (crashes_record_attempt (fixture->crashes, &attempt));
       wait_ms (fixture, GAP_MS);
     }
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
+  assert_int_equal (check (fixture->suspects, harmful_prompt),
                     SUSPECT_ADMITTED);
 }
 
@@ -375,7 +375,7 @@
   fixture_t *fixture = *state;
   crash_attempt_t attempt = { .upstream = "u1",
                               .address = "10.0.0.1:80",
-                              .segments = guilty_prompt,
+                              .segments = harmful_prompt,
                               .segment_count = 2,
                               .weight = SUSPECT_BEGUN };
 
@@ -392,7 +392,7 @@
   wait_ms (fixture, LONG_GAP_MS);
   assert_false (crashes_confirm_start (fixture->crashes, "10.0.0.1:80", 3));
   assert_true (crashes_confirm_start (fixture->crashes, "10.0.0.1:80", 4));
-  assert_int_equal (check (fixture->suspects, guilty_prompt),
+  assert_int_equal (check (fixture->suspects, harmful_prompt),
                     SUSPECT_QUARANTINED);
 }
 
@@ -401,20 +401,20 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (
-        test_guilty_segment_is_quarantined_and_its_companions_are_not, set_up,
+        test_harmful_segment_is_quarantined_and_its_companions_are_not, set_up,
         tear_down),
     cmocka_unit_test_setup_teardown (
-        test_segment_that_was_answered_before_can_become_guilty, set_up,
+        test_segment_that_was_answered_before_can_become_harmful, set_up,
         tear_down),
     cmocka_unit_test_setup_teardown (test_answer_clears_a_segment, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (
-        test_crashes_at_the_same_moment_blame_no_popular_segment, set_up,
+        test_crashes_at_the_same_moment_stop_no_popular_segment, set_up,
         tear_down),
     cmocka_unit_test_setup_teardown (test_queued_prompts_weigh_less, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (
-        test_suspect_is_tried_one_request_at_a_time, set_up, tear_down),
+        test_suspect_is_probed_by_one_request_at_a_time, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_quarantine_is_checked_again, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (
@@ -430,8 +430,8 @@
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_memory_is_bounded, set_up,
                                      tear_down),
-    cmocka_unit_test_setup_teardown (
-        test_broken_connection_alone_blames_nobody, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_broken_connection_alone_is_no_crash,
+                                     set_up, tear_down),
     cmocka_unit_test_setup_teardown (
         test_crash_is_confirmed_by_pilot_or_listing, set_up, tear_down),
   };
