--- a/common/rate_limits.c
+++ b/common/rate_limits.c
@@ -36,7 +36,7 @@
   struct timespec seen_at;
   struct timespec since;
   struct timespec used_slot; /* time of the last slot that was used */
-  bool is_update; /* it is in UPDATES */
+  bool is_update;            /* it is in UPDATES */
 } rate_limit_t;
 
 struct rate_limits
--- a/common/suspects.c
+++ b/common/suspects.c
@@ -22,7 +22,7 @@
   TAILQ_ENTRY (suspect) link; /* in ANSWERED or SUSPECTED */
   TAILQ_ENTRY (suspect) update_link;
   suspect_history_t history;
-  bool is_update; /* it is in UPDATES */
+  bool is_update;  /* it is in UPDATES */
   bool is_counted; /* its quarantine, in the metrics */
 } suspect_t;
 
