--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -1,3 +1,7 @@
+/* Slow start of an upstream: its limit must not rise without proof that the
+   upstream bears more, and must fall at any sign of a cold start, or a cold
+   upstream gets more than it can handle.  */
+
 #include "kernel/clock.h"
 #include "kernel/plugin.h"
 #include "plugins/admission.h"
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -1,3 +1,7 @@
+/* A call from entry to agent: whatever breaks on the way, the caller must not
+   get a response with a gap, a late response of another attempt, or an outcome
+   that says more than is known.  */
+
 #include "entry/call.h"
 #include "kernel/invariant.h"
 
--- a/tests/test_catalog.c
+++ b/tests/test_catalog.c
@@ -1,3 +1,6 @@
+/* Documents of the platform: a malformed one must change nothing, and an
+   upstream or rule must never be made up of half a document.  */
+
 #include "kernel/clock.h"
 #include "kernel/plugin.h"
 #include "plugins/catalog.h"
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -1,3 +1,6 @@
+/* A relay's choice of an upstream: none that is out of service, overloaded in
+   its cold start, stalled or unreachable, whatever the other relays send.  */
+
 #include "relay/fleet.h"
 
 #include <setjmp.h>
--- a/tests/test_frame.c
+++ b/tests/test_frame.c
@@ -1,3 +1,6 @@
+/* Encoding of frames: a peer that sends truncated, oversized or random bytes
+   must get an error and must not make this process read beyond them.  */
+
 #include "common/frame.h"
 
 #include <setjmp.h>
--- a/tests/test_frontend.c
+++ b/tests/test_frontend.c
@@ -1,3 +1,6 @@
+/* Targets and keys of callers: two spellings of a path must not get past a
+   rule that applies to one of them.  */
+
 #include "plugins/frontend/http_request.h"
 #include "plugins/frontend/http_target.h"
 
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -1,3 +1,7 @@
+/* The gate before an upstream: work that its limit does not allow must wait or
+   be refused, also while reports are old, work is aborted or the store is
+   away.  */
+
 #include "agent/gate.h"
 #include "agent/peer.h"
 #include "kernel/invariant.h"
--- a/tests/test_journal.c
+++ b/tests/test_journal.c
@@ -1,3 +1,6 @@
+/* Claims of idempotency keys: a key must not run twice when owners crash, are
+   delayed or lose the answer to a write that took effect.  */
+
 #include "agent/claim_key.h"
 #include "claims_fixture.h"
 #include "kernel/invariant.h"
--- a/tests/test_kernel.c
+++ b/tests/test_kernel.c
@@ -1,3 +1,6 @@
+/* Status, clock, registry of plug-ins, tables, lock order and tasks: what all
+   other parts rely on.  */
+
 #include "kernel/clock.h"
 #include "kernel/findings.h"
 #include "kernel/lock.h"
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -1,3 +1,6 @@
+/* Logging: a reader that stands still must not block a request, and failures
+   must not be dropped for lines of ordinary success.  */
+
 #include "kernel/counter.h"
 #include "kernel/histogram.h"
 #include "kernel/log.h"
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -1,3 +1,6 @@
+/* Spread of settings among processes: a revision must never give way to an
+   older one, whoever sends it and in whichever order.  */
+
 #include "common/link.h"
 #include "common/node.h"
 #include "common/settings_peers.h"
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -1,3 +1,6 @@
+/* Order of queued requests: no account may take more than its share while
+   others wait, and no request may starve or be lost.  */
+
 #include "kernel/clock.h"
 #include "kernel/heap.h"
 #include "kernel/plugin.h"
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -1,3 +1,6 @@
+/* Policies that choose an upstream: entries that see the same old reports must
+   not all choose the same one, and a cached prompt must not overload one.  */
+
 #include "kernel/clock.h"
 #include "kernel/plugin.h"
 #include "plugins/pick.h"
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -1,3 +1,6 @@
+/* Plans of expert maps: each expert must be held by some rank, within the
+   limits on slots and moves, and only for a gain that pays for the moves.  */
+
 #include "kernel/plugin.h"
 #include "plugins/placement.h"
 #include "plugins/placement/layer.h"
--- a/tests/test_retry_budget.c
+++ b/tests/test_retry_budget.c
@@ -1,3 +1,6 @@
+/* Retries of all relays together: they must stay within the budget in every
+   window, also while relays restart and forget what they have used.  */
+
 #include "relay/retry_budget.h"
 
 #include <setjmp.h>
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -1,3 +1,6 @@
+/* An entry's choice of upstreams and connections: none that is leaving or out,
+   with few connections for each entry and few changes of them.  */
+
 #include "entry/router.h"
 #include "kernel/clock.h"
 #include "kernel/invariant.h"
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1,3 +1,7 @@
+/* The virtual scheduler of the simulations: runs must be repeatable from their
+   seed, and a frozen process must run what was due only after it is resumed.
+ */
+
 #include "kernel/scheduler.h"
 #include "kernel/table.h"
 
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -1,3 +1,6 @@
+/* Checks of the settings document: every fault must be reported with its
+   place, and an ambiguous path must not make a request repeatable.  */
+
 #include "common/settings.h"
 #include "kernel/plugin.h"
 
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -1,3 +1,6 @@
+/* Encoding for the store: a condition must be part of the transaction that it
+   guards, or two writers could both succeed.  */
+
 #include "plugins/store/etcd_json.h"
 
 #include <setjmp.h>
--- a/tests/test_switcher.c
+++ b/tests/test_switcher.c
@@ -1,3 +1,6 @@
+/* Switches of the expert map: no step may run with two maps, however commands,
+   replies and leaders are lost, delayed or doubled.  */
+
 #include "kernel/clock.h"
 #include "kernel/invariant.h"
 #include "pilot/switcher.h"
--- a/tests/test_timers.c
+++ b/tests/test_timers.c
@@ -1,3 +1,6 @@
+/* Timers of a worker: a step of the system clock must not delay or hasten
+   them, and a freed one must not fire.  */
+
 #include "kernel/clock.h"
 #include "kernel/pool.h"
 
