--- a/common/store_mirror.c
+++ b/common/store_mirror.c
@@ -1,9 +1,11 @@
 #include "common/store_mirror.h"
 
 #include "kernel/counter.h"
+#include "kernel/log.h"
 #include "kernel/table.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 enum
 {
@@ -22,6 +24,7 @@
   table_node_t node;
   char *name;
   int64_t mod_revision;
+  uint64_t value_hash;
   bool is_seen; /* the full read in progress has found it */
 } mirror_key_t;
 
@@ -134,6 +137,14 @@
   talloc_free (key);
 }
 
+static uint64_t
+entry_hash (const store_entry_t *entry)
+{
+  return entry->value == NULL
+             ? 0
+             : XXH3_64bits (entry->value, strlen (entry->value));
+}
+
 /* Record the revision of ENTRY; KEY is NULL for a new key.  */
 static void
 mirror_store_key (store_mirror_t *mirror, mirror_key_t *key,
@@ -148,9 +159,20 @@
       table_insert (mirror->keys, &key->node, key->name, strlen (key->name));
     }
   key->mod_revision = entry->mod_revision;
+  key->value_hash = entry_hash (entry);
   key->is_seen = true;
 }
 
+/* Log that ENTRY is not used although it differs from KEY.  */
+static void
+mirror_log_ignored (const mirror_key_t *key, const store_entry_t *entry)
+{
+  if (entry_hash (entry) != key->value_hash)
+    log_event (LOG_LEVEL_WARN, "store-entry-ignored",
+               "key=%s revision=%lld known_revision=%lld", key->name,
+               (long long)entry->mod_revision, (long long)key->mod_revision);
+}
+
 /* Record and report ENTRY unless this or a newer revision of its key is
    known.  */
 static void
@@ -161,6 +183,7 @@
   if (key != NULL && key->mod_revision >= entry->mod_revision)
     {
       key->is_seen = true;
+      mirror_log_ignored (key, entry);
       return;
     }
   if (entry->value != NULL)
@@ -202,6 +225,10 @@
 {
   mirror_remove_unseen_keys (mirror);
   TALLOC_FREE (mirror->read_after);
+  log_event (LOG_LEVEL_NOTICE, "store-read-whole",
+             "prefix=\"%s\" from_revision=%lld to_revision=%lld",
+             mirror->options.prefix, (long long)mirror->revision,
+             (long long)mirror->read_revision);
   mirror->revision = mirror->read_revision;
   mirror->needs_full_read = false;
   mirror->is_synced = true;
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -97,6 +97,10 @@
   if (relay_adopt_rules (discovery->relay, rules))
     log_event (LOG_LEVEL_NOTICE, "rules-adopted", "version=%llu revision=%lld",
                (unsigned long long)version, (long long)entry->mod_revision);
+  else
+    log_event (LOG_LEVEL_NOTICE, "rules-not-newer",
+               "version=%llu revision=%lld action=keep",
+               (unsigned long long)version, (long long)entry->mod_revision);
 }
 
 static void
