Show that changes are missed after the store is restored

The stand-in of the store can come back from a copy: later writes are gone, their revisions are given out again, and its generation rises.

--- a/tests/process/platform_store.py
+++ b/tests/process/platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import urllib.parse
 
@@ -54,6 +55,7 @@
     the thread of that loop."""
 
     def __init__(self):
+        self.generation = 1  # rises with each restore
         self.items = {}  # key: {"value", "rev", "created", "lease"}
         self.revision = 7
         self.events = []  # (revision, event)
@@ -116,6 +118,20 @@
         self.compacted_revision = self.revision
         self.events.clear()
 
+    def copy(self):
+        """Returns a copy for `restore`."""
+        return copy.deepcopy((self.items, self.revision, self.events,
+                              self.leases, self.last_lease))
+
+    def restore(self, saved):
+        """Comes back from a copy: later writes and leases are gone, and their
+        revisions and lease numbers are given out again."""
+        (self.items, self.revision, self.events, self.leases,
+         self.last_lease) = copy.deepcopy(saved)
+        self.generation += 1
+        for writer in list(self.connections):
+            writer.transport.abort()
+
     def count_sent(self, items):
         for item in items:
             key = item["key"]
@@ -149,7 +165,7 @@
             writer.transport.abort()
             return False
         if self.failure_mode == "busy":
-            writer.write(response_bytes(503))
+            writer.write(response_bytes(503, fields=self.fields()))
             return True
         status, response = await self.dispatch(request)
         is_write = request.method != "GET"
@@ -157,10 +173,14 @@
             self.responses_to_drop -= 1
             writer.transport.abort()
             return False
-        writer.write(response_bytes(status, json.dumps(response).encode()))
+        writer.write(response_bytes(status, json.dumps(response).encode(),
+                                    self.fields()))
         await writer.drain()
         return True
 
+    def fields(self):
+        return [("Store-Era", self.generation)]
+
     async def dispatch(self, request):
         body = json.loads(request.body) if request.body else {}
         if request.path == "/api/kv-key":
@@ -203,7 +223,7 @@
         end = (asyncio.get_running_loop().time()
                + int(query["wait_ms"]) / MS_PER_S)
         while True:
-            if after < self.compacted_revision:
+            if after < self.compacted_revision or after > self.revision:
                 return 410, {}
             found = [event for revision, key, event in self.events
                      if revision > after and key.startswith(query["prefix"])]
--- /dev/null
+++ b/tests/process/test_relay_restored.py
@@ -0,0 +1,76 @@
+"""Relays whose store comes back from a copy that is some seconds old."""
+
+import json
+import time
+import unittest
+
+from platform_fixture import Platform, ask
+from cluster import wait_until
+
+# Relays must apply a new version within two seconds.
+APPLY_S = 2
+POLLED_S = 2.5  # after it the relay has polled past all earlier changes
+
+
+class RestoredStoreTest(unittest.TestCase):
+    def setUp(self):
+        self.platform = Platform().__enter__()
+        self.addCleanup(self.platform.__exit__, None, None, None)
+        self.store = self.platform.store
+        self.platform.configure()
+        self.apps = [self.platform.add_replica("app", zone) for zone in "abc"]
+        self.relay = self.platform.start_relay()
+
+    def add_key(self, key):
+        """Stores a configuration in which KEY is one more key."""
+        self.platform.configure(lambda config: config["tenants"][0]["keys"]
+                                .append(key))
+
+    def expect_key(self, key):
+        wait_until(lambda: ask(self.relay, "/check/", key=key).status == 200,
+                   APPLY_S, key + " to be in force")
+
+    def stop_publishing(self):
+        for app in self.apps:
+            app.publish_task.cancel()
+
+    def test_change_with_a_revision_given_out_before_is_in_force(self):
+        self.stop_publishing()
+        time.sleep(0.2)
+        saved = self.platform.run(self.call(self.store.copy))
+        self.add_key("key-before")
+        self.expect_key("key-before")
+        used = self.store.items["op/config"]["rev"]
+        self.platform.run(self.call(self.store.restore, saved))
+        self.add_key("key-after")
+        self.assertEqual(self.store.items["op/config"]["rev"], used)
+        self.expect_key("key-after")
+
+    def test_change_is_not_missed_once_revisions_have_caught_up(self):
+        self.stop_publishing()
+        time.sleep(0.2)
+        saved = self.platform.run(self.call(self.store.copy))
+        for number in range(3):
+            self.platform.put("op/other", b"%d" % number)
+        time.sleep(POLLED_S)
+
+        config = self.platform.config
+        config["version"] += 2
+        config["tenants"][0]["keys"].append("key-caught-up")
+
+        async def restore_and_catch_up():
+            last = self.store.revision
+            self.store.restore(saved)
+            await self.store.write(
+                {"op/config": (json.dumps(config).encode(), 0)})
+            while self.store.revision <= last:
+                await self.store.write({"op/other": (b"again", 0)})
+        self.platform.run(restore_and_catch_up())
+        self.expect_key("key-caught-up")
+
+    async def call(self, function, *args):
+        return function(*args)
+
+
+if __name__ == "__main__":
+    unittest.main()
