Let fences rise when the store was restored

A leader's fence was the revision of its key. After a restore the next leaders get revisions that were given out before: the engines, which have seen higher fences, reject their commands, so that no expert map changes until the revisions have caught up; and two leaders could have the same fence.

The fence now counts the store's generation above the revision. A restore loses fewer revisions than the step between generations, so fences rise over it, whatever the revision is.

--- a/common/election.c
+++ b/common/election.c
@@ -17,10 +17,11 @@
   const election_ops_t *ops;
   void *data;
   bool is_campaigning;
-  bool is_taking_over;     /* the next write replaces another process's key */
-  int64_t holder_revision; /* revision of the key to replace; 0: write the key
-                              only if it does not exist */
-  char *displaced_holder;  /* value of the key to replace, or NULL */
+  bool is_taking_over;      /* the next write replaces another process's key */
+  int64_t holder_revision;  /* revision of the key to replace; 0: write the key
+                               only if it does not exist */
+  char *displaced_holder;   /* value of the key to replace, or NULL */
+  uint64_t displaced_fence; /* of that holder */
   bool is_leader;
   bool is_call_pending; /* a call to the store has not ended yet */
   /* The pending call was made before this process resigned, which ended the
@@ -156,21 +157,29 @@
   election_step (election);
 }
 
-/* Become the leader: the key holds this process's value.  FENCE is the
-   revision of the key.  */
+static uint64_t
+election_fence (const election_t *election, int64_t revision)
+{
+  return store_fence (election->options.store_ops, election->options.store,
+                      revision);
+}
+
+/* Become the leader: the key holds this process's value, written at
+   REVISION.  */
 static void
-election_win (election_t *election, uint64_t fence)
+election_win (election_t *election, int64_t revision)
 {
   char *displaced_holder = election->displaced_holder;
   displaced_leader_t displaced
-      = { displaced_holder, (uint64_t)election->holder_revision };
+      = { displaced_holder, election->displaced_fence };
 
   election->is_leader = true;
   election->is_taking_over = false;
   election->holder_revision = 0;
   election->displaced_holder = NULL;
   election_schedule_renewal (election);
-  election->ops->on_won (fence, displaced_holder == NULL ? NULL : &displaced,
+  election->ops->on_won (election_fence (election, revision),
+                         displaced_holder == NULL ? NULL : &displaced,
                          election->data);
   talloc_free (displaced_holder);
 }
@@ -184,13 +193,15 @@
   if (entry != NULL && strcmp (entry->value, election->options.holder) == 0
       && entry->lease == election->lease)
     {
-      election_win (election, (uint64_t)entry->mod_revision);
+      election_win (election, entry->mod_revision);
       return;
     }
   election->holder_revision = 0;
   if (entry != NULL && election->is_taking_over)
     {
       election->holder_revision = entry->mod_revision;
+      election->displaced_fence
+          = election_fence (election, entry->mod_revision);
       talloc_free (election->displaced_holder);
       election->displaced_holder = talloc_strdup (election, entry->value);
     }
@@ -210,7 +221,7 @@
   if (status != STATUS_OK)
     election_schedule_step (election, RETRY_DELAY_MS);
   else if (result->succeeded)
-    election_win (election, (uint64_t)result->revision);
+    election_win (election, result->revision);
   else
     election_handle_existing_key (election, store_result_entry (result, 0));
 }
--- a/common/store_generation.c
+++ b/common/store_generation.c
@@ -3,6 +3,16 @@
 #include "kernel/counter.h"
 #include "kernel/log.h"
 
+enum
+{
+  /* A restore takes back fewer revisions than this: a store of 3,200 writes a
+     second has as many in an hour and a half.  */
+  MAX_REVISIONS_LOST = 1 << 24,
+  /* Fences start again after this many generations.  They leave room for the
+     factor by which a term is multiplied in the fences of commands.  */
+  FENCE_GENERATIONS = 1 << 18
+};
+
 COUNTER_DEFINE (restores_seen, "siskin_store_restores_total",
                 "Restores of the store from a copy that were noticed");
 
@@ -33,6 +43,16 @@
   return generation->number;
 }
 
+/* Return a fencing token for the leader whose key was written at REVISION in
+   the present generation.  It is higher than those of all earlier revisions,
+   also of earlier generations.  */
+uint64_t
+store_generation_fence (const store_generation_t *generation, int64_t revision)
+{
+  return generation->number % FENCE_GENERATIONS * MAX_REVISIONS_LOST
+         + (uint64_t)revision;
+}
+
 /* Return how often the number has changed, for store_generation_accept.  */
 unsigned
 store_generation_changes (const store_generation_t *generation)
--- a/include/common/store_generation.h
+++ b/include/common/store_generation.h
@@ -27,6 +27,8 @@
 
 store_generation_t *store_generation_create (TALLOC_CTX *parent);
 uint64_t store_generation_number (const store_generation_t *generation);
+uint64_t store_generation_fence (const store_generation_t *generation,
+                                 int64_t revision);
 unsigned store_generation_changes (const store_generation_t *generation);
 bool store_generation_accept (store_generation_t *generation,
                               unsigned changes_before, uint64_t number);
--- a/include/plugins/store.h
+++ b/include/plugins/store.h
@@ -196,6 +196,16 @@
     store_generation_unlisten (listener);
 }
 
+/* Return a fencing token for the leader whose key STORE, a store of the kind
+   OPS, has written at REVISION: see store_generation_fence.  */
+static inline uint64_t
+store_fence (const store_ops_t *ops, store_t *store, int64_t revision)
+{
+  return ops->generation == NULL
+             ? (uint64_t)revision
+             : store_generation_fence (ops->generation (store), revision);
+}
+
 /* The current settings, as one document.  */
 #define STORE_KEY_SETTINGS "/siskinspur/settings"
 /* "REVISION CHANGE-ID" of the settings, written in the same transaction, so
--- a/pilot/leader_store.c
+++ b/pilot/leader_store.c
@@ -54,13 +54,16 @@
 }
 
 /* Stops the switcher when another pilot has seized the leader key of the
-   group, which shows as a revision above this pilot's fencing token.  */
+   group, whose fencing token is then above this pilot's.  */
 static void
 leader_read_leader_key (leader_t *leader, const char *group,
                         const store_entry_t *entry)
 {
+  const pilot_t *pilot = leader->pilot;
+
   if (strcmp (group, leader->group) == 0 && entry->value != NULL
-      && (uint64_t)entry->mod_revision > leader->fence)
+      && store_fence (pilot->store_ops, pilot->store, entry->mod_revision)
+             > leader->fence)
     switcher_stop (leader->switcher);
 }
 
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -156,6 +156,12 @@
         return asyncio.run_coroutine_threadsafe(
             coroutine, self.loop).result(30)
 
+    def run_function(self, function, *args):
+        """Calls a function in the thread of the stand-ins."""
+        async def call():
+            return function(*args)
+        return self.run(call())
+
     def put(self, key, value, lease=0):
         if not isinstance(value, bytes):
             value = json.dumps(value).encode()
--- a/tests/process/test_pilots.py
+++ b/tests/process/test_pilots.py
@@ -13,6 +13,7 @@
 RANKS = 3
 SWITCH_TIMEOUT_S = 15  # for several switches, on a loaded machine
 REPORT_AGE_MS = 1500
+LOST_WRITES = 400  # more than the replicas write again during a test
 MAX_STALL_S = 2.0  # clients abandon a stream that is silent for longer
 
 
@@ -131,12 +132,29 @@
         self.assertEqual(self.platform.store.sent_keys["op/config"],
                          sent["op/config"])
 
-    def test_all_pilots_killed_and_restarted(self):
-        self.reset_longest_stall()
+    def test_leader_after_a_restore_of_the_store_is_obeyed(self):
+        """The engines reject fences below the highest that they have seen.
+        The restored store gives lower revisions to the next leaders."""
+        store = self.platform.store
+        saved = self.platform.run_function(store.copy)
+        for number in range(LOST_WRITES):
+            self.platform.put("op/other", b"%d" % number)
+        self.restart_all()
+        self.wait_for_maps(1)
+        fence = self.group.ranks[0].fence
+        self.platform.run_function(store.restore, saved)
+        self.restart_all()
+        self.wait_for_maps(2)
+        self.assertGreater(self.group.ranks[0].fence, fence)
+
+    def restart_all(self):
         for pilot in self.pilots:
             pilot.kill()
         time.sleep(0.5)
         self.pilots = [self.platform.start_pilot(i) for i in range(RANKS)]
+
+    def test_all_pilots_killed_and_restarted(self):
+        self.restart_all()
         self.wait_for_maps(2)
 
     def test_planned_stop_of_the_leader_hands_over(self):
--- a/tests/process/test_relay_restored.py
+++ b/tests/process/test_relay_restored.py
@@ -37,11 +37,11 @@
     def test_change_with_a_revision_given_out_before_is_in_force(self):
         self.stop_publishing()
         time.sleep(0.2)
-        saved = self.platform.run(self.call(self.store.copy))
+        saved = self.platform.run_function(self.store.copy)
         self.add_key("key-before")
         self.expect_key("key-before")
         used = self.store.items["op/config"]["rev"]
-        self.platform.run(self.call(self.store.restore, saved))
+        self.platform.run_function(self.store.restore, saved)
         self.add_key("key-after")
         self.assertEqual(self.store.items["op/config"]["rev"], used)
         self.expect_key("key-after")
@@ -49,7 +49,7 @@
     def test_change_is_not_missed_once_revisions_have_caught_up(self):
         self.stop_publishing()
         time.sleep(0.2)
-        saved = self.platform.run(self.call(self.store.copy))
+        saved = self.platform.run_function(self.store.copy)
         for number in range(3):
             self.platform.put("op/other", b"%d" % number)
         time.sleep(POLLED_S)
@@ -68,9 +68,6 @@
         self.platform.run(restore_and_catch_up())
         self.expect_key("key-caught-up")
 
-    async def call(self, function, *args):
-        return function(*args)
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -1,6 +1,7 @@
 /* The leader election with a store that answers late: a process leads only
-   while the store holds its key, however long it campaigned and whatever call
-   was pending when it resigned.  */
+   while the store holds its key, however long it campaigned, whatever call was
+   pending when it resigned, and also when the store was restored from a copy;
+   each leader has a higher fence than those before it.  */
 
 #include "common/election.h"
 #include "kernel/scheduler.h"
@@ -30,6 +31,8 @@
   const char *holder; /* NULL if the key does not exist */
   int64_t key_lease;
   int64_t revision;
+  store_generation_t *generation; /* as this process knows it */
+  uint64_t generation_number;     /* as the store names it */
 };
 
 typedef struct fixture
@@ -42,6 +45,7 @@
   bool is_leader;
   unsigned won;
   unsigned lost;
+  uint64_t fence; /* of the last victory */
 } fixture_t;
 
 typedef enum call_kind
@@ -57,7 +61,9 @@
   store_t *store;
   call_kind_t kind;
   int64_t lease;
-  const char *value; /* for a write */
+  unsigned changes;           /* of the generation when the call was made */
+  uint64_t generation_number; /* when it took effect */
+  const char *value;          /* for a write */
   store_lease_done_t lease_done;
   store_done_t done;
   void *data;
@@ -151,6 +157,9 @@
                           .lease = call->store->key_lease };
 
   (void)worker;
+  if (!store_generation_accept (call->store->generation, call->changes,
+                                call->generation_number))
+    call->status = STATUS_IO;
   STAILQ_INIT (&result.responses);
   STAILQ_INIT (&response.entries);
   if (entry.value != NULL)
@@ -171,6 +180,7 @@
   call_t *call = data;
 
   call_take_effect (call);
+  call->generation_number = call->store->generation_number;
   worker_timer_start (worker, call,
                       timespec_from_ms (call->store->latency_ms / 2),
                       call_answer, call);
@@ -185,6 +195,7 @@
   call->kind = kind;
   call->lease = lease;
   call->data = data;
+  call->changes = store_generation_changes (store->generation);
   worker_timer_start (store->worker, call,
                       timespec_from_ms (store->latency_ms / 2), call_arrive,
                       call);
@@ -228,11 +239,30 @@
   return STATUS_OK;
 }
 
+static store_generation_t *
+store_get_generation (store_t *store)
+{
+  return store->generation;
+}
+
+/* Come back from a copy made before the first lease was granted.  */
+static void
+store_restore (store_t *store)
+{
+  memset (store->lease_ends, 0, sizeof (store->lease_ends));
+  store->last_lease = 0;
+  store->holder = NULL;
+  store->key_lease = 0;
+  store->revision = 0;
+  store->generation_number++;
+}
+
 static const store_ops_t test_store_ops = {
   .grant = store_grant,
   .keep_alive = store_keep_alive,
   .revoke_lease = store_revoke_lease,
   .transact = store_transact,
+  .generation = store_get_generation,
 };
 
 static void
@@ -241,8 +271,8 @@
 {
   fixture_t *fixture = data;
 
-  (void)fence;
   (void)displaced;
+  fixture->fence = fence;
   fixture->is_leader = true;
   fixture->won++;
 }
@@ -275,6 +305,8 @@
   fixture->pool = scheduler_create_pool (fixture->scheduler, fixture, 1);
   fixture->store.worker = pool_worker (fixture->pool, 0);
   fixture->store.latency_ms = latency_ms;
+  fixture->store.generation = store_generation_create (fixture);
+  fixture->store.generation_number = 1;
   fixture->election = election_create (fixture, fixture->store.worker,
                                        &options, &fixture_ops, fixture);
   return fixture;
@@ -383,6 +415,30 @@
   fixture_destroy (fixture);
 }
 
+/* The revision of the key is given out again after a restore, but must not
+   be the fence of another leader.  */
+static void
+test_fence_rises_when_the_store_was_restored (void **state)
+{
+  fixture_t *fixture = fixture_create (8);
+  uint64_t fence;
+
+  (void)state;
+  election_campaign (fixture->election);
+  fixture_run (fixture, LEASE_MS);
+  assert_leads (fixture);
+  for (unsigned i = 1; i <= 2; i++)
+    {
+      fence = fixture->fence;
+      store_restore (&fixture->store);
+      fixture_run (fixture, LEASE_MS);
+      assert_leads (fixture);
+      assert_int_equal (fixture->lost, i);
+      assert_true (fixture->fence > fence);
+    }
+  fixture_destroy (fixture);
+}
+
 int
 main (void)
 {
@@ -390,6 +446,7 @@
     cmocka_unit_test (test_lease_is_fresh_after_a_long_campaign),
     cmocka_unit_test (test_answer_from_before_a_resignation_is_ignored),
     cmocka_unit_test (test_lease_is_over_after_a_pause),
+    cmocka_unit_test (test_fence_rises_when_the_store_was_restored),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
