Give up leases when the store was restored

Leases that were granted after the copy are gone and their numbers are given out again: a relay or pilot kept another process's lease alive and took its own key for registered, and a leader that renewed another's lease led on beside the one whose key the store held.

The election and the keys of processes now drop their lease when a restore is noticed, whatever call is pending, and start again; processes write their keys at times spread over a second. A leader's own key from an earlier term is replaced at once instead of being waited for.

--- a/common/election.c
+++ b/common/election.c
@@ -24,8 +24,9 @@
   uint64_t displaced_fence; /* of that holder */
   bool is_leader;
   bool is_call_pending; /* a call to the store has not ended yet */
-  /* The pending call was made before this process resigned, which ended the
-     lease that the call was about.  */
+  /* The pending call was made before this process resigned, or before a
+     restore of the store was noticed: either ended the lease that the call
+     was about.  */
   bool is_call_outdated;
   bool is_destroyed;         /* freed when the pending call ends */
   struct timespec called_at; /* start of the last call */
@@ -34,6 +35,7 @@
      least for its duration from then on.  */
   struct timespec renewed_at;
   worker_timer_t *timer;
+  store_listener_t listener;
 };
 
 static void election_step (election_t *election);
@@ -45,9 +47,8 @@
 }
 
 /* Handle the end of a call to the store.  Returns whether its result is to be
-   used.  Otherwise this process has resigned during the call, and the next
-   step of a new campaign is started; or ELECTION was destroyed and is
-   freed.  */
+   used.  Otherwise the lease has ended during the call, and the next step of a
+   new campaign is started; or ELECTION was destroyed and is freed.  */
 static bool
 election_end_call (election_t *election)
 {
@@ -184,27 +185,34 @@
   talloc_free (displaced_holder);
 }
 
+static void
+election_displace (election_t *election, const store_entry_t *entry)
+{
+  election->displaced_fence = election_fence (election, entry->mod_revision);
+  talloc_free (election->displaced_holder);
+  election->displaced_holder = talloc_strdup (election, entry->value);
+}
+
 /* The write found an existing key.  It belongs to another process, which is
-   replaced on the next write if a takeover was requested, or to this process,
-   from a write whose response was lost.  */
+   replaced on the next write if a takeover was requested; or to this process,
+   from a write whose response was lost, or from an earlier term in a store
+   that was restored, whose lease is replaced.  */
 static void
 election_handle_existing_key (election_t *election, const store_entry_t *entry)
 {
-  if (entry != NULL && strcmp (entry->value, election->options.holder) == 0
-      && entry->lease == election->lease)
+  bool is_own
+      = entry != NULL && strcmp (entry->value, election->options.holder) == 0;
+
+  if (is_own && entry->lease == election->lease)
     {
       election_win (election, entry->mod_revision);
       return;
     }
   election->holder_revision = 0;
-  if (entry != NULL && election->is_taking_over)
-    {
-      election->holder_revision = entry->mod_revision;
-      election->displaced_fence
-          = election_fence (election, entry->mod_revision);
-      talloc_free (election->displaced_holder);
-      election->displaced_holder = talloc_strdup (election, entry->value);
-    }
+  if (entry != NULL && (is_own || election->is_taking_over))
+    election->holder_revision = entry->mod_revision;
+  if (entry != NULL && !is_own && election->is_taking_over)
+    election_displace (election, entry);
   election_schedule_step (election,
                           election->holder_revision != 0 ? 0 : RETRY_DELAY_MS);
 }
@@ -302,6 +310,22 @@
   election_schedule_step (election, RETRY_DELAY_MS);
 }
 
+/* The store was restored from a copy.  The lease is void: the store may give
+   its number to another process.  The key may be gone, or be an older one.  */
+static void
+election_handle_restored (void *data)
+{
+  election_t *election = data;
+
+  if (!election->is_campaigning)
+    return;
+  election->holder_revision = 0;
+  election->is_call_outdated = election->is_call_pending;
+  election_lose (election);
+  if (!election->is_call_pending)
+    election_schedule_step (election, 0);
+}
+
 /* Create an election, in which this process takes part from election_campaign
    on.  The key and the holder name of OPTIONS are copied.  Returns NULL when
    memory is exhausted.
@@ -321,6 +345,11 @@
   election->options.holder = talloc_strdup (election, options->holder);
   election->ops = ops;
   election->data = data;
+  election->listener = (store_listener_t){
+    .on_restored = election_handle_restored,
+    .data = election,
+  };
+  store_listen (options->store_ops, options->store, &election->listener);
   return election;
 }
 
@@ -330,6 +359,7 @@
 election_destroy (election_t *election)
 {
   election_resign (election);
+  store_unlisten (election->options.store_ops, &election->listener);
   election->is_destroyed = true;
   if (!election->is_call_pending)
     talloc_free (election);
--- a/common/lease_key.c
+++ b/common/lease_key.c
@@ -3,11 +3,15 @@
 #include "kernel/log.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 enum
 {
   RENEWALS_PER_LEASE = 3, /* renewals during the lifetime of a lease */
-  RETRY_DELAY_MS = 700
+  RETRY_DELAY_MS = 700,
+  /* After a restore of the store all processes write their keys again, at
+     random within this time.  */
+  RESTORE_SPREAD_MS = 1000
 };
 
 struct lease_key
@@ -18,7 +22,12 @@
   bool is_written;
   bool is_value_changed; /* the value was set after the last write began */
   bool is_withdrawn;
+  bool is_call_pending; /* a call to the store has not ended yet */
+  /* A restore of the store, which voided the lease, was noticed after the
+     pending call was sent.  */
+  bool is_call_outdated;
   worker_timer_t *timer;
+  store_listener_t listener;
 };
 
 static void lease_key_step (lease_key_t *key);
@@ -52,6 +61,29 @@
                                     / RENEWALS_PER_LEASE);
 }
 
+/* Run lease_key_step at a time that differs between keys.  */
+static void
+lease_key_schedule_restart (lease_key_t *key)
+{
+  uint64_t hash = XXH3_64bits (key->options.key, strlen (key->options.key));
+
+  lease_key_schedule_step (key, (int64_t)(hash % RESTORE_SPREAD_MS));
+}
+
+/* Handle the end of a call to the store.  Returns whether its result is to be
+   used: it is not when the store was restored during the call.  */
+static bool
+lease_key_end_call (lease_key_t *key)
+{
+  bool is_outdated = key->is_call_outdated;
+
+  key->is_call_pending = false;
+  key->is_call_outdated = false;
+  if (is_outdated)
+    lease_key_schedule_restart (key);
+  return !is_outdated;
+}
+
 /* Log the failed STEP and retry.  STATUS_NOT_FOUND means that the lease has
    expired, so that a new lease is needed.  */
 static void
@@ -73,6 +105,8 @@
 {
   lease_key_t *key = data;
 
+  if (!lease_key_end_call (key))
+    return;
   if (status != STATUS_OK)
     {
       lease_key_handle_failure (key, "grant", status);
@@ -91,6 +125,8 @@
   lease_key_t *key = data;
 
   (void)result;
+  if (!lease_key_end_call (key))
+    return;
   if (status != STATUS_OK)
     {
       lease_key_handle_failure (key, "write", status);
@@ -112,6 +148,8 @@
   lease_key_t *key = data;
 
   (void)lease;
+  if (!lease_key_end_call (key))
+    return;
   if (status != STATUS_OK)
     lease_key_handle_failure (key, "keep", status);
   else
@@ -143,6 +181,7 @@
 
   if (key->is_withdrawn)
     return;
+  key->is_call_pending = true;
   if (key->lease == 0)
     status = ops->grant (key->options.store, key->options.duration,
                          lease_key_on_granted, key);
@@ -151,8 +190,24 @@
   else
     status = ops->keep_alive (key->options.store, key->lease,
                               lease_key_on_renewed, key);
-  if (status != STATUS_OK)
-    lease_key_handle_failure (key, "call", status);
+  if (status == STATUS_OK)
+    return;
+  key->is_call_pending = false;
+  lease_key_handle_failure (key, "call", status);
+}
+
+/* The store was restored from a copy.  The lease is void: the store may give
+   its number to another process, and the key may be gone.  */
+static void
+lease_key_handle_restored (void *data)
+{
+  lease_key_t *key = data;
+
+  key->lease = 0;
+  key->is_written = false;
+  key->is_call_outdated = key->is_call_pending;
+  if (!key->is_call_pending)
+    lease_key_schedule_restart (key);
 }
 
 /* Start to write and renew the key described by OPTIONS.  Strings of OPTIONS
@@ -170,6 +225,11 @@
   key->options = *options;
   key->options.key = talloc_strdup (key, options->key);
   key->options.value = talloc_strdup (key, options->value);
+  key->listener = (store_listener_t){
+    .on_restored = lease_key_handle_restored,
+    .data = key,
+  };
+  store_listen (options->store_ops, options->store, &key->listener);
   lease_key_schedule_step (key, 0);
   return key;
 }
--- a/include/common/election.h
+++ b/include/common/election.h
@@ -30,10 +30,11 @@
      taken over from a leader whose lease had not expired.  */
   void (*on_won) (uint64_t fence, const displaced_leader_t *displaced,
                   void *data);
-  /* The store has reported that the lease of this process has expired, so
-     another process may be the leader.  The owner must stop leading at once;
-     the election continues and may call on_won again.  Not called while the
-     store cannot be reached, or by election_resign.  */
+  /* The store has reported that the lease of this process has expired, or it
+     was restored from a copy, so another process may be the leader.  The owner
+     must stop leading at once; the election continues and may call on_won
+     again.  Not called while the store cannot be reached, or by
+     election_resign.  */
   void (*on_lost) (void *data);
 } election_ops_t;
 
--- a/tests/process/test_relay_restored.py
+++ b/tests/process/test_relay_restored.py
@@ -9,6 +9,7 @@
 
 # Relays must apply a new version within two seconds.
 APPLY_S = 2
+REGISTER_S = 2.5
 POLLED_S = 2.5  # after it the relay has polled past all earlier changes
 
 
@@ -30,6 +31,24 @@
         wait_until(lambda: ask(self.relay, "/check/", key=key).status == 200,
                    APPLY_S, key + " to be in force")
 
+    def test_registration_is_written_again_with_a_lease_of_its_own(self):
+        """The restored store gives the number of the relay's lease to another
+        process, which keeps it alive."""
+        saved = self.platform.run_function(self.store.copy)
+        name = "siskinspur/relays/relay-2"
+        self.platform.start_relay("relay-2")
+        wait_until(lambda: name in self.store.items, 5, "the registration")
+        lease = self.store.items[name]["lease"]
+
+        def restore():
+            self.store.restore(saved)
+            while self.store.last_lease < lease:
+                self.store.grant({"ttl_ms": 60000})
+        self.platform.run_function(restore)
+        wait_until(lambda: name in self.store.items, REGISTER_S,
+                   "the registration after the restore")
+        self.assertNotEqual(self.store.items[name]["lease"], lease)
+
     def stop_publishing(self):
         for app in self.apps:
             app.publish_task.cancel()
--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -439,6 +439,35 @@
   fixture_destroy (fixture);
 }
 
+/* The restored store gives the number of this process's lease to another one,
+   which becomes the leader.  Whatever call is pending, this process must
+   neither lead on nor renew that lease, which ends.  */
+static void
+test_lease_given_to_another_is_not_renewed (void **state)
+{
+  (void)state;
+  for (int64_t restore_ms = LEASE_MS; restore_ms < 2LL * LEASE_MS;
+       restore_ms += 50)
+    {
+      fixture_t *fixture = fixture_create (400);
+      store_t *store = &fixture->store;
+
+      election_campaign (fixture->election);
+      fixture_run (fixture, restore_ms);
+      assert_leads (fixture);
+      store_restore (store);
+      store->holder = "other";
+      store->revision++;
+      store->key_lease = ++store->last_lease;
+      store_extend (store, store->key_lease);
+      fixture_run (fixture, LEASE_MS);
+      assert_false (fixture->is_leader);
+      fixture_run (fixture, 2LL * LEASE_MS);
+      assert_leads (fixture);
+      fixture_destroy (fixture);
+    }
+}
+
 int
 main (void)
 {
@@ -447,6 +476,7 @@
     cmocka_unit_test (test_answer_from_before_a_resignation_is_ignored),
     cmocka_unit_test (test_lease_is_over_after_a_pause),
     cmocka_unit_test (test_fence_rises_when_the_store_was_restored),
+    cmocka_unit_test (test_lease_given_to_another_is_not_renewed),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
