Do not use a listing that is older than what is known

A restored store shows replicas as they were when the copy was made: one that drains as ready, one that has left as present. Relays took each listing for the newest state and sent requests there again.

Listings of one run are now ordered by the heartbeat with which they were written, whatever the store's revision is.

--- a/include/common/upstream_listing.h
+++ b/include/common/upstream_listing.h
@@ -17,6 +17,9 @@
   bool is_draining;
   struct timespec cold_start_remaining; /* remaining time of its cold start */
   int64_t started_ms; /* Unix time of its start; 0 if not reported */
+  /* Number of the heartbeat with which the upstream wrote the listing; rises
+     from its start on.  0 if not reported.  */
+  int64_t heartbeat;
 } upstream_listing_t;
 
 #endif
--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -86,6 +86,14 @@
                         upstream */
 } fleet_result_t;
 
+/* What a listing has changed.  */
+typedef enum fleet_update
+{
+  FLEET_UNCHANGED,
+  FLEET_CHANGED,         /* the upstream is new, or its state changed */
+  FLEET_LISTING_OUTDATED /* older than what is known; has no effect */
+} fleet_update_t;
+
 /* A report on an upstream from the pilot beside it.  */
 typedef struct fleet_report
 {
@@ -112,7 +120,8 @@
 void fleet_set_share (fleet_t *fleet, const rate_share_t *share);
 /* LIMITS must remain valid; without it no upstream has a limit.  */
 void fleet_set_rate_limits (fleet_t *fleet, rate_limits_t *limits);
-bool fleet_update_upstream (fleet_t *fleet, const upstream_listing_t *listing);
+fleet_update_t fleet_update_upstream (fleet_t *fleet,
+                                      const upstream_listing_t *listing);
 bool fleet_remove_upstream (fleet_t *fleet, const char *id);
 void fleet_set_zone_out (fleet_t *fleet, const char *zone, bool is_out);
 unsigned fleet_upstream_count (fleet_t *fleet);
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -87,6 +87,7 @@
   int64_t started_ms;
   uint64_t incarnation; /* see fleet_incarnation */
   unsigned slots;       /* requests that it can run at once */
+  int64_t heartbeat;    /* of its newest listing */
   bool is_draining;
   bool is_replaced;           /* another upstream responds at its address */
   struct timespec cold_until; /* monotonic */
@@ -140,6 +141,16 @@
   struct timespec rounded_at;
 };
 
+/* An upstream, from its start to its end, that has left.  */
+typedef struct departed_run
+{
+  TAILQ_ENTRY (departed_run) link;
+  char *id;
+  int64_t started_ms;
+  int64_t heartbeat; /* of its last listing */
+  struct timespec left_at;
+} departed_run_t;
+
 struct fleet
 {
   const char *zone; /* zone of this relay */
@@ -154,6 +165,8 @@
   STAILQ_HEAD (, fleet_service) services;
   SLIST_HEAD (, fleet_zone) zones;
   LIST_HEAD (, fleet_group) groups;
+  TAILQ_HEAD (, departed_run) departed; /* the oldest first */
+  unsigned departed_count;
   /* Scratch arrays of fleet_choose with room for every upstream.  */
   const pick_candidate_t **candidates;
   fleet_upstream_t **candidate_upstreams;
@@ -212,6 +225,11 @@
 bool quota_is_within_share (const fleet_t *fleet,
                             const fleet_upstream_t *upstream, bool is_late);
 
+/* Upstreams that have left, whose listings a restored store may show again
+   (fleet_departed.c).  */
+void departed_add (fleet_t *fleet, const fleet_upstream_t *upstream);
+bool departed_covers (fleet_t *fleet, const upstream_listing_t *listing);
+
 /* Ejection of an upstream after failures (fleet_health.c).  */
 void health_record_result (fleet_upstream_t *upstream, fleet_result_t result,
                            struct timespec now);
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -176,6 +176,37 @@
     discovery_defer_removal (discovery, id, remaining);
 }
 
+/* Pass LISTING to the fleet and to the record of crashes, unless it is
+   outdated.  */
+static void
+discovery_use_listing (discovery_t *discovery,
+                       const upstream_listing_t *listing, int64_t revision)
+{
+  const relay_t *relay = discovery->relay;
+  fleet_update_t update = fleet_update_upstream (relay->fleet, listing);
+
+  if (update == FLEET_LISTING_OUTDATED)
+    {
+      log_event (LOG_LEVEL_NOTICE, "listing-outdated",
+                 "upstream=%s heartbeat=%lld draining=%d revision=%lld",
+                 listing->id, (long long)listing->heartbeat,
+                 listing->is_draining, (long long)revision);
+      return;
+    }
+  if (crashes_confirm_start (
+          relay->crashes, listing->address,
+          fleet_incarnation (listing->id, listing->started_ms)))
+    feed_send_updates (relay->feed);
+  if (update == FLEET_CHANGED)
+    log_event (LOG_LEVEL_NOTICE, "upstream-listed",
+               "upstream=%s service=%s zone=%s draining=%d "
+               "cold_left_ms=%lld revision=%lld",
+               listing->id, listing->service, listing->zone,
+               listing->is_draining,
+               (long long)timespec_to_ms (listing->cold_start_remaining),
+               (long long)revision);
+}
+
 static void
 discovery_apply_listing (discovery_t *discovery, const char *id,
                          const store_entry_t *entry)
@@ -200,16 +231,7 @@
     {
       if (expired != NULL)
         expired_listing_free (expired);
-      if (crashes_confirm_start (discovery->relay->crashes, listing.address,
-                                 fleet_incarnation (id, listing.started_ms)))
-        feed_send_updates (discovery->relay->feed);
-      if (fleet_update_upstream (discovery->relay->fleet, &listing))
-        log_event (LOG_LEVEL_NOTICE, "upstream-listed",
-                   "upstream=%s service=%s zone=%s draining=%d "
-                   "cold_left_ms=%lld revision=%lld",
-                   id, listing.service, listing.zone, listing.is_draining,
-                   (long long)timespec_to_ms (listing.cold_start_remaining),
-                   (long long)entry->mod_revision);
+      discovery_use_listing (discovery, &listing, entry->mod_revision);
     }
   talloc_free (scratch);
 }
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -80,6 +80,7 @@
   STAILQ_INIT (&fleet->services);
   SLIST_INIT (&fleet->zones);
   LIST_INIT (&fleet->groups);
+  TAILQ_INIT (&fleet->departed);
   return fleet;
 }
 
@@ -241,6 +242,7 @@
   if (upstream->service != NULL)
     STAILQ_REMOVE (&upstream->service->upstreams, upstream, fleet_upstream,
                    link);
+  departed_add (fleet, upstream);
   quota_forget (upstream);
   fleet_upstream_set_group (upstream, NULL);
   table_remove (fleet->table, &upstream->node);
@@ -325,17 +327,49 @@
   return true;
 }
 
-/* Add or update the upstream in LISTING.  Returns whether it is new or has
-   changed in a way that affects the choice.  */
-bool
-fleet_update_upstream (fleet_t *fleet, const upstream_listing_t *listing)
+/* Return whether LISTING is older than what is known of its upstream, as when
+   the store was restored from a copy.  UPSTREAM is the one known under its id,
+   or NULL.  Revisions of the store can't tell, heartbeats can.  */
+static bool
+fleet_listing_is_outdated (fleet_t *fleet, const fleet_upstream_t *upstream,
+                           const upstream_listing_t *listing)
 {
-  struct timespec now = clock_monotonic (fleet->clock);
-  fleet_upstream_t *upstream;
-  bool is_changed = false;
+  if (listing->started_ms == 0 || listing->heartbeat == 0)
+    return false;
+  if (upstream != NULL && upstream->started_ms == listing->started_ms)
+    return listing->heartbeat < upstream->heartbeat;
+  return departed_covers (fleet, listing);
+}
 
-  table_lock (fleet->table);
-  upstream = fleet_find (fleet, listing->id);
+/* Apply LISTING to UPSTREAM, the one that it describes.  Returns whether that
+   affects the choice.  A run that drains is never ready again.  */
+static bool
+upstream_apply_listing (fleet_t *fleet, fleet_upstream_t *upstream,
+                        const upstream_listing_t *listing)
+{
+  bool was_draining = upstream->is_draining;
+
+  upstream->started_ms = listing->started_ms;
+  upstream->heartbeat = listing->heartbeat;
+  upstream->incarnation
+      = fleet_incarnation (upstream->id, listing->started_ms);
+  upstream->is_draining = was_draining || listing->is_draining;
+  upstream->slots = listing->slots > 0 ? listing->slots : 1;
+  upstream_set_limits (upstream, listing);
+  cold_start_set_remaining (fleet, upstream, clock_monotonic (fleet->clock),
+                            listing->cold_start_remaining);
+  return upstream->is_draining != was_draining;
+}
+
+/* Add or update the upstream in LISTING.  The table must be locked.  */
+static fleet_update_t
+fleet_apply_listing (fleet_t *fleet, const upstream_listing_t *listing)
+{
+  fleet_upstream_t *upstream = fleet_find (fleet, listing->id);
+  bool is_new = false;
+
+  if (fleet_listing_is_outdated (fleet, upstream, listing))
+    return FLEET_LISTING_OUTDATED;
   if (upstream != NULL && upstream_is_different_instance (upstream, listing))
     {
       upstream_free (fleet, upstream);
@@ -344,23 +378,27 @@
   if (upstream == NULL && fleet_claim_address (fleet, listing))
     {
       upstream = upstream_create (fleet, listing);
-      is_changed = true;
-    }
-  if (upstream != NULL)
-    {
-      is_changed = is_changed || upstream->is_draining != listing->is_draining;
-      upstream->started_ms = listing->started_ms;
-      upstream->incarnation
-          = fleet_incarnation (upstream->id, listing->started_ms);
-      upstream->is_draining = listing->is_draining;
-      upstream->slots = listing->slots > 0 ? listing->slots : 1;
-      upstream_set_limits (upstream, listing);
-      cold_start_set_remaining (fleet, upstream, now,
-                                listing->cold_start_remaining);
+      is_new = true;
     }
+  if (upstream == NULL)
+    return FLEET_UNCHANGED;
+  return upstream_apply_listing (fleet, upstream, listing) || is_new
+             ? FLEET_CHANGED
+             : FLEET_UNCHANGED;
+}
+
+/* Add or update the upstream in LISTING.  Returns whether it is new or has
+   changed in a way that affects the choice.  */
+fleet_update_t
+fleet_update_upstream (fleet_t *fleet, const upstream_listing_t *listing)
+{
+  fleet_update_t update;
+
+  table_lock (fleet->table);
+  update = fleet_apply_listing (fleet, listing);
   counter_set (&upstreams_gauge, (int64_t)table_count (fleet->table));
   table_unlock (fleet->table);
-  return is_changed;
+  return update;
 }
 
 /* Remove the upstream ID.  Returns whether it was known.  */
--- a/tests/process/test_relay_restored.py
+++ b/tests/process/test_relay_restored.py
@@ -10,6 +10,8 @@
 # Relays must apply a new version within two seconds.
 APPLY_S = 2
 REGISTER_S = 2.5
+DRAIN_S = 2
+READ_S = 1.5  # after it the relay has read the restored store
 POLLED_S = 2.5  # after it the relay has polled past all earlier changes
 
 
@@ -31,6 +33,50 @@
         wait_until(lambda: ask(self.relay, "/check/", key=key).status == 200,
                    APPLY_S, key + " to be in force")
 
+    def served_for(self, seconds):
+        """Returns the ids of the replicas that serve requests."""
+        before = {app.id: len(app.runs) for app in self.apps}
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.assertEqual(ask(self.relay, "/check/").status, 200)
+        return {app.id for app in self.apps
+                if len(app.runs) > before[app.id]}
+
+    def expect_unused(self, app):
+        wait_until(lambda: app.id not in self.served_for(0.2), DRAIN_S,
+                   "requests to the replica to stop")
+
+    def test_replica_that_drains_is_not_used_again(self):
+        self.stop_publishing()
+        app = self.apps[0]
+        saved = self.platform.run_function(self.store.copy)
+        app.state = "draining"
+        self.platform.run(app.publish())
+        self.expect_unused(app)
+        self.platform.run_function(self.store.restore, saved)
+        self.assertNotIn(app.id, self.served_for(READ_S))
+
+    def test_replica_that_left_is_not_used_again(self):
+        self.stop_publishing()
+        app = self.apps[0]
+        saved = self.platform.run_function(self.store.copy)
+        self.platform.remove("servers/" + app.id)
+        self.expect_unused(app)
+        self.platform.run_function(self.store.restore, saved)
+        self.assertNotIn(app.id, self.served_for(READ_S))
+
+    def test_replica_that_is_listed_again_is_used(self):
+        self.stop_publishing()
+        app = self.apps[0]
+        saved = self.platform.run_function(self.store.copy)
+        self.platform.remove("servers/" + app.id)
+        self.expect_unused(app)
+        self.platform.run_function(self.store.restore, saved)
+        time.sleep(READ_S)
+        self.platform.run(app.publish())
+        wait_until(lambda: app.id in self.served_for(0.2), DRAIN_S,
+                   "requests to the replica that is listed again")
+
     def test_registration_is_written_again_with_a_lease_of_its_own(self):
         """The restored store gives the number of the relay's lease to another
         process, which keeps it alive."""
