Hold what a restored store shows as missing until it is written again

A listing or an evacuation that was written after the copy is missing right after a restore, until its writer writes it again. Relays dropped replicas that live, unless the outage had been long, and sent requests to zones that operators had taken out; a zone taken back was out again, and its replicas cold after that.

For the grace time that an outage already gave to listings, relays now hold those changes, and apply what has not been undone by then. Held changes are a list of their own (relay/held_changes.c), which replaces the one for listings. The first poll after a failure doesn't wait, so that a restore is noticed sooner.

--- a/common/store_mirror.c
+++ b/common/store_mirror.c
@@ -11,8 +11,9 @@
 {
   RETRY_MIN_DELAY_MS = 200,
   RETRY_MAX_DELAY_MS = 1000,
-  POLL_MIN_GAP_MS = 150 /* minimum time from the last request to a poll
-                           that store_mirror_poll_now requests */
+  FIRST_POLL_WAIT_MS = 1, /* of the first poll after a failure */
+  POLL_MIN_GAP_MS = 150   /* minimum time from the last request to a poll
+                             that store_mirror_poll_now requests */
 };
 
 COUNTER_DEFINE (full_reads, "siskin_mirror_full_reads_total",
@@ -341,11 +342,25 @@
   return status;
 }
 
+/* Poll for changes.  After a failure the store answers at once, so that it is
+   known soon whether it was restored.  */
+static status_t
+mirror_poll (store_mirror_t *mirror)
+{
+  const store_mirror_options_t *options = &mirror->options;
+  struct timespec wait = mirror->is_reachable
+                             ? options->poll_interval
+                             : timespec_from_ms (FIRST_POLL_WAIT_MS);
+
+  return options->store_ops->poll (options->store, options->prefix,
+                                   mirror->revision, wait, mirror_on_changes,
+                                   mirror);
+}
+
 /* Read the next page, or poll for changes.  */
 static void
 mirror_send_request (store_mirror_t *mirror)
 {
-  const store_ops_t *ops = mirror->options.store_ops;
   status_t status;
 
   mirror->last_request_at = mirror_now (mirror);
@@ -353,9 +368,7 @@
   if (mirror->needs_full_read)
     status = mirror_read_page (mirror);
   else
-    status = ops->poll (mirror->options.store, mirror->options.prefix,
-                        mirror->revision, mirror->options.poll_interval,
-                        mirror_on_changes, mirror);
+    status = mirror_poll (mirror);
   if (status == STATUS_OK)
     return;
   mirror->is_call_pending = false;
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -6,6 +6,7 @@
 #include "kernel/log.h"
 #include "kernel/table.h"
 #include "relay/feed.h"
+#include "relay/held_changes.h"
 
 #include <string.h>
 
@@ -15,11 +16,11 @@
      requires a change to take effect.  */
   POLLS_PER_APPLY_LIMIT = 2,
   /* The lease of a listing expires when its upstream cannot renew it for some
-     seconds.  After a store outage of this length, upstreams are listed again
-     within two seconds; until then an upstream whose listing is gone is
-     kept.  */
+     seconds.  After a store outage of this length, or a restore, what is
+     missing is written again within two seconds; until then an upstream whose
+     listing is gone is kept.  */
   EXPIRY_OUTAGE_MIN_MS = 1800,
-  EXPIRY_GRACE_MS = 2300,
+  REWRITE_GRACE_MS = 2300,
   /* A relay whose key is gone still counts for this long.  */
   GONE_RELAY_RETENTION_MS = 10000
 };
@@ -40,23 +41,16 @@
   struct timespec gone_at;
 } relay_key_t;
 
-/* An upstream whose listing expired during a store outage; it is removed
-   unless it is listed again before the timer fires.  */
-typedef struct expired_listing
-{
-  LIST_ENTRY (expired_listing) link;
-  char *id;
-  worker_timer_t *timer;
-  discovery_t *discovery;
-} expired_listing_t;
-
 struct discovery
 {
   relay_t *relay;
   worker_t *worker;
   store_mirror_t *mirror;
-  struct timespec expiry_grace_until; /* monotonic; see EXPIRY_OUTAGE_MIN_MS */
-  LIST_HEAD (, expired_listing) expired;
+  struct timespec grace_until; /* monotonic; see EXPIRY_OUTAGE_MIN_MS */
+  /* The store was restored, and not all of it has been read since.  */
+  bool is_reading_restored;
+  held_changes_t *held;
+  store_listener_t listener;
   LIST_HEAD (, relay_key) relays;
   worker_timer_t *recount_timer;
   task_t refresh_task;
@@ -103,26 +97,6 @@
                (unsigned long long)version, (long long)entry->mod_revision);
 }
 
-static void
-expired_listing_free (expired_listing_t *expired)
-{
-  LIST_REMOVE (expired, link);
-  talloc_free (expired);
-}
-
-static expired_listing_t *
-expired_listing_find (discovery_t *discovery, const char *id)
-{
-  expired_listing_t *expired;
-
-  LIST_FOREACH (expired, &discovery->expired, link)
-    {
-      if (strcmp (expired->id, id) == 0)
-        return expired;
-    }
-  return NULL;
-}
-
 static void
 discovery_drop_upstream (discovery_t *discovery, const char *id,
                          const char *why)
@@ -134,48 +108,6 @@
                why);
 }
 
-static void
-expired_listing_handle_timer (worker_t *worker, void *data)
-{
-  expired_listing_t *expired = data;
-
-  (void)worker;
-  discovery_drop_upstream (expired->discovery, expired->id,
-                           "not-back-after-outage");
-  expired_listing_free (expired);
-}
-
-/* Keep the upstream ID for the time REMAINING, the rest of the grace time: its
-   listing may only have expired because of the outage.  */
-static void
-discovery_defer_removal (discovery_t *discovery, const char *id,
-                         struct timespec remaining)
-{
-  expired_listing_t *expired = talloc_zero (discovery, expired_listing_t);
-
-  if (expired == NULL)
-    return;
-  expired->discovery = discovery;
-  expired->id = talloc_strdup (expired, id);
-  expired->timer = worker_timer_start (discovery->worker, expired, remaining,
-                                       expired_listing_handle_timer, expired);
-  LIST_INSERT_HEAD (&discovery->expired, expired, link);
-}
-
-/* The listing of ID is gone: remove the upstream, or keep it for the rest of
-   the grace time after a store outage.  */
-static void
-discovery_handle_listing_gone (discovery_t *discovery, const char *id)
-{
-  struct timespec remaining = timespec_subtract (discovery->expiry_grace_until,
-                                                 discovery_now (discovery));
-
-  if (timespec_to_us (remaining) <= 0)
-    discovery_drop_upstream (discovery, id, "listing-gone");
-  else if (expired_listing_find (discovery, id) == NULL)
-    discovery_defer_removal (discovery, id, remaining);
-}
-
 /* Pass LISTING to the fleet and to the record of crashes, unless it is
    outdated.  */
 static void
@@ -212,11 +144,10 @@
                          const store_entry_t *entry)
 {
   TALLOC_CTX *scratch = talloc_new (discovery);
-  expired_listing_t *expired = expired_listing_find (discovery, id);
   upstream_listing_t listing;
 
   if (entry->value == NULL)
-    discovery_handle_listing_gone (discovery, id);
+    discovery_drop_upstream (discovery, id, "listing-gone");
   else if (discovery->relay->catalog_ops->read_upstream (
                scratch, id, entry->value, entry->value_size, &listing)
            != STATUS_OK)
@@ -228,11 +159,7 @@
       discovery_drop_upstream (discovery, id, "listing-rejected");
     }
   else
-    {
-      if (expired != NULL)
-        expired_listing_free (expired);
-      discovery_use_listing (discovery, &listing, entry->mod_revision);
-    }
+    discovery_use_listing (discovery, &listing, entry->mod_revision);
   talloc_free (scratch);
 }
 
@@ -337,8 +264,9 @@
     feed_update_pilot (discovery->relay->feed, pilot, entry->value);
 }
 
+/* Apply ENTRY, which was not held or has been held for its time.  */
 static void
-discovery_on_change (const store_entry_t *entry, void *data)
+discovery_apply_entry (const store_entry_t *entry, void *data)
 {
   discovery_t *discovery = data;
   const char *name;
@@ -363,15 +291,65 @@
   relay_notify_workers (discovery->relay);
 }
 
+/* Return whether ENTRY may be undone within the grace time: a listing that is
+   gone, which its upstream writes again if it lives; or, in the first read of
+   a restored store, a zone whose state was another one before, which the
+   operators write again.  */
+static bool
+discovery_may_be_undone (const discovery_t *discovery,
+                         const store_entry_t *entry)
+{
+  const char *name;
+
+  switch (discovery->relay->catalog_ops->classify (entry->key, &name))
+    {
+    case CATALOG_UPSTREAM:
+      return entry->value == NULL;
+    case CATALOG_ZONE_OUT:
+      return discovery->is_reading_restored;
+    default:
+      return false;
+    }
+}
+
+static void
+discovery_on_change (const store_entry_t *entry, void *data)
+{
+  discovery_t *discovery = data;
+  struct timespec remaining
+      = timespec_subtract (discovery->grace_until, discovery_now (discovery));
+
+  held_changes_drop (discovery->held, entry->key);
+  if (timespec_to_us (remaining) > 0
+      && discovery_may_be_undone (discovery, entry))
+    {
+      log_event (LOG_LEVEL_NOTICE, "change-held",
+                 "key=%s is_gone=%d revision=%lld ms=%lld", entry->key,
+                 entry->value == NULL, (long long)entry->mod_revision,
+                 (long long)timespec_to_ms (remaining));
+      held_changes_add (discovery->held, entry, remaining);
+    }
+  else
+    discovery_apply_entry (entry, discovery);
+}
+
 static void
 discovery_on_synced (void *data)
 {
-  const discovery_t *discovery = data;
+  discovery_t *discovery = data;
 
+  discovery->is_reading_restored = false;
   log_event (LOG_LEVEL_NOTICE, "store-read", "upstreams=%u",
              fleet_upstream_count (discovery->relay->fleet));
 }
 
+static void
+discovery_start_grace (discovery_t *discovery)
+{
+  discovery->grace_until = timespec_add (discovery_now (discovery),
+                                         timespec_from_ms (REWRITE_GRACE_MS));
+}
+
 static void
 discovery_on_regained (struct timespec silence, void *data)
 {
@@ -381,8 +359,16 @@
   log_event (LOG_LEVEL_NOTICE, "store-regained", "silence_ms=%lld",
              (long long)timespec_to_ms (silence));
   if (timespec_to_ms (silence) >= EXPIRY_OUTAGE_MIN_MS)
-    discovery->expiry_grace_until = timespec_add (
-        discovery_now (discovery), timespec_from_ms (EXPIRY_GRACE_MS));
+    discovery_start_grace (discovery);
+}
+
+static void
+discovery_on_restored (void *data)
+{
+  discovery_t *discovery = data;
+
+  discovery->is_reading_restored = true;
+  discovery_start_grace (discovery);
 }
 
 static void
@@ -440,13 +426,19 @@
   discovery->relay = relay;
   discovery->worker = pool_worker (daemon_pool (relay->daemon), 0);
   discovery->refresh_task.run = discovery_run_refresh;
-  LIST_INIT (&discovery->expired);
+  discovery->held = held_changes_create (discovery, discovery->worker,
+                                         discovery_apply_entry, discovery);
   LIST_INIT (&discovery->relays);
+  discovery->listener = (store_listener_t){
+    .on_restored = discovery_on_restored,
+    .data = discovery,
+  };
+  store_listen (relay->store_ops, relay->store, &discovery->listener);
   discovery->mirror
       = store_mirror_create (discovery, discovery->worker, &options,
                              &discovery_mirror_ops, discovery);
-  if (discovery->mirror == NULL)
-    TALLOC_FREE (discovery);
+  if (discovery->held == NULL || discovery->mirror == NULL)
+    return NULL;
   return discovery;
 }
 
