Reject listings with values that no upstream can have

Here no process ended: nesting beyond 2,048 levels and numbers that don't fit are refused by the parser, and a port out of range was refused. But an odd entry that could be parsed was used: with huge or negative durations (undefined when converted), with slots without bound, a signed, spaced or zero port, a start or heartbeat of another type, or a service that no rules name. If it named the address of a replica that lives, it took its place.

test_odd_listing_of_another_writer_changes_nothing (relay) failed before, as did the new lines of test_catalog; its twin for pilots passed and stays.

--- a/common/net.c
+++ b/common/net.c
@@ -1,6 +1,7 @@
 #include "common/net.h"
 
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <errno.h>
 #include <netdb.h>
 #include <netinet/in.h>
@@ -44,7 +45,7 @@
   if (colon == NULL || colon[1] == '\0')
     return status_set (STATUS_INVALID, "'%s' is not ADDRESS:PORT", text);
   port = strtoul (colon + 1, &rest, 10);
-  if (*rest != '\0' || port > PORT_MAX)
+  if (!isdigit ((unsigned char)colon[1]) || *rest != '\0' || port > PORT_MAX)
     return status_set (STATUS_INVALID, "'%s' has no valid port", text);
   length = (size_t)(colon - text);
   if (length >= 2 && text[0] == '[' && text[length - 1] == ']')
@@ -59,6 +60,20 @@
   return STATUS_OK;
 }
 
+/* Return whether ADDRESS is the unspecified one, on which a server listens on
+   all its addresses.  */
+bool
+net_address_is_any (const net_address_t *address)
+{
+  struct in_addr four;
+  struct in6_addr six;
+
+  if (inet_pton (AF_INET, address->host, &four) == 1)
+    return four.s_addr == htonl (INADDR_ANY);
+  return inet_pton (AF_INET6, address->host, &six) == 1
+         && IN6_IS_ADDR_UNSPECIFIED (&six);
+}
+
 /* Convert ADDRESS to a socket address, which the caller frees with
    freeaddrinfo.  */
 static status_t
--- a/include/common/net.h
+++ b/include/common/net.h
@@ -3,6 +3,7 @@
 
 #include "kernel/status.h"
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <talloc.h>
 
@@ -13,6 +14,7 @@
   uint16_t port;
 } net_address_t;
 
+bool net_address_is_any (const net_address_t *address);
 status_t net_address_parse (TALLOC_CTX *parent, const char *text,
                             net_address_t *address);
 status_t net_listen (const net_address_t *address, int *fd, uint16_t *port);
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -112,6 +112,7 @@
 {
   STAILQ_ENTRY (fleet_service) link;
   char *name;
+  bool is_in_rules;
   struct timespec cold_time; /* duration of a cold start */
   /* Limit on the requests per second of all relays together to an upstream in
      cold start; 0: no limit.  */
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -183,14 +183,18 @@
 fleet_configure (fleet_t *fleet, const rules_t *rules)
 {
   const service_rule_t *rule;
+  fleet_service_t *known;
 
   table_lock (fleet->table);
+  STAILQ_FOREACH (known, &fleet->services, link)
+    known->is_in_rules = false;
   STAILQ_FOREACH (rule, &rules->services, link)
     {
       fleet_service_t *service = fleet_find_or_add_service (fleet, rule->name);
 
       if (service == NULL)
         continue;
+      service->is_in_rules = true;
       service->cold_time = rule->cold_time;
       service->cold_rate = rule->cold_rate;
       service->step_limit_ms
@@ -307,6 +311,22 @@
     report->limit_tokens = report->limit_requests;
 }
 
+/* Return whether the listing of OTHER is more credible than LISTING, which
+   names the same address: that of a service in the rules, since listings may
+   have other writers than upstreams, and then that of the last start.  */
+static bool
+fleet_keeps_address (const fleet_t *fleet, const fleet_upstream_t *other,
+                     const upstream_listing_t *listing)
+{
+  const fleet_service_t *service
+      = fleet_find_service (fleet, listing->service);
+  bool is_in_rules = service != NULL && service->is_in_rules;
+
+  if (other->service->is_in_rules != is_in_rules)
+    return other->service->is_in_rules;
+  return other->started_ms > listing->started_ms;
+}
+
 /* An address belongs to the upstream that started last; the listing of its
    predecessor disappears only some seconds later.  Returns whether LISTING is
    that of the last upstream started at its address; if so, removes the
@@ -318,7 +338,7 @@
 
   if (other == NULL)
     return true;
-  if (other->started_ms > listing->started_ms)
+  if (fleet_keeps_address (fleet, other, listing))
     return false;
   log_event (LOG_LEVEL_NOTICE, "upstream-replaced",
              "upstream=%s by=%s address=%s", other->id, listing->id,
--- a/tests/process/platform_replicas.py
+++ b/tests/process/platform_replicas.py
@@ -47,12 +47,14 @@
 
     async def publish(self):
         self.sequence += 1
-        entry = {"service": self.service, "address": self.address(),
-                 "zone": self.zone, "version": "1", "slots": self.slots,
-                 "state": self.state, "cold_left_ms": self.cold_left_ms,
-                 "sequence": self.sequence, "born": self.born}
         await self.store.write(
-            {"servers/" + self.id: (json.dumps(entry).encode(), 0)})
+            {"servers/" + self.id: (json.dumps(self.listing()).encode(), 0)})
+
+    def listing(self):
+        return {"service": self.service, "address": self.address(),
+                "zone": self.zone, "version": "1", "slots": self.slots,
+                "state": self.state, "cold_left_ms": self.cold_left_ms,
+                "sequence": self.sequence, "born": self.born}
 
     async def publish_periodically(self):
         while True:
@@ -127,6 +129,37 @@
                 *more_fields]
 
 
+def odd_listings(replica):
+    """Returns listings by name that look like one of REPLICA and name no
+    replica that can be used; the one named "last" can't be parsed."""
+    nested = b"[" * 5000 + b"]" * 5000
+    fields = {
+        "deep": ("version", b"[" * 2000 + b"]" * 2000),
+        "deeper": ("version", nested),
+        "number": ("slots", b"1" + b"0" * 400),
+        "slots": ("slots", b"9223372036854775807"),
+        "negative": ("slots", b"-1"),
+        "real": ("cold_left_ms", b"1e308"),
+        "cold": ("cold_left_ms", b"9223372036854775807"),
+        "past": ("cold_left_ms", b"-1e300"),
+        "born": ("born", b"1e300"),
+        "sequence": ("sequence", b"true"),
+        "port": ("address", b'"127.0.0.1:99999"'),
+        "no-port": ("address", b'"127.0.0.1:0"'),
+        "signed-port": ("address", b'"127.0.0.1:-18446744073709551535"'),
+        "spaced-port": ("address", b'"127.0.0.1: 81"'),
+        "any-host": ("address", b'"0.0.0.0:81"'),
+        "no-address": ("address", b"{}"),
+        "service": ("service", b"null"),
+        "unknown-service": ("service", b'"nobody"')}
+    listings = {}
+    for name, (field, value) in fields.items():
+        text = json.dumps(dict(replica.listing(), **{field: "@"})).encode()
+        listings["odd-" + name] = text.replace(b'"@"', value)
+    listings["last"] = b"\xff{"
+    return listings
+
+
 async def answer_normally(replica, request, writer):
     body = ("%s ran %s" % (replica.id, request.target)).encode()
     writer.write(response_bytes(200, body, replica.stamp(request)))
--- a/tests/process/test_pilots.py
+++ b/tests/process/test_pilots.py
@@ -7,6 +7,7 @@
 import time
 import unittest
 
+import platform_replicas as replicas
 from cluster import wait_until
 from platform_fixture import Platform, ask
 
@@ -92,6 +93,16 @@
         self.wait_for_maps(2)
         self.assert_no_long_stall()
 
+    def test_odd_listing_of_another_writer_changes_nothing(self):
+        leader = self.leader()
+        odd = replicas.odd_listings(self.platform.replicas[0])
+        for name, value in odd.items():
+            self.platform.put("servers/i-" + name, value)
+        self.wait_for_maps(3)
+        self.assertIs(self.leader(), leader)
+        self.assertEqual([pilot.process.poll() for pilot in self.pilots],
+                         [None] * RANKS)
+
     def test_lost_commands_that_are_executed_late(self):
         self.reset_longest_stall()
         self.group.loss_ratio = 0.4
--- a/tests/process/test_relay_rules.py
+++ b/tests/process/test_relay_rules.py
@@ -82,6 +82,20 @@
         time.sleep(0.3)
         self.assertEqual(len(self.served_by()), 3)
 
+    def test_odd_listing_of_another_writer_changes_nothing(self):
+        for name, value in replicas.odd_listings(self.apps[0]).items():
+            self.platform.put("servers/i-" + name, value)
+        wait_until(lambda: "upstream=i-last" in self.relay.text(), APPLY_S,
+                   "the odd listings to be read")
+        self.assertEqual(len(self.served_by()), 3)
+        added = self.platform.add_replica("app", "a")
+        self.apps.append(added)
+        wait_until(lambda: added.id in self.served_by(), APPLY_S,
+                   "a replica that is listed after the odd ones")
+        self.assertIsNone(self.relay.process.poll())
+        self.assertNotIn("event=upstream-listed upstream=i-odd",
+                         self.relay.text())
+
     def test_zone_out_gets_no_requests_until_it_is_back(self):
         self.platform.put("op/evacuate/b", b"")
         zone_b = self.apps[1].id
--- a/tests/test_catalog.c
+++ b/tests/test_catalog.c
@@ -104,6 +104,15 @@
     { "state", "\"asleep\"" },
     { "state", NULL },
     { "cold_left_ms", "\"soon\"" },
+    { "cold_left_ms", "1e300" },
+    { "cold_left_ms", "-5" },
+    { "slots", "9223372036854775807" },
+    { "address", "\"10.1.0.4:0\"" },
+    { "address", "\"10.1.0.4:-18446744073709551535\"" },
+    { "address", "\"0.0.0.0:80\"" },
+    { "version", "[[[]]]" },
+    { "born", "1e300" },
+    { "sequence", "true" },
   };
   TALLOC_CTX *context = talloc_new (NULL);
   upstream_listing_t listing;
