Do not believe a refusal that names no request on a reused connection

Here a refusal with the id of another request was rejected already, and requests that may run once use a connection of their own; but a refusal without an id was believed on a kept connection, so that repeatable requests that had run were reported as not run, or sent elsewhere without being counted as run.

A response without an id on a reused connection now counts as another request's: the outcome is unknown and the connection is closed.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -226,12 +226,15 @@
 call_report_head (http_call_t *call)
 {
   long http_status = 0;
+  long new_connections = 0;
   const char *content_type;
 
   if (call->is_head_reported)
     return;
   call->is_head_reported = true;
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &http_status);
+  curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &new_connections);
+  call->head.is_connection_reused = new_connections == 0;
   content_type = http_headers_find (&call->head.headers, "Content-Type");
   call->head.http_status = (unsigned)http_status;
   call->head.content_type = content_type == NULL ? "" : content_type;
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -20,7 +20,8 @@
 typedef struct http_head
 {
   unsigned http_status;
-  const char *content_type; /* "" for none */
+  const char *content_type;  /* "" for none */
+  bool is_connection_reused; /* by an earlier call, which may have left data */
   http_headers_t headers;
 } http_head_t;
 
--- a/include/plugins/egress.h
+++ b/include/plugins/egress.h
@@ -54,7 +54,8 @@
   /* The response has the header field that every upstream adds to its own
      responses.  Without it, something else, such as a proxy, responded.  */
   bool is_from_upstream;
-  /* The response has the id of another request, so it must not be used.  */
+  /* The response has the id of another request, or none on a connection that
+     other requests used before, so it must not be used.  */
   bool is_for_other_request;
   /* The body has neither a length nor chunks, so it ends with the connection,
      whether the upstream has ended or not.  */
--- a/tests/process/platform_replicas.py
+++ b/tests/process/platform_replicas.py
@@ -245,6 +245,34 @@
     return True
 
 
+def refuse_once_more(has_id):
+    """Refuses the very first request, and answers the first one of each
+    connection.  To later ones, which run, it writes that refusal again."""
+    refusals = []
+
+    async def answer(replica, request, writer):
+        if not refusals:
+            replica.runs.remove(request)
+            fields = [("Not-Run", "1"), ("Retry-After", "0.1")]
+            if has_id:
+                fields.append(("Request-Id", request.headers["request-id"]))
+            refusals.append(response_bytes(503, b"", fields))
+        elif not hasattr(writer, "is_used"):
+            writer.is_used = True
+            return await answer_normally(replica, request, writer)
+        writer.write(refusals[0])
+        await writer.drain()
+        return True
+    return answer
+
+
+async def refuse_another_request(replica, request, writer):
+    writer.write(response_bytes(503, b"", [("Request-Id", "another"),
+                                           ("Not-Run", "1")]))
+    await writer.drain()
+    return True
+
+
 async def reset(replica, request, writer):
     writer.transport.abort()
     return False
--- a/tests/process/test_relay_answers.py
+++ b/tests/process/test_relay_answers.py
@@ -145,6 +145,7 @@
     def test_request_that_may_have_run_is_not_retried(self):
         for first in (replicas.reset, replicas.truncate_response,
                       replicas.garbage, replicas.answer_another_request,
+                      replicas.refuse_another_request,
                       replicas.fail(200, stamped=False),
                       replicas.fail(503, stamped=False)):
             with self.subTest(first=first):
@@ -156,6 +157,26 @@
                 self.assertNotIn("Response-Stamp", reply.headers)
                 self.assertEqual(len(self.runs_of(request_id)), 1)
 
+    def test_earlier_refusal_on_a_kept_connection_is_not_believed(self):
+        for other in self.apps[1:]:
+            self.platform.run(other.leave())
+        app = self.apps[0]
+        wait_until(lambda: self.platform.metric(
+            self.relay, "siskin_fleet_upstreams") == 1 + len(self.models), 5,
+            "the relay to know that the others are gone")
+        for has_id in (True, False):
+            app.answer = replicas.refuse_once_more(has_id)
+            refused = set()
+            for _ in range(10):
+                request_id = new_id()
+                reply = ask(self.relay, "/check/", request_id=request_id,
+                            deadline_ms=300)
+                if reply.status in (408, 421, 429, 503):
+                    refused.add(request_id)
+            ran = {run.headers["request-id"] for run in app.runs}
+            self.assertGreater(len(ran), 1)
+            self.assertEqual(refused & ran, set())
+
     def test_declined_request_is_retried_elsewhere(self):
         for path, method in (("/book/", "POST"), ("/check/", "GET")):
             request_id = new_id()
