End a stream's attempt at bytes that are no event

Here a response that is no event stream, has another status, or lacks the proof was never joined to a stream; the new test shows that for errors, refusals, plain successes and garbage. But bytes within an event stream were taken for events whatever they were: an error's text or head, written by the replica in place of events, reached the client.

A line that is neither a field nor a comment ends the attempt, which may be resumed elsewhere; so does an event that is too large or finds no memory, which was dropped before, while the stream went on without it.

--- a/include/plugins/egress.h
+++ b/include/plugins/egress.h
@@ -94,6 +94,9 @@
   /* Abort and free the call without further events.  Must not be called from
      the call's own events.  */
   void (*cancel) (egress_call_t *call);
+  /* End the call from within its on_data; on_done follows with
+     STATUS_REFUSED.  */
+  void (*fail) (egress_call_t *call);
   /* Continue a call that on_data paused.  */
   void (*proceed) (egress_call_t *call);
 } egress_ops_t;
--- a/include/relay/event_stream.h
+++ b/include/relay/event_stream.h
@@ -22,6 +22,5 @@
 status_t event_stream_feed (event_stream_t *stream, const char *bytes,
                             size_t size);
 bool event_stream_is_at_boundary (const event_stream_t *stream);
-void event_stream_reset (event_stream_t *stream);
 
 #endif
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -237,9 +237,10 @@
     forward_send_data (forward, bytes, size);
   else if (event_stream_feed (attempt->events, bytes, size) != STATUS_OK)
     {
-      log_event (LOG_LEVEL_WARN, "bad-event", "request=%s error=\"%s\"",
-                 forward->request->id, status_message ());
-      event_stream_reset (attempt->events);
+      log_event (LOG_LEVEL_WARN, "bad-event",
+                 "request=%s upstream=%s error=\"%s\"", forward->request->id,
+                 attempt->choice.upstream, status_message ());
+      forward->relay_worker->relay->egress_ops->fail (attempt->call);
     }
   return true;
 }
--- a/relay/event_stream.c
+++ b/relay/event_stream.c
@@ -1,6 +1,6 @@
 #include "relay/event_stream.h"
 
-#include <stdlib.h>
+#include <ctype.h>
 #include <string.h>
 
 enum
@@ -76,69 +76,114 @@
   return has_digit;
 }
 
-/* Call the handler for the event at BYTES if it is complete.  Returns the end
-   of the event, or NULL if it is incomplete.  */
-static const char *
-stream_emit_event (event_stream_t *stream, const char *bytes, const char *end)
+/* Return whether LINE is a comment or a field "NAME: VALUE".  Anything else,
+   such as the text or the head of an error response, is not part of an event
+   stream.  */
+static bool
+line_is_field (const char *line, const char *end)
+{
+  const char *colon = memchr (line, ':', (size_t)(end - line));
+
+  if (colon == NULL)
+    return false;
+  while (line < colon && (isalnum ((unsigned char)*line) || *line == '-'))
+    line++;
+  return line == colon;
+}
+
+/* Call the handler for the event at BYTES if it is complete.  Sets *NEXT to
+   the end of the event, or to NULL if it is incomplete.  Returns
+   STATUS_PROTOCOL if a line is not part of an event.  */
+static status_t
+stream_emit_event (event_stream_t *stream, const char *bytes, const char *end,
+                   const char **next)
 {
   const char *line = bytes;
+  const char *after;
   bool has_id = false;
   int64_t id = 0;
 
-  for (;;)
+  *next = NULL;
+  while ((after = line_end (line, end)) != NULL)
     {
-      const char *next = line_end (line, end);
-
-      if (next == NULL)
-        return NULL;
-      if (line_is_empty (line, next))
+      if (line_is_empty (line, after))
         {
-          stream->handler (bytes, (size_t)(next - bytes), has_id, id,
+          stream->handler (bytes, (size_t)(after - bytes), has_id, id,
                            stream->data);
-          return next;
+          *next = after;
+          return STATUS_OK;
         }
-      has_id = line_parse_id (line, next, &id) || has_id;
-      line = next;
+      if (!line_is_field (line, after))
+        return status_set (STATUS_PROTOCOL, "a line is not part of an event");
+      has_id = line_parse_id (line, after, &id) || has_id;
+      line = after;
     }
+  return STATUS_OK;
+}
+
+/* Keep the incomplete event from START to END.  */
+static status_t
+stream_keep (event_stream_t *stream, const char *start, const char *end)
+{
+  stream->used = (size_t)(end - start);
+  if (stream->used == 0)
+    return STATUS_OK;
+  stream->pending = talloc_memdup (stream, start, stream->used);
+  return stream->pending == NULL
+             ? status_set (STATUS_NO_MEMORY, "out of memory for an event")
+             : STATUS_OK;
+}
+
+/* Append BYTES to the incomplete event that is kept.  */
+static status_t
+stream_join (event_stream_t *stream, const char *bytes, size_t size)
+{
+  char *joined;
+
+  if (stream->used + size > EVENT_MAX_BYTES)
+    return status_set (STATUS_TOO_LARGE, "event exceeds %d bytes",
+                       EVENT_MAX_BYTES);
+  joined = talloc_realloc (stream, stream->pending, char, stream->used + size);
+  if (joined == NULL)
+    return status_set (STATUS_NO_MEMORY, "out of memory for an event");
+  memcpy (joined + stream->used, bytes, size);
+  stream->pending = joined;
+  stream->used += size;
+  return STATUS_OK;
 }
 
-/* Parse BYTES, call the handler for each event that is complete, and buffer
-   the rest.  Returns STATUS_TOO_LARGE if a buffered event exceeds the limit,
-   or STATUS_NO_MEMORY.  */
+/* Parse BYTES, call the handler for each event that is complete, and keep the
+   rest.  After an error the stream can't be continued: STATUS_TOO_LARGE if an
+   event exceeds the limit, STATUS_PROTOCOL if the bytes are no events, or
+   STATUS_NO_MEMORY.  */
 status_t
 event_stream_feed (event_stream_t *stream, const char *bytes, size_t size)
 {
   const char *start = bytes;
   const char *end = bytes + size;
-  const char *next;
+  const char *next = start;
   char *joined = NULL;
+  status_t status = STATUS_OK;
 
   if (stream->used > 0)
     {
-      if (stream->used + size > EVENT_MAX_BYTES)
-        return status_set (STATUS_TOO_LARGE, "event exceeds %d bytes",
-                           EVENT_MAX_BYTES);
-      joined = talloc_realloc (stream, stream->pending, char,
-                               stream->used + size);
-      if (joined == NULL)
-        return status_set (STATUS_NO_MEMORY, "out of memory for an event");
-      memcpy (joined + stream->used, bytes, size);
-      start = joined;
-      end = joined + stream->used + size;
+      status = stream_join (stream, bytes, size);
+      if (status != STATUS_OK)
+        return status;
+      start = joined = stream->pending;
+      end = start + stream->used;
       stream->pending = NULL;
+      next = start;
     }
-  while (start < end
-         && (next = stream_emit_event (stream, start, end)) != NULL)
-    start = next;
-  stream->used = (size_t)(end - start);
-  if (stream->used > 0)
+  while (status == STATUS_OK && next != NULL && next < end)
     {
-      stream->pending = talloc_memdup (stream, start, stream->used);
-      if (stream->pending == NULL)
-        stream->used = 0;
+      start = next;
+      status = stream_emit_event (stream, start, end, &next);
     }
+  if (status == STATUS_OK)
+    status = stream_keep (stream, next == NULL ? start : end, end);
   talloc_free (joined);
-  return STATUS_OK;
+  return status;
 }
 
 /* Return whether the data so far ends at the end of an event.  */
@@ -147,11 +192,3 @@
 {
   return stream->used == 0;
 }
-
-/* Discard the incomplete event that is buffered.  */
-void
-event_stream_reset (event_stream_t *stream)
-{
-  TALLOC_FREE (stream->pending);
-  stream->used = 0;
-}
--- a/tests/process/test_relay_streams.py
+++ b/tests/process/test_relay_streams.py
@@ -30,6 +30,26 @@
     return answer
 
 
+def chunked_stream(body, rest=b"0\r\n\r\n"):
+    """Streams BODY as one chunk, followed by REST."""
+    async def answer(replica, request, writer):
+        writer.write(replicas.response_bytes(200, b"", replica.stamp(
+            request, [("Content-Type", "text/event-stream"),
+                      ("Transfer-Encoding", "chunked")]), length=False))
+        writer.write(b"%x\r\n%s\r\n" % (len(body), body) + rest)
+        await writer.drain()
+        return False
+    return answer
+
+
+def raw_answer(text):
+    async def answer(replica, request, writer):
+        writer.write(text)
+        await writer.drain()
+        return False
+    return answer
+
+
 class RelayStreamsTest(unittest.TestCase):
     def setUp(self):
         self.platform = Platform().__enter__()
@@ -87,6 +107,43 @@
         self.assertEqual(reply.body, replicas.event(1) + replicas.event(2))
         self.assertFalse(reply.is_complete)
 
+    def test_error_of_the_next_replica_is_not_part_of_the_stream(self):
+        error = replicas.response_bytes(500, b"oops\n\n")
+        event_type = [("Content-Type", "text/event-stream")]
+        for name, answer in {
+                "error": replicas.fail(500, body=b"oops\n\n"),
+                "error as events": replicas.fail(500, event_type,
+                                                 body=b"data: oops\n\n"),
+                "refusal": replicas.fail(503, [("Not-Run", "1")], False),
+                "plain success": replicas.fail(200, body=b"oops\n\n"),
+                "without proof": replicas.fail(200, event_type, False,
+                                               b"data: oops\n\n"),
+                "garbage": replicas.garbage,
+                "raw error": raw_answer(error),
+                "text for events": unframed_stream(b"oops\n\n"),
+                "head for events": unframed_stream(error)}.items():
+            with self.subTest(name):
+                self.answer(replicas.stream(stop_after=2), lambda: answer)
+                reply = ask(self.relay, "/look/x", method="POST", body=b"p")
+                self.assertEqual(reply.body,
+                                 replicas.event(1) + replicas.event(2))
+                self.assertFalse(reply.is_complete)
+
+    def test_error_within_a_stream_is_not_passed_on(self):
+        """The replica writes an error, with its head, after the events of a
+        stream that it can't go on with."""
+        error = replicas.response_bytes(500, b"oops\n\n")
+        for name, answer in {
+                "unframed": unframed_stream(replicas.event(1) + error),
+                "chunk": chunked_stream(replicas.event(1) + error),
+                "for a chunk": chunked_stream(replicas.event(1), error)
+        }.items():
+            with self.subTest(name):
+                self.answer(answer)
+                reply = ask(self.relay, "/look/x", method="POST", body=b"p")
+                self.assertEqual(reply.body, COMPLETE_STREAM)
+                self.assertTrue(reply.is_complete)
+
     def test_stream_cut_within_an_event_resumes_with_that_event(self):
         async def cut_within_event(replica, request, writer):
             writer.write(replicas.response_bytes(200, b"", replica.stamp(
