Keep the timers of a call apart so that none is lost

A relay that had lost the store polled with a wait of 1 ms, so that the call's timeout ended 1 ms after the one of its connection. libcurl dropped the later timer with the earlier one, and the poll to a silent store lasted 4.6 s instead of 0.9 s.

The client no longer sets a connect timeout that ends shortly before the whole call's. The same could have happened to any caller that chose such times.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -12,6 +12,9 @@
 enum
 {
   CONNECT_TIMEOUT_MS = 2000,
+  /* libcurl can lose a timer that ends less than a millisecond after another
+     one of the same call.  */
+  MIN_TIMER_GAP_MS = 10,
   /* Of the header and the trailer of a response, interim responses
      included.  */
   MAX_HEADER_BYTES = 64 * 1024,
@@ -407,19 +410,31 @@
                     call->body == NULL ? "" : call->body);
 }
 
-static void
-call_set_timeouts (const http_call_t *call, const http_call_options_t *options)
+/* Return the time to connect, which must not end shortly before the timeout of
+   the whole call.  */
+static int64_t
+connect_timeout_ms (const http_call_options_t *options)
 {
+  int64_t total_ms = timespec_to_ms (options->timeout);
   int64_t connect_ms = timespec_to_ms (options->connect_timeout);
 
+  if (connect_ms <= 0)
+    connect_ms = CONNECT_TIMEOUT_MS;
+  if (total_ms > connect_ms && total_ms - connect_ms < MIN_TIMER_GAP_MS)
+    return total_ms;
+  return connect_ms;
+}
+
+static void
+call_set_timeouts (const http_call_t *call, const http_call_options_t *options)
+{
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS,
                     (long)timespec_to_ms (options->timeout));
   /* All addresses are IP numbers: there is no other address family to wait for
      after a refused connection.  */
   curl_easy_setopt (call->easy, CURLOPT_HAPPY_EYEBALLS_TIMEOUT_MS, 1L);
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS,
-                    connect_ms > 0 ? (long)connect_ms
-                                   : (long)CONNECT_TIMEOUT_MS);
+                    (long)connect_timeout_ms (options));
   if (options->idle_limit_s > 0)
     curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN,
                       (long)options->idle_limit_s);
--- a/tests/process/test_relay_rules.py
+++ b/tests/process/test_relay_rules.py
@@ -13,6 +13,7 @@
 # Relays must apply a new version within two seconds.
 APPLY_S = 2
 EVACUATE_S = 5
+SILENT_S = 4.5  # several calls time out
 STOP_LISTENING_S = 2.7  # from SIGTERM until the relay has stopped listening
 STOP_CLOSE_S = 3.0  # from SIGTERM until it closes idle connections
 DRAIN_S = 2
@@ -127,6 +128,16 @@
                                        key="key-" + trouble).status == 200,
                            5, "the version after the outage")
 
+    def test_store_that_was_silent_for_long_is_asked_again(self):
+        """Calls during the silence never end by themselves."""
+        self.platform.store.failure_mode = "silent"
+        time.sleep(SILENT_S)
+        self.platform.store.failure_mode = None
+        self.platform.configure(lambda config: config["tenants"][0]["keys"]
+                                .append("key-after"))
+        wait_until(lambda: ask(self.relay, "/check/", key="key-after").status
+                   == 200, 5, "the version after the silence")
+
     def test_compacted_store_history_loses_no_change(self):
         async def forget():
             self.platform.store.failure_mode = "reset"
