Do not keep a request that has ended while it was started

forward_start returned the request also when it had been refused and freed within the call, as for a prompt in quarantine, and the ingress kept the pointer: a client that then closed its connection before the refusal was sent had freed memory cancelled. The ingress is now given the pointer before any callback, and the last callback clears it.

--- a/include/plugins/ingress.h
+++ b/include/plugins/ingress.h
@@ -65,13 +65,12 @@
 } forward_ops_t;
 
 /* Forward REQUEST, which belongs to the ingress and outlives the forward, on
-   the worker of RELAY_WORKER.  Callbacks may run before it returns.  Returns
-   NULL when the request has failed, because memory is exhausted or no route or
-   account matches; on_failure has run then, with a NULL forward if memory is
-   exhausted.  */
-forward_t *forward_start (relay_worker_t *relay_worker,
-                          const relay_request_t *request,
-                          const forward_ops_t *ops, void *data);
+   the worker of RELAY_WORKER.  Sets *STARTED before any callback, to NULL when
+   memory is exhausted.  Callbacks may run before it returns, also the last
+   one, after which the forward is freed.  */
+void forward_start (relay_worker_t *relay_worker,
+                    const relay_request_t *request, const forward_ops_t *ops,
+                    void *data, forward_t **started);
 /* The client has disconnected: free the forward without further callbacks.  */
 void forward_cancel (forward_t *forward);
 /* PENDING_BYTES of the response wait to be sent to the client.  Above a limit
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -436,20 +436,22 @@
                                            : RELAY_FAILURE_COUNT;
 }
 
-/* Start a request.  Returns NULL if it has ended within the call, after its
-   callback.  */
-forward_t *
+/* Start a request.  Sets *STARTED, which is NULL when memory is exhausted,
+   before the first callback.  The request may end, and be freed, within the
+   call: its last callback tells.  */
+void
 forward_start (relay_worker_t *relay_worker, const relay_request_t *request,
-               const forward_ops_t *ops, void *data)
+               const forward_ops_t *ops, void *data, forward_t **started)
 {
   forward_t *forward
       = talloc_zero (worker_events (relay_worker->worker), forward_t);
   relay_failure_t failure;
 
+  *started = forward;
   if (forward == NULL)
     {
       ops->on_failure (NULL, RELAY_NOT_RUN, (struct timespec){ 0, 0 }, data);
-      return NULL;
+      return;
     }
   counter_add (&requests_total, 1);
   forward->relay_worker = relay_worker;
@@ -468,7 +470,7 @@
                     failure == RELAY_NO_RULES
                         ? timespec_from_ms (RETRY_AFTER_MIN_MS)
                         : (struct timespec){ 0, 0 });
-      return NULL;
+      return;
     }
   forward->criteria.route = forward->route;
   forward->criteria.work = (pick_request_t){
@@ -480,7 +482,6 @@
   retry_budget_count_request (relay_worker->relay->budget,
                               forward->criteria.service);
   forward_dispatch (forward);
-  return forward;
 }
 
 /* The client has disconnected: abort the current attempt and free FORWARD.  */
