Leave replicas alone that say that they leave or want nothing

A replica that leaves says so in its responses (Server-Leaving), whatever its listing says; one that refuses may name the time for which it wants no requests of this relay (Retry-After of a 503). Neither was read.

Both are recorded for the run that said it, from any response that is the replica's own: not one of another request, without proof, or from another replica at the address. When all replicas that may be used are paused for longer than a request may be queued, it is refused at once with the time that is left.

--- a/include/plugins/egress.h
+++ b/include/plugins/egress.h
@@ -68,6 +68,10 @@
   /* Requests a second that the upstream accepts from all relays together;
      negative if it names no limit.  */
   double rate_limit;
+  bool is_leaving; /* the upstream is about to stop */
+  /* The upstream was not available, and wants no requests of this relay for so
+     long; zero if it names no time.  */
+  struct timespec pause;
 } egress_head_t;
 
 typedef struct egress_events
--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -47,6 +47,7 @@
      is out of service, in a region that the route does not allow, or tried
      before.  */
   FLEET_NO_ALLOWED_UPSTREAM,
+  FLEET_ALL_PAUSED,  /* have asked this relay for no requests for a time */
   FLEET_ALL_COLD,    /* in cold start, and at the rate limit for it */
   FLEET_ALL_LIMITED, /* at the rate limit that they have named */
   /* They have reported no free capacity, or this relay has used its share of
@@ -94,6 +95,13 @@
   FLEET_LISTING_OUTDATED /* older than what is known; has no effect */
 } fleet_update_t;
 
+/* What an upstream says of itself in a response.  */
+typedef struct fleet_notice
+{
+  bool is_leaving;
+  struct timespec pause; /* for which it wants no requests of this relay */
+} fleet_notice_t;
+
 /* A report on an upstream from the pilot beside it.  */
 typedef struct fleet_report
 {
@@ -150,6 +158,9 @@
                         uint64_t waiting, uint64_t slots);
 bool fleet_record_report (fleet_t *fleet, const char *address,
                           const fleet_report_t *report);
+void fleet_record_notice (fleet_t *fleet, const char *id, uint64_t incarnation,
+                          const fleet_notice_t *notice);
+struct timespec fleet_pause_left (fleet_t *fleet, const char *service);
 bool fleet_shortage_is_temporary (fleet_shortage_t shortage);
 const char *fleet_shortage_name (fleet_shortage_t shortage);
 const char *fleet_result_name (fleet_result_t result);
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -85,12 +85,13 @@
   char *address;
   fleet_zone_t *zone;
   int64_t started_ms;
-  uint64_t incarnation; /* see fleet_incarnation */
-  unsigned slots;       /* requests that it can run at once */
-  int64_t heartbeat;    /* of its newest listing */
-  bool is_draining;
-  bool is_replaced;           /* another upstream responds at its address */
-  struct timespec cold_until; /* monotonic */
+  uint64_t incarnation;         /* see fleet_incarnation */
+  unsigned slots;               /* requests that it can run at once */
+  int64_t heartbeat;            /* of its newest listing */
+  bool is_draining;             /* says its listing or a response */
+  struct timespec paused_until; /* it wants no requests of this relay */
+  bool is_replaced;             /* another upstream responds at its address */
+  struct timespec cold_until;   /* monotonic */
   cold_bucket_t cold;
   upstream_health_t health;
   fleet_group_t *group; /* NULL if none is known */
@@ -226,6 +227,10 @@
 bool quota_is_within_share (const fleet_t *fleet,
                             const fleet_upstream_t *upstream, bool is_late);
 
+/* What upstreams say of themselves in responses (fleet_notice.c).  */
+bool upstream_is_paused (const fleet_upstream_t *upstream,
+                         struct timespec now);
+
 /* Upstreams that have left, whose listings a restored store may show again
    (fleet_departed.c).  */
 void departed_add (fleet_t *fleet, const fleet_upstream_t *upstream);
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -160,6 +160,23 @@
     feed_send_updates (relay->feed);
 }
 
+/* Record whether the upstream leaves or wants no requests.  Only it can say
+   that: what has neither its proof nor its word that the request has not run
+   comes from something else.  */
+static void
+attempt_record_notice (const forward_t *forward, const egress_head_t *head)
+{
+  const forward_attempt_t *attempt = forward->attempt;
+  fleet_notice_t notice
+      = { .is_leaving = head->is_leaving, .pause = head->pause };
+
+  if (head->is_misdirected || !(head->is_from_upstream || head->is_not_run))
+    return;
+  fleet_record_notice (forward->relay_worker->relay->fleet,
+                       attempt->choice.upstream, attempt->choice.incarnation,
+                       &notice);
+}
+
 /* Decide from the response head whether the response can be used.  */
 static bool
 attempt_on_head (const egress_head_t *head, void *data)
@@ -179,6 +196,7 @@
   attempt->is_misdirected = head->is_misdirected;
   attempt->rate_limit = head->rate_limit;
   attempt_record_rate_limit (forward, head);
+  attempt_record_notice (forward, head);
   if (head->load.is_known)
     fleet_record_load (forward->relay_worker->relay->fleet,
                        attempt->choice.upstream, head->load.running,
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -19,6 +19,7 @@
   [FLEET_NO_SHORTAGE] = "none",
   [FLEET_NO_UPSTREAM] = "no-upstream",
   [FLEET_NO_ALLOWED_UPSTREAM] = "none-allowed",
+  [FLEET_ALL_PAUSED] = "all-paused",
   [FLEET_ALL_COLD] = "all-cold",
   [FLEET_ALL_LIMITED] = "all-limited",
   [FLEET_ALL_FULL] = "all-full",
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -328,6 +328,24 @@
   return true;
 }
 
+/* All upstreams that may be used have asked for no requests.  Unless one takes
+   requests again while this one may be queued, end it at once, and tell its
+   client when to come back.  Returns whether it has ended.  */
+static bool
+forward_refuse_paused (forward_t *forward)
+{
+  const relay_t *relay = forward->relay_worker->relay;
+  struct timespec left
+      = fleet_pause_left (relay->fleet, forward->criteria.service);
+
+  if (timespec_compare (timespec_add (forward_now (forward), left),
+                        forward->queue_until)
+      < 0)
+    return false;
+  forward_give_up (forward, fleet_shortage_name (FLEET_ALL_PAUSED), left);
+  return true;
+}
+
 /* Choose an upstream and send the request there.  If there is none, queue the
    request, or fail it if it has been queued for too long.  */
 void
@@ -346,6 +364,8 @@
   if (shortage != FLEET_NO_SHORTAGE)
     {
       talloc_free (choice_ctx);
+      if (shortage == FLEET_ALL_PAUSED && forward_refuse_paused (forward))
+        return;
       forward_wait_or_fail (forward, fleet_shortage_is_temporary (shortage),
                             fleet_shortage_name (shortage));
       return;
