Restore the store from a copy in the soak

The store's restore is one of the soak's faults now; the operator and the replicas write again what is missing. A replica that has drained starts again as a new run under its id: before, the soak made a run that had said that it leaves ready again, which replicas don't do, and which relays no longer believe. The checks are as they were.

--- a/tests/process/platform_replicas.py
+++ b/tests/process/platform_replicas.py
@@ -80,6 +80,12 @@
         self.born = int(time.time() * MS_PER_S)
         await self.start(self.port)
 
+    def start_again(self):
+        """Starts again under the same id, after it had drained."""
+        self.state = "ready"
+        self.born = max(int(time.time() * MS_PER_S), self.born + 1)
+        self.sequence = 0
+
     async def leave(self):
         await self.crash()
         await self.store.write({}, ["servers/" + self.id])
--- a/tests/process/test_relay_notices.py
+++ b/tests/process/test_relay_notices.py
@@ -74,8 +74,7 @@
     def test_replica_that_starts_again_is_used(self):
         self.answer(replicas.fail(200, LEAVING))
         self.serve_until_told()
-        self.app.born += 1000
-        self.app.sequence = 0
+        self.app.start_again()
         wait_until(lambda: ask(self.relay, "/check/")
                    and len(self.arrivals) > 1, DRAIN_S,
                    "a request at the new run of the replica")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -239,12 +239,24 @@
     def drain_replica(self):
         replica = self.random.choice(self.apps + self.models)
         replica.state = "draining"
-        return replica.id, lambda: setattr(replica, "state", "ready")
+        return replica.id, replica.start_again
+
+    def restore_store(self):
+        """The store comes back from a copy, and the operator writes again
+        what is missing, as the replicas do by themselves."""
+        store = self.platform.store
+        saved = self.platform.run_function(store.copy)
+
+        def restore():
+            self.platform.run_function(store.restore, saved)
+            self.platform.put("op/config", self.platform.config)
+        return "", restore
 
     # Faults that are listed twice are twice as likely.
     faults = [pause_relay, kill_relay, stop_relay, reload_relay,
               disturb_store_connection, disturb_replica_connection,
               disturb_replica_connection, fail_store, compact_history,
+              restore_store,
               change_rules, fail_replica, fail_replica, drain_replica]
 
     def inject_faults(self, seconds):
