--- a/common/lease_key.c
+++ b/common/lease_key.c
@@ -9,8 +9,8 @@
 {
   RENEWALS_PER_LEASE = 3, /* renewals during the lifetime of a lease */
   RETRY_DELAY_MS = 700,
-  /* After a restore of the store all processes write their keys again, at
-     random within this time.  */
+  /* After a restore of the store all processes write their keys again, spread
+     over this time.  */
   RESTORE_SPREAD_MS = 1000
 };
 
--- a/common/store_mirror.c
+++ b/common/store_mirror.c
@@ -11,7 +11,7 @@
 {
   RETRY_MIN_DELAY_MS = 200,
   RETRY_MAX_DELAY_MS = 1000,
-  FIRST_POLL_WAIT_MS = 1, /* of the first poll after a failure */
+  FIRST_POLL_WAIT_MS = 1, /* of the store, in the first poll after a failure */
   POLL_MIN_GAP_MS = 150   /* minimum time from the last request to a poll
                              that store_mirror_poll_now requests */
 };
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -88,7 +88,7 @@
   uint64_t incarnation;         /* see fleet_incarnation */
   unsigned slots;               /* requests that it can run at once */
   int64_t heartbeat;            /* of its newest listing */
-  bool is_draining;             /* says its listing or a response */
+  bool is_draining;             /* its listing or a response says so */
   struct timespec paused_until; /* it wants no requests of this relay */
   bool is_replaced;             /* another upstream responds at its address */
   struct timespec cold_until;   /* monotonic */
--- a/tests/process/test_relay_notices.py
+++ b/tests/process/test_relay_notices.py
@@ -50,7 +50,7 @@
                 "refusal": replicas.fail(503, [("Not-Run", "1"), *LEAVING],
                                          False)}.items():
             with self.subTest(name):
-                self.setUp()
+                self.setUp()  # the replica would stay out of use
                 self.answer(answer)
                 self.serve_until_told()
                 self.serve_for(1)  # it is listed as ready all the time
