--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -145,6 +145,15 @@
     http_headers_add (&attempt->headers, attempt, header->name, header->value);
 }
 
+/* Return whether the response is the chosen upstream's own: what has neither
+   its proof nor its word that the request has not run comes from something
+   else.  */
+static bool
+head_is_of_chosen_upstream (const egress_head_t *head)
+{
+  return !head->is_misdirected && (head->is_from_upstream || head->is_not_run);
+}
+
 /* Record whether the upstream names a rate limit.  A refusal without one says
    nothing.  */
 static void
@@ -153,16 +162,15 @@
   relay_t *relay = forward->relay_worker->relay;
   uint64_t upstream = forward->attempt->choice.incarnation;
 
-  if (head->is_misdirected || !(head->is_from_upstream || head->is_not_run)
+  if (!head_is_of_chosen_upstream (head)
       || (head->rate_limit < 0 && !status_is_success (head->http_status)))
     return;
   if (rate_limits_record (relay->limits, upstream, head->rate_limit))
     feed_send_updates (relay->feed);
 }
 
-/* Record whether the upstream leaves or wants no requests.  Only it can say
-   that: what has neither its proof nor its word that the request has not run
-   comes from something else.  */
+/* Record whether the upstream leaves or wants no requests, which only it can
+   say.  */
 static void
 attempt_record_notice (const forward_t *forward, const egress_head_t *head)
 {
@@ -170,7 +178,7 @@
   fleet_notice_t notice
       = { .is_leaving = head->is_leaving, .pause = head->pause };
 
-  if (head->is_misdirected || !(head->is_from_upstream || head->is_not_run))
+  if (!head_is_of_chosen_upstream (head))
     return;
   fleet_record_notice (forward->relay_worker->relay->fleet,
                        attempt->choice.upstream, attempt->choice.incarnation,
--- a/tests/process/test_relay_restored.py
+++ b/tests/process/test_relay_restored.py
@@ -58,22 +58,22 @@
         self.platform.run_function(self.store.restore, saved)
         self.assertNotIn(app.id, self.served_for(READ_S))
 
-    def test_replica_that_left_is_not_used_again(self):
+    def leave_and_restore(self, app):
+        """Removes the listing of APP, which is back with the restore."""
         self.stop_publishing()
-        app = self.apps[0]
         saved = self.platform.run_function(self.store.copy)
         self.platform.remove("servers/" + app.id)
         self.expect_unused(app)
         self.platform.run_function(self.store.restore, saved)
+
+    def test_replica_that_left_is_not_used_again(self):
+        app = self.apps[0]
+        self.leave_and_restore(app)
         self.assertNotIn(app.id, self.served_for(READ_S))
 
     def test_replica_that_is_listed_again_is_used(self):
-        self.stop_publishing()
         app = self.apps[0]
-        saved = self.platform.run_function(self.store.copy)
-        self.platform.remove("servers/" + app.id)
-        self.expect_unused(app)
-        self.platform.run_function(self.store.restore, saved)
+        self.leave_and_restore(app)
         time.sleep(READ_S)
         self.platform.run(app.publish())
         wait_until(lambda: app.id in self.served_for(0.2), DRAIN_S,
