--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# The stand-ins of the cases are Python programs and need no build.
+exit 0
