--- a/include/pilot/leader_state.h
+++ b/include/pilot/leader_state.h
@@ -7,6 +7,7 @@
 #include "pilot/members.h"
 #include "pilot/planner.h"
 #include "pilot/switcher.h"
+#include "pilot/work_time.h"
 
 /* Private to leader*.c.  */
 
@@ -37,6 +38,7 @@
   /* The rest is valid only during a term.  */
   members_t *members;
   switcher_t *switcher;
+  work_time_t *work;               /* since the last switch ended */
   store_mirror_t *own_mirror;      /* keys that this system writes */
   store_mirror_t *upstream_mirror; /* listings of the upstreams */
   store_mirror_t *rules_mirror;    /* the rules; NULL once they are known */
@@ -49,8 +51,11 @@
   struct timespec queried_at;
   unsigned next_counted_rank; /* next one to be queried for its counts */
   struct timespec counts_queried_at; /* start of the current round of ranks */
-  bool is_replan_due;           /* a switch has ended since the last plan */
-  struct timespec planned_at;   /* last plan */
+  int64_t counts_round_ms;           /* duration of the round before */
+  bool is_replan_due;          /* a switch has ended since the last plan */
+  struct timespec planned_at;  /* last plan */
+  struct timespec switched_at; /* last switch */
+  struct timespec wait_logged_at;
   struct timespec heartbeat_at; /* last heartbeat to the other pilots */
 };
 
--- a/include/pilot/switch_trace.h
+++ b/include/pilot/switch_trace.h
@@ -17,11 +17,14 @@
                          struct timespec now);
 void switch_trace_count_command (switch_trace_t *trace);
 void switch_trace_count_done (switch_trace_t *trace, unsigned rank);
+/* The switch is to happen LOOKAHEAD steps after the last one known.  */
+void switch_trace_set_lookahead (switch_trace_t *trace, uint64_t lookahead);
 /* Records whether the group is stopped by a hold at NOW.  */
 void switch_trace_observe (switch_trace_t *trace, bool is_stopped,
                            struct timespec now);
-/* Returns the trace as key=value pairs, owned by PARENT: "stopped_ms=MS", and
-   for each phase that was passed "NAME=MS/COMMANDS/LAST_RANK".  */
+/* Returns the trace as key=value pairs, owned by PARENT: "stopped_ms=MS", the
+   lookahead as "ahead=STEPS", and for each phase that was passed
+   "NAME=MS/COMMANDS/LAST_RANK".  */
 char *switch_trace_format (const switch_trace_t *trace, TALLOC_CTX *parent);
 
 #endif
--- a/include/pilot/switcher.h
+++ b/include/pilot/switcher.h
@@ -108,6 +108,11 @@
 /* What the last switch or recovery has cost, as key=value pairs for the log,
    owned by PARENT; see switch_trace_format.  */
 char *switcher_describe (const switcher_t *switcher, TALLOC_CTX *parent);
+/* Time since the current phase was last advanced by a rank.  Milliseconds.  */
+int64_t switcher_wait_ms (const switcher_t *switcher, struct timespec now);
+/* The current phase and a rank that it waits for, as key=value pairs for the
+   log, owned by PARENT.  */
+char *switcher_describe_wait (const switcher_t *switcher, TALLOC_CTX *parent);
 /* Whether a switch may start: the switcher is idle, all ranks use the same
    map, none is armed or held, and all have reported recently.  */
 bool switcher_is_ready (const switcher_t *switcher, struct timespec now);
--- a/include/plugins/placement.h
+++ b/include/plugins/placement.h
@@ -80,8 +80,11 @@
   unsigned moves;
   double time_before; /* estimated step time with the current map */
   double time_after;
-  double time_bound;  /* lower bound of the step time, however the tokens are
-                         split among the ranks */
+  double time_bound; /* lower bound of the step time, however the tokens are
+                        split among the ranks */
+  /* The part that the newest counts have in common with the older ones, from 0
+     to 1; 0 if the policy does not compare them.  */
+  double overlap;
   const char *reason; /* constant string for the log */
 } placement_plan_t;
 
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -29,6 +29,9 @@
   /* A longer gap between ticks means that the process was paused.  */
   PAUSE_MIN_MS = 250,
   PLAN_INTERVAL_MS = 250,
+  /* Interval of the log lines about ranks that a switch or a recovery waits
+     for.  */
+  WAIT_LOG_INTERVAL_MS = 500,
   MAP_QUERY_INTERVAL_MS = 100, /* queries of the map in use */
   QUERY_TIMEOUT_MS = 250,      /* wait for the replies of all ranks */
   /* Minimum time between the starts of two rounds in which every rank is
@@ -85,6 +88,7 @@
   members_destroy (leader->members);
   leader->members = NULL;
   TALLOC_FREE (leader->switcher);
+  TALLOC_FREE (leader->work);
   leader_stop_mirrors (leader);
   TALLOC_FREE (leader->planner);
   TALLOC_FREE (leader->planned);
@@ -114,7 +118,22 @@
 
   if (leader_was_paused_past_lease (leader))
     return;
+  work_time_begin (leader->work, WORK_COMMANDS);
   members_send_command (leader->members, rank, ticket, command);
+  work_time_end (leader->work);
+}
+
+/* Returns what the switch or recovery that ends now has cost, for the log.  */
+static char *
+leader_describe_cost (leader_t *leader)
+{
+  char *phases = switcher_describe (leader->switcher, leader);
+  char *work = work_time_format (leader->work, phases);
+  char *cost = talloc_asprintf (leader, "%s %s", phases, work);
+
+  talloc_free (phases);
+  work_time_reset (leader->work);
+  return cost;
 }
 
 static void
@@ -122,7 +141,7 @@
 {
   leader_t *leader = data;
   uint64_t version = switcher_last_version (leader->switcher);
-  char *cost = switcher_describe (leader->switcher, leader);
+  char *cost = leader_describe_cost (leader);
 
   switch (event)
     {
@@ -146,6 +165,7 @@
                  (long long)ms_since (leader, leader->planned_at), cost);
       if (leader->planner != NULL && leader->planned != NULL)
         planner_set_map (leader->planner, leader->planned, version);
+      leader->switched_at = pilot_now (leader->pilot);
       leader->is_replan_due = true;
       TALLOC_FREE (leader->planned);
       break;
@@ -185,10 +205,12 @@
 {
   leader_t *leader = data;
 
+  work_time_begin (leader->work, WORK_REPORTS);
   if (leader->planner != NULL)
     planner_set_slowdown (leader->planner, rank, report->slowdown);
   switcher_handle_report (leader->switcher, rank, report, after_ticket,
                           pilot_now (leader->pilot));
+  work_time_end (leader->work);
 }
 
 static void
@@ -197,8 +219,10 @@
 {
   leader_t *leader = data;
 
+  work_time_begin (leader->work, WORK_VERDICTS);
   switcher_handle_verdict (leader->switcher, rank, ticket, verdict,
                            pilot_now (leader->pilot));
+  work_time_end (leader->work);
 }
 
 /* Plans from the counts so far and starts a switch if it pays.  */
@@ -209,16 +233,24 @@
   bool is_change;
 
   leader->planned_at = pilot_now (leader->pilot);
+  work_time_begin (leader->work, WORK_PLANNING);
   is_change = planner_plan (leader->planner, leader, &plan);
+  work_time_end (leader->work);
   log_event (LOG_LEVEL_INFO, "planned",
              "group=%s change=%d reason=%s moves=%u before=%.3f after=%.3f "
-             "bound=%.3f",
+             "bound=%.3f overlap=%.3f ms=%lld since_switch_ms=%lld "
+             "counts_ms=%lld",
              leader->group, is_change, plan.reason, plan.moves,
-             plan.time_before, plan.time_after, plan.time_bound);
+             plan.time_before, plan.time_after, plan.time_bound, plan.overlap,
+             (long long)ms_since (leader, leader->planned_at),
+             (long long)ms_since (leader, leader->switched_at),
+             (long long)leader->counts_round_ms);
   if (!is_change)
     return;
   leader->planned = plan.map;
+  work_time_begin (leader->work, WORK_ENCODING);
   members_set_map (leader->members, planner_map (leader->planner), plan.map);
+  work_time_end (leader->work);
   switcher_set_holding_rank (leader->switcher,
                              members_choose_holding_rank (leader->members));
   if (!switcher_start_switch (leader->switcher, plan.map, leader->planned_at))
@@ -235,8 +267,10 @@
 
   if (query == RANK_QUERY_EXPERT_COUNTS)
     {
+      work_time_begin (leader->work, WORK_COUNTS);
       if (is_valid)
         planner_add_counts (leader->planner, reply);
+      work_time_end (leader->work);
       return;
     }
   if (!leader->is_querying)
@@ -294,6 +328,7 @@
              (unsigned long long)fence, leader->own_rank,
              seized == NULL ? "" : seized->holder);
   counter_set (&leading, 1);
+  leader->work = work_time_create (leader, pilot->clock);
   leader->switcher
       = switcher_create (leader, leader->rank_count, leader->own_rank,
                          &leader_switcher_ops, leader);
@@ -416,6 +451,7 @@
     {
       if (ms_since (leader, leader->counts_queried_at) < COUNTS_INTERVAL_MS)
         return;
+      leader->counts_round_ms = ms_since (leader, leader->counts_queried_at);
       leader->counts_queried_at = pilot_now (leader->pilot);
     }
   for (unsigned i = 0; i < budget; i++)
@@ -453,6 +489,24 @@
     }
 }
 
+/* Logs which ranks a switch or recovery has been waiting for.  */
+static void
+leader_log_wait (leader_t *leader)
+{
+  char *wait;
+
+  if (!leader_is_switching (leader)
+      || switcher_wait_ms (leader->switcher, pilot_now (leader->pilot))
+             < WAIT_LOG_INTERVAL_MS
+      || ms_since (leader, leader->wait_logged_at) < WAIT_LOG_INTERVAL_MS)
+    return;
+  leader->wait_logged_at = pilot_now (leader->pilot);
+  wait = switcher_describe_wait (leader->switcher, leader);
+  log_event (LOG_LEVEL_NOTICE, "switch-waits", "group=%s %s", leader->group,
+             wait);
+  talloc_free (wait);
+}
+
 /* Runs one tick of this pilot's term as leader: sends heartbeats, and lets the
    planner collect counts and plan.  */
 static void
@@ -469,6 +523,7 @@
       leader->heartbeat_at = now;
       members_send_heartbeat (leader->members, leader->fence);
     }
+  leader_log_wait (leader);
   if (leader->planner != NULL && !leader->is_stopping)
     leader_run_planner (leader);
 }
--- a/pilot/switch_trace.c
+++ b/pilot/switch_trace.c
@@ -18,6 +18,7 @@
   bool is_stopped; /* at OBSERVED_AT */
   struct timespec observed_at;
   int64_t stopped_ms;
+  uint64_t lookahead; /* steps */
 };
 
 /* Creates an empty trace.  Returns NULL when memory is exhausted.  */
@@ -71,6 +72,13 @@
   trace->phases[trace->phase].last_rank = rank;
 }
 
+/* Records that the switch is to happen LOOKAHEAD steps ahead.  */
+void
+switch_trace_set_lookahead (switch_trace_t *trace, uint64_t lookahead)
+{
+  trace->lookahead = lookahead;
+}
+
 /* Adds the time since the last observation if the group was stopped then.  */
 void
 switch_trace_observe (switch_trace_t *trace, bool is_stopped,
@@ -87,8 +95,9 @@
 char *
 switch_trace_format (const switch_trace_t *trace, TALLOC_CTX *parent)
 {
-  char *text = talloc_asprintf (parent, "stopped_ms=%lld",
-                                (long long)trace->stopped_ms);
+  char *text = talloc_asprintf (parent, "stopped_ms=%lld ahead=%llu",
+                                (long long)trace->stopped_ms,
+                                (unsigned long long)trace->lookahead);
 
   for (unsigned i = 0; i < SWITCHER_PHASE_COUNT; i++)
     {
--- a/pilot/switcher_steps.c
+++ b/pilot/switcher_steps.c
@@ -47,6 +47,7 @@
 
   if (lookahead > LOOKAHEAD_MAX_STEPS)
     lookahead = LOOKAHEAD_MAX_STEPS;
+  switch_trace_set_lookahead (switcher->trace, lookahead);
   step = latest_step (switcher) + lookahead;
   if (switcher->used_step < step
       || switcher->used_step - step > USED_STEPS_AHEAD_MAX)
--- a/plugins/placement/even.c
+++ b/plugins/placement/even.c
@@ -35,6 +35,7 @@
   /* Least step time at which a search has found no better map; 0 if there was
      none yet.  */
   double settled_time;
+  double overlap; /* of the newest counts with the older ones */
 };
 
 static placement_t *
@@ -83,11 +84,10 @@
   return overlap;
 }
 
-/* Returns the weight of the older counts.  It is the same for all layers,
-   whose experts are chosen for the same tokens.  */
+/* Returns the part that SAMPLE has in common with the older counts, on average
+   over the layers, whose experts are chosen for the same tokens.  */
 static double
-even_history_weight (const placement_t *placement,
-                     const placement_sample_t *sample)
+even_overlap (const placement_t *placement, const placement_sample_t *sample)
 {
   const placement_shape_t *shape = &placement->shape;
   double overlap = 0;
@@ -99,14 +99,17 @@
       overlap += distribution_overlap (&placement->counts[first],
                                        &sample->tokens[first], shape->experts);
     }
-  return overlap < min_overlap * shape->layers ? 0 : history_weight;
+  return overlap / shape->layers;
 }
 
 static void
 even_observe (placement_t *placement, const placement_sample_t *sample)
 {
   size_t count = (size_t)placement->shape.layers * placement->shape.experts;
-  double weight = even_history_weight (placement, sample);
+  double weight;
+
+  placement->overlap = even_overlap (placement, sample);
+  weight = placement->overlap < min_overlap ? 0 : history_weight;
 
   for (size_t i = 0; i < count; i++)
     placement->counts[i]
@@ -294,7 +297,8 @@
   unsigned count;
 
   *plan = (placement_plan_t){ .reason = "gain-too-small",
-                              .time_bound = placement->shape.layers };
+                              .time_bound = placement->shape.layers,
+                              .overlap = placement->overlap };
   if (draft == NULL)
     return;
   plan->time_before = plan->time_after = draft_time (draft);
