--- a/bench/bench_leader.c
+++ b/bench/bench_leader.c
@@ -8,38 +8,20 @@
 
 #include "common/numbers.h"
 #include "kernel/clock.h"
-#include "kernel/random.h"
-#include "pilot/planner.h"
 #include "pilot/rank_codec.h"
+#include "tests/planner_fixture.h"
 
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 enum
 {
   DEFAULT_SHIFTS = 20,
-  LAYERS = 12,
-  SLOTS = 5,
-  MAX_LOADS = 2,
   EXPERTS_PER_RANK = 4,
-  TOKENS_PER_RANK = 1500, /* in a layer, between two plans */
-  STAGES = 3,             /* plans after each shift */
+  STAGES = 3, /* plans after each shift */
   US_PER_MS = 1000
 };
 
-static const double exponent = 0.63; /* of Zipf's law */
-static const double expert_load_s = 0.0133;
-
-typedef struct group
-{
-  planner_t *planner;
-  unsigned ranks;
-  unsigned experts;
-  uint64_t *counts; /* of one rank, by layer and expert */
-  uint64_t version;
-} group_t;
-
 /* Processor time by kind of work, in microseconds.  */
 typedef struct cost
 {
@@ -61,80 +43,13 @@
   return timespec_to_us (now);
 }
 
-static size_t
-count_numbers (const group_t *group)
-{
-  return (size_t)LAYERS * group->experts;
-}
-
-/* Gives the experts a new, random order of popularity.  */
-static void
-group_shift (group_t *group)
-{
-  for (unsigned layer = 0; layer < LAYERS; layer++)
-    {
-      uint64_t *counts = &group->counts[(size_t)layer * group->experts];
-      double total = 0;
-
-      for (unsigned i = 0; i < group->experts; i++)
-        total += pow (i + 1, -exponent);
-      for (unsigned i = 0; i < group->experts; i++)
-        {
-          unsigned other = (unsigned)(random_next () % (i + 1));
-
-          counts[i] = counts[other];
-          counts[other]
-              = (uint64_t)(pow (i + 1, -exponent) / total * TOKENS_PER_RANK);
-        }
-    }
-}
-
-static void
-group_read_initial_map (group_t *group)
-{
-  uint64_t numbers[LAYERS * (SLOTS + 1)];
-
-  for (unsigned rank = 0; rank < group->ranks; rank++)
-    {
-      rank_reply_t reply = { .numbers = numbers };
-
-      for (unsigned layer = 0; layer < LAYERS; layer++)
-        {
-          numbers[reply.number_count++] = EXPERTS_PER_RANK;
-          for (unsigned i = 0; i < EXPERTS_PER_RANK; i++)
-            numbers[reply.number_count++] = rank + i * group->ranks;
-        }
-      planner_read_map (group->planner, rank, &reply);
-    }
-}
-
-static group_t *
-group_create (unsigned ranks)
-{
-  group_t *group = talloc_zero (NULL, group_t);
-  engine_profile_t engine = { .has_experts = true,
-                              .layer_sets = LAYERS,
-                              .experts = EXPERTS_PER_RANK * ranks,
-                              .expert_slots = SLOTS,
-                              .max_expert_loads = MAX_LOADS,
-                              .expert_load_s = expert_load_s };
-
-  random_set_seed (1);
-  group->ranks = ranks;
-  group->experts = engine.experts;
-  group->planner = planner_create (group, &engine, ranks);
-  group->counts = talloc_zero_array (group, uint64_t, count_numbers (group));
-  group_read_initial_map (group);
-  return group;
-}
-
 /* Reads the counts of all ranks.  */
 static int64_t
-measure_counts (group_t *group)
+measure_counts (planner_fixture_t *group)
 {
   TALLOC_CTX *scratch = talloc_new (group);
-  blob_t encoded
-      = numbers_encode (scratch, group->counts, count_numbers (group));
+  blob_t encoded = numbers_encode (
+      scratch, group->counts, (size_t)PLANNER_FIXTURE_LAYERS * group->experts);
   int64_t began_us = processor_us ();
 
   for (unsigned rank = 0; rank < group->ranks; rank++)
@@ -150,7 +65,7 @@
 }
 
 static int64_t
-measure_encoding (const group_t *group, const placement_map_t *map,
+measure_encoding (const planner_fixture_t *group, const placement_map_t *map,
                   blob_t *changes)
 {
   int64_t began_us = processor_us ();
@@ -164,7 +79,7 @@
 /* Sends the map CHANGES to all ranks and reads an answer and a report of each,
    without the network.  */
 static int64_t
-measure_commands (const group_t *group, blob_t changes)
+measure_commands (const planner_fixture_t *group, blob_t changes)
 {
   TALLOC_CTX *scratch = talloc_new (NULL);
   rank_command_t command = { .kind = RANK_COMMAND_PREPARE };
@@ -193,7 +108,7 @@
 
 /* Plans once and uses the map.  */
 static void
-measure_plan (group_t *group, cost_t *cost)
+measure_plan (planner_fixture_t *group, uint64_t version, cost_t *cost)
 {
   placement_plan_t plan;
   blob_t changes;
@@ -212,7 +127,7 @@
   cost->changes++;
   cost->encode_us += measure_encoding (group, plan.map, &changes);
   cost->commands_us += measure_commands (group, changes);
-  planner_set_map (group->planner, plan.map, ++group->version);
+  planner_fixture_use (group, &plan, version);
   talloc_free (plan.map);
 }
 
@@ -225,14 +140,16 @@
 static void
 measure_group (unsigned ranks, unsigned shifts)
 {
-  group_t *group = group_create (ranks);
+  planner_fixture_t *group
+      = planner_fixture_create (ranks, EXPERTS_PER_RANK * ranks);
   cost_t cost = { 0 };
+  uint64_t version = 0;
 
   for (unsigned i = 0; i < shifts; i++)
     {
-      group_shift (group);
+      planner_fixture_shift (group);
       for (unsigned stage = 0; stage < STAGES; stage++)
-        measure_plan (group, &cost);
+        measure_plan (group, ++version, &cost);
     }
   printf ("%5u %7.2f %12.2f %9.2f %9.2f %9.2f\n", ranks,
           mean_ms (cost.plan_us, cost.plans),
@@ -240,7 +157,7 @@
           mean_ms (cost.encode_us, cost.changes),
           mean_ms (cost.counts_us, cost.plans),
           mean_ms (cost.commands_us, cost.changes));
-  talloc_free (group);
+  planner_fixture_destroy (group);
 }
 
 int
