Workers: record for how long handlers run in a row

Shows work that keeps a relay or a pilot with a small share of a core from its connections, which no log could tell from a slow network.

--- a/kernel/worker_thread.c
+++ b/kernel/worker_thread.c
@@ -1,4 +1,6 @@
 #include "kernel/heap.h"
+#include "kernel/histogram.h"
+#include "kernel/log.h"
 #include "kernel/table.h"
 #include "kernel/worker.h"
 
@@ -11,6 +13,16 @@
 #include <sys/timerfd.h>
 #include <unistd.h>
 
+enum
+{
+  /* Handlers that run for longer without a wait are logged: all connections of
+     the worker wait for them.  */
+  BUSY_LOG_MS = 50
+};
+
+HISTOGRAM_DEFINE (busy_time, "siskin_worker_busy_seconds",
+                  "Time for which a worker ran handlers without a wait");
+
 /* The state of a tevent loop that runs on its own thread.  Timers are kept
    here, on the monotonic clock, because tevent's own timers depend on the time
    of day, which can be changed at any time.  */
@@ -24,6 +36,7 @@
   int timer_fd;
   heap_t timers;             /* of thread_timer_t, ordered by due time */
   struct timespec alarm_due; /* when timer_fd expires; zero if not set */
+  struct timespec waited_at; /* end of the last wait */
   atomic_bool is_stopping;
 } thread_loop_t;
 
@@ -126,6 +139,30 @@
   worker_run_tasks (worker);
 }
 
+/* Records for how long handlers have run since the last wait.  */
+static void
+thread_record_busy (const thread_loop_t *loop)
+{
+  int64_t busy_ms
+      = timespec_to_ms (timespec_subtract (thread_now (), loop->waited_at));
+
+  histogram_record (&busy_time, busy_ms);
+  if (busy_ms >= BUSY_LOG_MS)
+    log_event (LOG_LEVEL_NOTICE, "worker-busy", "ms=%lld", (long long)busy_ms);
+}
+
+static void
+thread_handle_trace (enum tevent_trace_point point, void *data)
+{
+  thread_loop_t *loop = data;
+
+  if (point == TEVENT_TRACE_AFTER_WAIT)
+    loop->waited_at = thread_now ();
+  else if (point == TEVENT_TRACE_BEFORE_WAIT
+           && !timespec_is_zero (loop->waited_at))
+    thread_record_busy (loop);
+}
+
 static status_t
 thread_create (worker_t *worker)
 {
@@ -135,6 +172,7 @@
     return STATUS_NO_MEMORY;
   worker->loop_state = loop;
   heap_init (&loop->timers, thread_timer_before);
+  tevent_set_trace_callback (worker->events, thread_handle_trace, loop);
   loop->wakeup_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
   loop->timer_fd
       = timerfd_create (CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -68,6 +68,7 @@
 static void
 discovery_apply_rules (discovery_t *discovery, const store_entry_t *entry)
 {
+  struct timespec began_at = discovery_now (discovery);
   rules_t *rules;
   uint64_t version;
 
@@ -89,8 +90,12 @@
     }
   version = rules->version;
   if (relay_adopt_rules (discovery->relay, rules))
-    log_event (LOG_LEVEL_NOTICE, "rules-adopted", "version=%llu revision=%lld",
-               (unsigned long long)version, (long long)entry->mod_revision);
+    log_event (LOG_LEVEL_NOTICE, "rules-adopted",
+               "version=%llu revision=%lld bytes=%zu ms=%lld",
+               (unsigned long long)version, (long long)entry->mod_revision,
+               entry->value_size,
+               (long long)timespec_to_ms (
+                   timespec_subtract (discovery_now (discovery), began_at)));
   else
     log_event (LOG_LEVEL_NOTICE, "rules-not-newer",
                "version=%llu revision=%lld action=keep",
