Counts of experts: four bits each, and observed at even intervals

Cause: a round of counts of 64 ranks took 1.1 s at best and 1.9 to 2.6 s with processor time, and each reply covers the time since the one before, so that plans were made from counts half of which were older than the shift. A reply has 3,072 numbers of three bytes; the pace was reckoned with one, so that replies took about three quarters of the leader's link, and reports and answers waited behind them. Class: a budget of bytes that doesn't follow what is sent.

Now a pilot sends counts in multiples of a unit, four bits each, and keeps the rest for the next reply; the leader reckons with that size and lets replies take half of its link. Counts are observed every 250 ms, also during a switch, so that a shift is seen against what was liked before it. Pilots of an earlier version are understood; earlier leaders get no counts from later pilots until they are replaced.

--- a/include/common/frame.h
+++ b/include/common/frame.h
@@ -342,8 +342,11 @@
                          RANK_QUERY_ARM_PERMISSION was denied */
   uint64_t group_epoch;
   uint64_t version; /* of the map in use (RANK_QUERY_HELD_EXPERTS) or of the
-                       map that may be armed (RANK_QUERY_ARM_PERMISSION) */
-  blob_t numbers;   /* as in rank_reply_t, encoded by numbers_encode */
+                       map that may be armed (RANK_QUERY_ARM_PERMISSION); the
+                       unit of the counts (RANK_QUERY_EXPERT_COUNTS) */
+  /* As in rank_reply_t, encoded by numbers_encode or, if they are counts with
+     a unit above 0, by rank_counts_encode.  */
+  blob_t numbers;
 } frame_rank_query_reply_t;
 
 /* The engine beside the sender no longer accepts connections, or has started
--- a/include/pilot/expert_counts.h
+++ b/include/pilot/expert_counts.h
@@ -9,6 +9,11 @@
    increments: small numbers take few bytes on the way to the leader.  */
 typedef struct expert_counts expert_counts_t;
 
+enum
+{
+  EXPERT_COUNTS_MAX_UNITS = 15 /* fits into four bits */
+};
+
 expert_counts_t *expert_counts_create (TALLOC_CTX *parent);
 void expert_counts_destroy (expert_counts_t *counts);
 /* Returns the counts in REPLY, the engine's reply to RANK_QUERY_EXPERT_COUNTS,
@@ -16,5 +21,11 @@
    Returns NULL when memory is exhausted.  */
 uint64_t *expert_counts_take (expert_counts_t *counts, TALLOC_CTX *parent,
                               const rank_reply_t *reply);
+/* The same in multiples of *UNIT, at least 1 and so chosen that none exceeds
+   EXPERT_COUNTS_MAX_UNITS.  What is left over belongs to the next call, so
+   that nothing is lost.  */
+uint64_t *expert_counts_take_units (expert_counts_t *counts,
+                                    TALLOC_CTX *parent,
+                                    const rank_reply_t *reply, uint64_t *unit);
 
 #endif
--- a/include/pilot/leader_state.h
+++ b/include/pilot/leader_state.h
@@ -52,6 +52,7 @@
   unsigned next_counted_rank; /* next one to be queried for its counts */
   struct timespec counts_queried_at; /* start of the current round of ranks */
   int64_t counts_round_ms;           /* duration of the round before */
+  struct timespec observed_at;       /* last update of the popularity */
   bool is_replan_due;          /* a switch has ended since the last plan */
   struct timespec planned_at;  /* last plan */
   struct timespec switched_at; /* last switch */
--- a/include/pilot/planner.h
+++ b/include/pilot/planner.h
@@ -25,6 +25,10 @@
                        const rank_reply_t *reply);
 /* Adds token counts of a rank since its last reply.  */
 void planner_add_counts (planner_t *planner, const rank_reply_t *reply);
+/* Updates the popularity of the experts by the counts added since the last
+   call.  To be called at even intervals, so that a shift shows in them; a plan
+   does the same.  */
+void planner_observe (planner_t *planner);
 /* Whether counts were added since the last plan.  */
 bool planner_has_new_counts (const planner_t *planner);
 /* Returns the map in use; valid if planner_has_map.  */
--- a/pilot/expert_counts.c
+++ b/pilot/expert_counts.c
@@ -23,29 +23,88 @@
   talloc_free (counts);
 }
 
-/* Returns the increments since the last call.  An engine that was restarted
-   counts from zero.  */
-uint64_t *
-expert_counts_take (expert_counts_t *counts, TALLOC_CTX *parent,
-                    const rank_reply_t *reply)
+/* Returns what REPLY counts more than what was taken so far.  An engine that
+   was restarted counts from zero.  */
+static uint64_t *
+counts_subtract_last (const expert_counts_t *counts, TALLOC_CTX *parent,
+                      const rank_reply_t *reply)
 {
   size_t size = reply->number_count * sizeof *reply->numbers;
-  uint64_t *last = talloc_memdup (counts, reply->numbers, size);
   uint64_t *increments = talloc_memdup (parent, reply->numbers, size);
 
-  if (last == NULL || increments == NULL)
-    {
-      talloc_free (last);
-      talloc_free (increments);
-      return NULL;
-    }
-  for (size_t i = 0; i < reply->number_count && i < counts->count; i++)
+  for (size_t i = 0;
+       increments != NULL && i < reply->number_count && i < counts->count; i++)
     {
       if (increments[i] >= counts->last[i])
         increments[i] -= counts->last[i];
     }
-  talloc_free (counts->last);
+  return increments;
+}
+
+/* Makes room for the counts of REPLY.  Returns false when memory is
+   exhausted.  */
+static bool
+counts_resize (expert_counts_t *counts, const rank_reply_t *reply)
+{
+  uint64_t *last = talloc_realloc (counts, counts->last, uint64_t,
+                                   (unsigned)reply->number_count);
+
+  if (last == NULL && reply->number_count > 0)
+    return false;
   counts->last = last;
   counts->count = reply->number_count;
+  return true;
+}
+
+/* Returns the increments since the last call.  */
+uint64_t *
+expert_counts_take (expert_counts_t *counts, TALLOC_CTX *parent,
+                    const rank_reply_t *reply)
+{
+  uint64_t *increments = counts_subtract_last (counts, parent, reply);
+
+  if (increments == NULL || !counts_resize (counts, reply))
+    {
+      talloc_free (increments);
+      return NULL;
+    }
+  for (size_t i = 0; i < counts->count; i++)
+    counts->last[i] = reply->numbers[i];
   return increments;
 }
+
+/* Returns the least unit in which none of the COUNT NUMBERS exceeds
+   EXPERT_COUNTS_MAX_UNITS.  */
+static uint64_t
+choose_unit (const uint64_t *numbers, size_t count)
+{
+  uint64_t highest = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (numbers[i] > highest)
+        highest = numbers[i];
+    }
+  return highest / (EXPERT_COUNTS_MAX_UNITS + 1) + 1;
+}
+
+/* Returns the increments since the last call in multiples of *UNIT.  */
+uint64_t *
+expert_counts_take_units (expert_counts_t *counts, TALLOC_CTX *parent,
+                          const rank_reply_t *reply, uint64_t *unit)
+{
+  uint64_t *units = counts_subtract_last (counts, parent, reply);
+
+  if (units == NULL || !counts_resize (counts, reply))
+    {
+      talloc_free (units);
+      return NULL;
+    }
+  *unit = choose_unit (units, counts->count);
+  for (size_t i = 0; i < counts->count; i++)
+    {
+      counts->last[i] = reply->numbers[i] - units[i] % *unit;
+      units[i] /= *unit;
+    }
+  return units;
+}
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -38,7 +38,8 @@
      queried for its counts.  */
   COUNTS_INTERVAL_MS = 250,
   /* The replies with counts may use one part in this many of the link.  */
-  COUNTS_LINK_DIVISOR = 3,
+  COUNTS_LINK_DIVISOR = 2,
+  COUNTS_PER_BYTE = 2,
   COUNTS_OVERHEAD_BYTES = 128 /* of a reply, besides its numbers */
 };
 
@@ -434,7 +435,8 @@
 leader_counts_per_tick (const leader_t *leader)
 {
   size_t reply_bytes
-      = planner_count_numbers (leader->planner) + COUNTS_OVERHEAD_BYTES;
+      = planner_count_numbers (leader->planner) / COUNTS_PER_BYTE
+        + COUNTS_OVERHEAD_BYTES;
   size_t link_bytes = members_link_bytes (leader->members, TICK_INTERVAL_MS)
                       / COUNTS_LINK_DIVISOR;
 
@@ -465,6 +467,17 @@
     }
 }
 
+/* Updates the popularity of the experts at even intervals, also during a
+   switch.  */
+static void
+leader_observe_counts (leader_t *leader)
+{
+  if (ms_since (leader, leader->observed_at) < PLAN_INTERVAL_MS)
+    return;
+  leader->observed_at = pilot_now (leader->pilot);
+  planner_observe (leader->planner);
+}
+
 /* Plans when there are new counts, and right after a switch, which may have
    been the first of several stages.  */
 static void
@@ -478,6 +491,7 @@
       return;
     }
   leader_query_counts (leader);
+  leader_observe_counts (leader);
   if (!switcher_is_ready (leader->switcher, pilot_now (leader->pilot)))
     return;
   if (leader->is_replan_due
--- a/pilot/members_pilots.c
+++ b/pilot/members_pilots.c
@@ -53,6 +53,17 @@
   members_handle_report (members, rank->rank, &report, body->after_ticket);
 }
 
+/* Returns the numbers of BODY, the reply to QUERY, owned by PARENT, or NULL if
+   they are malformed.  Pilots of an earlier version send counts in full.  */
+static uint64_t *
+reply_decode_numbers (TALLOC_CTX *parent, rank_query_t query,
+                      const frame_rank_query_reply_t *body, size_t *count)
+{
+  if (query == RANK_QUERY_EXPERT_COUNTS && body->version > 0)
+    return rank_counts_decode (parent, body->numbers, body->version, count);
+  return numbers_decode (parent, body->numbers, count);
+}
+
 static void
 pilot_handle_reply (member_pilot_t *pilot,
                     const frame_rank_query_reply_t *body)
@@ -72,7 +83,7 @@
     }
   if (pilot->has_rank && body->is_successful)
     reply.numbers
-        = numbers_decode (scratch, body->numbers, &reply.number_count);
+        = reply_decode_numbers (scratch, query, body, &reply.number_count);
   if (pilot->has_rank && !members->is_closing)
     members->ops->on_reply (pilot->rank, query,
                             reply.numbers == NULL ? NULL : &reply,
--- a/pilot/pilot_server.c
+++ b/pilot/pilot_server.c
@@ -183,6 +183,19 @@
   talloc_free (scratch);
 }
 
+/* Fills BODY with the counts in REPLY that no leader has been told yet.  */
+static void
+reply_encode_counts (client_request_t *request, const rank_reply_t *reply,
+                     frame_rank_query_reply_t *body)
+{
+  const uint64_t *units = expert_counts_take_units (
+      request->server->pilot->counts, request, reply, &body->version);
+
+  body->is_successful = units != NULL;
+  if (units != NULL)
+    body->numbers = rank_counts_encode (request, units, reply->number_count);
+}
+
 static void
 server_on_reply (status_t status, const rank_reply_t *reply, void *data)
 {
@@ -192,23 +205,24 @@
       = { .header.type = FRAME_RANK_QUERY_REPLY,
           .body.rank_query_reply = { .ticket = request->ticket,
                                      .is_successful = status == STATUS_OK } };
+  frame_rank_query_reply_t *body = &frame.body.rank_query_reply;
 
-  const uint64_t *numbers = status == STATUS_OK ? reply->numbers : NULL;
-
-  if (status == STATUS_OK && request->query == RANK_QUERY_EXPERT_COUNTS)
-    numbers
-        = expert_counts_take (request->server->pilot->counts, request, reply);
-  if (numbers == NULL)
-    frame.body.rank_query_reply.is_successful = false;
-  else if (client != NULL)
+  if (client == NULL)
     {
-      frame.body.rank_query_reply.group_epoch = reply->epoch;
-      frame.body.rank_query_reply.version = reply->version;
-      frame.body.rank_query_reply.numbers
-          = numbers_encode (request, numbers, reply->number_count);
+      talloc_free (request);
+      return;
     }
-  if (client != NULL)
-    link_send (client->link, &frame);
+  if (status == STATUS_OK)
+    {
+      body->group_epoch = reply->epoch;
+      body->version = reply->version;
+      if (request->query == RANK_QUERY_EXPERT_COUNTS)
+        reply_encode_counts (request, reply, body);
+      else
+        body->numbers
+            = numbers_encode (request, reply->numbers, reply->number_count);
+    }
+  link_send (client->link, &frame);
   talloc_free (request);
 }
 
--- a/pilot/planner.c
+++ b/pilot/planner.c
@@ -23,8 +23,10 @@
   bool *has_reply;         /* by rank: MAP contains its reply to
                               RANK_QUERY_HELD_EXPERTS */
   uint64_t *reply_version; /* by rank: the map version of that reply */
-  uint64_t *tokens; /* token counts since the last plan, by layer and expert */
+  /* Token counts since the last observation, by layer and expert.  */
+  uint64_t *tokens;
   bool has_new_counts; /* TOKENS are not all zero */
+  bool is_plan_due;    /* counts were observed since the last plan */
   uint64_t *work;      /* by rank: a constant, so that WORK / BUSY_US is the
                           relative speed */
   uint64_t *busy_us;
@@ -165,7 +167,25 @@
 bool
 planner_has_new_counts (const planner_t *planner)
 {
-  return planner->has_new_counts;
+  return planner->has_new_counts || planner->is_plan_due;
+}
+
+/* Updates the popularity of the experts by the counts added since the last
+   call.  */
+void
+planner_observe (planner_t *planner)
+{
+  placement_sample_t sample = { .tokens = planner->tokens,
+                                .work = planner->work,
+                                .busy_us = planner->busy_us };
+
+  if (!planner->has_new_counts)
+    return;
+  planner->ops->observe (planner->placement, &sample);
+  planner->has_new_counts = false;
+  planner->is_plan_due = true;
+  memset (planner->tokens, 0,
+          planner_count_numbers (planner) * sizeof *planner->tokens);
 }
 
 /* Returns the map in use.  */
@@ -189,15 +209,8 @@
 bool
 planner_plan (planner_t *planner, TALLOC_CTX *parent, placement_plan_t *plan)
 {
-  placement_sample_t sample = { .tokens = planner->tokens,
-                                .work = planner->work,
-                                .busy_us = planner->busy_us };
-
-  if (planner->has_new_counts)
-    planner->ops->observe (planner->placement, &sample);
-  planner->has_new_counts = false;
-  memset (planner->tokens, 0,
-          planner_count_numbers (planner) * sizeof *planner->tokens);
+  planner_observe (planner);
+  planner->is_plan_due = false;
   planner->ops->plan (planner->placement, parent, planner->map, plan);
   if (plan->is_change)
     placement_map_sort (plan->map);
--- a/pilot/rank_codec.c
+++ b/pilot/rank_codec.c
@@ -12,6 +12,14 @@
   MAP_CHANGE_NUMBERS = 3
 };
 
+/* Counts are encoded as a byte that says whether their number is odd, and then
+   two of them in a byte.  */
+enum
+{
+  COUNT_BITS = 4,
+  COUNT_MASK = (1 << COUNT_BITS) - 1
+};
+
 static const char *const command_names[RANK_COMMAND_KIND_COUNT] = {
   [RANK_COMMAND_PREPARE] = "prepare", [RANK_COMMAND_ARM] = "arm",
   [RANK_COMMAND_DISARM] = "disarm",   [RANK_COMMAND_HOLD] = "hold",
@@ -378,3 +386,36 @@
   command->map = map;
   return status;
 }
+
+/* Encodes COUNT numbers of units.  */
+blob_t
+rank_counts_encode (TALLOC_CTX *parent, const uint64_t *units, size_t count)
+{
+  size_t size = 1 + (count + 1) / 2;
+  unsigned char *bytes = talloc_zero_array (parent, unsigned char, size);
+
+  if (bytes == NULL)
+    return (blob_t){ 0 };
+  bytes[0] = count % 2;
+  for (size_t i = 0; i < count; i++)
+    bytes[1 + i / 2] |= (units[i] & COUNT_MASK) << (i % 2 * COUNT_BITS);
+  return (blob_t){ .data = (const char *)bytes, .size = size };
+}
+
+/* Decodes the result of rank_counts_encode.  */
+uint64_t *
+rank_counts_decode (TALLOC_CTX *parent, blob_t encoded, uint64_t unit,
+                    size_t *count)
+{
+  const unsigned char *bytes = (const unsigned char *)encoded.data;
+  uint64_t *numbers;
+
+  if (encoded.size < 2 || bytes[0] > 1 || unit < 1 || unit > UINT32_MAX)
+    return NULL;
+  *count = 2 * (encoded.size - 1) - bytes[0];
+  numbers = talloc_array (parent, uint64_t, *count);
+  for (size_t i = 0; numbers != NULL && i < *count; i++)
+    numbers[i]
+        = unit * (bytes[1 + i / 2] >> (i % 2 * COUNT_BITS) & COUNT_MASK);
+  return numbers;
+}
--- a/tests/test_pilot_maps.c
+++ b/tests/test_pilot_maps.c
@@ -226,6 +226,61 @@
   assert_int_equal (taken[0], 4);
 }
 
+/* Counts in units: few bits each, and over several replies nothing is lost,
+   however rare an expert is.  */
+static void
+test_counts_in_units_lose_nothing (void **state)
+{
+  enum
+  {
+    COUNT = 257, /* odd */
+    REPLIES = 40
+  };
+  fixture_t *fixture = *state;
+  expert_counts_t *counts = expert_counts_create (fixture);
+  uint64_t numbers[COUNT] = { 0 };
+  uint64_t sums[COUNT] = { 0 };
+  uint64_t unit = 0;
+
+  for (unsigned i = 0; i < REPLIES; i++)
+    {
+      rank_reply_t reply = { .numbers = numbers, .number_count = COUNT };
+      size_t count = 0;
+      uint64_t *units;
+      uint64_t *decoded;
+      blob_t encoded;
+
+      for (unsigned j = 0; j < COUNT; j++)
+        numbers[j] += 3 + 40 * j;
+      units = expert_counts_take_units (counts, fixture, &reply, &unit);
+      encoded = rank_counts_encode (fixture, units, COUNT);
+      assert_true (encoded.size <= COUNT / 2 + 2);
+      decoded = rank_counts_decode (fixture, encoded, unit, &count);
+      assert_int_equal (count, COUNT);
+      for (unsigned j = 0; j < COUNT; j++)
+        sums[j] += decoded[j];
+    }
+  for (unsigned j = 0; j < COUNT; j++)
+    assert_true (sums[j] <= numbers[j] && numbers[j] - sums[j] < unit);
+}
+
+static void
+test_malformed_counts_are_refused (void **state)
+{
+  fixture_t *fixture = *state;
+  blob_t valid = { .data = "\0\1", .size = 2 };
+  blob_t empty = { .data = "", .size = 0 };
+  blob_t odd = { .data = "\2\1", .size = 2 };
+  size_t count = 0;
+
+  assert_non_null (rank_counts_decode (fixture, valid, 1, &count));
+  assert_int_equal (count, 2);
+  assert_null (rank_counts_decode (fixture, valid, 0, &count));
+  assert_null (rank_counts_decode (fixture, valid, UINT64_MAX, &count));
+  assert_null (rank_counts_decode (fixture, empty, 1, &count));
+  assert_null (rank_counts_decode (fixture, odd, 1, &count));
+}
+
 int
 main (void)
 {
@@ -240,6 +295,10 @@
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_counts_are_passed_on_as_increments,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_counts_in_units_lose_nothing, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (test_malformed_counts_are_refused, set_up,
+                                     tear_down),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
