--- a/include/pilot/expert_counts.h
+++ b/include/pilot/expert_counts.h
@@ -9,11 +9,6 @@
    increments: small numbers take few bytes on the way to the leader.  */
 typedef struct expert_counts expert_counts_t;
 
-enum
-{
-  EXPERT_COUNTS_MAX_UNITS = 15 /* fits into four bits */
-};
-
 expert_counts_t *expert_counts_create (TALLOC_CTX *parent);
 void expert_counts_destroy (expert_counts_t *counts);
 /* Returns the counts in REPLY, the engine's reply to RANK_QUERY_EXPERT_COUNTS,
@@ -21,10 +16,10 @@
    Returns NULL when memory is exhausted.  */
 uint64_t *expert_counts_take (expert_counts_t *counts, TALLOC_CTX *parent,
                               const rank_reply_t *reply);
-/* The same in multiples of *UNIT, at least 1 and so chosen that none exceeds
-   EXPERT_COUNTS_MAX_UNITS.  What is left over belongs to the next call, so
-   that nothing is lost.  */
-uint64_t *expert_counts_take_units (expert_counts_t *counts,
+/* The same rounded down to count_levels, in multiples of *UNIT, which is at
+   least 1: the levels.  What is left over belongs to the next call, so that
+   nothing is lost.  */
+uint8_t *expert_counts_take_levels (expert_counts_t *counts,
                                     TALLOC_CTX *parent,
                                     const rank_reply_t *reply, uint64_t *unit);
 
--- a/include/pilot/rank_codec.h
+++ b/include/pilot/rank_codec.h
@@ -23,12 +23,13 @@
                                   const frame_rank_command_t *body,
                                   map_history_t *history,
                                   rank_command_t *command);
-/* Counts in multiples of a unit, at most EXPERT_COUNTS_MAX_UNITS each, as a
-   blob of a frame; no bytes when memory is exhausted.  */
-blob_t rank_counts_encode (TALLOC_CTX *parent, const uint64_t *units,
+/* Counts as levels of count_levels, as a blob of a frame; no bytes when memory
+   is exhausted.  */
+blob_t rank_counts_encode (TALLOC_CTX *parent, const uint8_t *levels,
                            size_t count);
-/* Returns the counts that UNITS encodes, of which there are *COUNT, times
-   UNIT. Returns NULL when ENCODED is malformed or the unit is out of range. */
+/* Returns the counts that ENCODED has as levels, of which there are *COUNT,
+   times UNIT.  Returns NULL when ENCODED is malformed or the unit is out of
+   range.  */
 uint64_t *rank_counts_decode (TALLOC_CTX *parent, blob_t encoded,
                               uint64_t unit, size_t *count);
 
--- a/pilot/expert_counts.c
+++ b/pilot/expert_counts.c
@@ -1,5 +1,7 @@
 #include "pilot/expert_counts.h"
 
+#include "pilot/count_levels.h"
+
 #include <string.h>
 
 struct expert_counts
@@ -73,8 +75,8 @@
   return increments;
 }
 
-/* Returns the least unit in which none of the COUNT NUMBERS exceeds
-   EXPERT_COUNTS_MAX_UNITS.  */
+/* Returns the least unit in which none of the COUNT NUMBERS is far above
+   COUNT_LEVELS_TOP.  */
 static uint64_t
 choose_unit (const uint64_t *numbers, size_t count)
 {
@@ -85,26 +87,33 @@
       if (numbers[i] > highest)
         highest = numbers[i];
     }
-  return highest / (EXPERT_COUNTS_MAX_UNITS + 1) + 1;
+  return highest / (COUNT_LEVELS_TOP + 1) + 1;
 }
 
-/* Returns the increments since the last call in multiples of *UNIT.  */
-uint64_t *
-expert_counts_take_units (expert_counts_t *counts, TALLOC_CTX *parent,
-                          const rank_reply_t *reply, uint64_t *unit)
+/* Returns the levels of the increments since the last call.  */
+uint8_t *
+expert_counts_take_levels (expert_counts_t *counts, TALLOC_CTX *parent,
+                           const rank_reply_t *reply, uint64_t *unit)
 {
-  uint64_t *units = counts_subtract_last (counts, parent, reply);
+  uint64_t *increments = counts_subtract_last (counts, parent, reply);
+  uint8_t *levels
+      = talloc_array (parent, uint8_t, (unsigned)reply->number_count);
 
-  if (units == NULL || !counts_resize (counts, reply))
+  if (increments == NULL || levels == NULL || !counts_resize (counts, reply))
     {
-      talloc_free (units);
+      talloc_free (increments);
+      talloc_free (levels);
       return NULL;
     }
-  *unit = choose_unit (units, counts->count);
+  *unit = choose_unit (increments, counts->count);
   for (size_t i = 0; i < counts->count; i++)
     {
-      counts->last[i] = reply->numbers[i] - units[i] % *unit;
-      units[i] /= *unit;
+      unsigned level = count_level_below (increments[i] / *unit);
+
+      levels[i] = (uint8_t)level;
+      counts->last[i] = reply->numbers[i] - increments[i]
+                        + count_level_value (level) * *unit;
     }
-  return units;
+  talloc_free (increments);
+  return levels;
 }
--- a/pilot/pilot_server.c
+++ b/pilot/pilot_server.c
@@ -188,12 +188,12 @@
 reply_encode_counts (client_request_t *request, const rank_reply_t *reply,
                      frame_rank_query_reply_t *body)
 {
-  const uint64_t *units = expert_counts_take_units (
+  const uint8_t *levels = expert_counts_take_levels (
       request->server->pilot->counts, request, reply, &body->version);
 
-  body->is_successful = units != NULL;
-  if (units != NULL)
-    body->numbers = rank_counts_encode (request, units, reply->number_count);
+  body->is_successful = levels != NULL;
+  if (levels != NULL)
+    body->numbers = rank_counts_encode (request, levels, reply->number_count);
 }
 
 static void
--- a/pilot/rank_codec.c
+++ b/pilot/rank_codec.c
@@ -1,6 +1,7 @@
 #include "pilot/rank_codec.h"
 
 #include "common/numbers.h"
+#include "pilot/count_levels.h"
 
 /* A map is encoded as numbers: its shape and, if HAS_BASE, the digest of the
    base and the changes, three numbers each: the cell, counted from that of the
@@ -387,9 +388,9 @@
   return status;
 }
 
-/* Encodes COUNT numbers of units.  */
+/* Encodes COUNT levels.  */
 blob_t
-rank_counts_encode (TALLOC_CTX *parent, const uint64_t *units, size_t count)
+rank_counts_encode (TALLOC_CTX *parent, const uint8_t *levels, size_t count)
 {
   size_t size = 1 + (count + 1) / 2;
   unsigned char *bytes = talloc_zero_array (parent, unsigned char, size);
@@ -398,7 +399,7 @@
     return (blob_t){ 0 };
   bytes[0] = count % 2;
   for (size_t i = 0; i < count; i++)
-    bytes[1 + i / 2] |= (units[i] & COUNT_MASK) << (i % 2 * COUNT_BITS);
+    bytes[1 + i / 2] |= levels[i] << (i % 2 * COUNT_BITS);
   return (blob_t){ .data = (const char *)bytes, .size = size };
 }
 
@@ -415,7 +416,10 @@
   *count = 2 * (encoded.size - 1) - bytes[0];
   numbers = talloc_array (parent, uint64_t, *count);
   for (size_t i = 0; numbers != NULL && i < *count; i++)
-    numbers[i]
-        = unit * (bytes[1 + i / 2] >> (i % 2 * COUNT_BITS) & COUNT_MASK);
+    {
+      unsigned level = bytes[1 + i / 2] >> (i % 2 * COUNT_BITS) & COUNT_MASK;
+
+      numbers[i] = unit * count_level_value (level);
+    }
   return numbers;
 }
