Leader: reach the engine of a rank whose pilot can't be reached

It asked the map in use only through pilots, and a plan needs the part of all ranks. Class: a wait for all members that gives the one that is away no other way.

Now a rank without a pilot is asked directly for what it holds (60 numbers; ranks that have answered aren't asked again), and engines that a silent pilot of the group has registered are polled first. direct-report-failed says what a direct poll ended with.

--- a/include/pilot/members.h
+++ b/include/pilot/members.h
@@ -52,12 +52,12 @@
                       const placement_map_t *map);
 /* Ends the commands that wait to be sent, with RANK_UNREACHABLE.  */
 void members_cancel_waiting (members_t *members);
-/* Queries this pilot's engine or a rank with a connected pilot.  Returns
-   whether a query was sent; at most one on_reply follows.  */
+/* Queries this pilot's engine or a rank through its pilot;
+   RANK_QUERY_HELD_EXPERTS also goes to the engine of a rank whose pilot can't
+   be reached.  Returns whether a query was sent; at most one on_reply follows.
+ */
 bool members_query (members_t *members, unsigned rank_number,
                     rank_query_t query);
-/* Queries all ranks.  Returns the number of queries sent.  */
-unsigned members_query_all (members_t *members, rank_query_t query);
 /* The rules name LAG as the age of reports that are requested from another
    machine.  */
 void members_set_report_lag (members_t *members, struct timespec lag);
--- a/include/pilot/planner.h
+++ b/include/pilot/planner.h
@@ -16,6 +16,9 @@
 /* Discards the known map in use, after a takeover or when the group was
    re-formed.  */
 void planner_forget_map (planner_t *planner);
+/* Whether it is known what RANK holds of the map VERSION.  */
+bool planner_knows_rank (const planner_t *planner, unsigned rank,
+                         uint64_t version);
 /* Whether the map in use is known from all ranks and has VERSION.  */
 bool planner_has_map (const planner_t *planner, uint64_t version);
 /* Adds to the map in use what RANK holds, from its reply to
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -413,6 +413,22 @@
     members_handle_own_poll_started (leader->members);
 }
 
+/* Queries the ranks whose part of the map in use is unknown.  Returns their
+   number.  */
+static unsigned
+leader_query_unknown_ranks (leader_t *leader)
+{
+  uint64_t version = switcher_map_version (leader->switcher);
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < leader->rank_count; i++)
+    {
+      if (!planner_knows_rank (leader->planner, i, version))
+        count += members_query (leader->members, i, RANK_QUERY_HELD_EXPERTS);
+    }
+  return count;
+}
+
 /* Queries the map in use, which an earlier leader may have set.  */
 static void
 leader_query_map (leader_t *leader)
@@ -425,8 +441,7 @@
     return;
   leader->is_querying = true;
   leader->queried_at = pilot_now (leader->pilot);
-  leader->pending_replies
-      = members_query_all (leader->members, RANK_QUERY_HELD_EXPERTS);
+  leader->pending_replies = leader_query_unknown_ranks (leader);
 }
 
 /* Returns how many ranks can be queried for their counts in a tick, so that
--- a/pilot/members.c
+++ b/pilot/members.c
@@ -9,6 +9,9 @@
 {
   /* Poll interval of an engine whose pilot does not report.  */
   DIRECT_POLL_INTERVAL_MS = 400,
+  /* The same for engines that no pilot of the group has registered, while
+     there are others that one has.  */
+  UNLIKELY_POLL_INTERVAL_MS = 1600,
   /* A rank without a report for this long is polled directly.  */
   REPORT_TIMEOUT_MS = 300,
   BYTES_PER_MBPS_MS = 125 /* a Mbit/s transfers this many in a millisecond */
@@ -43,6 +46,14 @@
   members->ops->on_report (rank_number, report, after_ticket, members->data);
 }
 
+/* The engine at ADDRESS did not answer a direct poll.  */
+static void
+log_direct_failure (const char *address)
+{
+  log_event (LOG_LEVEL_INFO, "direct-report-failed",
+             "upstream=%s error=\"%s\"", address, status_message ());
+}
+
 static void
 rank_on_direct_report (status_t status, const rank_report_t *report,
                        void *data)
@@ -50,6 +61,8 @@
   member_rank_t *rank = data;
 
   rank->is_polling = false;
+  if (status != STATUS_OK)
+    log_direct_failure (rank->engine_address);
   if (status != STATUS_OK || report->rank != rank->rank
       || strcmp (report->group, rank->members->group) != 0)
     return;
@@ -128,6 +141,8 @@
   member_rank_t *rank;
 
   listed->is_polling = false;
+  if (status != STATUS_OK)
+    log_direct_failure (listed->address);
   if (status != STATUS_OK || strcmp (report->group, members->group) != 0
       || report->rank >= members->rank_count)
     return;
@@ -139,6 +154,38 @@
              rank->engine_address);
 }
 
+/* Returns the pilot of the group that has registered the engine at ADDRESS but
+   has not reported to this process, or NULL.  ADDRESS may be NULL for any
+   engine.  */
+static const member_pilot_t *
+members_find_silent_pilot (const members_t *members, const char *address)
+{
+  const member_pilot_t *pilot;
+
+  LIST_FOREACH (pilot, &members->pilots, entry)
+    {
+      if (!pilot->has_rank
+          && !address_is_located (members, pilot->engine_address)
+          && (address == NULL || strcmp (pilot->engine_address, address) == 0))
+        return pilot;
+    }
+  return NULL;
+}
+
+/* Returns the poll interval of LISTED, whose rank is unknown.  Most engines
+   that are listed belong to other groups.  */
+static int64_t
+listed_interval_ms (const listed_engine_t *listed)
+{
+  const members_t *members = listed->members;
+
+  return members_find_silent_pilot (members, NULL) == NULL
+                 || members_find_silent_pilot (members, listed->address)
+                        != NULL
+             ? DIRECT_POLL_INTERVAL_MS
+             : UNLIKELY_POLL_INTERVAL_MS;
+}
+
 /* Polls the listed engines whose rank is unknown, to find out which rank
    they are.  */
 static void
@@ -151,7 +198,7 @@
     {
       if (listed->is_polling || address_is_located (members, listed->address)
           || !has_elapsed (members, listed->polled_at,
-                           DIRECT_POLL_INTERVAL_MS))
+                           listed_interval_ms (listed)))
         continue;
       if (listed->engine == NULL)
         listed->engine
@@ -326,13 +373,42 @@
   return false;
 }
 
+/* A reply of an engine on another machine to RANK_QUERY_HELD_EXPERTS.  */
+static void
+rank_on_direct_reply (status_t status, const rank_reply_t *reply, void *data)
+{
+  const member_rank_t *rank = data;
+  members_t *members = rank->members;
+
+  if (status != STATUS_OK)
+    log_direct_failure (rank->engine_address);
+  if (!members->is_closing)
+    members->ops->on_reply (rank->rank, RANK_QUERY_HELD_EXPERTS,
+                            status == STATUS_OK ? reply : NULL, members->data);
+}
+
+/* Queries the engine of RANK directly.  That stops the group for a moment that
+   grows with the reply, which is short only for the experts that a rank
+   holds.  */
+static bool
+rank_query_directly (member_rank_t *rank, rank_query_t query)
+{
+  rank_engine_t *engine = member_rank_engine (rank);
+
+  return query == RANK_QUERY_HELD_EXPERTS && engine != NULL
+         && rank->members->pilot->engine_ops->query (
+                engine, query, rank_on_direct_reply, rank)
+                == STATUS_OK;
+}
+
 /* Queries this pilot's engine, or RANK_NUMBER through its pilot: these queries
-   cost nothing, unlike direct calls to a remote engine.  Returns whether a
-   query was sent; on_reply follows if the rank replies.  */
+   cost nothing, unlike direct calls to a remote engine, which are made only
+   while that pilot can't be reached.  Returns whether a query was sent;
+   on_reply follows if the rank replies.  */
 bool
 members_query (members_t *members, unsigned rank_number, rank_query_t query)
 {
-  const member_rank_t *rank = &members->ranks[rank_number];
+  member_rank_t *rank = &members->ranks[rank_number];
   frame_t frame
       = { .header.type = FRAME_RANK_QUERY,
           .body.rank_query = { .ticket = members_query_ticket (members, query),
@@ -340,19 +416,9 @@
 
   if (rank_number == members->own_rank)
     return members_query_own (members, query);
-  return member_rank_has_pilot (rank)
-         && link_send (rank->pilot->link, &frame) == STATUS_OK;
-}
-
-/* Queries all ranks.  Returns the number of queries sent.  */
-unsigned
-members_query_all (members_t *members, rank_query_t query)
-{
-  unsigned count = 0;
-
-  for (unsigned i = 0; i < members->rank_count; i++)
-    count += members_query (members, i, query);
-  return count;
+  if (!member_rank_has_pilot (rank))
+    return rank_query_directly (rank, query);
+  return link_send (rank->pilot->link, &frame) == STATUS_OK;
 }
 
 /* Sets the age of reports that this process requests from engines on other
--- a/pilot/members_pilots.c
+++ b/pilot/members_pilots.c
@@ -268,6 +268,7 @@
   pilot->name = talloc_strdup (pilot, name);
   pilot->engine_address = talloc_strdup (pilot, engine_address);
   LIST_INSERT_HEAD (&members->pilots, pilot, entry);
+  members_add_engine (members, engine_address);
   member_pilot_connect (pilot);
 }
 
--- a/pilot/planner.c
+++ b/pilot/planner.c
@@ -97,13 +97,20 @@
     planner->has_reply[i] = false;
 }
 
+/* Returns whether it is known what RANK holds of the map VERSION.  */
+bool
+planner_knows_rank (const planner_t *planner, unsigned rank, uint64_t version)
+{
+  return planner->has_reply[rank] && planner->reply_version[rank] == version;
+}
+
 /* Returns whether the map in use is known completely and has VERSION.  */
 bool
 planner_has_map (const planner_t *planner, uint64_t version)
 {
   for (unsigned i = 0; i < planner->shape.ranks; i++)
     {
-      if (!planner->has_reply[i] || planner->reply_version[i] != version)
+      if (!planner_knows_rank (planner, i, version))
         return false;
     }
   return placement_map_is_valid (planner->map);
