Placement: a shift of popularity is what is unusual for its group

After a shift experts stayed out of place for longer than the counts needed to show it: newest counts that had under 0.9 in common with the older ones were taken for a shift, whatever is usual. Now the usual overlap is learned with its deviation. Tests' reader of metrics takes fractions, as all programs have a histogram now.

--- a/plugins/placement/even.c
+++ b/plugins/placement/even.c
@@ -16,9 +16,15 @@
 
 /* Weight of the older counts when new ones are added.  */
 static const double history_weight = 0.6;
-/* If the new counts share less than this part of their distribution with the
-   older ones, the popularity has shifted and the older ones are dropped.  */
-static const double min_overlap = 0.9;
+/* The new counts have less in common with the older ones than usual by more
+   than this many deviations if the popularity has shifted.  The older ones are
+   dropped then.  */
+static const double shift_deviations = 4;
+/* Weights of the newest overlap in its mean and deviation, and the least
+   deviation.  */
+static const double overlap_mean_gain = 1.0 / 8;
+static const double overlap_deviation_gain = 1.0 / 4;
+static const double min_overlap_deviation = 0.003;
 /* A search is made only if the step time has grown by this part since one has
    found nothing.  */
 static const double min_growth = 0.02;
@@ -35,7 +41,11 @@
   /* Least step time at which a search has found no better map; 0 if there was
      none yet.  */
   double settled_time;
+  bool has_counts;
   double overlap; /* of the newest counts with the older ones */
+  /* What is usual for OVERLAP; a mean of 0: not known yet.  */
+  double overlap_mean;
+  double overlap_deviation;
 };
 
 static placement_t *
@@ -102,14 +112,42 @@
   return overlap / shape->layers;
 }
 
+/* Returns whether the overlap of the newest counts shows a shift of the
+   popularity, and learns from it what is usual.  An unusual one counts only in
+   part, so that one shift doesn't hide the next.  */
+static bool
+even_has_shifted (placement_t *placement)
+{
+  double limit = shift_deviations * placement->overlap_deviation;
+  double error = placement->overlap - placement->overlap_mean;
+  bool is_shift = error < -limit;
+
+  if (placement->overlap_mean <= 0)
+    {
+      placement->overlap_mean = placement->overlap;
+      placement->overlap_deviation = (1 - placement->overlap) / 2;
+      return false;
+    }
+  error = fmax (-limit, fmin (error, limit));
+  placement->overlap_mean += overlap_mean_gain * error;
+  placement->overlap_deviation
+      += overlap_deviation_gain
+         * (fabs (error) - placement->overlap_deviation);
+  placement->overlap_deviation
+      = fmax (placement->overlap_deviation, min_overlap_deviation);
+  return is_shift;
+}
+
 static void
 even_observe (placement_t *placement, const placement_sample_t *sample)
 {
   size_t count = (size_t)placement->shape.layers * placement->shape.experts;
-  double weight;
+  double weight = history_weight;
 
   placement->overlap = even_overlap (placement, sample);
-  weight = placement->overlap < min_overlap ? 0 : history_weight;
+  if (placement->has_counts && even_has_shifted (placement))
+    weight = 0;
+  placement->has_counts = true;
 
   for (size_t i = 0; i < count; i++)
     placement->counts[i]
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -220,7 +220,7 @@
 
     def metrics(self, name):
         _, _, body = self.raw("GET", self.ports[name + "-admin"], "/metrics")
-        return {line.rsplit(" ", 1)[0]: int(line.rsplit(" ", 1)[1])
+        return {line.rsplit(" ", 1)[0]: float(line.rsplit(" ", 1)[1])
                 for line in body.decode().splitlines() if line[0] != "#"}
 
     def wait_for_settings(self, names, revision):
