Switch of the map: plan the step by the time that arming takes, not by losses

A leader that reads an answer over 80 ms late takes the order for lost, and then planned each switch half a second ahead for six seconds, so that the right map came later: experts out of place for longer. Class: one's own delay taken for a fault of the peer.

--- a/include/pilot/switcher_state.h
+++ b/include/pilot/switcher_state.h
@@ -85,10 +85,6 @@
   /* The last time that the command of this stage succeeded at a rank, or the
      start of PHASE.  */
   struct timespec progress_at;
-  /* Last command whose outcome remained unknown, valid if
-     HAS_UNKNOWN_OUTCOME.  */
-  bool has_unknown_outcome;
-  struct timespec unknown_outcome_at;
   /* Step and time of the last report used to measure the step time.  */
   uint64_t sampled_step;
   struct timespec sampled_at;
@@ -122,8 +118,7 @@
 bool switcher_has_prepared (const switcher_t *switcher,
                             const rank_view_t *view);
 /* The step at which to hold the group and switch.  */
-uint64_t switcher_choose_step (const switcher_t *switcher,
-                               struct timespec now);
+uint64_t switcher_choose_step (const switcher_t *switcher);
 /* Updates STEP_MS from the STEP that this pilot's engine reports.  */
 void switcher_measure_step_time (switcher_t *switcher, uint64_t step,
                                  struct timespec now);
--- a/pilot/switcher.c
+++ b/pilot/switcher.c
@@ -243,7 +243,7 @@
     return;
   if (!switcher->may_be_held)
     {
-      switcher->step = switcher_choose_step (switcher, now);
+      switcher->step = switcher_choose_step (switcher);
       switcher->hold_at = now;
     }
   switcher->may_be_held = true;
@@ -598,8 +598,6 @@
         handle_conflict (switcher, view, now);
       break;
     case RANK_OUTCOME_UNKNOWN:
-      switcher->has_unknown_outcome = true;
-      switcher->unknown_outcome_at = now;
       break;
     case RANK_UNREACHABLE:
     case RANK_BASE_UNKNOWN:
--- a/pilot/switcher_steps.c
+++ b/pilot/switcher_steps.c
@@ -3,13 +3,8 @@
 enum
 {
   /* How far ahead the switch step is at least, as time for the commands to
-     reach all ranks before the group stops at that step.  While commands get
-     lost, LOOKAHEAD_LOSSY_MS is used, so that they can be resent in time.  */
+     reach all ranks before the group stops at that step.  */
   LOOKAHEAD_MS = 120,
-  LOOKAHEAD_LOSSY_MS = 500,
-  /* How long the longer lookahead is used after a command whose outcome
-     remained unknown.  */
-  LOSSY_PERIOD_MS = 6000,
   LOOKAHEAD_MAX_STEPS = 24,
   /* A step used before that is further ahead comes from a wrong report.  */
   USED_STEPS_AHEAD_MAX = 1000,
@@ -33,15 +28,11 @@
 /* Returns the step at which to hold and switch: far enough ahead for the
    commands to arrive before it begins, and after those used before.  */
 uint64_t
-switcher_choose_step (const switcher_t *switcher, struct timespec now)
+switcher_choose_step (const switcher_t *switcher)
 {
-  int64_t unknown_outcome_age_ms
-      = timespec_to_ms (timespec_subtract (now, switcher->unknown_outcome_at));
-  bool is_lossy = switcher->has_unknown_outcome
-                  && unknown_outcome_age_ms < LOSSY_PERIOD_MS;
-  double min_ms = is_lossy ? LOOKAHEAD_LOSSY_MS : LOOKAHEAD_MS;
-  double arming_ms = answer_time_limit_ms (&switcher->arming_time, min_ms);
-  double lookahead_ms = arming_ms > min_ms ? arming_ms : min_ms;
+  double arming_ms
+      = answer_time_limit_ms (&switcher->arming_time, LOOKAHEAD_MS);
+  double lookahead_ms = arming_ms > LOOKAHEAD_MS ? arming_ms : LOOKAHEAD_MS;
   uint64_t lookahead = (uint64_t)(lookahead_ms / switcher->step_ms) + 2;
   uint64_t step;
 
--- a/tests/pilot_group.c
+++ b/tests/pilot_group.c
@@ -109,15 +109,22 @@
   talloc_free (request);
 }
 
-/* The leader has sent or read a message.  */
+/* The leader works for DURATION_US.  */
 static void
-leader_spend (pilot_group_t *group)
+leader_work (pilot_group_t *group, int64_t duration_us)
 {
   int64_t now_us = group->now_ms * US_PER_MS;
 
   if (group->leader_busy_us < now_us)
     group->leader_busy_us = now_us;
-  group->leader_busy_us += group->message_cost_us;
+  group->leader_busy_us += duration_us;
+}
+
+/* The leader has sent or read a message.  */
+static void
+leader_spend (pilot_group_t *group)
+{
+  leader_work (group, group->message_cost_us);
 }
 
 static bool
@@ -390,6 +397,9 @@
     {
       group->now_ms++;
       clock_advance (group->clock, timespec_from_ms (1));
+      if (group->work_interval_ms > 0
+          && group->now_ms % group->work_interval_ms == 0)
+        leader_work (group, group->work_ms * US_PER_MS);
       leader_check_timeouts (group);
       while ((event = due_event (group)) != NULL)
         {
--- a/tests/pilot_group.h
+++ b/tests/pilot_group.h
@@ -46,6 +46,9 @@
   /* Time that the leader takes to send a command or to read an answer or
      report; it does nothing else meanwhile.  */
   int64_t message_cost_us;
+  /* Other work of the leader, and how often it comes; 0: never.  */
+  int64_t work_ms;
+  int64_t work_interval_ms;
   int64_t leader_busy_us; /* the leader works until then */
   unsigned rank_count;
   pilot_group_rank_t ranks[PILOT_GROUP_MAX_RANKS];
--- a/tests/test_busy_leader.c
+++ b/tests/test_busy_leader.c
@@ -17,6 +17,8 @@
 {
   RUN_MS = 20000,
   MESSAGE_COST_US = 300,
+  WORK_MS = 100, /* longer than a leader waits for an answer */
+  WORK_INTERVAL_MS = 500,
   CORE_PERCENT = 15,   /* of a core, for a leader */
   MAX_SWITCH_MS = 500, /* from its plan until the group uses the map */
   MAX_COMMANDS_MS = 260,
@@ -26,12 +28,17 @@
 };
 
 static void
-check_switches (unsigned rank_count)
+check_switches (unsigned rank_count, int64_t work_ms)
 {
   pilot_group_t *group = pilot_group_create (1, rank_count, true);
 
   group->message_cost_us = MESSAGE_COST_US;
+  group->work_ms = work_ms;
+  group->work_interval_ms = WORK_INTERVAL_MS;
   pilot_group_run (group, RUN_MS);
+  print_message ("longest switch: %lld ms, %u late answers\n",
+                 (long long)group->longest_switch_ms, group->timeouts);
+  assert_true (work_ms == 0 || group->timeouts > 0);
   assert_int_equal (group->mixed_steps, 0);
   assert_int_equal (group->aborted, 0);
   assert_true (group->switches_in_use > 0);
@@ -43,14 +50,23 @@
 test_messages_delay_no_switch_of_12_ranks (void **state)
 {
   (void)state;
-  check_switches (12);
+  check_switches (12, 0);
 }
 
 static void
 test_messages_delay_no_switch_of_64_ranks (void **state)
 {
   (void)state;
-  check_switches (64);
+  check_switches (64, 0);
+}
+
+/* Answers that wait while the leader works aren't lost: switches are not
+   planned further ahead for them.  */
+static void
+test_late_answers_delay_no_switch_of_64_ranks (void **state)
+{
+  (void)state;
+  check_switches (64, WORK_MS);
 }
 
 static int64_t
@@ -103,6 +119,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_messages_delay_no_switch_of_12_ranks),
     cmocka_unit_test (test_messages_delay_no_switch_of_64_ranks),
+    cmocka_unit_test (test_late_answers_delay_no_switch_of_64_ranks),
     cmocka_unit_test (test_plan_for_64_ranks_leaves_time_for_its_switch),
   };
 
