Rules: read a large document in parts

The first rules of a relay are still read at once. Parsing the store's response and the document are still one part each.

--- a/include/plugins/catalog.h
+++ b/include/plugins/catalog.h
@@ -19,6 +19,9 @@
   CATALOG_OWN       /* written by this system; NAME follows OWN_PREFIX */
 } catalog_kind_t;
 
+/* Reads one document of the operators' configuration.  */
+typedef struct rules_reader rules_reader_t;
+
 typedef struct catalog_ops
 {
   /* Return the kind of the item KEY.  Sets *NAME to the part of KEY after the
@@ -30,10 +33,16 @@
   const char *own_prefix;
   /* Prefix of the upstream listings.  */
   const char *upstream_prefix;
-  /* Parse the operators' configuration.  Returns STATUS_INVALID with the
-     status message set when it cannot be used.  The caller owns the
-     reference to *RULES.  */
-  status_t (*read_rules) (const char *text, size_t size, rules_t **rules);
+  /* Read the operators' configuration in parts, so that a large one doesn't
+     keep a worker from its connections for long.  TEXT must stay valid until
+     close_rules.  Returns NULL when memory is exhausted.  */
+  rules_reader_t *(*open_rules) (TALLOC_CTX *parent, const char *text,
+                                 size_t size);
+  /* Read the next part.  Sets *RULES with the last one, and to NULL before;
+     the caller owns the reference.  Returns STATUS_INVALID with the status
+     message set when the document cannot be used; no part follows then.  */
+  status_t (*read_rules_part) (rules_reader_t *reader, rules_t **rules);
+  void (*close_rules) (rules_reader_t *reader);
   /* Parse the listing of the upstream ID.  Strings of LISTING belong to
      PARENT.  Returns STATUS_INVALID with the status message set when it does
      not describe a usable upstream.  */
@@ -42,4 +51,9 @@
                              upstream_listing_t *listing);
 } catalog_ops_t;
 
+/* Read all parts of the operators' configuration at once.  Returns what
+   read_rules_part does.  */
+status_t catalog_read_rules (const catalog_ops_t *ops, const char *text,
+                             size_t size, rules_t **rules);
+
 #endif
--- a/pilot/leader_store.c
+++ b/pilot/leader_store.c
@@ -18,8 +18,8 @@
   rules_t *rules;
 
   if (entry->value == NULL
-      || leader->pilot->catalog_ops->read_rules (entry->value,
-                                                 entry->value_size, &rules)
+      || catalog_read_rules (leader->pilot->catalog_ops, entry->value,
+                             entry->value_size, &rules)
              != STATUS_OK)
     {
       log_event (LOG_LEVEL_WARN, "rules-rejected", "revision=%lld action=keep",
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -7,6 +7,7 @@
 #include "kernel/table.h"
 #include "relay/feed.h"
 #include "relay/held_changes.h"
+#include "relay/rules_loader.h"
 
 #include <string.h>
 
@@ -50,6 +51,7 @@
   /* The store was restored, and not all of it has been read since.  */
   bool is_reading_restored;
   held_changes_t *held;
+  rules_loader_t *loader;
   store_listener_t listener;
   LIST_HEAD (, relay_key) relays;
   worker_timer_t *recount_timer;
@@ -63,43 +65,57 @@
   return clock_monotonic (discovery->relay->clock);
 }
 
-/* Apply new rules.  The last valid rules are kept when the new ones cannot be
-   parsed or the rules are removed.  */
+/* Apply new rules.  */
 static void
-discovery_apply_rules (discovery_t *discovery, const store_entry_t *entry)
+discovery_on_rules (rules_t *rules, const rules_document_t *document,
+                    void *data)
 {
-  struct timespec began_at = discovery_now (discovery);
-  rules_t *rules;
-  uint64_t version;
+  discovery_t *discovery = data;
+  uint64_t version = rules->version;
 
-  if (entry->value == NULL)
-    {
-      log_event (LOG_LEVEL_WARN, "rules-removed", "revision=%lld action=keep",
-                 (long long)entry->mod_revision);
-      return;
-    }
-  if (discovery->relay->catalog_ops->read_rules (entry->value,
-                                                 entry->value_size, &rules)
-      != STATUS_OK)
-    {
-      counter_add (&rules_rejected, 1);
-      log_event (LOG_LEVEL_ERROR, "rules-rejected",
-                 "revision=%lld action=keep error=\"%s\"",
-                 (long long)entry->mod_revision, status_message ());
-      return;
-    }
-  version = rules->version;
   if (relay_adopt_rules (discovery->relay, rules))
     log_event (LOG_LEVEL_NOTICE, "rules-adopted",
                "version=%llu revision=%lld bytes=%zu ms=%lld",
-               (unsigned long long)version, (long long)entry->mod_revision,
-               entry->value_size,
-               (long long)timespec_to_ms (
-                   timespec_subtract (discovery_now (discovery), began_at)));
+               (unsigned long long)version, (long long)document->revision,
+               document->size,
+               (long long)timespec_to_ms (timespec_subtract (
+                   discovery_now (discovery), document->began_at)));
   else
     log_event (LOG_LEVEL_NOTICE, "rules-not-newer",
                "version=%llu revision=%lld action=keep",
-               (unsigned long long)version, (long long)entry->mod_revision);
+               (unsigned long long)version, (long long)document->revision);
+  relay_notify_workers (discovery->relay);
+}
+
+static void
+discovery_on_rules_rejected (const rules_document_t *document, void *data)
+{
+  (void)data;
+  counter_add (&rules_rejected, 1);
+  log_event (LOG_LEVEL_ERROR, "rules-rejected",
+             "revision=%lld action=keep error=\"%s\"",
+             (long long)document->revision, status_message ());
+}
+
+static const rules_loader_ops_t discovery_rules_ops = {
+  .on_loaded = discovery_on_rules,
+  .on_rejected = discovery_on_rules_rejected,
+};
+
+/* Read new rules; the first ones at once, as nothing can be served without.
+   The last valid rules are kept when the new ones cannot be parsed or the
+   rules are removed.  */
+static void
+discovery_apply_rules (discovery_t *discovery, const store_entry_t *entry)
+{
+  rules_t *rules = relay_rules (discovery->relay);
+
+  if (entry->value == NULL)
+    log_event (LOG_LEVEL_WARN, "rules-removed", "revision=%lld action=keep",
+               (long long)entry->mod_revision);
+  else
+    rules_loader_add (discovery->loader, entry, rules == NULL);
+  rules_release (rules);
 }
 
 static void
@@ -433,6 +449,9 @@
   discovery->refresh_task.run = discovery_run_refresh;
   discovery->held = held_changes_create (discovery, discovery->worker,
                                          discovery_apply_entry, discovery);
+  discovery->loader
+      = rules_loader_create (discovery, discovery->worker, relay->catalog_ops,
+                             &discovery_rules_ops, discovery);
   LIST_INIT (&discovery->relays);
   discovery->listener = (store_listener_t){
     .on_restored = discovery_on_restored,
@@ -442,7 +461,8 @@
   discovery->mirror
       = store_mirror_create (discovery, discovery->worker, &options,
                              &discovery_mirror_ops, discovery);
-  if (discovery->held == NULL || discovery->mirror == NULL)
+  if (discovery->held == NULL || discovery->loader == NULL
+      || discovery->mirror == NULL)
     return NULL;
   return discovery;
 }
--- a/tests/test_catalog.c
+++ b/tests/test_catalog.c
@@ -142,7 +142,7 @@
 
   (void)state;
   assert_int_equal (
-      catalog ()->read_rules (good_rules, strlen (good_rules), &rules),
+      catalog_read_rules (catalog (), good_rules, strlen (good_rules), &rules),
       STATUS_OK);
   assert_int_equal (rules->version, 5);
   assert_int_equal (rules->limits.body_bytes, 100);
@@ -179,7 +179,8 @@
     for (size_t value = 0; value < sizeof values / sizeof values[0]; value++)
       {
         char *text = replace_field (good_rules, fields[field], values[value]);
-        status_t status = catalog ()->read_rules (text, strlen (text), &rules);
+        status_t status
+            = catalog_read_rules (catalog (), text, strlen (text), &rules);
 
         assert_int_equal (status == STATUS_OK, rules != NULL);
         if (status == STATUS_OK)
@@ -187,8 +188,9 @@
         free (text);
       }
   for (size_t size = 0; size < strlen (good_rules); size++)
-    assert_int_equal (catalog ()->read_rules (good_rules, size, &rules),
-                      STATUS_INVALID);
+    assert_int_equal (
+        catalog_read_rules (catalog (), good_rules, size, &rules),
+        STATUS_INVALID);
   assert_non_null (strstr (status_message (), "line 1"));
 }
 
