--- a/include/pilot/leader_state.h
+++ b/include/pilot/leader_state.h
@@ -45,6 +45,7 @@
   char *service;                   /* service of this pilot's engine */
   planner_t *planner;              /* NULL until the rules are known */
   placement_map_t *planned;        /* map of the switch in progress */
+  bool has_ignored_reply;          /* a reply that did not count was logged */
   /* The query of the map in use, RANK_QUERY_HELD_EXPERTS.  */
   bool is_querying;
   unsigned pending_replies; /* ranks whose reply is outstanding */
--- a/include/pilot/planner.h
+++ b/include/pilot/planner.h
@@ -26,8 +26,9 @@
    shape of the group.  */
 bool planner_read_map (planner_t *planner, unsigned rank,
                        const rank_reply_t *reply);
-/* Adds token counts of a rank since its last reply.  */
-void planner_add_counts (planner_t *planner, const rank_reply_t *reply);
+/* Adds token counts of a rank since its last reply.  Returns false and does
+   nothing when the reply does not fit the shape of the group.  */
+bool planner_add_counts (planner_t *planner, const rank_reply_t *reply);
 /* Updates the popularity of the experts by the counts added since the last
    call.  To be called at even intervals, so that a shift shows in them; a plan
    does the same.  */
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -94,6 +94,7 @@
   TALLOC_FREE (leader->planner);
   TALLOC_FREE (leader->planned);
   leader->is_querying = leader->is_replan_due = false;
+  leader->has_ignored_reply = false;
   leader->next_counted_rank = 0;
   leader->ended_at = leader->not_held_at = pilot_now (leader->pilot);
   pilot_server_reset_leader_timeout (leader->pilot->server);
@@ -258,6 +259,22 @@
     TALLOC_FREE (leader->planned);
 }
 
+/* Logs the first reply of a term that is ignored: it is of an earlier epoch,
+   or does not fit the group.  */
+static void
+leader_log_ignored_reply (leader_t *leader, unsigned rank,
+                          const rank_reply_t *reply)
+{
+  if (leader->has_ignored_reply)
+    return;
+  leader->has_ignored_reply = true;
+  log_event (LOG_LEVEL_WARN, "reply-ignored",
+             "group=%s rank=%u epoch=%llu current=%llu numbers=%zu",
+             leader->group, rank, (unsigned long long)reply->epoch,
+             (unsigned long long)switcher_epoch (leader->switcher),
+             reply->number_count);
+}
+
 static void
 leader_on_reply (unsigned rank, rank_query_t query, const rank_reply_t *reply,
                  void *data)
@@ -269,8 +286,9 @@
   if (query == RANK_QUERY_EXPERT_COUNTS)
     {
       work_time_begin (leader->work, WORK_COUNTS);
-      if (is_valid)
-        planner_add_counts (leader->planner, reply);
+      if (reply != NULL && leader->planner != NULL
+          && !(is_valid && planner_add_counts (leader->planner, reply)))
+        leader_log_ignored_reply (leader, rank, reply);
       work_time_end (leader->work);
       return;
     }
--- a/pilot/planner.c
+++ b/pilot/planner.c
@@ -158,16 +158,17 @@
   return (size_t)planner->shape.layers * planner->shape.experts;
 }
 
-/* Adds the token counts of a rank since its last reply.  A reply of another
-   size than the group's is ignored.  */
-void
+/* Adds the token counts of a rank since its last reply.  Returns false and
+   does nothing if the reply has another size than the group's.  */
+bool
 planner_add_counts (planner_t *planner, const rank_reply_t *reply)
 {
   if (reply->number_count != planner_count_numbers (planner))
-    return;
+    return false;
   for (size_t i = 0; i < reply->number_count; i++)
     planner->tokens[i] += reply->numbers[i];
   planner->has_new_counts = true;
+  return true;
 }
 
 /* Returns whether counts were added since the last plan.  */
