--- a/include/pilot/leader_state.h
+++ b/include/pilot/leader_state.h
@@ -11,6 +11,11 @@
 
 /* Private to leader*.c.  */
 
+enum
+{
+  LEADER_TICK_INTERVAL_MS = 50
+};
+
 struct leader
 {
   pilot_t *pilot;
@@ -61,6 +66,12 @@
   struct timespec heartbeat_at; /* last heartbeat to the other pilots */
 };
 
+int64_t leader_ms_since (const leader_t *leader, struct timespec then);
+/* Operation of members_ops_t.  */
+void leader_on_reply (unsigned rank, rank_query_t query,
+                      const rank_reply_t *reply, void *data);
+/* Collects counts and plans; to be called on each tick of a term.  */
+void leader_run_planner (leader_t *leader);
 void leader_start_mirrors (leader_t *leader);
 void leader_stop_reading_rules (leader_t *leader);
 void leader_stop_mirrors (leader_t *leader);
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -16,7 +16,6 @@
 
 enum
 {
-  TICK_INTERVAL_MS = 50,
   LEASE_MS = 2000, /* duration of the lease on the leader's key */
   /* Time without a leader before rank 0 starts an election.  */
   ELECTION_DELAY_MS = 600,
@@ -28,19 +27,9 @@
   HOLD_TAKEOVER_TIMEOUT_MS = 250,
   /* A longer gap between ticks means that the process was paused.  */
   PAUSE_MIN_MS = 250,
-  PLAN_INTERVAL_MS = 250,
   /* Interval of the log lines about ranks that a switch or a recovery waits
      for.  */
-  WAIT_LOG_INTERVAL_MS = 500,
-  MAP_QUERY_INTERVAL_MS = 100, /* queries of the map in use */
-  QUERY_TIMEOUT_MS = 250,      /* wait for the replies of all ranks */
-  /* Minimum time between the starts of two rounds in which every rank is
-     queried for its counts.  */
-  COUNTS_INTERVAL_MS = 250,
-  /* The replies with counts may use one part in this many of the link.  */
-  COUNTS_LINK_DIVISOR = 2,
-  COUNTS_PER_BYTE = 2,
-  COUNTS_OVERHEAD_BYTES = 128 /* of a reply, besides its numbers */
+  WAIT_LOG_INTERVAL_MS = 500
 };
 
 /* Value of the leader key of a group, which names the leader: pilot name,
@@ -54,8 +43,9 @@
                 "Changes of the expert map that were given up");
 GAUGE_DEFINE (leading, "siskin_leading", "Whether this pilot leads its group");
 
-static int64_t
-ms_since (const leader_t *leader, struct timespec then)
+/* Returns the time since THEN, in milliseconds.  */
+int64_t
+leader_ms_since (const leader_t *leader, struct timespec then)
 {
   return timespec_to_ms (timespec_subtract (pilot_now (leader->pilot), then));
 }
@@ -106,7 +96,7 @@
 static bool
 leader_was_paused_past_lease (const leader_t *leader)
 {
-  return ms_since (leader, leader->ticked_at) > PAUSE_MIN_MS
+  return leader_ms_since (leader, leader->ticked_at) > PAUSE_MIN_MS
          && election_is_lease_over (leader->term);
 }
 
@@ -161,10 +151,10 @@
       break;
     case SWITCHER_SWITCHED:
       counter_add (&switches_done, 1);
-      log_event (LOG_LEVEL_NOTICE, "map-switched",
-                 "group=%s version=%llu ms=%lld %s", leader->group,
-                 (unsigned long long)version,
-                 (long long)ms_since (leader, leader->planned_at), cost);
+      log_event (
+          LOG_LEVEL_NOTICE, "map-switched", "group=%s version=%llu ms=%lld %s",
+          leader->group, (unsigned long long)version,
+          (long long)leader_ms_since (leader, leader->planned_at), cost);
       if (leader->planner != NULL && leader->planned != NULL)
         planner_set_map (leader->planner, leader->planned, version);
       leader->switched_at = pilot_now (leader->pilot);
@@ -227,81 +217,6 @@
   work_time_end (leader->work);
 }
 
-/* Plans from the counts so far and starts a switch if it pays.  */
-static void
-leader_plan (leader_t *leader)
-{
-  placement_plan_t plan;
-  bool is_change;
-
-  leader->planned_at = pilot_now (leader->pilot);
-  work_time_begin (leader->work, WORK_PLANNING);
-  is_change = planner_plan (leader->planner, leader, &plan);
-  work_time_end (leader->work);
-  log_event (LOG_LEVEL_INFO, "planned",
-             "group=%s change=%d reason=%s moves=%u before=%.3f after=%.3f "
-             "bound=%.3f overlap=%.3f ms=%lld since_switch_ms=%lld "
-             "counts_ms=%lld",
-             leader->group, is_change, plan.reason, plan.moves,
-             plan.time_before, plan.time_after, plan.time_bound, plan.overlap,
-             (long long)ms_since (leader, leader->planned_at),
-             (long long)ms_since (leader, leader->switched_at),
-             (long long)leader->counts_round_ms);
-  if (!is_change)
-    return;
-  leader->planned = plan.map;
-  work_time_begin (leader->work, WORK_ENCODING);
-  members_set_map (leader->members, planner_map (leader->planner), plan.map);
-  work_time_end (leader->work);
-  switcher_set_holding_rank (leader->switcher,
-                             members_choose_holding_rank (leader->members));
-  if (!switcher_start_switch (leader->switcher, plan.map, leader->planned_at))
-    TALLOC_FREE (leader->planned);
-}
-
-/* Logs the first reply of a term that is ignored: it is of an earlier epoch,
-   or does not fit the group.  */
-static void
-leader_log_ignored_reply (leader_t *leader, unsigned rank,
-                          const rank_reply_t *reply)
-{
-  if (leader->has_ignored_reply)
-    return;
-  leader->has_ignored_reply = true;
-  log_event (LOG_LEVEL_WARN, "reply-ignored",
-             "group=%s rank=%u epoch=%llu current=%llu numbers=%zu",
-             leader->group, rank, (unsigned long long)reply->epoch,
-             (unsigned long long)switcher_epoch (leader->switcher),
-             reply->number_count);
-}
-
-static void
-leader_on_reply (unsigned rank, rank_query_t query, const rank_reply_t *reply,
-                 void *data)
-{
-  leader_t *leader = data;
-  bool is_valid = leader->planner != NULL && reply != NULL
-                  && reply->epoch == switcher_epoch (leader->switcher);
-
-  if (query == RANK_QUERY_EXPERT_COUNTS)
-    {
-      work_time_begin (leader->work, WORK_COUNTS);
-      if (reply != NULL && leader->planner != NULL
-          && !(is_valid && planner_add_counts (leader->planner, reply)))
-        leader_log_ignored_reply (leader, rank, reply);
-      work_time_end (leader->work);
-      return;
-    }
-  if (!leader->is_querying)
-    return;
-  if (is_valid && !planner_read_map (leader->planner, rank, reply))
-    log_event (LOG_LEVEL_WARN, "bad-map", "group=%s rank=%u", leader->group,
-               rank);
-  if (leader->pending_replies > 0)
-    leader->pending_replies--;
-  leader->is_querying = leader->pending_replies > 0;
-}
-
 static void
 leader_on_permit (uint64_t version, void *data)
 {
@@ -431,111 +346,6 @@
     members_handle_own_poll_started (leader->members);
 }
 
-/* Queries the ranks whose part of the map in use is unknown.  Returns their
-   number.  */
-static unsigned
-leader_query_unknown_ranks (leader_t *leader)
-{
-  uint64_t version = switcher_map_version (leader->switcher);
-  unsigned count = 0;
-
-  for (unsigned i = 0; i < leader->rank_count; i++)
-    {
-      if (!planner_knows_rank (leader->planner, i, version))
-        count += members_query (leader->members, i, RANK_QUERY_HELD_EXPERTS);
-    }
-  return count;
-}
-
-/* Queries the map in use, which an earlier leader may have set.  */
-static void
-leader_query_map (leader_t *leader)
-{
-  if (leader->is_querying
-      && ms_since (leader, leader->queried_at) > QUERY_TIMEOUT_MS)
-    leader->is_querying = false;
-  if (leader->is_querying
-      || ms_since (leader, leader->queried_at) < MAP_QUERY_INTERVAL_MS)
-    return;
-  leader->is_querying = true;
-  leader->queried_at = pilot_now (leader->pilot);
-  leader->pending_replies = leader_query_unknown_ranks (leader);
-}
-
-/* Returns how many ranks can be queried for their counts in a tick, so that
-   the replies leave room on the link for everything else.  */
-static unsigned
-leader_counts_per_tick (const leader_t *leader)
-{
-  size_t reply_bytes
-      = planner_count_numbers (leader->planner) / COUNTS_PER_BYTE
-        + COUNTS_OVERHEAD_BYTES;
-  size_t link_bytes = members_link_bytes (leader->members, TICK_INTERVAL_MS)
-                      / COUNTS_LINK_DIVISOR;
-
-  return link_bytes < reply_bytes ? 1 : (unsigned)(link_bytes / reply_bytes);
-}
-
-/* Queries the next ranks for their counts.  The ranks take turns.  */
-static void
-leader_query_counts (leader_t *leader)
-{
-  unsigned budget = leader_counts_per_tick (leader);
-
-  if (leader->next_counted_rank == 0)
-    {
-      if (ms_since (leader, leader->counts_queried_at) < COUNTS_INTERVAL_MS)
-        return;
-      leader->counts_round_ms = ms_since (leader, leader->counts_queried_at);
-      leader->counts_queried_at = pilot_now (leader->pilot);
-    }
-  for (unsigned i = 0; i < budget; i++)
-    {
-      members_query (leader->members, leader->next_counted_rank,
-                     RANK_QUERY_EXPERT_COUNTS);
-      leader->next_counted_rank
-          = (leader->next_counted_rank + 1) % leader->rank_count;
-      if (leader->next_counted_rank == 0)
-        break;
-    }
-}
-
-/* Updates the popularity of the experts at even intervals, also during a
-   switch.  */
-static void
-leader_observe_counts (leader_t *leader)
-{
-  if (ms_since (leader, leader->observed_at) < PLAN_INTERVAL_MS)
-    return;
-  leader->observed_at = pilot_now (leader->pilot);
-  planner_observe (leader->planner);
-}
-
-/* Plans when there are new counts, and right after a switch, which may have
-   been the first of several stages.  */
-static void
-leader_run_planner (leader_t *leader)
-{
-  if (!planner_has_map (leader->planner,
-                        switcher_map_version (leader->switcher)))
-    {
-      if (switcher_is_ready (leader->switcher, pilot_now (leader->pilot)))
-        leader_query_map (leader);
-      return;
-    }
-  leader_query_counts (leader);
-  leader_observe_counts (leader);
-  if (!switcher_is_ready (leader->switcher, pilot_now (leader->pilot)))
-    return;
-  if (leader->is_replan_due
-      || (planner_has_new_counts (leader->planner)
-          && ms_since (leader, leader->planned_at) >= PLAN_INTERVAL_MS))
-    {
-      leader->is_replan_due = false;
-      leader_plan (leader);
-    }
-}
-
 /* Logs which ranks a switch or recovery has been waiting for.  */
 static void
 leader_log_wait (leader_t *leader)
@@ -545,7 +355,8 @@
   if (!leader_is_switching (leader)
       || switcher_wait_ms (leader->switcher, pilot_now (leader->pilot))
              < WAIT_LOG_INTERVAL_MS
-      || ms_since (leader, leader->wait_logged_at) < WAIT_LOG_INTERVAL_MS)
+      || leader_ms_since (leader, leader->wait_logged_at)
+             < WAIT_LOG_INTERVAL_MS)
     return;
   leader->wait_logged_at = pilot_now (leader->pilot);
   wait = switcher_describe_wait (leader->switcher, leader);
@@ -565,7 +376,8 @@
   members_tick (leader->members);
   switcher_tick (leader->switcher, now);
   if (leader_is_switching (leader)
-      || ms_since (leader, leader->heartbeat_at) >= HEARTBEAT_INTERVAL_MS)
+      || leader_ms_since (leader, leader->heartbeat_at)
+             >= HEARTBEAT_INTERVAL_MS)
     {
       leader->heartbeat_at = now;
       members_send_heartbeat (leader->members, leader->fence);
@@ -585,10 +397,11 @@
       = ELECTION_DELAY_MS
         + ELECTION_DELAY_PER_RANK_MS * (int64_t)leader->own_rank;
   int64_t leaderless_ms = pilot_server_leaderless_ms (leader->pilot->server);
-  int64_t ended_ms = ms_since (leader, leader->ended_at);
+  int64_t ended_ms = leader_ms_since (leader, leader->ended_at);
 
   if (leaderless_ms > HOLD_TAKEOVER_TIMEOUT_MS
-      && ms_since (leader, leader->not_held_at) > HOLD_TAKEOVER_TIMEOUT_MS)
+      && leader_ms_since (leader, leader->not_held_at)
+             > HOLD_TAKEOVER_TIMEOUT_MS)
     {
       /* From now on the previous leader gets no permit to arm its own
          rank.  */
@@ -612,7 +425,7 @@
 leader_detect_pause (leader_t *leader)
 {
   struct timespec now = pilot_now (leader->pilot);
-  bool was_paused = ms_since (leader, leader->ticked_at) > PAUSE_MIN_MS;
+  bool was_paused = leader_ms_since (leader, leader->ticked_at) > PAUSE_MIN_MS;
   bool is_past_lease
       = leader->members != NULL && leader_was_paused_past_lease (leader);
 
@@ -661,7 +474,7 @@
 leader_start_timer (leader_t *leader)
 {
   leader->timer = worker_timer_start (leader->pilot->worker, leader,
-                                      timespec_from_ms (TICK_INTERVAL_MS),
+                                      timespec_from_ms (LEADER_TICK_INTERVAL_MS),
                                       leader_tick, leader);
 }
 
--- a/plugins/placement/layer_search.c
+++ b/plugins/placement/layer_search.c
@@ -1,6 +1,7 @@
 #include "plugins/placement/layer_search.h"
 
-#include <math.h>
+#include "plugins/placement/layer_move.h"
+
 #include <string.h>
 
 enum
@@ -20,339 +21,6 @@
    later.  */
 static const double min_popularity = 1e-5;
 
-/* What a move does to the load of a rank.  */
-typedef struct load_change
-{
-  unsigned rank;
-  double change;
-} load_change_t;
-
-/* The state of the search on one layer.  */
-struct layer_search
-{
-  const placement_shape_t *shape;
-  const layer_search_options_t *options;
-  double *popularity; /* by expert; sums to 1 */
-  unsigned *replicas; /* by expert */
-  bool *was_held;     /* by expert and rank: in the current map */
-  bool *is_held;      /* by expert and rank: after the moves */
-  /* By expert and number of the replica: the rank that holds it, in any
-     order.  */
-  unsigned *holders;
-  double *load; /* by rank: its time relative to the mean rank's */
-  double norm;  /* sum of the eighth powers of LOAD */
-  const double *speed;
-  unsigned *used;         /* by rank: slots in use */
-  unsigned *held;         /* by rank: the USED experts that it holds */
-  unsigned *loads;        /* by rank: experts to be loaded */
-  unsigned total_loads;   /* of all ranks */
-  double cost;            /* cost before the move being evaluated */
-  load_change_t *changes; /* of the move being evaluated */
-  unsigned change_count;
-};
-
-/* A change of the layer: EXPERT is moved or copied from the rank SOURCE to
-   the rank TARGET, which may drop EVICTED, or give it to SOURCE in
-   exchange.  Without a target, SOURCE only drops EXPERT.  */
-typedef struct move
-{
-  unsigned source;
-  unsigned expert;
-  bool is_copied; /* SOURCE keeps EXPERT */
-  unsigned target;
-  unsigned evicted; /* dropped by TARGET, or PLACEMENT_SLOT_FREE */
-  bool is_swap;     /* SOURCE gets EVICTED */
-  double gain;      /* reduction of the layer's cost */
-} move_t;
-
-static bool *
-held_flag (const layer_search_t *search, unsigned rank, unsigned expert)
-{
-  return &search->is_held[(size_t)expert * search->shape->ranks + rank];
-}
-
-static bool
-was_held (const layer_search_t *search, unsigned rank, unsigned expert)
-{
-  return search->was_held[(size_t)expert * search->shape->ranks + rank];
-}
-
-static unsigned *
-rank_held (const layer_search_t *search, unsigned rank)
-{
-  return &search->held[(size_t)rank * (search->shape->slots + 1)];
-}
-
-static unsigned *
-expert_holders (const layer_search_t *search, unsigned expert)
-{
-  return &search->holders[(size_t)expert * search->shape->ranks];
-}
-
-static double
-eighth_power (double value)
-{
-  double square = value * value;
-  double fourth = square * square;
-
-  return fourth * fourth;
-}
-
-static void
-change_load (layer_search_t *search, unsigned rank, double change)
-{
-  double *load = &search->load[rank];
-
-  search->norm -= eighth_power (*load);
-  *load += change;
-  search->norm += eighth_power (*load);
-}
-
-/* Returns the load that a replica of EXPERT adds to RANK if the expert has
-   REPLICAS of them.  */
-static double
-replica_load (const layer_search_t *search, unsigned expert, unsigned replicas,
-              unsigned rank)
-{
-  return search->popularity[expert] * search->shape->ranks / replicas
-         / search->speed[rank];
-}
-
-/* Changes the number of replicas of EXPERT and updates the load of the
-   ranks that hold it.  */
-static void
-set_replica_count (layer_search_t *search, unsigned expert, unsigned replicas)
-{
-  unsigned before = search->replicas[expert];
-  const unsigned *holders = expert_holders (search, expert);
-  unsigned holder_count = before < replicas ? before : replicas;
-
-  for (unsigned i = 0; i < holder_count; i++)
-    change_load (search, holders[i],
-                 replica_load (search, expert, replicas, holders[i])
-                     - replica_load (search, expert, before, holders[i]));
-  search->replicas[expert] = replicas;
-}
-
-/* Changes the number of experts that RANK has to load.  */
-static void
-change_loads (layer_search_t *search, unsigned rank, int change)
-{
-  search->loads[rank] += (unsigned)change;
-  search->total_loads += (unsigned)change;
-  if (search->options->loads_left != NULL)
-    search->options->loads_left[rank] -= (unsigned)change;
-}
-
-/* Replaces VALUE, which LIST contains, by the last of its COUNT elements.  */
-static void
-list_remove (unsigned *list, unsigned count, unsigned value)
-{
-  unsigned at = 0;
-
-  while (list[at] != value)
-    at++;
-  list[at] = list[count - 1];
-}
-
-/* Records that RANK holds EXPERT, which so far has as many holders as
-   replicas.  */
-static void
-hold_expert (layer_search_t *search, unsigned rank, unsigned expert)
-{
-  *held_flag (search, rank, expert) = true;
-  rank_held (search, rank)[search->used[rank]++] = expert;
-  expert_holders (search, expert)[search->replicas[expert]] = rank;
-}
-
-/* Records that RANK does not hold EXPERT any more, which still has as many
-   holders as replicas.  */
-static void
-release_expert (layer_search_t *search, unsigned rank, unsigned expert)
-{
-  *held_flag (search, rank, expert) = false;
-  list_remove (rank_held (search, rank), search->used[rank]--, expert);
-  list_remove (expert_holders (search, expert), search->replicas[expert],
-               rank);
-}
-
-static void
-add_replica (layer_search_t *search, unsigned rank, unsigned expert)
-{
-  hold_expert (search, rank, expert);
-  set_replica_count (search, expert, search->replicas[expert] + 1);
-  change_load (search, rank,
-               replica_load (search, expert, search->replicas[expert], rank));
-  if (!was_held (search, rank, expert))
-    change_loads (search, rank, 1);
-}
-
-static void
-drop_replica (layer_search_t *search, unsigned rank, unsigned expert)
-{
-  change_load (search, rank,
-               -replica_load (search, expert, search->replicas[expert], rank));
-  release_expert (search, rank, expert);
-  set_replica_count (search, expert, search->replicas[expert] - 1);
-  if (!was_held (search, rank, expert))
-    change_loads (search, rank, -1);
-}
-
-/* Moves the replica of EXPERT from one rank to another.  */
-static void
-move_replica (layer_search_t *search, unsigned from, unsigned to,
-              unsigned expert)
-{
-  add_replica (search, to, expert);
-  drop_replica (search, from, expert);
-}
-
-static void
-apply_move (layer_search_t *search, const move_t *move)
-{
-  if (move->is_swap)
-    {
-      move_replica (search, move->source, move->target, move->expert);
-      move_replica (search, move->target, move->source, move->evicted);
-      return;
-    }
-  if (move->target != PLACEMENT_SLOT_FREE
-      && move->evicted != PLACEMENT_SLOT_FREE)
-    drop_replica (search, move->target, move->evicted);
-  if (move->target != PLACEMENT_SLOT_FREE)
-    add_replica (search, move->target, move->expert);
-  if (!move->is_copied)
-    drop_replica (search, move->source, move->expert);
-}
-
-/* Returns a smooth approximation of the slowest rank's time (the 8-norm of
-   the loads) plus a penalty for each expert to be loaded.  The other ranks
-   contribute a little, so that moves that only prepare a later gain are
-   recognized as progress.  */
-static double
-search_cost (const layer_search_t *search, double norm, int more_loads)
-{
-  return sqrt (sqrt (sqrt (norm)))
-         + search->options->min_gain_per_load
-               * ((double)search->total_loads + more_loads);
-}
-
-/* Adds CHANGE of the load of RANK to those of the move being evaluated.  */
-static void
-note_change (layer_search_t *search, unsigned rank, double change)
-{
-  load_change_t *changes = search->changes;
-
-  for (unsigned i = 0; i < search->change_count; i++)
-    {
-      if (changes[i].rank != rank)
-        continue;
-      changes[i].change += change;
-      return;
-    }
-  changes[search->change_count++]
-      = (load_change_t){ .rank = rank, .change = change };
-}
-
-/* Notes that EXPERT gets REPLICAS at the ranks that hold it now; EXCEPT does
-   not hold it any more.  */
-static void
-note_replica_count (layer_search_t *search, unsigned expert, unsigned replicas,
-                    unsigned except)
-{
-  const unsigned *holders = expert_holders (search, expert);
-  unsigned before = search->replicas[expert];
-
-  for (unsigned i = 0; i < before; i++)
-    {
-      double load = replica_load (search, expert, before, holders[i]);
-
-      note_change (search, holders[i],
-                   holders[i] == except
-                       ? -load
-                       : replica_load (search, expert, replicas, holders[i])
-                             - load);
-    }
-}
-
-/* Notes that the only replica of EXPERT that moves goes from one rank to
-   another.  */
-static void
-note_transfer (layer_search_t *search, unsigned expert, unsigned from,
-               unsigned to)
-{
-  unsigned replicas = search->replicas[expert];
-
-  note_change (search, from, -replica_load (search, expert, replicas, from));
-  note_change (search, to, replica_load (search, expert, replicas, to));
-}
-
-/* Notes the changes of the load by MOVE.  */
-static void
-note_move (layer_search_t *search, const move_t *move)
-{
-  unsigned replicas = search->replicas[move->expert];
-
-  search->change_count = 0;
-  if (move->target == PLACEMENT_SLOT_FREE)
-    {
-      note_replica_count (search, move->expert, replicas - 1, move->source);
-      return;
-    }
-  if (!move->is_copied || move->is_swap)
-    note_transfer (search, move->expert, move->source, move->target);
-  else
-    {
-      note_replica_count (search, move->expert, replicas + 1,
-                          PLACEMENT_SLOT_FREE);
-      note_change (
-          search, move->target,
-          replica_load (search, move->expert, replicas + 1, move->target));
-    }
-  if (move->evicted == PLACEMENT_SLOT_FREE)
-    return;
-  if (move->is_swap)
-    note_transfer (search, move->evicted, move->target, move->source);
-  else
-    note_replica_count (search, move->evicted,
-                        search->replicas[move->evicted] - 1, move->target);
-}
-
-/* Returns how many experts more have to be loaded after MOVE.  */
-static int
-move_loads (const layer_search_t *search, const move_t *move)
-{
-  bool leaves_source = !move->is_copied || move->is_swap;
-  int loads = 0;
-
-  if (move->target != PLACEMENT_SLOT_FREE)
-    loads += !was_held (search, move->target, move->expert);
-  if (leaves_source)
-    loads -= !was_held (search, move->source, move->expert);
-  if (move->evicted != PLACEMENT_SLOT_FREE)
-    loads -= !was_held (search, move->target, move->evicted);
-  if (move->is_swap)
-    loads += !was_held (search, move->source, move->evicted);
-  return loads;
-}
-
-/* Returns the sum of the eighth powers of the loads after the changes
-   noted.  */
-static double
-changed_norm (const layer_search_t *search)
-{
-  double norm = search->norm;
-
-  for (unsigned i = 0; i < search->change_count; i++)
-    {
-      double load = search->load[search->changes[i].rank];
-
-      norm += eighth_power (load + search->changes[i].change)
-              - eighth_power (load);
-    }
-  return norm > 0 ? norm : 0;
-}
-
 static double
 search_max_time (const layer_search_t *search, unsigned *slowest)
 {
@@ -373,7 +41,7 @@
 {
   const layer_search_options_t *options = search->options;
 
-  if (was_held (search, rank, expert))
+  if (layer_was_held (search, rank, expert))
     return true;
   if (options->loads_left != NULL && options->loads_left[rank] == 0)
     return false;
@@ -382,12 +50,9 @@
 }
 
 static void
-evaluate_move (layer_search_t *search, move_t *move, move_t *best)
+evaluate_move (layer_search_t *search, layer_move_t *move, layer_move_t *best)
 {
-  note_move (search, move);
-  move->gain = search->cost
-               - search_cost (search, changed_norm (search),
-                              move_loads (search, move));
+  move->gain = layer_move_gain (search, move);
   if (move->gain > best->gain)
     *best = *move;
 }
@@ -395,16 +60,16 @@
 /* Evaluates moving, copying and swapping EXPERT from SOURCE to TARGET.  */
 static void
 evaluate_target (layer_search_t *search, unsigned source, unsigned expert,
-                 unsigned target, move_t *best)
+                 unsigned target, layer_move_t *best)
 {
-  move_t move = { .source = source,
-                  .expert = expert,
-                  .is_copied = true,
-                  .target = target,
-                  .evicted = PLACEMENT_SLOT_FREE };
-  const unsigned *held = rank_held (search, target);
-
-  if (*held_flag (search, target, expert)
+  layer_move_t move = { .source = source,
+                        .expert = expert,
+                        .is_copied = true,
+                        .target = target,
+                        .evicted = PLACEMENT_SLOT_FREE };
+  const unsigned *held = layer_rank_held (search, target);
+
+  if (*layer_held_flag (search, target, expert)
       || !can_load (search, target, expert))
     return;
   if (search->used[target] < search->shape->slots)
@@ -424,7 +89,7 @@
       if (search->replicas[evicted] > 1)
         evaluate_move (search, &move, best);
       move.is_swap = true;
-      if (!*held_flag (search, source, evicted)
+      if (!*layer_held_flag (search, source, evicted)
           && can_load (search, source, evicted))
         evaluate_move (search, &move, best);
     }
@@ -439,7 +104,7 @@
     return true;
   for (unsigned i = 0; i < search->used[rank]; i++)
     {
-      if (search->replicas[rank_held (search, rank)[i]] > 1)
+      if (search->replicas[layer_rank_held (search, rank)[i]] > 1)
         return true;
     }
   return false;
@@ -485,11 +150,12 @@
 
   for (unsigned i = 0; i < search->used[rank]; i++)
     {
-      unsigned expert = rank_held (search, rank)[i];
+      unsigned expert = layer_rank_held (search, rank)[i];
       unsigned position = count;
       double load;
 
-      load = replica_load (search, expert, search->replicas[expert], rank);
+      load = layer_replica_load (search, expert, search->replicas[expert],
+                                 rank);
       while (position > 0 && loads[position - 1] < load)
         position--;
       if (position == HOT_EXPERT_CANDIDATES)
@@ -507,7 +173,7 @@
 }
 
 static bool
-find_best_move (layer_search_t *search, move_t *best)
+find_best_move (layer_search_t *search, layer_move_t *best)
 {
   unsigned slowest = 0;
   unsigned targets[2 * (TARGET_RANK_CANDIDATES + 1)];
@@ -518,15 +184,15 @@
   target_count += search_least_loaded (search, true, &targets[target_count]);
   search_max_time (search, &slowest);
   expert_count = search_hottest_experts (search, slowest, experts);
-  search->cost = search_cost (search, search->norm, 0);
+  search->cost = layer_cost (search);
   best->gain = min_improvement;
   best->source = PLACEMENT_SLOT_FREE;
   for (unsigned i = 0; i < expert_count; i++)
     {
-      move_t drop = { .source = slowest,
-                      .expert = experts[i],
-                      .target = PLACEMENT_SLOT_FREE,
-                      .evicted = PLACEMENT_SLOT_FREE };
+      layer_move_t drop = { .source = slowest,
+                            .expert = experts[i],
+                            .target = PLACEMENT_SLOT_FREE,
+                            .evicted = PLACEMENT_SLOT_FREE };
 
       if (search->replicas[experts[i]] > 1)
         evaluate_move (search, &drop, best);
@@ -553,9 +219,9 @@
               = placement_map_slot (map, layer, rank, slot)->expert;
 
           if (expert == PLACEMENT_SLOT_FREE
-              || *held_flag (search, rank, expert))
+              || *layer_held_flag (search, rank, expert))
             continue;
-          hold_expert (search, rank, expert);
+          layer_hold_expert (search, rank, expert);
           search->replicas[expert]++;
         }
     }
@@ -565,10 +231,11 @@
     {
       for (unsigned expert = 0; expert < shape->experts; expert++)
         {
-          if (*held_flag (search, rank, expert))
-            change_load (
-                search, rank,
-                replica_load (search, expert, search->replicas[expert], rank));
+          if (*layer_held_flag (search, rank, expert))
+            layer_change_load (search, rank,
+                               layer_replica_load (search, expert,
+                                                   search->replicas[expert],
+                                                   rank));
         }
     }
 }
@@ -629,11 +296,11 @@
 bool
 layer_search_step (layer_search_t *search)
 {
-  move_t move;
+  layer_move_t move;
 
   if (!find_best_move (search, &move))
     return false;
-  apply_move (search, &move);
+  layer_apply_move (search, &move);
   return true;
 }
 
@@ -666,7 +333,7 @@
 
       for (unsigned expert = 0; expert < shape->experts; expert++)
         {
-          if (*held_flag (search, rank, expert))
+          if (*layer_held_flag (search, rank, expert))
             *placement_map_slot (map, layer, rank, slot++)
                 = (placement_slot_t){
                     .expert = (uint16_t)expert,
