Relay: send nothing to a replica whose pilot has fallen silent, if others can

Cause: after 1.5 s without a report a replica counted as one of unknown load, with room within the relay's share, so that it was preferred to those that report little room.

A replica that has reported, and whose group still does, is chosen last now. test_fleet, test_silent_rank_gets_nothing_while_others_have_capacity, failed before.

--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -213,6 +213,8 @@
                                          const fleet_upstream_t *upstream,
                                          struct timespec last_received_at);
 /* False if the last report is too old to tell.  */
+bool fleet_upstream_is_silent (const fleet_t *fleet,
+                               const fleet_upstream_t *upstream);
 bool fleet_upstream_is_slow (const fleet_t *fleet,
                              const fleet_upstream_t *upstream);
 
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -39,7 +39,8 @@
 {
   PREFER_WITHIN_SHARE, /* this relay's share of its capacity is not used */
   PREFER_HEALTHY,
-  PREFER_SLOW, /* slows down its group */
+  PREFER_SLOW,   /* slows down its group */
+  PREFER_SILENT, /* its machine may be frozen */
   PREFER_EJECTED,
   PREFERENCE_COUNT
 } preference_t;
@@ -50,6 +51,8 @@
 {
   if (health_is_ejected (upstream, now))
     return PREFER_EJECTED;
+  if (fleet_upstream_is_silent (fleet, upstream))
+    return PREFER_SILENT;
   if (fleet_upstream_is_slow (fleet, upstream))
     return PREFER_SLOW;
   if (!upstream->has_quota
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -316,6 +316,16 @@
   return is_recent (fleet, upstream->reported_at);
 }
 
+/* Return whether the pilot of UPSTREAM has reported, but not of late, while
+   others of its group do.  */
+bool
+fleet_upstream_is_silent (const fleet_t *fleet,
+                          const fleet_upstream_t *upstream)
+{
+  return upstream->group != NULL && !is_recent (fleet, upstream->reported_at)
+         && is_recent (fleet, upstream->group->last_report_at);
+}
+
 /* Return whether UPSTREAM is known to slow down its group.  */
 bool
 fleet_upstream_is_slow (const fleet_t *fleet, const fleet_upstream_t *upstream)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -17,7 +17,8 @@
   RANKS = 4,
   REPORT_MS = 100,
   STEP_MS = 50,
-  SLOTS = 10
+  SLOTS = 10,
+  SILENCE_MS = 2000 /* after which a pilot counts as silent */
 };
 
 /* A fleet with one service, "model", whose upstreams u0 to u3 are in the zones
@@ -29,6 +30,7 @@
   route_t *route;
   fleet_t *fleet;
   uint64_t step;
+  unsigned silent_rank; /* it reports nothing; RANKS: none */
 } fixture_t;
 
 static void
@@ -66,6 +68,7 @@
   service->cold_rate = 8;
   rules_finish (fixture->rules);
   fixture->fleet = fleet_create (fixture, "a", fixture->clock, seed);
+  fixture->silent_rank = RANKS;
   fleet_add_zone (fixture->fleet, "a", "south");
   fleet_add_zone (fixture->fleet, "b", "south");
   fleet_configure (fixture->fleet, fixture->rules);
@@ -109,6 +112,8 @@
                                      .running = 1,
                                      .slowdown = i == slow_rank ? 4 : 1 };
 
+      if (i == fixture->silent_rank)
+        continue;
       snprintf (address, sizeof address, "10.0.0.%u:80", i);
       fleet_record_report (fixture->fleet, address, &rank_report);
     }
@@ -307,6 +312,22 @@
   fixture_destroy (fixture);
 }
 
+/* A frozen machine takes connections and answers nothing: with its pilot
+   silent its upstream seemed to have room, and got more requests than others.
+ */
+static void
+test_silent_rank_gets_nothing_while_others_have_capacity (void **state)
+{
+  fixture_t *fixture = fixture_create (0);
+
+  (void)state;
+  fixture_step_group (fixture, 1000, STEP_MS);
+  fixture->silent_rank = 3;
+  fixture_step_group (fixture, SILENCE_MS, STEP_MS);
+  assert_int_equal (fixture_count_chosen (fixture, 6, "u3"), 0);
+  fixture_destroy (fixture);
+}
+
 static void
 test_stalled_group_gets_no_requests (void **state)
 {
@@ -437,6 +458,8 @@
     cmocka_unit_test (test_cold_upstreams_are_used_by_many_relays),
     cmocka_unit_test (test_unreachable_upstream_is_ejected_temporarily),
     cmocka_unit_test (test_slow_rank_gets_nothing_while_others_have_capacity),
+    cmocka_unit_test (
+        test_silent_rank_gets_nothing_while_others_have_capacity),
     cmocka_unit_test (test_stalled_group_gets_no_requests),
     cmocka_unit_test (test_expected_silence_depends_on_group_steps),
     cmocka_unit_test (test_notices_hold_when_a_run_is_listed_again),
