--- a/include/pilot/members.h
+++ b/include/pilot/members.h
@@ -54,8 +54,8 @@
 void members_cancel_waiting (members_t *members);
 /* Queries this pilot's engine or a rank through its pilot;
    RANK_QUERY_HELD_EXPERTS also goes to the engine of a rank whose pilot can't
-   be reached.  Returns whether a query was sent; at most one on_reply follows.
- */
+   be reached.  Returns whether a query was sent, which at most one on_reply
+   follows.  */
 bool members_query (members_t *members, unsigned rank_number,
                     rank_query_t query);
 /* The rules name LAG as the age of reports that are requested from another
--- a/plugins/placement/layer_move.c
+++ b/plugins/placement/layer_move.c
@@ -228,8 +228,7 @@
     }
 }
 
-/* Notes that the only replica of EXPERT that moves goes from one rank to
-   another.  */
+/* Notes that a replica of EXPERT goes from one rank to another.  */
 static void
 note_transfer (layer_search_t *search, unsigned expert, unsigned from,
                unsigned to)
--- a/plugins/placement/layer_move.h
+++ b/plugins/placement/layer_move.h
@@ -40,7 +40,7 @@
 /* A change of the layer: EXPERT is moved or copied from the rank SOURCE to
    the rank TARGET, which may drop EVICTED, or give it to SOURCE in
    exchange.  Without a target, SOURCE only drops EXPERT.  */
-typedef struct move
+typedef struct layer_move
 {
   unsigned source;
   unsigned expert;
