--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -473,9 +473,9 @@
 static void
 leader_start_timer (leader_t *leader)
 {
-  leader->timer = worker_timer_start (leader->pilot->worker, leader,
-                                      timespec_from_ms (LEADER_TICK_INTERVAL_MS),
-                                      leader_tick, leader);
+  leader->timer = worker_timer_start (
+      leader->pilot->worker, leader,
+      timespec_from_ms (LEADER_TICK_INTERVAL_MS), leader_tick, leader);
 }
 
 /* Creates a leader that campaigns once this pilot's engine reports its group.
--- a/pilot/leader_planning.c
+++ b/pilot/leader_planning.c
@@ -132,8 +132,9 @@
   size_t reply_bytes
       = planner_count_numbers (leader->planner) / COUNTS_PER_BYTE
         + COUNTS_OVERHEAD_BYTES;
-  size_t link_bytes = members_link_bytes (leader->members, LEADER_TICK_INTERVAL_MS)
-                      / COUNTS_LINK_DIVISOR;
+  size_t link_bytes
+      = members_link_bytes (leader->members, LEADER_TICK_INTERVAL_MS)
+        / COUNTS_LINK_DIVISOR;
 
   return link_bytes < reply_bytes ? 1 : (unsigned)(link_bytes / reply_bytes);
 }
