--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -228,6 +228,16 @@
         asyncio.run_coroutine_threadsafe(self.group.run(), self.loop)
         return [self.start_pilot(i) for i in range(ranks)]
 
+    def wait_for_maps(self, more, timeout_s):
+        """Waits until the group has changed its map MORE times."""
+        wanted = len(self.group.versions) + more
+        try:
+            wait_until(lambda: len(self.group.versions) >= wanted, timeout_s,
+                       "%d more maps" % more)
+        except AssertionError as error:
+            raise AssertionError("%s; %s" % (
+                error, self.group.describe())) from None
+
     def start_pilot(self, rank):
         name = "pilot-%d" % rank
         replica = self.group.replicas[rank]
--- a/tests/process/test_pilots.py
+++ b/tests/process/test_pilots.py
@@ -33,13 +33,7 @@
         self.assertEqual(self.group.mixed_steps, 0)
 
     def wait_for_maps(self, more):
-        wanted = len(self.group.versions) + more
-        try:
-            wait_until(lambda: len(self.group.versions) >= wanted,
-                       SWITCH_TIMEOUT_S, "%d more maps" % more)
-        except AssertionError as error:
-            raise AssertionError("%s; %s" % (
-                error, self.group.describe())) from None
+        self.platform.wait_for_maps(more, SWITCH_TIMEOUT_S)
 
     def leading(self):
         return [pilot for pilot in self.pilots
--- a/tests/process/test_pilots_lost.py
+++ b/tests/process/test_pilots_lost.py
@@ -4,7 +4,6 @@
 import time
 import unittest
 
-from cluster import wait_until
 from platform_fixture import Platform
 
 RANKS = 16
@@ -21,12 +20,7 @@
         self.platform.configure()
         self.pilots = self.platform.start_group(RANKS)
         self.group = self.platform.group
-        self.wait_for_maps(2)
-
-    def wait_for_maps(self, more):
-        wanted = len(self.group.versions) + more
-        wait_until(lambda: len(self.group.versions) >= wanted,
-                   SWITCH_TIMEOUT_S, "%d more maps" % more)
+        self.platform.wait_for_maps(2, SWITCH_TIMEOUT_S)
 
     def test_lost_orders_stop_no_group(self):
         self.group.held_s = 0.0
@@ -34,7 +28,7 @@
         time.sleep(LOSS_S)
         self.group.loss_ratio = 0.0
         held_s = self.group.held_s
-        self.wait_for_maps(2)
+        self.platform.wait_for_maps(2, SWITCH_TIMEOUT_S)
         self.assertEqual(self.group.mixed_steps, 0)
         self.assertLess(held_s, MAX_HELD_S)
         self.assertEqual([line for pilot in self.pilots
