Relay: share only the capacity of upstreams that a request may use

Cause: a relay's share was its part of the free capacity that all upstreams of the service had reported, also those in a zone that is out of service, that drain, are silent or slow. With a third of the upstreams out, the relays together sent some 50% more than the others could run, and requests waited in the engines' queues, the urgent ones as well: first event after 0.9 s in the median of each class.

The total is now summed over the upstreams that the request may use, in the walk that looks at each of them anyway.

--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -35,6 +35,18 @@
   double failure_ratio; /* moving average of the share of failed requests */
 } upstream_health_t;
 
+/* How desirable an upstream is that can be chosen; one of a later value is
+   chosen only if there is none of an earlier one.  */
+typedef enum fleet_preference
+{
+  PREFER_WITHIN_SHARE, /* this relay's share of its capacity is not used */
+  PREFER_HEALTHY,
+  PREFER_SLOW,   /* slows down its group */
+  PREFER_SILENT, /* its machine may be frozen */
+  PREFER_EJECTED,
+  PREFERENCE_COUNT
+} fleet_preference_t;
+
 enum
 {
   QUOTA_UNITS_PER_REQUEST = 1000
@@ -98,12 +110,10 @@
   /* The last report showed that it slows down its group.  The report may be
      outdated, which fleet_upstream_is_slow takes into account.  */
   bool is_slow;
-  struct timespec reported_at; /* last report of its pilot */
-  /* The report is recent, and its capacity part of SERVICE's.  */
-  bool has_quota;
-  fleet_quota_t quota;
-  int64_t quota_rounding; /* below QUOTA_UNITS_PER_REQUEST; random */
-  TAILQ_ENTRY (fleet_upstream) reported_link; /* while HAS_QUOTA */
+  struct timespec reported_at;   /* last report of its pilot */
+  fleet_quota_t quota;           /* valid while quota_is_known */
+  int64_t quota_rounding;        /* below QUOTA_UNITS_PER_REQUEST; random */
+  fleet_preference_t preference; /* set and used within fleet_choose */
   /* What the policy sees of the upstream.  Kept up to date; its strings belong
      to the upstream.  */
   pick_candidate_t candidate;
@@ -135,10 +145,6 @@
   const pick_ops_t *ops;
   pick_t *pick;
   STAILQ_HEAD (, fleet_upstream) upstreams;
-  /* Upstreams with a recent report of their pilot, the oldest report first,
-     and the sum of their quotas.  */
-  TAILQ_HEAD (, fleet_upstream) reported;
-  fleet_quota_t quota;
   int64_t quota_rounding; /* below QUOTA_UNITS_PER_REQUEST; random */
   struct timespec rounded_at;
 };
@@ -224,10 +230,12 @@
 /* This relay's share of the free capacity of a service (fleet_quota.c).  */
 void quota_set (fleet_t *fleet, fleet_upstream_t *upstream, double capacity,
                 double late_capacity);
-void quota_forget (fleet_upstream_t *upstream);
+bool quota_is_known (const fleet_t *fleet, const fleet_upstream_t *upstream);
 void quota_count_sent (fleet_upstream_t *upstream);
+void quota_add (const fleet_t *fleet, fleet_quota_t *total,
+                const fleet_upstream_t *upstream);
 bool quota_is_share_used (fleet_t *fleet, fleet_service_t *service,
-                          bool is_late);
+                          const fleet_quota_t *total, bool is_late);
 bool quota_is_upstream_full (const fleet_upstream_t *upstream, bool is_late);
 bool quota_is_within_share (const fleet_t *fleet,
                             const fleet_upstream_t *upstream, bool is_late);
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -140,7 +140,6 @@
   service->ops = plugin_ops (PLUGIN_PICK, "least-tokens");
   service->pick = service->ops->create (service, fleet->seed);
   STAILQ_INIT (&service->upstreams);
-  TAILQ_INIT (&service->reported);
   STAILQ_INSERT_TAIL (&fleet->services, service, link);
   return service;
 }
@@ -248,7 +247,6 @@
     STAILQ_REMOVE (&upstream->service->upstreams, upstream, fleet_upstream,
                    link);
   departed_add (fleet, upstream);
-  quota_forget (upstream);
   fleet_upstream_set_group (upstream, NULL);
   table_remove (fleet->table, &upstream->node);
   table_remove (fleet->by_address, &upstream->address_node);
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -33,19 +33,7 @@
          && !request_has_tried (request, upstream->id);
 }
 
-/* How desirable an upstream is that can be chosen; one of a later value is
-   chosen only if there is none of an earlier one.  */
-typedef enum preference
-{
-  PREFER_WITHIN_SHARE, /* this relay's share of its capacity is not used */
-  PREFER_HEALTHY,
-  PREFER_SLOW,   /* slows down its group */
-  PREFER_SILENT, /* its machine may be frozen */
-  PREFER_EJECTED,
-  PREFERENCE_COUNT
-} preference_t;
-
-static preference_t
+static fleet_preference_t
 upstream_preference (const fleet_t *fleet, const fleet_upstream_t *upstream,
                      const fleet_request_t *request, struct timespec now)
 {
@@ -55,17 +43,17 @@
     return PREFER_SILENT;
   if (fleet_upstream_is_slow (fleet, upstream))
     return PREFER_SLOW;
-  if (!upstream->has_quota
+  if (!quota_is_known (fleet, upstream)
       || quota_is_within_share (fleet, upstream, request->is_late))
     return PREFER_WITHIN_SHARE;
   return PREFER_HEALTHY;
 }
 
-/* Return the reason why UPSTREAM cannot be chosen, or FLEET_NO_SHORTAGE.  */
+/* Return the reason why UPSTREAM cannot be chosen, or FLEET_NO_SHORTAGE.  Does
+   not consider its reported capacity.  */
 static fleet_shortage_t
 find_obstacle (const fleet_t *fleet, fleet_upstream_t *upstream,
-               const fleet_request_t *request, bool is_share_used,
-               struct timespec now)
+               const fleet_request_t *request, struct timespec now)
 {
   if (!upstream_is_allowed (upstream, request))
     return FLEET_NO_ALLOWED_UPSTREAM;
@@ -73,9 +61,6 @@
     return FLEET_ALL_PAUSED;
   if (fleet_upstream_is_stalled (fleet, upstream))
     return FLEET_ALL_STALLED;
-  if (fleet_upstream_is_full (fleet, upstream, request->is_late,
-                              is_share_used))
-    return FLEET_ALL_FULL;
   if (!cold_start_has_token (fleet, upstream, now))
     return FLEET_ALL_COLD;
   if (fleet->limits != NULL
@@ -85,36 +70,77 @@
   return FLEET_NO_SHORTAGE;
 }
 
-/* Collect the most desirable upstreams that can serve REQUEST as candidates
-   and return their number.  *SHORTAGE is the reason if there are
-   none.  */
+/* Collect the upstreams that REQUEST may use, whether or not they have
+   capacity, and return their number.  *SHORTAGE is the reason if there are
+   none.  *TOTAL is the capacity of those that are in order, or of all if none
+   is: what can't be used must not be shared.  */
 static unsigned
-collect_candidates (fleet_t *fleet, fleet_service_t *service,
-                    const fleet_request_t *request, struct timespec now,
-                    fleet_shortage_t *shortage)
+collect_usable (fleet_t *fleet, fleet_service_t *service,
+                const fleet_request_t *request, struct timespec now,
+                fleet_quota_t *total, fleet_shortage_t *shortage)
 {
-  bool is_share_used = quota_is_share_used (fleet, service, request->is_late);
-  preference_t best = PREFERENCE_COUNT;
+  fleet_quota_t impaired = { 0 };
   fleet_upstream_t *upstream;
+  bool has_healthy = false;
   unsigned count = 0;
 
+  *total = (fleet_quota_t){ 0 };
   *shortage = FLEET_NO_UPSTREAM;
   STAILQ_FOREACH (upstream, &service->upstreams, link)
     {
-      preference_t preference;
       fleet_shortage_t obstacle
-          = find_obstacle (fleet, upstream, request, is_share_used, now);
+          = find_obstacle (fleet, upstream, request, now);
 
       if (obstacle > *shortage)
         *shortage = obstacle;
       if (obstacle != FLEET_NO_SHORTAGE)
         continue;
-      preference = upstream_preference (fleet, upstream, request, now);
-      if (preference > best)
+      upstream->preference
+          = upstream_preference (fleet, upstream, request, now);
+      if (upstream->preference <= PREFER_HEALTHY)
+        has_healthy = true;
+      quota_add (fleet,
+                 upstream->preference <= PREFER_HEALTHY ? total : &impaired,
+                 upstream);
+      fleet->candidate_upstreams[count++] = upstream;
+    }
+  if (!has_healthy)
+    *total = impaired;
+  return count;
+}
+
+/* Collect the most desirable upstreams that can serve REQUEST as candidates
+   and return their number.  *SHORTAGE is the reason if there are
+   none.  */
+static unsigned
+collect_candidates (fleet_t *fleet, fleet_service_t *service,
+                    const fleet_request_t *request, struct timespec now,
+                    fleet_shortage_t *shortage)
+{
+  fleet_quota_t total;
+  unsigned usable
+      = collect_usable (fleet, service, request, now, &total, shortage);
+  bool is_share_used
+      = quota_is_share_used (fleet, service, &total, request->is_late);
+  fleet_preference_t best = PREFERENCE_COUNT;
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < usable; i++)
+    {
+      fleet_upstream_t *upstream = fleet->candidate_upstreams[i];
+
+      if (fleet_upstream_is_full (fleet, upstream, request->is_late,
+                                  is_share_used))
+        {
+          if (FLEET_ALL_FULL > *shortage)
+            *shortage = FLEET_ALL_FULL;
+          continue;
+        }
+      if (upstream->preference > best)
         continue;
-      if (preference < best)
+      if (upstream->preference < best)
         count = 0;
-      best = preference;
+      best = upstream->preference;
       fleet->candidates[count] = &upstream->candidate;
       fleet->candidate_upstreams[count++] = upstream;
     }
--- a/relay/fleet_quota.c
+++ b/relay/fleet_quota.c
@@ -1,10 +1,10 @@
 #include "relay/fleet_state.h"
 
-/* The free capacity of a service's upstreams is shared by all relays, each of
-   which gets the same reports.  This relay may send as many requests as its
-   share of the total, to any of the upstreams that have capacity.  The total
-   is divided, and not the capacity of each upstream, because that one is
-   smaller than the number of relays on a large site.  */
+/* The free capacity of the upstreams that a request may use is shared by all
+   relays, each of which gets the same reports.  This relay may send as many
+   requests as its share of the total, to any of the upstreams that have
+   capacity.  The total is divided, and not the capacity of each upstream,
+   because that one is smaller than the number of relays on a large site.  */
 
 enum
 {
@@ -20,28 +20,6 @@
   return requests <= 0 ? 0 : (int64_t)(requests * PER_REQUEST);
 }
 
-static void
-service_add_quota (fleet_service_t *service, const fleet_quota_t *quota,
-                   int64_t sign)
-{
-  service->quota.free += sign * quota->free;
-  service->quota.late_free += sign * quota->late_free;
-  service->quota.sent += sign * quota->sent;
-}
-
-/* Forget the reported capacity of UPSTREAM: it is removed, or its last report
-   is too old.  */
-void
-quota_forget (fleet_upstream_t *upstream)
-{
-  if (!upstream->has_quota)
-    return;
-  service_add_quota (upstream->service, &upstream->quota, -1);
-  TAILQ_REMOVE (&upstream->service->reported, upstream, reported_link);
-  upstream->has_quota = false;
-  upstream->quota = (fleet_quota_t){ 0 };
-}
-
 /* Set the capacity in a new report of UPSTREAM, in requests: CAPACITY, and
    LATE_CAPACITY for late requests.  The requests that this relay sent before
    are part of the report.  */
@@ -49,34 +27,36 @@
 quota_set (fleet_t *fleet, fleet_upstream_t *upstream, double capacity,
            double late_capacity)
 {
-  quota_forget (upstream);
   upstream->quota
       = (fleet_quota_t){ .free = capacity_units (capacity),
                          .late_free = capacity_units (late_capacity) };
   upstream->quota_rounding = capacity_units (fleet_random (fleet));
-  upstream->has_quota = true;
-  service_add_quota (upstream->service, &upstream->quota, 1);
-  TAILQ_INSERT_TAIL (&upstream->service->reported, upstream, reported_link);
+}
+
+/* Return whether the reported capacity of UPSTREAM is known and recent.  */
+bool
+quota_is_known (const fleet_t *fleet, const fleet_upstream_t *upstream)
+{
+  return fleet_upstream_has_recent_report (fleet, upstream);
 }
 
 /* Count a request that was sent to UPSTREAM.  */
 void
 quota_count_sent (fleet_upstream_t *upstream)
 {
-  if (!upstream->has_quota)
-    return;
   upstream->quota.sent += PER_REQUEST;
-  upstream->service->quota.sent += PER_REQUEST;
 }
 
-static void
-service_expire_reports (const fleet_t *fleet, fleet_service_t *service)
+/* Add the capacity of UPSTREAM, if it is known, to TOTAL.  */
+void
+quota_add (const fleet_t *fleet, fleet_quota_t *total,
+           const fleet_upstream_t *upstream)
 {
-  fleet_upstream_t *oldest;
-
-  while ((oldest = TAILQ_FIRST (&service->reported)) != NULL
-         && !fleet_upstream_has_recent_report (fleet, oldest))
-    quota_forget (oldest);
+  if (!quota_is_known (fleet, upstream))
+    return;
+  total->free += upstream->quota.free;
+  total->late_free += upstream->quota.late_free;
+  total->sent += upstream->quota.sent;
 }
 
 /* Draw at random whether the share is rounded up or down, so that the shares
@@ -93,19 +73,18 @@
   service->quota_rounding = capacity_units (fleet_random (fleet));
 }
 
-/* Return whether this relay has used its share of the capacity that the
-   upstreams of SERVICE have reported.  */
+/* Return whether this relay has used its share of TOTAL, the capacity that the
+   upstreams of SERVICE have reported that the request may use.  */
 bool
-quota_is_share_used (fleet_t *fleet, fleet_service_t *service, bool is_late)
+quota_is_share_used (fleet_t *fleet, fleet_service_t *service,
+                     const fleet_quota_t *total, bool is_late)
 {
-  const fleet_quota_t *quota = &service->quota;
   int64_t share;
 
-  service_expire_reports (fleet, service);
   service_draw_rounding (fleet, service);
-  share = (is_late ? quota->late_free : quota->free) / fleet->share.relays
+  share = (is_late ? total->late_free : total->free) / fleet->share.relays
           + service->quota_rounding;
-  return quota->sent + PER_REQUEST > share;
+  return total->sent + PER_REQUEST > share;
 }
 
 /* Return whether this relay has sent as many requests to UPSTREAM as it had
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -206,6 +206,27 @@
   fixture_destroy (fixture);
 }
 
+/* A relay's share counted the free capacity of upstreams that it may not use.
+   With a zone out of service, all relays together then sent far more than the
+   other zones could run, and requests waited in the engines' queues.  */
+static void
+test_share_counts_usable_upstreams_only (void **state)
+{
+  /* Of the slots and the queue of the two upstreams in zone a, for each of two
+     relays, rounded up.  */
+  static const unsigned share_max = 2 * (SLOTS + 1 - 1) / 2 + 1;
+  fixture_t *fixture = fixture_create (0);
+  rate_share_t share = { .relays = 2 };
+
+  (void)state;
+  fleet_set_share (fixture->fleet, &share);
+  fixture_step_group (fixture, REPORT_MS, STEP_MS);
+  fleet_set_zone_out (fixture->fleet, "b", true);
+  assert_in_range (fixture_count_chosen (fixture, RANKS * SLOTS, NULL),
+                   share_max - 2, share_max);
+  fixture_destroy (fixture);
+}
+
 /* The cold start rate of an upstream is shared by the relays: all of them
    together must stay within it, however many requests arrive.  */
 static void
@@ -454,6 +475,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_requests_spread_and_skip_tried_upstreams),
     cmocka_unit_test (test_zone_out_gets_no_requests),
+    cmocka_unit_test (test_share_counts_usable_upstreams_only),
     cmocka_unit_test (test_cold_upstreams_get_share_of_one_relay),
     cmocka_unit_test (test_cold_upstreams_are_used_by_many_relays),
     cmocka_unit_test (test_unreachable_upstream_is_ejected_temporarily),
