Relay: urgency classes share scarce capacity

Cause: the queue of a relay was in order of arrival, on-time requests first, so with more requests than places a class with a long objective went before a late urgent one; a late request could use three quarters of the limit only, which is none when all is full; and the priority of an account replaced that of the route, so that in a deployment whose accounts have priorities all routes were alike.

Now the account's priority comes before the route's (rules_urgency). A request leaves room for the more urgent that are expected until the reports show their effect, and is not queued at an upstream then (relay/fleet_reserve.c). Where the requests of a service do not differ in urgency, all is as before.

--- a/common/rules.c
+++ b/common/rules.c
@@ -145,6 +145,30 @@
   return limit;
 }
 
+/* Collect the priorities that are in use.  The requests of an account without
+   one count as having that of their route.  */
+static void
+rules_collect_priorities (rules_t *rules)
+{
+  const route_t *route;
+  const client_account_t *account;
+  bool needs_route_priorities = !rules->has_accounts;
+
+  STAILQ_FOREACH (account, &rules->accounts, link)
+    {
+      if (account->has_priority)
+        priority_set_add (&rules->account_priorities, account->priority);
+      else
+        needs_route_priorities = true;
+    }
+  STAILQ_FOREACH (route, &rules->routes, link)
+    {
+      priority_set_add (&rules->route_priorities, route->priority);
+      if (needs_route_priorities || route->is_public)
+        priority_set_add (&rules->account_priorities, route->priority);
+    }
+}
+
 /* Index RULES for lookups.  Nothing may be added afterwards.  */
 void
 rules_finish (rules_t *rules)
@@ -152,6 +176,7 @@
   const route_t *route;
   service_rule_t *service;
 
+  rules_collect_priorities (rules);
   STAILQ_FOREACH (route, &rules->routes, link)
     name_index_add (&rules->route_index, rules,
                     talloc_asprintf (rules, "%s%c%s", route->host,
@@ -230,6 +255,27 @@
   return name_index_find (&rules->service_index, name);
 }
 
+/* Return the urgency of a request of ROUTE and ACCOUNT, which is NULL for
+   none.  The priority of the account comes first, then that of the route.  */
+unsigned
+rules_urgency (const rules_t *rules, const route_t *route,
+               const client_account_t *account)
+{
+  int64_t account_priority = account != NULL && account->has_priority
+                                 ? account->priority
+                                 : route->priority;
+  unsigned levels
+      = rules->account_priorities.count * rules->route_priorities.count;
+  unsigned level
+      = priority_set_rank (&rules->account_priorities, account_priority)
+            * rules->route_priorities.count
+        + priority_set_rank (&rules->route_priorities, route->priority);
+
+  if (levels > RULES_MAX_URGENCY + 1)
+    level = level * (RULES_MAX_URGENCY + 1) / levels;
+  return level < RULES_MAX_URGENCY ? level : RULES_MAX_URGENCY;
+}
+
 /* Return whether a request of ROUTE may run more than once.  */
 bool
 route_is_repeatable (const route_t *route)
--- a/include/common/rules.h
+++ b/include/common/rules.h
@@ -2,6 +2,7 @@
 #define SISKIN_COMMON_RULES_H
 
 #include "common/name_index.h"
+#include "common/priority_set.h"
 #include "kernel/status.h"
 
 #include <stdatomic.h>
@@ -20,6 +21,11 @@
    reference-counted.  */
 typedef struct rules rules_t;
 
+enum
+{
+  RULES_MAX_URGENCY = 9
+};
+
 /* Whether the requests of a route may be repeated.  */
 typedef enum route_kind
 {
@@ -62,7 +68,7 @@
      first.  Attempts that are known not to have run it do not count; the relay
      limits them separately.  */
   unsigned max_attempts;
-  int64_t priority; /* 0 comes first */
+  int64_t priority; /* 0 comes first; see rules_urgency */
   STAILQ_HEAD (, route_target) targets;
   unsigned weight_total;                /* sum of the weights of TARGETS */
   STAILQ_HEAD (, route_region) regions; /* allowed; any if empty */
@@ -74,8 +80,8 @@
 {
   STAILQ_ENTRY (client_account) link;
   const char *name;
-  bool has_priority; /* PRIORITY overrides the route's */
-  int64_t priority;
+  bool has_priority;
+  int64_t priority; /* comes before the route's; see rules_urgency */
 } client_account_t;
 
 /* Performance and capacity of the model engines of a service.  An engine
@@ -140,6 +146,8 @@
   STAILQ_HEAD (, route) routes;
   STAILQ_HEAD (, client_account) accounts;
   STAILQ_HEAD (, service_rule) services;
+  priority_set_t account_priorities;
+  priority_set_t route_priorities;
   name_index_t route_index; /* finds routes by host and prefix */
   name_index_t key_index;   /* finds client accounts by key */
   name_index_t service_index;
@@ -163,6 +171,10 @@
 const client_account_t *rules_account_by_key (const rules_t *rules,
                                               const char *key);
 const service_rule_t *rules_service (const rules_t *rules, const char *name);
+/* Returns the urgency of a request, from 0, the most urgent, to
+   RULES_MAX_URGENCY.  ACCOUNT is NULL for none.  */
+unsigned rules_urgency (const rules_t *rules, const route_t *route,
+                        const client_account_t *account);
 bool route_is_repeatable (const route_t *route);
 bool route_allows_region (const route_t *route, const char *region);
 const char *route_choose_target (const route_t *route, uint64_t random_number);
--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -30,6 +30,9 @@
      objective of its route.  It gets only a part of the capacity, so that it
      does not make requests miss theirs that can still meet it.  */
   bool is_late;
+  unsigned urgency; /* see rules_urgency */
+  /* The request may use capacity that is reserved for more urgent ones.  */
+  bool is_guaranteed;
   pick_request_t work; /* size and prompt prefix of the request */
   const char *tried[FLEET_MAX_TRIED]; /* ids of upstreams to exclude */
   unsigned tried_count;
@@ -134,6 +137,10 @@
 void fleet_set_zone_out (fleet_t *fleet, const char *zone, bool is_out);
 unsigned fleet_upstream_count (fleet_t *fleet);
 
+/* Counts a request for SERVICE that has arrived, for the capacity that is
+   reserved for those of its urgency.  */
+void fleet_count_request (fleet_t *fleet, const char *service,
+                          unsigned urgency);
 fleet_shortage_t fleet_choose (fleet_t *fleet, TALLOC_CTX *parent,
                                const fleet_request_t *request,
                                fleet_choice_t *choice);
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -61,9 +61,30 @@
   /* The same for requests that are likely to miss their response time
      objective (fleet_request_t.is_late); at most FREE.  */
   int64_t late_free;
+  /* The part of FREE that can run at once, without being queued.  */
+  int64_t idle;
   int64_t sent;
 } fleet_quota_t;
 
+/* The capacity that one request may use.  */
+typedef struct quota_use
+{
+  bool is_late;
+  /* The requests of the service differ in urgency, so that RESERVE says what
+     this one has to leave to others.  */
+  bool has_classes;
+  /* Requests that this relay has to leave room for, those more urgent.  Where
+     there are any, this one is not queued at an upstream.  */
+  double reserve;
+} quota_use_t;
+
+/* Rate of arrivals, as of its last update.  */
+typedef struct arrival_rate
+{
+  double per_s;
+  struct timespec updated_at;
+} arrival_rate_t;
+
 /* A group of upstreams, its ranks, that take their steps together.  */
 typedef struct fleet_group
 {
@@ -147,6 +168,7 @@
   STAILQ_HEAD (, fleet_upstream) upstreams;
   int64_t quota_rounding; /* below QUOTA_UNITS_PER_REQUEST; random */
   struct timespec rounded_at;
+  arrival_rate_t arrivals[RULES_MAX_URGENCY + 1]; /* by urgency */
 };
 
 /* An upstream, from its start to its end, that has left.  */
@@ -208,8 +230,8 @@
 bool fleet_upstream_is_stalled (const fleet_t *fleet,
                                 const fleet_upstream_t *upstream);
 bool fleet_upstream_is_full (const fleet_t *fleet,
-                             const fleet_upstream_t *upstream, bool is_late,
-                             bool is_share_used);
+                             const fleet_upstream_t *upstream,
+                             const quota_use_t *use, bool is_share_used);
 void fleet_upstream_record_load (const fleet_t *fleet,
                                  fleet_upstream_t *upstream, uint64_t running,
                                  uint64_t waiting);
@@ -228,17 +250,25 @@
                                fleet_group_t *group);
 
 /* This relay's share of the free capacity of a service (fleet_quota.c).  */
-void quota_set (fleet_t *fleet, fleet_upstream_t *upstream, double capacity,
-                double late_capacity);
+void quota_set (fleet_t *fleet, fleet_upstream_t *upstream, double limit,
+                double current);
+void quota_clear (fleet_upstream_t *upstream);
 bool quota_is_known (const fleet_t *fleet, const fleet_upstream_t *upstream);
 void quota_count_sent (fleet_upstream_t *upstream);
 void quota_add (const fleet_t *fleet, fleet_quota_t *total,
                 const fleet_upstream_t *upstream);
 bool quota_is_share_used (fleet_t *fleet, fleet_service_t *service,
-                          const fleet_quota_t *total, bool is_late);
-bool quota_is_upstream_full (const fleet_upstream_t *upstream, bool is_late);
+                          const fleet_quota_t *total, const quota_use_t *use);
+bool quota_is_upstream_full (const fleet_upstream_t *upstream,
+                             const quota_use_t *use);
 bool quota_is_within_share (const fleet_t *fleet,
-                            const fleet_upstream_t *upstream, bool is_late);
+                            const fleet_upstream_t *upstream,
+                            const quota_use_t *use);
+
+/* Capacity that is kept for more urgent requests (fleet_reserve.c).  */
+quota_use_t service_quota_use (const fleet_service_t *service,
+                               const fleet_request_t *request,
+                               struct timespec now);
 
 /* What upstreams say of themselves in responses (fleet_notice.c).  */
 bool upstream_is_paused (const fleet_upstream_t *upstream,
--- a/include/relay/forward.h
+++ b/include/relay/forward.h
@@ -3,6 +3,7 @@
 
 #include "relay/event_stream.h"
 #include "relay/relay.h"
+#include "relay/request_queue.h"
 
 /* One attempt to send a request to an upstream.  */
 typedef struct forward_attempt
@@ -32,7 +33,8 @@
 struct forward
 {
   LIST_ENTRY (forward) link;
-  TAILQ_ENTRY (forward) queue_link;
+  queued_request_t queued; /* in RELAY_WORKER's QUEUE while it waits */
+  bool has_waited;         /* it has been queued */
   TAILQ_ENTRY (forward) watch_link;
   relay_worker_t *relay_worker;
   const relay_request_t *request;
@@ -49,8 +51,6 @@
   fleet_request_t criteria;   /* what the choice of an upstream depends on */
   struct timespec arrived_at; /* all times are monotonic */
   struct timespec deadline;
-  /* If no upstream can take the request by this time, it fails.  */
-  struct timespec queue_until;
   forward_attempt_t *attempt; /* NULL between attempts */
   /* Attempts that have ended.  An attempt counts as sent if any byte of the
      request may have left this process, and also as run unless the upstream
@@ -65,7 +65,6 @@
   /* If the last one of these has crashed its upstream, the request is proved
      to be the cause.  */
   bool is_presumed_harmful;
-  bool is_queued;  /* RELAY_WORKER's list QUEUED contains it */
   bool is_watched; /* RELAY_WORKER's list WATCHED contains it */
   /* When the attempt was started or data last arrived from the upstream; valid
      if IS_WATCHED.  */
@@ -85,7 +84,8 @@
   worker_timer_t *deadline_timer;
 };
 
-void forward_dispatch (forward_t *forward);
+/* Tries to send the request; frees it if the result is QUEUE_ENDED.  */
+queue_result_t forward_dispatch (forward_t *forward);
 /* Ends the request at the end of a planned stop.  A response that has begun is
    left to be cut off.  */
 void forward_end_for_stop (forward_t *forward);
@@ -105,9 +105,9 @@
 struct timespec forward_default_retry_after (const forward_t *forward);
 
 /* The requests of a worker that cannot be sent yet (forward_queue.c).  */
-void forward_wait_or_fail (forward_t *forward, bool is_temporary,
-                           const char *why);
-void forward_dequeue (forward_t *forward);
+queue_result_t forward_wait_or_fail (forward_t *forward, bool is_temporary,
+                                     const char *why);
+bool forward_must_queue (const forward_t *forward);
 void forward_retry_queued (relay_worker_t *relay_worker);
 /* Returns whether the request may be sent again, and if so charges the retry
    budget.  CURRENT_ATTEMPTS is 1 while the attempt to be retried is still in
--- a/include/relay/relay.h
+++ b/include/relay/relay.h
@@ -12,6 +12,7 @@
 #include "plugins/store.h"
 #include "relay/crashes.h"
 #include "relay/fleet.h"
+#include "relay/request_queue.h"
 #include "relay/retry_budget.h"
 
 #include <stdatomic.h>
@@ -30,9 +31,9 @@
   ingress_t *ingress;
   egress_t *egress;
   LIST_HEAD (, forward) forwards; /* all requests of this worker */
-  TAILQ_HEAD (, forward) queued;  /* requests that no upstream can take yet */
-  /* Next attempt to choose upstreams for the requests in QUEUED, whether or
-     not they have been sent before.  */
+  request_queue_t *queue;         /* requests that no upstream can take yet */
+  /* Next attempt to choose upstreams for the requests in QUEUE, whether or not
+     they have been sent before.  */
   worker_timer_t *retry_timer;
   /* Requests with an attempt in progress that can be retried, ordered by the
      time of the last data from the upstream, oldest first.  */
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  URGENCY_MAX = 9,
+  URGENCY_MAX = RULES_MAX_URGENCY,
   /* Added to the urgency of a late request; a higher value is served
      later.  */
   LATE_URGENCY_INCREMENT = 4,
@@ -484,15 +484,12 @@
   .on_done = attempt_on_done,
 };
 
-/* Return the urgency for the upstream's queue: the priority of the account or
-   the route.  Late requests come after the others.  */
+/* Return the urgency for the upstream's queue.  Late requests come after the
+   others.  */
 static int64_t
 forward_urgency (const forward_t *forward)
 {
-  const client_account_t *account = forward->account;
-  int64_t urgency = account != NULL && account->has_priority
-                        ? account->priority
-                        : forward->route->priority;
+  int64_t urgency = forward->criteria.urgency;
 
   if (forward->criteria.is_late)
     urgency += LATE_URGENCY_INCREMENT;
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -35,7 +35,7 @@
 
 static fleet_preference_t
 upstream_preference (const fleet_t *fleet, const fleet_upstream_t *upstream,
-                     const fleet_request_t *request, struct timespec now)
+                     const quota_use_t *use, struct timespec now)
 {
   if (health_is_ejected (upstream, now))
     return PREFER_EJECTED;
@@ -44,7 +44,7 @@
   if (fleet_upstream_is_slow (fleet, upstream))
     return PREFER_SLOW;
   if (!quota_is_known (fleet, upstream)
-      || quota_is_within_share (fleet, upstream, request->is_late))
+      || quota_is_within_share (fleet, upstream, use))
     return PREFER_WITHIN_SHARE;
   return PREFER_HEALTHY;
 }
@@ -76,8 +76,9 @@
    is: what can't be used must not be shared.  */
 static unsigned
 collect_usable (fleet_t *fleet, fleet_service_t *service,
-                const fleet_request_t *request, struct timespec now,
-                fleet_quota_t *total, fleet_shortage_t *shortage)
+                const fleet_request_t *request, const quota_use_t *use,
+                struct timespec now, fleet_quota_t *total,
+                fleet_shortage_t *shortage)
 {
   fleet_quota_t impaired = { 0 };
   fleet_upstream_t *upstream;
@@ -95,8 +96,7 @@
         *shortage = obstacle;
       if (obstacle != FLEET_NO_SHORTAGE)
         continue;
-      upstream->preference
-          = upstream_preference (fleet, upstream, request, now);
+      upstream->preference = upstream_preference (fleet, upstream, use, now);
       if (upstream->preference <= PREFER_HEALTHY)
         has_healthy = true;
       quota_add (fleet,
@@ -117,11 +117,11 @@
                     const fleet_request_t *request, struct timespec now,
                     fleet_shortage_t *shortage)
 {
+  quota_use_t use = service_quota_use (service, request, now);
   fleet_quota_t total;
   unsigned usable
-      = collect_usable (fleet, service, request, now, &total, shortage);
-  bool is_share_used
-      = quota_is_share_used (fleet, service, &total, request->is_late);
+      = collect_usable (fleet, service, request, &use, now, &total, shortage);
+  bool is_share_used = quota_is_share_used (fleet, service, &total, &use);
   fleet_preference_t best = PREFERENCE_COUNT;
   unsigned count = 0;
 
@@ -129,8 +129,7 @@
     {
       fleet_upstream_t *upstream = fleet->candidate_upstreams[i];
 
-      if (fleet_upstream_is_full (fleet, upstream, request->is_late,
-                                  is_share_used))
+      if (fleet_upstream_is_full (fleet, upstream, &use, is_share_used))
         {
           if (FLEET_ALL_FULL > *shortage)
             *shortage = FLEET_ALL_FULL;
--- a/relay/fleet_quota.c
+++ b/relay/fleet_quota.c
@@ -11,28 +11,45 @@
   PER_REQUEST = QUOTA_UNITS_PER_REQUEST,
   /* The share is rounded up or down anew after this time: about the interval
      at which the reports of an upstream follow one another.  */
-  ROUNDING_INTERVAL_MS = 100
+  ROUNDING_INTERVAL_MS = 100,
+  /* Requests that may be queued at an upstream beyond those it is running.  */
+  MAX_QUEUED_REQUESTS = 1,
+  /* The share of this relay is reserved for more urgent requests up to all but
+     this part, so that less urgent ones are never starved.  */
+  UNRESERVED_DIVISOR = 8
 };
 
+/* Share of the request limit that late requests may use.  */
+static const double late_limit_ratio = 0.75;
+
 static int64_t
 capacity_units (double requests)
 {
   return requests <= 0 ? 0 : (int64_t)(requests * PER_REQUEST);
 }
 
-/* Set the capacity in a new report of UPSTREAM, in requests: CAPACITY, and
-   LATE_CAPACITY for late requests.  The requests that this relay sent before
-   are part of the report.  */
+/* Set the capacity in a new report of UPSTREAM, which may have LIMIT requests
+   at once and has CURRENT.  The requests that this relay sent before are part
+   of the report.  */
 void
-quota_set (fleet_t *fleet, fleet_upstream_t *upstream, double capacity,
-           double late_capacity)
+quota_set (fleet_t *fleet, fleet_upstream_t *upstream, double limit,
+           double current)
 {
-  upstream->quota
-      = (fleet_quota_t){ .free = capacity_units (capacity),
-                         .late_free = capacity_units (late_capacity) };
+  upstream->quota = (fleet_quota_t){
+    .free = capacity_units (limit + MAX_QUEUED_REQUESTS - current),
+    .late_free = capacity_units (limit * late_limit_ratio - current),
+    .idle = capacity_units (limit - current),
+  };
   upstream->quota_rounding = capacity_units (fleet_random (fleet));
 }
 
+/* Record that UPSTREAM has no free capacity.  */
+void
+quota_clear (fleet_upstream_t *upstream)
+{
+  upstream->quota = (fleet_quota_t){ 0 };
+}
+
 /* Return whether the reported capacity of UPSTREAM is known and recent.  */
 bool
 quota_is_known (const fleet_t *fleet, const fleet_upstream_t *upstream)
@@ -56,6 +73,7 @@
     return;
   total->free += upstream->quota.free;
   total->late_free += upstream->quota.late_free;
+  total->idle += upstream->quota.idle;
   total->sent += upstream->quota.sent;
 }
 
@@ -73,29 +91,40 @@
   service->quota_rounding = capacity_units (fleet_random (fleet));
 }
 
+/* Return how much of QUOTA USE permits.  */
+static int64_t
+quota_usable (const fleet_quota_t *quota, const quota_use_t *use)
+{
+  if (use->reserve > 0)
+    return quota->idle;
+  return use->is_late && !use->has_classes ? quota->late_free : quota->free;
+}
+
 /* Return whether this relay has used its share of TOTAL, the capacity that the
    upstreams of SERVICE have reported that the request may use.  */
 bool
 quota_is_share_used (fleet_t *fleet, fleet_service_t *service,
-                     const fleet_quota_t *total, bool is_late)
+                     const fleet_quota_t *total, const quota_use_t *use)
 {
-  int64_t share;
+  int64_t share = quota_usable (total, use) / fleet->share.relays;
+  int64_t reserve = capacity_units (use->reserve);
 
+  if (reserve > share - share / UNRESERVED_DIVISOR)
+    reserve = share - share / UNRESERVED_DIVISOR;
   service_draw_rounding (fleet, service);
-  share = (is_late ? total->late_free : total->free) / fleet->share.relays
-          + service->quota_rounding;
-  return total->sent + PER_REQUEST > share;
+  return total->sent + PER_REQUEST > share - reserve + service->quota_rounding;
 }
 
 /* Return whether this relay has sent as many requests to UPSTREAM as it had
    capacity for at its last report.  */
 bool
-quota_is_upstream_full (const fleet_upstream_t *upstream, bool is_late)
+quota_is_upstream_full (const fleet_upstream_t *upstream,
+                        const quota_use_t *use)
 {
   const fleet_quota_t *quota = &upstream->quota;
-  int64_t free = is_late ? quota->late_free : quota->free;
 
-  return quota->sent + PER_REQUEST > free + upstream->quota_rounding;
+  return quota->sent + PER_REQUEST
+         > quota_usable (quota, use) + upstream->quota_rounding;
 }
 
 /* Return whether a request to UPSTREAM stays within this relay's share of the
@@ -104,11 +133,11 @@
    seldom meet at the same place.  */
 bool
 quota_is_within_share (const fleet_t *fleet, const fleet_upstream_t *upstream,
-                       bool is_late)
+                       const quota_use_t *use)
 {
   const fleet_quota_t *quota = &upstream->quota;
-  int64_t free = is_late ? quota->late_free : quota->free;
 
   return quota->sent + PER_REQUEST
-         <= free / fleet->share.relays + upstream->quota_rounding;
+         <= quota_usable (quota, use) / fleet->share.relays
+                + upstream->quota_rounding;
 }
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -24,10 +24,6 @@
 static const double step_weight = 0.25;
 /* Share of the step time limit that is the target.  */
 static const double step_target_ratio = 0.85;
-/* Share of the request limit that late requests may use.  */
-static const double late_limit_ratio = 0.75;
-/* Requests that may be queued at an upstream beyond those it is running.  */
-static const double max_queued_requests = 1;
 
 static bool
 is_recent (const fleet_t *fleet, struct timespec at)
@@ -229,10 +225,9 @@
   double current = (double)(report->running + report->waiting);
 
   if (upstream->group != NULL && !upstream->group->is_open)
-    quota_set (fleet, upstream, 0, 0);
+    quota_clear (upstream);
   else
-    quota_set (fleet, upstream, limit + max_queued_requests - current,
-               limit * late_limit_ratio - current);
+    quota_set (fleet, upstream, limit, current);
 }
 
 /* Record the report of the engine at ADDRESS, which its pilot passed on.
@@ -301,11 +296,11 @@
    relay, or if IS_SHARE_USED, any.  */
 bool
 fleet_upstream_is_full (const fleet_t *fleet, const fleet_upstream_t *upstream,
-                        bool is_late, bool is_share_used)
+                        const quota_use_t *use, bool is_share_used)
 {
   if (upstream->group == NULL || !is_recent (fleet, upstream->reported_at))
     return false;
-  return is_share_used || quota_is_upstream_full (upstream, is_late);
+  return is_share_used || quota_is_upstream_full (upstream, use);
 }
 
 /* Return whether a pilot has reported on UPSTREAM recently.  */
--- /dev/null
+++ b/relay/fleet_reserve.c
@@ -0,0 +1,87 @@
+#include "relay/fleet_state.h"
+
+#include <math.h>
+
+/* Capacity that is kept free for the more urgent requests of a service.  The
+   load that it answers: less urgent requests that would take every place just
+   before the urgent ones arrive, which then wait for one to end.  */
+
+enum
+{
+  /* From the sending of a request until the reports of its upstream show what
+     is free after it, so that an urgent request can be sent instead of a less
+     urgent one.  */
+  REPORT_DELAY_MS = 200,
+  /* Arrival rates are averaged over about this time.  */
+  RATE_WINDOW_MS = 1000
+};
+
+static const double ms_per_s = 1000;
+/* Below it, a rate counts as none.  */
+static const double min_rate_per_s = 0.05;
+
+/* Return the rate of arrivals at NOW, a second.  */
+static double
+arrival_rate_at (const arrival_rate_t *rate, struct timespec now)
+{
+  double elapsed_ms
+      = (double)timespec_to_ms (timespec_subtract (now, rate->updated_at));
+
+  return rate->per_s * exp (-elapsed_ms / RATE_WINDOW_MS);
+}
+
+/* Count a request for SERVICE of URGENCY that has arrived.  */
+void
+fleet_count_request (fleet_t *fleet, const char *service, unsigned urgency)
+{
+  struct timespec now = clock_monotonic (fleet->clock);
+  fleet_service_t *known;
+
+  table_lock (fleet->table);
+  known = fleet_find_service (fleet, service);
+  if (known != NULL)
+    {
+      arrival_rate_t *rate = &known->arrivals[urgency];
+
+      rate->per_s = arrival_rate_at (rate, now) + ms_per_s / RATE_WINDOW_MS;
+      rate->updated_at = now;
+    }
+  table_unlock (fleet->table);
+}
+
+/* Return whether requests for SERVICE that differ in urgency arrive.  */
+static bool
+service_has_classes (const fleet_service_t *service, struct timespec now)
+{
+  unsigned classes = 0;
+
+  for (unsigned urgency = 0; urgency <= RULES_MAX_URGENCY; urgency++)
+    {
+      if (arrival_rate_at (&service->arrivals[urgency], now) > min_rate_per_s)
+        classes++;
+    }
+  return classes > 1;
+}
+
+/* Return how REQUEST for SERVICE may use the reported capacity.  It leaves
+   room for the requests that are expected at this relay until the next reports
+   show their effect: the more urgent ones and, if it is late, those of its own
+   urgency, which can still meet their objective.  */
+quota_use_t
+service_quota_use (const fleet_service_t *service,
+                   const fleet_request_t *request, struct timespec now)
+{
+  quota_use_t use = { .is_late = request->is_late };
+  unsigned reserved = request->urgency + (request->is_late ? 1 : 0);
+  double per_s = 0;
+
+  if (!service_has_classes (service, now))
+    return use;
+  use.has_classes = true;
+  if (request->is_guaranteed)
+    return use;
+  for (unsigned urgency = 0; urgency < reserved; urgency++)
+    per_s += arrival_rate_at (&service->arrivals[urgency], now);
+  use.reserve = per_s * REPORT_DELAY_MS / ms_per_s;
+  return use;
+}
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -24,6 +24,8 @@
      third of the remaining time.  */
   RETRY_AFTER_DIVISOR = 4,
   RETRY_AFTER_MIN_MS = 50,
+  /* A request is late once its objective divided by this has passed.  */
+  LATE_START_DIVISOR = 2,
   MAX_LOGGED_SEGMENTS = 16
 };
 
@@ -87,8 +89,7 @@
 forward_free (forward_t *forward)
 {
   LIST_REMOVE (forward, link);
-  if (forward->is_queued)
-    TAILQ_REMOVE (&forward->relay_worker->queued, forward, queue_link);
+  request_queue_remove (&forward->queued);
   attempt_timeout_stop (forward);
   rules_release (forward->rules);
   return 0;
@@ -308,7 +309,7 @@
   if (queue_ms > QUEUE_MAX_MS)
     queue_ms = QUEUE_MAX_MS;
   forward->deadline = timespec_add (forward->arrived_at, client_timeout);
-  forward->queue_until
+  forward->queued.give_up_at
       = timespec_add (forward->arrived_at, timespec_from_ms (queue_ms));
   forward->deadline_timer
       = worker_timer_start (forward->relay_worker->worker, forward,
@@ -342,9 +343,9 @@
 }
 
 /* Return whether the request may be sent as far as its prompt is concerned.
-   Otherwise it has been queued or ended.  */
+   Otherwise it has been queued or ended, as *RESULT says.  */
 static bool
-forward_admit_prompt (forward_t *forward)
+forward_admit_prompt (forward_t *forward, queue_result_t *result)
 {
   suspect_finding_t finding
       = suspects_check (forward->relay_worker->relay->suspects,
@@ -355,10 +356,11 @@
     case SUSPECT_ADMITTED:
       return true;
     case SUSPECT_PROBED:
-      forward_wait_or_fail (forward, true, "prompt-probed");
+      *result = forward_wait_or_fail (forward, true, "prompt-probed");
       return false;
     case SUSPECT_QUARANTINED:
       forward_refuse_suspect (forward, &finding);
+      *result = QUEUE_ENDED;
       return false;
     }
   return true;
@@ -375,38 +377,51 @@
       = fleet_pause_left (relay->fleet, forward->criteria.service);
 
   if (timespec_compare (timespec_add (forward_now (forward), left),
-                        forward->queue_until)
+                        forward->queued.give_up_at)
       < 0)
     return false;
   forward_give_up (forward, fleet_shortage_name (FLEET_ALL_PAUSED), left);
   return true;
 }
 
+/* No upstream can be chosen because of SHORTAGE.  Queue the request, or end it
+   if it has been queued for too long.  */
+static queue_result_t
+forward_handle_shortage (forward_t *forward, fleet_shortage_t shortage)
+{
+  queue_result_t result;
+
+  if (shortage == FLEET_ALL_PAUSED && forward_refuse_paused (forward))
+    return QUEUE_ENDED;
+  result
+      = forward_wait_or_fail (forward, fleet_shortage_is_temporary (shortage),
+                              fleet_shortage_name (shortage));
+  return result == QUEUE_WAITS && shortage == FLEET_ALL_FULL ? QUEUE_FULL
+                                                             : result;
+}
+
 /* Choose an upstream and send the request there.  If there is none, queue the
    request, or fail it if it has been queued for too long.  */
-void
+queue_result_t
 forward_dispatch (forward_t *forward)
 {
   relay_t *relay = forward->relay_worker->relay;
+  queue_result_t result;
   TALLOC_CTX *choice_ctx;
   fleet_choice_t choice;
   fleet_shortage_t shortage;
 
-  if (!forward_admit_prompt (forward))
-    return;
+  if (!forward_admit_prompt (forward, &result))
+    return result;
   choice_ctx = talloc_new (forward);
   shortage
       = fleet_choose (relay->fleet, choice_ctx, &forward->criteria, &choice);
   if (shortage != FLEET_NO_SHORTAGE)
     {
       talloc_free (choice_ctx);
-      if (shortage == FLEET_ALL_PAUSED && forward_refuse_paused (forward))
-        return;
-      forward_wait_or_fail (forward, fleet_shortage_is_temporary (shortage),
-                            fleet_shortage_name (shortage));
-      return;
+      return forward_handle_shortage (forward, shortage);
     }
-  forward_dequeue (forward);
+  request_queue_remove (&forward->queued);
   if (suspects_record_sent (relay->suspects, forward->segments,
                             forward->segment_count))
     feed_send_updates (relay->feed);
@@ -414,21 +429,24 @@
     histogram_record (&queue_time, ms_since (forward, forward->arrived_at));
   log_event (
       LOG_LEVEL_INFO, "sent",
-      "request=%s service=%s upstream=%s zone=%s reason=%s "
-      "candidates=%u cold=%d running=%llu report_age_ms=%lld rules=%llu "
+      "request=%s service=%s urgency=%u late=%d upstream=%s zone=%s "
+      "reason=%s candidates=%u cold=%d running=%llu report_age_ms=%lld "
+      "rules=%llu "
       "send=%u after_ms=%lld left_ms=%lld",
-      forward->request->id, forward->criteria.service, choice.upstream,
+      forward->request->id, forward->criteria.service,
+      forward->criteria.urgency, forward->criteria.is_late, choice.upstream,
       choice.zone, choice.reason, choice.candidates, choice.is_cold,
       (unsigned long long)choice.running, (long long)choice.report_age_ms,
       (unsigned long long)forward->rules->version, forward->sent_attempts + 1,
       (long long)ms_since (forward, forward->arrived_at),
       (long long)timespec_to_ms (forward_remaining_time (forward)));
   if (attempt_start (forward, &choice, choice_ctx))
-    return;
+    return QUEUE_SENT;
   fleet_release (relay->fleet, choice.upstream, &forward->criteria.work,
                  FLEET_CLIENT_LEFT, 0);
   talloc_free (choice_ctx);
   forward_fail_not_run (forward, "cannot-send");
+  return QUEUE_ENDED;
 }
 
 /* Return whether the request may be sent again, and if so charge the retry
@@ -494,6 +512,21 @@
                                            : RELAY_FAILURE_COUNT;
 }
 
+/* Set the request's urgency and the time from which on it is late.  */
+static void
+forward_classify (forward_t *forward)
+{
+  int64_t late_ms
+      = timespec_to_ms (forward->route->objective) / LATE_START_DIVISOR;
+
+  forward->criteria.urgency
+      = rules_urgency (forward->rules, forward->route, forward->account);
+  forward->queued.service = forward->criteria.service;
+  forward->queued.urgency = forward->criteria.urgency;
+  forward->queued.late_from
+      = timespec_add (forward->arrived_at, timespec_from_ms (late_ms));
+}
+
 /* Set what the request is known by if its upstream crashes.  */
 static void
 forward_identify (forward_t *forward)
@@ -511,6 +544,20 @@
   forward->segment_count = 1;
 }
 
+/* Try to send a request that has just arrived.  */
+static void
+forward_dispatch_first (forward_t *forward)
+{
+  request_queue_t *queue = forward->relay_worker->queue;
+  const char *service = forward->criteria.service;
+  unsigned urgency = forward->criteria.urgency;
+
+  if (forward_must_queue (forward))
+    forward_wait_or_fail (forward, true, "more-urgent-first");
+  else if (forward_dispatch (forward) == QUEUE_SENT)
+    request_queue_count_sent (queue, service, urgency);
+}
+
 /* Start a request.  Sets *STARTED, which is NULL when memory is exhausted,
    before the first callback.  The request may end, and be freed, within the
    call: its last callback tells.  */
@@ -562,7 +609,10 @@
     }
   retry_budget_count_request (relay_worker->relay->budget,
                               forward->criteria.service);
-  forward_dispatch (forward);
+  forward_classify (forward);
+  fleet_count_request (relay_worker->relay->fleet, forward->criteria.service,
+                       forward->criteria.urgency);
+  forward_dispatch_first (forward);
 }
 
 /* The client has disconnected: abort the current attempt and free FORWARD.  */
--- a/relay/forward_queue.c
+++ b/relay/forward_queue.c
@@ -1,15 +1,14 @@
 #include "relay/forward.h"
 
 #include "kernel/log.h"
+#include "kernel/table.h"
 
 enum
 {
   QUEUE_RETRY_MS = 20, /* interval between attempts to send queued requests */
   /* A request for which no upstream may be used waits this long: enough for a
      refresh of the listings, which may show a new one.  */
-  UNUSABLE_QUEUE_MAX_MS = 100,
-  /* A request is late once its objective divided by this has passed.  */
-  LATE_START_DIVISOR = 2
+  UNUSABLE_QUEUE_MAX_MS = 100
 };
 
 static void
@@ -26,91 +25,93 @@
 relay_worker_start_retry_timer (relay_worker_t *relay_worker)
 {
   if (relay_worker->retry_timer == NULL
-      && !TAILQ_EMPTY (&relay_worker->queued))
+      && !request_queue_is_empty (relay_worker->queue))
     relay_worker->retry_timer = worker_timer_start (
         relay_worker->worker, worker_events (relay_worker->worker),
         timespec_from_ms (QUEUE_RETRY_MS), relay_worker_handle_retry,
         relay_worker);
 }
 
-/* Take the request out of the queue if it is there.  */
-void
-forward_dequeue (forward_t *forward)
-{
-  if (!forward->is_queued)
-    return;
-  forward->is_queued = false;
-  TAILQ_REMOVE (&forward->relay_worker->queued, forward, queue_link);
-}
-
 static struct timespec
-forward_now (const forward_t *forward)
+relay_worker_now (const relay_worker_t *relay_worker)
 {
-  return clock_monotonic (forward->relay_worker->relay->clock);
+  return clock_monotonic (relay_worker->relay->clock);
 }
 
-static int64_t
-forward_age_ms (const forward_t *forward)
+/* Return whether the request has waited for as long as it may.  An upstream
+   that is full, cold or stalled will take requests again, which IS_TEMPORARY
+   says; otherwise the client does better to come back.  */
+static bool
+forward_has_waited_enough (const forward_t *forward, bool is_temporary)
 {
-  return timespec_to_ms (
-      timespec_subtract (forward_now (forward), forward->arrived_at));
+  struct timespec now = relay_worker_now (forward->relay_worker);
+  struct timespec age = timespec_subtract (now, forward->arrived_at);
+
+  return timespec_compare (now, forward->queued.give_up_at) >= 0
+         || (!is_temporary && timespec_to_ms (age) >= UNUSABLE_QUEUE_MAX_MS);
 }
 
 /* Queue the request until it can be sent, or end it if it has waited for too
-   long.  An upstream that is full, cold or stalled will take requests again,
-   which IS_TEMPORARY says; otherwise the client does better to come back.  WHY
-   is for the log.  */
-void
+   long; see forward_has_waited_enough for IS_TEMPORARY.  WHY is for the log.
+   Returns QUEUE_WAITS or QUEUE_ENDED.  */
+queue_result_t
 forward_wait_or_fail (forward_t *forward, bool is_temporary, const char *why)
 {
-  if (timespec_compare (forward_now (forward), forward->queue_until) >= 0
-      || (!is_temporary && forward_age_ms (forward) >= UNUSABLE_QUEUE_MAX_MS))
+  relay_worker_t *relay_worker = forward->relay_worker;
+
+  if (forward_has_waited_enough (forward, is_temporary)
+      || (forward->queued.class == NULL
+          && !request_queue_add (relay_worker->queue, &forward->queued)))
     {
       forward_give_up (forward, why, forward_default_retry_after (forward));
-      return;
-    }
-  if (!forward->is_queued)
-    {
-      log_event (LOG_LEVEL_INFO, "waits", "request=%s service=%s why=%s",
-                 forward->request->id, forward->criteria.service, why);
-      forward->is_queued = true;
-      TAILQ_INSERT_TAIL (&forward->relay_worker->queued, forward, queue_link);
+      return QUEUE_ENDED;
     }
-  relay_worker_start_retry_timer (forward->relay_worker);
+  if (!forward->has_waited)
+    log_event (LOG_LEVEL_INFO, "waits",
+               "request=%s service=%s urgency=%u late=%d why=%s",
+               forward->request->id, forward->criteria.service,
+               forward->criteria.urgency, forward->criteria.is_late, why);
+  forward->has_waited = true;
+  relay_worker_start_retry_timer (relay_worker);
+  return QUEUE_WAITS;
 }
 
-/* Return whether a request sent now is likely to miss its objective.  */
-static bool
-forward_is_late (const forward_t *forward)
+/* Return whether more urgent requests are queued, which come first.  */
+bool
+forward_must_queue (const forward_t *forward)
 {
-  return forward_age_ms (forward)
-         > timespec_to_ms (forward->route->objective) / LATE_START_DIVISOR;
+  return request_queue_has_more_urgent (forward->relay_worker->queue,
+                                        forward->criteria.service,
+                                        forward->criteria.urgency);
 }
 
-/* Try again to send the queued requests whose lateness is ARE_LATE.  A request
-   that remains queued keeps its place.  */
-static void
-relay_worker_retry_queued (relay_worker_t *relay_worker, bool are_late)
+static queue_result_t
+forward_try_queued (queued_request_t *request, const queue_turn_t *turn,
+                    void *data)
 {
-  forward_t *forward = TAILQ_FIRST (&relay_worker->queued);
-
-  while (forward != NULL)
-    {
-      forward_t *next = TAILQ_NEXT (forward, queue_link);
+  forward_t *forward = CONTAINER_OF (request, forward_t, queued);
 
-      forward->criteria.is_late = forward_is_late (forward);
-      if (forward->criteria.is_late == are_late)
-        forward_dispatch (forward);
-      forward = next;
-    }
+  (void)data;
+  forward->criteria.is_late = turn->is_late;
+  forward->criteria.is_guaranteed = turn->is_guaranteed;
+  return forward_dispatch (forward);
 }
 
-/* Try again to send the queued requests, those that can still meet their
-   objective first, each group in order of arrival.  */
+/* Try again to send the queued requests.  */
 void
 forward_retry_queued (relay_worker_t *relay_worker)
 {
-  relay_worker_retry_queued (relay_worker, false);
-  relay_worker_retry_queued (relay_worker, true);
+  struct timespec now = relay_worker_now (relay_worker);
+  queued_request_t *expired;
+
+  request_queue_retry (relay_worker->queue, now, forward_try_queued, NULL);
+  while ((expired = request_queue_find_expired (relay_worker->queue, now))
+         != NULL)
+    {
+      forward_t *forward = CONTAINER_OF (expired, forward_t, queued);
+
+      forward_give_up (forward, "no-capacity-in-time",
+                       forward_default_retry_after (forward));
+    }
   relay_worker_start_retry_timer (relay_worker);
 }
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -117,14 +117,16 @@
   relay_t *relay = relay_worker->relay;
 
   LIST_INIT (&relay_worker->forwards);
-  TAILQ_INIT (&relay_worker->queued);
   TAILQ_INIT (&relay_worker->watched);
+  relay_worker->queue
+      = request_queue_create (worker_events (relay_worker->worker));
   relay_worker->change_task.run = relay_worker_handle_change;
   relay_worker->egress = relay->egress_ops->create (relay_worker->worker);
   relay_worker->ingress = relay->ingress_ops->create (
       relay_worker, relay_worker->worker,
       daemon_config (relay->daemon)->listen, port);
-  return relay_worker->egress == NULL || relay_worker->ingress == NULL
+  return relay_worker->queue == NULL || relay_worker->egress == NULL
+                 || relay_worker->ingress == NULL
              ? STATUS_IO
              : STATUS_OK;
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -227,6 +227,84 @@
   fixture_destroy (fixture);
 }
 
+/* Return how many requests of URGENCY are sent before there is no capacity for
+   another one.  */
+static unsigned
+fixture_fill (fixture_t *fixture, unsigned urgency, bool is_guaranteed)
+{
+  fleet_request_t request = { .service = "model",
+                              .route = fixture->route,
+                              .urgency = urgency,
+                              .is_guaranteed = is_guaranteed,
+                              .work = { .zone = "a", .prompt_tokens = 100 } };
+  TALLOC_CTX *ctx = talloc_new (fixture);
+  fleet_choice_t choice;
+  unsigned count = 0;
+
+  while (fleet_choose (fixture->fleet, ctx, &request, &choice)
+         == FLEET_NO_SHORTAGE)
+    count++;
+  talloc_free (ctx);
+  return count;
+}
+
+/* A burst of less urgent requests took all places, and urgent ones that came a
+   moment later waited until one of them had ended.  */
+static void
+test_capacity_is_reserved_for_urgent_requests (void **state)
+{
+  enum
+  {
+    URGENT_PER_SECOND = 50,
+    IDLE_PLACES = RANKS * (SLOTS - 1), /* one request runs at each rank */
+    QUEUE_PLACES = RANKS
+  };
+  fixture_t *fixture = fixture_create (0);
+  unsigned patient;
+
+  (void)state;
+  for (unsigned i = 0; i < URGENT_PER_SECOND * 2; i++)
+    {
+      fleet_count_request (fixture->fleet, "model", 0);
+      fleet_count_request (fixture->fleet, "model", 3);
+      fixture_advance_ms (fixture, 1000 / URGENT_PER_SECOND);
+    }
+  fixture_step_group (fixture, REPORT_MS, STEP_MS);
+  patient = fixture_fill (fixture, 3, false);
+  assert_in_range (patient, IDLE_PLACES / 2, IDLE_PLACES - 5);
+  assert_in_range (fixture_fill (fixture, 0, false),
+                   IDLE_PLACES - patient + QUEUE_PLACES - 1,
+                   IDLE_PLACES - patient + QUEUE_PLACES + 1);
+  fixture_destroy (fixture);
+}
+
+/* However many urgent requests arrive, the less urgent keep a part of the
+   capacity; it is all theirs when the urgent ones stay away.  */
+static void
+test_reserve_is_bounded_and_ends (void **state)
+{
+  enum
+  {
+    PLACES = RANKS * (SLOTS - 1)
+  };
+  fixture_t *fixture = fixture_create (0);
+
+  (void)state;
+  for (unsigned i = 0; i < 1000; i++)
+    fleet_count_request (fixture->fleet, "model", 0);
+  fleet_count_request (fixture->fleet, "model", 3);
+  fixture_step_group (fixture, REPORT_MS, STEP_MS);
+  assert_in_range (fixture_fill (fixture, 3, false), PLACES / 8,
+                   PLACES / 8 + 1);
+  fixture_step_group (fixture, REPORT_MS, STEP_MS);
+  assert_in_range (fixture_fill (fixture, 3, true), PLACES,
+                   PLACES + RANKS + 1);
+  fixture_step_group (fixture, 20000, STEP_MS);
+  assert_in_range (fixture_fill (fixture, 3, false), PLACES,
+                   PLACES + RANKS + 1);
+  fixture_destroy (fixture);
+}
+
 /* The cold start rate of an upstream is shared by the relays: all of them
    together must stay within it, however many requests arrive.  */
 static void
@@ -476,6 +554,8 @@
     cmocka_unit_test (test_requests_spread_and_skip_tried_upstreams),
     cmocka_unit_test (test_zone_out_gets_no_requests),
     cmocka_unit_test (test_share_counts_usable_upstreams_only),
+    cmocka_unit_test (test_capacity_is_reserved_for_urgent_requests),
+    cmocka_unit_test (test_reserve_is_bounded_and_ends),
     cmocka_unit_test (test_cold_upstreams_get_share_of_one_relay),
     cmocka_unit_test (test_cold_upstreams_are_used_by_many_relays),
     cmocka_unit_test (test_unreachable_upstream_is_ejected_temporarily),
