Relay: clients that come back after a wait count as late

Cause: after a loss of power the clients that had been refused or cut off come back beside the new ones. They can no longer meet their objective, but counted as on time from their arrival and took places of those that could.

A client that sends a request again waits for the rest of its time only. So the difference to what the clients of the route usually wait, which the relay learns, is the time that it has waited before (relay/client_timeouts.c).

--- a/include/relay/relay.h
+++ b/include/relay/relay.h
@@ -10,6 +10,7 @@
 #include "plugins/egress.h"
 #include "plugins/ingress.h"
 #include "plugins/store.h"
+#include "relay/client_timeouts.h"
 #include "relay/crashes.h"
 #include "relay/fleet.h"
 #include "relay/request_queue.h"
@@ -51,6 +52,7 @@
   const clock_source_t *clock;
   fleet_t *fleet;
   retry_budget_t *budget;
+  client_timeouts_t *client_timeouts;
   gossip_t *gossip;
   suspects_t *suspects;  /* owned by GOSSIP */
   rate_limits_t *limits; /* of upstreams; owned by GOSSIP */
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -512,19 +512,36 @@
                                            : RELAY_FAILURE_COUNT;
 }
 
+/* Return for how long the client has waited before, with other requests.  */
+static struct timespec
+forward_time_waited (const forward_t *forward)
+{
+  const relay_request_t *request = forward->request;
+
+  if (!request->has_client_timeout)
+    return (struct timespec){ 0, 0 };
+  return client_timeouts_record (forward->relay_worker->relay->client_timeouts,
+                                 forward->route->name, forward->route->timeout,
+                                 request->client_timeout);
+}
+
 /* Set the request's urgency and the time from which on it is late.  */
 static void
 forward_classify (forward_t *forward)
 {
   int64_t late_ms
       = timespec_to_ms (forward->route->objective) / LATE_START_DIVISOR;
+  struct timespec waited = forward_time_waited (forward);
 
   forward->criteria.urgency
       = rules_urgency (forward->rules, forward->route, forward->account);
   forward->queued.service = forward->criteria.service;
   forward->queued.urgency = forward->criteria.urgency;
   forward->queued.late_from
-      = timespec_add (forward->arrived_at, timespec_from_ms (late_ms));
+      = timespec_add (timespec_subtract (forward->arrived_at, waited),
+                      timespec_from_ms (late_ms));
+  forward->criteria.is_late
+      = late_ms > 0 && timespec_to_ms (waited) >= late_ms;
 }
 
 /* Set what the request is known by if its upstream crashes.  */
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -258,6 +258,7 @@
       = talloc_zero_array (relay, relay_worker_t, relay->worker_count);
   relay->rules_lock = lock_create (relay, LOCK_SETTINGS, "rules");
   relay->budget = retry_budget_create (relay, relay->clock, &limits);
+  relay->client_timeouts = client_timeouts_create (relay);
   relay->fleet
       = fleet_create (relay, config->zone, relay->clock,
                       XXH3_64bits (config->name, strlen (config->name)));
