--- a/include/common/rules.h
+++ b/include/common/rules.h
@@ -89,6 +89,15 @@
   unsigned token_steps_per_pass; /* in a pass that generates tokens */
   double step_ms;                /* duration of a token step */
   double prompt_tokens_per_ms;   /* prompt tokens processed per ms */
+  /* Time that reading a prompt takes in addition, for each million pairs of
+     its tokens.  */
+  double million_pairs_ms;
+  unsigned prompt_chunk_tokens; /* of a prompt, read in a pass at most */
+  /* Time that each running request adds to a token step, and that each 1,000
+     tokens of its context add.  */
+  double request_step_ms;
+  double context_step_ms;
+  unsigned slots; /* requests that an engine runs at once */
   double typical_prompt_tokens;
   double typical_response_tokens;
   bool has_experts;
--- a/include/relay/request.h
+++ b/include/relay/request.h
@@ -30,6 +30,7 @@
   int64_t last_event;
   uint64_t prompt_tokens;
   uint64_t output_tokens; /* upper bound */
+  uint64_t hinted_tokens; /* client's estimate of the output; 0 for none */
   /* Ids of the parts of the prompt.  Other requests may share all of them,
      those of the same session or client also the last one.  */
   uint64_t *segments;
--- a/tests/test_catalog.c
+++ b/tests/test_catalog.c
@@ -27,7 +27,9 @@
       "\"max_attempts\":2,\"resumable\":true}],"
       "\"services\":[{\"name\":\"model\",\"health_path\":\"/health\","
       "\"max_conns\":9,\"cold_s\":1,\"cold_per_s\":2,\"engine\":{\"slots\":4,"
-      "\"read_per_s\":60000,\"sets\":2,\"experts\":12,\"placements\":5,"
+      "\"read_per_s\":60000,\"pairs_per_m\":0.5,\"chunk\":512,"
+      "\"per_seq_ms\":0.3,\"context_per_k\":0.25,\"stride\":-3,"
+      "\"sets\":2,\"experts\":12,\"placements\":5,"
       "\"expert_mb\":10,\"link_mbps\":1000,\"form_ms\":300,"
       "\"report_lag_ms\":200}}],"
       "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":100,"
@@ -159,6 +161,13 @@
   service = rules_service (rules, "model");
   assert_true (service->has_engine);
   assert_int_equal (service->engine.prompt_tokens_per_ms, 60);
+  assert_true (service->engine.million_pairs_ms == 0.5);
+  assert_true (service->engine.request_step_ms == 0.3);
+  assert_true (service->engine.context_step_ms == 0.25);
+  assert_int_equal (service->engine.prompt_chunk_tokens, 512);
+  assert_int_equal (service->engine.slots, 4);
+  /* A negative number of steps must not become a huge one.  */
+  assert_int_equal (service->engine.token_steps_per_pass, 1);
   assert_int_equal (timespec_to_ms (service->engine.group_recovery_time), 300);
   assert_int_equal (timespec_to_ms (service->engine.report_lag), 200);
   rules_release (rules);
