--- a/include/plugins/pick.h
+++ b/include/plugins/pick.h
@@ -28,6 +28,10 @@
   const uint64_t *prefix_blocks;
   size_t prefix_block_count; /* at most PICK_MAX_PREFIX_BLOCKS */
   const char *zone;          /* zone of this entry */
+  /* Time that an upstream spends on the request alone, and on average on what
+     is left of an outstanding one; estimates, 0 if unknown.  */
+  uint64_t work_us;
+  uint64_t mean_work_us;
 } pick_request_t;
 
 /* The latest load report on the upstream.  In an entry it comes from the
@@ -44,6 +48,11 @@
   uint64_t limit_tokens;
   uint64_t queued_requests;
   bool is_cold;
+  /* Tokens of the upstream's KV cache that are in use, and all of them; 0 if
+     unknown.  */
+  uint64_t used_cache_tokens;
+  uint64_t total_cache_tokens;
+  double slowdown; /* 1 is normal, higher is slower; 0 if unknown */
 } pick_report_t;
 
 /* An upstream that is eligible for the request.  */
@@ -56,6 +65,7 @@
      and their tokens.  */
   uint64_t outstanding_requests;
   uint64_t outstanding_tokens;
+  uint64_t outstanding_work_us;  /* work that is left of them */
   uint64_t requests_at_report; /* outstanding_requests when REPORT arrived */
   uint64_t tokens_at_report;   /* outstanding_tokens when REPORT arrived */
   pick_report_t report;
--- a/plugins/pick/load.c
+++ b/plugins/pick/load.c
@@ -33,8 +33,8 @@
 
 /* Return the requests that other entries have on CANDIDATE: those reported
    minus those of this entry at that time.  */
-static double
-other_requests (const pick_candidate_t *candidate)
+double
+load_other_requests (const pick_candidate_t *candidate)
 {
   const pick_report_t *report = &candidate->report;
 
@@ -61,7 +61,7 @@
   for (size_t i = 0; i < count; i++)
     {
       others.tokens += other_tokens (candidates[i]);
-      others.requests += other_requests (candidates[i]);
+      others.requests += load_other_requests (candidates[i]);
     }
   others.tokens /= (double)count;
   others.requests /= (double)count;
@@ -75,8 +75,8 @@
 }
 
 /* Return the weight of REPORT, from 1 when it is new towards 0 as it ages.  */
-static double
-report_weight (const pick_report_t *report, struct timespec now)
+double
+load_report_weight (const pick_report_t *report, struct timespec now)
 {
   double age = (double)timespec_to_ms (timespec_subtract (now, report->at));
 
@@ -95,13 +95,13 @@
   const pick_report_t *report = &candidate->report;
   double request_tokens
       = (double)(request->prompt_tokens + request->output_tokens);
-  double weight = report_weight (report, now);
+  double weight = load_report_weight (report, now);
   double tokens
       = (double)candidate->outstanding_tokens + request_tokens
         + weighted_mean (other_tokens (candidate), others->tokens, weight);
-  double requests
-      = (double)candidate->outstanding_requests + 1
-        + weighted_mean (other_requests (candidate), others->requests, weight);
+  double requests = (double)candidate->outstanding_requests + 1
+                    + weighted_mean (load_other_requests (candidate),
+                                     others->requests, weight);
   load_t load = { LOAD_HAS_ROOM, tokens };
 
   if (report->limit_tokens > 0)
--- a/plugins/pick/load.h
+++ b/plugins/pick/load.h
@@ -48,6 +48,8 @@
                       const pick_request_t *request,
                       const load_other_average_t *others, struct timespec now);
 bool load_is_better (const load_t *left, const load_t *right);
+double load_other_requests (const pick_candidate_t *candidate);
+double load_report_weight (const pick_report_t *report, struct timespec now);
 uint64_t load_random_next (load_random_t *random);
 size_t load_pick_least (load_random_t *random, const pick_request_t *request,
                         const pick_candidate_t *const *candidates,
