Relay: choose the upstream of a model engine by the work that is left there

Requests that look alike differ widely in cost, and the maximum output in Token-Counts says little of the actual one. The fleet now counts what is left of each of this relay's requests, by the work model and the events received, and the others' part from reports. Services whose rules have the costs of an engine use least-work; requests whose tokens do not fit into the KV cache go elsewhere. The attempt reports every fourth event. The log line sent has the expected work, the expected events and the backlog of the upstream.

--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -6,6 +6,7 @@
 #include "common/upstream_listing.h"
 #include "kernel/clock.h"
 #include "plugins/pick.h"
+#include "relay/work_model.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -31,6 +32,10 @@
      does not make requests miss theirs that can still meet it.  */
   bool is_late;
   pick_request_t work; /* size and prompt prefix of the request */
+  const char *account; /* of the client; NULL for none */
+  /* The client's estimate of the output tokens; 0 for none.  */
+  uint64_t hinted_tokens;
+  uint64_t past_events; /* of a stream, that the client already has */
   const char *tried[FLEET_MAX_TRIED]; /* ids of upstreams to exclude */
   unsigned tried_count;
 } fleet_request_t;
@@ -57,6 +62,16 @@
   FLEET_SHORTAGE_COUNT
 } fleet_shortage_t;
 
+/* The work of a request at the upstream that was chosen for it, and the part
+   of it that is counted there.  */
+typedef struct fleet_work
+{
+  work_estimate_t estimate;
+  uint64_t instance; /* of the upstream, as the fleet knows it */
+  uint64_t events;   /* received */
+  uint64_t counted_us;
+} fleet_work_t;
+
 /* The chosen upstream.  Strings belong to the caller's talloc context.  */
 typedef struct fleet_choice
 {
@@ -71,6 +86,9 @@
   uint64_t running;
   /* Age of the upstream's load report; -1 if there is none.  */
   int64_t report_age_ms;
+  fleet_work_t work;
+  /* Work of this relay's requests there before this one.  */
+  uint64_t backlog_us;
 } fleet_choice_t;
 
 /* The result of a request at an upstream.  */
@@ -142,6 +160,14 @@
    or at once with 0 if it could not be sent.  */
 void fleet_release (fleet_t *fleet, const char *id, const pick_request_t *work,
                     fleet_result_t result, int64_t elapsed_ms);
+/* Must be called when EVENTS events in all have been received from the chosen
+   upstream; it need not be called for each one.  */
+void fleet_record_events (fleet_t *fleet, fleet_choice_t *choice,
+                          uint64_t events);
+/* Must be called once before fleet_release, with the same result and time,
+   after the last call of fleet_record_events.  */
+void fleet_finish_work (fleet_t *fleet, fleet_choice_t *choice,
+                        fleet_result_t result, int64_t elapsed_ms);
 /* 0 if it is unknown.  */
 double fleet_mean_response_ms (fleet_t *fleet, const char *service);
 /* Returns whether a known reason explains that the upstream ID has sent no
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -87,6 +87,13 @@
   double last_step_ms;
 } fleet_group_t;
 
+/* Requests whose work is counted, and what is left of it.  */
+typedef struct fleet_backlog
+{
+  uint64_t requests;
+  uint64_t work_us;
+} fleet_backlog_t;
+
 typedef struct fleet_upstream
 {
   table_node_t node;
@@ -114,6 +121,10 @@
   fleet_quota_t quota;           /* valid while quota_is_known */
   int64_t quota_rounding;        /* below QUOTA_UNITS_PER_REQUEST; random */
   fleet_preference_t preference; /* set and used within fleet_choose */
+  fleet_backlog_t backlog;       /* of this relay's requests */
+  /* Differs from that of an upstream with the same id that was removed, also
+     if that is the same run.  */
+  uint64_t instance;
   /* What the policy sees of the upstream.  Kept up to date; its strings belong
      to the upstream.  */
   pick_candidate_t candidate;
@@ -140,6 +151,10 @@
      numbers of requests into tokens: each request takes one slot.  0 if
      unknown.  */
   double tokens_per_slot;
+  bool has_engine; /* ENGINE is set */
+  engine_profile_t engine;
+  fleet_backlog_t backlog; /* sum over UPSTREAMS */
+  double mean_work_us;     /* moving average over new requests */
   /* Moving average of the time to a complete response.  */
   double mean_response_ms;
   const pick_ops_t *ops;
@@ -170,6 +185,8 @@
   uint64_t random_state; /* state of the random number generator */
   rate_share_t share;    /* of the system's limits */
   rate_limits_t *limits; /* of the upstreams; NULL if there are none */
+  work_model_t *work;
+  uint64_t last_instance; /* of fleet_upstream_t */
   /* Entries of fleet_upstream_t by id; its lock protects the whole fleet.  */
   table_t *table;
   table_t *by_address; /* the same entries; protected by TABLE's lock */
@@ -240,6 +257,18 @@
 bool quota_is_within_share (const fleet_t *fleet,
                             const fleet_upstream_t *upstream, bool is_late);
 
+/* The work of this relay's requests (fleet_work.c).  The table must be
+   locked.  */
+void service_set_engine (fleet_t *fleet, fleet_service_t *service,
+                         const service_rule_t *rule);
+/* Estimate the work of REQUEST, set it in *SIZED, and return it.  */
+work_estimate_t work_estimate_request (fleet_t *fleet,
+                                       fleet_service_t *service,
+                                       const fleet_request_t *request,
+                                       pick_request_t *sized);
+void work_add_request (fleet_upstream_t *upstream, fleet_work_t *work);
+void work_drop_upstream (fleet_upstream_t *upstream);
+
 /* What upstreams say of themselves in responses (fleet_notice.c).  */
 bool upstream_is_paused (const fleet_upstream_t *upstream,
                          struct timespec now);
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -18,6 +18,7 @@
      truncated.  */
   BUFFERED_BODY_MAX_BYTES = 64 * 1024,
   PENDING_HIGH_WATER_BYTES = 64 * 1024,
+  EVENTS_PER_WORK_RECORD = 4,
   /* Progress that is recorded first; then at each doubling.  */
   FIRST_RECORDED_PROGRESS = 8
 };
@@ -105,6 +106,18 @@
     feed_send_updates (relay->feed);
 }
 
+/* Count the work that is done.  The first event shows that the prompt has been
+   read; a few later ones make no difference.  */
+static void
+forward_record_work (const forward_t *forward)
+{
+  forward_attempt_t *attempt = forward->attempt;
+
+  if (attempt->event_count % EVENTS_PER_WORK_RECORD == 1)
+    fleet_record_events (forward->relay_worker->relay->fleet, &attempt->choice,
+                         attempt->event_count);
+}
+
 static void
 forward_send_data (forward_t *forward, const char *bytes, size_t size)
 {
@@ -123,6 +136,7 @@
 
   forward->attempt->event_count++;
   forward_record_progress (forward);
+  forward_record_work (forward);
   if (has_id && forward->has_last_event && id <= forward->last_event)
     return;
   attempt_timeout_reset (forward);
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -76,6 +76,7 @@
   fleet->clock = clock;
   fleet->seed = fleet->random_state = seed;
   fleet->share.relays = 1;
+  fleet->work = work_model_create (fleet);
   fleet->table = table_create (fleet, LOCK_UPSTREAMS, "fleet");
   fleet->by_address = table_create (fleet, LOCK_UPSTREAMS, "fleet-addresses");
   STAILQ_INIT (&fleet->services);
@@ -199,6 +200,7 @@
       service->cold_rate = rule->cold_rate;
       service->step_limit_ms
           = (double)timespec_to_us (rule->gap_limit) / US_PER_MS;
+      service_set_engine (fleet, service, rule);
       if (!rule->has_engine)
         continue;
       service->tokens_per_slot = rule->engine.typical_prompt_tokens
@@ -247,6 +249,7 @@
     STAILQ_REMOVE (&upstream->service->upstreams, upstream, fleet_upstream,
                    link);
   departed_add (fleet, upstream);
+  work_drop_upstream (upstream);
   fleet_upstream_set_group (upstream, NULL);
   table_remove (fleet->table, &upstream->node);
   table_remove (fleet->by_address, &upstream->address_node);
@@ -274,6 +277,7 @@
       = XXH3_64bits (upstream->id, strlen (upstream->id));
   upstream->candidate.zone = zone->name;
   upstream->service = service;
+  upstream->instance = ++fleet->last_instance;
   STAILQ_INSERT_TAIL (&service->upstreams, upstream, link);
   table_insert (fleet->table, &upstream->node, upstream->id,
                 strlen (upstream->id));
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -176,7 +176,9 @@
   struct timespec now = clock_monotonic (fleet->clock);
   fleet_service_t *service = fleet_find_service (fleet, request->service);
   fleet_shortage_t shortage;
+  pick_request_t sized = request->work;
   pick_choice_t pick_choice = { 0 };
+  work_estimate_t estimate;
   fleet_upstream_t *upstream;
   unsigned count;
 
@@ -185,8 +187,9 @@
   count = collect_candidates (fleet, service, request, now, &shortage);
   if (count == 0)
     return shortage;
-  service->ops->choose (service->pick, &request->work, fleet->candidates,
-                        count, now, &pick_choice);
+  estimate = work_estimate_request (fleet, service, request, &sized);
+  service->ops->choose (service->pick, &sized, fleet->candidates, count, now,
+                        &pick_choice);
   upstream = fleet->candidate_upstreams[pick_choice.index];
   *choice = (fleet_choice_t){
     .upstream = talloc_strdup (parent, upstream->id),
@@ -198,11 +201,14 @@
     .candidates = count,
     .running = upstream->candidate.outstanding_requests,
     .report_age_ms = upstream_report_age_ms (upstream, now),
+    .work.estimate = estimate,
+    .backlog_us = upstream->backlog.work_us,
   };
   cold_start_consume_token (upstream);
   if (fleet->limits != NULL)
     rate_limits_use_slot (fleet->limits, upstream->incarnation, &fleet->share);
   upstream_count_request (upstream, &request->work);
+  work_add_request (upstream, &choice->work);
   return FLEET_NO_SHORTAGE;
 }
 
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -194,6 +194,9 @@
                "upstream=%s group=%s pace=%.2f step=%llu", upstream->id,
                report->group, report->slowdown,
                (unsigned long long)report->step);
+  upstream->candidate.report.slowdown = report->slowdown;
+  upstream->candidate.report.used_cache_tokens = report->used_tokens;
+  upstream->candidate.report.total_cache_tokens = report->total_tokens;
   upstream->is_slow = report->slowdown > slow_rank_slowdown;
   upstream->reported_at = upstream->candidate.report.at;
 }
--- /dev/null
+++ b/relay/fleet_work.c
@@ -0,0 +1,185 @@
+#include "relay/fleet_state.h"
+
+#include "kernel/plugin.h"
+
+/* The work of this relay's requests at the upstreams: what each one is
+   expected to take, less what has been received of it.  It lets the choice
+   tell upstreams apart that have as many requests but of very different
+   length.  */
+
+enum
+{
+  /* The mean of new requests counts as this many in the mean work that is left
+     of outstanding ones, which may be few.  */
+  MEAN_WORK_REQUESTS = 4
+};
+
+/* Weight of a new request in the mean work.  */
+static const double mean_work_weight = 0.05;
+
+/* Use the policy NAME for SERVICE.  What the former one has learned is
+   lost.  */
+static void
+service_set_policy (const fleet_t *fleet, fleet_service_t *service,
+                    const char *name)
+{
+  const pick_ops_t *ops = plugin_ops (PLUGIN_PICK, name);
+
+  if (ops == NULL || ops == service->ops)
+    return;
+  service->ops->destroy (service->pick);
+  service->ops = ops;
+  service->pick = ops->create (service, fleet->seed);
+}
+
+/* Return whether the work of requests can be derived from ENGINE.  */
+static bool
+engine_has_costs (const engine_profile_t *engine)
+{
+  return engine->request_step_ms > 0 || engine->prompt_tokens_per_ms > 0;
+}
+
+/* Apply the engine profile in RULE, if any, to SERVICE.  */
+void
+service_set_engine (fleet_t *fleet, fleet_service_t *service,
+                    const service_rule_t *rule)
+{
+  service->has_engine = rule->has_engine && engine_has_costs (&rule->engine);
+  service->engine = rule->engine;
+  service_set_policy (fleet, service,
+                      service->has_engine ? "least-work" : "least-tokens");
+}
+
+/* Include a new request of WORK_US in the mean.  */
+static void
+service_record_work (fleet_service_t *service, double work_us)
+{
+  if (service->mean_work_us <= 0)
+    service->mean_work_us = work_us;
+  service->mean_work_us
+      += mean_work_weight * (work_us - service->mean_work_us);
+}
+
+/* Return the mean work that is left of an outstanding request of SERVICE.  */
+static double
+service_mean_work_left_us (const fleet_service_t *service)
+{
+  return ((double)service->backlog.work_us
+          + MEAN_WORK_REQUESTS * service->mean_work_us)
+         / (double)(service->backlog.requests + MEAN_WORK_REQUESTS);
+}
+
+/* Estimate the work of REQUEST to SERVICE, set it in *SIZED, and return it. */
+work_estimate_t
+work_estimate_request (fleet_t *fleet, fleet_service_t *service,
+                       const fleet_request_t *request, pick_request_t *sized)
+{
+  work_request_t work
+      = { .origin = work_origin (request->route->name, request->account),
+          .prompt_tokens = request->work.prompt_tokens,
+          .hinted_tokens = request->hinted_tokens,
+          .max_tokens = request->work.output_tokens,
+          .past_events = request->past_events,
+          .timeout_ms = timespec_to_ms (request->route->timeout) };
+  work_estimate_t estimate = work_model_estimate (
+      fleet->work, service->has_engine ? &service->engine : NULL, &work,
+      clock_monotonic (fleet->clock));
+
+  sized->work_us = work_left_us (&estimate, 0);
+  service_record_work (service, (double)sized->work_us);
+  sized->mean_work_us = (uint64_t)service_mean_work_left_us (service);
+  return estimate;
+}
+
+/* Change the work that is counted at UPSTREAM from FROM_US, a part of it, to
+   TO_US.  */
+static void
+upstream_change_work (fleet_upstream_t *upstream, uint64_t from_us,
+                      uint64_t to_us)
+{
+  upstream->backlog.work_us += to_us - from_us;
+  upstream->service->backlog.work_us += to_us - from_us;
+  upstream->candidate.outstanding_work_us = upstream->backlog.work_us;
+}
+
+/* Count the request with WORK at UPSTREAM.  */
+void
+work_add_request (fleet_upstream_t *upstream, fleet_work_t *work)
+{
+  fleet_service_t *service = upstream->service;
+
+  work->instance = upstream->instance;
+  work->counted_us = work_left_us (&work->estimate, 0);
+  upstream->backlog.requests++;
+  service->backlog.requests++;
+  upstream_change_work (upstream, 0, work->counted_us);
+}
+
+/* Count nothing any more at UPSTREAM, which is removed.  */
+void
+work_drop_upstream (fleet_upstream_t *upstream)
+{
+  upstream->service->backlog.requests -= upstream->backlog.requests;
+  upstream_change_work (upstream, upstream->backlog.work_us, 0);
+  upstream->backlog.requests = 0;
+}
+
+/* Return the upstream of CHOICE, or NULL if it has been removed since the
+   choice.  */
+static fleet_upstream_t *
+find_chosen (const fleet_t *fleet, const fleet_choice_t *choice)
+{
+  fleet_upstream_t *upstream = fleet_find (fleet, choice->upstream);
+
+  return upstream != NULL && upstream->instance == choice->work.instance
+             ? upstream
+             : NULL;
+}
+
+/* Record that EVENTS events have been received from the upstream of CHOICE.
+   An event may be the end of the work of reading the prompt or a part of that
+   of writing; what is left may also rise, see work_left_us.  */
+void
+fleet_record_events (fleet_t *fleet, fleet_choice_t *choice, uint64_t events)
+{
+  fleet_work_t *work = &choice->work;
+  uint64_t left_us = work_left_us (&work->estimate, events);
+  fleet_upstream_t *upstream;
+
+  if (events == work->events)
+    return;
+  work->events = events;
+  table_lock (fleet->table);
+  upstream = find_chosen (fleet, choice);
+  if (upstream != NULL)
+    upstream_change_work (upstream, work->counted_us, left_us);
+  work->counted_us = left_us;
+  table_unlock (fleet->table);
+}
+
+/* The attempt of CHOICE has ended with RESULT, ELAPSED_MS milliseconds after
+   the request was sent: its work is no longer outstanding.  A complete
+   response shows how long responses are.  */
+void
+fleet_finish_work (fleet_t *fleet, fleet_choice_t *choice,
+                   fleet_result_t result, int64_t elapsed_ms)
+{
+  fleet_work_t *work = &choice->work;
+  work_response_t response
+      = { .events = work->events, .elapsed_ms = elapsed_ms };
+  fleet_upstream_t *upstream;
+
+  table_lock (fleet->table);
+  upstream = find_chosen (fleet, choice);
+  if (upstream != NULL)
+    {
+      upstream_change_work (upstream, work->counted_us, 0);
+      upstream->backlog.requests--;
+      upstream->service->backlog.requests--;
+    }
+  work->counted_us = 0;
+  if (result == FLEET_SERVED)
+    work_model_record (fleet->work, &work->estimate, &response,
+                       clock_monotonic (fleet->clock));
+  table_unlock (fleet->table);
+}
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -24,7 +24,8 @@
      third of the remaining time.  */
   RETRY_AFTER_DIVISOR = 4,
   RETRY_AFTER_MIN_MS = 50,
-  MAX_LOGGED_SEGMENTS = 16
+  MAX_LOGGED_SEGMENTS = 16,
+  US_PER_MS = 1000
 };
 
 COUNTER_DEFINE (requests_total, "siskin_relay_requests_total",
@@ -216,6 +217,19 @@
       attempt->error == NULL ? "" : attempt->error);
 }
 
+/* The work of ATTEMPT, which has ended with RESULT, is no longer outstanding.
+   Its last events may not have been recorded yet.  */
+static void
+forward_finish_work (const forward_t *forward, forward_attempt_t *attempt,
+                     fleet_result_t result)
+{
+  fleet_t *fleet = forward->relay_worker->relay->fleet;
+
+  fleet_record_events (fleet, &attempt->choice, attempt->event_count);
+  fleet_finish_work (fleet, &attempt->choice, result,
+                     ms_since (forward, attempt->sent_at));
+}
+
 /* Free the current attempt, which has ended, and record RESULT in the
    fleet.  */
 void
@@ -227,6 +241,7 @@
   forward->attempt = NULL;
   forward->is_paused = false;
   attempt_timeout_stop (forward);
+  forward_finish_work (forward, attempt, result);
   fleet_release (forward->relay_worker->relay->fleet, attempt->choice.upstream,
                  &forward->criteria.work, result,
                  ms_since (forward, attempt->sent_at));
@@ -394,6 +409,8 @@
 
   if (!forward_admit_prompt (forward))
     return;
+  if (forward->has_last_event && forward->last_event > 0)
+    forward->criteria.past_events = (uint64_t)forward->last_event;
   choice_ctx = talloc_new (forward);
   shortage
       = fleet_choose (relay->fleet, choice_ctx, &forward->criteria, &choice);
@@ -416,15 +433,20 @@
       LOG_LEVEL_INFO, "sent",
       "request=%s service=%s upstream=%s zone=%s reason=%s "
       "candidates=%u cold=%d running=%llu report_age_ms=%lld rules=%llu "
-      "send=%u after_ms=%lld left_ms=%lld",
+      "send=%u after_ms=%lld left_ms=%lld work_ms=%llu expected_events=%.1f "
+      "backlog_ms=%llu",
       forward->request->id, forward->criteria.service, choice.upstream,
       choice.zone, choice.reason, choice.candidates, choice.is_cold,
       (unsigned long long)choice.running, (long long)choice.report_age_ms,
       (unsigned long long)forward->rules->version, forward->sent_attempts + 1,
       (long long)ms_since (forward, forward->arrived_at),
-      (long long)timespec_to_ms (forward_remaining_time (forward)));
+      (long long)timespec_to_ms (forward_remaining_time (forward)),
+      (unsigned long long)(choice.work.counted_us / US_PER_MS),
+      choice.work.estimate.events,
+      (unsigned long long)(choice.backlog_us / US_PER_MS));
   if (attempt_start (forward, &choice, choice_ctx))
     return;
+  fleet_finish_work (relay->fleet, &choice, FLEET_CLIENT_LEFT, 0);
   fleet_release (relay->fleet, choice.upstream, &forward->criteria.work,
                  FLEET_CLIENT_LEFT, 0);
   talloc_free (choice_ctx);
@@ -554,6 +576,9 @@
     .output_tokens = request->output_tokens,
     .zone = daemon_config (relay_worker->relay->daemon)->zone,
   };
+  forward->criteria.hinted_tokens = request->hinted_tokens;
+  if (forward->account != NULL)
+    forward->criteria.account = forward->account->name;
   forward_set_deadline (forward);
   if (relay_stops_before (relay_worker->relay, forward->deadline))
     {
--- a/tests/test_least_work.c
+++ b/tests/test_least_work.c
@@ -97,16 +97,17 @@
   chosen->outstanding_work_us += fixture->request.work_us;
 }
 
-/* The odd candidates have no more requests than the others, but much work.  */
+/* The odd candidates have fewer requests than the others, but much work.  */
 static void
 test_work_counts_and_not_requests (void **state)
 {
   fixture_t *fixture = *state;
 
-  for (unsigned i = 1; i < CANDIDATES; i += 2)
+  for (unsigned i = 0; i < CANDIDATES; i++)
     {
-      fixture->candidates[i].outstanding_requests = 1;
-      fixture->candidates[i].outstanding_work_us = 20 * WORK_US;
+      fixture->candidates[i].outstanding_requests = i % 2 == 0 ? 3 : 1;
+      fixture->candidates[i].outstanding_work_us
+          = i % 2 == 0 ? WORK_US : 20 * WORK_US;
     }
   for (unsigned i = 0; i < CHOICES; i++)
     choose (fixture);
