Relay: limit a group by the work of its passes, not by the number of requests

The limit was that of the mean number of requests at the mean pass time, and only once that time exceeded 0.85 of the gap limit. So full slots of requests with long prompts made passes too long before anything was limited. Now each rank's part of a pass is predicted from its running requests, their context and the part of their prompts read in a pass, and a factor is fitted to the passes that are observed. Services without the costs of an engine keep the former limit. Reverting this commit alone brings it back for all.

--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -3,6 +3,7 @@
 
 #include "kernel/table.h"
 #include "relay/fleet.h"
+#include "relay/pass_model.h"
 
 #include <sys/queue.h>
 
@@ -73,6 +74,8 @@
   bool is_open;              /* it takes steps */
   unsigned known_ranks;      /* upstreams whose group it is */
   uint64_t running_requests; /* sum over them, as last reported */
+  uint64_t cache_tokens;     /* in use in their KV caches, likewise */
+  pass_model_t passes;
   uint64_t step;
   struct timespec last_step_at; /* when the last step was observed */
   struct timespec last_report_at;
@@ -246,6 +249,11 @@
 void fleet_upstream_set_group (fleet_upstream_t *upstream,
                                fleet_group_t *group);
 
+/* The limit of a group in work (fleet_limit.c).  */
+void group_record_pass (const fleet_service_t *service, fleet_group_t *group,
+                        double pass_ms);
+double work_request_limit (const fleet_upstream_t *upstream, double limit_ms);
+
 /* This relay's share of the free capacity of a service (fleet_quota.c).  */
 void quota_set (fleet_t *fleet, fleet_upstream_t *upstream, double capacity,
                 double late_capacity);
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -81,6 +81,7 @@
 fleet_upstream_set_group (fleet_upstream_t *upstream, fleet_group_t *group)
 {
   uint64_t running = upstream->candidate.report.outstanding_requests;
+  uint64_t tokens = upstream->candidate.report.used_cache_tokens;
 
   if (upstream->group == group)
     return;
@@ -88,11 +89,13 @@
     {
       upstream->group->known_ranks--;
       upstream->group->running_requests -= running;
+      upstream->group->cache_tokens -= tokens;
     }
   if (group != NULL)
     {
       group->known_ranks++;
       group->running_requests += running;
+      group->cache_tokens += tokens;
     }
   upstream->group = group;
 }
@@ -100,7 +103,8 @@
 /* Update the mean step time: the group has taken COUNT steps since
    LAST_STEP_AT.  */
 static void
-group_record_steps (fleet_group_t *group, uint64_t count, struct timespec now)
+group_record_steps (const fleet_service_t *service, fleet_group_t *group,
+                    uint64_t count, struct timespec now)
 {
   double elapsed_ms
       = (double)timespec_to_us (timespec_subtract (now, group->last_step_at))
@@ -109,18 +113,20 @@
   group->last_step_ms = elapsed_ms / (double)count;
   if (elapsed_ms > GROUP_STALL_MS)
     return; /* the group may have been idle */
+  group_record_pass (service, group, group->last_step_ms);
   if (group->mean_step_ms <= 0)
     group->mean_step_ms = elapsed_ms / (double)count;
   group->mean_step_ms
       += step_weight * (elapsed_ms / (double)count - group->mean_step_ms);
 }
 
-/* Update GROUP from the REPORT of one of its ranks.  Returns whether the group
-   has started or stopped taking steps.  */
+/* Update the group of UPSTREAM from the REPORT of that rank.  Returns whether
+   the group has started or stopped taking steps.  */
 static bool
-group_update (fleet_t *fleet, fleet_group_t *group,
+group_update (fleet_t *fleet, const fleet_upstream_t *upstream,
               const fleet_report_t *report)
 {
+  fleet_group_t *group = upstream->group;
   struct timespec now = clock_monotonic (fleet->clock);
   bool was_open = group->is_open;
   bool was_stalled = group->is_stalled;
@@ -129,7 +135,8 @@
     return false;
   if (report->epoch == group->epoch && report->step > group->step
       && report->running > 0)
-    group_record_steps (group, report->step - group->step, now);
+    group_record_steps (upstream->service, group, report->step - group->step,
+                        now);
   if (report->epoch > group->epoch || report->step > group->step
       || !group->is_open || report->running + report->waiting == 0)
     group->last_step_at = now;
@@ -195,6 +202,9 @@
                report->group, report->slowdown,
                (unsigned long long)report->step);
   upstream->candidate.report.slowdown = report->slowdown;
+  if (upstream->group != NULL)
+    upstream->group->cache_tokens
+        += report->used_tokens - upstream->candidate.report.used_cache_tokens;
   upstream->candidate.report.used_cache_tokens = report->used_tokens;
   upstream->candidate.report.total_cache_tokens = report->total_tokens;
   upstream->is_slow = report->slowdown > slow_rank_slowdown;
@@ -202,9 +212,9 @@
 }
 
 /* Return how many requests UPSTREAM may have at once so that the steps of its
-   group stay within the service's step time limit.  The step time beyond that
-   of an idle group is assumed to be proportional to the number of
-   requests.  */
+   group stay within the service's step time limit.  Without the costs of the
+   engine, the step time beyond that of an idle group is assumed to be
+   proportional to the number of requests.  */
 static double
 request_limit (const fleet_t *fleet, const fleet_upstream_t *upstream)
 {
@@ -214,9 +224,12 @@
   double mean_running;
 
   if (group == NULL || limit_ms <= service->idle_step_ms
-      || group->mean_step_ms <= limit_ms
       || !is_recent (fleet, group->last_report_at))
     return upstream->slots;
+  if (service->has_engine)
+    return work_request_limit (upstream, limit_ms);
+  if (group->mean_step_ms <= limit_ms)
+    return upstream->slots;
   mean_running = group_mean_running (group);
   return mean_running * (limit_ms - service->idle_step_ms)
          / (group->mean_step_ms - service->idle_step_ms);
@@ -256,7 +269,7 @@
         fleet_upstream_set_group (
             upstream, fleet_find_or_add_group (fleet, report->group));
       if (upstream->group != NULL)
-        is_state_changed = group_update (fleet, upstream->group, report);
+        is_state_changed = group_update (fleet, upstream, report);
       work_set_read_stretch (upstream);
       upstream_set_quota (fleet, upstream, report);
     }
--- a/tests/test_fleet_work.c
+++ b/tests/test_fleet_work.c
@@ -389,6 +389,71 @@
     assert_string_equal (send (fixture, HINT).upstream, "u2");
 }
 
+/* Return how many requests are sent to a group that has taken PASSES passes of
+   PASS_MS each, with four requests of CONTEXT tokens at each rank, until it is
+   full.  */
+static unsigned
+count_until_full (fixture_t *fixture, uint64_t context, unsigned passes,
+                  int64_t pass_ms)
+{
+  fleet_request_t request = { .service = "model",
+                              .route = fixture->route,
+                              .hinted_tokens = HINT,
+                              .work = { .zone = "a", .prompt_tokens = 600 } };
+  fleet_choice_t choice;
+  unsigned count = 0;
+
+  for (unsigned step = 1; step <= passes; step++)
+    {
+      clock_advance (fixture->clock, timespec_from_ms (pass_ms));
+      for (unsigned i = 0; i < UPSTREAMS; i++)
+        report_of_group (fixture, i, "g", step, 4, 4 * context, 1);
+    }
+  while (count < 100
+         && fleet_choose (fixture->fleet, fixture, &request, &choice)
+                == FLEET_NO_SHORTAGE)
+    count++;
+  return count;
+}
+
+static void
+limit_gaps (fixture_t *fixture)
+{
+  fixture->service->gap_limit = timespec_from_ms (120);
+  fixture->service->engine.request_step_ms = 0.8;
+  fixture->service->engine.context_step_ms = 0.25;
+  fleet_configure (fixture->fleet, fixture->rules);
+}
+
+/* A group of short requests takes as many as it has slots, with one queued at
+   each rank.  */
+static void
+test_group_of_short_requests_is_filled (void **state)
+{
+  limit_gaps (*state);
+  assert_in_range (count_until_full (*state, 300, 3, 45),
+                   UPSTREAMS * (SLOTS - 4), UPSTREAMS * (SLOTS - 2));
+}
+
+/* The limit was that of the number of requests, and full slots of long ones
+   made all streams late.  */
+static void
+test_group_of_long_requests_takes_fewer (void **state)
+{
+  limit_gaps (*state);
+  assert_in_range (count_until_full (*state, 9000, 3, 90), 1,
+                   2 * UPSTREAMS + 2);
+}
+
+/* Passes take longer than the profile of the engine says.  */
+static void
+test_observed_passes_lower_the_limit (void **state)
+{
+  limit_gaps (*state);
+  assert_in_range (count_until_full (*state, 300, 20, 85), 1,
+                   3 * UPSTREAMS + 2);
+}
+
 #define WORK_TEST(test)                                                       \
   cmocka_unit_test_setup_teardown (test, set_up, tear_down)
 
@@ -406,6 +471,9 @@
     WORK_TEST (test_lying_crowd),
     WORK_TEST (test_incomplete_responses_are_not_learned),
     WORK_TEST (test_full_cache_is_avoided),
+    WORK_TEST (test_group_of_short_requests_is_filled),
+    WORK_TEST (test_group_of_long_requests_takes_fewer),
+    WORK_TEST (test_observed_passes_lower_the_limit),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
