--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -3,6 +3,7 @@
 
 #include "kernel/table.h"
 #include "relay/fleet.h"
+#include "relay/pass_model.h"
 
 #include <sys/queue.h>
 
@@ -94,6 +95,8 @@
   bool is_open;              /* it takes steps */
   unsigned known_ranks;      /* upstreams whose group it is */
   uint64_t running_requests; /* sum over them, as last reported */
+  uint64_t cache_tokens;     /* in use in their KV caches, likewise */
+  pass_model_t passes;
   uint64_t step;
   struct timespec last_step_at; /* when the last step was observed */
   struct timespec last_report_at;
@@ -108,6 +111,14 @@
   double last_step_ms;
 } fleet_group_t;
 
+/* Requests whose work is counted, and what is left of it.  */
+typedef struct fleet_backlog
+{
+  uint64_t requests;
+  uint64_t work_us;
+  uint64_t read_us; /* part of it until their prompts are read */
+} fleet_backlog_t;
+
 typedef struct fleet_upstream
 {
   table_node_t node;
@@ -135,6 +146,10 @@
   fleet_quota_t quota;           /* valid while quota_is_known */
   int64_t quota_rounding;        /* below QUOTA_UNITS_PER_REQUEST; random */
   fleet_preference_t preference; /* set and used within fleet_choose */
+  fleet_backlog_t backlog;       /* of this relay's requests */
+  /* Differs from that of an upstream with the same id that was removed, also
+     if that is the same run.  */
+  uint64_t instance;
   /* What the policy sees of the upstream.  Kept up to date; its strings belong
      to the upstream.  */
   pick_candidate_t candidate;
@@ -161,6 +176,11 @@
      numbers of requests into tokens: each request takes one slot.  0 if
      unknown.  */
   double tokens_per_slot;
+  bool has_engine; /* ENGINE is set */
+  engine_profile_t engine;
+  fleet_backlog_t backlog; /* sum over UPSTREAMS */
+  double mean_work_us;     /* moving averages over new requests */
+  double mean_events;
   /* Moving average of the time to a complete response.  */
   double mean_response_ms;
   const pick_ops_t *ops;
@@ -192,6 +212,8 @@
   uint64_t random_state; /* state of the random number generator */
   rate_share_t share;    /* of the system's limits */
   rate_limits_t *limits; /* of the upstreams; NULL if there are none */
+  work_model_t *work;
+  uint64_t last_instance; /* of fleet_upstream_t */
   /* Entries of fleet_upstream_t by id; its lock protects the whole fleet.  */
   table_t *table;
   table_t *by_address; /* the same entries; protected by TABLE's lock */
@@ -249,6 +271,11 @@
 void fleet_upstream_set_group (fleet_upstream_t *upstream,
                                fleet_group_t *group);
 
+/* The limit of a group in work (fleet_limit.c).  */
+void group_record_pass (const fleet_service_t *service, fleet_group_t *group,
+                        double pass_ms);
+double work_request_limit (const fleet_upstream_t *upstream, double limit_ms);
+
 /* This relay's share of the free capacity of a service (fleet_quota.c).  */
 void quota_set (fleet_t *fleet, fleet_upstream_t *upstream, double limit,
                 double current);
@@ -270,6 +297,19 @@
                                const fleet_request_t *request,
                                struct timespec now);
 
+/* The work of this relay's requests (fleet_work.c).  The table must be
+   locked.  */
+void service_set_engine (fleet_t *fleet, fleet_service_t *service,
+                         const service_rule_t *rule);
+/* Estimate the work of REQUEST, set it in *SIZED, and return it.  */
+work_estimate_t work_estimate_request (fleet_t *fleet,
+                                       fleet_service_t *service,
+                                       const fleet_request_t *request,
+                                       pick_request_t *sized);
+void work_set_read_stretch (fleet_upstream_t *upstream);
+void work_add_request (fleet_upstream_t *upstream, fleet_work_t *work);
+void work_drop_upstream (fleet_upstream_t *upstream);
+
 /* What upstreams say of themselves in responses (fleet_notice.c).  */
 bool upstream_is_paused (const fleet_upstream_t *upstream,
                          struct timespec now);
