Relay: histogram of actual over expected output, gauge of the busiest backlog

siskin_relay_output_ratio by service, siskin_relay_busiest_backlog_percent. Histograms can hold ratios and carry a label now; they can be registered while the process runs, so the registry has a lock.

--- a/include/kernel/histogram.h
+++ b/include/kernel/histogram.h
@@ -11,19 +11,30 @@
   HISTOGRAM_BUCKET_COUNT = 14 /* the last one has no upper bound */
 };
 
-/* A histogram metric of durations.  Updates are atomic and take no lock.  */
+/* A histogram metric of durations or ratios.  Values are recorded in
+   thousandths of the unit in which they are exported: durations in ms, ratios
+   in thousandths.  Updates are atomic and take no lock.  */
 typedef struct histogram
 {
   SLIST_ENTRY (histogram) link;
   const char *name;
+  const char *labels; /* text between the braces, or NULL for none */
   const char *help;
-  /* Number of durations in each bucket; cumulative only when rendered.  */
+  /* Inclusive upper bounds of all buckets but the last; NULL for those of
+     durations.  */
+  const int64_t *bounds;
+  /* Number of values in each bucket; cumulative only when rendered.  */
   atomic_int_fast64_t buckets[HISTOGRAM_BUCKET_COUNT];
-  atomic_int_fast64_t sum_ms;
+  atomic_int_fast64_t sum;
 } histogram_t;
 
 void histogram_register (histogram_t *histogram);
-void histogram_record (histogram_t *histogram, int64_t duration_ms);
+/* Create a histogram of ratios and register it until it is freed.  */
+histogram_t *histogram_create_ratio (TALLOC_CTX *parent, const char *name,
+                                     const char *label, const char *value,
+                                     const char *help);
+void histogram_record (histogram_t *histogram, int64_t value);
+void histogram_record_ratio (histogram_t *histogram, double ratio);
 char *histogram_render_all (TALLOC_CTX *parent);
 
 /* Define a histogram that registers itself before main starts.  METRIC must
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -1,6 +1,7 @@
 #ifndef SISKIN_RELAY_FLEET_STATE_H
 #define SISKIN_RELAY_FLEET_STATE_H
 
+#include "kernel/histogram.h"
 #include "kernel/table.h"
 #include "relay/fleet.h"
 #include "relay/pass_model.h"
@@ -160,6 +161,7 @@
   fleet_backlog_t backlog; /* sum over UPSTREAMS */
   double mean_work_us;     /* moving averages over new requests */
   double mean_events;
+  histogram_t *output_ratio; /* NULL without an engine */
   /* Moving average of the time to a complete response.  */
   double mean_response_ms;
   const pick_ops_t *ops;
@@ -191,7 +193,8 @@
   rate_share_t share;    /* of the system's limits */
   rate_limits_t *limits; /* of the upstreams; NULL if there are none */
   work_model_t *work;
-  uint64_t last_instance; /* of fleet_upstream_t */
+  uint64_t last_instance;          /* of fleet_upstream_t */
+  struct timespec spread_shown_at; /* see work_show_spread */
   /* Entries of fleet_upstream_t by id; its lock protects the whole fleet.  */
   table_t *table;
   table_t *by_address; /* the same entries; protected by TABLE's lock */
@@ -277,6 +280,7 @@
                                        const fleet_request_t *request,
                                        pick_request_t *sized);
 void work_set_read_stretch (fleet_upstream_t *upstream);
+void work_show_spread (fleet_t *fleet, struct timespec now);
 void work_add_request (fleet_upstream_t *upstream, fleet_work_t *work);
 void work_drop_upstream (fleet_upstream_t *upstream);
 
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -209,6 +209,7 @@
     rate_limits_use_slot (fleet->limits, upstream->incarnation, &fleet->share);
   upstream_count_request (upstream, &request->work);
   work_add_request (upstream, &choice->work);
+  work_show_spread (fleet, now);
   return FLEET_NO_SHORTAGE;
 }
 
--- a/relay/fleet_work.c
+++ b/relay/fleet_work.c
@@ -1,5 +1,6 @@
 #include "relay/fleet_state.h"
 
+#include "kernel/counter.h"
 #include "kernel/plugin.h"
 
 #include <math.h>
@@ -13,12 +14,18 @@
 {
   /* The mean of new requests counts as this many in the mean work that is left
      of outstanding ones, which may be few.  */
-  MEAN_WORK_REQUESTS = 4
+  MEAN_WORK_REQUESTS = 4,
+  SPREAD_INTERVAL_MS = 1000, /* between two settings of the gauge */
+  PERCENT = 100
 };
 
 /* Weight of a new request in the means of a service.  */
 static const double mean_work_weight = 0.05;
 
+GAUGE_DEFINE (busiest_backlog, "siskin_relay_busiest_backlog_percent",
+              "Most work left at an upstream, relative to the mean of its "
+              "service; the highest of all services");
+
 /* Use the policy NAME for SERVICE.  What the former one has learned is
    lost.  */
 static void
@@ -48,6 +55,10 @@
 {
   service->has_engine = rule->has_engine && engine_has_costs (&rule->engine);
   service->engine = rule->engine;
+  if (service->has_engine && service->output_ratio == NULL)
+    service->output_ratio = histogram_create_ratio (
+        service, "siskin_relay_output_ratio", "service", service->name,
+        "Actual over expected length of a streamed answer");
   service_set_policy (fleet, service,
                       service->has_engine ? "least-work" : "least-tokens");
 }
@@ -160,6 +171,64 @@
         = fmax (upstream->group->mean_step_ms / chunk_ms, 1);
 }
 
+/* Return the work left at UPSTREAM of this relay's requests and, by its last
+   report, of others.  */
+static double
+upstream_work_left_us (const fleet_upstream_t *upstream)
+{
+  const pick_candidate_t *candidate = &upstream->candidate;
+  double others = (double)(candidate->report.outstanding_requests
+                           + candidate->report.queued_requests)
+                  - (double)candidate->requests_at_report;
+
+  return (double)upstream->backlog.work_us
+         + fmax (others, 0) * service_mean_work_left_us (upstream->service);
+}
+
+/* Return the most work that is left at an upstream of SERVICE, relative to the
+   mean, or 0 if there is none.  Upstreams that get no requests don't
+   count.  */
+static double
+service_spread (const fleet_service_t *service)
+{
+  const fleet_upstream_t *upstream;
+  double most_us = 0;
+  double total_us = 0;
+  unsigned count = 0;
+
+  STAILQ_FOREACH (upstream, &service->upstreams, link)
+    {
+      double work_us = upstream_work_left_us (upstream);
+
+      if (upstream->is_draining || upstream->is_replaced
+          || upstream->zone->is_out)
+        continue;
+      most_us = fmax (most_us, work_us);
+      total_us += work_us;
+      count++;
+    }
+  return total_us > 0 ? most_us * count / total_us : 0;
+}
+
+/* Set the gauge of the spread of work, at intervals.  */
+void
+work_show_spread (fleet_t *fleet, struct timespec now)
+{
+  const fleet_service_t *service;
+  double spread = 0;
+
+  if (timespec_to_ms (timespec_subtract (now, fleet->spread_shown_at))
+      < SPREAD_INTERVAL_MS)
+    return;
+  fleet->spread_shown_at = now;
+  STAILQ_FOREACH (service, &fleet->services, link)
+    {
+      if (service->has_engine)
+        spread = fmax (spread, service_spread (service));
+    }
+  counter_set (&busiest_backlog, llround (spread * PERCENT));
+}
+
 /* Count the request with WORK at UPSTREAM.  */
 void
 work_add_request (fleet_upstream_t *upstream, fleet_work_t *work)
@@ -224,6 +293,7 @@
                    fleet_result_t result, int64_t elapsed_ms)
 {
   fleet_work_t *work = &choice->work;
+  work_estimate_t *estimate = &work->estimate;
   work_response_t response
       = { .events = work->events, .elapsed_ms = elapsed_ms };
   fleet_upstream_t *upstream;
@@ -233,7 +303,11 @@
   if (upstream != NULL)
     upstream_subtract_work (upstream, work);
   if (result == FLEET_SERVED)
-    work_model_record (fleet->work, &work->estimate, &response,
+    work_model_record (fleet->work, estimate, &response,
                        clock_monotonic (fleet->clock));
+  if (result == FLEET_SERVED && upstream != NULL && work->events > 0
+      && upstream->service->output_ratio != NULL)
+    histogram_record_ratio (upstream->service->output_ratio,
+                            (double)work->events / estimate->events);
   table_unlock (fleet->table);
 }
--- a/tests/test_fleet_work.c
+++ b/tests/test_fleet_work.c
@@ -2,6 +2,8 @@
    run of the upstream that has it, for as long as it has it, and steer the
    next requests.  */
 
+#include "kernel/counter.h"
+#include "kernel/histogram.h"
 #include "relay/fleet.h"
 
 #include <setjmp.h>
@@ -454,6 +456,30 @@
                    3 * UPSTREAMS + 2);
 }
 
+/* Operators see how well output is expected and how uneven the work is.  */
+static void
+test_metrics (void **state)
+{
+  fixture_t *fixture = *state;
+  fleet_choice_t choice = send (fixture, HINT);
+  char *text;
+
+  end (fixture, &choice, 3 * EVENTS, FLEET_SERVED);
+  choice = send (fixture, HINT);
+  end (fixture, &choice, 1, FLEET_INTERRUPTED);
+  text = histogram_render_all (fixture);
+  assert_non_null (
+      strstr (text, "siskin_relay_output_ratio_sum{service=\"model\"} 3\n"));
+  assert_non_null (
+      strstr (text, "siskin_relay_output_ratio_count{service=\"model\"} 1\n"));
+  send (fixture, HINT);
+  clock_advance (fixture->clock, timespec_from_ms (1000));
+  send (fixture, HINT);
+  /* Two of four upstreams have one request each.  */
+  assert_non_null (strstr (counter_render_all (fixture),
+                           "siskin_relay_busiest_backlog_percent 200\n"));
+}
+
 #define WORK_TEST(test)                                                       \
   cmocka_unit_test_setup_teardown (test, set_up, tear_down)
 
@@ -471,6 +497,7 @@
     WORK_TEST (test_lying_crowd),
     WORK_TEST (test_incomplete_responses_are_not_learned),
     WORK_TEST (test_full_cache_is_avoided),
+    WORK_TEST (test_metrics),
     WORK_TEST (test_group_of_short_requests_is_filled),
     WORK_TEST (test_group_of_long_requests_takes_fewer),
     WORK_TEST (test_observed_passes_lower_the_limit),
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -185,6 +185,43 @@
   talloc_free (text);
 }
 
+/* Histograms of several services are one family, which has its header once,
+   and a service whose name has quotes does not break the format.  A histogram
+   that is freed is not read any more.  */
+static void
+test_ratios_are_labelled (void **state)
+{
+  histogram_t *first = histogram_create_ratio (NULL, "test_ratio", "service",
+                                               "a\"b", "A test");
+  histogram_t *second
+      = histogram_create_ratio (NULL, "test_ratio", "service", "c", "A test");
+  const char *header = "# TYPE test_ratio histogram\n";
+  char *text;
+
+  (void)state;
+  histogram_record_ratio (first, 1);
+  histogram_record_ratio (first, 1.5);
+  histogram_record_ratio (second, 1e300);
+  text = histogram_render_all (NULL);
+  assert_non_null (strstr (text, header));
+  assert_null (strstr (strstr (text, header) + 1, header));
+  assert_non_null (
+      strstr (text, "test_ratio_bucket{service=\"a_b\",le=\"1\"} 1\n"));
+  assert_non_null (
+      strstr (text, "test_ratio_bucket{service=\"a_b\",le=\"1.5\"} 2\n"));
+  assert_non_null (
+      strstr (text, "test_ratio_bucket{service=\"c\",le=\"+Inf\"} 1\n"));
+  assert_non_null (strstr (text, "test_ratio_sum{service=\"a_b\"} 2.5\n"));
+  assert_non_null (strstr (text, "test_ratio_count{service=\"c\"} 1\n"));
+  talloc_free (text);
+  talloc_free (first);
+  text = histogram_render_all (NULL);
+  assert_null (strstr (text, "a_b"));
+  assert_non_null (strstr (text, "test_ratio_count{service=\"c\"} 1\n"));
+  talloc_free (text);
+  talloc_free (second);
+}
+
 int
 main (void)
 {
@@ -193,6 +230,7 @@
     cmocka_unit_test (test_info_lines_do_not_displace_failures),
     cmocka_unit_test (test_line_has_time_level_and_event),
     cmocka_unit_test (test_histogram_bounds_are_inclusive),
+    cmocka_unit_test (test_ratios_are_labelled),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
