Relay: take the mean length of responses from responses, not from estimates

The averages of the work model were already kept apart by account; this mean is of the whole service.

--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -158,9 +158,9 @@
   double tokens_per_slot;
   bool has_engine; /* ENGINE is set */
   engine_profile_t engine;
-  fleet_backlog_t backlog; /* sum over UPSTREAMS */
-  double mean_work_us;     /* moving averages over new requests */
-  double mean_events;
+  fleet_backlog_t backlog;   /* sum over UPSTREAMS */
+  double mean_work_us;       /* moving average over new requests */
+  double mean_events;        /* likewise, over responses */
   histogram_t *output_ratio; /* NULL without an engine */
   /* Moving average of the time to a complete response.  */
   double mean_response_ms;
@@ -279,6 +279,7 @@
                                        fleet_service_t *service,
                                        const fleet_request_t *request,
                                        pick_request_t *sized);
+double service_mean_events (const fleet_service_t *service);
 void work_set_read_stretch (fleet_upstream_t *upstream);
 void work_show_spread (fleet_t *fleet, struct timespec now);
 void work_add_request (fleet_upstream_t *upstream, fleet_work_t *work);
--- a/relay/fleet_limit.c
+++ b/relay/fleet_limit.c
@@ -9,14 +9,8 @@
 static pass_costs_t
 service_pass_costs (const fleet_service_t *service)
 {
-  const engine_profile_t *engine = &service->engine;
-  pass_costs_t costs
-      = { .engine = engine, .mean_events = service->mean_events };
-
-  if (costs.mean_events <= 0)
-    costs.mean_events = engine->typical_response_tokens
-                        / fmax (engine->token_steps_per_pass, 1);
-  return costs;
+  return (pass_costs_t){ .engine = &service->engine,
+                         .mean_events = service_mean_events (service) };
 }
 
 /* Return the load of the mean rank of GROUP.  */
--- a/relay/fleet_work.c
+++ b/relay/fleet_work.c
@@ -19,7 +19,7 @@
   PERCENT = 100
 };
 
-/* Weight of a new request in the means of a service.  */
+/* Weight of a new request or response in the means of a service.  */
 static const double mean_work_weight = 0.05;
 
 GAUGE_DEFINE (busiest_backlog, "siskin_relay_busiest_backlog_percent",
@@ -63,7 +63,7 @@
                       service->has_engine ? "least-work" : "least-tokens");
 }
 
-/* Include a new request of VALUE in *MEAN, which is 0 before the first.  */
+/* Include VALUE in *MEAN, which is 0 before the first.  */
 static void
 mean_add (double *mean, double value)
 {
@@ -72,6 +72,19 @@
   *mean += mean_work_weight * (value - *mean);
 }
 
+/* Return the mean number of events of a response of SERVICE.  It is that of
+   responses and not of estimates, which clients may inflate.  */
+double
+service_mean_events (const fleet_service_t *service)
+{
+  const engine_profile_t *engine = &service->engine;
+
+  if (service->mean_events > 0)
+    return service->mean_events;
+  return engine->typical_response_tokens
+         / fmax (engine->token_steps_per_pass, 1);
+}
+
 /* Return the mean work that is left of an outstanding request of SERVICE.  */
 static double
 service_mean_work_left_us (const fleet_service_t *service)
@@ -99,10 +112,9 @@
 
   sized->work_us = work_left_us (&estimate, 0);
   mean_add (&service->mean_work_us, (double)sized->work_us);
-  mean_add (&service->mean_events, estimate.events);
   sized->read_us = estimate.read_us;
   sized->mean_work_us = (uint64_t)service_mean_work_left_us (service);
-  sized->mean_passes = service->mean_events;
+  sized->mean_passes = service_mean_events (service);
   sized->entries = fleet->share.relays;
   return estimate;
 }
@@ -285,6 +297,17 @@
   table_unlock (fleet->table);
 }
 
+/* Record the length of a complete response of SERVICE.  */
+static void
+service_record_output (fleet_service_t *service, const fleet_work_t *work)
+{
+  if (!work->estimate.is_partial)
+    mean_add (&service->mean_events, (double)work->events);
+  if (service->output_ratio != NULL)
+    histogram_record_ratio (service->output_ratio,
+                            (double)work->events / work->estimate.events);
+}
+
 /* The attempt of CHOICE has ended with RESULT, ELAPSED_MS milliseconds after
    the request was sent: its work is no longer outstanding.  A complete
    response shows how long responses are.  */
@@ -293,7 +316,6 @@
                    fleet_result_t result, int64_t elapsed_ms)
 {
   fleet_work_t *work = &choice->work;
-  work_estimate_t *estimate = &work->estimate;
   work_response_t response
       = { .events = work->events, .elapsed_ms = elapsed_ms };
   fleet_upstream_t *upstream;
@@ -303,11 +325,9 @@
   if (upstream != NULL)
     upstream_subtract_work (upstream, work);
   if (result == FLEET_SERVED)
-    work_model_record (fleet->work, estimate, &response,
+    work_model_record (fleet->work, &work->estimate, &response,
                        clock_monotonic (fleet->clock));
-  if (result == FLEET_SERVED && upstream != NULL && work->events > 0
-      && upstream->service->output_ratio != NULL)
-    histogram_record_ratio (upstream->service->output_ratio,
-                            (double)work->events / estimate->events);
+  if (result == FLEET_SERVED && upstream != NULL && work->events > 0)
+    service_record_output (upstream->service, work);
   table_unlock (fleet->table);
 }
--- a/tests/test_fleet_work.c
+++ b/tests/test_fleet_work.c
@@ -427,6 +427,14 @@
   fleet_configure (fixture->fleet, fixture->rules);
 }
 
+/* Make reading prompts the main cost of long requests.  */
+static void
+reduce_context_cost (fixture_t *fixture)
+{
+  fixture->service->engine.context_step_ms = 0.01;
+  fleet_configure (fixture->fleet, fixture->rules);
+}
+
 /* A group of short requests takes as many as it has slots, with one queued at
    each rank.  */
 static void
@@ -447,6 +455,22 @@
                    2 * UPSTREAMS + 2);
 }
 
+/* Inflated estimates made the part of a prompt in each pass, and with it that
+   of a long request, look small.  */
+static void
+test_lying_crowd_does_not_change_the_limit (void **state)
+{
+  limit_gaps (*state);
+  reduce_context_cost (*state);
+  for (unsigned i = 0; i < 400; i++)
+    {
+      fleet_choice_t liar = send_of_account (*state, "liar", UINT64_MAX);
+
+      end (*state, &liar, 0, FLEET_CLIENT_LEFT);
+    }
+  assert_in_range (count_until_full (*state, 20000, 3, 70), 1, 4 * UPSTREAMS);
+}
+
 /* Passes take longer than the profile of the engine says.  */
 static void
 test_observed_passes_lower_the_limit (void **state)
@@ -500,6 +524,7 @@
     WORK_TEST (test_metrics),
     WORK_TEST (test_group_of_short_requests_is_filled),
     WORK_TEST (test_group_of_long_requests_takes_fewer),
+    WORK_TEST (test_lying_crowd_does_not_change_the_limit),
     WORK_TEST (test_observed_passes_lower_the_limit),
   };
 
