--- a/tests/test_fleet_work.c
+++ b/tests/test_fleet_work.c
@@ -22,6 +22,8 @@
   SLOTS = 10,
   HINT = 100,  /* tokens; 20 events */
   EVENTS = 20, /* of a response that has the length of the hint */
+  LONG_HINT = 10 * HINT,
+  LONG_EVENTS = 10 * EVENTS,
   CACHE_TOKENS = 40000
 };
 
@@ -225,7 +227,7 @@
   /* Its prompt of 10 ms has been read.  */
   assert_in_range (before - after, 10000, 11000);
   for (unsigned i = 0; i < 4; i++)
-    end (fixture, &choices[i], i * EVENTS, results[i]);
+    end (fixture, &choices[i], (uint64_t)i * EVENTS, results[i]);
   assert_int_equal (backlog_us (fixture), 0);
 }
 
@@ -304,7 +306,7 @@
 
   leave_one_upstream (fixture);
   report (fixture, 0, 0, 1.2);
-  old = send (fixture, 10 * HINT);
+  old = send (fixture, LONG_HINT);
   put_upstream (fixture, 0, 2);
   assert_int_equal (backlog_us (fixture), 0);
   current = send (fixture, HINT);
@@ -349,13 +351,13 @@
   for (unsigned i = 0; i < 400; i++)
     {
       liar = send_of_account (fixture, "liar", hints[i % 4]);
-      end (fixture, &liar, 10 * EVENTS, FLEET_SERVED);
+      end (fixture, &liar, LONG_EVENTS, FLEET_SERVED);
     }
   assert_int_equal (send_of_account (fixture, "honest", HINT).work.counted_us,
                     honest_us);
   liar = send_of_account (fixture, "liar", 0);
-  assert_in_range ((uint64_t)liar.work.estimate.events, 9 * EVENTS,
-                   11 * EVENTS);
+  assert_in_range ((uint64_t)liar.work.estimate.events, LONG_EVENTS - EVENTS,
+                   LONG_EVENTS + EVENTS);
 }
 
 /* Responses that were cut off say nothing about the length of others.  */
@@ -488,7 +490,7 @@
   fleet_choice_t choice = send (fixture, HINT);
   char *text;
 
-  end (fixture, &choice, 3 * EVENTS, FLEET_SERVED);
+  end (fixture, &choice, (uint64_t)3 * EVENTS, FLEET_SERVED);
   choice = send (fixture, HINT);
   end (fixture, &choice, 1, FLEET_INTERRUPTED);
   text = histogram_render_all (fixture);
--- a/tests/test_least_work.c
+++ b/tests/test_least_work.c
@@ -180,7 +180,7 @@
         fixture->candidates[i].report.used_cache_tokens = CACHE_TOKENS - 500;
     }
   fixture->candidates[3].report.used_cache_tokens = 0;
-  fixture->candidates[3].outstanding_work_us = 90 * WORK_US;
+  fixture->candidates[3].outstanding_work_us = (uint64_t)90 * WORK_US;
   for (unsigned i = 0; i < CHOICES; i++)
     assert_int_equal (choose (fixture), 3);
   fixture->candidates[3].report.used_cache_tokens = CACHE_TOKENS;
--- a/tests/test_work_model.c
+++ b/tests/test_work_model.c
@@ -159,7 +159,7 @@
   respond (fixture, "short", HINT, 5, RESPONSES);
   respond (fixture, "long", HINT, 60, RESPONSES);
   assert_about (estimate (fixture, "short", HINT).events, 5, 2);
-  assert_about (estimate (fixture, "short", 2 * HINT).events, 10, 4);
+  assert_about (estimate (fixture, "short", (uint64_t)2 * HINT).events, 10, 4);
   assert_about (estimate (fixture, "long", HINT).events, 60, 4);
   assert_about (estimate (fixture, "long", 0).events, 60, 4);
 }
