--- a/tests/test_fleet_work.c
+++ b/tests/test_fleet_work.c
@@ -2,6 +2,8 @@
    run of the upstream that has it, for as long as it has it, and steer the
    next requests.  */
 
+#include "kernel/counter.h"
+#include "kernel/histogram.h"
 #include "relay/fleet.h"
 
 #include <setjmp.h>
@@ -20,6 +22,8 @@
   SLOTS = 10,
   HINT = 100,  /* tokens; 20 events */
   EVENTS = 20, /* of a response that has the length of the hint */
+  LONG_HINT = 10 * HINT,
+  LONG_EVENTS = 10 * EVENTS,
   CACHE_TOKENS = 40000
 };
 
@@ -223,7 +227,7 @@
   /* Its prompt of 10 ms has been read.  */
   assert_in_range (before - after, 10000, 11000);
   for (unsigned i = 0; i < 4; i++)
-    end (fixture, &choices[i], i * EVENTS, results[i]);
+    end (fixture, &choices[i], (uint64_t)i * EVENTS, results[i]);
   assert_int_equal (backlog_us (fixture), 0);
 }
 
@@ -302,7 +306,7 @@
 
   leave_one_upstream (fixture);
   report (fixture, 0, 0, 1.2);
-  old = send (fixture, 10 * HINT);
+  old = send (fixture, LONG_HINT);
   put_upstream (fixture, 0, 2);
   assert_int_equal (backlog_us (fixture), 0);
   current = send (fixture, HINT);
@@ -347,13 +351,13 @@
   for (unsigned i = 0; i < 400; i++)
     {
       liar = send_of_account (fixture, "liar", hints[i % 4]);
-      end (fixture, &liar, 10 * EVENTS, FLEET_SERVED);
+      end (fixture, &liar, LONG_EVENTS, FLEET_SERVED);
     }
   assert_int_equal (send_of_account (fixture, "honest", HINT).work.counted_us,
                     honest_us);
   liar = send_of_account (fixture, "liar", 0);
-  assert_in_range ((uint64_t)liar.work.estimate.events, 9 * EVENTS,
-                   11 * EVENTS);
+  assert_in_range ((uint64_t)liar.work.estimate.events, LONG_EVENTS - EVENTS,
+                   LONG_EVENTS + EVENTS);
 }
 
 /* Responses that were cut off say nothing about the length of others.  */
@@ -425,6 +429,14 @@
   fleet_configure (fixture->fleet, fixture->rules);
 }
 
+/* Make reading prompts the main cost of long requests.  */
+static void
+reduce_context_cost (fixture_t *fixture)
+{
+  fixture->service->engine.context_step_ms = 0.01;
+  fleet_configure (fixture->fleet, fixture->rules);
+}
+
 /* A group of short requests takes as many as it has slots, with one queued at
    each rank.  */
 static void
@@ -445,6 +457,22 @@
                    2 * UPSTREAMS + 2);
 }
 
+/* Inflated estimates made the part of a prompt in each pass, and with it that
+   of a long request, look small.  */
+static void
+test_lying_crowd_does_not_change_the_limit (void **state)
+{
+  limit_gaps (*state);
+  reduce_context_cost (*state);
+  for (unsigned i = 0; i < 400; i++)
+    {
+      fleet_choice_t liar = send_of_account (*state, "liar", UINT64_MAX);
+
+      end (*state, &liar, 0, FLEET_CLIENT_LEFT);
+    }
+  assert_in_range (count_until_full (*state, 20000, 3, 70), 1, 4 * UPSTREAMS);
+}
+
 /* Passes take longer than the profile of the engine says.  */
 static void
 test_observed_passes_lower_the_limit (void **state)
@@ -454,6 +482,30 @@
                    3 * UPSTREAMS + 2);
 }
 
+/* Operators see how well output is expected and how uneven the work is.  */
+static void
+test_metrics (void **state)
+{
+  fixture_t *fixture = *state;
+  fleet_choice_t choice = send (fixture, HINT);
+  char *text;
+
+  end (fixture, &choice, (uint64_t)3 * EVENTS, FLEET_SERVED);
+  choice = send (fixture, HINT);
+  end (fixture, &choice, 1, FLEET_INTERRUPTED);
+  text = histogram_render_all (fixture);
+  assert_non_null (
+      strstr (text, "siskin_relay_output_ratio_sum{service=\"model\"} 3\n"));
+  assert_non_null (
+      strstr (text, "siskin_relay_output_ratio_count{service=\"model\"} 1\n"));
+  send (fixture, HINT);
+  clock_advance (fixture->clock, timespec_from_ms (1000));
+  send (fixture, HINT);
+  /* Two of four upstreams have one request each.  */
+  assert_non_null (strstr (counter_render_all (fixture),
+                           "siskin_relay_busiest_backlog_percent 200\n"));
+}
+
 #define WORK_TEST(test)                                                       \
   cmocka_unit_test_setup_teardown (test, set_up, tear_down)
 
@@ -471,8 +523,10 @@
     WORK_TEST (test_lying_crowd),
     WORK_TEST (test_incomplete_responses_are_not_learned),
     WORK_TEST (test_full_cache_is_avoided),
+    WORK_TEST (test_metrics),
     WORK_TEST (test_group_of_short_requests_is_filled),
     WORK_TEST (test_group_of_long_requests_takes_fewer),
+    WORK_TEST (test_lying_crowd_does_not_change_the_limit),
     WORK_TEST (test_observed_passes_lower_the_limit),
   };
 
