Leader: decide when to count and to plan in a part of its own

What a leader queries, and when it plans and starts a switch, was mixed with its connections and log lines, so that no test could run it on a virtual clock. planning.c decides now, with the time as a parameter; leader_planning.c connects it to the members and the log. No change of behaviour: test_pilots and test_pilots_frozen pass as before.

--- a/include/pilot/leader_state.h
+++ b/include/pilot/leader_state.h
@@ -5,7 +5,7 @@
 #include "common/store_mirror.h"
 #include "pilot/leader.h"
 #include "pilot/members.h"
-#include "pilot/planner.h"
+#include "pilot/planning.h"
 #include "pilot/switcher.h"
 #include "pilot/work_time.h"
 
@@ -13,7 +13,7 @@
 
 enum
 {
-  LEADER_TICK_INTERVAL_MS = 50
+  LEADER_TICK_INTERVAL_MS = PLANNING_TICK_INTERVAL_MS
 };
 
 struct leader
@@ -48,20 +48,9 @@
   store_mirror_t *upstream_mirror; /* listings of the upstreams */
   store_mirror_t *rules_mirror;    /* the rules; NULL once they are known */
   char *service;                   /* service of this pilot's engine */
-  planner_t *planner;              /* NULL until the rules are known */
-  placement_map_t *planned;        /* map of the switch in progress */
+  planning_t *planning;            /* NULL until the rules are known */
   bool has_ignored_reply;          /* a reply that did not count was logged */
-  /* The query of the map in use, RANK_QUERY_HELD_EXPERTS.  */
-  bool is_querying;
-  unsigned pending_replies; /* ranks whose reply is outstanding */
-  struct timespec queried_at;
-  unsigned next_counted_rank; /* next one to be queried for its counts */
-  struct timespec counts_queried_at; /* start of the current round of ranks */
-  int64_t counts_round_ms;           /* duration of the round before */
-  struct timespec observed_at;       /* last update of the popularity */
-  bool is_replan_due;          /* a switch has ended since the last plan */
-  struct timespec planned_at;  /* last plan */
-  struct timespec switched_at; /* last switch */
+  struct timespec planned_at;      /* last plan */
   struct timespec wait_logged_at;
   struct timespec heartbeat_at; /* last heartbeat to the other pilots */
 };
@@ -70,8 +59,7 @@
 /* Operation of members_ops_t.  */
 void leader_on_reply (unsigned rank, rank_query_t query,
                       const rank_reply_t *reply, void *data);
-/* Collects counts and plans; to be called on each tick of a term.  */
-void leader_run_planner (leader_t *leader);
+void leader_start_planning (leader_t *leader, const engine_profile_t *engine);
 void leader_start_mirrors (leader_t *leader);
 void leader_stop_reading_rules (leader_t *leader);
 void leader_stop_mirrors (leader_t *leader);
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -7,7 +7,6 @@
 #include "kernel/log.h"
 #include "pilot/members.h"
 #include "pilot/pilot_server.h"
-#include "pilot/planner.h"
 #include "pilot/reporter.h"
 #include "pilot/switcher.h"
 
@@ -78,14 +77,11 @@
   switcher_stop (leader->switcher);
   members_destroy (leader->members);
   leader->members = NULL;
+  TALLOC_FREE (leader->planning);
   TALLOC_FREE (leader->switcher);
   TALLOC_FREE (leader->work);
   leader_stop_mirrors (leader);
-  TALLOC_FREE (leader->planner);
-  TALLOC_FREE (leader->planned);
-  leader->is_querying = leader->is_replan_due = false;
   leader->has_ignored_reply = false;
-  leader->next_counted_rank = 0;
   leader->ended_at = leader->not_held_at = pilot_now (leader->pilot);
   pilot_server_reset_leader_timeout (leader->pilot->server);
 }
@@ -144,10 +140,7 @@
                                              : "group-restarted",
                  "group=%s epoch=%llu %s", leader->group,
                  (unsigned long long)switcher_epoch (leader->switcher), cost);
-      if (leader->planner != NULL)
-        planner_forget_map (leader->planner);
       members_cancel_waiting (leader->members);
-      TALLOC_FREE (leader->planned);
       break;
     case SWITCHER_SWITCHED:
       counter_add (&switches_done, 1);
@@ -155,11 +148,6 @@
           LOG_LEVEL_NOTICE, "map-switched", "group=%s version=%llu ms=%lld %s",
           leader->group, (unsigned long long)version,
           (long long)leader_ms_since (leader, leader->planned_at), cost);
-      if (leader->planner != NULL && leader->planned != NULL)
-        planner_set_map (leader->planner, leader->planned, version);
-      leader->switched_at = pilot_now (leader->pilot);
-      leader->is_replan_due = true;
-      TALLOC_FREE (leader->planned);
       break;
     case SWITCHER_ABORTED:
       counter_add (&switches_aborted, 1);
@@ -167,12 +155,13 @@
                  "group=%s version=%llu reason=%s %s", leader->group,
                  (unsigned long long)version, reason, cost);
       members_cancel_waiting (leader->members);
-      TALLOC_FREE (leader->planned);
       break;
     case SWITCHER_DEPOSED:
       log_event (LOG_LEVEL_WARN, "deposed", "group=%s", leader->group);
       break;
     }
+  if (leader->planning != NULL)
+    planning_handle_event (leader->planning, event, pilot_now (leader->pilot));
   talloc_free (cost);
 }
 
@@ -198,8 +187,9 @@
   leader_t *leader = data;
 
   work_time_begin (leader->work, WORK_REPORTS);
-  if (leader->planner != NULL)
-    planner_set_slowdown (leader->planner, rank, report->slowdown);
+  if (leader->planning != NULL)
+    planning_handle_report (leader->planning, rank, report,
+                            pilot_now (leader->pilot));
   switcher_handle_report (leader->switcher, rank, report, after_ticket,
                           pilot_now (leader->pilot));
   work_time_end (leader->work);
@@ -383,8 +373,8 @@
       members_send_heartbeat (leader->members, leader->fence);
     }
   leader_log_wait (leader);
-  if (leader->planner != NULL && !leader->is_stopping)
-    leader_run_planner (leader);
+  if (leader->planning != NULL && !leader->is_stopping)
+    planning_tick (leader->planning, now);
 }
 
 /* Campaigns when no leader has been seen for the election delay.  Seizes
--- a/pilot/leader_store.c
+++ b/pilot/leader_store.c
@@ -28,10 +28,9 @@
     }
   service
       = rules_service (rules, daemon_config (leader->pilot->daemon)->service);
-  if (leader->planner == NULL && service != NULL && service->has_engine)
+  if (leader->planning == NULL && service != NULL && service->has_engine)
     {
-      leader->planner
-          = planner_create (leader, &service->engine, leader->rank_count);
+      leader_start_planning (leader, &service->engine);
       members_set_report_lag (leader->members, service->engine.report_lag);
     }
   rules_release (rules);
@@ -138,13 +137,13 @@
   *mirror = NULL;
 }
 
-/* Stops mirroring the rules once the planner is created.  The profile of the
+/* Stops mirroring the rules once planning has started.  The profile of the
    engines does not change in a term, and a large document would take the link
    of this VM from the commands to the ranks.  */
 void
 leader_stop_reading_rules (leader_t *leader)
 {
-  if (leader->planner != NULL)
+  if (leader->planning != NULL)
     leader_stop_mirror (&leader->rules_mirror);
 }
 
--- /dev/null
+++ b/pilot/planning.c
@@ -0,0 +1,272 @@
+#include "pilot/planning.h"
+
+#include "kernel/clock.h"
+
+enum
+{
+  PLAN_INTERVAL_MS = 250,
+  MAP_QUERY_INTERVAL_MS = 100, /* queries of the map in use */
+  QUERY_TIMEOUT_MS = 250,      /* wait for the replies of all ranks */
+  /* Minimum time between the starts of two rounds in which every rank is
+     queried for its counts.  */
+  COUNTS_INTERVAL_MS = 250,
+  /* The replies with counts may use one part in this many of the link.  */
+  COUNTS_LINK_DIVISOR = 2,
+  COUNTS_PER_BYTE = 2,
+  COUNTS_OVERHEAD_BYTES = 128 /* of a reply, besides its numbers */
+};
+
+struct planning
+{
+  const planning_ops_t *ops;
+  void *data;
+  unsigned rank_count;
+  switcher_t *switcher;
+  work_time_t *work;
+  planner_t *planner;
+  placement_map_t *planned; /* map of the switch in progress */
+  /* The query of the map in use, RANK_QUERY_HELD_EXPERTS.  */
+  bool is_querying;
+  unsigned pending_replies; /* ranks whose reply is outstanding */
+  struct timespec queried_at;
+  unsigned next_counted_rank; /* next one to be queried for its counts */
+  struct timespec counts_queried_at; /* start of the current round of ranks */
+  int64_t counts_round_ms;           /* duration of the round before */
+  struct timespec observed_at;       /* last update of the popularity */
+  bool is_replan_due;          /* a switch has ended since the last plan */
+  struct timespec planned_at;  /* last plan */
+  struct timespec switched_at; /* last switch */
+};
+
+/* Creates the planning of a term.  */
+planning_t *
+planning_create (TALLOC_CTX *parent, const engine_profile_t *engine,
+                 unsigned rank_count, switcher_t *switcher, work_time_t *work,
+                 const planning_ops_t *ops, void *data)
+{
+  planning_t *planning = talloc_zero (parent, planning_t);
+
+  if (planning == NULL)
+    return NULL;
+  planning->ops = ops;
+  planning->data = data;
+  planning->rank_count = rank_count;
+  planning->switcher = switcher;
+  planning->work = work;
+  planning->planner = planner_create (planning, engine, rank_count);
+  if (planning->planner == NULL)
+    TALLOC_FREE (planning);
+  return planning;
+}
+
+/* Frees PLANNING.  */
+void
+planning_destroy (planning_t *planning)
+{
+  talloc_free (planning);
+}
+
+static int64_t
+elapsed_ms (struct timespec since, struct timespec now)
+{
+  return timespec_to_ms (timespec_subtract (now, since));
+}
+
+/* Handles a report of RANK.  */
+void
+planning_handle_report (planning_t *planning, unsigned rank,
+                        const rank_report_t *report, struct timespec now)
+{
+  (void)now;
+  planner_set_slowdown (planning->planner, rank, report->slowdown);
+}
+
+static bool
+handle_counts (planning_t *planning, const rank_reply_t *reply, bool is_valid)
+{
+  bool is_used;
+
+  work_time_begin (planning->work, WORK_COUNTS);
+  is_used = reply == NULL
+            || (is_valid && planner_add_counts (planning->planner, reply));
+  work_time_end (planning->work);
+  return is_used;
+}
+
+/* Handles the reply of RANK to QUERY, which is NULL if the rank did not
+   reply.  */
+bool
+planning_handle_reply (planning_t *planning, unsigned rank, rank_query_t query,
+                       const rank_reply_t *reply, struct timespec now)
+{
+  bool is_valid
+      = reply != NULL && reply->epoch == switcher_epoch (planning->switcher);
+  bool is_used = true;
+
+  (void)now;
+  if (query == RANK_QUERY_EXPERT_COUNTS)
+    return handle_counts (planning, reply, is_valid);
+  if (!planning->is_querying)
+    return true;
+  if (is_valid)
+    is_used = planner_read_map (planning->planner, rank, reply);
+  if (planning->pending_replies > 0)
+    planning->pending_replies--;
+  planning->is_querying = planning->pending_replies > 0;
+  return is_used;
+}
+
+/* Handles an event of the switcher.  */
+void
+planning_handle_event (planning_t *planning, switcher_event_t event,
+                       struct timespec now)
+{
+  switch (event)
+    {
+    case SWITCHER_RECOVERED:
+    case SWITCHER_RESTARTED:
+      planner_forget_map (planning->planner);
+      break;
+    case SWITCHER_SWITCHED:
+      if (planning->planned != NULL)
+        planner_set_map (planning->planner, planning->planned,
+                         switcher_last_version (planning->switcher));
+      planning->switched_at = now;
+      planning->is_replan_due = true;
+      break;
+    case SWITCHER_ABORTED:
+      break;
+    case SWITCHER_DEPOSED:
+      return;
+    }
+  TALLOC_FREE (planning->planned);
+}
+
+/* Plans from the counts so far and starts a switch if it pays.  */
+static void
+make_plan (planning_t *planning, struct timespec now)
+{
+  placement_plan_t plan;
+  planning_result_t result = { .plan = &plan,
+                               .started_at = now,
+                               .switched_at = planning->switched_at,
+                               .counts_ms = planning->counts_round_ms };
+
+  planning->planned_at = now;
+  planning->is_replan_due = false;
+  work_time_begin (planning->work, WORK_PLANNING);
+  planner_plan (planning->planner, planning, &plan);
+  work_time_end (planning->work);
+  result.base = planner_map (planning->planner);
+  planning->ops->on_plan (&result, planning->data);
+  if (!plan.is_change)
+    return;
+  planning->planned = plan.map;
+  if (!switcher_start_switch (planning->switcher, plan.map, now))
+    TALLOC_FREE (planning->planned);
+}
+
+/* Queries the ranks whose part of the map in use is unknown.  Returns their
+   number.  */
+static unsigned
+query_unknown_ranks (planning_t *planning)
+{
+  uint64_t version = switcher_map_version (planning->switcher);
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < planning->rank_count; i++)
+    {
+      if (!planner_knows_rank (planning->planner, i, version))
+        count += planning->ops->query (i, RANK_QUERY_HELD_EXPERTS,
+                                       planning->data);
+    }
+  return count;
+}
+
+/* Queries the map in use, which an earlier leader may have set.  */
+static void
+query_map (planning_t *planning, struct timespec now)
+{
+  if (planning->is_querying
+      && elapsed_ms (planning->queried_at, now) > QUERY_TIMEOUT_MS)
+    planning->is_querying = false;
+  if (planning->is_querying
+      || elapsed_ms (planning->queried_at, now) < MAP_QUERY_INTERVAL_MS)
+    return;
+  planning->is_querying = true;
+  planning->queried_at = now;
+  planning->pending_replies = query_unknown_ranks (planning);
+}
+
+/* Returns how many ranks can be queried for their counts in a tick, so that
+   the replies leave room on the link for everything else.  */
+static unsigned
+counts_per_tick (const planning_t *planning)
+{
+  size_t reply_bytes
+      = planner_count_numbers (planning->planner) / COUNTS_PER_BYTE
+        + COUNTS_OVERHEAD_BYTES;
+  size_t link_bytes
+      = planning->ops->link_bytes (PLANNING_TICK_INTERVAL_MS, planning->data)
+        / COUNTS_LINK_DIVISOR;
+
+  return link_bytes < reply_bytes ? 1 : (unsigned)(link_bytes / reply_bytes);
+}
+
+/* Queries the next ranks for their counts.  The ranks take turns.  */
+static void
+query_counts (planning_t *planning, struct timespec now)
+{
+  unsigned budget = counts_per_tick (planning);
+
+  if (planning->next_counted_rank == 0)
+    {
+      if (elapsed_ms (planning->counts_queried_at, now) < COUNTS_INTERVAL_MS)
+        return;
+      planning->counts_round_ms
+          = elapsed_ms (planning->counts_queried_at, now);
+      planning->counts_queried_at = now;
+    }
+  for (unsigned i = 0; i < budget; i++)
+    {
+      planning->ops->query (planning->next_counted_rank,
+                            RANK_QUERY_EXPERT_COUNTS, planning->data);
+      planning->next_counted_rank
+          = (planning->next_counted_rank + 1) % planning->rank_count;
+      if (planning->next_counted_rank == 0)
+        break;
+    }
+}
+
+/* Updates the popularity of the experts at even intervals, also during a
+   switch.  */
+static void
+observe_counts (planning_t *planning, struct timespec now)
+{
+  if (elapsed_ms (planning->observed_at, now) < PLAN_INTERVAL_MS)
+    return;
+  planning->observed_at = now;
+  planner_observe (planning->planner);
+}
+
+/* Plans when there are new counts, and right after a switch, which may have
+   been the first of several stages.  */
+void
+planning_tick (planning_t *planning, struct timespec now)
+{
+  if (!planner_has_map (planning->planner,
+                        switcher_map_version (planning->switcher)))
+    {
+      if (switcher_is_ready (planning->switcher, now))
+        query_map (planning, now);
+      return;
+    }
+  query_counts (planning, now);
+  observe_counts (planning, now);
+  if (!switcher_is_ready (planning->switcher, now))
+    return;
+  if (planning->is_replan_due
+      || (planner_has_new_counts (planning->planner)
+          && elapsed_ms (planning->planned_at, now) >= PLAN_INTERVAL_MS))
+    make_plan (planning, now);
+}
