Tests of pilots: let a group's steps and its leader's planning be replaced

pilot_group ran steps of a constant length and switched to maps without experts. A table of functions may now say how long a step takes and run the leader's planning; without it nothing changes.

--- a/tests/pilot_group.c
+++ b/tests/pilot_group.c
@@ -44,6 +44,13 @@
   uint64_t ticket;
 } request_t;
 
+/* Returns the virtual time.  */
+struct timespec
+pilot_group_now (const pilot_group_t *group)
+{
+  return timespec_from_ms (group->now_ms);
+}
+
 static uint64_t
 random_below (pilot_group_t *group, uint64_t bound)
 {
@@ -120,6 +127,13 @@
   group->leader_busy_us += duration_us;
 }
 
+/* The leader does other work for DURATION_MS.  */
+void
+pilot_group_work (pilot_group_t *group, int64_t duration_ms)
+{
+  leader_work (group, duration_ms * US_PER_MS);
+}
+
 /* The leader has sent or read a message.  */
 static void
 leader_spend (pilot_group_t *group)
@@ -170,6 +184,8 @@
   (void)reason;
   group->switched += event == SWITCHER_SWITCHED;
   group->aborted += event == SWITCHER_ABORTED;
+  if (group->ops != NULL)
+    group->ops->on_event (group, event);
 }
 
 static const switcher_ops_t leader_ops = {
@@ -178,12 +194,6 @@
   .on_event = leader_on_event,
 };
 
-static struct timespec
-group_now (const pilot_group_t *group)
-{
-  return timespec_from_ms (group->now_ms);
-}
-
 /* A pilot gets a command of the leader.  */
 static void
 pilot_handle_command (pilot_group_rank_t *rank,
@@ -234,15 +244,19 @@
   if (verdict != RANK_OUTCOME_UNKNOWN && ticket > rank->finished)
     rank->finished = ticket;
   switcher_handle_verdict (group->switcher, rank->number, ticket, verdict,
-                           group_now (group));
+                           pilot_group_now (group));
 }
 
 static void
 leader_handle_report (pilot_group_rank_t *rank,
                       const pilot_group_event_t *event)
 {
-  switcher_handle_report (rank->group->switcher, rank->number, &event->report,
-                          event->after_ticket, group_now (rank->group));
+  pilot_group_t *group = rank->group;
+
+  if (group->ops != NULL)
+    group->ops->on_report (group, rank->number, &event->report);
+  switcher_handle_report (group->switcher, rank->number, &event->report,
+                          event->after_ticket, pilot_group_now (group));
 }
 
 static void
@@ -306,6 +320,7 @@
                            group->rank_count, &event->report);
   event->report.has_prepared
       = event->report.has_prepared && rank->loaded_at_ms <= group->now_ms;
+  event->report.slowdown = rank->slowdown;
   event->after_ticket = rank->finished;
 }
 
@@ -357,6 +372,9 @@
 static void
 run_step (pilot_group_t *group)
 {
+  uint64_t step = group->group.step;
+
+  group->next_step_at_ms = group->now_ms + PILOT_GROUP_STEP_MS;
   for (unsigned i = 0; i < group->rank_count; i++)
     group->engines[i] = group->ranks[i].engine;
   if (simulated_group_is_held (&group->group, group->engines,
@@ -367,8 +385,11 @@
   record_switch (group);
   for (unsigned i = 0; i < group->rank_count; i++)
     group->ranks[i].engine = group->engines[i];
+  if (group->ops != NULL && group->group.step > step)
+    group->next_step_at_ms = group->now_ms + group->ops->on_step (group);
 }
 
+/* Runs the leader's tick.  Without OPS, it switches as soon as it can.  */
 static void
 run_leader (pilot_group_t *group)
 {
@@ -378,12 +399,13 @@
                               .slots = 1 };
   placement_map_t *map;
 
-  switcher_tick (group->switcher, group_now (group));
-  if (!switcher_is_ready (group->switcher, group_now (group)))
+  switcher_tick (group->switcher, pilot_group_now (group));
+  if (group->ops != NULL
+      || !switcher_is_ready (group->switcher, pilot_group_now (group)))
     return;
   map = placement_map_create_initial (group, &shape);
   group->started_at_ms = group->now_ms;
-  switcher_start_switch (group->switcher, map, group_now (group));
+  switcher_start_switch (group->switcher, map, pilot_group_now (group));
   talloc_free (map);
 }
 
@@ -392,6 +414,7 @@
 pilot_group_run (pilot_group_t *group, int64_t ms)
 {
   pilot_group_event_t *event;
+  bool is_tick;
 
   for (int64_t end_ms = group->now_ms + ms; group->now_ms < end_ms;)
     {
@@ -409,9 +432,13 @@
         }
       for (unsigned i = 0; i < group->rank_count; i++)
         run_rank (&group->ranks[i]);
-      if (group->now_ms % TICK_INTERVAL_MS == 0 && !leader_is_busy (group))
+      is_tick
+          = group->now_ms % TICK_INTERVAL_MS == 0 && !leader_is_busy (group);
+      if (is_tick)
         run_leader (group);
-      if (group->now_ms % PILOT_GROUP_STEP_MS == 0)
+      if (group->ops != NULL)
+        group->ops->on_time (group, is_tick);
+      if (group->now_ms >= group->next_step_at_ms)
         run_step (group);
     }
 }
@@ -427,6 +454,7 @@
   group->rank_count = rank_count;
   group->is_repeated = is_repeated;
   group->group.epoch = 1;
+  group->next_step_at_ms = PILOT_GROUP_STEP_MS;
   TAILQ_INIT (&group->events);
   for (unsigned i = 0; i < rank_count; i++)
     {
@@ -435,11 +463,12 @@
       rank->group = group;
       rank->number = i;
       rank->timer_at_ms = -1;
+      rank->slowdown = 1;
       rank->repeater
           = command_repeater_create (group, group->clock, &pilot_ops, rank);
     }
   group->switcher = switcher_create (group, rank_count, 0, &leader_ops, group);
-  switcher_start_term (group->switcher, 1, NULL, group_now (group));
+  switcher_start_term (group->switcher, 1, NULL, pilot_group_now (group));
   return group;
 }
 
--- a/tests/pilot_group.h
+++ b/tests/pilot_group.h
@@ -19,6 +19,19 @@
 
 typedef struct pilot_group pilot_group_t;
 
+/* What replaces the leader's map changes without experts; see
+   expert_group.h.  */
+typedef struct pilot_group_ops
+{
+  /* A millisecond has passed.  IS_TICK: the leader runs its tick.  */
+  void (*on_time) (pilot_group_t *group, bool is_tick);
+  void (*on_report) (pilot_group_t *group, unsigned rank,
+                     const rank_report_t *report);
+  void (*on_event) (pilot_group_t *group, switcher_event_t event);
+  /* A step begins.  Returns how long it takes, in milliseconds.  */
+  int64_t (*on_step) (pilot_group_t *group);
+} pilot_group_ops_t;
+
 /* A rank and the pilot beside it.  */
 typedef struct pilot_group_rank
 {
@@ -31,6 +44,7 @@
   uint64_t ticket;       /* last command of the leader, 0: none pending */
   uint64_t finished;     /* last ticket answered */
   int64_t timeout_at_ms; /* of that command at the leader */
+  double slowdown;       /* as its engine reports it */
 } pilot_group_rank_t;
 
 typedef struct pilot_group_event pilot_group_event_t;
@@ -39,6 +53,8 @@
 {
   clock_source_t *clock;
   int64_t now_ms;
+  const pilot_group_ops_t *ops; /* NULL: maps without experts */
+  void *data;                   /* of OPS */
   uint64_t random_state;
   unsigned loss_percent;
   bool is_carried_out; /* a lost command at once, only its answer is lost */
@@ -57,6 +73,7 @@
   simulated_group_t group;
   switcher_t *switcher;
   TAILQ_HEAD (, pilot_group_event) events;
+  int64_t next_step_at_ms;
   int64_t started_at_ms; /* of the last switch */
   unsigned mixed_steps;
   unsigned switched;
@@ -73,5 +90,8 @@
                                    bool is_repeated);
 void pilot_group_destroy (pilot_group_t *group);
 void pilot_group_run (pilot_group_t *group, int64_t ms);
+/* The leader does other work for DURATION_MS.  */
+void pilot_group_work (pilot_group_t *group, int64_t duration_ms);
+struct timespec pilot_group_now (const pilot_group_t *group);
 
 #endif
