Slow rank: move its experts in one go, with the counts at hand

Cause: the slowdown of a rank entered a plan only with a new sample of counts; counts were not queried until the group used the map of the last switch; and the switch was planned 2 to 4 steps ahead by a step time measured before, so that a group whose passes take 0.7 s kept the experts on the slow rank for seconds. After its recovery the rank got none, as the search is spared while the step time does not grow.

Placement policies may take speeds without a sample (placement_ops_t.set_speed). Counts are queried and observed whatever the group does. A switch is planned for the next step when steps take longer than arming; the step time follows a known slowdown and a step in progress that reports show for longer.

--- a/include/pilot/planner.h
+++ b/include/pilot/planner.h
@@ -39,6 +39,8 @@
 const placement_map_t *planner_map (const planner_t *planner);
 /* Returns the size of the reply of a rank with its counts, in numbers.  */
 size_t planner_count_numbers (const planner_t *planner);
+/* Sets the slowdown factor of RANK relative to its baseline.  The next plan
+   uses it, also without new counts.  */
 void planner_set_slowdown (planner_t *planner, unsigned rank, double slowdown);
 /* Plans from the counts so far.  Returns whether the map should change; the
    plan's map belongs to PARENT.  */
--- a/include/pilot/planning.h
+++ b/include/pilot/planning.h
@@ -32,6 +32,9 @@
   /* A plan was made.  If it is a change, a switch to its map starts after this
      call.  */
   void (*on_plan) (const planning_result_t *result, void *data);
+  /* RANK has become slow or has recovered, or its slowdown has changed much:
+     a plan with SLOWDOWN follows.  */
+  void (*on_pace) (unsigned rank, double slowdown, bool is_slow, void *data);
 } planning_ops_t;
 
 enum
--- a/include/pilot/switcher.h
+++ b/include/pilot/switcher.h
@@ -105,6 +105,9 @@
 /* Sets the rank whose engine holds the group during the next switches; this
    pilot's rank by default.  */
 void switcher_set_holding_rank (switcher_t *switcher, unsigned rank);
+/* A rank has become slow, so that the steps take FACTOR times as long.  Tells
+   this before the first of them has ended.  */
+void switcher_expect_slower_steps (switcher_t *switcher, double factor);
 /* What the last switch or recovery has cost, as key=value pairs for the log,
    owned by PARENT; see switch_trace_format.  */
 char *switcher_describe (const switcher_t *switcher, TALLOC_CTX *parent);
--- a/include/pilot/switcher_state.h
+++ b/include/pilot/switcher_state.h
@@ -88,6 +88,7 @@
   /* Step and time of the last report used to measure the step time.  */
   uint64_t sampled_step;
   struct timespec sampled_at;
+  bool was_stopped;        /* by a hold, since then */
   double step_ms;          /* moving average of the step time */
   struct timespec hold_at; /* the first hold of the switch was sent */
   /* Time from there until all ranks were armed, in past switches.  */
--- a/include/plugins/placement.h
+++ b/include/plugins/placement.h
@@ -94,6 +94,9 @@
                           const placement_config_t *config);
   void (*destroy) (placement_t *placement);
   void (*observe) (placement_t *placement, const placement_sample_t *sample);
+  /* Sets the speed of RANK relative to its baseline at once, without a sample.
+     NULL if the policy learns speeds from samples only.  */
+  void (*set_speed) (placement_t *placement, unsigned rank, double speed);
   /* Fills PLAN; its map belongs to PARENT.  */
   void (*plan) (placement_t *placement, TALLOC_CTX *parent,
                 const placement_map_t *current, placement_plan_t *plan);
--- a/pilot/leader_planning.c
+++ b/pilot/leader_planning.c
@@ -46,7 +46,19 @@
                              members_choose_holding_rank (leader->members));
 }
 
+/* Logs that RANK has become slow or has recovered.  */
+static void
+leader_on_pace (unsigned rank, double slowdown, bool is_slow, void *data)
+{
+  const leader_t *leader = data;
+
+  log_event (LOG_LEVEL_NOTICE, is_slow ? "rank-slow" : "rank-recovered",
+             "group=%s rank=%u slowdown=%.2f switching=%d", leader->group,
+             rank, slowdown, leader_is_switching (leader));
+}
+
 static const planning_ops_t leader_planning_ops = {
+  .on_pace = leader_on_pace,
   .query = leader_query,
   .link_bytes = leader_link_bytes,
   .on_plan = leader_on_plan,
--- a/pilot/planner.c
+++ b/pilot/planner.c
@@ -204,12 +204,15 @@
 }
 
 /* Sets the slowdown factor of RANK relative to its baseline; above 1 is
-   slower.  */
+   slower.  The next plan uses it, also without new counts.  */
 void
 planner_set_slowdown (planner_t *planner, unsigned rank, double slowdown)
 {
-  planner->busy_us[rank]
-      = (uint64_t)((slowdown > 1 ? slowdown : 1) * (double)SPEED_SCALE);
+  if (!(slowdown > 1))
+    slowdown = 1;
+  planner->busy_us[rank] = (uint64_t)(slowdown * (double)SPEED_SCALE);
+  if (planner->ops->set_speed != NULL)
+    planner->ops->set_speed (planner->placement, rank, 1 / slowdown);
 }
 
 /* Plans from the counts so far.  Returns whether the map should change; the
--- a/pilot/planning.c
+++ b/pilot/planning.c
@@ -1,6 +1,7 @@
 #include "pilot/planning.h"
 
 #include "kernel/clock.h"
+#include "pilot/slow_ranks.h"
 
 enum
 {
@@ -24,6 +25,7 @@
   switcher_t *switcher;
   work_time_t *work;
   planner_t *planner;
+  slow_ranks_t *slow_ranks;
   placement_map_t *planned; /* map of the switch in progress */
   /* The query of the map in use, RANK_QUERY_HELD_EXPERTS.  */
   bool is_querying;
@@ -33,7 +35,9 @@
   struct timespec counts_queried_at; /* start of the current round of ranks */
   int64_t counts_round_ms;           /* duration of the round before */
   struct timespec observed_at;       /* last update of the popularity */
-  bool is_replan_due;          /* a switch has ended since the last plan */
+  /* A switch has ended since the last plan, or the speed of a rank has
+     changed much.  */
+  bool is_replan_due;
   struct timespec planned_at;  /* last plan */
   struct timespec switched_at; /* last switch */
 };
@@ -54,7 +58,8 @@
   planning->switcher = switcher;
   planning->work = work;
   planning->planner = planner_create (planning, engine, rank_count);
-  if (planning->planner == NULL)
+  planning->slow_ranks = slow_ranks_create (planning, rank_count);
+  if (planning->planner == NULL || planning->slow_ranks == NULL)
     TALLOC_FREE (planning);
   return planning;
 }
@@ -72,13 +77,36 @@
   return timespec_to_ms (timespec_subtract (now, since));
 }
 
-/* Handles a report of RANK.  */
+/* A plan is due as the slowdown of RANK has changed; the highest one of all
+   ranks was HIGHEST before.  */
+static void
+handle_pace (planning_t *planning, unsigned rank, double highest)
+{
+  const slow_ranks_t *ranks = planning->slow_ranks;
+
+  planning->is_replan_due = true;
+  switcher_expect_slower_steps (planning->switcher,
+                                slow_ranks_highest (ranks) / highest);
+  planning->ops->on_pace (rank, slow_ranks_slowdown (ranks, rank),
+                          slow_ranks_is_slow (ranks, rank), planning->data);
+}
+
+/* Handles a report of RANK.  A plan for a rank that has become slow uses the
+   counts at hand: new ones are there only after the next pass, which takes
+   long.  */
 void
 planning_handle_report (planning_t *planning, unsigned rank,
                         const rank_report_t *report, struct timespec now)
 {
-  (void)now;
-  planner_set_slowdown (planning->planner, rank, report->slowdown);
+  double highest = slow_ranks_highest (planning->slow_ranks);
+
+  if (rank >= planning->rank_count)
+    return;
+  if (slow_ranks_handle_report (planning->slow_ranks, rank, report->slowdown,
+                                now))
+    handle_pace (planning, rank, highest);
+  planner_set_slowdown (planning->planner, rank,
+                        slow_ranks_slowdown (planning->slow_ranks, rank));
 }
 
 static bool
@@ -213,12 +241,16 @@
   return link_bytes < reply_bytes ? 1 : (unsigned)(link_bytes / reply_bytes);
 }
 
-/* Queries the next ranks for their counts.  The ranks take turns.  */
+/* Queries the next ranks for their counts.  The ranks take turns.  None is
+   queried before a report has told the epoch: its reply would be ignored, but
+   its pilot would count it as taken.  */
 static void
 query_counts (planning_t *planning, struct timespec now)
 {
   unsigned budget = counts_per_tick (planning);
 
+  if (switcher_epoch (planning->switcher) == 0)
+    return;
   if (planning->next_counted_rank == 0)
     {
       if (elapsed_ms (planning->counts_queried_at, now) < COUNTS_INTERVAL_MS)
@@ -249,11 +281,15 @@
   planner_observe (planning->planner);
 }
 
-/* Plans when there are new counts, and right after a switch, which may have
-   been the first of several stages.  */
+/* Plans when there are new counts, right after a switch, which may have been
+   the first of several stages, and right after a rank has become slow or has
+   recovered.  Counts are collected and observed whatever the group does: they
+   are needed as soon as it is ready.  */
 void
 planning_tick (planning_t *planning, struct timespec now)
 {
+  query_counts (planning, now);
+  observe_counts (planning, now);
   if (!planner_has_map (planning->planner,
                         switcher_map_version (planning->switcher)))
     {
@@ -261,8 +297,6 @@
         query_map (planning, now);
       return;
     }
-  query_counts (planning, now);
-  observe_counts (planning, now);
   if (!switcher_is_ready (planning->switcher, now))
     return;
   if (planning->is_replan_due
--- a/pilot/switcher_steps.c
+++ b/pilot/switcher_steps.c
@@ -8,8 +8,11 @@
   LOOKAHEAD_MAX_STEPS = 24,
   /* A step used before that is further ahead comes from a wrong report.  */
   USED_STEPS_AHEAD_MAX = 1000,
-  /* Maximum interval between two reports used to measure the step time.  */
-  STEP_SAMPLE_MAX_MS = 1000
+  /* Maximum interval between two reports used to measure the step time, and
+     the same if the group was not held meanwhile: steps take up to a second
+     while one rank is slow.  */
+  STEP_SAMPLE_MAX_MS = 1000,
+  FREE_STEP_SAMPLE_MAX_MS = 3000
 };
 
 static uint64_t
@@ -25,19 +28,47 @@
   return step;
 }
 
+/* Returns the duration of the step in progress, as far as it is known: that of
+   the steps before, or longer if reports show that it has taken longer
+   already.  */
+static double
+current_step_ms (const switcher_t *switcher)
+{
+  const rank_view_t *own = &switcher->ranks[switcher->own_rank];
+  double elapsed_ms = (double)timespec_to_ms (
+      timespec_subtract (own->reported_at, switcher->sampled_at));
+
+  return !switcher->was_stopped && elapsed_ms > switcher->step_ms
+             ? elapsed_ms
+             : switcher->step_ms;
+}
+
+/* Returns how many steps after the newest one known the group is to switch, so
+   that the commands arrive before.  If a step takes longer than arming, the
+   next one is chosen: one step more costs more than a group that is held until
+   the last rank is armed, and a hold that comes too late is tried again.  */
+static uint64_t
+choose_lookahead (const switcher_t *switcher)
+{
+  double arming_ms
+      = answer_time_limit_ms (&switcher->arming_time, LOOKAHEAD_MS);
+  double lookahead_ms = arming_ms > LOOKAHEAD_MS ? arming_ms : LOOKAHEAD_MS;
+  double step_ms = current_step_ms (switcher);
+  uint64_t lookahead = (uint64_t)(lookahead_ms / step_ms) + 2;
+
+  if (step_ms >= lookahead_ms)
+    return 1;
+  return lookahead > LOOKAHEAD_MAX_STEPS ? LOOKAHEAD_MAX_STEPS : lookahead;
+}
+
 /* Returns the step at which to hold and switch: far enough ahead for the
    commands to arrive before it begins, and after those used before.  */
 uint64_t
 switcher_choose_step (const switcher_t *switcher)
 {
-  double arming_ms
-      = answer_time_limit_ms (&switcher->arming_time, LOOKAHEAD_MS);
-  double lookahead_ms = arming_ms > LOOKAHEAD_MS ? arming_ms : LOOKAHEAD_MS;
-  uint64_t lookahead = (uint64_t)(lookahead_ms / switcher->step_ms) + 2;
+  uint64_t lookahead = choose_lookahead (switcher);
   uint64_t step;
 
-  if (lookahead > LOOKAHEAD_MAX_STEPS)
-    lookahead = LOOKAHEAD_MAX_STEPS;
   switch_trace_set_lookahead (switcher->trace, lookahead);
   step = latest_step (switcher) + lookahead;
   if (switcher->used_step < step
@@ -56,19 +87,34 @@
   double elapsed_ms
       = (double)timespec_to_us (timespec_subtract (now, switcher->sampled_at))
         / 1000;
+  int64_t max_ms;
 
+  switcher->was_stopped
+      = switcher->was_stopped || switcher_is_stopped (switcher);
+  max_ms
+      = switcher->was_stopped ? STEP_SAMPLE_MAX_MS : FREE_STEP_SAMPLE_MAX_MS;
   if (step > switcher->sampled_step && switcher->sampled_step > 0
-      && elapsed_ms < STEP_SAMPLE_MAX_MS)
+      && elapsed_ms < (double)max_ms)
     switcher->step_ms
         += smoothing
            * (elapsed_ms / (double)(step - switcher->sampled_step)
               - switcher->step_ms);
-  if (step == switcher->sampled_step && elapsed_ms < STEP_SAMPLE_MAX_MS)
+  if (step == switcher->sampled_step && elapsed_ms < (double)max_ms)
     return;
+  switcher->was_stopped = switcher_is_stopped (switcher);
   switcher->sampled_step = step;
   switcher->sampled_at = now;
 }
 
+/* The steps take FACTOR times as long from now on, as a rank has become
+   slow.  */
+void
+switcher_expect_slower_steps (switcher_t *switcher, double factor)
+{
+  if (factor > 1)
+    switcher->step_ms *= factor;
+}
+
 /* Returns whether the group is stopped: the last step begun, as this pilot's
    rank reports it, is the one before a hold.  */
 bool
--- a/plugins/placement/even.c
+++ b/plugins/placement/even.c
@@ -28,6 +28,9 @@
 /* A search is made only if the step time has grown by this part since one has
    found nothing.  */
 static const double min_growth = 0.02;
+/* A search is made again if the speed of a rank has changed by this factor:
+   experts may come back to it although the step time has not grown.  */
+static const double min_speed_change = 1.15;
 /* Time from the plan to the switch, in seconds, apart from loading the
    weights: the commands to all ranks.  */
 static const double switch_s = 0.2;
@@ -160,6 +163,16 @@
     }
 }
 
+static void
+even_set_speed (placement_t *placement, unsigned rank, double speed)
+{
+  double change = speed / placement->speed[rank];
+
+  if (change > min_speed_change || change < 1 / min_speed_change)
+    placement->settled_time = 0;
+  placement->speed[rank] = speed;
+}
+
 /* A plan in the making: a search for each layer.  */
 typedef struct even_draft
 {
@@ -383,6 +396,7 @@
   .create = even_create,
   .destroy = even_destroy,
   .observe = even_observe,
+  .set_speed = even_set_speed,
   .plan = even_plan,
 };
 
--- /dev/null
+++ b/tests/expert_group.c
@@ -0,0 +1,338 @@
+#include "expert_group.h"
+
+enum
+{
+  EXPERTS_PER_RANK = 4,
+  OWN_PART_MS = 30,     /* of a step, of each rank */
+  EXPERTS_PART_MS = 30, /* of a step, if all ranks have the same load */
+  QUERY_MS = 6,         /* from a query to its reply */
+  PLAN_MS = 60,         /* that a plan takes on the leader's core */
+  LINK_BYTES_PER_MS = 1000,
+  SETTLE_MS = 6000,
+  MAX_LOADS = 2
+};
+
+static const double expert_load_s = 0.01;
+
+/* A query of the leader whose reply is due at AT_MS; 0: none.  */
+typedef struct expert_query
+{
+  int64_t at_ms;
+} expert_query_t;
+
+static expert_query_t *
+find_query (const expert_group_t *group, unsigned rank, rank_query_t query)
+{
+  return &group->queries[rank * RANK_QUERY_COUNT + query];
+}
+
+static bool
+leader_query (unsigned rank, rank_query_t query, void *data)
+{
+  const expert_group_t *group = data;
+
+  find_query (group, rank, query)->at_ms = group->pilots->now_ms + QUERY_MS;
+  return true;
+}
+
+static size_t
+leader_link_bytes (int64_t ms, void *data)
+{
+  (void)data;
+  return (size_t)ms * LINK_BYTES_PER_MS;
+}
+
+static void
+leader_on_plan (const planning_result_t *result, void *data)
+{
+  expert_group_t *group = data;
+
+  pilot_group_work (group->pilots, PLAN_MS);
+  group->plans++;
+  if (!result->plan->is_change)
+    return;
+  group->changes++;
+  talloc_free (group->next_map);
+  group->next_map = placement_map_copy (group, result->plan->map);
+}
+
+static void
+leader_on_pace (unsigned rank, double slowdown, bool is_slow, void *data)
+{
+  (void)rank;
+  (void)slowdown;
+  (void)is_slow;
+  (void)data;
+}
+
+static const planning_ops_t planning_ops = {
+  .on_pace = leader_on_pace,
+  .query = leader_query,
+  .link_bytes = leader_link_bytes,
+  .on_plan = leader_on_plan,
+};
+
+/* Replies with the tokens that RANK has counted since its last reply.  */
+static void
+reply_counts (expert_group_t *group, unsigned rank)
+{
+  size_t count = (size_t)PLANNER_FIXTURE_LAYERS * group->experts->experts;
+  uint64_t *numbers = talloc_array (group, uint64_t, (unsigned)count);
+  uint64_t steps = group->steps - group->counted_step[rank];
+  rank_reply_t reply = { .epoch = group->pilots->group.epoch,
+                         .numbers = numbers,
+                         .number_count = count };
+
+  for (size_t i = 0; i < count; i++)
+    numbers[i] = steps * group->experts->counts[i] / group->pilots->rank_count;
+  group->counted_step[rank] = group->steps;
+  planning_handle_reply (group->planning, rank, RANK_QUERY_EXPERT_COUNTS,
+                         &reply, pilot_group_now (group->pilots));
+  talloc_free (numbers);
+}
+
+/* Replies with the experts that RANK holds.  */
+static void
+reply_held (expert_group_t *group, unsigned rank)
+{
+  uint64_t numbers[PLANNER_FIXTURE_LAYERS * (PLANNER_FIXTURE_SLOTS + 1)];
+  rank_reply_t reply = { .epoch = group->pilots->group.epoch,
+                         .version = group->map_version,
+                         .numbers = numbers };
+
+  for (unsigned layer = 0; layer < PLANNER_FIXTURE_LAYERS; layer++)
+    {
+      uint64_t *held = &numbers[reply.number_count++];
+
+      *held = 0;
+      for (unsigned slot = 0; slot < PLANNER_FIXTURE_SLOTS; slot++)
+        {
+          uint16_t expert
+              = placement_map_slot (group->map, layer, rank, slot)->expert;
+
+          if (expert == PLACEMENT_SLOT_FREE)
+            continue;
+          numbers[reply.number_count++] = expert;
+          ++*held;
+        }
+    }
+  planning_handle_reply (group->planning, rank, RANK_QUERY_HELD_EXPERTS,
+                         &reply, pilot_group_now (group->pilots));
+}
+
+static void
+reply_due (expert_group_t *group, unsigned rank, rank_query_t query)
+{
+  expert_query_t *due = find_query (group, rank, query);
+
+  if (due->at_ms == 0 || due->at_ms > group->pilots->now_ms)
+    return;
+  due->at_ms = 0;
+  if (query == RANK_QUERY_EXPERT_COUNTS)
+    reply_counts (group, rank);
+  else
+    reply_held (group, rank);
+}
+
+static void
+on_time (pilot_group_t *pilots, bool is_tick)
+{
+  expert_group_t *group = pilots->data;
+
+  for (unsigned rank = 0; rank < pilots->rank_count; rank++)
+    {
+      reply_due (group, rank, RANK_QUERY_EXPERT_COUNTS);
+      reply_due (group, rank, RANK_QUERY_HELD_EXPERTS);
+    }
+  if (is_tick)
+    planning_tick (group->planning, pilot_group_now (pilots));
+}
+
+static void
+on_report (pilot_group_t *pilots, unsigned rank, const rank_report_t *report)
+{
+  expert_group_t *group = pilots->data;
+
+  planning_handle_report (group->planning, rank, report,
+                          pilot_group_now (pilots));
+}
+
+static void
+on_event (pilot_group_t *pilots, switcher_event_t event)
+{
+  expert_group_t *group = pilots->data;
+
+  planning_handle_event (group->planning, event, pilot_group_now (pilots));
+}
+
+/* Returns how often LAYER of the map in use has EXPERT.  */
+static unsigned
+count_replicas (const expert_group_t *group, unsigned layer, unsigned expert)
+{
+  unsigned replicas = 0;
+
+  for (unsigned rank = 0; rank < group->pilots->rank_count; rank++)
+    replicas += placement_map_holds (group->map, layer, rank, expert);
+  return replicas;
+}
+
+/* Returns the time of RANK in LAYER over that of a balanced rank.  */
+static double
+rank_load (const expert_group_t *group, unsigned layer, unsigned rank)
+{
+  const uint64_t *counts
+      = &group->experts->counts[(size_t)layer * group->experts->experts];
+  double total = 0;
+  double load = 0;
+
+  for (unsigned i = 0; i < group->experts->experts; i++)
+    total += (double)counts[i];
+  for (unsigned slot = 0; slot < PLANNER_FIXTURE_SLOTS; slot++)
+    {
+      uint16_t expert
+          = placement_map_slot (group->map, layer, rank, slot)->expert;
+
+      if (expert != PLACEMENT_SLOT_FREE)
+        load += (double)counts[expert] / count_replicas (group, layer, expert);
+    }
+  return load / total * group->pilots->rank_count
+         * group->pilots->ranks[rank].slowdown;
+}
+
+/* Returns the duration of a step with the map in use.  */
+static int64_t
+step_duration_ms (const expert_group_t *group)
+{
+  double own = 0;
+  double experts = 0;
+
+  for (unsigned rank = 0; rank < group->pilots->rank_count; rank++)
+    {
+      if (group->pilots->ranks[rank].slowdown > own)
+        own = group->pilots->ranks[rank].slowdown;
+    }
+  for (unsigned layer = 0; layer < PLANNER_FIXTURE_LAYERS; layer++)
+    {
+      double slowest = 0;
+
+      for (unsigned rank = 0; rank < group->pilots->rank_count; rank++)
+        {
+          double load = rank_load (group, layer, rank);
+
+          if (load > slowest)
+            slowest = load;
+        }
+      experts += slowest / PLANNER_FIXTURE_LAYERS;
+    }
+  return (int64_t)(OWN_PART_MS * own + EXPERTS_PART_MS * experts);
+}
+
+static int64_t
+on_step (pilot_group_t *pilots)
+{
+  expert_group_t *group = pilots->data;
+
+  group->steps++;
+  if (pilots->engines[0].map_version != group->map_version)
+    {
+      group->map_version = pilots->engines[0].map_version;
+      talloc_free (group->map);
+      group->map = group->next_map;
+      group->next_map = NULL;
+      group->step_ms = 0;
+    }
+  if (group->step_ms == 0)
+    group->step_ms = step_duration_ms (group);
+  return group->step_ms;
+}
+
+static const pilot_group_ops_t pilots_ops = {
+  .on_time = on_time,
+  .on_report = on_report,
+  .on_event = on_event,
+  .on_step = on_step,
+};
+
+/* Creates a group whose maps suit the popularity of the experts.  */
+expert_group_t *
+expert_group_create (uint64_t seed, unsigned rank_count)
+{
+  expert_group_t *group = talloc_zero (NULL, expert_group_t);
+  engine_profile_t engine = { .has_experts = true,
+                              .layer_sets = PLANNER_FIXTURE_LAYERS,
+                              .experts = EXPERTS_PER_RANK * rank_count,
+                              .expert_slots = PLANNER_FIXTURE_SLOTS,
+                              .max_expert_loads = MAX_LOADS,
+                              .expert_load_s = expert_load_s };
+
+  group->pilots = pilot_group_create (seed, rank_count, true);
+  group->pilots->ops = &pilots_ops;
+  group->pilots->data = group;
+  group->experts
+      = planner_fixture_create (rank_count, EXPERTS_PER_RANK * rank_count);
+  planner_fixture_shift (group->experts);
+  group->work = work_time_create (group, group->pilots->clock);
+  group->planning
+      = planning_create (group, &engine, rank_count, group->pilots->switcher,
+                         group->work, &planning_ops, group);
+  group->map
+      = placement_map_copy (group, planner_map (group->experts->planner));
+  group->counted_step = talloc_zero_array (group, uint64_t, rank_count);
+  group->queries = talloc_zero_array (group, expert_query_t,
+                                      rank_count * RANK_QUERY_COUNT);
+  expert_group_run (group, SETTLE_MS);
+  return group;
+}
+
+/* Frees GROUP.  */
+void
+expert_group_destroy (expert_group_t *group)
+{
+  pilot_group_destroy (group->pilots);
+  planner_fixture_destroy (group->experts);
+  talloc_free (group);
+}
+
+/* Lets MS milliseconds pass.  */
+void
+expert_group_run (expert_group_t *group, int64_t ms)
+{
+  pilot_group_run (group->pilots, ms);
+}
+
+/* Sets how many times its usual time RANK takes, from the next step on.  */
+void
+expert_group_set_slowdown (expert_group_t *group, unsigned rank,
+                           double slowdown)
+{
+  group->pilots->ranks[rank].slowdown = slowdown;
+  group->step_ms = 0;
+}
+
+/* Returns the number of experts that RANK holds.  */
+unsigned
+expert_group_count_held (const expert_group_t *group, unsigned rank)
+{
+  unsigned held = 0;
+
+  for (unsigned layer = 0; layer < PLANNER_FIXTURE_LAYERS; layer++)
+    {
+      for (unsigned slot = 0; slot < PLANNER_FIXTURE_SLOTS; slot++)
+        held += placement_map_slot (group->map, layer, rank, slot)->expert
+                != PLACEMENT_SLOT_FREE;
+    }
+  return held;
+}
+
+/* Lets time pass until RANK holds at most MAX_HELD experts.  */
+int64_t
+expert_group_run_until_held (expert_group_t *group, unsigned rank,
+                             unsigned max_held, int64_t max_ms)
+{
+  int64_t began_ms = group->pilots->now_ms;
+
+  while (expert_group_count_held (group, rank) > max_held
+         && group->pilots->now_ms - began_ms < max_ms)
+    expert_group_run (group, 1);
+  return group->pilots->now_ms - began_ms;
+}
