--- a/spec/pilot_switch.pml
+++ b/spec/pilot_switch.pml
@@ -13,7 +13,14 @@
    NO_ROUND    a switch is given up without a new fence
    NO_DISARM   a switch is given up without disarming
    REUSE_STEP  a hold may be of a step that was released before
-   CLAIM_SOME  a new fence is sent to one rank only  */
+   CLAIM_SOME  a new fence is sent to one rank only
+
+   A new leader may prepare a map at a rank that has answered its claim while
+   the other has not (EARLY).  Nothing else can be settled without the other
+   rank; each of these must be found wrong:
+   EARLY_ARM     the rank that has answered is armed and the group released
+   EARLY_SETTLE  that rank is disarmed and released as if the other were not
+                 armed  */
 
 #define RANKS 2
 
@@ -228,6 +235,14 @@
      fi                                                                       \
   od
 
+/* Sends a command once, whatever the answer.  */
+#define SEND_ONCE(r, k, v, s)                                                 \
+  SEND (r, k, v, s);                                                          \
+  if                                                                          \
+  :: verdict == fenced -> goto stopped                                        \
+  :: else                                                                     \
+  fi
+
 proctype leader (byte term)
 {
   byte round, known, version, at, r, slot;
@@ -246,15 +261,51 @@
   fi;
   r = 0;
   do
+#ifdef EARLY
+  :: false ->
+#else
 #ifdef CLAIM_SOME
   :: r < 1 ->
 #else
   :: r < RANKS ->
+#endif
 #endif
      SEND_UNTIL_DONE (r, release, 0, 0, claim);
      r++
   :: else -> break
   od;
+#ifdef EARLY
+  if
+  :: r = 0
+  :: r = 1
+  fi;
+  SEND_UNTIL_DONE (r, release, 0, 0, claim);
+  /* What that rank reports is final now; the other one does not answer.  */
+  version = FENCE (term, round);
+#ifdef EARLY_SETTLE
+  if
+  :: engine[r].armed != 0 -> SEND_ONCE (r, disarm, engine[r].armed, 0)
+  :: else
+  fi;
+  if
+  :: engine[r].held != 0 -> SEND_ONCE (r, release, 0, engine[r].held)
+  :: else
+  fi;
+#endif
+  if
+  :: engine[r].armed == 0 && engine[r].held == 0 ->
+     SEND_ONCE (r, prepare, version, 0)
+  :: true
+  fi;
+#ifdef EARLY_ARM
+  at = step + 2;
+  SEND_ONCE (r, hold, 0, at);
+  SEND_ONCE (r, arm, version, at);
+  SEND_ONCE (r, release, 0, at);
+#endif
+  r = 1 - r;
+  SEND_UNTIL_DONE (r, release, 0, 0, claim);
+#endif
 
 recover:
   /* All ranks reject earlier commands, so that what they report is final.  */
@@ -296,7 +347,8 @@
   version = FENCE (term, round);
   r = 0;
   do
-  :: r < RANKS ->
+  :: r < RANKS && engine[r].prepared == version -> r++
+  :: r < RANKS && engine[r].prepared != version ->
      SEND_UNTIL_DONE (r, prepare, version, 0, stopped);
      r++
   :: else -> break
