Hand-over: a leader that stops asks another pilot at once; show what is waited for

Cause: a leader that was stopped finished its switch or recovery, however long that took, and told nobody: the others campaigned after 0.6 s and 0.15 s more for each rank number, also one beside a slow engine or about to stop.

switch-waits says which rank is waited for, since when and why, also while a rank without reports keeps the next plan from starting; gauges siskin_switch_waits_ranks, _rank_plus_one and _ms, siskin_slow_ranks, counter siskin_maps_prepared_early_total.

--- a/include/pilot/leader_state.h
+++ b/include/pilot/leader_state.h
@@ -6,6 +6,7 @@
 #include "pilot/leader.h"
 #include "pilot/members.h"
 #include "pilot/planning.h"
+#include "pilot/slow_ranks.h"
 #include "pilot/switcher.h"
 #include "pilot/work_time.h"
 
@@ -30,7 +31,13 @@
   char *group;
   unsigned rank_count;
   unsigned own_rank;
+  slow_ranks_t *own_pace;   /* of this pilot's engine, as its only rank */
+  struct timespec asked_at; /* by a leader that stopped, to lead */
   bool is_stopping;
+  struct timespec stopping_at; /* start of the planned stop */
+  /* The leadership was given up; the connections are closed with the next
+     tick, when the successor has been asked.  */
+  bool has_handed_over;
   /* This process has run while its engine did not hold the group.  Otherwise
      an earlier process of this pilot may have granted the leader a permit that
      this one does not know of; after a takeover the switcher then gets
@@ -60,6 +67,11 @@
 void leader_on_reply (unsigned rank, rank_query_t query,
                       const rank_reply_t *reply, void *data);
 void leader_start_planning (leader_t *leader, const engine_profile_t *engine);
+void leader_stop_planning (leader_t *leader);
+/* Returns a rank other than this pilot's whose pilot can act at once if this
+   process fails or stops, preferably one that is not slow; this pilot's rank
+   if there is none.  */
+unsigned leader_choose_deputy (const leader_t *leader);
 void leader_start_mirrors (leader_t *leader);
 void leader_stop_reading_rules (leader_t *leader);
 void leader_stop_mirrors (leader_t *leader);
--- a/include/pilot/members.h
+++ b/include/pilot/members.h
@@ -35,8 +35,12 @@
 void members_update_pilot (members_t *members, const char *name,
                            const char *value);
 void members_add_engine (members_t *members, const char *address);
-/* Returns the rank that should hold the group during the next switch.  */
-unsigned members_choose_holding_rank (const members_t *members);
+/* Whether the pilot of RANK_NUMBER is another one, connected, and has reported
+   recently.  */
+bool members_has_active_pilot (const members_t *members, unsigned rank_number);
+/* Asks the pilot of RANK_NUMBER to lead, as the leader of TERM stops.  */
+void members_ask_to_lead (members_t *members, unsigned rank_number,
+                          uint64_t term);
 /* Sends the leader's heartbeat to the other pilots.  */
 void members_send_heartbeat (members_t *members, uint64_t term);
 void members_handle_own_report (members_t *members,
--- a/include/pilot/planning.h
+++ b/include/pilot/planning.h
@@ -64,6 +64,9 @@
 bool planning_handle_reply (planning_t *planning, unsigned rank,
                             rank_query_t query, const rank_reply_t *reply,
                             struct timespec now);
+/* Whether RANK is slow, and how many ranks are.  */
+bool planning_is_slow (const planning_t *planning, unsigned rank);
+unsigned planning_slow_ranks (const planning_t *planning);
 /* Handles an event of the switcher.  */
 void planning_handle_event (planning_t *planning, switcher_event_t event,
                             struct timespec now);
--- a/include/pilot/switcher.h
+++ b/include/pilot/switcher.h
@@ -78,6 +78,25 @@
   void (*on_event) (switcher_event_t event, const char *reason, void *data);
 } switcher_ops_t;
 
+enum
+{
+  SWITCHER_NO_WAIT = -1
+};
+
+/* The rank that a leader waits for: in a switch or a recovery, or, while idle,
+   because no switch may start without its report.  */
+typedef struct switcher_wait
+{
+  int rank;         /* SWITCHER_NO_WAIT: none */
+  unsigned missing; /* number of such ranks */
+  /* Since any rank last advanced the phase, or, while idle, since the last
+     report of the rank.  */
+  int64_t ms;
+  int64_t
+      report_age_ms;  /* of the rank; -1: it has not reported in this term */
+  const char *reason; /* constant string for the log */
+} switcher_wait_t;
+
 switcher_t *switcher_create (TALLOC_CTX *parent, unsigned rank_count,
                              unsigned own_rank, const switcher_ops_t *ops,
                              void *data);
@@ -114,11 +133,15 @@
 /* What the last switch or recovery has cost, as key=value pairs for the log,
    owned by PARENT; see switch_trace_format.  */
 char *switcher_describe (const switcher_t *switcher, TALLOC_CTX *parent);
-/* Time since the current phase was last advanced by a rank.  Milliseconds.  */
-int64_t switcher_wait_ms (const switcher_t *switcher, struct timespec now);
-/* The current phase and a rank that it waits for, as key=value pairs for the
-   log, owned by PARENT.  */
-char *switcher_describe_wait (const switcher_t *switcher, TALLOC_CTX *parent);
+/* Finds which rank the current phase waits for, since when and why.  */
+void switcher_find_wait (const switcher_t *switcher, struct timespec now,
+                         switcher_wait_t *wait);
+/* WAIT as key=value pairs for the log, owned by PARENT.  */
+char *switcher_describe_wait (const switcher_t *switcher,
+                              const switcher_wait_t *wait, TALLOC_CTX *parent);
+/* Whether this leader can stop now: it has not held the group or armed ranks
+   in a switch that is not finished.  Weights that were loaded do no harm.  */
+bool switcher_can_stop (const switcher_t *switcher);
 /* Whether a switch may start: the switcher is idle, all ranks use the same
    map, none is armed or held, and all have reported recently.  */
 bool switcher_is_ready (const switcher_t *switcher, struct timespec now);
--- a/include/plugins/rank_engine.h
+++ b/include/plugins/rank_engine.h
@@ -96,6 +96,9 @@
      therefore release the group without it, unless a reachable rank is armed
      with the permitted version.  */
   RANK_QUERY_ARM_PERMISSION,
+  /* The leader stops and asks the pilot of the rank to lead the group.  No
+     reply follows.  */
+  RANK_QUERY_LEAD,
   RANK_QUERY_COUNT
 } rank_query_t;
 
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -5,6 +5,7 @@
 #include "common/store_mirror.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
+#include "pilot/candidacy.h"
 #include "pilot/members.h"
 #include "pilot/pilot_server.h"
 #include "pilot/reporter.h"
@@ -16,10 +17,11 @@
 enum
 {
   LEASE_MS = 2000, /* duration of the lease on the leader's key */
-  /* Time without a leader before rank 0 starts an election.  */
-  ELECTION_DELAY_MS = 600,
-  /* Added for each rank number, so that ranks do not compete.  */
-  ELECTION_DELAY_PER_RANK_MS = 150,
+  /* A leader seen within this time ends this pilot's campaign.  */
+  LEADER_SEEN_MS = 600,
+  /* A leader that stops finishes a switch that holds the group, unless that
+     takes longer than this: its successor reverts it then.  */
+  STOP_MAX_MS = 1000,
   HEARTBEAT_INTERVAL_MS = 250, /* heartbeats to the other pilots */
   /* Time for which this pilot's engine holds the group without heartbeats of a
      leader before the term is seized.  */
@@ -40,6 +42,13 @@
                 "Expert maps changed");
 COUNTER_DEFINE (switches_aborted, "siskin_map_switches_given_up_total",
                 "Changes of the expert map that were given up");
+GAUGE_DEFINE (waits_missing, "siskin_switch_waits_ranks",
+              "Ranks that the leader's switch, recovery or next plan waits "
+              "for");
+GAUGE_DEFINE (waits_rank, "siskin_switch_waits_rank_plus_one",
+              "The first of these ranks, counted from 1; 0: none");
+GAUGE_DEFINE (waits_ms, "siskin_switch_waits_ms",
+              "How long the leader has been waiting for it");
 GAUGE_DEFINE (leading, "siskin_leading", "Whether this pilot leads its group");
 
 /* Returns the time since THEN, in milliseconds.  */
@@ -74,14 +83,17 @@
   log_event (LOG_LEVEL_NOTICE, "leading-ended", "group=%s why=%s",
              leader->group, why);
   counter_set (&leading, 0);
+  counter_set (&waits_missing, 0);
+  counter_set (&waits_rank, 0);
+  counter_set (&waits_ms, 0);
   switcher_stop (leader->switcher);
   members_destroy (leader->members);
   leader->members = NULL;
-  TALLOC_FREE (leader->planning);
+  leader_stop_planning (leader);
   TALLOC_FREE (leader->switcher);
   TALLOC_FREE (leader->work);
   leader_stop_mirrors (leader);
-  leader->has_ignored_reply = false;
+  leader->has_ignored_reply = leader->has_handed_over = false;
   leader->ended_at = leader->not_held_at = pilot_now (leader->pilot);
   pilot_server_reset_leader_timeout (leader->pilot->server);
 }
@@ -330,6 +342,8 @@
     leader_set_group (leader, report);
   if (leader->members != NULL)
     members_handle_own_report (leader->members, report);
+  slow_ranks_handle_report (leader->own_pace, 0, report->slowdown,
+                            pilot_now (leader->pilot));
   leader->has_seen_not_held = leader->has_seen_not_held || !report->is_held;
   if (!report->is_held || report->step + 1 < report->hold_step)
     leader->not_held_at = pilot_now (leader->pilot);
@@ -343,23 +357,27 @@
     members_handle_own_poll_started (leader->members);
 }
 
-/* Logs which ranks a switch or recovery has been waiting for.  */
+/* Publishes which rank a switch or recovery waits for, or which one keeps the
+   next switch from starting, and logs it from time to time.  */
 static void
-leader_log_wait (leader_t *leader)
+leader_show_wait (leader_t *leader)
 {
-  char *wait;
-
-  if (!leader_is_switching (leader)
-      || switcher_wait_ms (leader->switcher, pilot_now (leader->pilot))
-             < WAIT_LOG_INTERVAL_MS
+  switcher_wait_t wait;
+  char *text;
+
+  switcher_find_wait (leader->switcher, pilot_now (leader->pilot), &wait);
+  counter_set (&waits_missing, wait.missing);
+  counter_set (&waits_rank, wait.rank == SWITCHER_NO_WAIT ? 0 : wait.rank + 1);
+  counter_set (&waits_ms, wait.ms > 0 ? wait.ms : 0);
+  if (wait.rank == SWITCHER_NO_WAIT || wait.ms < WAIT_LOG_INTERVAL_MS
       || leader_ms_since (leader, leader->wait_logged_at)
              < WAIT_LOG_INTERVAL_MS)
     return;
   leader->wait_logged_at = pilot_now (leader->pilot);
-  wait = switcher_describe_wait (leader->switcher, leader);
+  text = switcher_describe_wait (leader->switcher, &wait, leader);
   log_event (LOG_LEVEL_NOTICE, "switch-waits", "group=%s %s", leader->group,
-             wait);
-  talloc_free (wait);
+             text);
+  talloc_free (text);
 }
 
 /* Runs one tick of this pilot's term as leader: sends heartbeats, and lets the
@@ -379,20 +397,52 @@
       leader->heartbeat_at = now;
       members_send_heartbeat (leader->members, leader->fence);
     }
-  leader_log_wait (leader);
+  leader_show_wait (leader);
   if (leader->planning != NULL && !leader->is_stopping)
     planning_tick (leader->planning, now);
 }
 
+/* Returns what decides whether this pilot campaigns.  */
+static candidacy_t
+leader_candidacy (const leader_t *leader)
+{
+  return (candidacy_t){ .own_rank = leader->own_rank,
+                        .rank_count = leader->rank_count,
+                        .is_slow = slow_ranks_is_slow (leader->own_pace, 0),
+                        .is_stopping = leader->is_stopping };
+}
+
+/* The leader of TERM stops and asks this pilot to lead.  It has given up its
+   key, and the commands of its term are rejected once this pilot leads.  */
+void
+leader_handle_request_to_lead (leader_t *leader, uint64_t term)
+{
+  candidacy_t candidacy = leader_candidacy (leader);
+  bool is_accepted
+      = leader->term != NULL && leader->members == NULL
+        && term >= pilot_server_leader_term (leader->pilot->server)
+        && candidacy_accepts (&candidacy);
+
+  log_event (LOG_LEVEL_NOTICE, "asked-to-lead",
+             "group=%s term=%llu accepted=%d slow=%d stopping=%d",
+             leader->group == NULL ? "" : leader->group,
+             (unsigned long long)term, is_accepted, candidacy.is_slow,
+             candidacy.is_stopping);
+  if (!is_accepted)
+    return;
+  leader->asked_at = pilot_now (leader->pilot);
+  pilot_server_set_min_permit_term (leader->pilot->server, term + 1);
+  election_take_over (leader->term);
+}
+
 /* Campaigns when no leader has been seen for the election delay.  Seizes
    the term at once when this pilot's engine holds the group and the leader
    has stopped sending heartbeats.  */
 static void
 leader_campaign (leader_t *leader)
 {
-  int64_t election_delay_ms
-      = ELECTION_DELAY_MS
-        + ELECTION_DELAY_PER_RANK_MS * (int64_t)leader->own_rank;
+  candidacy_t candidacy = leader_candidacy (leader);
+  int64_t election_delay_ms = candidacy_delay_ms (&candidacy);
   int64_t leaderless_ms = pilot_server_leaderless_ms (leader->pilot->server);
   int64_t ended_ms = leader_ms_since (leader, leader->ended_at);
 
@@ -409,9 +459,11 @@
         log_event (LOG_LEVEL_WARN, "group-stuck", "group=%s unled_ms=%lld",
                    leader->group, (long long)leaderless_ms);
     }
-  else if (leaderless_ms > election_delay_ms && ended_ms > election_delay_ms)
+  else if (election_delay_ms >= 0 && leaderless_ms > election_delay_ms
+           && ended_ms > election_delay_ms)
     election_campaign (leader->term);
-  else if (leaderless_ms < ELECTION_DELAY_MS)
+  else if (leaderless_ms < LEADER_SEEN_MS
+           && leader_ms_since (leader, leader->asked_at) > LEADER_SEEN_MS)
     election_resign (leader->term);
 }
 
@@ -437,6 +489,28 @@
   election_resign (leader->term);
 }
 
+/* Gives up the leadership, if this can be done now, and asks another pilot to
+   lead.  */
+static void
+leader_hand_over (leader_t *leader)
+{
+  unsigned deputy;
+
+  if (leader->has_handed_over
+      || (!switcher_can_stop (leader->switcher)
+          && leader_ms_since (leader, leader->stopping_at) < STOP_MAX_MS))
+    return;
+  deputy = leader_choose_deputy (leader);
+  log_event (LOG_LEVEL_NOTICE, "handing-over", "group=%s to_rank=%u phase=%s",
+             leader->group, deputy,
+             switcher_phase_name (switcher_phase (leader->switcher)));
+  leader->has_handed_over = true;
+  switcher_stop (leader->switcher);
+  election_resign (leader->term);
+  if (deputy != leader->own_rank)
+    members_ask_to_lead (leader->members, deputy, leader->fence);
+}
+
 static void leader_start_timer (leader_t *leader);
 
 static void
@@ -451,20 +525,17 @@
       && (switcher_phase (leader->switcher) == SWITCHER_OFF
           || pilot_server_leader_term (leader->pilot->server) > leader->fence))
     {
-      /* Another pilot is the leader.  */
-      leader_end_term (leader, "deposed");
+      /* Another pilot is the leader, or has been asked to lead.  */
+      leader_end_term (leader,
+                       leader->has_handed_over ? "stopping" : "deposed");
       election_resign (leader->term);
     }
   if (leader->members != NULL)
     leader_run_term (leader);
   else if (leader->term != NULL && !leader->is_stopping)
     leader_campaign (leader);
-  if (leader->is_stopping && leader->members != NULL
-      && !leader_is_switching (leader))
-    {
-      leader_end_term (leader, "stopping");
-      election_resign (leader->term);
-    }
+  if (leader->is_stopping && leader->members != NULL)
+    leader_hand_over (leader);
 }
 
 static void
@@ -485,18 +556,27 @@
   if (leader == NULL)
     return NULL;
   leader->pilot = pilot;
+  leader->own_pace = slow_ranks_create (leader, 1);
+  if (leader->own_pace == NULL)
+    {
+      talloc_free (leader);
+      return NULL;
+    }
   leader->ended_at = leader->not_held_at = leader->ticked_at
       = pilot_now (pilot);
   leader_start_timer (leader);
   return leader;
 }
 
-/* Starts a planned stop: finishes the switch in progress, then releases
-   the term so that another pilot can lead.  */
+/* Starts a planned stop: gives up the leadership at once, or when the switch
+   in progress no longer holds the group.  */
 void
 leader_stop (leader_t *leader)
 {
   leader->is_stopping = true;
-  if (leader->term != NULL && leader->members == NULL)
+  leader->stopping_at = pilot_now (leader->pilot);
+  if (leader->members != NULL)
+    leader_hand_over (leader);
+  else if (leader->term != NULL)
     election_resign (leader->term);
 }
--- a/pilot/leader_planning.c
+++ b/pilot/leader_planning.c
@@ -1,7 +1,13 @@
 #include "pilot/leader_state.h"
 
+#include "kernel/counter.h"
 #include "kernel/log.h"
 
+COUNTER_DEFINE (early_plans, "siskin_maps_prepared_early_total",
+                "Expert maps prepared while the claim waited for a rank");
+GAUGE_DEFINE (slow_ranks, "siskin_slow_ranks",
+              "Ranks of the led group that are planned with as slow");
+
 static bool
 leader_query (unsigned rank, rank_query_t query, void *data)
 {
@@ -26,6 +32,29 @@
   return map_history_find_except (leader->pilot->maps, partial, except);
 }
 
+/* Returns a rank whose pilot can act at once if this process fails or stops.
+   The one that holds the group during a switch takes over if this process
+   fails meanwhile.  */
+unsigned
+leader_choose_deputy (const leader_t *leader)
+{
+  unsigned deputy = leader->own_rank;
+
+  for (unsigned i = 1; i < leader->rank_count; i++)
+    {
+      unsigned rank = (leader->own_rank + i) % leader->rank_count;
+
+      if (!members_has_active_pilot (leader->members, rank))
+        continue;
+      if (leader->planning == NULL
+          || !planning_is_slow (leader->planning, rank))
+        return rank;
+      if (deputy == leader->own_rank)
+        deputy = rank;
+    }
+  return deputy;
+}
+
 /* Logs a plan.  If a switch to its map follows, encodes the map and chooses
    the rank that holds the group.  */
 static void
@@ -47,11 +76,11 @@
              (long long)result->counts_ms, result->is_early);
   if (!plan->is_change)
     return;
+  counter_add (&early_plans, result->is_early);
   work_time_begin (leader->work, WORK_ENCODING);
   members_set_map (leader->members, result->base, plan->map);
   work_time_end (leader->work);
-  switcher_set_holding_rank (leader->switcher,
-                             members_choose_holding_rank (leader->members));
+  switcher_set_holding_rank (leader->switcher, leader_choose_deputy (leader));
 }
 
 /* Logs that RANK has become slow or has recovered.  */
@@ -60,6 +89,7 @@
 {
   const leader_t *leader = data;
 
+  counter_set (&slow_ranks, planning_slow_ranks (leader->planning));
   log_event (LOG_LEVEL_NOTICE, is_slow ? "rank-slow" : "rank-recovered",
              "group=%s rank=%u slowdown=%.2f switching=%d", leader->group,
              rank, slowdown, leader_is_switching (leader));
@@ -82,6 +112,14 @@
                          leader->work, &leader_planning_ops, leader);
 }
 
+/* Stops planning, at the end of a term.  */
+void
+leader_stop_planning (leader_t *leader)
+{
+  TALLOC_FREE (leader->planning);
+  counter_set (&slow_ranks, 0);
+}
+
 /* Logs the first reply of a term that is ignored: it is of an earlier epoch,
    or does not fit the group.  */
 static void
--- a/pilot/members.c
+++ b/pilot/members.c
@@ -230,22 +230,15 @@
   LIST_INSERT_HEAD (&members->listed_engines, listed, entry);
 }
 
-/* Returns the rank that should hold the group during a switch.  Prefers a rank
-   on another machine, whose pilot takes over at once if this process fails
-   while the group is held.  */
-unsigned
-members_choose_holding_rank (const members_t *members)
+/* Returns whether the pilot of RANK_NUMBER is another one, connected, and has
+   reported recently.  */
+bool
+members_has_active_pilot (const members_t *members, unsigned rank_number)
 {
-  for (unsigned i = 1; i < members->rank_count; i++)
-    {
-      unsigned rank = (members->own_rank + i) % members->rank_count;
+  const member_rank_t *rank = &members->ranks[rank_number];
 
-      if (member_rank_has_pilot (&members->ranks[rank])
-          && !has_elapsed (members, members->ranks[rank].reported_at,
-                           REPORT_TIMEOUT_MS))
-        return rank;
-    }
-  return members->own_rank;
+  return rank_number != members->own_rank && member_rank_has_pilot (rank)
+         && !has_elapsed (members, rank->reported_at, REPORT_TIMEOUT_MS);
 }
 
 static bool
@@ -335,18 +328,17 @@
   return RANK_QUERY_COUNT * members->next_query++ + query;
 }
 
-/* Requests permission from the pilot of RANK_NUMBER, which holds the group, to
-   arm this pilot's rank with VERSION in the leader's term TERM.  */
-void
-members_request_permit (members_t *members, unsigned rank_number,
-                        uint64_t term, uint64_t version)
+/* Sends QUERY, which is for the pilot itself and not for its engine, to the
+   pilot of RANK_NUMBER.  */
+static void
+members_query_pilot (members_t *members, unsigned rank_number,
+                     rank_query_t query, uint64_t term, uint64_t version)
 {
   const member_rank_t *rank = &members->ranks[rank_number];
   frame_t frame
       = { .header.type = FRAME_RANK_QUERY,
-          .body.rank_query = { .ticket = members_query_ticket (
-                                   members, RANK_QUERY_ARM_PERMISSION),
-                               .query = RANK_QUERY_ARM_PERMISSION,
+          .body.rank_query = { .ticket = members_query_ticket (members, query),
+                               .query = query,
                                .term = term,
                                .version = version } };
 
@@ -354,6 +346,23 @@
     link_send (rank->pilot->link, &frame);
 }
 
+/* Requests permission from the pilot of RANK_NUMBER, which holds the group, to
+   arm this pilot's rank with VERSION in the leader's term TERM.  */
+void
+members_request_permit (members_t *members, unsigned rank_number,
+                        uint64_t term, uint64_t version)
+{
+  members_query_pilot (members, rank_number, RANK_QUERY_ARM_PERMISSION, term,
+                       version);
+}
+
+/* Asks the pilot of RANK_NUMBER to lead, as the leader of TERM stops.  */
+void
+members_ask_to_lead (members_t *members, unsigned rank_number, uint64_t term)
+{
+  members_query_pilot (members, rank_number, RANK_QUERY_LEAD, term, 0);
+}
+
 static bool
 members_query_own (members_t *members, rank_query_t query)
 {
--- a/pilot/pilot_server.c
+++ b/pilot/pilot_server.c
@@ -3,6 +3,7 @@
 #include "common/numbers.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
+#include "pilot/leader.h"
 #include "pilot/rank_codec.h"
 #include "pilot/reporter.h"
 
@@ -258,6 +259,11 @@
       server_handle_permit_request (client, body);
       return;
     }
+  if (body->query == RANK_QUERY_LEAD)
+    {
+      leader_handle_request_to_lead (pilot->leader, body->term);
+      return;
+    }
   request = client_request_create (client, body->ticket);
   if (request != NULL)
     request->query = query;
--- a/pilot/planning.c
+++ b/pilot/planning.c
@@ -112,6 +112,20 @@
                         slow_ranks_slowdown (planning->slow_ranks, rank));
 }
 
+/* Returns whether RANK is slow.  */
+bool
+planning_is_slow (const planning_t *planning, unsigned rank)
+{
+  return slow_ranks_is_slow (planning->slow_ranks, rank);
+}
+
+/* Returns the number of slow ranks.  */
+unsigned
+planning_slow_ranks (const planning_t *planning)
+{
+  return slow_ranks_count (planning->slow_ranks);
+}
+
 static bool
 handle_counts (planning_t *planning, const rank_reply_t *reply, bool is_valid)
 {
--- a/pilot/switcher.c
+++ b/pilot/switcher.c
@@ -381,6 +381,14 @@
     }
 }
 
+/* Returns whether this leader can stop now without leaving the group held.  */
+bool
+switcher_can_stop (const switcher_t *switcher)
+{
+  return !switcher->may_be_held && switcher->phase != SWITCHER_ARMING
+         && switcher->phase != SWITCHER_RELEASING;
+}
+
 /* Returns whether a switch may start: the switcher is idle, all ranks use
    the same map, none is armed or held, and all have reported recently.  */
 bool
@@ -540,6 +548,22 @@
          || (verdict == RANK_DONE && ticket >= view->first_ticket);
 }
 
+/* The command of this stage succeeded at the rank of VIEW.  */
+static void
+handle_done (switcher_t *switcher, rank_view_t *view, struct timespec now)
+{
+  bool is_early = switcher->phase == SWITCHER_CLAIMING
+                  && view->command.kind == RANK_COMMAND_PREPARE;
+
+  switcher_note_claim (switcher, view, EARLY_ACCEPTED);
+  if (is_early)
+    return;
+  view->is_done = true;
+  switcher->progress_at = now;
+  switch_trace_count_done (switcher->trace,
+                           (unsigned)(view - switcher->ranks));
+}
+
 /* Handles the outcome of the command TICKET to RANK.  */
 void
 switcher_handle_verdict (switcher_t *switcher, unsigned rank, uint64_t ticket,
@@ -562,12 +586,7 @@
     {
     case RANK_DONE:
       if (view->sent_stage == switcher->stage)
-        {
-          switcher_note_claim (switcher, view, EARLY_ACCEPTED);
-          view->is_done = true;
-          switcher->progress_at = now;
-          switch_trace_count_done (switcher->trace, rank);
-        }
+        handle_done (switcher, view, now);
       break;
     case RANK_FENCED:
       switcher->phase = SWITCHER_OFF;
--- a/pilot/switcher_ranks.c
+++ b/pilot/switcher_ranks.c
@@ -176,34 +176,3 @@
   return view->report.has_prepared
          && view->report.prepared_version == switcher->version;
 }
-
-/* Returns the time since the current phase was last advanced by a rank.  */
-int64_t
-switcher_wait_ms (const switcher_t *switcher, struct timespec now)
-{
-  return timespec_to_ms (timespec_subtract (now, switcher->progress_at));
-}
-
-/* Returns the current phase, how many ranks it waits for and the first of
-   them, as text owned by PARENT.  */
-char *
-switcher_describe_wait (const switcher_t *switcher, TALLOC_CTX *parent)
-{
-  const rank_view_t *first = NULL;
-  unsigned missing = 0;
-
-  for (unsigned i = switcher->rank_count; i-- > 0;)
-    {
-      if (switcher->ranks[i].is_done)
-        continue;
-      first = &switcher->ranks[i];
-      missing++;
-    }
-  if (first == NULL)
-    return talloc_asprintf (parent, "phase=%s missing=0",
-                            switcher_phase_name (switcher->phase));
-  return talloc_asprintf (
-      parent, "phase=%s missing=%u rank=%u reported=%d pending=%d",
-      switcher_phase_name (switcher->phase), missing,
-      (unsigned)(first - switcher->ranks), first->is_known, first->is_pending);
-}
--- a/tests/process/platform_group.py
+++ b/tests/process/platform_group.py
@@ -37,6 +37,7 @@
         self.epoch = 1
         self.step = 0
         self.slowdown = 1.0
+        self.slow_ranks = {}  # rank: its slowdown, if another one
         self.mixed_steps = 0  # steps in which ranks used different maps
         self.versions = []  # map versions used, in order
         self.last_step_at = time.monotonic()
@@ -140,7 +141,7 @@
                 "size": len(self.ranks), "born": replica.born,
                 "step": self.step, "map": rank.version,
                 "active": 3, "queued": 0, "kv_used": 100, "kv_total": 40000,
-                "pace": self.slowdown,
+                "pace": self.slow_ranks.get(rank.number, self.slowdown),
                 "prepared": rank.prepared and rank.prepared[0],
                 "armed": rank.armed and {"version": rank.armed[0],
                                          "step": rank.armed[1]},
--- a/tests/process/test_pilots.py
+++ b/tests/process/test_pilots.py
@@ -200,6 +200,22 @@
             self.wait_for_maps(2)
             self.assert_no_long_stall()
 
+    def test_stopped_leader_asks_a_pilot_whose_rank_is_not_slow(self):
+        old = self.leader()
+        number = self.pilots.index(old)
+        slow, other = (number + 1) % RANKS, (number + 2) % RANKS
+        self.group.slow_ranks[slow] = 12
+        wait_until(lambda: "event=rank-slow " in old.text(), 5, "a slow rank")
+        self.assertEqual(old.stop(), 0)
+        wait_until(lambda: self.platform.metric(self.pilots[other],
+                                                "siskin_leading") == 1,
+                   5, "the next leader")
+        self.assertRegex(self.pilots[other].text(),
+                         "event=asked-to-lead .*accepted=1")
+        self.assertNotIn("event=leading ", self.pilots[slow].text())
+        self.pilots[number] = self.platform.start_pilot(number)
+        self.wait_for_maps(1)
+
     def test_relay_gets_reports_of_every_rank(self):
         relay = self.platform.start_relay()
         wait_until(lambda: self.platform.metric(relay, "siskin_feed_pilots")
--- a/tests/test_frozen_leader.c
+++ b/tests/test_frozen_leader.c
@@ -56,6 +56,20 @@
   return group->pilots->now_ms - began_ms;
 }
 
+/* An operator is told which rank is waited for, since when and why.  */
+static void
+assert_waits_for_rank_0 (const expert_group_t *group)
+{
+  switcher_wait_t wait;
+
+  switcher_find_wait (group->pilots->switcher, pilot_group_now (group->pilots),
+                      &wait);
+  assert_int_equal (wait.rank, 0);
+  assert_int_equal (wait.missing, 1);
+  assert_string_equal (wait.reason, "silent");
+  assert_true (wait.ms >= FROZEN_MS - LEASE_MS - STUCK_MS);
+}
+
 static void
 test_map_is_prepared_without_the_frozen_rank (void **state)
 {
@@ -71,6 +85,7 @@
       planner_fixture_shift (group->experts);
       freeze_leader (group);
       assert_true (group->early_changes > 0);
+      assert_waits_for_rank_0 (group);
       assert_int_equal (group->map_version, version);
       pilot_group_resume (group->pilots, 0);
       switched_ms = run_until_switched (group, MAX_SETTLE_MS);
