Relay: refuse at once what would wait in vain; learn clients' timeouts from first

Two causes: - Where no group of a service is open, or the requests before one in the queue take longer than it may be queued, it was held until its queue time had passed. Now it is refused when that is known (fleet: no-group; queue: queue-too-long). - After a start, the usual timeout of a route's clients was taken to be the route's timeout. Where the operator allows more than clients wait for, all clients counted as late for minutes. Now it is the second longest of the first 16.

--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -19,7 +19,10 @@
 
 enum
 {
-  FLEET_MAX_TRIED = 16
+  FLEET_MAX_TRIED = 16,
+  /* A request that no upstream can take is queued for this long at most:
+     clients close streams without data after 2 s.  */
+  FLEET_MAX_QUEUE_MS = 1600
 };
 
 /* The properties of a request that determine the choice.  */
@@ -55,6 +58,9 @@
      is out of service, in a region that the route does not allow, or tried
      before.  */
   FLEET_NO_ALLOWED_UPSTREAM,
+  /* In groups that have been closed for so long that a request would wait in
+     vain.  */
+  FLEET_NO_GROUP,
   FLEET_ALL_PAUSED,  /* have asked this relay for no requests for a time */
   FLEET_ALL_COLD,    /* in cold start, and at the rate limit for it */
   FLEET_ALL_LIMITED, /* at the rate limit that they have named */
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -93,10 +93,11 @@
   LIST_ENTRY (fleet_group) link;
   char *name;
   uint64_t epoch;
-  bool is_open;              /* it takes steps */
-  unsigned known_ranks;      /* upstreams whose group it is */
-  uint64_t running_requests; /* sum over them, as last reported */
-  uint64_t cache_tokens;     /* in use in their KV caches, likewise */
+  bool is_open;                 /* it takes steps */
+  struct timespec closed_since; /* valid unless IS_OPEN */
+  unsigned known_ranks;         /* upstreams whose group it is */
+  uint64_t running_requests;    /* sum over them, as last reported */
+  uint64_t cache_tokens;        /* in use in their KV caches, likewise */
   pass_model_t passes;
   uint64_t step;
   struct timespec last_step_at; /* when the last step was observed */
@@ -254,6 +255,11 @@
    (fleet_report.c).  */
 bool fleet_upstream_is_stalled (const fleet_t *fleet,
                                 const fleet_upstream_t *upstream);
+/* Whether the group of UPSTREAM has been closed for so long that no request
+   that waited for it in the queue was served.  */
+bool fleet_upstream_has_lost_group (const fleet_t *fleet,
+                                    const fleet_upstream_t *upstream,
+                                    struct timespec now);
 bool fleet_upstream_is_full (const fleet_t *fleet,
                              const fleet_upstream_t *upstream,
                              const quota_use_t *use, bool is_share_used);
--- a/include/relay/request_queue.h
+++ b/include/relay/request_queue.h
@@ -54,7 +54,8 @@
 
 request_queue_t *request_queue_create (TALLOC_CTX *parent);
 void request_queue_destroy (request_queue_t *queue);
-bool request_queue_add (request_queue_t *queue, queued_request_t *request);
+bool request_queue_add (request_queue_t *queue, queued_request_t *request,
+                        struct timespec now);
 void request_queue_remove (queued_request_t *request);
 /* Returns a queued request that has to be given up, or NULL.  */
 queued_request_t *request_queue_find_expired (const request_queue_t *queue,
@@ -66,7 +67,14 @@
                                     const char *service, unsigned urgency);
 /* Count a request that was sent without being queued.  */
 void request_queue_count_sent (request_queue_t *queue, const char *service,
-                               unsigned urgency);
+                               unsigned urgency, struct timespec now);
+/* Returns the time that a request for SERVICE of URGENCY is expected to wait
+   for its turn, or zero if that is not known: its class has not been waiting
+   for long, or not at all.  */
+struct timespec request_queue_expected_wait (const request_queue_t *queue,
+                                             const char *service,
+                                             unsigned urgency,
+                                             struct timespec now);
 void request_queue_retry (request_queue_t *queue, struct timespec now,
                           queue_try_t try, void *data);
 
--- a/relay/client_timeouts.c
+++ b/relay/client_timeouts.c
@@ -12,7 +12,11 @@
   /* The usual timeout follows the median of the clients' timeouts: each moves
      it by this part of itself.  Hundreds of clients that come back after an
      outage move it little.  */
-  STEP_DIVISOR = 512
+  STEP_DIVISOR = 512,
+  /* At first it is the second longest of the timeouts, so that it is right as
+     soon as two clients have come for the first time, and no single one can
+     set it.  */
+  FIRST_SAMPLES = 16
 };
 
 typedef struct route_timeout
@@ -21,6 +25,8 @@
   TAILQ_ENTRY (route_timeout) link;
   char *route;
   int64_t usual_us;
+  int64_t longest_us; /* of the first samples */
+  unsigned samples;   /* up to FIRST_SAMPLES */
 } route_timeout_t;
 
 struct client_timeouts
@@ -60,10 +66,8 @@
   talloc_free (oldest);
 }
 
-/* Add ROUTE, whose clients wait for its timeout LIMIT_US until more is
-   known.  */
 static route_timeout_t *
-timeouts_add (client_timeouts_t *timeouts, const char *route, int64_t limit_us)
+timeouts_add (client_timeouts_t *timeouts, const char *route)
 {
   route_timeout_t *added = talloc_zero (timeouts, route_timeout_t);
 
@@ -77,7 +81,6 @@
     }
   if (table_count (timeouts->routes) >= MAX_ROUTES)
     timeouts_forget_oldest (timeouts);
-  added->usual_us = limit_us;
   table_insert (timeouts->routes, &added->node, added->route,
                 strlen (added->route));
   TAILQ_INSERT_HEAD (&timeouts->by_use, added, link);
@@ -85,32 +88,43 @@
 }
 
 static route_timeout_t *
-timeouts_find_or_add (client_timeouts_t *timeouts, const char *route,
-                      int64_t limit_us)
+timeouts_find_or_add (client_timeouts_t *timeouts, const char *route)
 {
   table_node_t *node = table_find (timeouts->routes, route, strlen (route));
   route_timeout_t *known;
 
   if (node == NULL)
-    return timeouts_add (timeouts, route, limit_us);
+    return timeouts_add (timeouts, route);
   known = CONTAINER_OF (node, route_timeout_t, node);
   TAILQ_REMOVE (&timeouts->by_use, known, link);
   TAILQ_INSERT_HEAD (&timeouts->by_use, known, link);
   return known;
 }
 
+static void
+route_record_first (route_timeout_t *route, int64_t timeout_us)
+{
+  int64_t longest_us = route->longest_us;
+
+  route->samples++;
+  if (timeout_us > longest_us)
+    route->longest_us = timeout_us;
+  if (timeout_us > route->usual_us)
+    route->usual_us = timeout_us < longest_us ? timeout_us : longest_us;
+}
+
 /* Move the usual timeout of ROUTE towards TIMEOUT_US.  */
 static void
-route_record (route_timeout_t *route, int64_t timeout_us, int64_t limit_us)
+route_record (route_timeout_t *route, int64_t timeout_us)
 {
   int64_t step_us = route->usual_us / STEP_DIVISOR + 1;
 
-  if (timeout_us > route->usual_us)
+  if (route->samples < FIRST_SAMPLES)
+    route_record_first (route, timeout_us);
+  else if (timeout_us > route->usual_us)
     route->usual_us += step_us;
   else if (timeout_us < route->usual_us)
     route->usual_us -= step_us;
-  if (route->usual_us > limit_us)
-    route->usual_us = limit_us;
 }
 
 /* Record a request of ROUTE and return the time that its client has waited
@@ -127,12 +141,15 @@
   if (limit_us <= 0)
     return (struct timespec){ 0, 0 };
   table_lock (timeouts->routes);
-  known = timeouts_find_or_add (timeouts, route, limit_us);
+  known = timeouts_find_or_add (timeouts, route);
   if (known != NULL)
     {
-      if (timeout_us < known->usual_us)
-        waited_us = known->usual_us - timeout_us;
-      route_record (known, timeout_us, limit_us);
+      int64_t usual_us
+          = known->usual_us < limit_us ? known->usual_us : limit_us;
+
+      if (timeout_us < usual_us)
+        waited_us = usual_us - timeout_us;
+      route_record (known, timeout_us < limit_us ? timeout_us : limit_us);
     }
   table_unlock (timeouts->routes);
   return timespec_from_us (waited_us);
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -19,6 +19,7 @@
   [FLEET_NO_SHORTAGE] = "none",
   [FLEET_NO_UPSTREAM] = "no-upstream",
   [FLEET_NO_ALLOWED_UPSTREAM] = "none-allowed",
+  [FLEET_NO_GROUP] = "no-group",
   [FLEET_ALL_PAUSED] = "all-paused",
   [FLEET_ALL_COLD] = "all-cold",
   [FLEET_ALL_LIMITED] = "all-limited",
@@ -44,8 +45,8 @@
 bool
 fleet_shortage_is_temporary (fleet_shortage_t shortage)
 {
-  return shortage != FLEET_NO_UPSTREAM
-         && shortage != FLEET_NO_ALLOWED_UPSTREAM;
+  return shortage != FLEET_NO_UPSTREAM && shortage != FLEET_NO_ALLOWED_UPSTREAM
+         && shortage != FLEET_NO_GROUP;
 }
 
 /* Return the name of RESULT for the log.  */
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -57,6 +57,8 @@
 {
   if (!upstream_is_allowed (upstream, request))
     return FLEET_NO_ALLOWED_UPSTREAM;
+  if (fleet_upstream_has_lost_group (fleet, upstream, now))
+    return FLEET_NO_GROUP;
   if (upstream_is_paused (upstream, now))
     return FLEET_ALL_PAUSED;
   if (fleet_upstream_is_stalled (fleet, upstream))
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -144,6 +144,8 @@
   if (report->epoch > group->epoch || report->step > group->step)
     group->step = report->step;
   group->epoch = report->epoch;
+  if (group->is_open && !report->is_open)
+    group->closed_since = now;
   group->is_open = report->is_open;
   group->last_report_at = now;
   if (was_stalled != group->is_stalled)
@@ -284,6 +286,26 @@
   return !group->is_open || group->is_stalled;
 }
 
+/* Return whether the group of UPSTREAM has been closed for longer than it
+   takes to form and a request may be queued: what waited for it did so in
+   vain, and so would another request.  */
+bool
+fleet_upstream_has_lost_group (const fleet_t *fleet,
+                               const fleet_upstream_t *upstream,
+                               struct timespec now)
+{
+  const fleet_group_t *group = upstream->group;
+  struct timespec limit
+      = timespec_add (upstream->service->engine.group_recovery_time,
+                      timespec_from_ms (FLEET_MAX_QUEUE_MS));
+
+  return group != NULL && !group->is_open
+         && is_recent (fleet, group->last_report_at)
+         && timespec_compare (timespec_subtract (now, group->closed_since),
+                              limit)
+                > 0;
+}
+
 /* Return whether there is a known reason why nothing has arrived from UPSTREAM
    since LAST_RECEIVED_AT: requests are queued there, or since then, or
    since it was last disrupted, its group has been taking steps for less than
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -13,7 +13,6 @@
 enum
 {
   DEFAULT_CLIENT_TIMEOUT_MS = 60000, /* if the client sends no deadline */
-  QUEUE_MAX_MS = 1600, /* clients close streams without data after 2 s */
   /* A request may be queued for its timeout divided by this at most.  */
   QUEUE_TIME_DIVISOR = 2,
   /* Attempts beyond the route's limit, for upstreams that did not run the
@@ -321,8 +320,8 @@
       && timespec_compare (timeout, client_timeout) < 0)
     client_timeout = timeout;
   queue_ms = timespec_to_ms (client_timeout) / QUEUE_TIME_DIVISOR;
-  if (queue_ms > QUEUE_MAX_MS)
-    queue_ms = QUEUE_MAX_MS;
+  if (queue_ms > FLEET_MAX_QUEUE_MS)
+    queue_ms = FLEET_MAX_QUEUE_MS;
   forward->deadline = timespec_add (forward->arrived_at, client_timeout);
   forward->queued.give_up_at
       = timespec_add (forward->arrived_at, timespec_from_ms (queue_ms));
@@ -399,15 +398,43 @@
   return true;
 }
 
+/* Refuse the request, which has not been queued yet, if those before it in the
+   queue would take longer than it may be queued: it would wait in vain.
+   Returns whether it has ended.  */
+static bool
+forward_refuse_hopeless (forward_t *forward)
+{
+  struct timespec now = forward_now (forward);
+  struct timespec wait = request_queue_expected_wait (
+      forward->relay_worker->queue, forward->criteria.service,
+      forward->criteria.urgency, now);
+
+  if (forward->has_waited
+      || timespec_compare (timespec_add (now, wait),
+                           forward->queued.give_up_at)
+             < 0)
+    return false;
+  forward_give_up (forward, "queue-too-long",
+                   forward_default_retry_after (forward));
+  return true;
+}
+
 /* No upstream can be chosen because of SHORTAGE.  Queue the request, or end it
-   if it has been queued for too long.  */
+   if it has been queued for too long or is known to wait in vain.  */
 static queue_result_t
 forward_handle_shortage (forward_t *forward, fleet_shortage_t shortage)
 {
   queue_result_t result;
 
-  if (shortage == FLEET_ALL_PAUSED && forward_refuse_paused (forward))
+  if ((shortage == FLEET_ALL_PAUSED && forward_refuse_paused (forward))
+      || (shortage == FLEET_ALL_FULL && forward_refuse_hopeless (forward)))
     return QUEUE_ENDED;
+  if (shortage == FLEET_NO_GROUP)
+    {
+      forward_give_up (forward, fleet_shortage_name (shortage),
+                       forward_default_retry_after (forward));
+      return QUEUE_ENDED;
+    }
   result
       = forward_wait_or_fail (forward, fleet_shortage_is_temporary (shortage),
                               fleet_shortage_name (shortage));
@@ -591,9 +618,12 @@
   unsigned urgency = forward->criteria.urgency;
 
   if (forward_must_queue (forward))
-    forward_wait_or_fail (forward, true, "more-urgent-first");
+    {
+      if (!forward_refuse_hopeless (forward))
+        forward_wait_or_fail (forward, true, "more-urgent-first");
+    }
   else if (forward_dispatch (forward) == QUEUE_SENT)
-    request_queue_count_sent (queue, service, urgency);
+    request_queue_count_sent (queue, service, urgency, forward_now (forward));
 }
 
 /* Start a request.  Sets *STARTED, which is NULL when memory is exhausted,
--- a/relay/forward_queue.c
+++ b/relay/forward_queue.c
@@ -61,7 +61,8 @@
 
   if (forward_has_waited_enough (forward, is_temporary)
       || (forward->queued.class == NULL
-          && !request_queue_add (relay_worker->queue, &forward->queued)))
+          && !request_queue_add (relay_worker->queue, &forward->queued,
+                                 relay_worker_now (relay_worker))))
     {
       forward_give_up (forward, why, forward_default_retry_after (forward));
       return QUEUE_ENDED;
--- a/relay/request_queue.c
+++ b/relay/request_queue.c
@@ -2,15 +2,22 @@
 
 #include "kernel/clock.h"
 
+#include <math.h>
 #include <string.h>
 
 enum
 {
   /* A class that waits gets at least one of this many requests that are sent,
      so that more urgent classes can't starve it.  */
-  GUARANTEED_TURN = 8
+  GUARANTEED_TURN = 8,
+  /* The rate at which requests are sent is averaged over about this time.  It
+     tells the capacity for a class that has been waiting for as long.  */
+  RATE_WINDOW_MS = 1000,
+  MAX_EXPECTED_WAIT_MS = 60000
 };
 
+static const double ms_per_s = 1000;
+
 /* The queued requests of one service and urgency.  */
 typedef struct request_class
 {
@@ -21,6 +28,10 @@
   /* More urgent requests that were sent while this class waited, since it was
      last served.  */
   unsigned passed_over;
+  unsigned count;
+  struct timespec waiting_since; /* valid unless it is empty */
+  double sent_per_s;             /* at SENT_AT, the last sending */
+  struct timespec sent_at;
 } request_class_t;
 
 struct request_queue
@@ -105,13 +116,16 @@
 /* Queue REQUEST behind the others of its class.  Returns false when memory is
    exhausted.  */
 bool
-request_queue_add (request_queue_t *queue, queued_request_t *request)
+request_queue_add (request_queue_t *queue, queued_request_t *request,
+                   struct timespec now)
 {
   request_class_t *class = queue_find_or_add_class (queue, request->service,
                                                     request->urgency);
 
   if (class == NULL)
     return false;
+  if (class->count++ == 0)
+    class->waiting_since = now;
   request->class = class;
   TAILQ_INSERT_TAIL (&class->requests, request, link);
   return true;
@@ -127,7 +141,7 @@
     return;
   TAILQ_REMOVE (&class->requests, request, link);
   request->class = NULL;
-  if (TAILQ_EMPTY (&class->requests))
+  if (--class->count == 0)
     class->passed_over = 0;
 }
 
@@ -157,7 +171,7 @@
 
   LIST_FOREACH (class, &queue->classes, link)
     {
-      if (!TAILQ_EMPTY (&class->requests))
+      if (class->count > 0)
         return false;
     }
   return true;
@@ -174,40 +188,77 @@
   LIST_FOREACH (class, &queue->classes, link)
     {
       if (class->urgency < urgency && class_is_of (class, service)
-          && !TAILQ_EMPTY (&class->requests))
+          && class->count > 0)
         return true;
     }
   return false;
 }
 
+static double
+class_rate_at (const request_class_t *class, struct timespec now)
+{
+  double elapsed_ms
+      = (double)timespec_to_ms (timespec_subtract (now, class->sent_at));
+
+  return class->sent_per_s * exp (-elapsed_ms / RATE_WINDOW_MS);
+}
+
 /* Count a request for SERVICE of URGENCY that was sent: it has passed over
    the less urgent ones that are queued.  */
 void
 request_queue_count_sent (request_queue_t *queue, const char *service,
-                          unsigned urgency)
+                          unsigned urgency, struct timespec now)
 {
   request_class_t *class;
 
   LIST_FOREACH (class, &queue->classes, link)
     {
-      if (class->urgency > urgency && class_is_of (class, service)
-          && !TAILQ_EMPTY (&class->requests))
+      if (!class_is_of (class, service))
+        continue;
+      if (class->urgency > urgency && class->count > 0)
         class->passed_over++;
+      if (class->urgency != urgency)
+        continue;
+      class->sent_per_s
+          = class_rate_at (class, now) + ms_per_s / RATE_WINDOW_MS;
+      class->sent_at = now;
+    }
+}
+
+/* Return the time that a request for SERVICE of URGENCY is expected to wait,
+   or zero if that is not known.  */
+struct timespec
+request_queue_expected_wait (const request_queue_t *queue, const char *service,
+                             unsigned urgency, struct timespec now)
+{
+  const request_class_t *class;
+  double wait_ms;
+
+  LIST_FOREACH (class, &queue->classes, link)
+    {
+      if (class->urgency == urgency && class_is_of (class, service))
+        break;
     }
+  if (class == NULL || class->count == 0
+      || timespec_to_ms (timespec_subtract (now, class->waiting_since))
+             < RATE_WINDOW_MS)
+    return (struct timespec){ 0, 0 };
+  wait_ms = class->count * ms_per_s / fmax (class_rate_at (class, now), 1e-9);
+  return timespec_from_ms ((int64_t)fmin (wait_ms, MAX_EXPECTED_WAIT_MS));
 }
 
 /* Try REQUEST of CLASS, and count it if it was sent.  */
 static queue_result_t
 class_try (request_queue_t *queue, request_class_t *class,
            queued_request_t *request, const queue_turn_t *turn,
-           queue_try_t try, void *data)
+           struct timespec now, queue_try_t try, void *data)
 {
   queue_result_t result = try (request, turn, data);
 
   if (result != QUEUE_SENT)
     return result;
   class->passed_over = 0;
-  request_queue_count_sent (queue, class->service, class->urgency);
+  request_queue_count_sent (queue, class->service, class->urgency, now);
   return result;
 }
 
@@ -231,7 +282,8 @@
       queued_request_t *next = TAILQ_NEXT (request, link);
 
       if (request_is_late (request, now) == turn->is_late
-          && class_try (queue, class, request, turn, try, data) == QUEUE_FULL)
+          && class_try (queue, class, request, turn, now, try, data)
+                 == QUEUE_FULL)
         return;
       request = next;
     }
@@ -266,7 +318,7 @@
       if (request == NULL || class->passed_over + 1 < GUARANTEED_TURN)
         continue;
       turn.is_late = request_is_late (request, now);
-      class_try (queue, class, request, &turn, try, data);
+      class_try (queue, class, request, &turn, now, try, data);
     }
 }
 
--- a/tests/test_client_timeouts.c
+++ b/tests/test_client_timeouts.c
@@ -35,6 +35,7 @@
 
   (void)state;
   assert_int_equal (record (timeouts, "a", LIMIT_MS), 0);
+  assert_int_equal (record (timeouts, "a", LIMIT_MS), 0);
   assert_in_range (record (timeouts, "a", LIMIT_MS - 2500), 2450, 2550);
   /* Many that come back at once are still known as such.  */
   for (int i = 0; i < 30; i++)
@@ -42,8 +43,8 @@
   client_timeouts_destroy (timeouts);
 }
 
-/* Clients of a route that wait for less than the operator allows are not late
-   from the start, once that is known.  */
+/* After a start, clients that wait for less than the operator allows counted
+   as late, all of them and for minutes.  */
 static void
 test_usual_timeout_is_learned (void **state)
 {
@@ -51,7 +52,7 @@
 
   (void)state;
   for (int i = 0; i < 1000; i++)
-    record (timeouts, "a", SHORT_MS);
+    assert_int_equal (record (timeouts, "a", SHORT_MS), 0);
   assert_in_range (record (timeouts, "a", SHORT_MS), 0, 20);
   assert_in_range (record (timeouts, "a", SHORT_MS - 1000), 950, 1050);
   /* Another route has not been seen.  */
@@ -59,6 +60,22 @@
   client_timeouts_destroy (timeouts);
 }
 
+/* After a start beside clients that come back, those are told from the new
+   ones as soon as two new ones have come.  */
+static void
+test_start_beside_returning_clients (void **state)
+{
+  client_timeouts_t *timeouts = client_timeouts_create (NULL);
+
+  (void)state;
+  for (int i = 0; i < 5; i++)
+    record (timeouts, "a", LIMIT_MS - 2000);
+  assert_int_equal (record (timeouts, "a", LIMIT_MS), 0);
+  assert_int_equal (record (timeouts, "a", LIMIT_MS), 0);
+  assert_in_range (record (timeouts, "a", LIMIT_MS - 2000), 1950, 2050);
+  client_timeouts_destroy (timeouts);
+}
+
 /* A client that claims to wait for ever must not make the others late.  */
 static void
 test_absurd_timeouts_are_bounded (void **state)
@@ -66,11 +83,14 @@
   client_timeouts_t *timeouts = client_timeouts_create (NULL);
 
   (void)state;
+  record (timeouts, "b", INT32_MAX);
+  for (int i = 0; i < 10; i++)
+    assert_int_equal (record (timeouts, "b", SHORT_MS), 0);
   for (int i = 0; i < 1000; i++)
     record (timeouts, "a", INT32_MAX);
   assert_int_equal (record (timeouts, "a", LIMIT_MS), 0);
   record (timeouts, "a", 0);
-  assert_in_range (record (timeouts, "a", LIMIT_MS), 0, 20);
+  assert_int_equal (record (timeouts, "a", LIMIT_MS), 0);
   client_timeouts_destroy (timeouts);
 }
 
@@ -100,6 +120,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_rest_of_time_tells_time_waited),
     cmocka_unit_test (test_usual_timeout_is_learned),
+    cmocka_unit_test (test_start_beside_returning_clients),
     cmocka_unit_test (test_absurd_timeouts_are_bounded),
     cmocka_unit_test (test_routes_are_bounded),
   };
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -452,6 +452,35 @@
 /* A stream without events hangs if its group takes many steps meanwhile.  If
    the group takes few steps, the steps are slow and the stream does not
    hang.  */
+/* Where no group can form, each request was held for its whole queue time
+   although nothing could serve it.  */
+static void
+test_lost_group_is_known (void **state)
+{
+  fixture_t *fixture = fixture_create (0);
+  fleet_report_t report = { .group = "g", .epoch = 1, .slowdown = 1 };
+  char address[24];
+  char id[8];
+
+  (void)state;
+  for (int64_t ms = 0; ms < 2 * FLEET_MAX_QUEUE_MS; ms += REPORT_MS)
+    {
+      for (unsigned i = 0; i < RANKS; i++)
+        {
+          snprintf (address, sizeof address, "10.0.0.%u:80", i);
+          fleet_record_report (fixture->fleet, address, &report);
+        }
+      assert_int_equal (fixture_choose (fixture, id, sizeof id, NULL),
+                        ms <= FLEET_MAX_QUEUE_MS ? FLEET_ALL_STALLED
+                                                 : FLEET_NO_GROUP);
+      fixture_advance_ms (fixture, REPORT_MS);
+    }
+  fixture_step_group (fixture, REPORT_MS, STEP_MS);
+  assert_int_equal (fixture_choose (fixture, id, sizeof id, NULL),
+                    FLEET_NO_SHORTAGE);
+  fixture_destroy (fixture);
+}
+
 static void
 test_expected_silence_depends_on_group_steps (void **state)
 {
@@ -563,6 +592,7 @@
     cmocka_unit_test (
         test_silent_rank_gets_nothing_while_others_have_capacity),
     cmocka_unit_test (test_stalled_group_gets_no_requests),
+    cmocka_unit_test (test_lost_group_is_known),
     cmocka_unit_test (test_expected_silence_depends_on_group_steps),
     cmocka_unit_test (test_notices_hold_when_a_run_is_listed_again),
   };
--- a/tests/test_request_queue.c
+++ b/tests/test_request_queue.c
@@ -65,7 +65,8 @@
                                         .urgency = urgency,
                                         .late_from = { .tv_sec = late_s },
                                         .give_up_at = { .tv_sec = 100 } };
-  assert_true (request_queue_add (fixture->queue, &request->queued));
+  assert_true (request_queue_add (fixture->queue, &request->queued,
+                                  (struct timespec){ .tv_sec = 1 }));
   return number;
 }
 
@@ -187,6 +188,39 @@
   talloc_free (fixture);
 }
 
+/* A request that can't get its turn in time was held until its queue time had
+   passed, and its client came back late.  */
+static void
+test_expected_wait_follows_what_was_sent (void **state)
+{
+  enum
+  {
+    QUEUED = 30,
+    SENT_PER_S = 10
+  };
+  fixture_t *fixture = fixture_create ();
+  struct timespec now = { .tv_sec = 5 };
+  struct timespec wait;
+
+  (void)state;
+  for (unsigned i = 0; i < QUEUED; i++)
+    fixture_add (fixture, "model", PATIENT, 20);
+  wait = request_queue_expected_wait (fixture->queue, "model", URGENT, now);
+  assert_int_equal (timespec_to_ms (wait), 0);
+  for (unsigned i = 0; i < 5 * SENT_PER_S; i++)
+    {
+      request_queue_count_sent (fixture->queue, "model", PATIENT, now);
+      now = timespec_add (now, timespec_from_ms (1000 / SENT_PER_S));
+    }
+  wait = request_queue_expected_wait (fixture->queue, "model", PATIENT, now);
+  assert_in_range (timespec_to_ms (wait), 2500, 3500);
+  /* It has not been waiting for long enough to tell.  */
+  now = (struct timespec){ .tv_sec = 1, .tv_nsec = 500000000 };
+  wait = request_queue_expected_wait (fixture->queue, "model", PATIENT, now);
+  assert_int_equal (timespec_to_ms (wait), 0);
+  talloc_free (fixture);
+}
+
 static void
 test_expired_request_is_found (void **state)
 {
@@ -218,6 +252,7 @@
     cmocka_unit_test (test_passed_over_class_gets_its_turn),
     cmocka_unit_test (test_one_service_does_not_block_another),
     cmocka_unit_test (test_full_class_is_tried_once),
+    cmocka_unit_test (test_expected_wait_follows_what_was_sent),
     cmocka_unit_test (test_expired_request_is_found),
   };
 
