Numbers of a frame: check the array before msgpack allocates for it

A blob of a few bytes whose header claims 64 million items made msgpack allocate 2 GiB, 24 bytes an item. frame.c checked the outer array of a frame only. The check is common/flat_array.c now, used for both; a blob has at most 1,048,576 numbers.

--- a/common/frame.c
+++ b/common/frame.c
@@ -1,5 +1,7 @@
 #include "common/frame.h"
 
+#include "common/flat_array.h"
+
 #include <arpa/inet.h>
 #include <msgpack.h>
 #include <string.h>
@@ -396,76 +398,6 @@
   return STATUS_OK;
 }
 
-static size_t
-decode_big_endian (const unsigned char *bytes, size_t size)
-{
-  size_t value = 0;
-
-  for (size_t i = 0; i < size; i++)
-    value = value << 8 | bytes[i];
-  return value;
-}
-
-/* Return the encoded size of the MessagePack item at BYTES, of which SIZE are
-   available.  Returns 0 when the item is truncated or is not a nonnegative
-   integer, boolean, string or binary data.  */
-static size_t
-item_size (const unsigned char *bytes, size_t size)
-{
-  unsigned char first = bytes[0];
-  size_t length_bytes = 0;
-  size_t item_bytes = 1;
-
-  if (first >= 0xa0 && first <= 0xbf) /* fixstr: length in the low 5 bits */
-    item_bytes += first & 0x1f;
-  else if (first >= 0xc4 && first <= 0xc6) /* bin 8, 16, 32 */
-    length_bytes = (size_t)1 << (first - 0xc4);
-  else if (first >= 0xd9 && first <= 0xdb) /* str 8, 16, 32 */
-    length_bytes = (size_t)1 << (first - 0xd9);
-  else if (first >= 0xcc && first <= 0xcf) /* uint 8, 16, 32, 64 */
-    item_bytes += (size_t)1 << (first - 0xcc);
-  else if (first > 0x7f && first != 0xc2 && first != 0xc3)
-    /* neither a positive fixint nor false or true */
-    return 0;
-  if (item_bytes + length_bytes > size)
-    return 0;
-  item_bytes += length_bytes + decode_big_endian (bytes + 1, length_bytes);
-  return item_bytes > size ? 0 : item_bytes;
-}
-
-/* Return whether PAYLOAD is an array without nested arrays or maps that has no
-   more items than a frame can have.  Must be checked before PAYLOAD is passed
-   to msgpack, which allocates memory for as many items as an array header
-   claims.  */
-static bool
-payload_is_flat (const char *payload, size_t size)
-{
-  const unsigned char *bytes = (const unsigned char *)payload;
-  size_t count;
-  size_t position = 1;
-
-  if (size >= 1 && bytes[0] >= 0x90 && bytes[0] <= 0x9f) /* fixarray */
-    count = bytes[0] & 0x0f;
-  else if (size >= 3 && bytes[0] == 0xdc) /* array 16 */
-    {
-      count = decode_big_endian (bytes + 1, 2);
-      position = 3;
-    }
-  else
-    return false;
-  if (count > HEADER_FIELD_COUNT + MAX_BODY_FIELDS)
-    return false;
-  for (; count > 0 && position < size; count--)
-    {
-      size_t item_bytes = item_size (bytes + position, size - position);
-
-      if (item_bytes == 0)
-        return false;
-      position += item_bytes;
-    }
-  return count == 0 && position == size;
-}
-
 /* Decode PAYLOAD, a frame without its length prefix, into FRAME.  Strings and
    blobs of the frame are owned by PARENT.  Returns STATUS_PROTOCOL when an
    item is missing, surplus, of the wrong type or out of range.  */
@@ -478,7 +410,8 @@
   status_t status;
 
   memset (frame, 0, sizeof *frame);
-  if (!payload_is_flat (payload, size))
+  if (!flat_array_is_valid (payload, size,
+                            HEADER_FIELD_COUNT + MAX_BODY_FIELDS))
     return status_set (STATUS_PROTOCOL, "frame is not a flat array");
   msgpack_unpacked_init (&unpacked);
   if (msgpack_unpack_next (&unpacked, payload, size, &offset)
--- a/common/numbers.c
+++ b/common/numbers.c
@@ -1,7 +1,16 @@
 #include "common/numbers.h"
 
+#include "common/flat_array.h"
+
 #include <msgpack.h>
 
+enum
+{
+  /* Enough for an expert map of 32 layers, 1,024 ranks and 16 slots.  msgpack
+     needs 24 bytes for each item while it decodes.  */
+  NUMBERS_MAX_COUNT = 1024 * 1024
+};
+
 /* Encode COUNT NUMBERS as a MessagePack array.  The bytes of the result are
    owned by PARENT; its data is NULL when memory is exhausted.  */
 blob_t
@@ -34,13 +43,15 @@
 
   msgpack_unpacked_init (&unpacked);
   is_valid
-      = msgpack_unpack_next (&unpacked, encoded.data, encoded.size, &offset)
-            == MSGPACK_UNPACK_SUCCESS
+      = flat_array_is_valid (encoded.data, encoded.size, NUMBERS_MAX_COUNT)
+        && msgpack_unpack_next (&unpacked, encoded.data, encoded.size, &offset)
+               == MSGPACK_UNPACK_SUCCESS
         && unpacked.data.type == MSGPACK_OBJECT_ARRAY;
   if (is_valid)
     {
       *count = unpacked.data.via.array.size;
       numbers = talloc_zero_array (parent, uint64_t, *count + 1);
+      is_valid = numbers != NULL;
       for (size_t i = 0; is_valid && i < *count; i++)
         {
           const msgpack_object *item = &unpacked.data.via.array.ptr[i];
