Rank codec: refuse maps with unknown experts, bound an engine's slowdown

A map sent whole could name experts beyond its shape, cut to 16 bits; one sent as changes was checked. A slowdown below 0 or too large for a frame was converted to an integer all the same, which is undefined.

Found by fuzz_rank_codec and fuzz_rank_engine; the inputs are kept as crash-expert-out-of-range, crash-pace-1e25 and pace-negative.

--- a/pilot/rank_codec.c
+++ b/pilot/rank_codec.c
@@ -3,6 +3,8 @@
 #include "common/numbers.h"
 #include "pilot/count_levels.h"
 
+#include <math.h>
+
 /* A map is encoded as numbers: its shape and, if HAS_BASE, the digest of the
    base and the changes, three numbers each: the cell, counted from that of the
    change before, and the expert that leaves and the one that joins it.  A cell
@@ -21,6 +23,9 @@
   COUNT_MASK = (1 << COUNT_BITS) - 1
 };
 
+/* An engine that is slower than this is as good as stopped.  */
+static const double max_slowdown = 1e6;
+
 static const char *const command_names[RANK_COMMAND_KIND_COUNT] = {
   [RANK_COMMAND_PREPARE] = "prepare", [RANK_COMMAND_ARM] = "arm",
   [RANK_COMMAND_DISARM] = "disarm",   [RANK_COMMAND_HOLD] = "hold",
@@ -60,6 +65,16 @@
   return verdict_names[verdict];
 }
 
+/* Returns the slowdown of a report in permille, within the bounds that a frame
+   can have: the value is the engine's.  */
+static uint64_t
+slowdown_permille (double slowdown)
+{
+  if (!(slowdown > 0))
+    return 0;
+  return (uint64_t)(fmin (slowdown, max_slowdown) * FRAME_PERMILLE);
+}
+
 /* Encodes the report of the engine at UPSTREAM in FRAME, which points to
    the texts of REPORT.  Commands up to AFTER_TICKET had finished before
    the report was taken.  */
@@ -90,7 +105,7 @@
       .waiting = report->waiting,
       .used_tokens = report->used_tokens,
       .total_tokens = report->total_tokens,
-      .slowdown_permille = (uint64_t)(report->slowdown * FRAME_PERMILLE),
+      .slowdown_permille = slowdown_permille (report->slowdown),
       .after_ticket = after_ticket,
     },
   };
@@ -294,7 +309,14 @@
       return NULL;
     }
   for (size_t i = 0; i < count; i++)
-    map->slots[i].expert = (uint16_t)numbers[i];
+    {
+      if (numbers[i] >= shape->experts && numbers[i] != PLACEMENT_SLOT_FREE)
+        {
+          talloc_free (map);
+          return NULL;
+        }
+      map->slots[i].expert = (uint16_t)numbers[i];
+    }
   return map;
 }
 
