Event stream: an id that does not fit is none

The overflow of an int64_t is undefined; in practice the id became negative, and the relay took the event for one that the client has already.

--- a/relay/event_stream.c
+++ b/relay/event_stream.c
@@ -52,8 +52,8 @@
   return end - line == 1 || (end - line == 2 && line[0] == '\r');
 }
 
-/* Parse the number in a line "id: NUMBER".  Returns false for any other
-   line.  */
+/* Parse the number in a line "id: NUMBER".  Returns false for any other line,
+   and for a number that does not fit: its event counts as one without.  */
 static bool
 line_parse_id (const char *line, const char *end, int64_t *id)
 {
@@ -69,7 +69,9 @@
     digits++;
   for (; digits < end && *digits >= '0' && *digits <= '9'; digits++)
     {
-      value = value * 10 + (*digits - '0');
+      if (__builtin_mul_overflow (value, 10, &value)
+          || __builtin_add_overflow (value, *digits - '0', &value))
+        return false;
       has_digit = true;
     }
   *id = value;
