TOML: refuse keys of more than 32 parts

The parser recurses into each part of a dotted key. A settings document with a key of 500,000 parts, from a peer, the store or a file, ended the process by a stack overflow (siskin-relay: segmentation fault). The parser limits nested arrays and tables itself.

test_settings, test_deep_keys_are_refused: crashed before.

--- a/common/toml.cc
+++ b/common/toml.cc
@@ -3,12 +3,71 @@
 #define TOML_HEADER_ONLY 0
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 
 namespace
 {
 
+/* The parser and CONVERT recurse into each part of a key and would overflow
+   the stack; no setting has more than a few.  */
+constexpr unsigned MAX_KEY_PARTS = 32;
+
+/* Returns the position after the string at AT.  One of several lines ends with
+   three quotes, which up to two that belong to it may precede.  */
+size_t
+skip_string (std::string_view text, size_t at)
+{
+  const char quote = text[at];
+  const std::string triple (3, quote);
+  const bool has_lines = text.compare (at, 3, triple) == 0;
+  const std::string end = has_lines ? triple : triple.substr (0, 1);
+
+  for (at += end.size (); at < text.size (); at++)
+    {
+      if (quote == '"' && text[at] == '\\')
+        at++;
+      else if (text.compare (at, end.size (), end) == 0)
+        break;
+    }
+  at += end.size ();
+  for (int i = 0; has_lines && i < 2 && at < text.size (); i++)
+    at += text[at] == quote;
+  return std::min (at, text.size ());
+}
+
+/* Returns the position of the first part beyond MAX_KEY_PARTS of a key, or
+   npos if TEXT has no such key.  */
+size_t
+find_deep_key (std::string_view text)
+{
+  unsigned parts = 1;
+
+  for (size_t at = 0; at < text.size ();)
+    {
+      if (text[at] == '"' || text[at] == '\'')
+        {
+          at = skip_string (text, at);
+          continue;
+        }
+      if (text[at] == '#')
+        {
+          at = std::min (text.find ('\n', at), text.size ());
+          continue;
+        }
+      if (text[at] == '.')
+        parts++;
+      else if (std::string_view ("\n=,{[").find (text[at])
+               != std::string_view::npos)
+        parts = 1;
+      if (parts > MAX_KEY_PARTS)
+        return at;
+      at++;
+    }
+  return std::string_view::npos;
+}
+
 toml_node_t *convert (TALLOC_CTX *parent, const toml::node &value);
 
 void
@@ -88,14 +147,29 @@
 
 /* Parse TEXT and return its root table, owned by PARENT.  FILE is the name of
    the text in findings.  On a syntax error adds a finding and returns NULL;
-   the parser stops at the first one.  */
+   the parser stops at the first one.  A key of too many parts counts as one.
+ */
 extern "C" toml_node_t *
 toml_parse (TALLOC_CTX *parent, const char *text, size_t size,
             const char *file, findings_t *findings)
 {
+  const std::string_view view (text, size);
+  const size_t deep_key = find_deep_key (view);
+
+  if (deep_key != std::string_view::npos)
+    {
+      const auto lines
+          = std::count (view.begin (), view.begin () + deep_key, '\n');
+
+      findings_add (
+          findings, file, static_cast<unsigned> (lines) + 1,
+          static_cast<unsigned> (deep_key - view.rfind ('\n', deep_key)),
+          "a key has more than %u parts", MAX_KEY_PARTS);
+      return nullptr;
+    }
   try
     {
-      toml::table root = toml::parse (std::string_view (text, size));
+      toml::table root = toml::parse (view);
 
       return convert (parent, root);
     }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -228,6 +228,44 @@
   settings_parts_destroy (parts);
 }
 
+/* A peer's settings document with a key of very many parts: it must be refused
+   with its place; the parser's recursion overflowed the stack.  */
+static void
+test_deep_keys_are_refused (void **state)
+{
+  enum
+  {
+    PARTS = 500000
+  };
+  char *rules = talloc_array (NULL, char, 2 * PARTS + 4);
+
+  (void)state;
+  for (size_t i = 0; i < PARTS; i++)
+    memcpy (rules + 2 * i, i == 0 ? "\na" : ".a", 2);
+  strcpy (rules + (size_t)2 * PARTS, "=1\n");
+  assert_findings (rules, INVENTORY,
+                   "rules:2:64: a key has more than 32 parts\n");
+  talloc_free (rules);
+}
+
+/* Dots in strings and comments, and in the keys of several lines, are no parts
+   of one key.  */
+static void
+test_dots_outside_keys_are_not_counted (void **state)
+{
+  findings_t *findings = findings_create (NULL);
+  const char *dots = "......................................";
+  char *rules = talloc_asprintf (
+      findings, RULES "# %s\n[[account]]\nname = \"%s\\\"%s\" # %s\n", dots,
+      dots, dots, dots);
+  settings_t *settings = read_settings (findings, rules, INVENTORY);
+
+  (void)state;
+  assert_string_equal (findings_text (findings), "");
+  settings_release (settings);
+  findings_destroy (findings);
+}
+
 int
 main (void)
 {
@@ -238,6 +276,8 @@
     cmocka_unit_test (test_empty_inventory),
     cmocka_unit_test (test_ambiguous_paths_are_not_repeatable),
     cmocka_unit_test (test_document_keeps_zones_out_and_draining),
+    cmocka_unit_test (test_deep_keys_are_refused),
+    cmocka_unit_test (test_dots_outside_keys_are_not_counted),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
