--- a/common/schema.c
+++ b/common/schema.c
@@ -25,14 +25,18 @@
   { NULL, 0.0 },
 };
 
-/* Read a non-negative number followed by one of UNITS into *VALUE.  */
+/* Of a duration in seconds and a size in bytes: in microseconds it fits into
+   an int64_t.  */
+static const double max_value = 9e12;
+
+/* Read a number from 0 to max_value followed by one of UNITS into *VALUE.  */
 static bool
 schema_parse_unit (const char *text, const unit_t *units, double *value)
 {
   char *rest;
   double number = strtod (text, &rest);
 
-  if (rest == text || number < 0)
+  if (rest == text)
     return false;
   while (*rest == ' ')
     rest++;
@@ -41,7 +45,8 @@
       if (strcmp (rest, unit->name) == 0)
         {
           *value = number * unit->factor;
-          return true;
+          /* Not a number fails both.  */
+          return *value >= 0 && *value <= max_value;
         }
     }
   return false;
