Frame: take an empty string at the end of a frame

msgpack gives it no address. memchr and talloc_strndup got NULL, which is undefined for the one, and made the other refuse the frame.

Found by fuzz_frame: crash-empty-string-at-end.

--- a/common/frame.c
+++ b/common/frame.c
@@ -310,6 +310,7 @@
 {
   char *member_address = (char *)frame + field->offset;
   blob_t *blob = (blob_t *)(void *)member_address;
+  const char *bytes;
   char *text;
 
   switch (field->kind)
@@ -327,11 +328,13 @@
       return true;
     case FIELD_STRING:
       if (object->type != MSGPACK_OBJECT_STR
-          || object->via.str.size > field->maximum
-          || memchr (object->via.str.ptr, '\0', object->via.str.size) != NULL)
+          || object->via.str.size > field->maximum)
         return false;
-      text
-          = talloc_strndup (parent, object->via.str.ptr, object->via.str.size);
+      /* msgpack sets no address if an empty string ends its bytes.  */
+      bytes = object->via.str.size == 0 ? "" : object->via.str.ptr;
+      if (memchr (bytes, '\0', object->via.str.size) != NULL)
+        return false;
+      text = talloc_strndup (parent, bytes, object->via.str.size);
       *(const char **)(void *)member_address = text;
       return text != NULL;
     case FIELD_BLOB:
