--- a/common/config.c
+++ b/common/config.c
@@ -105,34 +105,43 @@
   talloc_free (config);
 }
 
-/* Read the configuration of a process from FILE.  Every error in it is added
-   to FINDINGS.  Returns NULL when there is any.  */
+/* Read the configuration of a process from TEXT, the contents of FILE.  Every
+   error in it is added to FINDINGS.  Returns NULL when there is any.  */
 config_t *
-config_load (TALLOC_CTX *parent, const char *file, findings_t *findings)
+config_parse (TALLOC_CTX *parent, const char *text, size_t size,
+              const char *file, findings_t *findings)
 {
   config_t *config = config_create (parent);
   schema_source_t source = { .file = file, .findings = findings };
   toml_node_t *root;
-  size_t size;
-  char *text;
 
   if (config == NULL)
     return NULL;
-  text = file_read (config, file, &size);
-  if (text == NULL)
-    findings_add (findings, file, 0, 0, "%s", status_message ());
-  else
-    {
-      root = toml_parse (config, text, size, file, findings);
-      if (root != NULL)
-        schema_read (&source, root, config_fields, config);
-    }
+  root = toml_parse (config, text, size, file, findings);
+  if (root != NULL)
+    schema_read (&source, root, config_fields, config);
   if (findings_count (findings) == 0)
     return config;
   config_destroy (config);
   return NULL;
 }
 
+/* Read the configuration of a process from FILE, like config_parse.  */
+config_t *
+config_load (TALLOC_CTX *parent, const char *file, findings_t *findings)
+{
+  config_t *config = NULL;
+  size_t size;
+  char *text = file_read (NULL, file, &size);
+
+  if (text == NULL)
+    findings_add (findings, file, 0, 0, "%s", status_message ());
+  else
+    config = config_parse (parent, text, size, file, findings);
+  talloc_free (text);
+  return config;
+}
+
 /* Return the store's URLs as a NULL-terminated array owned by CONFIG.  */
 const char *const *
 config_store_urls (const config_t *config)
--- a/include/common/config.h
+++ b/include/common/config.h
@@ -70,6 +70,8 @@
 
 config_t *config_create (TALLOC_CTX *parent);
 void config_destroy (config_t *config);
+config_t *config_parse (TALLOC_CTX *parent, const char *text, size_t size,
+                        const char *file, findings_t *findings);
 config_t *config_load (TALLOC_CTX *parent, const char *file,
                        findings_t *findings);
 const char *const *config_store_urls (const config_t *config);
