Tests of pilots: one set-up

test_pilots.py, test_pilots_lost.py and test_pilots_frozen.py had the same set-up and search for leaders. The check that no step ran with two maps is made at the end of the tests of all three now.

Measured: the 15 tests of the three files pass.

--- a/tests/process/test_pilots.py
+++ b/tests/process/test_pilots.py
@@ -9,10 +9,10 @@
 
 import platform_replicas as replicas
 from cluster import wait_until
-from platform_fixture import Platform, ask
+from pilots_case import SWITCH_TIMEOUT_S, PilotsCase
+from platform_fixture import ask
 
-RANKS = 3
-SWITCH_TIMEOUT_S = 15  # for several switches, on a loaded machine
+RANKS = PilotsCase.RANKS
 REPORT_AGE_MS = 1500
 LOST_WRITES = 400  # more than the replicas write again during a test
 OLD_REPORT_S = 1.5
@@ -20,30 +20,11 @@
 MAX_STALL_S = 2.0  # clients abandon a stream that is silent for longer
 
 
-class PilotsTest(unittest.TestCase):
-    def setUp(self):
-        self.platform = Platform().__enter__()
-        self.addCleanup(self.platform.__exit__, None, None, None)
-        self.platform.configure()
-        self.pilots = self.platform.start_group(RANKS)
-        self.group = self.platform.group
-        self.wait_for_maps(2)
-
-    def tearDown(self):
-        self.assertEqual(self.group.mixed_steps, 0)
-
-    def wait_for_maps(self, more):
-        self.platform.wait_for_maps(more, SWITCH_TIMEOUT_S)
-
-    def leading(self):
-        return [pilot for pilot in self.pilots
-                if pilot.process.poll() is None
-                and self.platform.metric(pilot, "siskin_leading") == 1]
-
+class PilotsTest(PilotsCase):
     def leader(self):
-        wait_until(lambda: len(self.leading()) == 1, SWITCH_TIMEOUT_S,
-                   "one leader")
-        return self.leading()[0]
+        wait_until(lambda: len(self.leading(self.pilots)) == 1,
+                   SWITCH_TIMEOUT_S, "one leader")
+        return self.leading(self.pilots)[0]
 
     def new_leader(self, old):
         others = [pilot for pilot in self.pilots if pilot is not old]
--- a/tests/process/test_pilots_frozen.py
+++ b/tests/process/test_pilots_frozen.py
@@ -7,10 +7,8 @@
 import unittest
 
 from cluster import wait_until
-from platform_fixture import Platform
+from pilots_case import SWITCH_TIMEOUT_S, PilotsCase
 
-RANKS = 6
-SETTLE_TIMEOUT_S = 15  # for several switches, on a loaded machine
 MAX_UNLED_S = 1.5  # from the next leader's start to its first plan
 
 
@@ -22,22 +20,12 @@
         re.search(r"time=(\S+)Z", line).group(1))
 
 
-class FrozenLeaderTest(unittest.TestCase):
-    def setUp(self):
-        self.platform = Platform().__enter__()
-        self.addCleanup(self.platform.__exit__, None, None, None)
-        self.platform.configure()
-        self.pilots = self.platform.start_group(RANKS)
-        self.group = self.platform.group
-        self.platform.wait_for_maps(2, SETTLE_TIMEOUT_S)
-
-    def leaders(self, pilots):
-        return [pilot for pilot in pilots
-                if self.platform.metric(pilot, "siskin_leading") == 1]
+class FrozenLeaderTest(PilotsCase):
+    RANKS = 6
 
     def leader(self, pilots):
-        wait_until(lambda: self.leaders(pilots), SETTLE_TIMEOUT_S, "a leader")
-        return self.leaders(pilots)[0]
+        wait_until(lambda: self.leading(pilots), SWITCH_TIMEOUT_S, "a leader")
+        return self.leading(pilots)[0]
 
     def test_maps_change_while_the_former_leader_is_frozen(self):
         old = self.leader(self.pilots)
@@ -47,7 +35,7 @@
         try:
             new = self.leader([pilot for pilot in self.pilots
                                if pilot is not old])
-            self.platform.wait_for_maps(1, SETTLE_TIMEOUT_S)
+            self.wait_for_maps(1)
         finally:
             old.signal(signal.SIGCONT)
         unled_s = (logged_at(new, "planned")
--- a/tests/process/test_pilots_lost.py
+++ b/tests/process/test_pilots_lost.py
@@ -4,23 +4,15 @@
 import time
 import unittest
 
-from platform_fixture import Platform
+from pilots_case import PilotsCase
 
-RANKS = 16
-SWITCH_TIMEOUT_S = 15  # for several switches, on a loaded machine
 LOSS_RATIO = 0.5
 LOSS_S = 8
 MAX_HELD_S = 0.5  # in all
 
 
-class LostOrdersTest(unittest.TestCase):
-    def setUp(self):
-        self.platform = Platform().__enter__()
-        self.addCleanup(self.platform.__exit__, None, None, None)
-        self.platform.configure()
-        self.pilots = self.platform.start_group(RANKS)
-        self.group = self.platform.group
-        self.platform.wait_for_maps(2, SWITCH_TIMEOUT_S)
+class LostOrdersTest(PilotsCase):
+    RANKS = 16
 
     def test_lost_orders_stop_no_group(self):
         self.group.held_s = 0.0
@@ -28,7 +20,7 @@
         time.sleep(LOSS_S)
         self.group.loss_ratio = 0.0
         held_s = self.group.held_s
-        self.platform.wait_for_maps(2, SWITCH_TIMEOUT_S)
+        self.wait_for_maps(2)
         self.assertEqual(self.group.mixed_steps, 0)
         self.assertLess(held_s, MAX_HELD_S)
         self.assertEqual([line for pilot in self.pilots
