Tests: one seeded random generator for three fixtures

pilot_group.c, switcher_fixture.c and claims_fixture.c had the same generator. The numbers are the same: test_lost_orders, test_switcher and test_journal print what they printed before.

--- a/tests/claims_fixture.c
+++ b/tests/claims_fixture.c
@@ -1,5 +1,7 @@
 #include "claims_fixture.h"
 
+#include "seeded_random.h"
+
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -11,9 +13,7 @@
 static unsigned
 fixture_random (fixture_t *fixture, unsigned below)
 {
-  fixture->random
-      = fixture->random * 6364136223846793005u + 1442695040888963407u;
-  return (unsigned)(fixture->random >> 33) % below;
+  return (unsigned)seeded_random_below (&fixture->random, below);
 }
 
 /* Return true with a probability of PERCENT, but never in fault-free mode.  */
--- a/tests/pilot_group.c
+++ b/tests/pilot_group.c
@@ -1,5 +1,7 @@
 #include "pilot_group.h"
 
+#include "seeded_random.h"
+
 enum
 {
   ANSWER_MS = 2,
@@ -44,14 +46,6 @@
   uint64_t ticket;
 } request_t;
 
-static uint64_t
-random_below (pilot_group_t *group, uint64_t bound)
-{
-  group->random_state
-      = group->random_state * 6364136223846793005ULL + 1442695040888963407;
-  return (group->random_state >> 33) % bound;
-}
-
 static pilot_group_event_t *
 add_event (pilot_group_rank_t *rank, event_kind_t kind, int64_t delay_ms)
 {
@@ -71,9 +65,11 @@
 {
   pilot_group_rank_t *rank = data;
   pilot_group_t *group = rank->group;
-  bool is_lost = random_below (group, PERCENT) < group->loss_percent;
-  int64_t late_ms
-      = MIN_LATE_MS + (int64_t)random_below (group, MAX_LATE_MS - MIN_LATE_MS);
+  bool is_lost = seeded_random_below (&group->random_state, PERCENT)
+                 < group->loss_percent;
+  int64_t late_ms = MIN_LATE_MS
+                    + (int64_t)seeded_random_below (&group->random_state,
+                                                    MAX_LATE_MS - MIN_LATE_MS);
   bool is_late = is_lost && !group->is_carried_out;
   pilot_group_event_t *event
       = add_event (rank, EVENT_ATTEMPT, is_late ? late_ms : ANSWER_MS / 2);
--- a/tests/switcher_fixture.c
+++ b/tests/switcher_fixture.c
@@ -1,6 +1,7 @@
 #include "switcher_fixture.h"
 
 #include "kernel/clock.h"
+#include "seeded_random.h"
 
 #include <string.h>
 
@@ -41,18 +42,11 @@
   bool has_reply;
 } switcher_fixture_message_t;
 
-static uint64_t
-random_below (switcher_fixture_t *fixture, uint64_t bound)
-{
-  fixture->random_state
-      = fixture->random_state * 6364136223846793005ULL + 1442695040888963407;
-  return (fixture->random_state >> 33) % bound;
-}
-
 static bool
 has_fault (switcher_fixture_t *fixture)
 {
-  return random_below (fixture, PERCENT) < fixture->fault_percent;
+  return seeded_random_below (&fixture->random_state, PERCENT)
+         < fixture->fault_percent;
 }
 
 static struct timespec
@@ -80,7 +74,9 @@
 static int64_t
 network_delay_ms (switcher_fixture_t *fixture)
 {
-  return 1 + (int64_t)random_below (fixture, has_fault (fixture) ? 200 : 8);
+  return 1
+         + (int64_t)seeded_random_below (&fixture->random_state,
+                                         has_fault (fixture) ? 200 : 8);
 }
 
 /* Returns whether the machine of RANK is frozen, with a leader on it other
@@ -169,11 +165,11 @@
       queue_verdict (fixture, &unsent, RANK_UNREACHABLE, 1);
       return;
     }
-  message
-      = queue_message (fixture, leader, MESSAGE_COMMAND, rank,
-                       is_slow   ? SWITCHER_FIXTURE_SLOW_ANSWER_MS
-                       : is_late ? (int64_t)random_below (fixture, MAX_LATE_MS)
-                                 : network_delay_ms (fixture));
+  message = queue_message (fixture, leader, MESSAGE_COMMAND, rank,
+                           is_slow   ? SWITCHER_FIXTURE_SLOW_ANSWER_MS
+                           : is_late ? (int64_t)seeded_random_below (
+                                 &fixture->random_state, MAX_LATE_MS)
+                                     : network_delay_ms (fixture));
   message->ticket = ticket;
   message->command = *command;
   /* Some commands that are carried out late are answered then.  */
@@ -351,8 +347,8 @@
 static void
 reform_group (switcher_fixture_t *fixture)
 {
-  unsigned crashed_rank
-      = (unsigned)random_below (fixture, SWITCHER_FIXTURE_RANKS);
+  unsigned crashed_rank = (unsigned)seeded_random_below (
+      &fixture->random_state, SWITCHER_FIXTURE_RANKS);
 
   fixture->group.epoch++;
   for (unsigned i = 0; i < SWITCHER_FIXTURE_RANKS; i++)
@@ -444,11 +440,11 @@
 {
   if (fixture->fault_percent == 0)
     return;
-  if (random_below (fixture, 8000) == 0)
+  if (seeded_random_below (&fixture->random_state, 8000) == 0)
     reform_group (fixture);
   for (unsigned i = 0; i < SWITCHER_FIXTURE_LEADERS; i++)
     {
-      if (random_below (fixture, 2000) == 0)
+      if (seeded_random_below (&fixture->random_state, 2000) == 0)
         fixture->leaders[i].is_paused = !fixture->leaders[i].is_paused;
     }
 }
