--- a/tests/test_map_switch.c
+++ b/tests/test_map_switch.c
@@ -1,6 +1,8 @@
-/* Tests of the map switch on a virtual clock.  With --seed N and --steps N
-   only the randomised test runs, with that seed and for that many
-   milliseconds.  */
+/* Switches of the expert map by agents, on a virtual clock: no two ranks may
+   use different maps in a step, and no switch may stay undecided, however
+   messages, coordinators and ranks are lost, delayed or doubled.  With --seed
+   N and --steps N only the randomised test runs, with that seed and for that
+   many milliseconds.  */
 
 #include "map_switch_harness.h"
 
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -1,5 +1,7 @@
 /* Plans for groups of many ranks under a popularity of experts that shifts at
-   once: what the plan reaches, how soon, and what it costs to compute it.  */
+   once: what the plan reaches, how soon, and what it costs to compute it.  A
+   plan that is late or moves too little leaves all ranks waiting for the
+   busiest.  */
 
 #include "planner_fixture.h"
 
--- a/tests/test_relay_load.c
+++ b/tests/test_relay_load.c
@@ -1,7 +1,8 @@
 /* Plays a heavy load on relays with the fleet and policy of production and
-   checks what clients get.  Relays hear of the load late and do not agree with
-   each other; the more relays there are, the smaller is each one's part of an
-   upstream's free places.  */
+   checks what clients get: capacity left free while requests are refused, or
+   an upstream with more than it has room for, shows here.  Relays hear of the
+   load late and do not agree with each other; the more relays there are, the
+   smaller is each one's part of an upstream's free places.  */
 
 #include "bench/relay_model.h"
 
