Event stream: stay failed once an event could not be kept

Without memory for the beginning of an event, a feed said so but counted its bytes as kept. The next feed then put uninitialised bytes in front of its own and parsed them, with any result, also STATUS_OK.

test_event_stream, test_stream_without_memory_stays_failed: returned STATUS_PROTOCOL for the bytes it had made up.

--- a/relay/event_stream.c
+++ b/relay/event_stream.c
@@ -12,8 +12,9 @@
 {
   event_handler_t handler;
   void *data;
-  char *pending; /* the incomplete event at the end of the data */
-  size_t used;   /* bytes in PENDING */
+  char *pending;    /* the incomplete event at the end of the data */
+  size_t used;      /* bytes in PENDING */
+  status_t failure; /* of the first feed that failed, or STATUS_OK */
 };
 
 /* Create a parser that calls HANDLER for each complete event.  */
@@ -155,11 +156,9 @@
 }
 
 /* Parse BYTES, call the handler for each event that is complete, and keep the
-   rest.  After an error the stream can't be continued: STATUS_TOO_LARGE if an
-   event exceeds the limit, STATUS_PROTOCOL if the bytes are no events, or
-   STATUS_NO_MEMORY.  */
-status_t
-event_stream_feed (event_stream_t *stream, const char *bytes, size_t size)
+   rest.  */
+static status_t
+stream_parse (event_stream_t *stream, const char *bytes, size_t size)
 {
   const char *start = bytes;
   const char *end = bytes + size;
@@ -188,9 +187,22 @@
   return status;
 }
 
+/* Parse BYTES, call the handler for each event that is complete, and keep the
+   rest.  Returns STATUS_TOO_LARGE if an event exceeds the limit,
+   STATUS_PROTOCOL if the bytes are no events, or STATUS_NO_MEMORY.  Each later
+   call returns the same: bytes are missing, so what follows is no event.  */
+status_t
+event_stream_feed (event_stream_t *stream, const char *bytes, size_t size)
+{
+  if (stream->failure != STATUS_OK)
+    return status_set (stream->failure, "the event stream failed before");
+  stream->failure = stream_parse (stream, bytes, size);
+  return stream->failure;
+}
+
 /* Return whether the data so far ends at the end of an event.  */
 bool
 event_stream_is_at_boundary (const event_stream_t *stream)
 {
-  return stream->used == 0;
+  return stream->failure == STATUS_OK && stream->used == 0;
 }
