Planner: check a rank's reply before it changes the map

A reply of which only the beginning fits overwrote what was known of the rank and was refused then, while the rank still counted as known: planner_has_map held for a map that no rank uses. An expert of 65,536 or more was cut to 16 bits and taken for another one.

test_planner, test_malformed_reply_leaves_the_map: failed before (the reply with expert 65,536 was accepted).

--- a/include/pilot/planner.h
+++ b/include/pilot/planner.h
@@ -22,8 +22,8 @@
 /* Whether the map in use is known from all ranks and has VERSION.  */
 bool planner_has_map (const planner_t *planner, uint64_t version);
 /* Adds to the map in use what RANK holds, from its reply to
-   RANK_QUERY_HELD_EXPERTS.  Returns false when the reply does not fit the
-   shape of the group.  */
+   RANK_QUERY_HELD_EXPERTS.  Returns false and does nothing when the reply does
+   not fit the shape of the group.  */
 bool planner_read_map (planner_t *planner, unsigned rank,
                        const rank_reply_t *reply);
 /* Adds token counts of a rank since its last reply.  Returns false and does
--- a/pilot/planner.c
+++ b/pilot/planner.c
@@ -116,22 +116,46 @@
   return placement_map_is_valid (planner->map);
 }
 
+/* Returns whether REPLY lists, layer by layer, experts that a rank of SHAPE
+   can hold.  Layers at the end that are left out have none.  */
+static bool
+reply_fits_shape (const rank_reply_t *reply, const placement_shape_t *shape)
+{
+  size_t at = 0;
+
+  for (unsigned layer = 0; layer < shape->layers; layer++)
+    {
+      uint64_t expert_count
+          = at < reply->number_count ? reply->numbers[at++] : 0;
+
+      if (expert_count > shape->slots
+          || at + expert_count > reply->number_count)
+        return false;
+      for (; expert_count > 0; expert_count--)
+        {
+          if (reply->numbers[at++] >= shape->experts)
+            return false;
+        }
+    }
+  return true;
+}
+
 /* Adds to the map in use the experts that RANK holds, which REPLY lists layer
-   by layer.  Returns false when REPLY does not fit the planner's shape.  */
+   by layer.  Returns false and does nothing when REPLY does not fit the
+   planner's shape.  */
 bool
 planner_read_map (planner_t *planner, unsigned rank, const rank_reply_t *reply)
 {
   const placement_shape_t *shape = &planner->shape;
   size_t at = 0;
 
+  if (!reply_fits_shape (reply, shape))
+    return false;
   for (unsigned layer = 0; layer < shape->layers; layer++)
     {
       uint64_t expert_count
           = at < reply->number_count ? reply->numbers[at++] : 0;
 
-      if (expert_count > shape->slots
-          || at + expert_count > reply->number_count)
-        return false;
       for (unsigned slot = 0; slot < shape->slots; slot++)
         {
           placement_slot_t *entry
@@ -142,8 +166,6 @@
             continue;
           entry->expert = (uint16_t)reply->numbers[at++];
           entry->share = PLACEMENT_SHARE_FULL;
-          if (entry->expert >= shape->experts)
-            return false;
         }
     }
   planner->has_reply[rank] = true;
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -68,12 +68,50 @@
   check_group (64, 256);
 }
 
+/* A rank that has been read sends a reply of which only the beginning fits.
+   The map must stay as it was: the planner counted it as known, half
+   overwritten, and planned from it.  */
+static void
+test_malformed_reply_leaves_the_map (void **state)
+{
+  enum
+  {
+    LAYERS = PLANNER_FIXTURE_LAYERS
+  };
+  planner_fixture_t *fixture = planner_fixture_create (32, 128);
+  placement_map_t *before
+      = placement_map_copy (fixture, planner_map (fixture->planner));
+  uint64_t numbers[2 * LAYERS];
+  rank_reply_t reply = { .numbers = numbers, .number_count = 2 * LAYERS };
+
+  (void)state;
+  for (unsigned layer = 0; layer < LAYERS; layer++)
+    {
+      numbers[2 * layer] = 1;
+      numbers[2 * layer + 1] = 7;
+    }
+  numbers[reply.number_count - 1] = UINT16_MAX + 1; /* cut, it is expert 0 */
+  assert_false (planner_read_map (fixture->planner, 3, &reply));
+  assert_memory_equal (planner_map (fixture->planner)->slots, before->slots,
+                       talloc_get_size (before->slots));
+  numbers[reply.number_count - 1] = 128;
+  assert_false (planner_read_map (fixture->planner, 3, &reply));
+  numbers[reply.number_count - 1] = 7;
+  reply.number_count--;
+  assert_false (planner_read_map (fixture->planner, 3, &reply));
+  assert_memory_equal (planner_map (fixture->planner)->slots, before->slots,
+                       talloc_get_size (before->slots));
+  assert_true (planner_has_map (fixture->planner, 0));
+  planner_fixture_destroy (fixture);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_groups_of_32_ranks_follow_shifts),
     cmocka_unit_test (test_groups_of_64_ranks_follow_shifts),
+    cmocka_unit_test (test_malformed_reply_leaves_the_map),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
