Election: test resignations while a write is pending

Suspected: a process that resigns or campaigns while its write to the store is pending wins by the answer, or leaves its key behind. It does not happen. election_resign marks the pending call as outdated and ends the lease, so that the write is refused or its key goes with the lease; election_end_call drops the answer of an outdated call, and election_step makes no call while one is pending, so that a new campaign starts after it, with a new lease.

test_resignation_while_a_write_is_pending: 3,120 runs, each with a resignation at another moment, with and without a takeover and with lost revocations.

--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -26,6 +26,7 @@
 {
   worker_t *worker;
   int64_t latency_ms;
+  bool loses_revocations; /* calls that end leases never arrive */
   struct timespec lease_ends[MAX_LEASES]; /* by ID; zero if it has ended */
   int64_t last_lease;
   const char *holder; /* NULL if the key does not exist */
@@ -64,6 +65,8 @@
   unsigned changes;           /* of the generation when the call was made */
   uint64_t generation_number; /* when it took effect */
   const char *value;          /* for a write */
+  int64_t replaced_revision;  /* for a write: of the key, which must exist; 0:
+                                 it must not */
   store_lease_done_t lease_done;
   store_done_t done;
   void *data;
@@ -107,7 +110,10 @@
       call->status = STATUS_NOT_FOUND;
       return;
     }
-  call->succeeded = store->holder == NULL;
+  call->succeeded = call->replaced_revision == 0
+                        ? store->holder == NULL
+                        : store->holder != NULL
+                              && store->revision == call->replaced_revision;
   if (!call->succeeded)
     return;
   store->holder = call->value;
@@ -135,6 +141,8 @@
         call->status = STATUS_NOT_FOUND;
       break;
     case CALL_REVOKE:
+      if (store->loses_revocations)
+        break;
       store->lease_ends[call->lease] = (struct timespec){ 0, 0 };
       store_expire_key (store);
       break;
@@ -235,6 +243,8 @@
   call_t *call = call_start (store, CALL_WRITE, put->lease, data);
 
   call->value = talloc_strdup (worker_events (store->worker), put->value);
+  if (STAILQ_FIRST (&txn->compares)->kind == STORE_MOD_REVISION_IS)
+    call->replaced_revision = STAILQ_FIRST (&txn->compares)->revision;
   call->done = done;
   return STATUS_OK;
 }
@@ -394,6 +404,62 @@
     }
 }
 
+/* Resign after RESIGN_MS of a campaign, which takes over from another leader
+   if IS_TAKE_OVER, while any call may be pending, and campaign again after
+   PAUSE_MS.  Without a campaign the process must neither win nor keep the key
+   for longer than a lease, and its next victory must have a higher fence.  */
+static void
+check_resignation (int64_t resign_ms, int64_t pause_ms, bool is_take_over,
+                   bool loses_revocations)
+{
+  fixture_t *fixture = fixture_create (400);
+  store_t *store = &fixture->store;
+  uint64_t fence;
+
+  store->loses_revocations = loses_revocations;
+  if (is_take_over)
+    {
+      store->holder = "other";
+      store->revision = 1;
+      election_take_over (fixture->election);
+    }
+  election_campaign (fixture->election);
+  fixture_run (fixture, resign_ms);
+  fixture_resign (fixture);
+  fence = fixture->fence;
+  fixture_run (fixture, pause_ms);
+  assert_false (fixture->is_leader);
+  if (pause_ms > LEASE_MS + store->latency_ms)
+    assert_true (store->holder == NULL || strcmp (store->holder, "me") != 0);
+  if (is_take_over)
+    election_take_over (fixture->election);
+  election_campaign (fixture->election);
+  for (unsigned i = 0; i < 100; i++)
+    {
+      fixture_run (fixture, 50);
+      if (fixture->is_leader)
+        assert_leads (fixture);
+    }
+  assert_leads (fixture);
+  assert_true (fixture->fence > fence);
+  fixture_destroy (fixture);
+}
+
+static void
+test_resignation_while_a_write_is_pending (void **state)
+{
+  (void)state;
+  for (int64_t resign_ms = 0; resign_ms < 3000; resign_ms += 50)
+    {
+      for (int64_t pause_ms = 0; pause_ms <= 3000; pause_ms += 250)
+        {
+          for (unsigned variant = 0; variant < 4; variant++)
+            check_resignation (resign_ms, pause_ms, variant % 2 != 0,
+                               variant / 2 != 0);
+        }
+    }
+}
+
 /* A process that was suspended for longer than its lease cannot know whether
    it still leads, which it can tell at once.  */
 static void
@@ -474,6 +540,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_lease_is_fresh_after_a_long_campaign),
     cmocka_unit_test (test_answer_from_before_a_resignation_is_ignored),
+    cmocka_unit_test (test_resignation_while_a_write_is_pending),
     cmocka_unit_test (test_lease_is_over_after_a_pause),
     cmocka_unit_test (test_fence_rises_when_the_store_was_restored),
     cmocka_unit_test (test_lease_given_to_another_is_not_renewed),
