etcd: read the keys after the one asked for

The client ignored store_op_t.after, so a reader of pages would have got the first one for ever. The range starts with the least key after it now.

test_store, test_page_begins_after_the_last_key: the range began with the prefix before.

--- a/include/plugins/store.h
+++ b/include/plugins/store.h
@@ -53,8 +53,7 @@
   int64_t limit;
   /* For STORE_GET_PREFIX: return only keys greater than AFTER, or all if it is
      NULL.  To read all pages, a caller repeats the read with the last key
-     received while has_more is set.  The etcd client ignores it: without LIMIT
-     it returns all keys in one response.  */
+     received while has_more is set.  */
   const char *after;
   store_txn_t *txn; /* for STORE_TXN */
 } store_op_t;
--- a/plugins/store/etcd_json.c
+++ b/plugins/store/etcd_json.c
@@ -34,17 +34,24 @@
   return 0;
 }
 
-/* Return TEXT in the gateway's encoding of bytes, which is base64.  */
-json_t *
-etcd_json_bytes (const char *text)
+/* Return SIZE BYTES in the gateway's encoding of bytes, which is base64.  */
+static json_t *
+json_encode_bytes (const char *bytes, size_t size)
 {
-  char *encoded = base64_encode_text (NULL, text, strlen (text));
+  char *encoded = base64_encode_text (NULL, bytes, size);
   json_t *value = json_string (encoded);
 
   talloc_free (encoded);
   return value;
 }
 
+/* Return TEXT in the gateway's encoding of bytes.  */
+json_t *
+etcd_json_bytes (const char *text)
+{
+  return json_encode_bytes (text, strlen (text));
+}
+
 /* Return the bytes under KEY of OBJECT, or "" if there are none.  */
 static char *
 json_decode_bytes (TALLOC_CTX *parent, const json_t *object, const char *key)
@@ -83,6 +90,16 @@
   return object;
 }
 
+/* Return the first key of the range of OP.  The least key after another one is
+   that with a null byte at its end.  */
+static json_t *
+json_range_start (const store_op_t *op)
+{
+  if (op->kind == STORE_GET_PREFIX && op->after != NULL)
+    return json_encode_bytes (op->after, strlen (op->after) + 1);
+  return etcd_json_bytes (op->key);
+}
+
 /* Return the range of OP.  The range of a prefix ends at the prefix with its
    last byte incremented.  */
 static json_t *
@@ -91,7 +108,7 @@
   json_t *range = json_object ();
   char *end;
 
-  json_object_set_new (range, "key", etcd_json_bytes (op->key));
+  json_object_set_new (range, "key", json_range_start (op));
   if (op->kind == STORE_GET)
     return range;
   end = talloc_strdup (NULL, op->key);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -58,6 +58,22 @@
   store_txn_destroy (txn);
 }
 
+/* The next page must begin after the last key: a client that got the same page
+   again and again would never end.  */
+static void
+test_page_begins_after_the_last_key (void **state)
+{
+  store_txn_t *txn = store_txn_create (NULL);
+
+  (void)state;
+  store_txn_then (txn, STORE_GET_PREFIX, "a/", NULL)->after = "a/b";
+  /* YS9iAA== is "a/b" with a null byte, the least key after it.  */
+  assert_json (etcd_json_txn (txn),
+               "{\"compare\":[],\"success\":[{\"request_range\":{\"key\":"
+               "\"YS9iAA==\",\"range_end\":\"YTA=\"}}],\"failure\":[]}");
+  store_txn_destroy (txn);
+}
+
 static void
 test_nested_response_is_decoded (void **state)
 {
@@ -93,6 +109,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_nested_transaction_is_encoded),
+    cmocka_unit_test (test_page_begins_after_the_last_key),
     cmocka_unit_test (test_nested_response_is_decoded),
   };
 
