--- a/include/plugins/store.h
+++ b/include/plugins/store.h
@@ -49,7 +49,8 @@
   int64_t lease; /* for STORE_PUT: lease of the key; 0: none */
   /* For STORE_GET_PREFIX: return only LIMIT keys, the greatest ones, in
      descending order; 0 returns all keys.  The client of the platform's store
-     ignores it, so a caller that depends on it needs the etcd client.  */
+     refuses it as STATUS_INVALID: a caller that needs it needs the etcd
+     client.  */
   int64_t limit;
   /* For STORE_GET_PREFIX: return only keys greater than AFTER, or all if it is
      NULL.  To read all pages, a caller repeats the read with the last key
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -76,19 +76,20 @@
 {
   enum
   {
-    LAYERS = PLANNER_FIXTURE_LAYERS
+    LAYERS = PLANNER_FIXTURE_LAYERS,
+    COUNT = 2 * LAYERS /* numbers of a rank with one expert in each layer */
   };
   planner_fixture_t *fixture = planner_fixture_create (32, 128);
   placement_map_t *before
       = placement_map_copy (fixture, planner_map (fixture->planner));
-  uint64_t numbers[2 * LAYERS];
-  rank_reply_t reply = { .numbers = numbers, .number_count = 2 * LAYERS };
+  uint64_t numbers[COUNT];
+  rank_reply_t reply = { .numbers = numbers, .number_count = COUNT };
 
   (void)state;
-  for (unsigned layer = 0; layer < LAYERS; layer++)
+  for (size_t i = 0; i < COUNT; i += 2)
     {
-      numbers[2 * layer] = 1;
-      numbers[2 * layer + 1] = 7;
+      numbers[i] = 1;
+      numbers[i + 1] = 7;
     }
   numbers[reply.number_count - 1] = UINT16_MAX + 1; /* cut, it is expert 0 */
   assert_false (planner_read_map (fixture->planner, 3, &reply));
