Slow start: reach the maximum, and step by a whole request

The scale of the limits is in thousandths of the cold limits and was rounded down, as are the limits: with 3 requests in cold start and a maximum of 20 the limit stayed at 19, and a step of one request, 333 thousandths, added none. Both are rounded up now; the maximum still bounds the limit.

test_admission: test_maximum_is_reached_from_any_cold_limit (19 of 20 before) and test_step_beyond_threshold_is_one_request (3, 4 expected, before).

--- a/plugins/admission/slow_start.c
+++ b/plugins/admission/slow_start.c
@@ -41,13 +41,22 @@
   return left < right ? left : right;
 }
 
+/* Return DIVIDEND / DIVISOR rounded up: the limits are rounded down, so that
+   with a scale that is rounded down too they would fall short.  */
+static uint64_t
+divide_up (uint64_t dividend, uint64_t divisor)
+{
+  return (dividend + divisor - 1) / divisor;
+}
+
 /* Return the scale at which both configured maximums are reached.  */
 static uint64_t
 max_scale_permille (const admission_config_t *config)
 {
-  uint64_t requests
-      = config->maximum_requests * SCALE_UNIT / config->cold_requests;
-  uint64_t tokens = config->maximum_tokens * SCALE_UNIT / config->cold_tokens;
+  uint64_t requests = divide_up (config->maximum_requests * SCALE_UNIT,
+                                 config->cold_requests);
+  uint64_t tokens
+      = divide_up (config->maximum_tokens * SCALE_UNIT, config->cold_tokens);
   uint64_t larger = requests > tokens ? requests : tokens;
 
   return larger < SCALE_UNIT ? SCALE_UNIT : larger;
@@ -153,7 +162,8 @@
 static void
 slow_start_increase (admission_t *admission, struct timespec now)
 {
-  uint64_t one_request = SCALE_UNIT / admission->config.cold_requests;
+  uint64_t one_request
+      = divide_up (SCALE_UNIT, admission->config.cold_requests);
   uint64_t step = admission->scale_permille < admission->slow_start_threshold
                       ? admission->scale_permille / INCREASE_DIVISOR
                       : one_request;
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -122,6 +122,53 @@
   assert_false (upstream_limit (upstream).is_cold);
 }
 
+/* Cold limits that 1,000 is no multiple of: with a scale that was rounded down
+   the limits never reached their maximums.  */
+static void
+test_maximum_is_reached_from_any_cold_limit (void **state)
+{
+  upstream_t *upstream = *state;
+
+  for (uint64_t cold = 1; cold < 20; cold++)
+    {
+      admission_config_t odd = config;
+
+      odd.cold_requests = cold;
+      odd.cold_tokens = cold * 256;
+      odd.maximum_requests = 20;
+      odd.maximum_tokens = 5120;
+      upstream->admission
+          = upstream->ops->create (upstream, &odd, upstream_now (upstream));
+      for (unsigned i = 0; i < 60; i++)
+        upstream_complete_round (upstream, 200, true);
+      assert_int_equal (upstream_limit (upstream).requests, 20);
+      assert_int_equal (upstream_limit (upstream).tokens, 5120);
+    }
+}
+
+/* Beyond the threshold two rounds add one request; with three requests in
+   cold start, a step of a third that was rounded down added none at first.  */
+static void
+test_step_beyond_threshold_is_one_request (void **state)
+{
+  upstream_t *upstream = *state;
+  admission_config_t odd = config;
+
+  odd.cold_requests = 3;
+  upstream->admission
+      = upstream->ops->create (upstream, &odd, upstream_now (upstream));
+  /* Two falls set the threshold to less than what a cold upstream bears.  */
+  for (unsigned i = 0; i < 2; i++)
+    upstream->ops->record_cold_start (upstream->admission,
+                                      upstream_now (upstream), "test");
+  for (uint64_t requests = 3; requests < 16; requests++)
+    {
+      assert_int_equal (upstream_limit (upstream).requests, requests);
+      upstream_complete_round (upstream, 200, true);
+      upstream_complete_round (upstream, 200, true);
+    }
+}
+
 static void
 test_time_alone_does_not_raise_limit (void **state)
 {
@@ -231,6 +278,8 @@
   const struct CMUnitTest tests[] = {
     ADMISSION_TEST (test_starts_at_cold_limit),
     ADMISSION_TEST (test_rounds_of_good_samples_raise_limit),
+    ADMISSION_TEST (test_maximum_is_reached_from_any_cold_limit),
+    ADMISSION_TEST (test_step_beyond_threshold_is_one_request),
     ADMISSION_TEST (test_time_alone_does_not_raise_limit),
     ADMISSION_TEST (test_failed_or_slow_requests_do_not_raise_limit),
     ADMISSION_TEST (test_requests_far_below_limit_do_not_raise_it),
