Log: wait for the writer by the monotonic clock

At exit the sink waited half a second for a stalled reader by the system clock: set back meanwhile, it delayed the exit by as much.

test_log, test_clock_step_does_not_delay_exit: over 2 s before, with a step of 4 s.

--- a/kernel/log_sink.c
+++ b/kernel/log_sink.c
@@ -312,9 +312,9 @@
   sink->is_closing = true;
   lock_release (sink->lock);
   sem_post (&sink->lines_available);
-  clock_gettime (CLOCK_REALTIME, &deadline);
+  clock_gettime (CLOCK_MONOTONIC, &deadline);
   deadline = timespec_add (deadline, timespec_from_ms (SINK_CLOSE_TIMEOUT_MS));
-  while (sem_timedwait (&sink->writer_ended, &deadline) != 0)
+  while (sem_clockwait (&sink->writer_ended, CLOCK_MONOTONIC, &deadline) != 0)
     {
       if (errno != ETIMEDOUT)
         continue;
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -13,6 +13,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -24,6 +25,21 @@
   MAX_INFO_LINES_PER_S = 1000 /* limit for INFO lines */
 };
 
+/* How far CLOCK_REALTIME is ahead when it is read by the code under test.  */
+static time_t realtime_step_s;
+
+/* Replaces that of the C library, so that a test can step the system clock. */
+int
+/* NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name) */
+clock_gettime (clockid_t clock, struct timespec *now)
+{
+  int result = (int)syscall (SYS_clock_gettime, clock, now);
+
+  if (clock == CLOCK_REALTIME)
+    now->tv_sec += realtime_step_s;
+  return result;
+}
+
 HISTOGRAM_DEFINE (test_duration, "test_took_seconds", "For this test");
 
 static double
@@ -105,6 +121,31 @@
   free (text);
 }
 
+/* The reader stalls at the exit of the process, and the system clock is set
+   back right after it was read.  The exit must not wait for the clock to catch
+   up. The sink stays in memory, as its writer is still blocked.  */
+static void
+test_clock_step_does_not_delay_exit (void **state)
+{
+  struct timespec now = { .tv_sec = 1 };
+  struct timespec begin;
+  char line[8000] = "";
+  log_sink_t *sink;
+  int pipe_fds[2];
+
+  (void)state;
+  assert_int_equal (pipe (pipe_fds), 0);
+  sink = log_sink_create (pipe_fds[1], "test", "test-1");
+  assert_non_null (sink);
+  for (unsigned i = 0; i < 20; i++)
+    log_sink_put (sink, LOG_LEVEL_WARN, now, line, sizeof line);
+  clock_gettime (CLOCK_MONOTONIC, &begin);
+  realtime_step_s = 4;
+  log_sink_destroy (sink);
+  realtime_step_s = 0;
+  assert_true (seconds_since (&begin) < 2.0);
+}
+
 /* INFO lines have a lower limit per second than WARN lines, so that a burst of
    them does not cause lines about failures to be dropped.  */
 static void
@@ -190,6 +231,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_stalled_reader_does_not_block_loggers),
+    cmocka_unit_test (test_clock_step_does_not_delay_exit),
     cmocka_unit_test (test_info_lines_do_not_displace_failures),
     cmocka_unit_test (test_line_has_time_level_and_event),
     cmocka_unit_test (test_histogram_bounds_are_inclusive),
