Daemon: test a graceful stop that is interrupted

Suspected: sigtimedwait ends with EINTR when the process was suspended, which is taken for the stop timeout. It does not happen: daemon_wait_for_finish returns only for a signal that it got, and for the timeout only when its deadline has passed by the monotonic clock.

--- a/tests/process/test_stop.py
+++ b/tests/process/test_stop.py
@@ -1,5 +1,7 @@
 """A graceful stop interrupts no request."""
 
+import signal
+import time
 import unittest
 
 from cluster import wait_until
@@ -48,6 +50,27 @@
             lambda: self.cluster.restart_agent(STYLES[1], ZONES[1]))
         self.assertEqual(len(chats.complete()), len(chats.results))
 
+    def test_agent_that_is_suspended_while_it_stops(self):
+        """The suspension interrupts the agent's wait for its requests, which
+        must not be taken for the end of the time that it has for them."""
+        agent = self.cluster.programs[STYLES[1] + "-agent"]
+        with self.chats(count=8) as chats, self.bookings() as bookings:
+            chats.wait_for(8)
+            bookings.wait_for(4)
+            self.wait_for_request(STYLES[1] + "-agent")
+            agent.signal(signal.SIGTERM)
+            wait_until(lambda: "event=stopping" in agent.text(), 5, "the stop")
+            agent.signal(signal.SIGSTOP)
+            time.sleep(0.1)
+            agent.signal(signal.SIGCONT)
+            self.assertEqual(agent.process.wait(30), 0)
+            self.assertNotIn("event=stop-aborted", agent.text())
+            self.cluster.restart_agent(STYLES[1], ZONES[1])
+            chats.wait_for(8)
+            bookings.wait_for(4)
+        self.check_responses(chats, bookings)
+        self.check_none_interrupted(chats, bookings)
+
     def test_agent_of_a_plain_service_stops(self):
         _, bookings = self.check_stop(
             BOOKINGS[1] + "-agent",
