Settings: double the retry delay up to its limit, not past it

From 200 ms the delay doubled to 3.2 and then 6.4 s, over the limit of 4 s: a process read the store up to 9.6 s late after an outage.

test_settings_source, test_delay_between_reads_is_bounded: failed before (over 6 s between two reads).

--- a/common/settings_source.c
+++ b/common/settings_source.c
@@ -233,8 +233,10 @@
     source_handle_response (source, result);
   else if (source->retry_ms == 0)
     source->retry_ms = INITIAL_RETRY_MS;
-  else if (source->retry_ms < MAX_RETRY_MS)
+  else if (source->retry_ms < MAX_RETRY_MS / 2)
     source->retry_ms *= 2;
+  else
+    source->retry_ms = MAX_RETRY_MS;
   if (status == STATUS_OK && source->has_pending_change)
     source_read (source);
   else
