siskinctl: settings deleted while a change is confirmed are no crash

survey_await_revision reads the settings again after a change was written. If another program had deleted the key meanwhile, survey_run took the length of a document that is not there. It reports it now, and the exit status is that of a change that is accepted and not confirmed.

test_ctl.py, test_settings_deleted_while_a_change_is_confirmed: ended by signal 11 before.

--- a/ctl/survey.c
+++ b/ctl/survey.c
@@ -233,8 +233,14 @@
 survey_run (ctl_t *ctl, const stored_settings_t *current,
             uint64_t min_revision)
 {
-  survey_t *survey = survey_create (ctl, min_revision);
+  survey_t *survey;
 
+  if (current->document == NULL)
+    {
+      report_error (ctl, "the store has no settings");
+      return NULL;
+    }
+  survey = survey_create (ctl, min_revision);
   if (node_adopt_settings (survey->node, current->document,
                            strlen (current->document))
       != STATUS_OK)
--- a/tests/process/test_ctl.py
+++ b/tests/process/test_ctl.py
@@ -1,10 +1,11 @@
 """siskinctl: findings, conflicts, lost responses, outages and zones."""
 
+import base64
 import json
 import os
 import unittest
 
-from cluster import Cluster
+from cluster import Cluster, wait_until
 
 SAMPLES = os.path.join(os.path.dirname(__file__), "..", "..", "samples")
 OK, ERROR, CONFLICT, UNAVAILABLE, UNKNOWN, REFUSED, INCOMPLETE = range(7)
@@ -118,6 +119,22 @@
                               expect=UNAVAILABLE)
         self.assertIn("nothing was changed", value["error"])
 
+    def test_settings_deleted_while_a_change_is_confirmed(self):
+        """Another program deletes the settings after the change was written
+        and before siskinctl reads them to ask the processes."""
+        cluster = self.start_cluster()
+        cluster.apply()
+        writes = cluster.control("store")["writes"]
+        cluster.control("store", "mode=slow&ms=1000")
+        ctl = cluster.start_ctl("drain", "style-01")
+        # The document is archived, then the change is written.
+        wait_until(lambda: cluster.control("store")["writes"] == writes + 2,
+                   20, "the change to be written")
+        key = base64.b64encode(b"/siskinspur/settings").decode()
+        cluster.raw("POST", cluster.ports["store"], "/v3/kv/txn", json.dumps(
+            {"success": [{"request_delete_range": {"key": key}}]}))
+        self.assertEqual(ctl.wait(30), INCOMPLETE)
+
     def test_concurrent_marks_are_all_kept(self):
         cluster = self.start_cluster()
         cluster.apply()
