siskinctl restore: do not say that nothing was changed after a write

After the write the store is read again. If that read failed, the exit status was 3, and the message said that nothing was changed. It is 4 now, with the revision to look for; so it is if the write itself got no answer, which exited with 4 and without a message. The store of the tests can stop answering after a number of writes.

test_settings.py, test_restore_that_cannot_be_read_back_is_unknown: the false message before.

--- a/ctl/commands/restore.c
+++ b/ctl/commands/restore.c
@@ -3,6 +3,18 @@
 #include "ctl/survey.h"
 #include "kernel/plugin.h"
 
+/* Report that SETTINGS may have been written: the store did not respond to the
+   write or, after it, to the read that shows its result.  */
+static int
+restore_report_unknown (ctl_t *ctl, const settings_t *settings)
+{
+  report_error (ctl,
+                "the store stopped responding, and it is unknown whether it "
+                "has revision %llu now (%s); check later with: siskinctl show",
+                (unsigned long long)settings->revision, status_message ());
+  return CTL_UNKNOWN;
+}
+
 /* Write SETTINGS, the newest that a process has, to the store if the store has
    an older revision.  SETTINGS may be NULL.  The outcome is determined by
    reading the store again, because another siskinctl may have restored the
@@ -23,9 +35,13 @@
       return CTL_OK;
     }
   result = revision_restore (ctl, current, settings);
-  if (result == CTL_UNAVAILABLE || result == CTL_UNKNOWN)
+  if (result == CTL_UNAVAILABLE)
     return result;
+  if (result == CTL_UNKNOWN)
+    return restore_report_unknown (ctl, settings);
   result = revision_read (ctl, &stored);
+  if (result == CTL_UNAVAILABLE)
+    return restore_report_unknown (ctl, settings);
   if (result != CTL_OK)
     return result;
   report_json_set_number (ctl, "revision", stored.parts->revision);
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -157,6 +157,23 @@
         self.change("zone", "in", "tt-south-2")
         self.cluster.wait_for_settings(AGENTS, 3)
 
+    def test_restore_that_cannot_be_read_back_is_unknown(self):
+        """The store is restored and then stops answering: siskinctl must not
+        say that nothing was changed."""
+        self.start_agents()
+        self.cluster.apply()
+        self.change("zone", "out", "tt-south-2")
+        self.cluster.wait_for_settings(AGENTS, 2)
+        for key in ["settings", "revision"]:
+            self.cluster.control("store", "forget=/siskinspur/" + key)
+        self.cluster.control("store", "mode=lose&after_writes=1&reads=1")
+        result = self.cluster.ctl("restore")
+        self.assertNotIn("nothing was changed", result.stderr)
+        self.assertIn("revision 2", result.stderr)
+        self.assertEqual(result.returncode, 4)
+        self.cluster.control("store", "mode=ok")
+        self.assertIn("revision 2 by", self.cluster.ctl("show").stdout)
+
     def test_only_entries_watch_the_store(self):
         """Agents get changes from the entries, and poll the store when the
         entries are silent."""
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -2,9 +2,10 @@
    gateway that siskinspur uses, in memory.  POST /control?mode=MODE makes it
    fail: down aborts every response and watch, slow (with ms=N) delays each
    response, and lose drops the responses to executed requests (count=N of
-   them, or with after_writes=N those to writes after the next N).  Mode ok
-   ends the failure.  POST /control?forget=KEY restores the first value of a
-   key, as a restored backup does.  GET /control returns the counters.  */
+   them, or with after_writes=N those to writes after the next N, and with
+   reads=1 those to reads as well from then on).  Mode ok ends the failure.
+   POST /control?forget=KEY restores the first value of a key, as a restored
+   backup does.  GET /control returns the counters.  */
 
 #include "store_keys.h"
 
@@ -34,14 +35,14 @@
   talloc_free (delayed);
 }
 
-/* Return whether to drop the response to the current request when only the
-   responses to writes are dropped; count the writes that get a response before
+/* Return whether to drop the response to the current request when only those
+   after some writes are dropped; count the writes that get a response before
    that.  */
 static bool
-drops_write_response (store_state_t *state)
+drops_late_response (store_state_t *state)
 {
   if (!state->is_write_call)
-    return false;
+    return state->drops_reads && state->writes_before_drop <= 0;
   return state->writes_before_drop-- <= 0;
 }
 
@@ -55,7 +56,7 @@
 
   json_decref (root);
   if (state->mode == MODE_DROP_RESPONSES && state->drop_count != 0
-      && (!state->drops_writes_only || drops_write_response (state)))
+      && (!state->drops_after_writes || drops_late_response (state)))
     {
       if (state->drop_count > 0)
         state->drop_count--;
@@ -158,7 +159,8 @@
                 : strcmp (mode, "lose") == 0 ? MODE_DROP_RESPONSES
                                              : MODE_OK;
   state->slow_ms = ms == NULL ? 500 : strtoll (ms, NULL, 10);
-  state->drops_writes_only = after != NULL;
+  state->drops_after_writes = after != NULL;
+  state->drops_reads = http_exchange_query (exchange, "reads") != NULL;
   state->writes_before_drop = after == NULL ? 0 : strtoll (after, NULL, 10);
   state->drop_count = count == NULL ? -1 : strtoll (count, NULL, 10);
   if (state->mode == MODE_DOWN)
--- a/tests/standin/store_keys.h
+++ b/tests/standin/store_keys.h
@@ -67,9 +67,10 @@
   failure_mode_t mode;
   int64_t slow_ms;
   int64_t drop_count;         /* responses still to drop; negative: no limit */
-  int64_t writes_before_drop; /* answered first, with drops_writes_only */
-  bool drops_writes_only;
-  int64_t reads; /* requests of each kind */
+  int64_t writes_before_drop; /* answered first, with drops_after_writes */
+  bool drops_after_writes;
+  bool drops_reads; /* with drops_after_writes: after those writes */
+  int64_t reads;    /* requests of each kind */
   int64_t writes;
   int64_t lease_calls;
   int64_t watches;
