--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -237,15 +237,16 @@
   {
     PARTS = 500000
   };
-  char *rules = talloc_array (NULL, char, 2 * PARTS + 4);
+  char *key = talloc_zero_array (NULL, char, 2 * PARTS);
+  char *rules;
 
   (void)state;
-  for (size_t i = 0; i < PARTS; i++)
-    memcpy (rules + 2 * i, i == 0 ? "\na" : ".a", 2);
-  strcpy (rules + (size_t)2 * PARTS, "=1\n");
+  for (size_t i = 0; i < talloc_get_size (key) - 1; i++)
+    key[i] = i % 2 == 0 ? 'a' : '.';
+  rules = talloc_asprintf (key, "\n%s=1\n", key);
   assert_findings (rules, INVENTORY,
                    "rules:2:64: a key has more than 32 parts\n");
-  talloc_free (rules);
+  talloc_free (key);
 }
 
 /* Dots in strings and comments, and in the keys of several lines, are no parts
