--- a/common/toml.cc
+++ b/common/toml.cc
@@ -146,9 +146,8 @@
 } // namespace
 
 /* Parse TEXT and return its root table, owned by PARENT.  FILE is the name of
-   the text in findings.  On a syntax error adds a finding and returns NULL;
-   the parser stops at the first one.  A key of too many parts counts as one.
- */
+   the text in findings.  On a syntax error, or if a key has too many parts,
+   adds a finding and returns NULL; the parser stops at the first one.  */
 extern "C" toml_node_t *
 toml_parse (TALLOC_CTX *parent, const char *text, size_t size,
             const char *file, findings_t *findings)
