--- a/include/pilot/planner.h
+++ b/include/pilot/planner.h
@@ -28,8 +28,8 @@
 void planner_adopt_rank (planner_t *planner, unsigned rank,
                          const placement_map_t *map, uint64_t version);
 /* Adds to the map in use what RANK holds, from its reply to
-   RANK_QUERY_HELD_EXPERTS.  Returns false when the reply does not fit the
-   shape of the group.  */
+   RANK_QUERY_HELD_EXPERTS.  Returns false and does nothing when the reply does
+   not fit the shape of the group.  */
 bool planner_read_map (planner_t *planner, unsigned rank,
                        const rank_reply_t *reply);
 /* Adds token counts of a rank since its last reply.  Returns false and does
--- a/tests/pilot_group.c
+++ b/tests/pilot_group.c
@@ -1,5 +1,7 @@
 #include "pilot_group.h"
 
+#include "seeded_random.h"
+
 enum
 {
   ANSWER_MS = 2,
@@ -55,14 +57,6 @@
   return timespec_from_ms (group->now_ms);
 }
 
-static uint64_t
-random_below (pilot_group_t *group, uint64_t bound)
-{
-  group->random_state
-      = group->random_state * 6364136223846793005ULL + 1442695040888963407;
-  return (group->random_state >> 33) % bound;
-}
-
 static pilot_group_event_t *
 add_event (pilot_group_rank_t *rank, event_kind_t kind, int64_t delay_ms)
 {
@@ -83,9 +77,11 @@
 {
   pilot_group_rank_t *rank = data;
   pilot_group_t *group = rank->group;
-  bool is_lost = random_below (group, PERCENT) < group->loss_percent;
-  int64_t late_ms
-      = MIN_LATE_MS + (int64_t)random_below (group, MAX_LATE_MS - MIN_LATE_MS);
+  bool is_lost = seeded_random_below (&group->random_state, PERCENT)
+                 < group->loss_percent;
+  int64_t late_ms = MIN_LATE_MS
+                    + (int64_t)seeded_random_below (&group->random_state,
+                                                    MAX_LATE_MS - MIN_LATE_MS);
   bool is_late = is_lost && !group->is_carried_out;
   pilot_group_event_t *event
       = add_event (rank, EVENT_ATTEMPT, is_late ? late_ms : ANSWER_MS / 2);
@@ -532,7 +528,8 @@
       pilot_group_event_t *next = TAILQ_NEXT (event, link);
 
       if (event->rank == &group->ranks[rank] && event->kind == EVENT_COMMAND
-          && event->at_ms <= group->now_ms && random_below (group, 2) == 0)
+          && event->at_ms <= group->now_ms
+          && seeded_random_below (&group->random_state, 2) == 0)
         {
           TAILQ_REMOVE (&group->events, event, link);
           talloc_free (event);
