--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -209,6 +209,30 @@
   table_unlock (fleet->table);
 }
 
+/* Choose the upstreams of the service NAME with the policy POLICY from now on.
+   Returns false if there is no such service or policy, or when memory is
+   exhausted; then nothing changes.  */
+bool
+fleet_set_policy (fleet_t *fleet, const char *name, const char *policy)
+{
+  const pick_ops_t *ops = plugin_ops (PLUGIN_PICK, policy);
+  fleet_service_t *service;
+  pick_t *pick = NULL;
+
+  table_lock (fleet->table);
+  service = fleet_find_service (fleet, name);
+  if (service != NULL && ops != NULL)
+    pick = ops->create (service, fleet->seed);
+  if (pick != NULL)
+    {
+      service->ops->destroy (service->pick);
+      service->ops = ops;
+      service->pick = pick;
+    }
+  table_unlock (fleet->table);
+  return pick != NULL;
+}
+
 /* Set this relay's share of the system-wide limits.  */
 void
 fleet_set_share (fleet_t *fleet, const rate_share_t *share)
