--- a/bench/relay_model.c
+++ b/bench/relay_model.c
@@ -339,6 +339,18 @@
   return model;
 }
 
+/* Return whether the result will not change any more.  */
+static bool
+model_is_finished (const relay_model_t *model)
+{
+  const model_tally_t *all = &model->all;
+
+  return model->now_ms >= model->options.duration_ms
+         || (model->now_ms >= model->scenario.counted.end_ms
+             && all->on_time + all->late + all->refused + all->broken
+                    == all->requests);
+}
+
 /* Run the simulation and return what clients got.  */
 relay_model_result_t
 relay_model_run (const relay_model_options_t *options)
@@ -348,7 +360,7 @@
   rules_t *rules = model->rules;
 
   model_observe (model);
-  while (model->now_ms < options->duration_ms)
+  while (!model_is_finished (model))
     model_tick (model);
   result = model_result (model);
   for (unsigned i = 0; i < options->relays; i++)
--- a/bench/relay_model_queue.c
+++ b/bench/relay_model_queue.c
@@ -184,16 +184,19 @@
 /* The rule of forward_wait_or_fail.  */
 static int64_t
 queue_refuse_ms (const model_queue_t *queue, const queue_item_t *item,
-                 bool is_temporary, uint64_t now_ms)
+                 fleet_t *fleet, fleet_shortage_t shortage, uint64_t now_ms)
 {
   uint64_t age_ms = now_ms - item->arrived_ms;
   uint64_t limit_ms
       = (item->deadline_ms - item->arrived_ms) / QUEUE_TIME_DIVISOR;
 
   (void)queue;
+  (void)fleet;
   if (limit_ms > QUEUE_MAX_MS)
     limit_ms = QUEUE_MAX_MS;
-  if (age_ms < limit_ms && (is_temporary || age_ms < UNUSABLE_QUEUE_MAX_MS))
+  if (age_ms < limit_ms
+      && (fleet_shortage_is_temporary (shortage)
+          || age_ms < UNUSABLE_QUEUE_MAX_MS))
     return -1;
   return queue_default_retry_ms (item, now_ms);
 }
--- a/bench/relay_model_queue.h
+++ b/bench/relay_model_queue.h
@@ -1,6 +1,8 @@
 #ifndef SISKIN_BENCH_RELAY_MODEL_QUEUE_H
 #define SISKIN_BENCH_RELAY_MODEL_QUEUE_H
 
+#include "relay/fleet.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 #include <sys/queue.h>
@@ -47,11 +49,12 @@
   /* Try the queued requests in the order of this design.  */
   void (*retry) (model_queue_t *queue, uint64_t now_ms, queue_try_t try_send,
                  void *data);
-  /* Return the time after which the client of ITEM, which cannot be sent now,
-     may return, or a negative number if it is queued instead.  An upstream
-     that is known may end the shortage if IS_TEMPORARY.  */
+  /* Return the time after which the client of ITEM, which cannot be sent now
+     because of SHORTAGE in FLEET, may return, or a negative number if it is
+     queued instead.  */
   int64_t (*refuse_ms) (const model_queue_t *queue, const queue_item_t *item,
-                        bool is_temporary, uint64_t now_ms);
+                        fleet_t *fleet, fleet_shortage_t shortage,
+                        uint64_t now_ms);
 } queue_ops_t;
 
 /* Return the time after which the client of ITEM may return if nothing better
--- a/bench/relay_model_relay.c
+++ b/bench/relay_model_relay.c
@@ -180,8 +180,8 @@
               fleet_shortage_t shortage)
 {
   int64_t retry_after_ms = model->queue_ops->refuse_ms (
-      request->relay->queue, &request->item,
-      fleet_shortage_is_temporary (shortage), model->now_ms);
+      request->relay->queue, &request->item, request->relay->fleet, shortage,
+      model->now_ms);
 
   if (retry_after_ms >= 0)
     return request_refuse (model, request, retry_after_ms);
