bench-work: policies compared on requests of unequal cost

Nothing showed how far a pick policy is from what is possible when requests look alike and their costs differ. bench-work plays log-normal costs, upstreams of three speeds, a demand that varies by 0.55 and reports 200 ms old, with engines alone and in groups, and compares registered policies with the least number of requests and an oracle that reads the engines.

--- a/bench/relay_model.h
+++ b/bench/relay_model.h
@@ -149,6 +149,9 @@
   relay_model_outcome_t other_accounts;
   double first_event_p99_ms;
   double gap_p99_ms; /* of the longest gap of each served stream */
+  /* Work left at the upstream that has most, relative to the mean, at a random
+     time.  */
+  double busiest_work;
   relay_model_queue_time_t queue_times[RELAY_MODEL_QUEUE_RANGES];
 } relay_model_result_t;
 
--- a/bench/relay_model_result.c
+++ b/bench/relay_model_result.c
@@ -197,6 +197,9 @@
     .first_account = tally_outcome (model, &model->first_account),
     .other_accounts = tally_outcome (model, &model->other_accounts),
     .first_event_p99_ms = times_percentile (&model->first_events, 0.99),
+    .busiest_work = model->work_samples == 0
+                        ? 0
+                        : model->busiest_work_sum / model->work_samples,
     .gap_p99_ms = times_percentile (&model->gaps, 0.99),
   };
 
--- a/bench/relay_model_state.h
+++ b/bench/relay_model_state.h
@@ -154,6 +154,8 @@
   model_times_t waits;
   model_times_t first_events;
   model_times_t gaps;
+  double busiest_work_sum; /* by sample */
+  unsigned work_samples;
   model_tally_t all;
   model_tally_t classes[RELAY_MODEL_MAX_CLASSES];
   model_tally_t first_account;
@@ -190,6 +192,11 @@
 double model_expected_ms (const relay_model_t *model,
                           const model_upstream_t *upstream);
 
+/* Returns the time of all passes for the work left at UPSTREAM, as far as they
+   depend on that work.  */
+double model_work_ms (const relay_model_t *model,
+                      const model_upstream_t *upstream);
+
 /* Policies that read the state of MODEL (pick_model.c).  */
 void model_observe (const relay_model_t *model);
 
--- a/bench/relay_scenarios.c
+++ b/bench/relay_scenarios.c
@@ -11,7 +11,12 @@
   CLOSED_END_MS = 17000,
   /* A client that is refused by now returns before CLOSED_END_MS.  */
   CLOSED_COUNTED_MS = 12000,
-  ACCOUNTS = 10
+  ACCOUNTS = 10,
+  SWING_PERIOD_MS = 11000,
+  COSTS_START_MS = 5000,
+  /* Of an engine that waits for no others: two long prompts in a pass may
+     exceed the gap limit.  */
+  SINGLE_CHUNK = 2048
 };
 
 static const double normal_load = 0.75;
@@ -120,6 +125,38 @@
   return scenario;
 }
 
+/* Requests that look alike with costs that differ much, upstreams of three
+   speeds, and a demand that varies.  HAS_LONG_PROMPTS: the prompts are longer,
+   and the costs spread wider.  */
+relay_model_scenario_t
+relay_scenario_costs (const relay_site_t *site, bool has_long_prompts)
+{
+  relay_model_scenario_t scenario = {
+    .classes = { { "all", 0, 400, 120, 8000, 1 } },
+    .class_count = 1,
+    .engine = engine,
+    .cost = { .events = 23,
+              .event_spread = has_long_prompts ? 1 : 0.7,
+              .prompt_tokens = has_long_prompts ? 960 : 674,
+              .prompt_spread = has_long_prompts ? 1 : 0.9,
+              .estimate_error = 0.5 },
+    .report_delay_ms = 200,
+    .recovery_ms = RECOVERY_MS,
+    .clients_return = true,
+    .swing = 0.55,
+    .swing_period_ms = SWING_PERIOD_MS,
+    .counted = { COSTS_START_MS, COSTS_START_MS + SWING_PERIOD_MS },
+  };
+
+  scenario.engine.group_size = site->group_size;
+  if (site->group_size == 1)
+    scenario.engine.chunk = SINGLE_CHUNK;
+  scenario.engine.speeds[0] = 0.8;
+  scenario.engine.speeds[1] = 1;
+  scenario.engine.speeds[2] = 1.25;
+  return scenario;
+}
+
 /* Return the options for SCENARIO at SITE.  SCENARIO must outlive them.  */
 relay_model_options_t
 relay_scenario_options (const relay_site_t *site,
--- a/bench/relay_scenarios.h
+++ b/bench/relay_scenarios.h
@@ -36,6 +36,11 @@
 relay_model_scenario_t relay_scenario_closed (const relay_site_t *site);
 /* One group is 12 times as slow for 6 s.  */
 relay_model_scenario_t relay_scenario_slow (const relay_site_t *site);
+/* Requests that look alike with costs that differ much, upstreams of three
+   speeds, and a demand that varies.  HAS_LONG_PROMPTS: the
+   prompts are longer, and the costs spread wider.  */
+relay_model_scenario_t relay_scenario_costs (const relay_site_t *site,
+                                             bool has_long_prompts);
 /* Returns the options for SCENARIO at SITE.  SCENARIO must outlive them.  */
 relay_model_options_t
 relay_scenario_options (const relay_site_t *site,
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -469,10 +469,30 @@
   fixture_destroy (fixture);
 }
 
+/* A policy that is not known must not replace the one in use, without which
+   the next choice would fail.  */
+static void
+test_policy_of_a_service_is_set (void **state)
+{
+  fixture_t *fixture = fixture_create (0);
+  fleet_request_t request = { .service = "model", .route = fixture->route };
+  fleet_choice_t choice;
+
+  (void)state;
+  assert_true (fleet_set_policy (fixture->fleet, "model", "round-robin"));
+  assert_false (fleet_set_policy (fixture->fleet, "model", "unknown"));
+  assert_false (fleet_set_policy (fixture->fleet, "other", "round-robin"));
+  assert_int_equal (fleet_choose (fixture->fleet, fixture, &request, &choice),
+                    FLEET_NO_SHORTAGE);
+  assert_string_equal (choice.reason, "round-robin");
+  fixture_destroy (fixture);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_policy_of_a_service_is_set),
     cmocka_unit_test (test_requests_spread_and_skip_tried_upstreams),
     cmocka_unit_test (test_zone_out_gets_no_requests),
     cmocka_unit_test (test_share_counts_usable_upstreams_only),
