bench-work: an oracle that sees other relays' requests as late as reports

The oracle knows the cost of every request, but also the present load of every engine, which no relay can know. delayed-oracle knows the costs, and leaves out what other relays have sent within the delay of the reports; the difference shows how much of the way to the oracle is left to a policy. The figures are now means of 8, 3 and 2 runs at the three sites.

--- a/bench/bench_work.c
+++ b/bench/bench_work.c
@@ -1,5 +1,6 @@
 /* Prints how well pick policies place requests whose costs differ much, in a
-   simulation with virtual time.  Usage: bench-work [LOAD] [SEED]  */
+   simulation with virtual time.  Usage: bench-work [LOAD] [SEED], where SEED
+   is that of the first run.  */
 
 #include "bench/relay_scenarios.h"
 #include "kernel/plugin.h"
@@ -21,21 +22,24 @@
   LEAST_REQUESTS,
   LEAST_TOKENS,
   LEAST_WORK,
+  DELAYED_ORACLE,
   ORACLE,
   POLICIES
 };
 
 /* A policy that is not registered is passed over.  */
 static const char *const policies[POLICIES] = {
-  [ROUND_ROBIN] = "round-robin",
-  [LEAST_REQUESTS] = "least-requests",
-  [LEAST_TOKENS] = "least-tokens",
-  [LEAST_WORK] = "least-work",
-  [ORACLE] = "oracle",
+  [ROUND_ROBIN] = "round-robin",       [LEAST_REQUESTS] = "least-requests",
+  [LEAST_TOKENS] = "least-tokens",     [LEAST_WORK] = "least-work",
+  [DELAYED_ORACLE] = "delayed-oracle", [ORACLE] = "oracle",
 };
 
 static const unsigned choice_upstreams[] = { 64, 680 };
 
+/* Runs at each site: a small one needs more for the same number of
+   requests.  */
+static const unsigned runs[RELAY_SITES] = { 8, 3, 2 };
+
 static relay_model_result_t
 run_policy (const relay_site_t *site, relay_model_scenario_t *scenario,
             const char *policy, relay_model_options_t options)
@@ -48,6 +52,39 @@
   return relay_model_run (&options);
 }
 
+/* Add the part PART of the figures of RESULT to SUM.  */
+static void
+result_add_part (relay_model_result_t *sum, const relay_model_result_t *result,
+                 double part)
+{
+  sum->all.on_time += result->all.on_time * part;
+  sum->all.late += result->all.late * part;
+  sum->all.refused += result->all.refused * part;
+  sum->all.attempts += result->all.attempts * part;
+  sum->first_event_p99_ms += result->first_event_p99_ms * part;
+  sum->gap_p99_ms += result->gap_p99_ms * part;
+  sum->busiest_work += result->busiest_work * part;
+  sum->choice_us += result->choice_us * part;
+}
+
+/* Return the mean result of COUNT runs with different seeds.  */
+static relay_model_result_t
+run_policy_repeatedly (const relay_site_t *site,
+                       relay_model_scenario_t *scenario, const char *policy,
+                       relay_model_options_t options, unsigned count)
+{
+  relay_model_result_t sum = { 0 };
+
+  for (unsigned i = 0; i < count; i++, options.seed++)
+    {
+      relay_model_result_t result
+          = run_policy (site, scenario, policy, options);
+
+      result_add_part (&sum, &result, 1.0 / count);
+    }
+  return sum;
+}
+
 /* Print RESULT of the policy NAME.  TOKENS and ORACLE are those of the
    policies between which its place is shown: 0 is as good as least-tokens, 1
    as good as the oracle.  */
@@ -66,10 +103,10 @@
           result->busiest_work, result->choice_us);
 }
 
-/* Print what the policies achieve at SITE.  */
+/* Print what the policies achieve at SITE in the mean of COUNT runs.  */
 static void
 compare_policies (const relay_site_t *site, bool has_long_prompts, double load,
-                  uint64_t seed)
+                  uint64_t seed, unsigned count)
 {
   relay_model_scenario_t scenario
       = relay_scenario_costs (site, has_long_prompts);
@@ -81,7 +118,8 @@
   for (unsigned i = 0; i < POLICIES; i++)
     {
       if (plugin_ops (PLUGIN_PICK, policies[i]) != NULL)
-        results[i] = run_policy (site, &scenario, policies[i], options);
+        results[i] = run_policy_repeatedly (site, &scenario, policies[i],
+                                            options, count);
     }
   printf ("%u relays x %u upstreams, groups of %u, prompts of %.0f\n"
           "    policy          on-time   late refused    way  attempts  first "
@@ -137,9 +175,9 @@
       relay_site_t alone = relay_sites[i];
 
       alone.group_size = 1;
-      compare_policies (&alone, false, load, seed);
-      compare_policies (&alone, true, load, seed);
-      compare_policies (&relay_sites[i], true, load, seed);
+      compare_policies (&alone, false, load, seed, runs[i]);
+      compare_policies (&alone, true, load, seed, runs[i]);
+      compare_policies (&relay_sites[i], true, load, seed, runs[i]);
     }
   measure_choices (load, seed);
   return 0;
--- a/bench/pick_model.c
+++ b/bench/pick_model.c
@@ -5,11 +5,12 @@
 #include <math.h>
 #include <stdlib.h>
 
-/* Policies to compare those of production with: an oracle that reads the state
-   of the simulated engines, and the least number of requests.  */
+/* Policies to compare those of production with: oracles that read the state of
+   the simulated engines, and the least number of requests.  */
 struct pick
 {
   load_random_t random;
+  uint64_t relay; /* index */
 };
 
 enum
@@ -31,8 +32,11 @@
 {
   pick_t *pick = talloc_zero (parent, pick_t);
 
-  if (pick != NULL)
-    pick->random.state = seed;
+  if (pick == NULL)
+    return NULL;
+  pick->random.state = seed;
+  /* The model gives its relays consecutive seeds.  */
+  pick->relay = seed - observed_model->options.seed;
   return pick;
 }
 
@@ -42,32 +46,65 @@
   talloc_free (pick);
 }
 
-/* Choose the upstream at which the request has its first event first, and
-   among those that are close, the one with the least work left.  */
+static double
+candidate_expected_ms (const pick_candidate_t *candidate,
+                       const pick_request_t *request,
+                       const model_relay_t *relay)
+{
+  unsigned index = (unsigned)atoi (candidate->name + 1);
+
+  return model_expected_ms (observed_model, &observed_model->upstreams[index],
+                            relay, (double)request->prompt_tokens);
+}
+
+/* Choose the upstream at which the request has its first event first, with the
+   present state of all engines.  */
 static void
 oracle_choose (pick_t *pick, const pick_request_t *request,
                const pick_candidate_t *const *candidates, size_t count,
                struct timespec now, pick_choice_t *choice)
 {
-  double least = INFINITY;
+  double least_ms = INFINITY;
 
   (void)pick;
-  (void)request;
   (void)now;
   choice->reason = "oracle";
   for (size_t i = 0; i < count; i++)
     {
-      unsigned index = (unsigned)atoi (candidates[i]->name + 1);
-      double cost = model_expected_ms (observed_model,
-                                       &observed_model->upstreams[index]);
+      double expected_ms
+          = candidate_expected_ms (candidates[i], request, NULL);
 
-      if (cost >= least)
+      if (expected_ms >= least_ms)
         continue;
-      least = cost;
+      least_ms = expected_ms;
       choice->index = i;
     }
 }
 
+/* The same among a few candidates, knowing the cost of every request, but not
+   what other relays have sent within the delay of the reports.  */
+static void
+delayed_oracle_choose (pick_t *pick, const pick_request_t *request,
+                       const pick_candidate_t *const *candidates, size_t count,
+                       struct timespec now, pick_choice_t *choice)
+{
+  double least_ms = INFINITY;
+
+  (void)now;
+  choice->reason = "delayed-oracle";
+  for (unsigned i = 0; i < SAMPLED_CANDIDATES; i++)
+    {
+      size_t index = (size_t)(load_random_next (&pick->random) % count);
+      double expected_ms = candidate_expected_ms (
+          candidates[index], request, &observed_model->relays[pick->relay]);
+
+      if (expected_ms >= least_ms)
+        continue;
+      least_ms = expected_ms;
+      choice->index = index;
+    }
+}
+
 static uint64_t
 candidate_requests (const pick_candidate_t *candidate)
 {
@@ -109,6 +146,12 @@
   .choose = oracle_choose,
 };
 
+static const pick_ops_t delayed_oracle_ops = {
+  .create = reference_create,
+  .destroy = reference_destroy,
+  .choose = delayed_oracle_choose,
+};
+
 static const pick_ops_t least_requests_ops = {
   .create = reference_create,
   .destroy = reference_destroy,
@@ -118,6 +161,9 @@
 PLUGIN_REGISTER (oracle, PLUGIN_PICK, "oracle",
                  "least expected time, read from the engines themselves",
                  &oracle_ops);
+PLUGIN_REGISTER (delayed_oracle, PLUGIN_PICK, "delayed-oracle",
+                 "least expected time, with the requests that reports show",
+                 &delayed_oracle_ops);
 PLUGIN_REGISTER (least_requests, PLUGIN_PICK, "least-requests",
                  "fewest requests among a few candidates; a baseline",
                  &least_requests_ops);
--- a/bench/relay_model.c
+++ b/bench/relay_model.c
@@ -335,6 +335,7 @@
   model->zone_count = options->scenario == NULL ? 1 : ZONES;
   TAILQ_INIT (&model->returning);
   model_create_upstreams (model);
+  model_observe (model);
   model_create_relays (model);
   return model;
 }
@@ -359,7 +360,6 @@
   relay_model_result_t result;
   rules_t *rules = model->rules;
 
-  model_observe (model);
   while (!model_is_finished (model))
     model_tick (model);
   result = model_result (model);
--- a/bench/relay_model_engine.c
+++ b/bench/relay_model_engine.c
@@ -5,15 +5,6 @@
 /* Engines that run their requests in passes: all ranks of a group begin a pass
    together and wait for the slowest.  */
 
-enum
-{
-  WORK_SAMPLE_MS = 100
-};
-
-static const double tokens_per_k = 1000;
-static const double ms_per_s = 1000;
-static const double pairs_per_million = 1000000;
-
 static void
 rank_end_request (relay_model_t *model, model_upstream_t *rank,
                   model_request_t *request, fleet_result_t result)
@@ -40,79 +31,6 @@
     }
 }
 
-/* Return the cost in ms of reading TOKENS of a prompt of PROMPT_TOKENS.  */
-static double
-read_cost_ms (const relay_model_engine_t *engine, double tokens,
-              double prompt_tokens)
-{
-  return tokens * ms_per_s / engine->read_per_s
-         + engine->pairs_per_m * tokens * prompt_tokens / pairs_per_million;
-}
-
-/* Return the cost in ms of writing an event with CONTEXT_TOKENS.  */
-static double
-write_cost_ms (const relay_model_engine_t *engine, double context_tokens)
-{
-  return engine->stride
-         * (engine->per_seq_ms
-            + engine->context_per_k * context_tokens / tokens_per_k);
-}
-
-/* Return the cost of reading what is left of the prompts of REQUESTS.  */
-static double
-requests_read_ms (const relay_model_t *model, const model_requests_t *requests)
-{
-  const model_request_t *request;
-  double sum_ms = 0;
-
-  TAILQ_FOREACH (request, requests, link)
-    sum_ms += read_cost_ms (&model->scenario.engine, request->unread_tokens,
-                            request->context_tokens);
-  return sum_ms;
-}
-
-/* Return the cost of writing an event of each of REQUESTS.  */
-static double
-requests_write_ms (const relay_model_t *model,
-                   const model_requests_t *requests)
-{
-  const model_request_t *request;
-  double sum_ms = 0;
-
-  TAILQ_FOREACH (request, requests, link)
-    sum_ms += write_cost_ms (&model->scenario.engine, request->context_tokens);
-  return sum_ms;
-}
-
-/* Return the cost of all that is left of REQUESTS.  */
-static double
-requests_work_ms (const relay_model_t *model, const model_requests_t *requests)
-{
-  const model_request_t *request;
-  double sum_ms = requests_read_ms (model, requests);
-
-  TAILQ_FOREACH (request, requests, link)
-    sum_ms
-        += request->events_left
-           * write_cost_ms (&model->scenario.engine, request->context_tokens);
-  return sum_ms;
-}
-
-/* Return the events left of the one of REQUESTS that ends first.  */
-static unsigned
-requests_least_events (const model_requests_t *requests)
-{
-  const model_request_t *request;
-  unsigned least = 0;
-
-  TAILQ_FOREACH (request, requests, link)
-    {
-      if (least == 0 || request->events_left < least)
-        least = request->events_left;
-    }
-  return least;
-}
-
 /* Divide the chunk of a pass among the prompts of RANK, and return its own
    part of the pass in ms.  */
 static double
@@ -128,9 +46,9 @@
     {
       request->reading_tokens = fmin (request->unread_tokens, chunk);
       chunk -= request->reading_tokens;
-      part_ms += read_cost_ms (engine, request->reading_tokens,
-                               request->context_tokens)
-                 + write_cost_ms (engine, request->context_tokens);
+      part_ms += engine_read_ms (engine, request->reading_tokens,
+                                 request->context_tokens)
+                 + engine_write_ms (engine, request->context_tokens);
     }
   return part_ms * rank->speed;
 }
@@ -220,34 +138,12 @@
     }
 }
 
-/* Record how unequally the work is distributed.  */
-static void
-model_sample_work (relay_model_t *model)
-{
-  double most_ms = 0;
-  double sum_ms = 0;
-
-  for (unsigned i = 0; i < model->options.upstreams; i++)
-    {
-      double work_ms = model_work_ms (model, &model->upstreams[i]);
-
-      most_ms = fmax (most_ms, work_ms);
-      sum_ms += work_ms;
-    }
-  if (sum_ms <= 0)
-    return;
-  model->busiest_work_sum += most_ms * model->options.upstreams / sum_ms;
-  model->work_samples++;
-}
-
 static void
 lock_step_run (relay_model_t *model)
 {
   for (unsigned i = 0; i < model->group_count; i++)
     group_run (model, &model->groups[i]);
-  if (model_span_covers (&model->scenario.counted, model->now_ms)
-      && model->now_ms % WORK_SAMPLE_MS == 0)
-    model_sample_work (model);
+  model_sample_work (model);
   if (model->now_ms < MODEL_WARM_UP_MS)
     return;
   for (unsigned i = 0; i < model->options.upstreams; i++)
@@ -343,9 +239,9 @@
   const relay_model_cost_t *cost = &model->scenario.cost;
 
   if (engine->group_size > 1)
-    return read_cost_ms (engine, engine->chunk, cost->prompt_tokens);
+    return engine_read_ms (engine, engine->chunk, cost->prompt_tokens);
   return model->options.slots
-         * read_cost_ms (engine, cost->prompt_tokens, cost->prompt_tokens)
+         * engine_read_ms (engine, cost->prompt_tokens, cost->prompt_tokens)
          / cost->events;
 }
 
@@ -373,7 +269,7 @@
   const relay_model_engine_t *engine = &model->scenario.engine;
   const relay_model_cost_t *cost = &model->scenario.cost;
   double tokens = cost->prompt_tokens + cost->events * engine->stride / 2;
-  double own_ms = model->options.slots * write_cost_ms (engine, tokens)
+  double own_ms = model->options.slots * engine_write_ms (engine, tokens)
                   + mean_read_ms (model);
 
   return cost->events
@@ -381,40 +277,6 @@
             + own_ms * model_mean_speed (model));
 }
 
-/* Return the time of all passes for the work left at UPSTREAM, as far as they
-   depend on that work.  */
-double
-model_work_ms (const relay_model_t *model, const model_upstream_t *upstream)
-{
-  return upstream->speed
-         * (requests_work_ms (model, &upstream->running)
-            + requests_work_ms (model, &upstream->queued));
-}
-
-/* Return the time until a request that UPSTREAM gets now would have its first
-   event, as far as that depends on the work there: until a slot is free, and
-   the own part of the passes until all prompts are read.  */
-double
-model_expected_ms (const relay_model_t *model,
-                   const model_upstream_t *upstream)
-{
-  const relay_model_engine_t *engine = &model->scenario.engine;
-  unsigned ahead = upstream->running_count + upstream->queued_count;
-  double pass_ms
-      = requests_write_ms (model, &upstream->running) * upstream->speed;
-  double wait_ms = 0;
-
-  if (ahead >= model->options.slots)
-    wait_ms = requests_least_events (&upstream->running)
-              * (1 + ahead - model->options.slots)
-              * (engine->stride * engine->step_ms + pass_ms);
-  return wait_ms + pass_ms
-         + upstream->speed
-               * (requests_read_ms (model, &upstream->running)
-                  + requests_read_ms (model, &upstream->queued)
-                  + requests_write_ms (model, &upstream->queued));
-}
-
 const model_engine_ops_t lock_step_ops = {
   .draw_cost = lock_step_draw_cost,
   .slot_ms = lock_step_slot_ms,
--- a/bench/relay_model_state.h
+++ b/bench/relay_model_state.h
@@ -187,15 +187,16 @@
 void model_group_set_open (relay_model_t *model, model_group_t *group,
                            bool is_open);
 
-/* Returns the time until a request that UPSTREAM gets now would have its first
-   event, as far as that depends on the work there.  */
+/* Work of requests at engines (relay_model_work.c).  */
+double engine_read_ms (const relay_model_engine_t *engine, double tokens,
+                       double prompt_tokens);
+double engine_write_ms (const relay_model_engine_t *engine,
+                        double context_tokens);
+/* RELAY may be NULL.  */
 double model_expected_ms (const relay_model_t *model,
-                          const model_upstream_t *upstream);
-
-/* Returns the time of all passes for the work left at UPSTREAM, as far as they
-   depend on that work.  */
-double model_work_ms (const relay_model_t *model,
-                      const model_upstream_t *upstream);
+                          const model_upstream_t *upstream,
+                          const model_relay_t *relay, double prompt_tokens);
+void model_sample_work (relay_model_t *model);
 
 /* Policies that read the state of MODEL (pick_model.c).  */
 void model_observe (const relay_model_t *model);
