--- a/common/config.c
+++ b/common/config.c
@@ -9,6 +9,8 @@
   DEFAULT_LINK_MBPS = 100,
   MAX_LINK_MBPS = 1000000,
   MAX_WORKERS = 64,
+  MIN_MEMORY_MB = 48,
+  MAX_MEMORY_MB = 1024 * 1024,
   DEFAULT_STORE_TIMEOUT_MS = 1000,
   DEFAULT_STOP_TIMEOUT_MS = 60000,
   DEFAULT_ACT_WITHIN_MS = 2000,
@@ -34,6 +36,12 @@
   { NULL, SCHEMA_END, 0 },
 };
 
+static const schema_field_t limits_fields[] = {
+  { "memory_mb", SCHEMA_INTEGER, offsetof (config_t, memory_mb),
+    .minimum = MIN_MEMORY_MB, .maximum = MAX_MEMORY_MB },
+  { NULL, SCHEMA_END, 0 },
+};
+
 static const schema_field_t config_fields[] = {
   { "name", SCHEMA_STRING, offsetof (config_t, name), .is_required = true },
   { "zone", SCHEMA_STRING, offsetof (config_t, zone), .is_required = true },
@@ -50,6 +58,7 @@
   { "rank_engine", SCHEMA_STRING, offsetof (config_t, rank_engine) },
   { "store_kind", SCHEMA_STRING, offsetof (config_t, store_kind) },
   { "bounds", SCHEMA_TABLE, 0, .fields = bounds_fields },
+  { "limits", SCHEMA_TABLE, 0, .fields = limits_fields },
   { "workers", SCHEMA_INTEGER, offsetof (config_t, workers), .minimum = 1,
     .maximum = MAX_WORKERS },
   { "link_mbps", SCHEMA_REAL, offsetof (config_t, link_mbps), .minimum = 1,
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -41,7 +41,11 @@
 class Program:
     """A process with its log, in which it reports its ports."""
 
-    def __init__(self, name, arguments, folder):
+    def __init__(self, name, arguments, folder, max_files=None):
+        """MAX_FILES limits the descriptors of the process."""
+        if max_files is not None:
+            arguments = ["sh", "-c", 'ulimit -n %d; exec "$@"' % max_files,
+                         "sh"] + arguments
         self.name = name
         self.log_name = os.path.join(folder, name + ".log")
         self.log = open(self.log_name, "w")
@@ -123,11 +127,11 @@
         shutil.rmtree(self.folder)
         assert not faults, faults
 
-    def _start(self, name, arguments):
+    def _start(self, name, arguments, max_files=None):
         if name in self.programs:
             self.previous_faults += self.programs[name].faults()
             self.programs[name].kill()
-        program = Program(name, arguments, self.folder)
+        program = Program(name, arguments, self.folder, max_files)
         self.programs[name] = program
         return program
 
@@ -165,15 +169,16 @@
                    name] + list(settings))
         self.ports[name] = upstream.port(r"port=(\d+)")
 
-    def start_agent(self, name, zone, port=0, store=None):
+    def start_agent(self, name, zone, port=0, store=None, settings="",
+                    max_files=None):
         config = self._write(name + ".toml", (
             'name = "%s"\nzone = "%s"\nlisten = "127.0.0.1:%d"\n'
-            'upstream = "http://127.0.0.1:%d"\nstore = ["%s"]\n') % (
+            'upstream = "http://127.0.0.1:%d"\nstore = ["%s"]\n%s') % (
                 name, zone, port, self.ports[name],
-                store or self.store_url()))
+                store or self.store_url(), settings))
         agent = self._start(
             name + "-agent",
-            [BUILD + "/agent/siskin-agent", "--config", config])
+            [BUILD + "/agent/siskin-agent", "--config", config], max_files)
         self.ports[name + "-admin"] = agent.port(r"admin-listening port=(\d+)")
         self.ports[name + "-agent"] = agent.port(r"frames-listening port=(\d+)")
         return self.ports[name + "-agent"]
@@ -182,12 +187,14 @@
         """Replaces the agent of NAME by a new process on the same port."""
         self.start_agent(name, zone, self.ports[name + "-agent"])
 
-    def start_entry(self, name, zone, store=None):
+    def start_entry(self, name, zone, store=None, settings="",
+                    max_files=None):
         config = self._write(name + ".toml", (
-            'name = "%s"\nzone = "%s"\nstore = ["%s"]\n') % (
-                name, zone, store or self.store_url()))
+            'name = "%s"\nzone = "%s"\nstore = ["%s"]\n%s') % (
+                name, zone, store or self.store_url(), settings))
         entry = self._start(
-            name, [BUILD + "/entry/siskin-entry", "--config", config])
+            name, [BUILD + "/entry/siskin-entry", "--config", config],
+            max_files)
         self.ports[name + "-admin"] = entry.port(r"admin-listening port=(\d+)")
         self.ports[name] = entry.port(r"http-listening port=(\d+)")
 
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -204,13 +204,14 @@
             "act_within": act_within, "first_start": str(first_start).lower(),
             "store": store or "http://127.0.0.1:%d" % self.store.port}
 
-    def start_relay(self, name="relay-1", is_ready=True, **options):
-        settings = self.write_settings(name,
-                                       self.relay_settings(name, **options))
+    def start_relay(self, name="relay-1", is_ready=True, settings="",
+                    max_files=None, **options):
+        settings = self.write_settings(
+            name, self.relay_settings(name, **options) + settings)
         if name in self.programs:
             self.programs[name].kill()
         program = Program(name, [BUILD + "/relay/siskin-relay", "--config",
-                                 settings, "-v"], self.folder)
+                                 settings, "-v"], self.folder, max_files)
         self.programs[name] = program
         program.client_port = program.port(r"clients-listening port=(\d+)")
         program.ready_port = program.port(r"ready-listening port=(\d+)")
@@ -220,13 +221,13 @@
                        name + " to be ready")
         return program
 
-    def start_group(self, ranks=3, slots=6):
+    def start_group(self, ranks=3, slots=6, **options):
         """Starts a group of engines and a pilot for each."""
         self.group = Group([self.add_replica("model", "abc"[i % 3],
                                              slots=slots)
                             for i in range(ranks)])
         asyncio.run_coroutine_threadsafe(self.group.run(), self.loop)
-        return [self.start_pilot(i) for i in range(ranks)]
+        return [self.start_pilot(i, **options) for i in range(ranks)]
 
     def wait_for_maps(self, more, timeout_s):
         """Waits until the group has changed its map MORE times."""
@@ -238,18 +239,19 @@
             raise AssertionError("%s; %s" % (
                 error, self.group.describe())) from None
 
-    def start_pilot(self, rank):
+    def start_pilot(self, rank, settings="", max_files=None):
         name = "pilot-%d" % rank
         replica = self.group.replicas[rank]
         settings = self.write_settings(name, PILOT_SETTINGS % {
             "name": name, "zone": replica.zone, "store": self.store.port,
-            "upstream": replica.address()})
+            "upstream": replica.address()} + settings)
         if name in self.programs:
             self.programs[name].kill()
         program = Program(name, [BUILD + "/pilot/siskin-pilot", "--config",
-                                 settings, "-v"], self.folder)
+                                 settings, "-v"], self.folder, max_files)
         self.programs[name] = program
         program.admin_port = program.port(r"admin-listening port=(\d+)")
+        program.frame_port = program.port(r"frames-listening port=(\d+)")
         return program
 
     def is_ready(self, program):
