Memory budget: an account of what a process holds for peers; HTTP servers use it

One account with a lock of its own rank. Holders that wait for their peers are listed by size; under pressure the one with most bytes times time without progress is dropped. The HTTP server accounts connections, bodies and unread replies, refuses a body over the limit without reading on, and bounds the connections by the descriptors of the process.

--- a/common/daemon.c
+++ b/common/daemon.c
@@ -8,16 +8,25 @@
 
 #include <argp.h>
 #include <curl/curl.h>
+#include <limits.h>
+#include <malloc.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 enum
 {
   ADMIN_MAX_BODY_BYTES = 4096,
+  MEMORY_TRIM_INTERVAL_MS = 1000,
+  /* Blocks of this size and more get memory pages of their own, which return
+     to the system when the block is freed and can grow without a copy.  */
+  MMAP_MIN_BYTES = 128 * 1024,
+  HEAP_TRIM_BYTES = 1024 * 1024,
+  BYTES_PER_MB = 1024 * 1024,
   EXIT_USAGE = 64,
   OPTION_CHECK = 0x100,
   EXIT_STOP_INCOMPLETE = 3 /* a graceful stop timed out or was aborted */
@@ -30,6 +39,7 @@
   clock_source_t *clock;
   node_t *node;
   pool_t *pool;
+  memory_budget_t *memory; /* NULL in an embedded daemon */
   http_server_t *admin;
   void *state;
   task_t stop_task;
@@ -280,6 +290,60 @@
   return EXIT_STOP_INCOMPLETE;
 }
 
+/* Return the bytes of memory that the process may use.  */
+static size_t
+daemon_available_bytes (const daemon_t *daemon)
+{
+  if (daemon->config->memory_mb > 0)
+    return (size_t)daemon->config->memory_mb * BYTES_PER_MB;
+  return (size_t)sysconf (_SC_PHYS_PAGES) * (size_t)sysconf (_SC_PAGESIZE);
+}
+
+/* Return the number of descriptors that the process may open.  */
+static unsigned
+daemon_max_descriptors (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur > INT_MAX)
+    return INT_MAX;
+  return (unsigned)limit.rlim_cur;
+}
+
+static void
+daemon_handle_trim (worker_t *worker, void *data)
+{
+  daemon_t *daemon = data;
+
+  memory_budget_trim (daemon->memory);
+  worker_timer_start (worker, worker_events (worker),
+                      timespec_from_ms (MEMORY_TRIM_INTERVAL_MS),
+                      daemon_handle_trim, daemon);
+}
+
+/* Create the pool of workers, with a limit on what they hold for peers.  The
+   pool is freed first.  */
+static status_t
+daemon_create_pool (daemon_t *daemon)
+{
+  unsigned worker_count = (unsigned)daemon->config->workers;
+  memory_limits_t limits = memory_limits_for (daemon_available_bytes (daemon),
+                                              daemon_max_descriptors ());
+
+  daemon->memory
+      = memory_budget_create (daemon, daemon->clock, &limits, worker_count);
+  daemon->pool = pool_create (daemon, worker_count, daemon->clock);
+  if (daemon->memory == NULL || daemon->pool == NULL)
+    return STATUS_NO_MEMORY;
+  mallopt (M_MMAP_THRESHOLD, MMAP_MIN_BYTES);
+  mallopt (M_TRIM_THRESHOLD, HEAP_TRIM_BYTES);
+  pool_set_memory_budget (daemon->pool, daemon->memory);
+  daemon_handle_trim (pool_worker (daemon->pool, 0), daemon);
+  log_event (LOG_LEVEL_NOTICE, "memory-limit", "bytes=%zu connections=%u",
+             limits.bytes, limits.connections);
+  return STATUS_OK;
+}
+
 static status_t
 daemon_set_up (daemon_t *daemon)
 {
@@ -289,11 +353,11 @@
   daemon->node
       = node_create (daemon, daemon->program->role, daemon->config->name,
                      daemon->config->zone, daemon->clock);
-  daemon->pool
-      = pool_create (daemon, (unsigned)daemon->config->workers, daemon->clock);
-  if (daemon->node == NULL || daemon->pool == NULL)
+  if (daemon->node == NULL)
     return STATUS_NO_MEMORY;
-  status = daemon_start_admin (daemon);
+  status = daemon_create_pool (daemon);
+  if (status == STATUS_OK)
+    status = daemon_start_admin (daemon);
   if (status != STATUS_OK)
     return status;
   return daemon->program->start (daemon, &daemon->state);
--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -4,6 +4,8 @@
 #include "kernel/log.h"
 
 #include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -16,7 +18,16 @@
   HTTP_REPLY_MEMORY_BYTES = 8 * 1024,
   /* What libmicrohttpd adds to the fields of a reply's header.  */
   HTTP_REPLY_OVERHEAD_BYTES = 1024,
-  HTTP_BAD_GATEWAY = 502
+  HTTP_BAD_GATEWAY = 502,
+  /* A body of this size and more grows by a fixed step.  The allocator moves
+     such blocks without a copy.  */
+  BODY_DOUBLING_MAX_BYTES = 128 * 1024,
+  BODY_STEP_BYTES = 64 * 1024,
+  /* Body and reply up to this size are not accounted, and more is in steps, so
+     that small requests and events do not take the budget's lock.  */
+  UNCHARGED_BYTES = 8 * 1024,
+  CHARGE_STEP_BYTES = 16 * 1024,
+  REFUSAL_MAX_BYTES = 1024
 };
 
 COUNTER_DEFINE (exchanges_total, "siskin_http_requests_total",
@@ -28,6 +39,13 @@
 COUNTER_DEFINE (exchanges_disconnected, "siskin_http_callers_gone_total",
                 "Callers that went away before their answer's end");
 
+COUNTER_DEFINE (bodies_too_large, "siskin_http_too_large_total",
+                "Requests refused because their body exceeds the limit");
+COUNTER_DEFINE (exchanges_refused, "siskin_http_no_memory_total",
+                "Requests refused for lack of memory");
+COUNTER_DEFINE (exchanges_cut, "siskin_http_cut_total",
+                "Replies cut for lack of memory because they were not read");
+
 /* Schedule EXCHANGE to be resumed if it is suspended.  */
 static void
 exchange_resume (http_exchange_t *exchange)
@@ -96,6 +114,143 @@
   exchange_resume (exchange);
 }
 
+/* Return what to reserve for BYTES of body and reply.  */
+static size_t
+charge_for (size_t bytes)
+{
+  if (bytes <= UNCHARGED_BYTES)
+    return 0;
+  return (bytes + CHARGE_STEP_BYTES - 1) / CHARGE_STEP_BYTES
+         * CHARGE_STEP_BYTES;
+}
+
+/* Reserve memory for BYTES of body and reply in total, or release what is
+   surplus.  Returns false if there is no room for more.  */
+static bool
+exchange_charge (http_exchange_t *exchange, size_t bytes)
+{
+  size_t target = charge_for (bytes);
+  size_t held = exchange->connection->memory.held - exchange->charged;
+
+  if (target == exchange->charged)
+    return true;
+  if (!memory_set_held (&exchange->connection->memory, held + target))
+    return false;
+  exchange->charged = target;
+  return true;
+}
+
+/* Update what is reserved after body or reply have become smaller.  */
+static void
+exchange_discharge (http_exchange_t *exchange)
+{
+  exchange_charge (exchange,
+                   exchange->body_capacity + exchange->pending_bytes);
+}
+
+static void
+exchange_free_body (http_exchange_t *exchange)
+{
+  TALLOC_FREE (exchange->body);
+  exchange->body_size = 0;
+  exchange->body_capacity = 0;
+  exchange_discharge (exchange);
+}
+
+/* Refuse a request that has not been received whole.  libmicrohttpd accepts no
+   reply at this point, so it is written to the socket.  The caller closes the
+   connection.  */
+static void
+exchange_refuse_early (http_exchange_t *exchange, unsigned http_status,
+                       const char *reason, const char *text)
+{
+  const char *fields = exchange->server->ops->refusal_fields;
+  char reply[REFUSAL_MAX_BYTES];
+  int size
+      = snprintf (reply, sizeof reply,
+                  "HTTP/1.1 %u %s\r\nConnection: close\r\n"
+                  "Content-Type: text/plain\r\nContent-Length: %zu\r\n"
+                  "%s%s\r\n%s",
+                  http_status, reason, strlen (text),
+                  http_status == HTTP_UNAVAILABLE ? "Retry-After: 1\r\n" : "",
+                  fields == NULL ? "" : fields, text);
+
+  if (exchange->connection->is_refused)
+    return;
+  exchange->connection->is_refused = true;
+  if (size > 0 && (size_t)size < sizeof reply)
+    send (exchange_fd (exchange), reply, (size_t)size,
+          MSG_DONTWAIT | MSG_NOSIGNAL);
+  exchange_free_body (exchange);
+}
+
+static void
+exchange_refuse_memory (http_exchange_t *exchange)
+{
+  counter_add (&exchanges_refused, 1);
+  exchange_refuse_early (exchange, HTTP_UNAVAILABLE, "Service Unavailable",
+                         "no memory for the request, which has not run\n");
+}
+
+static void
+exchange_refuse_too_large (http_exchange_t *exchange)
+{
+  counter_add (&bodies_too_large, 1);
+  exchange_refuse_early (exchange, MHD_HTTP_CONTENT_TOO_LARGE,
+                         "Content Too Large",
+                         "the request body is too large\n");
+}
+
+/* Return whether the request was refused before it was received whole.  */
+bool
+http_exchange_is_refused_early (const http_exchange_t *exchange)
+{
+  return exchange->connection->is_refused && !exchange->is_dispatched;
+}
+
+static void
+exchange_free_chunks (http_exchange_t *exchange)
+{
+  reply_chunk_t *chunk;
+
+  while ((chunk = STAILQ_FIRST (&exchange->chunks)) != NULL)
+    {
+      STAILQ_REMOVE_HEAD (&exchange->chunks, link);
+      talloc_free (chunk);
+    }
+  exchange->pending_bytes = 0;
+}
+
+/* Give up a reply that the client does not read.  A reset also frees what the
+   system holds of it.  The owner learns of the disconnect from the event
+   loop.  */
+static void
+exchange_cut (http_exchange_t *exchange)
+{
+  static const struct linger reset_on_close = { .l_onoff = 1, .l_linger = 0 };
+
+  if (exchange->is_cut)
+    return;
+  exchange->is_cut = true;
+  counter_add (&exchanges_cut, 1);
+  exchange_free_chunks (exchange);
+  exchange->is_reply_aborted = true;
+  setsockopt (exchange_fd (exchange), SOL_SOCKET, SO_LINGER, &reset_on_close,
+              sizeof reset_on_close);
+  shutdown (exchange_fd (exchange), SHUT_RDWR);
+}
+
+/* Give up EXCHANGE to make room for others.  The caller closes the
+   connection.  */
+void
+http_exchange_drop (http_exchange_t *exchange)
+{
+  if (!exchange->is_dispatched)
+    exchange_refuse_memory (exchange);
+  else
+    exchange_cut (exchange);
+}
+
 static void
 exchange_watch_disconnect (http_exchange_t *exchange)
 {
@@ -105,6 +260,15 @@
                        exchange_handle_disconnect, exchange);
 }
 
+/* Once the request was received, the process waits for the client only while a
+   part of the reply is unread.  */
+static void
+exchange_update_waiting (http_exchange_t *exchange)
+{
+  memory_holder_set_waiting (&exchange->connection->memory,
+                             exchange->pending_bytes > UNCHARGED_BYTES);
+}
+
 /* Called by libmicrohttpd to read up to SIZE bytes of the reply's body.
    Suspends the exchange when there is no data yet.  */
 static ssize_t
@@ -132,6 +296,9 @@
   exchange->pending_bytes -= copied;
   if (copied > 0)
     {
+      memory_holder_progress (&exchange->connection->memory);
+      exchange_discharge (exchange);
+      exchange_update_waiting (exchange);
       if (exchange->server->ops->on_drained != NULL
           && !exchange->is_reply_ended && !exchange->is_client_gone)
         exchange->server->ops->on_drained (exchange, exchange->server->data);
@@ -160,24 +327,26 @@
 
 /* Create an exchange when libmicrohttpd has received the request line, and
    start the receive timeout for the rest of the request.  DATA is the server.
-   Returns NULL when memory is exhausted.  */
+   Returns NULL when memory is exhausted; the connection is closed then.  */
 void *
 http_exchange_create (void *data, const char *target,
                       struct MHD_Connection *mhd_connection)
 {
   http_server_t *server = data;
-  http_exchange_t *exchange = talloc_zero (server, http_exchange_t);
+  http_connection_t *connection
+      = MHD_get_connection_info (mhd_connection,
+                                 MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+            ->socket_context;
+  http_exchange_t *exchange
+      = connection == NULL ? NULL : talloc_zero (server, http_exchange_t);
 
   if (exchange == NULL)
     return NULL;
   exchange->server = server;
   exchange->mhd_connection = mhd_connection;
-  exchange->connection
-      = MHD_get_connection_info (mhd_connection,
-                                 MHD_CONNECTION_INFO_SOCKET_CONTEXT)
-            ->socket_context;
-  if (exchange->connection != NULL)
-    exchange->connection->exchanges++;
+  exchange->connection = connection;
+  connection->exchange = exchange;
+  memory_holder_progress (&connection->memory);
   exchange->target = talloc_strdup (exchange, target);
   STAILQ_INIT (&exchange->headers);
   STAILQ_INIT (&exchange->chunks);
@@ -252,7 +421,20 @@
                > HTTP_CONNECTION_MEMORY_BYTES;
 }
 
-/* Store METHOD and PATH of the request, and check the size of its header.  */
+/* Read the declared length of the body, and check it against the limit.  */
+static void
+exchange_check_length (http_exchange_t *exchange)
+{
+  const char *text = http_exchange_header (exchange, "Content-Length");
+  unsigned long long length = text == NULL ? 0 : strtoull (text, NULL, 10);
+
+  exchange->is_body_too_large = length > exchange->server->limits.body_bytes;
+  if (!exchange->is_body_too_large)
+    exchange->body_length = (size_t)length;
+}
+
+/* Store METHOD and PATH of the request, and check the size of its header and
+   of its body, if declared.  */
 void
 http_exchange_set_request_line (http_exchange_t *exchange, const char *method,
                                 const char *path)
@@ -260,34 +442,85 @@
   exchange->method = talloc_strdup (exchange, method);
   exchange->path = talloc_strdup (exchange, path);
   exchange_check_head (exchange);
+  exchange_check_length (exchange);
+  if (!memory_set_held (&exchange->connection->memory,
+                        HTTP_CONNECTION_MEMORY_BYTES))
+    exchange_refuse_memory (exchange);
 }
 
-/* Append SIZE bytes to the request's body.  A body that exceeds the limit is
-   discarded.  */
-void
+/* Return the capacity to give to a body of NEEDED bytes.  */
+static size_t
+exchange_body_capacity (const http_exchange_t *exchange, size_t needed)
+{
+  size_t capacity = needed < BODY_DOUBLING_MAX_BYTES / 2
+                        ? needed * 2
+                        : needed + BODY_STEP_BYTES;
+
+  if (exchange->body_length >= needed && capacity > exchange->body_length)
+    capacity = exchange->body_length;
+  return capacity;
+}
+
+/* Make room for a body of NEEDED bytes.  Returns false when there is none.  */
+static bool
+exchange_grow_body (http_exchange_t *exchange, size_t needed)
+{
+  size_t capacity;
+  char *larger;
+
+  if (needed <= exchange->body_capacity)
+    return true;
+  capacity = exchange_body_capacity (exchange, needed);
+  if (!exchange_charge (exchange, capacity + exchange->pending_bytes))
+    return false;
+  larger = talloc_realloc (exchange, exchange->body, char, capacity + 1);
+  if (larger == NULL)
+    return false;
+  exchange->body = larger;
+  exchange->body_capacity = capacity;
+  return true;
+}
+
+/* Append SIZE bytes to the request's body.  Returns false when the request was
+   refused: the body exceeds the limit, or there is no memory for it.  */
+bool
 http_exchange_append_body (http_exchange_t *exchange, const char *data,
                            size_t size)
 {
   size_t needed = exchange->body_size + size;
-  char *larger;
 
-  if (exchange->is_body_too_large)
-    return;
+  if (exchange->connection->is_refused)
+    return false;
+  memory_holder_progress (&exchange->connection->memory);
   if (needed > exchange->server->limits.body_bytes)
     {
-      exchange->is_body_too_large = true;
-      TALLOC_FREE (exchange->body);
-      return;
+      exchange_refuse_too_large (exchange);
+      return false;
     }
-  larger = exchange->body;
-  if (talloc_get_size (exchange->body) < needed + 1)
-    larger = talloc_realloc (exchange, exchange->body, char, needed * 2 + 1);
-  if (larger == NULL)
-    return;
-  memcpy (larger + exchange->body_size, data, size);
-  larger[needed] = '\0';
-  exchange->body = larger;
+  if (!exchange_grow_body (exchange, needed))
+    {
+      exchange_refuse_memory (exchange);
+      return false;
+    }
+  memcpy (exchange->body + exchange->body_size, data, size);
+  exchange->body[needed] = '\0';
   exchange->body_size = needed;
+  return true;
+}
+
+/* Refuse the request, whose declared length exceeds the limit.  */
+static void
+exchange_reply_too_large (http_exchange_t *exchange)
+{
+  const http_server_t *server = exchange->server;
+
+  counter_add (&bodies_too_large, 1);
+  exchange->connection->is_refused = true;
+  if (server->ops->on_too_large != NULL)
+    server->ops->on_too_large (exchange, server->data);
+  else
+    http_reply_text (exchange, MHD_HTTP_CONTENT_TOO_LARGE, "text/plain",
+                     "the request body is too large\n");
 }
 
 /* Pass the complete request to the server's owner, or reply with an error when
@@ -297,6 +530,7 @@
 {
   exchange->is_dispatched = true;
   TALLOC_FREE (exchange->receive_timer);
+  exchange_update_waiting (exchange);
   exchange_watch_disconnect (exchange);
   if (exchange->is_head_too_large)
     {
@@ -304,16 +538,9 @@
                        "text/plain", "the request's header is too large\n");
       return;
     }
-  if (exchange->is_body_too_large
-      && exchange->server->ops->on_too_large != NULL)
-    {
-      exchange->server->ops->on_too_large (exchange, exchange->server->data);
-      return;
-    }
   if (exchange->is_body_too_large)
     {
-      http_reply_text (exchange, MHD_HTTP_CONTENT_TOO_LARGE, "text/plain",
-                       "the request body is too large\n");
+      exchange_reply_too_large (exchange);
       return;
     }
   exchange->server->ops->on_request (exchange, exchange->server->data);
@@ -353,11 +580,12 @@
   if (exchange->response != NULL)
     MHD_destroy_response (exchange->response);
   server->open_exchanges--;
-  if (exchange->connection != NULL)
-    {
-      exchange->connection->exchanges--;
-      http_server_end_exchange (server, exchange->connection);
-    }
+  exchange_free_chunks (exchange);
+  exchange_free_body (exchange);
+  exchange->connection->exchange = NULL;
+  memory_holder_progress (&exchange->connection->memory);
+  memory_holder_set_waiting (&exchange->connection->memory, true);
+  http_server_end_exchange (server, exchange->connection);
   talloc_free (exchange);
 }
 
@@ -494,22 +722,29 @@
 }
 
 /* Append a copy of DATA to the reply's body.  Returns STATUS_NO_MEMORY on
-   failure.  */
+   failure; the reply is cut then.  */
 status_t
 http_reply_data (http_exchange_t *exchange, const char *data, size_t size)
 {
   reply_chunk_t *chunk;
 
-  if (size == 0 || exchange->is_reply_replaced)
+  if (size == 0 || exchange->is_reply_replaced || exchange->is_cut)
     return STATUS_OK;
-  chunk = talloc_size (exchange, sizeof *chunk + size);
+  chunk = exchange_charge (exchange, exchange->body_capacity
+                                         + exchange->pending_bytes + size)
+              ? talloc_size (exchange, sizeof *chunk + size)
+              : NULL;
   if (chunk == NULL)
-    return status_set (STATUS_NO_MEMORY, "no memory for a reply");
+    {
+      exchange_cut (exchange);
+      return status_set (STATUS_NO_MEMORY, "no memory for a reply");
+    }
   chunk->size = size;
   chunk->consumed = 0;
   memcpy (chunk->data, data, size);
   STAILQ_INSERT_TAIL (&exchange->chunks, chunk, link);
   exchange->pending_bytes += size;
+  exchange_update_waiting (exchange);
   if (exchange->is_reply_begun)
     exchange_resume (exchange);
   return STATUS_OK;
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -1,8 +1,10 @@
 #include "common/http_exchange.h"
 
 #include "kernel/log.h"
+#include "kernel/table.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <linux/filter.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -15,7 +17,12 @@
   HTTP_IDLE_TIMEOUT_S = 15,        /* of a connection without traffic */
   HTTP_RECEIVE_TIMEOUT_MS = 30000, /* from the request line to the last byte */
   RESUME_DELAY_US_PER_EXCHANGE = 2, /* see http_server_schedule_resume */
+  /* Beyond any limit of the memory budget, which applies first.  */
   HTTP_MAX_CONNECTIONS = 20000,
+  /* After a refusal, see http_server_linger.  */
+  LINGER_MS = 1000,
+  LINGER_MAX_CONNECTIONS = 32,
+  LINGER_RECEIVE_BUFFER_BYTES = 4 * 1024,
   TCP_FLAGS_OFFSET = 13 /* in a TCP header, bytes */
 };
 
@@ -102,6 +109,95 @@
   return timeout->tv_sec + (timeout->tv_nsec > 0 ? 1 : 0);
 }
 
+static int
+connection_fd (const http_connection_t *connection)
+{
+  return MHD_get_connection_info (connection->mhd_connection,
+                                  MHD_CONNECTION_INFO_CONNECTION_FD)
+      ->connect_fd;
+}
+
+/* Make libmicrohttpd close CONNECTION.  */
+static void
+connection_close (const http_connection_t *connection)
+{
+  shutdown (connection_fd (connection), SHUT_RDWR);
+}
+
+static int
+lingering_free (http_lingering_t *lingering)
+{
+  close (lingering->fd);
+  lingering->server->lingering_count--;
+  return 0;
+}
+
+static void
+lingering_handle_end (worker_t *worker, void *data)
+{
+  (void)worker;
+  talloc_free (data);
+}
+
+/* CONNECTION, on which a request was refused, is being closed.  Keep its
+   socket for a short time without reading: closing a socket with unread data
+   resets the connection, and the client could lose the refusal.  */
+static void
+http_server_linger (http_server_t *server, const http_connection_t *connection)
+{
+  static const int buffer_bytes = LINGER_RECEIVE_BUFFER_BYTES;
+  http_lingering_t *lingering;
+
+  if (server->lingering_count >= LINGER_MAX_CONNECTIONS)
+    return;
+  lingering = talloc_zero (server, http_lingering_t);
+  if (lingering == NULL)
+    return;
+  lingering->server = server;
+  lingering->fd = fcntl (connection_fd (connection), F_DUPFD_CLOEXEC, 0);
+  if (lingering->fd < 0)
+    {
+      talloc_free (lingering);
+      return;
+    }
+  server->lingering_count++;
+  talloc_set_destructor (lingering, lingering_free);
+  setsockopt (lingering->fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+              sizeof buffer_bytes);
+  shutdown (lingering->fd, SHUT_WR);
+  worker_timer_start (server->worker, lingering, timespec_from_ms (LINGER_MS),
+                      lingering_handle_end, lingering);
+}
+
+/* Drop the connection to make room for others.  */
+static void
+connection_handle_drop (memory_holder_t *holder, memory_reason_t reason)
+{
+  http_connection_t *connection
+      = CONTAINER_OF (holder, http_connection_t, memory);
+
+  (void)reason;
+  if (connection->exchange != NULL)
+    http_exchange_drop (connection->exchange);
+  connection_close (connection);
+}
+
+static const memory_holder_ops_t connection_memory_ops
+    = { .drop = connection_handle_drop };
+
+/* Called by libmicrohttpd before it serves a new connection.  */
+static enum MHD_Result
+http_server_handle_accept (void *data, const struct sockaddr *address,
+                           socklen_t length)
+{
+  const http_server_t *server = data;
+
+  (void)address;
+  (void)length;
+  return memory_admit_connection (worker_memory (server->worker)) ? MHD_YES
+                                                                  : MHD_NO;
+}
+
 /* Called by libmicrohttpd when a connection is opened or closed.  */
 static void
 http_server_handle_connection (void *data,
@@ -114,10 +210,14 @@
 
   if (code == MHD_CONNECTION_NOTIFY_CLOSED)
     {
-      if (connection != NULL)
-        LIST_REMOVE (connection, link);
-      talloc_free (connection);
       *state = NULL;
+      if (connection == NULL)
+        return;
+      if (connection->is_refused)
+        http_server_linger (server, connection);
+      LIST_REMOVE (connection, link);
+      memory_holder_end (&connection->memory);
+      talloc_free (connection);
       return;
     }
   connection = talloc_zero (server, http_connection_t);
@@ -127,15 +227,11 @@
   connection->mhd_connection = mhd_connection;
   LIST_INSERT_HEAD (&server->connections, connection, link);
   *state = connection;
-}
-
-static void
-connection_close (const http_connection_t *connection)
-{
-  shutdown (MHD_get_connection_info (connection->mhd_connection,
-                                     MHD_CONNECTION_INFO_CONNECTION_FD)
-                ->connect_fd,
-            SHUT_RDWR);
+  memory_holder_start_connection (&connection->memory,
+                                  worker_memory (server->worker),
+                                  &connection_memory_ops);
+  if (!memory_reserve (&connection->memory, HTTP_IDLE_CONNECTION_BYTES))
+    connection_close (connection);
 }
 
 /* After an exchange on CONNECTION has ended, set the current idle timeout, and
@@ -144,7 +240,7 @@
 http_server_end_exchange (const http_server_t *server,
                           const http_connection_t *connection)
 {
-  if (server->is_closing_idle && connection->exchanges == 0)
+  if (server->is_closing_idle)
     connection_close (connection);
   MHD_set_connection_option (connection->mhd_connection,
                              MHD_CONNECTION_OPTION_TIMEOUT,
@@ -170,14 +266,20 @@
   if (exchange->method == NULL)
     {
       http_exchange_set_request_line (exchange, method, url);
-      return MHD_YES;
+      if (http_exchange_is_refused_early (exchange))
+        return MHD_NO;
+      if (!exchange->is_body_too_large)
+        return MHD_YES;
     }
   if (*upload_size > 0)
     {
-      http_exchange_append_body (exchange, upload, *upload_size);
+      if (!http_exchange_append_body (exchange, upload, *upload_size))
+        return MHD_NO;
       *upload_size = 0;
       return MHD_YES;
     }
+  if (http_exchange_is_refused_early (exchange))
+    return MHD_NO;
   if (!exchange->is_dispatched)
     http_exchange_dispatch (exchange);
   if (exchange->is_reply_begun)
@@ -252,8 +354,8 @@
     }
   server->listen_fd = fd;
   server->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
-      http_server_handle_access, server, MHD_OPTION_LISTEN_SOCKET, fd,
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, http_server_handle_accept,
+      server, http_server_handle_access, server, MHD_OPTION_LISTEN_SOCKET, fd,
       MHD_OPTION_URI_LOG_CALLBACK, http_exchange_create, server,
       MHD_OPTION_NOTIFY_COMPLETED, http_server_handle_completed, server,
       MHD_OPTION_NOTIFY_CONNECTION, http_server_handle_connection, server,
@@ -359,10 +461,7 @@
 {
   char byte;
 
-  return recv (MHD_get_connection_info (connection->mhd_connection,
-                                        MHD_CONNECTION_INFO_CONNECTION_FD)
-                   ->connect_fd,
-               &byte, 1, MSG_PEEK | MSG_DONTWAIT)
+  return recv (connection_fd (connection), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
          > 0;
 }
 
@@ -379,7 +478,7 @@
   server->is_closing_idle = true;
   LIST_FOREACH (connection, &server->connections, link)
     {
-      if (connection->exchanges > 0)
+      if (connection->exchange != NULL)
         continue;
       if (connection_has_unread (connection))
         unread++;
--- a/include/common/config.h
+++ b/include/common/config.h
@@ -62,7 +62,7 @@
   int64_t workers;          /* number of worker threads */
   int64_t memory_mb; /* memory that the process may use, in MiB; 0: that of the
                         machine */
-  double link_mbps; /* pilot only: bandwidth of the VM's link in Mbit/s */
+  double link_mbps;  /* pilot only: bandwidth of the VM's link in Mbit/s */
   schema_strings_t store; /* URLs of the store */
   schema_strings_t peers; /* ADDRESS:PORT of processes that are asked for the
                              settings while the store is unavailable */
--- a/include/common/http_exchange.h
+++ b/include/common/http_exchange.h
@@ -2,6 +2,7 @@
 #define SISKIN_COMMON_HTTP_EXCHANGE_H
 
 #include "common/http_server.h"
+#include "kernel/memory_budget.h"
 
 #include <microhttpd.h>
 #include <sys/queue.h>
@@ -12,7 +13,11 @@
 {
   /* libmicrohttpd keeps a request's header, a record of each of its fields and
      the reply's header in this memory of the connection.  */
-  HTTP_CONNECTION_MEMORY_BYTES = 64 * 1024
+  HTTP_CONNECTION_MEMORY_BYTES = 64 * 1024,
+  /* Accounted for a connection before its first request.  libmicrohttpd uses
+     the rest of its memory from then on until the connection is closed.  */
+  HTTP_IDLE_CONNECTION_BYTES = 4 * 1024,
+  HTTP_UNAVAILABLE = 503
 };
 
 /* Data of a reply that libmicrohttpd has not read yet.  */
@@ -30,9 +35,19 @@
   LIST_ENTRY (http_connection) link;
   http_server_t *server;
   struct MHD_Connection *mhd_connection;
-  unsigned exchanges; /* number of exchanges in progress, 0 or 1 */
+  http_exchange_t *exchange; /* in progress, or NULL */
+  memory_holder_t memory;    /* of the connection and its exchange */
+  /* A request was refused before it was received.  */
+  bool is_refused;
 } http_connection_t;
 
+/* A descriptor of a closed connection, see http_server_linger.  */
+typedef struct http_lingering
+{
+  http_server_t *server;
+  int fd;
+} http_lingering_t;
+
 struct http_server
 {
   worker_t *worker;
@@ -50,6 +65,7 @@
   uint16_t port;
   MHD_socket listen_fd;
   unsigned open_exchanges;
+  unsigned lingering_count;
 };
 
 struct http_exchange
@@ -67,7 +83,11 @@
   char *path;
   char *body;
   size_t body_size;
-  bool is_body_too_large;
+  size_t body_capacity;   /* with the terminating null byte */
+  size_t body_length;     /* as declared, 0 for unknown */
+  size_t charged;         /* reserved for body and reply */
+  bool is_body_too_large; /* its declared length is */
+  bool is_cut;            /* dropped while the reply was being sent */
   bool is_head_too_large; /* the request line and header fields */
   size_t memory_used;     /* of the connection's, by the request's header */
   /* The reply is replaced by an error, since its header is too large.  */
@@ -96,8 +116,10 @@
                             struct MHD_Connection *mhd_connection);
 void http_exchange_set_request_line (http_exchange_t *exchange,
                                      const char *method, const char *path);
-void http_exchange_append_body (http_exchange_t *exchange, const char *data,
+bool http_exchange_append_body (http_exchange_t *exchange, const char *data,
                                 size_t size);
+bool http_exchange_is_refused_early (const http_exchange_t *exchange);
+void http_exchange_drop (http_exchange_t *exchange);
 void http_exchange_dispatch (http_exchange_t *exchange);
 enum MHD_Result http_exchange_queue_reply (http_exchange_t *exchange);
 void http_exchange_suspend (http_exchange_t *exchange);
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -23,8 +23,9 @@
   /* A complete request was received.  Reply with http_reply_*, within this
      function or later.  */
   void (*on_request) (http_exchange_t *exchange, void *data);
-  /* The body exceeds the limit and was discarded; reply with 413.  NULL: the
-     server replies with a plain text.  */
+  /* The declared length of the body exceeds the limit, and it will not be
+     read; reply with 413, within this function.  NULL: the server replies with
+     a plain text.  */
   void (*on_too_large) (http_exchange_t *exchange, void *data);
   /* The client disconnected before the reply was complete.  Call no
      http_reply_* function afterwards; on_finished follows.  May be NULL.  */
@@ -35,6 +36,10 @@
   /* The exchange is complete and is freed after this function.  May be
      NULL.  */
   void (*on_finished) (http_exchange_t *exchange, void *data);
+  /* Header lines, each with its line end, of the replies that the server sends
+     itself while a request is being received: it has not run.  NULL for
+     none.  */
+  const char *refusal_fields;
 } http_server_ops_t;
 
 /* Limits on the size of requests, the time to receive one and the time that a
--- a/include/kernel/lock.h
+++ b/include/kernel/lock.h
@@ -25,6 +25,7 @@
   LOCK_CLAIMS,      /* claims on idempotency keys */
   LOCK_PEERS,       /* connections to other processes of the system */
   LOCK_SETTINGS,    /* pointers to the current settings and rules */
+  LOCK_MEMORY,      /* memory held for peers */
   LOCK_TASKS,       /* a worker's task queue */
   LOCK_LOG,         /* formatting of log lines */
   LOCK_LOG_QUEUE,   /* formatted log lines to be written */
--- a/include/kernel/pool.h
+++ b/include/kernel/pool.h
@@ -2,6 +2,7 @@
 #define SISKIN_KERNEL_POOL_H
 
 #include "kernel/clock.h"
+#include "kernel/memory_budget.h"
 #include "kernel/status.h"
 
 #include <stdbool.h>
@@ -37,10 +38,16 @@
 unsigned pool_worker_count (const pool_t *pool);
 worker_t *pool_worker (pool_t *pool, unsigned index);
 
+/* Count what POOL's workers hold for peers in BUDGET, which must outlive POOL
+   and have a part for each worker.  Must precede the use of worker_memory.  */
+void pool_set_memory_budget (pool_t *pool, memory_budget_t *budget);
+
 unsigned worker_index (const worker_t *worker);
 pool_t *worker_pool (const worker_t *worker);
 struct tevent_context *worker_events (const worker_t *worker);
 const clock_source_t *worker_clock (const worker_t *worker);
+/* Returns the worker's part of the memory budget, NULL if there is none.  */
+memory_worker_t *worker_memory (const worker_t *worker);
 void worker_post (worker_t *worker, task_t *task);
 /* Run HANDLER once on WORKER after DELAY.  Must be called on WORKER's own
    thread.  OWNER is the talloc parent of the timer.  Freeing the timer,
--- a/include/kernel/worker.h
+++ b/include/kernel/worker.h
@@ -38,6 +38,9 @@
   lock_t *task_lock;
   struct task_queue tasks;
   LIST_HEAD (, worker_timer) timers;
+  memory_worker_t *memory; /* NULL for none */
+  task_t drop_task;        /* drops holders of memory */
+  atomic_bool is_drop_posted;
   bool is_closing; /* the loop is being freed; timers are not armed */
 };
 
--- a/kernel/pool.c
+++ b/kernel/pool.c
@@ -212,6 +212,45 @@
   return worker->pool->clock;
 }
 
+static void
+worker_handle_drop (task_t *task, worker_t *worker)
+{
+  (void)task;
+  atomic_store (&worker->is_drop_posted, false);
+  memory_worker_drop (worker->memory);
+}
+
+/* Called by the budget when there are holders to be dropped.  */
+static void
+worker_post_drop (void *data)
+{
+  worker_t *worker = data;
+
+  if (!atomic_exchange (&worker->is_drop_posted, true))
+    worker_post (worker, &worker->drop_task);
+}
+
+/* Count what POOL's workers hold for peers in BUDGET.  */
+void
+pool_set_memory_budget (pool_t *pool, memory_budget_t *budget)
+{
+  for (unsigned i = 0; i < pool->worker_count; i++)
+    {
+      worker_t *worker = pool->workers[i];
+
+      worker->memory = memory_budget_worker (budget, i);
+      worker->drop_task.run = worker_handle_drop;
+      memory_worker_set_wake (worker->memory, worker_post_drop, worker);
+    }
+}
+
+/* Return the worker's part of the memory budget, NULL if there is none.  */
+memory_worker_t *
+worker_memory (const worker_t *worker)
+{
+  return worker->memory;
+}
+
 /* Queue TASK, which WORKER runs on its own thread.  TASK must not be queued
    already.  May be called from any thread; tasks that one thread posts run in
    that order.  */
