Memory budget: links, HTTP calls and the relay's attempts; keep memory for the program

Links account for frames that are received or written in part, accept no large frame before the peer's hello, and stop accepting for 100 ms when there are no descriptors instead of trying again at once. HTTP calls account for their buffers and the responses that their owners keep; the relay no longer copies the body of a request for each attempt. An event that is received in part is no longer copied with each part. Blocks from 64 KiB have pages of their own.

--- a/common/buffer.c
+++ b/common/buffer.c
@@ -2,6 +2,36 @@
 
 #include <string.h>
 
+enum
+{
+  DOUBLING_MAX_BYTES = 64 * 1024,
+  STEP_BYTES = 64 * 1024
+};
+
+/* Return the capacity to give to a buffer of SIZE bytes.  Large ones grow by a
+   fixed step, since the allocator can extend them without a copy.  */
+static size_t
+buffer_capacity (const buffer_t *buffer, size_t size)
+{
+  size_t capacity
+      = size < DOUBLING_MAX_BYTES / 2 ? size * 2 : size + STEP_BYTES;
+
+  return capacity < buffer->limit ? capacity : buffer->limit;
+}
+
+/* Give BUFFER room for SIZE bytes.  Returns NULL when memory is exhausted.  */
+static char *
+buffer_grow (TALLOC_CTX *parent, const buffer_t *buffer, size_t size)
+{
+  size_t capacity = buffer_capacity (buffer, size) + 1;
+  size_t added = capacity - talloc_get_size (buffer->text);
+  char *text = talloc_realloc (parent, buffer->text, char, capacity);
+
+  if (text != NULL && buffer->memory != NULL)
+    memory_charge (buffer->memory, added);
+  return text;
+}
+
 /* Append SIZE BYTES to BUFFER, whose text is owned by PARENT.  Returns
    STATUS_TOO_LARGE when the limit would be exceeded, or STATUS_NO_MEMORY; the
    buffer is unchanged in both cases.  */
@@ -16,7 +46,7 @@
     return status_set (STATUS_TOO_LARGE, "%s is over %zu bytes",
                        buffer->description, buffer->limit);
   if (talloc_get_size (text) < new_size + 1)
-    text = talloc_realloc (parent, text, char, new_size * 2 + 1);
+    text = buffer_grow (parent, buffer, new_size);
   if (text == NULL)
     return status_set (STATUS_NO_MEMORY, "no memory for %s",
                        buffer->description);
--- a/common/daemon.c
+++ b/common/daemon.c
@@ -24,7 +24,7 @@
   MEMORY_TRIM_INTERVAL_MS = 1000,
   /* Blocks of this size and more get memory pages of their own, which return
      to the system when the block is freed and can grow without a copy.  */
-  MMAP_MIN_BYTES = 128 * 1024,
+  MMAP_MIN_BYTES = 64 * 1024,
   HEAP_TRIM_BYTES = 1024 * 1024,
   BYTES_PER_MB = 1024 * 1024,
   EXIT_USAGE = 64,
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -19,6 +19,8 @@
   /* Of the header and the trailer of a response, interim responses
      included.  */
   MAX_HEADER_BYTES = 64 * 1024,
+  /* Accounted for a call: the buffers of libcurl and the header.  */
+  CALL_BYTES = 32 * 1024,
   ERROR_TEXT_BYTES = CURL_ERROR_SIZE
 };
 
@@ -38,7 +40,8 @@
   const http_call_ops_t *ops;
   void *data;
   struct curl_slist *headers;
-  char *body;
+  memory_holder_t memory; /* what the process itself asks for: never dropped */
+  char *body;             /* NULL if it is shared */
   struct timespec send_timeout;
   http_head_t head;
   bool is_head_reported;
@@ -339,6 +342,7 @@
       curl_easy_cleanup (call->easy);
     }
   curl_slist_free_all (call->headers);
+  memory_holder_end (&call->memory);
   return 0;
 }
 
@@ -408,17 +412,28 @@
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
-static void
+/* Returns false when memory is exhausted.  */
+static bool
 call_set_body (http_call_t *call, const http_call_options_t *options)
 {
+  const char *body = options->body;
+
   if (options->body_size == 0 && strcasecmp (options->method, "POST") != 0
       && strcasecmp (options->method, "PUT") != 0)
-    return;
-  call->body = talloc_memdup (call, options->body, options->body_size);
+    return true;
+  if (options->body_size > 0 && !options->is_body_shared)
+    {
+      body = call->body
+          = talloc_memdup (call, options->body, options->body_size);
+      if (body == NULL)
+        return false;
+      memory_charge (&call->memory, options->body_size);
+    }
   curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
                     (curl_off_t)options->body_size);
   curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS,
-                    call->body == NULL ? "" : call->body);
+                    options->body_size == 0 ? "" : body);
+  return true;
 }
 
 /* Return the time to connect, which must not end shortly before the timeout of
@@ -475,14 +490,21 @@
   call->fd = CURL_SOCKET_BAD;
   STAILQ_INIT (&call->head.headers);
   LIST_INSERT_HEAD (&client->calls, call, link);
+  memory_holder_start (&call->memory, worker_memory (client->worker), NULL);
+  memory_charge (&call->memory, CALL_BYTES);
   talloc_set_destructor (call, call_free);
   easy = call->easy = curl_easy_init ();
+  if (easy == NULL || !call_set_body (call, options))
+    {
+      talloc_free (call);
+      status_set (STATUS_NO_MEMORY, "no memory for an HTTP call");
+      return NULL;
+    }
   curl_easy_setopt (easy, CURLOPT_URL, options->url);
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   if (options->target != NULL)
     curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, options->target);
-  call_set_body (call, options);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, options->method);
   if (strcasecmp (options->method, "HEAD") == 0)
     curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
@@ -520,6 +542,13 @@
   talloc_free (call);
 }
 
+/* Return the account of what is held for CALL until it ends.  */
+memory_holder_t *
+http_call_memory (http_call_t *call)
+{
+  return &call->memory;
+}
+
 /* Continue a call that was paused by on_data.  */
 void
 http_call_continue (http_call_t *call)
--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -21,7 +21,7 @@
   HTTP_BAD_GATEWAY = 502,
   /* A body of this size and more grows by a fixed step.  The allocator moves
      such blocks without a copy.  */
-  BODY_DOUBLING_MAX_BYTES = 128 * 1024,
+  BODY_DOUBLING_MAX_BYTES = 64 * 1024,
   BODY_STEP_BYTES = 64 * 1024,
   /* Body and reply up to this size are not accounted, and more is in steps, so
      that small requests and events do not take the budget's lock.  */
--- a/common/link.c
+++ b/common/link.c
@@ -2,6 +2,7 @@
 
 #include "kernel/counter.h"
 #include "kernel/log.h"
+#include "kernel/table.h"
 
 #include <arpa/inet.h>
 #include <string.h>
@@ -12,6 +13,12 @@
   LINK_READ_SIZE_BYTES = 64 * 1024,
   /* Input buffers of more than this size are freed when they are empty.  */
   LINK_IDLE_INPUT_MAX_BYTES = 128 * 1024,
+  /* Maximum size of a frame before the peer's FRAME_HELLO.  */
+  LINK_HELLO_MAX_BYTES = 16 * 1024,
+  /* Input and output up to this size are not accounted, and more is in steps,
+     so that ordinary frames do not take the budget's lock.  */
+  LINK_UNCHARGED_BYTES = 16 * 1024,
+  LINK_CHARGE_STEP_BYTES = 16 * 1024,
   LINK_OUTPUT_MAX_BYTES
   = 32 * 1024 * 1024, /* maximum queued for a slow peer */
   LINK_HELLO_TIMEOUT_MS = 3000,
@@ -70,6 +77,7 @@
   size_t input_used;
   STAILQ_HEAD (, outgoing_frame) output;
   size_t output_bytes;
+  memory_holder_t memory; /* of input and output */
 };
 
 static void
@@ -101,6 +109,62 @@
                       link_handle_close, link);
 }
 
+/* Return what to account for input and output.  */
+static size_t
+link_charge (const link_t *link)
+{
+  size_t bytes = link->input_used + link->output_bytes;
+
+  if (bytes <= LINK_UNCHARGED_BYTES)
+    return 0;
+  return (bytes + LINK_CHARGE_STEP_BYTES - 1) / LINK_CHARGE_STEP_BYTES
+         * LINK_CHARGE_STEP_BYTES;
+}
+
+/* The link waits for its peer while it holds much for it, and before the
+   peer's FRAME_HELLO.  */
+static void
+link_update_waiting (link_t *link)
+{
+  memory_holder_set_waiting (&link->memory,
+                             !link->has_hello || link_charge (link) > 0);
+}
+
+/* Account for input and output.  Returns false if there is no room for
+   more.  */
+static bool
+link_update_memory (link_t *link)
+{
+  link_update_waiting (link);
+  return memory_set_held (&link->memory, link_charge (link));
+}
+
+/* Account for a frame that was queued.  It is not refused, since the peer
+   would miss it.  */
+static void
+link_charge_output (link_t *link)
+{
+  size_t target = link_charge (link);
+
+  if (target > link->memory.held)
+    memory_charge (&link->memory, target - link->memory.held);
+  link_update_waiting (link);
+}
+
+static void
+link_handle_drop (memory_holder_t *holder, memory_reason_t reason)
+{
+  link_t *link = CONTAINER_OF (holder, link_t, memory);
+
+  (void)reason;
+  log_event (LOG_LEVEL_NOTICE, "peer-dropped", "peer=%s input=%zu output=%zu",
+             link_peer_name (link), link->input_used, link->output_bytes);
+  link_close (link, "memory-pressure");
+}
+
+static const memory_holder_ops_t link_memory_ops
+    = { .drop = link_handle_drop };
+
 /* Write queued frames until the stream would block, and request
    STREAM_WRITABLE events while frames remain.  */
 static void
@@ -123,12 +187,14 @@
         }
       first->written += (size_t)written;
       link->output_bytes -= (size_t)written;
+      memory_holder_progress (&link->memory);
       if (first->written < first->size)
         break;
       STAILQ_REMOVE_HEAD (&link->output, link);
       talloc_free (first);
     }
   stream_want_write (link->stream, !STAILQ_EMPTY (&link->output));
+  link_update_memory (link);
 }
 
 /* Return the time on this process's clock.  Never 0, which means no time in
@@ -179,6 +245,8 @@
   link->last_sent = clock_monotonic (worker_clock (link->worker));
   if (link->is_connected)
     link_flush (link);
+  if (!link->is_closed)
+    link_charge_output (link);
   return STATUS_OK;
 }
 
@@ -385,7 +453,7 @@
 
       memcpy (&prefix, link->input + consumed, FRAME_PREFIX_BYTES);
       size = ntohl (prefix);
-      if (size > FRAME_MAX_BYTES)
+      if (size > (link->has_hello ? FRAME_MAX_BYTES : LINK_HELLO_MAX_BYTES))
         {
           counter_add (&bad_peers, 1);
           link_close (link, "oversized-frame");
@@ -414,7 +482,7 @@
 
   if (talloc_get_size (link->input) < link->input_used + LINK_READ_SIZE_BYTES)
     {
-      size_t new_size = link->input_used * 2 + LINK_READ_SIZE_BYTES;
+      size_t new_size = link->input_used + LINK_READ_SIZE_BYTES;
       char *larger = talloc_realloc (link, link->input, char, new_size);
 
       if (larger == NULL)
@@ -435,9 +503,14 @@
     }
   link->last_received = clock_monotonic (worker_clock (link->worker));
   link->input_used += (size_t)received;
-  if (link_parse_input (link) && link->input_used == 0
+  memory_holder_progress (&link->memory);
+  if (!link_parse_input (link))
+    return;
+  if (link->input_used == 0
       && talloc_get_size (link->input) > LINK_IDLE_INPUT_MAX_BYTES)
     TALLOC_FREE (link->input);
+  if (!link_update_memory (link))
+    link_close (link, "no-memory");
 }
 
 static bool
@@ -507,6 +580,7 @@
 {
   if (link->stream != NULL)
     stream_close (link->stream);
+  memory_holder_end (&link->memory);
   return 0;
 }
 
@@ -539,12 +613,24 @@
 
 /* Create a link on STREAM, a connection accepted from a peer, and become the
    owner of STREAM.  Must be called on WORKER's thread, like all functions of a
-   link.  Returns NULL when memory is exhausted; STREAM is closed then.  */
+   link.  Returns NULL when memory is exhausted or there are too many
+   connections; STREAM is closed then.  */
 link_t *
 link_accept (worker_t *worker, node_t *node, stream_t *stream,
              const link_ops_t *ops, void *data)
 {
-  return link_create (worker, node, stream, ops, data);
+  link_t *link;
+
+  if (!memory_admit_connection (worker_memory (worker)))
+    {
+      stream_close (stream);
+      return NULL;
+    }
+  link = link_create (worker, node, stream, ops, data);
+  if (link != NULL)
+    memory_holder_start_connection (&link->memory, worker_memory (worker),
+                                    &link_memory_ops);
+  return link;
 }
 
 /* Start to connect to ADDRESS.  Frames sent before the connection is
@@ -556,7 +642,13 @@
 {
   stream_t *stream = transport_connect (node_transport (node), address);
 
-  return stream == NULL ? NULL : link_create (worker, node, stream, ops, data);
+  link_t *link
+      = stream == NULL ? NULL : link_create (worker, node, stream, ops, data);
+
+  if (link != NULL)
+    memory_holder_start (&link->memory, worker_memory (worker),
+                         &link_memory_ops);
+  return link;
 }
 
 /* Return whether the peer's FRAME_HELLO was received and the link is not
--- a/common/transport_tcp.c
+++ b/common/transport_tcp.c
@@ -6,6 +6,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+enum
+{
+  /* Pause after no connection could be accepted.  */
+  ACCEPT_PAUSE_MS = 100
+};
+
 typedef struct tcp_stream
 {
   stream_t base;
@@ -16,6 +22,7 @@
 struct listener
 {
   int fd;
+  worker_t *worker;
   struct tevent_fd *event;
   listener_handler_t handler;
   void *data;
@@ -149,6 +156,26 @@
   return net_connect (address, &fd) == STATUS_OK ? tcp_create (fd) : NULL;
 }
 
+static void
+listener_handle_pause_end (worker_t *worker, void *data)
+{
+  listener_t *listener = data;
+
+  (void)worker;
+  tevent_fd_set_flags (listener->event, TEVENT_FD_READ);
+}
+
+/* Descriptors or memory are exhausted.  The listening socket remains readable,
+   so it is not watched for a short time.  */
+static void
+listener_pause (listener_t *listener)
+{
+  tevent_fd_set_flags (listener->event, 0);
+  worker_timer_start (listener->worker, listener,
+                      timespec_from_ms (ACCEPT_PAUSE_MS),
+                      listener_handle_pause_end, listener);
+}
+
 static void
 tcp_handle_accept (struct tevent_context *events, struct tevent_fd *event,
                    uint16_t flags, void *data)
@@ -162,6 +189,9 @@
   (void)flags;
   if (stream != NULL)
     listener->handler (stream, listener->data);
+  else if (fd < 0 && errno != EAGAIN && errno != EINTR
+           && errno != ECONNABORTED)
+    listener_pause (listener);
 }
 
 static listener_t *
@@ -182,6 +212,7 @@
       return NULL;
     }
   listener->fd = fd;
+  listener->worker = worker;
   listener->handler = handler;
   listener->data = data;
   listener->event
--- a/include/common/buffer.h
+++ b/include/common/buffer.h
@@ -1,6 +1,7 @@
 #ifndef SISKIN_COMMON_BUFFER_H
 #define SISKIN_COMMON_BUFFER_H
 
+#include "kernel/memory_budget.h"
 #include "kernel/status.h"
 
 #include <stddef.h>
@@ -13,6 +14,7 @@
   size_t limit;            /* maximum SIZE */
   char *text;  /* null-terminated; NULL until the first buffer_append */
   size_t size; /* without the terminating null byte */
+  memory_holder_t *memory; /* TEXT is counted there; NULL for nowhere */
 } buffer_t;
 
 status_t buffer_append (TALLOC_CTX *parent, buffer_t *buffer,
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -2,6 +2,7 @@
 #define SISKIN_COMMON_HTTP_CLIENT_H
 
 #include "common/http_header.h"
+#include "kernel/memory_budget.h"
 #include "kernel/pool.h"
 #include "kernel/status.h"
 
@@ -49,6 +50,7 @@
   const char *content_type;      /* "" or NULL for none */
   const char *body;
   size_t body_size;
+  bool is_body_shared; /* not copied: it remains valid until the call ends */
   struct timespec timeout;         /* of the whole call; zero for none */
   struct timespec connect_timeout; /* zero for the default, 2 s */
   struct timespec send_timeout;    /* maximum time that sent data may remain
@@ -73,6 +75,9 @@
 /* Abort and free CALL without calling on_done.  Must not be called from within
    the functions of http_call_ops_t.  */
 void http_call_cancel (http_call_t *call);
+/* Returns the account of what is held for CALL until it ends, for owners that
+   keep its response.  */
+memory_holder_t *http_call_memory (http_call_t *call);
 void http_call_continue (http_call_t *call);
 /* Returns, within on_done, whether the peer's address refused the connection:
    nothing listens there.  */
--- a/include/kernel/memory_budget.h
+++ b/include/kernel/memory_budget.h
@@ -96,6 +96,9 @@
 /* The peer has sent or read something.  */
 void memory_holder_progress (memory_holder_t *holder);
 bool memory_reserve (memory_holder_t *holder, size_t bytes);
+/* Counts BYTES more for HOLDER even if there is no room, dropping others as
+   far as possible: for what this process itself asks for.  */
+void memory_charge (memory_holder_t *holder, size_t bytes);
 void memory_release (memory_holder_t *holder, size_t bytes);
 /* Reserves or releases the difference.  Returns false, and changes nothing, if
    that is refused.  */
--- a/include/relay/event_stream.h
+++ b/include/relay/event_stream.h
@@ -21,6 +21,8 @@
 void event_stream_destroy (event_stream_t *stream);
 status_t event_stream_feed (event_stream_t *stream, const char *bytes,
                             size_t size);
+/* Returns the size of the incomplete event at the end of the data.  */
+size_t event_stream_pending (const event_stream_t *stream);
 bool event_stream_is_at_boundary (const event_stream_t *stream);
 
 #endif
--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -83,7 +83,8 @@
   FLEET_UNREACHABLE, /* no connection, so the request was not sent */
   FLEET_INTERRUPTED, /* truncated, missing or unusable response */
   FLEET_TIMED_OUT,   /* aborted because no data arrived in time */
-  FLEET_CLIENT_LEFT  /* the client disconnected; says nothing about the
+  FLEET_CLIENT_LEFT  /* the client disconnected, or this process has no memory
+                        for the response; says nothing about the
                         upstream */
 } fleet_result_t;
 
--- a/include/relay/forward.h
+++ b/include/relay/forward.h
@@ -24,6 +24,8 @@
   char *body;             /* response data that is buffered */
   size_t body_size;
   event_stream_t *events; /* NULL unless the response is an event stream */
+  memory_holder_t memory; /* of BODY and EVENTS */
+  bool is_out_of_memory;  /* there was no room for EVENTS */
   unsigned event_count;   /* events received */
   double rate_limit;      /* named by the upstream; negative for none */
 } forward_attempt_t;
--- a/kernel/memory_budget.c
+++ b/kernel/memory_budget.c
@@ -8,9 +8,13 @@
 
 enum
 {
-  /* Part of the memory available to the process that peers may use.  The rest
-     is for the program, its tables, and what the allocator cannot return.  */
+  /* Memory of a program without load.  Of the rest peers may use a half; the
+     other one is for the program's tables, what the allocator cannot return
+     (measured: a fifth of what is held) and holders to be dropped.  */
+  PROGRAM_BYTES = 16 * 1024 * 1024,
   BUDGET_DIVISOR = 2,
+  /* The least part of all memory, where there is little.  */
+  MIN_BUDGET_DIVISOR = 4,
   /* Part of the budget that is kept for small holders.  */
   SMALL_PART_DIVISOR = 4,
   /* Holders to be dropped keep their memory until their worker runs.  It may
@@ -106,8 +110,13 @@
 memory_limits_t
 memory_limits_for (size_t available_bytes, unsigned max_descriptors)
 {
+  size_t bytes = available_bytes / MIN_BUDGET_DIVISOR;
+
+  if (available_bytes > PROGRAM_BYTES
+      && (available_bytes - PROGRAM_BYTES) / BUDGET_DIVISOR > bytes)
+    bytes = (available_bytes - PROGRAM_BYTES) / BUDGET_DIVISOR;
   return (memory_limits_t){
-    .bytes = available_bytes / BUDGET_DIVISOR,
+    .bytes = bytes,
     .connections = max_descriptors / CONNECTIONS_DIVISOR,
   };
 }
@@ -555,6 +564,22 @@
   return memory_set_held (holder, holder->held + bytes);
 }
 
+/* Count BYTES more for HOLDER.  */
+void
+memory_charge (memory_holder_t *holder, size_t bytes)
+{
+  memory_budget_t *budget
+      = holder->owner == NULL ? NULL : holder->owner->budget;
+  memory_reason_t reason;
+
+  if (budget == NULL || bytes == 0)
+    return;
+  lock_acquire (budget->lock);
+  budget_make_room (budget, holder, holder->held + bytes, &reason);
+  holder_set_held (holder, holder->held + bytes);
+  budget_unlock (budget);
+}
+
 /* Release BYTES of what HOLDER holds.  */
 void
 memory_release (memory_holder_t *holder, size_t bytes)
--- a/plugins/frontend/http.c
+++ b/plugins/frontend/http.c
@@ -280,6 +280,7 @@
   .on_too_large = http_on_too_large,
   .on_disconnect = http_on_disconnect,
   .on_drained = http_on_drained,
+  .refusal_fields = "Siskin-Outcome: not-run\r\n",
 };
 
 static frontend_t *
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -18,6 +18,10 @@
      truncated.  */
   BUFFERED_BODY_MAX_BYTES = 64 * 1024,
   PENDING_HIGH_WATER_BYTES = 64 * 1024,
+  /* Response data up to this size is not accounted, and more is in steps, so
+     that small responses and events do not take the budget's lock.  */
+  UNCHARGED_BYTES = 16 * 1024,
+  CHARGE_STEP_BYTES = 32 * 1024,
   /* Progress that is recorded first; then at each doubling.  */
   FIRST_RECORDED_PROGRESS = 8
 };
@@ -262,14 +266,29 @@
   return true;
 }
 
+/* Account for BYTES of response data that are held.  Returns false if there is
+   no room.  */
+static bool
+attempt_charge (forward_attempt_t *attempt, size_t bytes)
+{
+  size_t steps = (bytes + CHARGE_STEP_BYTES - 1) / CHARGE_STEP_BYTES;
+
+  return memory_set_held (&attempt->memory, bytes <= UNCHARGED_BYTES
+                                                ? 0
+                                                : steps * CHARGE_STEP_BYTES);
+}
+
 /* Buffer response data.  If the body exceeds the buffer limit, or memory is
    exhausted, send what is buffered and pass the rest through.  */
 static void
 attempt_buffer_data (forward_t *forward, const char *bytes, size_t size)
 {
   forward_attempt_t *attempt = forward->attempt;
-  char *larger = talloc_realloc (attempt, attempt->body, char,
-                                 attempt->body_size + size);
+  char *larger = NULL;
+
+  if (attempt_charge (attempt, attempt->body_size + size))
+    larger = talloc_realloc (attempt, attempt->body, char,
+                             attempt->body_size + size);
 
   if (larger != NULL)
     {
@@ -285,6 +304,30 @@
     forward_send_data (forward, bytes, size);
   TALLOC_FREE (attempt->body);
   attempt->body_size = 0;
+  attempt_charge (attempt, 0);
+}
+
+/* Split data of an event stream into events and send them to the client.  */
+static void
+attempt_feed_events (forward_t *forward, const char *bytes, size_t size)
+{
+  forward_attempt_t *attempt = forward->attempt;
+  size_t pending = event_stream_pending (attempt->events);
+
+  if (!attempt_charge (attempt, pending + size))
+    {
+      attempt->is_out_of_memory = true;
+      status_set (STATUS_NO_MEMORY, "no memory for an event");
+    }
+  else if (event_stream_feed (attempt->events, bytes, size) == STATUS_OK)
+    {
+      attempt_charge (attempt, event_stream_pending (attempt->events));
+      return;
+    }
+  log_event (LOG_LEVEL_WARN, "bad-event",
+             "request=%s upstream=%s error=\"%s\"", forward->request->id,
+             attempt->choice.upstream, status_message ());
+  forward->relay_worker->relay->egress_ops->fail (attempt->call);
 }
 
 static bool
@@ -302,13 +345,8 @@
     attempt_buffer_data (forward, bytes, size);
   else if (attempt->events == NULL)
     forward_send_data (forward, bytes, size);
-  else if (event_stream_feed (attempt->events, bytes, size) != STATUS_OK)
-    {
-      log_event (LOG_LEVEL_WARN, "bad-event",
-                 "request=%s upstream=%s error=\"%s\"", forward->request->id,
-                 attempt->choice.upstream, status_message ());
-      forward->relay_worker->relay->egress_ops->fail (attempt->call);
-    }
+  else
+    attempt_feed_events (forward, bytes, size);
   return true;
 }
 
@@ -334,6 +372,8 @@
 {
   if (reach != EGRESS_SENT)
     return FLEET_UNREACHABLE;
+  if (attempt->is_out_of_memory)
+    return FLEET_CLIENT_LEFT;
   if (attempt->is_misdirected)
     return FLEET_MISDIRECTED;
   if (attempt->is_not_run)
@@ -415,10 +455,13 @@
 forward_end_passthrough (forward_t *forward, fleet_result_t result,
                          bool is_complete)
 {
+  bool is_out_of_memory = forward->attempt->is_out_of_memory;
+
   forward_finish_attempt (forward, result);
   if (is_complete)
     forward_finish (forward, true);
-  else if (forward->has_events && forward->route->is_resumable
+  else if (!is_out_of_memory && forward->has_events
+           && forward->route->is_resumable
            && forward_reserve_retry (forward, 0))
     forward_dispatch (forward);
   else
@@ -499,6 +542,13 @@
   return urgency < URGENCY_MAX ? urgency : URGENCY_MAX;
 }
 
+static int
+attempt_free (forward_attempt_t *attempt)
+{
+  memory_holder_end (&attempt->memory);
+  return 0;
+}
+
 /* Send the request to CHOICE, whose strings belong to CHOICE_CTX.  On success
    the attempt takes ownership of CHOICE_CTX.  Returns false if the request
    cannot be sent; nothing has been sent then.  */
@@ -530,6 +580,9 @@
   attempt->choice = *choice;
   attempt->sent_at = clock_monotonic (relay->clock);
   attempt->rate_limit = -1;
+  memory_holder_start (&attempt->memory,
+                       worker_memory (forward->relay_worker->worker), NULL);
+  talloc_set_destructor (attempt, attempt_free);
   STAILQ_INIT (&attempt->headers);
   attempt->call = relay->egress_ops->send (forward->relay_worker->egress,
                                            &send, &attempt_events, forward);
--- a/relay/event_stream.c
+++ b/relay/event_stream.c
@@ -180,12 +180,24 @@
       start = next;
       status = stream_emit_event (stream, start, end, &next);
     }
+  if (joined != NULL && start == joined && next == NULL)
+    {
+      stream->pending = joined; /* still the same incomplete event */
+      return status;
+    }
   if (status == STATUS_OK)
     status = stream_keep (stream, next == NULL ? start : end, end);
   talloc_free (joined);
   return status;
 }
 
+/* Return the size of the incomplete event at the end of the data.  */
+size_t
+event_stream_pending (const event_stream_t *stream)
+{
+  return stream->used;
+}
+
 /* Return whether the data so far ends at the end of an event.  */
 bool
 event_stream_is_at_boundary (const event_stream_t *stream)
