--- a/kernel/memory_budget.c
+++ b/kernel/memory_budget.c
@@ -405,7 +405,15 @@
         return false;
       budget_drop (budget, chosen, *reason);
     }
-  *reason = MEMORY_REASON_TOTAL;
+  return true;
+}
+
+/* Return whether HOLDER could hold BYTES before the holders that are to be
+   dropped have released theirs.  */
+static bool
+budget_bears (const memory_budget_t *budget, const memory_holder_t *holder,
+              size_t bytes)
+{
   return budget->held - holder->held + bytes
          <= budget->limits.bytes + budget->limits.bytes / OVERSHOOT_DIVISOR;
 }
@@ -602,7 +610,7 @@
   lock_acquire (budget->lock);
   if (bytes > holder->held)
     {
-      is_granted = !holder->is_chosen
+      is_granted = !holder->is_chosen && budget_bears (budget, holder, bytes)
                    && budget_make_room (budget, holder, bytes, &reason);
       if (!is_granted && !holder->is_chosen)
         budget_count_refusal (budget, reason);
