--- a/tests/process/test_relay_answers.py
+++ b/tests/process/test_relay_answers.py
@@ -1,13 +1,17 @@
 """Responses that clients get through a relay, and how often requests run."""
 
+import socket
 import time
 import unittest
 
+import crowd
 import platform_replicas as replicas
-from platform_fixture import ACCOUNT, KEY, Caller, Platform, ask, new_id
+from platform_fixture import (ACCOUNT, HOST, KEY, Caller, Platform, ask,
+                              new_id)
 from cluster import wait_until
 
 
+BODY_LIMIT = 1024 * 1024
 MANY_FIELDS = 300
 MAX_DETOUR_S = 0.15  # for a request whose first connections are refused
 MAX_REFUSAL_S = 0.4  # for a request that cannot be served
@@ -82,6 +86,28 @@
         self.assertEqual(run.headers["tenant"], ACCOUNT)
         self.assertNotIn("not-run", run.headers)
 
+    def test_body_over_the_limit_is_refused_unread(self):
+        """The client sees 413 although the relay has not read its body: closing
+        a socket with unread data would reset the connection."""
+        fields = {"Host": HOST, "Request-Id": "large",
+                  "Authorization": "Token " + KEY}
+        piece = crowd.chunks(BODY_LIMIT, 32 * 1024)
+        for head in (crowd.post("/book/", fields, 400 * BODY_LIMIT),
+                     crowd.post("/book/", fields)):
+            with socket.create_connection(
+                    ("127.0.0.1", self.relay.client_port), timeout=2) as client:
+                sent = 0
+                try:
+                    client.sendall(head)
+                    while sent < 100 * BODY_LIMIT:
+                        client.sendall(piece)
+                        sent += len(piece)
+                except OSError:
+                    pass
+                self.assertIn(b" 413 ", client.recv(4096).splitlines()[0])
+                self.assertLess(sent, 30 * BODY_LIMIT)
+        self.assertEqual(self.platform.runs("/book/"), [])
+
     def test_unknown_key_or_route_reaches_no_upstream(self):
         self.assertEqual(ask(self.relay, "/check/", key="wrong").status, 401)
         self.assertEqual(ask(self.relay, "/check/", key=None).status, 401)
--- a/tests/test_memory_budget.c
+++ b/tests/test_memory_budget.c
@@ -16,10 +16,6 @@
 
 enum
 {
-  KB = 1024,
-  MB = 1024 * KB,
-  LIMIT_BYTES = 16 * MB,
-  LARGE_LIMIT_BYTES = 12 * MB,
   MAX_CONNECTIONS = 8,
   WORKERS = 2,
   HOLDERS = 64,
@@ -28,6 +24,11 @@
   RANDOM_SEED = 20261206
 };
 
+#define KB ((size_t)1024)
+#define MB (1024 * KB)
+#define LIMIT_BYTES (16 * MB)
+#define LARGE_LIMIT_BYTES (12 * MB)
+
 typedef struct peer
 {
   memory_holder_t memory;
@@ -132,12 +133,12 @@
 static void
 test_limits (void **state)
 {
-  memory_limits_t limits = memory_limits_for ((size_t)112 * MB, 2940);
+  memory_limits_t limits = memory_limits_for (112 * MB, 2940);
 
   (void)state;
   assert_int_equal (limits.bytes, 48 * MB);
   assert_int_equal (limits.connections, 1470);
-  assert_int_equal (memory_limits_for ((size_t)16 * MB, 100).bytes, 4 * MB);
+  assert_int_equal (memory_limits_for (16 * MB, 100).bytes, 4 * MB);
 }
 
 /* Of several stalled peers, the one with most bytes times time goes first.  */
