HTTP server: account for what a header received in part can fill

A connection counted 4 KiB until its header was complete, but libmicrohttpd may have read 32 KiB of it by then. It counts 32 KiB from the start and all 64 KiB from the request line on.

--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -355,6 +355,11 @@
       exchange_handle_receive_timeout, exchange);
   server->open_exchanges++;
   counter_add (&exchanges_total, 1);
+  if (!memory_set_held (&connection->memory, HTTP_CONNECTION_MEMORY_BYTES))
+    {
+      exchange_refuse_memory (exchange);
+      shutdown (exchange_fd (exchange), SHUT_RDWR);
+    }
   return exchange;
 }
 
@@ -443,9 +448,6 @@
   exchange->path = talloc_strdup (exchange, path);
   exchange_check_head (exchange);
   exchange_check_length (exchange);
-  if (!memory_set_held (&exchange->connection->memory,
-                        HTTP_CONNECTION_MEMORY_BYTES))
-    exchange_refuse_memory (exchange);
 }
 
 /* Return the capacity to give to a body of NEEDED bytes.  */
--- a/include/common/http_exchange.h
+++ b/include/common/http_exchange.h
@@ -14,9 +14,11 @@
   /* libmicrohttpd keeps a request's header, a record of each of its fields and
      the reply's header in this memory of the connection.  */
   HTTP_CONNECTION_MEMORY_BYTES = 64 * 1024,
-  /* Accounted for a connection before its first request.  libmicrohttpd uses
-     the rest of its memory from then on until the connection is closed.  */
-  HTTP_IDLE_CONNECTION_BYTES = 4 * 1024,
+  /* Accounted for a connection before its first request line is complete: the
+     part of its memory that libmicrohttpd reads into.  All of it is from then
+     on until the connection is closed, since libmicrohttpd clears, and thereby
+     uses, all of it between two requests.  */
+  HTTP_IDLE_CONNECTION_BYTES = HTTP_CONNECTION_MEMORY_BYTES / 2,
   HTTP_UNAVAILABLE = 503
 };
 
