--- a/tests/process/test_memory_ports.py
+++ b/tests/process/test_memory_ports.py
@@ -20,6 +20,10 @@
 SILENT_CLIENTS = 500
 SERVED_TIMEOUT_S = 20
 FIELDS = {"Host": "entry", "Siskin-Account": "style-app"}
+# Version, type, incarnation, revision, age, sent, echo, settled and request id
+# of a hello, then version, role (entry), name and zone.
+HELLO = bytes([0x9e, 1, 1, 7, 0, 0, 1, 0, 1, 0, 0, 1, 0, 0xa1, 0x78, 0xa1,
+               0x7a])
 PARTIAL_FRAME = struct.pack(">I", FRAME_BYTES) + b"\xdc" * (FRAME_BYTES - 10)
 
 
@@ -74,6 +78,12 @@
             clients.send(PARTIAL_FRAME)
             self.check("style-0-agent")
 
+    def test_partial_frames_of_known_peers_to_an_agent(self):
+        with crowd.Crowd(self.cluster.ports["style-0-agent"],
+                         PEERS) as clients:
+            clients.send(struct.pack(">I", len(HELLO)) + HELLO, PARTIAL_FRAME)
+            self.check("style-0-agent")
+
     def test_silent_connections_to_an_agent(self):
         for port in ("style-0-agent", "style-0-admin"):
             with crowd.Crowd(self.cluster.ports[port], SILENT_CLIENTS):
@@ -99,6 +109,11 @@
             clients.send(PARTIAL_FRAME)
             self.check()
 
+    def test_partial_frames_of_known_peers(self):
+        with crowd.Crowd(self.pilot.frame_port, PEERS) as clients:
+            clients.send(struct.pack(">I", len(HELLO)) + HELLO, PARTIAL_FRAME)
+            self.check()
+
     def test_silent_connections(self):
         for port in (self.pilot.frame_port, self.pilot.admin_port):
             with crowd.Crowd(port, SILENT_CLIENTS):
