Settings: accept any memory_mb from 1

The check that rendered templates are valid uses 1 for each number, and a process should not refuse to start because the platform names little memory. test_command_line.py and test_memory_relay.py pass.

--- a/common/config.c
+++ b/common/config.c
@@ -9,7 +9,7 @@
   DEFAULT_LINK_MBPS = 100,
   MAX_LINK_MBPS = 1000000,
   MAX_WORKERS = 64,
-  MIN_MEMORY_MB = 16,
+  MIN_MEMORY_MB = 1,
   MAX_MEMORY_MB = 1024 * 1024,
   DEFAULT_STORE_TIMEOUT_MS = 1000,
   DEFAULT_STOP_TIMEOUT_MS = 60000,
@@ -37,7 +37,7 @@
 };
 
 static const schema_field_t limits_fields[] = {
-  { "memory_mb", SCHEMA_INTEGER, offsetof (config_t, memory_mb),
+  { "memory_mb", SCHEMA_REAL, offsetof (config_t, memory_mb),
     .minimum = MIN_MEMORY_MB, .maximum = MAX_MEMORY_MB },
   { NULL, SCHEMA_END, 0 },
 };
--- a/common/daemon.c
+++ b/common/daemon.c
@@ -295,7 +295,7 @@
 daemon_available_bytes (const daemon_t *daemon)
 {
   if (daemon->config->memory_mb > 0)
-    return (size_t)daemon->config->memory_mb * BYTES_PER_MB;
+    return (size_t)(daemon->config->memory_mb * BYTES_PER_MB);
   return (size_t)sysconf (_SC_PHYS_PAGES) * (size_t)sysconf (_SC_PAGESIZE);
 }
 
--- a/include/common/config.h
+++ b/include/common/config.h
@@ -60,9 +60,9 @@
   const char *store_kind;   /* name of a store plug-in */
   platform_bounds_t bounds; /* relay only */
   int64_t workers;          /* number of worker threads */
-  int64_t memory_mb; /* memory that the process may use, in MiB; 0: that of the
-                        machine */
-  double link_mbps;  /* pilot only: bandwidth of the VM's link in Mbit/s */
+  double memory_mb; /* memory that the process may use, in MiB; 0: that of the
+                       machine */
+  double link_mbps; /* pilot only: bandwidth of the VM's link in Mbit/s */
   schema_strings_t store; /* URLs of the store */
   schema_strings_t peers; /* ADDRESS:PORT of processes that are asked for the
                              settings while the store is unavailable */
