--- a/bench/relay_model_engine.c
+++ b/bench/relay_model_engine.c
@@ -46,7 +46,7 @@
     {
       request->reading_tokens = fmin (request->unread_tokens, chunk);
       chunk -= request->reading_tokens;
-      part_ms += engine_read_ms (engine, request->reading_tokens,
+      part_ms += model_engine_read_ms (engine, request->reading_tokens,
                                  request->context_tokens)
                  + engine_write_ms (engine, request->context_tokens);
     }
@@ -239,9 +239,9 @@
   const relay_model_cost_t *cost = &model->scenario.cost;
 
   if (engine->group_size > 1)
-    return engine_read_ms (engine, engine->chunk, cost->prompt_tokens);
+    return model_engine_read_ms (engine, engine->chunk, cost->prompt_tokens);
   return model->options.slots
-         * engine_read_ms (engine, cost->prompt_tokens, cost->prompt_tokens)
+         * model_engine_read_ms (engine, cost->prompt_tokens, cost->prompt_tokens)
          / cost->events;
 }
 
