Slow rank: move a switch that is armed some steps ahead to the next step

Cause: a rank became slow while a switch was armed four steps ahead by the step time of before. The steps left took 0.7 s each, and no other map could be planned meanwhile.

Steps held or released count as used within a round only: the engines reject those of earlier rounds. A map whose part at one rank was concluded and not reported is forgotten when its switch does not come about.

--- a/include/pilot/switcher.h
+++ b/include/pilot/switcher.h
@@ -56,6 +56,8 @@
      meanwhile goes on; see switcher_can_prepare_early.  */
   SWITCHER_RESUMED,
   SWITCHER_SWITCHED,  /* the group runs with the new map */
+  SWITCHER_ADVANCED,  /* a switch is moved to an earlier step; see
+                         switcher_advance */
   SWITCHER_ABORTED,   /* the new map is discarded; the map in use stays */
   SWITCHER_RESTARTED, /* the group was re-formed: all engines lost their
                          prepared maps */
@@ -107,6 +109,10 @@
 void switcher_stop (switcher_t *switcher);
 bool switcher_start_switch (switcher_t *switcher, const placement_map_t *map,
                             struct timespec now);
+/* Moves the switch for which all ranks are armed to the next step, as steps
+   have become long.  Returns false and does nothing if that isn't possible or
+   doesn't pay.  */
+bool switcher_advance (switcher_t *switcher, struct timespec now);
 void switcher_handle_report (switcher_t *switcher, unsigned rank,
                              const rank_report_t *report,
                              uint64_t after_ticket, struct timespec now);
@@ -127,9 +133,9 @@
 /* Sets the rank whose engine holds the group during the next switches; this
    pilot's rank by default.  */
 void switcher_set_holding_rank (switcher_t *switcher, unsigned rank);
-/* A rank has become slow, so that the steps take FACTOR times as long.  Tells
-   this before the first of them has ended.  */
-void switcher_expect_slower_steps (switcher_t *switcher, double factor);
+/* The steps take FACTOR times as long from now on, as when a rank has become
+   slow: the first of them is not measured before it has ended.  */
+void switcher_scale_step_time (switcher_t *switcher, double factor);
 /* What the last switch or recovery has cost, as key=value pairs for the log,
    owned by PARENT; see switch_trace_format.  */
 char *switcher_describe (const switcher_t *switcher, TALLOC_CTX *parent);
--- a/include/pilot/switcher_state.h
+++ b/include/pilot/switcher_state.h
@@ -72,9 +72,9 @@
   uint64_t switches; /* number of switches started in this term */
   /* The group is held before this step and switches with it.  */
   uint64_t step;
-  /* The highest step of a hold or release sent in this epoch of the group.  A
-     release that is carried out late lifts each hold of its step, so that no
-     step is used twice.  */
+  /* The highest step of a hold or release sent in this round.  A release that
+     is carried out late lifts each hold of its step, so that no step is used
+     twice; the engines reject those of earlier rounds.  */
   uint64_t used_step;
   unsigned holding_rank; /* rank whose engine holds the group */
   switcher_deposed_t deposed;
@@ -87,8 +87,12 @@
      which does not reply: can_exclude_rank has established that this rank is
      not armed and cannot become so.  */
   bool is_excluding_deposed;
-  bool may_be_held;  /* a hold command was sent, and its release is not
-                        confirmed */
+  /* The switch for which all ranks are armed is being moved to an earlier
+     step; ended by the next round.  */
+  bool is_advancing;
+  uint64_t advanced_version; /* of the last switch that was to be moved */
+  bool may_be_held;          /* a hold command was sent, and its release is not
+                                confirmed */
   bool is_abandoned; /* the switch in progress is cancelled before any rank is
                         armed */
   placement_map_t *map;     /* map of the switch in progress */
@@ -152,6 +156,11 @@
 void switcher_finish_recovery (switcher_t *switcher, struct timespec now);
 void switcher_recover (switcher_t *switcher, struct timespec now);
 void switcher_disarm (switcher_t *switcher, struct timespec now);
+/* The step after the newest one known.  */
+uint64_t switcher_next_step (const switcher_t *switcher);
+/* Whether a step takes longer than arming all ranks.  */
+bool switcher_has_long_steps (const switcher_t *switcher);
+bool switcher_can_advance (const switcher_t *switcher);
 /* Preparing a map while the claim waits for some ranks.  */
 bool switcher_is_rank_missing (const switcher_t *switcher, unsigned rank);
 void switcher_begin_early (switcher_t *switcher);
--- a/pilot/leader.c
+++ b/pilot/leader.c
@@ -161,6 +161,10 @@
                  (long long)leader_ms_since (leader, leader->planned_at),
                  cost);
       break;
+    case SWITCHER_ADVANCED:
+      log_event (LOG_LEVEL_NOTICE, "switch-moved", "group=%s version=%llu %s",
+                 leader->group, (unsigned long long)version, cost);
+      break;
     case SWITCHER_SWITCHED:
       counter_add (&switches_done, 1);
       log_event (
--- a/pilot/planning.c
+++ b/pilot/planning.c
@@ -30,6 +30,8 @@
   planner_t *planner;
   slow_ranks_t *slow_ranks;
   placement_map_t *planned; /* map of the switch in progress */
+  /* What a rank holds of the map in use was concluded, not reported.  */
+  bool has_recalled;
   /* The query of the map in use, RANK_QUERY_HELD_EXPERTS.  */
   bool is_querying;
   unsigned pending_replies; /* ranks whose reply is outstanding */
@@ -41,6 +43,7 @@
   /* A switch has ended since the last plan, or the speed of a rank has
      changed much.  */
   bool is_replan_due;
+  bool is_urgent;              /* as a rank has become slow */
   struct timespec planned_at;  /* last plan */
   struct timespec switched_at; /* last switch */
 };
@@ -86,10 +89,13 @@
 handle_pace (planning_t *planning, unsigned rank, double highest)
 {
   const slow_ranks_t *ranks = planning->slow_ranks;
+  double factor = slow_ranks_highest (ranks) / highest;
 
   planning->is_replan_due = true;
-  switcher_expect_slower_steps (planning->switcher,
-                                slow_ranks_highest (ranks) / highest);
+  planning->is_urgent = factor > 1;
+  /* Shorter steps have been measured since the rank has recovered.  */
+  if (factor > 1)
+    switcher_scale_step_time (planning->switcher, factor);
   planning->ops->on_pace (rank, slow_ranks_slowdown (ranks, rank),
                           slow_ranks_is_slow (ranks, rank), planning->data);
 }
@@ -168,12 +174,16 @@
 {
   switch (event)
     {
-    case SWITCHER_RECOVERED:
-      break;
     case SWITCHER_RESTARTED:
       planner_forget_map (planning->planner);
       break;
+    case SWITCHER_RECOVERED:
+    case SWITCHER_ABORTED:
+      if (planning->has_recalled)
+        planner_forget_map (planning->planner);
+      break;
     case SWITCHER_RESUMED:
+    case SWITCHER_ADVANCED:
       return;
     case SWITCHER_SWITCHED:
       if (planning->planned != NULL)
@@ -182,11 +192,10 @@
       planning->switched_at = now;
       planning->is_replan_due = true;
       break;
-    case SWITCHER_ABORTED:
-      break;
     case SWITCHER_DEPOSED:
       return;
     }
+  planning->has_recalled = false;
   TALLOC_FREE (planning->planned);
 }
 
@@ -203,7 +212,7 @@
                                .counts_ms = planning->counts_round_ms };
 
   planning->planned_at = now;
-  planning->is_replan_due = false;
+  planning->is_replan_due = planning->is_urgent = false;
   work_time_begin (planning->work, WORK_PLANNING);
   planner_plan (planning->planner, planning, &plan);
   work_time_end (planning->work);
@@ -318,8 +327,10 @@
     return;
   map = planning->ops->find_map (planner_map (planning->planner),
                                  (unsigned)missing, planning->data);
-  if (map != NULL)
-    planner_adopt_rank (planning->planner, (unsigned)missing, map, version);
+  if (map == NULL)
+    return;
+  planner_adopt_rank (planning->planner, (unsigned)missing, map, version);
+  planning->has_recalled = true;
 }
 
 /* Returns whether the map in use is known, and asks the ranks for it if
@@ -369,6 +380,8 @@
 
   query_counts (planning, now);
   observe_counts (planning, now);
+  if (planning->is_urgent)
+    switcher_advance (planning->switcher, now);
   if (!learn_map (planning, is_early, now))
     return;
   if (is_early ? is_early_plan_due (planning, now)
--- a/pilot/switcher.c
+++ b/pilot/switcher.c
@@ -322,7 +322,10 @@
     }
   TALLOC_FREE (switcher->map);
   switcher_enter (switcher, SWITCHER_IDLE, now);
-  switcher->ops->on_event (SWITCHER_SWITCHED, "", switcher->data);
+  switcher->ops->on_event (switcher->is_advancing ? SWITCHER_ADVANCED
+                                                  : SWITCHER_SWITCHED,
+                           "", switcher->data);
+  switcher->is_advancing = false;
 }
 
 /* Runs while idle.  A hold command whose outcome remained unknown may still be
@@ -426,7 +429,7 @@
     return false;
   switcher->version
       = switcher->term * SWITCHER_FENCES_PER_TERM + ++switcher->switches;
-  switcher->is_abandoned = false;
+  switcher->is_abandoned = switcher->is_advancing = false;
   switcher->early_base = switcher_map_version (switcher);
   if (is_ready)
     switcher_enter (switcher, SWITCHER_PREPARING, now);
@@ -489,7 +492,9 @@
 retry_hold (switcher_t *switcher, struct timespec now)
 {
   switcher->may_be_held = false;
-  if (switcher_phase_ms (switcher, now) > HOLD_TIMEOUT_MS)
+  if (switcher->is_advancing)
+    switcher_enter (switcher, SWITCHER_RECOVERING, now);
+  else if (switcher_phase_ms (switcher, now) > HOLD_TIMEOUT_MS)
     switcher_abort (switcher, "hold-refused", now);
   else
     switcher->ranks[switcher->holding_rank].retry_at
--- a/pilot/switcher_ranks.c
+++ b/pilot/switcher_ranks.c
@@ -33,6 +33,8 @@
 {
   switcher->round++;
   switcher->is_excluding_deposed = false;
+  switcher->is_advancing = false;
+  switcher->used_step = 0;
   switcher_enter (switcher, SWITCHER_CLAIMING, now);
 }
 
--- a/pilot/switcher_steps.c
+++ b/pilot/switcher_steps.c
@@ -43,6 +43,30 @@
              : switcher->step_ms;
 }
 
+/* Returns the time that arming all ranks takes.  */
+static double
+arming_limit_ms (const switcher_t *switcher)
+{
+  double arming_ms
+      = answer_time_limit_ms (&switcher->arming_time, LOOKAHEAD_MS);
+
+  return arming_ms > LOOKAHEAD_MS ? arming_ms : LOOKAHEAD_MS;
+}
+
+/* Returns whether a step takes longer than arming all ranks.  */
+bool
+switcher_has_long_steps (const switcher_t *switcher)
+{
+  return current_step_ms (switcher) >= arming_limit_ms (switcher);
+}
+
+/* Returns the step after the newest one known.  */
+uint64_t
+switcher_next_step (const switcher_t *switcher)
+{
+  return latest_step (switcher) + 1;
+}
+
 /* Returns how many steps after the newest one known the group is to switch, so
    that the commands arrive before.  If a step takes longer than arming, the
    next one is chosen: one step more costs more than a group that is held until
@@ -50,13 +74,11 @@
 static uint64_t
 choose_lookahead (const switcher_t *switcher)
 {
-  double arming_ms
-      = answer_time_limit_ms (&switcher->arming_time, LOOKAHEAD_MS);
-  double lookahead_ms = arming_ms > LOOKAHEAD_MS ? arming_ms : LOOKAHEAD_MS;
-  double step_ms = current_step_ms (switcher);
-  uint64_t lookahead = (uint64_t)(lookahead_ms / step_ms) + 2;
+  uint64_t lookahead
+      = (uint64_t)(arming_limit_ms (switcher) / current_step_ms (switcher))
+        + 2;
 
-  if (step_ms >= lookahead_ms)
+  if (switcher_has_long_steps (switcher))
     return 1;
   return lookahead > LOOKAHEAD_MAX_STEPS ? LOOKAHEAD_MAX_STEPS : lookahead;
 }
@@ -70,6 +92,9 @@
   uint64_t step;
 
   switch_trace_set_lookahead (switcher->trace, lookahead);
+  /* The round is new, and no release was sent in it.  */
+  if (switcher->is_advancing)
+    return switcher_next_step (switcher);
   step = latest_step (switcher) + lookahead;
   if (switcher->used_step < step
       || switcher->used_step - step > USED_STEPS_AHEAD_MAX)
@@ -106,12 +131,11 @@
   switcher->sampled_at = now;
 }
 
-/* The steps take FACTOR times as long from now on, as a rank has become
-   slow.  */
+/* The steps take FACTOR times as long from now on.  */
 void
-switcher_expect_slower_steps (switcher_t *switcher, double factor)
+switcher_scale_step_time (switcher_t *switcher, double factor)
 {
-  if (factor > 1)
+  if (factor > 0)
     switcher->step_ms *= factor;
 }
 
--- a/pilot/switcher_takeover.c
+++ b/pilot/switcher_takeover.c
@@ -141,6 +141,11 @@
         return;
     }
   armed = switcher_count_armed (switcher, &is_same);
+  if (switcher_can_advance (switcher))
+    {
+      switcher_enter (switcher, SWITCHER_HOLDING, now);
+      return;
+    }
   if (armed > 0 && (armed < switcher->rank_count || !is_same))
     {
       switcher_enter (switcher, SWITCHER_DISARMING, now);
--- a/tests/switcher_fixture.c
+++ b/tests/switcher_fixture.c
@@ -8,6 +8,8 @@
 {
   POLL_INTERVAL_MS = 60,
   TICK_INTERVAL_MS = 20,
+  ADVANCE_INTERVAL_TICKS = 2, /* mean, between two tries */
+  ADVANCE_SLOWDOWN = 1000,
   EARLY_INTERVAL_MS = 200,  /* maps prepared without all ranks */
   COMMAND_TIMEOUT_MS = 300, /* after which the outcome is unknown */
   MAX_LATE_MS = 6000,       /* longest delay of a late command */
@@ -398,6 +400,23 @@
   return true;
 }
 
+/* Moves the switch in progress to an earlier step, as if steps had become
+   long.  */
+static void
+advance_switch (switcher_fixture_t *fixture, switcher_fixture_leader_t *leader)
+{
+  struct timespec now = fixture_now (fixture);
+
+  if (!fixture->moves_switches
+      || switcher_phase (leader->switcher) != SWITCHER_IDLE
+      || switcher_is_ready (leader->switcher, now)
+      || random_below (fixture, ADVANCE_INTERVAL_TICKS) > 0)
+    return;
+  switcher_scale_step_time (leader->switcher, ADVANCE_SLOWDOWN);
+  fixture->advanced_switches += switcher_advance (leader->switcher, now);
+  switcher_scale_step_time (leader->switcher, 1.0 / ADVANCE_SLOWDOWN);
+}
+
 static void
 leader_run_tick (switcher_fixture_t *fixture,
                  switcher_fixture_leader_t *leader)
@@ -411,6 +430,7 @@
   if (fixture->now_ms % TICK_INTERVAL_MS != 0)
     return;
   switcher_tick (leader->switcher, fixture_now (fixture));
+  advance_switch (fixture, leader);
   if (!can_switch (fixture, leader))
     return;
   map = placement_map_create_initial (fixture, &shape);
--- a/tests/switcher_fixture.h
+++ b/tests/switcher_fixture.h
@@ -54,7 +54,9 @@
   TAILQ_HEAD (, switcher_fixture_message) messages;
   unsigned mixed_steps;
   unsigned early_switches; /* whose map was prepared without all ranks */
-  bool waits_for_all;      /* no map is prepared without all ranks */
+  bool moves_switches;     /* to an earlier step, at random */
+  unsigned advanced_switches;
+  bool waits_for_all; /* no map is prepared without all ranks */
   /* Each leader reads the reports of one rank from another machine, so that
      they are up to SWITCHER_FIXTURE_REPORT_LAG_MS old.  */
   bool has_old_reports;
--- a/tests/test_switcher.c
+++ b/tests/test_switcher.c
@@ -22,6 +22,8 @@
 
 /* Maps prepared without all ranks, in all runs so far.  */
 static unsigned early_switches;
+/* Switches that were moved to an earlier step.  */
+static unsigned advanced_switches;
 
 /* Runs a phase with faults and then one without: the maps must never
    differ, and the last leader must still complete switches at the end.  */
@@ -48,6 +50,7 @@
   assert_int_equal (fixture->mixed_steps, 0);
   assert_true (last->switched > switched);
   early_switches += fixture->early_switches;
+  advanced_switches += fixture->advanced_switches;
   switcher_fixture_destroy (fixture);
 }
 
@@ -75,6 +78,27 @@
     run_seed (first_seed + i, 12);
 }
 
+/* Switches whose step is made an earlier one, with fewer faults: a switch that
+   meets one is seldom armed some steps ahead.  */
+static void
+test_maps_never_mix_when_switches_are_moved (void **state)
+{
+  static const unsigned fault_percents[] = { 2, 5, 12 };
+
+  (void)state;
+  advanced_switches = 0;
+  for (unsigned i = 0; i < seed_count; i++)
+    {
+      switcher_fixture_t *fixture
+          = switcher_fixture_create (first_seed + i, fault_percents[i % 3]);
+
+      fixture->moves_switches = true;
+      run_fixture (fixture, first_seed + i);
+    }
+  print_message ("%u switches moved\n", advanced_switches);
+  assert_true (advanced_switches > 0);
+}
+
 /* Among them leaders that freeze for long, so that the next one prepares maps
    without their ranks.  */
 static void
@@ -84,6 +108,7 @@
   early_switches = 0;
   for (unsigned i = 0; i < seed_count; i++)
     run_seed (first_seed + i, 35);
+  print_message ("%u maps prepared early\n", early_switches);
   assert_true (early_switches > 0);
 }
 
@@ -248,6 +273,7 @@
     cmocka_unit_test (test_maps_never_mix_without_faults),
     cmocka_unit_test (test_maps_never_mix_under_faults),
     cmocka_unit_test (test_maps_never_mix_under_many_faults),
+    cmocka_unit_test (test_maps_never_mix_when_switches_are_moved),
     cmocka_unit_test (test_engines_without_fences_are_detected),
     cmocka_unit_test (test_maps_never_mix_with_old_reports),
     cmocka_unit_test (
