Slow rank: a rank that has recovered gets experts however small the gain

Cause: it takes a little from each of many ranks. The plan after a change of speed needs no minimum gain.

--- a/plugins/placement/even.c
+++ b/plugins/placement/even.c
@@ -44,6 +44,10 @@
   /* Least step time at which a search has found no better map; 0 if there was
      none yet.  */
   double settled_time;
+  /* The speed of a rank has changed since the last plan.  A rank that has
+     recovered takes from each of many others too little to gain what a change
+     usually has to.  */
+  bool has_new_speed;
   bool has_counts;
   double overlap; /* of the newest counts with the older ones */
   /* What is usual for OVERLAP; a mean of 0: not known yet.  */
@@ -169,7 +173,10 @@
   double change = speed / placement->speed[rank];
 
   if (change > min_speed_change || change < 1 / min_speed_change)
-    placement->settled_time = 0;
+    {
+      placement->settled_time = 0;
+      placement->has_new_speed = true;
+    }
   placement->speed[rank] = speed;
 }
 
@@ -349,6 +356,7 @@
   const placement_config_t *config = &placement->config;
   even_draft_t *draft = draft_create (placement, current);
   even_stage_t stages[MAX_STAGES];
+  double minimum_gain = placement->has_new_speed ? 0 : config->minimum_gain;
   double best_cost;
   unsigned count;
 
@@ -357,6 +365,7 @@
                               .overlap = placement->overlap };
   if (draft == NULL)
     return;
+  placement->has_new_speed = false;
   plan->time_before = plan->time_after = draft_time (draft);
   if (even_is_settled (placement, plan->time_before))
     {
@@ -373,8 +382,7 @@
                                 &stages[count - 1]);
 
       if (cost >= best_cost
-          || 1.0 - stages[i].time_after / plan->time_before
-                 < config->minimum_gain)
+          || 1.0 - stages[i].time_after / plan->time_before < minimum_gain)
         continue;
       best_cost = cost;
       plan->is_change = true;
--- a/tests/planner_fixture.h
+++ b/tests/planner_fixture.h
@@ -20,6 +20,7 @@
   uint64_t *counts; /* of all ranks, by layer and expert */
 } planner_fixture_t;
 
+engine_profile_t planner_fixture_engine (unsigned experts);
 /* Creates a planner that knows the first map, in which each expert has one
    replica.  The experts have no order of popularity yet.  */
 planner_fixture_t *planner_fixture_create (unsigned ranks, unsigned experts);
