--- a/tests/test_frozen_leader.c
+++ b/tests/test_frozen_leader.c
@@ -18,7 +18,7 @@
   STUCK_MS = 300, /* until the pilot that holds the group takes over */
   LEASE_MS = 2000,
   FROZEN_MS = 4000,
-  /* From the machine's return until the map is in use; 558 when the map is
+  /* From the machine's return until the map is in use; over 500 when it is
      planned and prepared only then.  */
   MAX_SWITCH_MS = 480,
   START_SPREAD_MS = 17, /* between them */
