--- a/bench/relay_model_state.h
+++ b/bench/relay_model_state.h
@@ -189,7 +189,7 @@
 
 /* Work of requests at engines (relay_model_work.c).  */
 double model_engine_read_ms (const relay_model_engine_t *engine, double tokens,
-                       double prompt_tokens);
+                             double prompt_tokens);
 double engine_write_ms (const relay_model_engine_t *engine,
                         double context_tokens);
 /* RELAY may be NULL.  */
