bench: play the queue, reserve and work model of production in the relay model

The model had copies of the queue's design, so that neither the reserve for more urgent requests nor refusals, clients' timeouts and the work of requests were played. It now calls the code of production as relay/forward.c and relay/forward_queue.c do; by-arrival, for comparison, is the same queue with requests that all have the same urgency. That an upstream has declined a request is known at the next tick, as a response takes time.

--- a/bench/bench_priorities.c
+++ b/bench/bench_priorities.c
@@ -1,6 +1,6 @@
 /* Prints what each class of requests gets while capacity is scarce, in a
-   simulation with virtual time.  Usage: bench-priorities [QUEUE] [SEED];
-   without QUEUE, for each design of the relay's queue.  */
+   simulation with virtual time, with relays as in production and with relays
+   that queue in order of arrival.  Usage: bench-priorities [SEED].  */
 
 #include "bench/relay_scenarios.h"
 
@@ -22,8 +22,6 @@
   { "one group 12 times as slow", relay_scenario_slow },
 };
 
-static const char *const designs[] = { "by-arrival", "by-priority" };
-
 static void
 print_outcome (const char *name, const relay_model_outcome_t *outcome)
 {
@@ -53,17 +51,17 @@
 
 static void
 run_play (const struct play *play, const relay_site_t *site,
-          const char *design, uint64_t seed)
+          bool is_by_arrival, uint64_t seed)
 {
   relay_model_scenario_t scenario = play->create (site);
   relay_model_options_t options
       = relay_scenario_options (site, &scenario, seed);
   relay_model_result_t result;
 
-  scenario.queue = design;
+  scenario.is_by_arrival = is_by_arrival;
   result = relay_model_run (&options);
   printf ("%s, %u relays x %u upstreams, queue %s\n", play->name, site->relays,
-          site->upstreams, design);
+          site->upstreams, is_by_arrival ? "by arrival" : "of production");
   puts ("    class         requests  on-time   late refused broken  places  "
         "attempts  refusal p50   p99 ms");
   for (unsigned i = 0; i < scenario.class_count; i++)
@@ -86,16 +84,13 @@
 int
 main (int argc, char **argv)
 {
-  uint64_t seed = argc > 2 ? strtoull (argv[2], NULL, 10) : 1;
+  uint64_t seed = argc > 1 ? strtoull (argv[1], NULL, 10) : 1;
 
   for (size_t i = 0; i < sizeof plays / sizeof plays[0]; i++)
     for (unsigned j = 0; j < RELAY_SITES; j++)
-      for (size_t k = 0; k < sizeof designs / sizeof designs[0]; k++)
-        {
-          if (argc > 1 && k > 0)
-            break;
-          run_play (&plays[i], &relay_sites[j],
-                    argc > 1 ? argv[1] : designs[k], seed);
-        }
+      {
+        run_play (&plays[i], &relay_sites[j], true, seed);
+        run_play (&plays[i], &relay_sites[j], false, seed);
+      }
   return 0;
 }
--- a/bench/relay_model.c
+++ b/bench/relay_model.c
@@ -1,7 +1,5 @@
 #include "bench/relay_model_state.h"
 
-#include "kernel/table.h"
-
 #include <math.h>
 #include <stdio.h>
 #include <string.h>
@@ -80,16 +78,20 @@
 model_deliver_report (relay_model_t *model, const model_upstream_t *upstream,
                       const fleet_report_t *report)
 {
-  int64_t started_ns;
-
   for (unsigned i = 0; i < model->options.relays; i++)
     {
+      model_relay_t *relay = &model->relays[i];
+      int64_t started_ns = model_processor_ns ();
+      bool is_state_changed;
+
       if (model_random (model) < report_loss)
         continue;
-      started_ns = model_processor_ns ();
-      fleet_record_report (model->relays[i].fleet, upstream->address, report);
+      is_state_changed
+          = fleet_record_report (relay->fleet, upstream->address, report);
       model->report_ns += model_processor_ns () - started_ns;
       model->reports++;
+      if (is_state_changed)
+        model_relay_retry (model, relay);
     }
 }
 
@@ -116,17 +118,6 @@
     }
 }
 
-static queue_result_t
-lose_queued (queue_item_t *item, void *data)
-{
-  relay_model_t *model = data;
-  model_request_t *request = CONTAINER_OF (item, model_request_t, item);
-
-  model->queue_ops->remove (request->relay->queue, item);
-  model_lose_request (model, request);
-  return QUEUE_ENDED;
-}
-
 /* All relays and engines fail, or start again with nothing known.  */
 static void
 model_set_power (relay_model_t *model, bool is_on)
@@ -142,8 +133,7 @@
           model_create_relay (model, relay);
         }
       else
-        model->queue_ops->retry (relay->queue, model->now_ms, lose_queued,
-                                 model);
+        model_relay_lose_queued (model, relay);
     }
 }
 
@@ -190,6 +180,7 @@
   model->now_ms += MODEL_TICK_MS;
   model_run_failures (model);
   model->engine_ops->run (model);
+  model_run_declined (model);
   for (unsigned i = 0; i < model->options.upstreams && !model->is_down; i++)
     upstream_report (model, &model->upstreams[i]);
   model_run_arrivals (model);
@@ -219,7 +210,7 @@
 }
 
 static rules_t *
-model_create_rules (const relay_model_scenario_t *scenario)
+model_create_rules (const relay_model_scenario_t *scenario, unsigned slots)
 {
   static const double ms_per_s = 1000;
   const relay_model_engine_t *engine = &scenario->engine;
@@ -235,6 +226,11 @@
       .token_steps_per_pass = engine->stride,
       .step_ms = engine->step_ms,
       .prompt_tokens_per_ms = engine->read_per_s / ms_per_s,
+      .million_pairs_ms = engine->pairs_per_m,
+      .prompt_chunk_tokens = engine->chunk,
+      .request_step_ms = engine->per_seq_ms,
+      .context_step_ms = engine->context_per_k,
+      .slots = slots,
       .typical_prompt_tokens = scenario->cost.prompt_tokens,
       .typical_response_tokens = scenario->cost.events * engine->stride,
       .group_recovery_time = timespec_from_ms (scenario->recovery_ms),
@@ -323,16 +319,16 @@
         = (relay_model_span_t){ MODEL_WARM_UP_MS, options->duration_ms };
   model->engine_ops
       = model->scenario.engine.stride > 0 ? &lock_step_ops : &fixed_time_ops;
-  model->queue_ops = queue_ops_find (model->scenario.queue);
   model->random_state = options->seed;
   model->clock
       = clock_create_virtual (model, (struct timespec){ .tv_sec = START_S });
-  model->rules = model_create_rules (&model->scenario);
+  model->rules = model_create_rules (&model->scenario, options->slots);
   model->upstreams
       = talloc_zero_array (model, model_upstream_t, options->upstreams);
   model->idle_since_ms = talloc_zero_array (
       model, uint64_t, (size_t)options->relays * options->upstreams);
   model->zone_count = options->scenario == NULL ? 1 : ZONES;
+  TAILQ_INIT (&model->declined);
   TAILQ_INIT (&model->returning);
   model_create_upstreams (model);
   model_observe (model);
--- a/bench/relay_model_clients.c
+++ b/bench/relay_model_clients.c
@@ -58,14 +58,14 @@
   request->started_ms = model->now_ms;
   request->is_counted
       = model_span_covers (&model->scenario.counted, model->now_ms);
-  request->item
-      = (queue_item_t){ .priority = class->priority,
-                        .account = model_random_account (model),
-                        .objective_ms = class->objective_ms,
-                        .deadline_ms = model->now_ms + class->timeout_ms };
+  request->account = model_random_account (model);
+  request->deadline_ms = model->now_ms + class->timeout_ms;
   request->criteria
       = (fleet_request_t){ .service = "model",
                            .route = model_route (model, class_index) };
+  if (model->scenario.accounts > 0)
+    request->criteria.account
+        = talloc_asprintf (request, "account-%u", request->account);
   model->engine_ops->draw_cost (model, request);
   model_count_request (model, request);
   request_arrive (model, request, relay);
@@ -135,7 +135,7 @@
       if (request->returns_ms > model->now_ms)
         continue;
       TAILQ_REMOVE (&model->returning, request, link);
-      if (request->item.deadline_ms <= model->now_ms)
+      if (request->deadline_ms <= model->now_ms)
         model_end_request (model, request, false);
       else
         request_arrive (model, request,
@@ -172,7 +172,7 @@
 model_refuse (relay_model_t *model, model_request_t *request,
               int64_t retry_after_ms)
 {
-  uint64_t deadline_ms = request->item.deadline_ms;
+  uint64_t deadline_ms = request->deadline_ms;
   uint64_t left_ms
       = deadline_ms > model->now_ms ? deadline_ms - model->now_ms : 0;
   uint64_t delay_ms = left_ms / RETRY_AFTER_MAX_DIVISOR;
@@ -205,7 +205,6 @@
       model_end_request (model, request, false);
       return;
     }
-  request->item.is_queued = false;
   request->returns_ms
       = failure->end_ms + (uint64_t)(model_random (model) * RECONNECT_MAX_MS);
   TAILQ_INSERT_TAIL (&model->returning, request, link);
--- a/bench/relay_model_engine.c
+++ b/bench/relay_model_engine.c
@@ -91,6 +91,7 @@
   request->last_event_ms = now_ms;
   request->context_tokens += model->scenario.engine.stride;
   request->events_left--;
+  model_record_event (request);
 }
 
 static void
@@ -105,7 +106,7 @@
       request_end_pass (model, request);
       if (request->events_left == 0)
         rank_end_request (model, rank, request, FLEET_SERVED);
-      else if (model->now_ms >= request->item.deadline_ms)
+      else if (model->now_ms >= request->deadline_ms)
         rank_end_request (model, rank, request, FLEET_CLIENT_LEFT);
     }
 }
@@ -221,8 +222,9 @@
   request->events_left = (unsigned)events;
   request->unread_tokens = request->context_tokens
       = ceil (random_cost (model, cost->prompt_tokens, cost->prompt_spread));
-  request->estimated_events
-      = events * exp (cost->estimate_error * model_random_normal (model));
+  request->criteria.hinted_tokens = (uint64_t)llround (
+      events * model->scenario.engine.stride
+      * exp (cost->estimate_error * model_random_normal (model)));
   request->criteria.work.prompt_tokens = (uint64_t)request->unread_tokens;
   request->criteria.work.output_tokens
       = (uint64_t)(max_output_ratio * cost->events
--- a/bench/relay_model_result.c
+++ b/bench/relay_model_result.c
@@ -50,7 +50,7 @@
 {
   tallies[0] = &model->all;
   tallies[1] = &model->classes[request->class_index];
-  tallies[2] = request->item.account == 0 ? &model->first_account
+  tallies[2] = request->account == 0 ? &model->first_account
                                           : &model->other_accounts;
 }
 
@@ -74,7 +74,7 @@
   request_tallies (model, request, tallies);
   for (unsigned i = 0; i < TALLIES && request->is_counted; i++)
     model_times_add (&tallies[i]->refusals,
-                     (double)(model->now_ms - request->item.arrived_ms));
+                     (double)(model->now_ms - request->arrived_ms));
 }
 
 static bool
@@ -184,7 +184,7 @@
     .requests = requests,
     .sent_at_once = ratio (model->sent_at_once, requests),
     .refused = ratio (model->all.refused, requests),
-    .declined = ratio (model->declined, requests),
+    .declined = ratio (model->declined_attempts, requests),
     .new_connections = ratio (model->new_connections, requests),
     .wait_p50_ms = times_percentile (&model->waits, 0.5),
     .wait_p99_ms = times_percentile (&model->waits, 0.99),
--- a/bench/relay_model_state.h
+++ b/bench/relay_model_state.h
@@ -2,9 +2,10 @@
 #define SISKIN_BENCH_RELAY_MODEL_STATE_H
 
 #include "bench/relay_model.h"
-#include "bench/relay_model_queue.h"
 #include "kernel/clock.h"
+#include "relay/client_timeouts.h"
 #include "relay/fleet.h"
+#include "relay/request_queue.h"
 #include "relay/retry_budget.h"
 
 /* State shared by the source files of the model.  */
@@ -44,21 +45,27 @@
 typedef struct model_request
 {
   TAILQ_ENTRY (model_request)
-  link; /* of an upstream, or of the clients that
-           will return */
-  queue_item_t item;
+  link; /* of an upstream, of those that an upstream has declined, or of the
+           clients that will return */
+  queued_request_t queued; /* in RELAY's queue */
   struct model_relay *relay;
   struct model_upstream *upstream; /* NULL until placed */
   fleet_request_t criteria;
+  fleet_choice_t choice; /* valid while it is at UPSTREAM */
   unsigned class_index;
-  unsigned urgency;    /* in the engine's queue; 0 first */
-  uint64_t started_ms; /* first arrival */
+  unsigned account;
+  unsigned urgency;     /* in the engine's queue; 0 first */
+  uint64_t started_ms;  /* first arrival */
+  uint64_t arrived_ms;  /* at RELAY */
+  uint64_t deadline_ms; /* of the client */
+  bool has_waited;      /* at RELAY */
   uint64_t sent_ms;    /* to the upstream */
   uint64_t returns_ms; /* when a refused client returns */
   bool has_returned;
   bool is_refused; /* for good */
   bool is_counted;
   unsigned sent_attempts;
+  unsigned event_count; /* received from UPSTREAM */
   /* Time at an upstream without passes.  */
   uint64_t work_ms;
   uint64_t ends_ms;
@@ -67,7 +74,6 @@
   double unread_tokens;
   double reading_tokens; /* in the pass under way */
   double context_tokens;
-  double estimated_events; /* by the client */
   double first_event_ms;   /* 0 until it has come */
   double last_event_ms;
   double longest_gap_ms;
@@ -83,7 +89,9 @@
   unsigned index;
   char zone[MODEL_NAME_SIZE];
   double weight; /* relative to the mean */
-  model_queue_t *queue;
+  client_timeouts_t *client_timeouts;
+  request_queue_t *queue;
+  unsigned queued_count;
 } model_relay_t;
 
 typedef struct model_upstream
@@ -138,7 +146,6 @@
   relay_model_options_t options;
   relay_model_scenario_t scenario; /* of the options, or the default */
   const model_engine_ops_t *engine_ops;
-  const queue_ops_t *queue_ops;
   clock_source_t *clock;
   uint64_t now_ms;
   uint64_t random_state;
@@ -148,6 +155,7 @@
   model_group_t *groups;
   unsigned group_count;
   unsigned zone_count;
+  model_requests_t declined;  /* by upstreams, which the relays don't know */
   model_requests_t returning; /* clients that were refused */
   uint64_t *idle_since_ms;    /* by relay and upstream; 0 for no connection */
   bool is_down;               /* the power failure lasts */
@@ -161,7 +169,7 @@
   model_tally_t first_account;
   model_tally_t other_accounts;
   uint64_t sent_at_once;
-  uint64_t declined;
+  uint64_t declined_attempts;
   uint64_t new_connections;
   uint64_t choices;
   uint64_t reports;
@@ -204,14 +212,21 @@
 /* Relays (relay_model_relay.c).  */
 void model_create_relay (relay_model_t *model, model_relay_t *relay);
 void model_destroy_relay (model_relay_t *relay);
+/* Count whether REQUEST, which is sent, needs a new connection.  */
+void model_count_connection (relay_model_t *model,
+                             const model_request_t *request);
+/* REQUEST has got an event from its upstream.  */
+void model_record_event (model_request_t *request);
+/* The attempt of REQUEST has ended.  */
+void model_finish_attempt (relay_model_t *model, model_request_t *request,
+                           fleet_result_t result);
+
+/* The way of a request through a relay (relay_model_forward.c).  */
 void model_relay_receive (relay_model_t *model, model_relay_t *relay,
                           model_request_t *request);
 void model_relay_retry (relay_model_t *model, model_relay_t *relay);
-/* An upstream begins to run REQUEST.  */
-void model_record_start (relay_model_t *model, const model_request_t *request);
-/* The attempt of REQUEST has ended; ends the request as well.  */
-void model_finish_attempt (relay_model_t *model, model_request_t *request,
-                           fleet_result_t result);
+void model_relay_lose_queued (relay_model_t *model, model_relay_t *relay);
+void model_run_declined (relay_model_t *model);
 
 /* Clients (relay_model_clients.c).  */
 void model_run_arrivals (relay_model_t *model);
@@ -223,6 +238,8 @@
 void model_lose_request (relay_model_t *model, model_request_t *request);
 
 /* Results (relay_model_result.c).  */
+/* An upstream begins to run REQUEST.  */
+void model_record_start (relay_model_t *model, const model_request_t *request);
 void model_times_add (model_times_t *times, double time_ms);
 void model_count_request (relay_model_t *model,
                           const model_request_t *request);
