--- a/bench/relay_model.h
+++ b/bench/relay_model.h
@@ -72,11 +72,11 @@
   unsigned class_count;
   relay_model_engine_t engine;
   relay_model_cost_t cost;
-  const char *policy;       /* pick plug-in; NULL for the fleet's own */
+  const char *policy; /* pick plug-in; NULL for the fleet's own */
   /* Relays queue requests in order of arrival: they do not tell classes apart,
      nor clients that come back, nor refuse what would wait in vain.  */
   bool is_by_arrival;
-  unsigned report_delay_ms; /* until a relay has a report; 0 for 15 */
+  unsigned report_delay_ms;   /* until a relay has a report; 0 for 15 */
   relay_model_span_t counted; /* arrivals that the result counts */
   double swing; /* the arrivals vary by this part, with SWING_PERIOD_MS */
   unsigned swing_period_ms;
--- a/bench/relay_model_engine.c
+++ b/bench/relay_model_engine.c
@@ -47,7 +47,7 @@
       request->reading_tokens = fmin (request->unread_tokens, chunk);
       chunk -= request->reading_tokens;
       part_ms += model_engine_read_ms (engine, request->reading_tokens,
-                                 request->context_tokens)
+                                       request->context_tokens)
                  + engine_write_ms (engine, request->context_tokens);
     }
   return part_ms * rank->speed;
@@ -243,7 +243,8 @@
   if (engine->group_size > 1)
     return model_engine_read_ms (engine, engine->chunk, cost->prompt_tokens);
   return model->options.slots
-         * model_engine_read_ms (engine, cost->prompt_tokens, cost->prompt_tokens)
+         * model_engine_read_ms (engine, cost->prompt_tokens,
+                                 cost->prompt_tokens)
          / cost->events;
 }
 
--- a/bench/relay_model_forward.c
+++ b/bench/relay_model_forward.c
@@ -132,8 +132,7 @@
   model->choice_ns += model_processor_ns () - started_ns;
   model->choices++;
   if (shortage == FLEET_NO_SHORTAGE)
-    request->upstream
-        = &model->upstreams[atoi (request->choice.upstream + 1)];
+    request->upstream = &model->upstreams[atoi (request->choice.upstream + 1)];
   return shortage;
 }
 
--- a/bench/relay_model_result.c
+++ b/bench/relay_model_result.c
@@ -50,8 +50,8 @@
 {
   tallies[0] = &model->all;
   tallies[1] = &model->classes[request->class_index];
-  tallies[2] = request->account == 0 ? &model->first_account
-                                          : &model->other_accounts;
+  tallies[2]
+      = request->account == 0 ? &model->first_account : &model->other_accounts;
 }
 
 /* Count the first arrival of REQUEST.  */
--- a/bench/relay_model_state.h
+++ b/bench/relay_model_state.h
@@ -59,8 +59,8 @@
   uint64_t arrived_ms;  /* at RELAY */
   uint64_t deadline_ms; /* of the client */
   bool has_waited;      /* at RELAY */
-  uint64_t sent_ms;    /* to the upstream */
-  uint64_t returns_ms; /* when a refused client returns */
+  uint64_t sent_ms;     /* to the upstream */
+  uint64_t returns_ms;  /* when a refused client returns */
   bool has_returned;
   bool is_refused; /* for good */
   bool is_counted;
@@ -74,7 +74,7 @@
   double unread_tokens;
   double reading_tokens; /* in the pass under way */
   double context_tokens;
-  double first_event_ms;   /* 0 until it has come */
+  double first_event_ms; /* 0 until it has come */
   double last_event_ms;
   double longest_gap_ms;
 } model_request_t;
@@ -197,7 +197,7 @@
 
 /* Work of requests at engines (relay_model_work.c).  */
 double model_engine_read_ms (const relay_model_engine_t *engine, double tokens,
-                       double prompt_tokens);
+                             double prompt_tokens);
 double engine_write_ms (const relay_model_engine_t *engine,
                         double context_tokens);
 /* RELAY may be NULL.  */
--- a/bench/relay_model_work.c
+++ b/bench/relay_model_work.c
@@ -16,7 +16,7 @@
 /* Return the cost in ms of reading TOKENS of a prompt of PROMPT_TOKENS.  */
 double
 model_engine_read_ms (const relay_model_engine_t *engine, double tokens,
-                double prompt_tokens)
+                      double prompt_tokens)
 {
   return tokens * ms_per_s / engine->read_per_s
          + engine->pairs_per_m * tokens * prompt_tokens / pairs_per_million;
@@ -62,7 +62,7 @@
         sum->least_events = request->events_left;
       sum->requests++;
       sum->read_ms += model_engine_read_ms (engine, request->unread_tokens,
-                                      request->context_tokens);
+                                            request->context_tokens);
       sum->write_ms += write_ms;
       sum->rest_ms += write_ms * request->events_left;
     }
@@ -91,7 +91,8 @@
 {
   const relay_model_engine_t *engine = &model->scenario.engine;
   work_sum_t sum = upstream_work (model, upstream, relay);
-  double prompt_ms = model_engine_read_ms (engine, prompt_tokens, prompt_tokens);
+  double prompt_ms
+      = model_engine_read_ms (engine, prompt_tokens, prompt_tokens);
   double wait_ms = 0;
 
   if (sum.requests >= model->options.slots)
