Relay: with classes, a group is lost soon after it should have formed

A request that arrived when a group should have formed was queued for up to 1.6 s more, and refused then: a group counted as lost only once requests that were queued when it should have formed had been given up. Where requests differ in urgency the limit is now that time and 300 ms for reports, at least the 1.6 s after which those queued at its closing are given up. Where all are as urgent nothing changes.

--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -255,11 +255,12 @@
    (fleet_report.c).  */
 bool fleet_upstream_is_stalled (const fleet_t *fleet,
                                 const fleet_upstream_t *upstream);
-/* Whether the group of UPSTREAM has been closed for so long that no request
-   that waited for it in the queue was served.  */
+/* Whether the group of UPSTREAM has been closed for so long that a request
+   would wait for it in vain.  HAS_CLASSES: the requests of its service differ
+   in urgency.  */
 bool fleet_upstream_has_lost_group (const fleet_t *fleet,
                                     const fleet_upstream_t *upstream,
-                                    struct timespec now);
+                                    bool has_classes, struct timespec now);
 bool fleet_upstream_is_full (const fleet_t *fleet,
                              const fleet_upstream_t *upstream,
                              const quota_use_t *use, bool is_share_used);
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -53,11 +53,12 @@
    not consider its reported capacity.  */
 static fleet_shortage_t
 find_obstacle (const fleet_t *fleet, fleet_upstream_t *upstream,
-               const fleet_request_t *request, struct timespec now)
+               const fleet_request_t *request, bool has_classes,
+               struct timespec now)
 {
   if (!upstream_is_allowed (upstream, request))
     return FLEET_NO_ALLOWED_UPSTREAM;
-  if (fleet_upstream_has_lost_group (fleet, upstream, now))
+  if (fleet_upstream_has_lost_group (fleet, upstream, has_classes, now))
     return FLEET_NO_GROUP;
   if (upstream_is_paused (upstream, now))
     return FLEET_ALL_PAUSED;
@@ -92,7 +93,7 @@
   STAILQ_FOREACH (upstream, &service->upstreams, link)
     {
       fleet_shortage_t obstacle
-          = find_obstacle (fleet, upstream, request, now);
+          = find_obstacle (fleet, upstream, request, use->has_classes, now);
 
       if (obstacle > *shortage)
         *shortage = obstacle;
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -9,6 +9,9 @@
 {
   REPORT_MAX_AGE_MS = 1500, /* older reports are ignored */
   GROUP_STALL_MS = 400,     /* time without a step, while there is work */
+  /* How much later than the rules say reports may show that a group has
+     formed: they are up to 200 ms old, and some are lost.  */
+  GROUP_FORMED_MARGIN_MS = 300,
   /* A stream is considered hung if it has no event for this long, and for this
      many steps, while its group takes steps.  */
   STREAM_STALL_MIN_MS = 400,
@@ -286,18 +289,35 @@
   return !group->is_open || group->is_stalled;
 }
 
-/* Return whether the group of UPSTREAM has been closed for longer than it
-   takes to form and a request may be queued: what waited for it did so in
-   vain, and so would another request.  */
+/* Return for how long a group of SERVICE may be closed while requests still
+   wait for it.  Where all requests are as urgent, that is until those have
+   been given up that were queued when it should have formed.  Where
+   HAS_CLASSES says that they differ in urgency, those that wait for long would
+   take the places of urgent ones when it opens, so it is only until the group
+   should have formed and those that were queued before it closed have been
+   given up.  */
+static struct timespec
+service_group_limit (const fleet_service_t *service, bool has_classes)
+{
+  struct timespec form_time = service->engine.group_recovery_time;
+  struct timespec queue_time = timespec_from_ms (FLEET_MAX_QUEUE_MS);
+
+  if (!has_classes)
+    return timespec_add (form_time, queue_time);
+  form_time
+      = timespec_add (form_time, timespec_from_ms (GROUP_FORMED_MARGIN_MS));
+  return timespec_compare (form_time, queue_time) > 0 ? form_time : queue_time;
+}
+
+/* Return whether the group of UPSTREAM has been closed for so long that a
+   request would wait for it in vain.  */
 bool
 fleet_upstream_has_lost_group (const fleet_t *fleet,
                                const fleet_upstream_t *upstream,
-                               struct timespec now)
+                               bool has_classes, struct timespec now)
 {
   const fleet_group_t *group = upstream->group;
-  struct timespec limit
-      = timespec_add (upstream->service->engine.group_recovery_time,
-                      timespec_from_ms (FLEET_MAX_QUEUE_MS));
+  struct timespec limit = service_group_limit (upstream->service, has_classes);
 
   return group != NULL && !group->is_open
          && is_recent (fleet, group->last_report_at)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -18,6 +18,7 @@
   REPORT_MS = 100,
   STEP_MS = 50,
   SLOTS = 10,
+  FORM_MS = 2000,   /* until a group has formed */
   SILENCE_MS = 2000 /* after which a pilot counts as silent */
 };
 
@@ -463,7 +464,7 @@
   char id[8];
 
   (void)state;
-  for (int64_t ms = 0; ms < 2 * FLEET_MAX_QUEUE_MS; ms += REPORT_MS)
+  for (int64_t ms = 0; ms < (int64_t)2 * FLEET_MAX_QUEUE_MS; ms += REPORT_MS)
     {
       for (unsigned i = 0; i < RANKS; i++)
         {
@@ -481,6 +482,55 @@
   fixture_destroy (fixture);
 }
 
+/* Keep the group of FIXTURE, which takes 2 s to form, closed and return after
+   how long requests for it are refused.  URGENCIES differ in urgency.  */
+static int64_t
+time_until_group_is_lost (fixture_t *fixture, unsigned urgencies)
+{
+  fleet_report_t report = { .group = "g", .epoch = 1, .slowdown = 1 };
+  service_rule_t *service = STAILQ_FIRST (&fixture->rules->services);
+  int64_t elapsed_ms = 0;
+  char id[8];
+
+  service->has_engine = true;
+  service->engine.group_recovery_time = timespec_from_ms (FORM_MS);
+  fleet_configure (fixture->fleet, fixture->rules);
+  while (true)
+    {
+      for (unsigned urgency = 0; urgency < urgencies; urgency++)
+        fleet_count_request (fixture->fleet, "model", urgency);
+      fleet_record_report (fixture->fleet, "10.0.0.0:80", &report);
+      for (unsigned i = 1; i < RANKS; i++)
+        {
+          snprintf (id, sizeof id, "u%u", i);
+          fleet_remove_upstream (fixture->fleet, id);
+        }
+      if (fixture_choose (fixture, id, sizeof id, NULL) == FLEET_NO_GROUP)
+        return elapsed_ms;
+      fixture_advance_ms (fixture, REPORT_MS);
+      elapsed_ms += REPORT_MS;
+    }
+}
+
+/* Requests of several classes were held for 1.6 s after a group should have
+   formed, and then came before those that can still be on time.  Those of one
+   class wait for as long as before.  */
+static void
+test_group_is_lost_sooner_with_classes (void **state)
+{
+  fixture_t *alike = fixture_create (0);
+  fixture_t *differing = fixture_create (0);
+
+  (void)state;
+  assert_in_range (time_until_group_is_lost (alike, 1),
+                   FORM_MS + FLEET_MAX_QUEUE_MS,
+                   FORM_MS + FLEET_MAX_QUEUE_MS + REPORT_MS);
+  assert_in_range (time_until_group_is_lost (differing, 2), FORM_MS,
+                   FORM_MS + (int64_t)4 * REPORT_MS);
+  fixture_destroy (alike);
+  fixture_destroy (differing);
+}
+
 static void
 test_expected_silence_depends_on_group_steps (void **state)
 {
@@ -613,6 +663,7 @@
         test_silent_rank_gets_nothing_while_others_have_capacity),
     cmocka_unit_test (test_stalled_group_gets_no_requests),
     cmocka_unit_test (test_lost_group_is_known),
+    cmocka_unit_test (test_group_is_lost_sooner_with_classes),
     cmocka_unit_test (test_expected_silence_depends_on_group_steps),
     cmocka_unit_test (test_notices_hold_when_a_run_is_listed_again),
   };
