--- a/bench/relay_model.c
+++ b/bench/relay_model.c
@@ -143,7 +143,8 @@
   const relay_model_scenario_t *scenario = &model->scenario;
   relay_model_span_t forming = scenario->power_failure;
 
-  forming.end_ms += scenario->recovery_ms;
+  if (forming.end_ms > 0)
+    forming.end_ms += scenario->recovery_ms;
   return !model_span_covers (&forming, model->now_ms)
          && !model_span_covers (&scenario->groups_closed, model->now_ms);
 }
