Relay: late requests leave a part of a group that has just opened

After a power failure all places of a group were taken at once by requests that had waited and were late, of all classes. No request ends there for the time of a response, so that those that arrived meanwhile were late as well: the reserve for 200 ms assumes that places are freed all the time. While a group has been open for less than a response takes, late requests may now use three quarters of its limit only, as they may in general where requests do not differ in urgency; there nothing changes. The guaranteed turn of a class that has been passed over is excepted.

Tried and not taken: three quarters for late requests at any time.

--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -63,6 +63,8 @@
   /* The same for requests that are likely to miss their response time
      objective (fleet_request_t.is_late); at most FREE.  */
   int64_t late_free;
+  /* The same where the requests of the service differ in urgency.  */
+  int64_t class_late_free;
   /* The part of FREE that can run at once, without being queued.  */
   int64_t idle;
   int64_t sent;
@@ -288,7 +290,7 @@
 
 /* This relay's share of the free capacity of a service (fleet_quota.c).  */
 void quota_set (fleet_t *fleet, fleet_upstream_t *upstream, double limit,
-                double current);
+                double current, bool is_filling);
 void quota_clear (fleet_upstream_t *upstream);
 bool quota_is_known (const fleet_t *fleet, const fleet_upstream_t *upstream);
 void quota_count_sent (fleet_upstream_t *upstream);
--- a/relay/fleet_quota.c
+++ b/relay/fleet_quota.c
@@ -30,16 +30,20 @@
 
 /* Set the capacity in a new report of UPSTREAM, which may have LIMIT requests
    at once and has CURRENT.  The requests that this relay sent before are part
-   of the report.  */
+   of the report.  IS_FILLING: its group has opened and ends no requests
+   yet.  */
 void
 quota_set (fleet_t *fleet, fleet_upstream_t *upstream, double limit,
-           double current)
+           double current, bool is_filling)
 {
-  upstream->quota = (fleet_quota_t){
+  fleet_quota_t *quota = &upstream->quota;
+
+  *quota = (fleet_quota_t){
     .free = capacity_units (limit + MAX_QUEUED_REQUESTS - current),
     .late_free = capacity_units (limit * late_limit_ratio - current),
     .idle = capacity_units (limit - current),
   };
+  quota->class_late_free = is_filling ? quota->late_free : quota->free;
   upstream->quota_rounding = capacity_units (fleet_random (fleet));
 }
 
@@ -73,6 +77,7 @@
     return;
   total->free += upstream->quota.free;
   total->late_free += upstream->quota.late_free;
+  total->class_late_free += upstream->quota.class_late_free;
   total->idle += upstream->quota.idle;
   total->sent += upstream->quota.sent;
 }
@@ -95,9 +100,11 @@
 static int64_t
 quota_usable (const fleet_quota_t *quota, const quota_use_t *use)
 {
-  if (use->reserve > 0)
-    return quota->idle;
-  return use->is_late && !use->has_classes ? quota->late_free : quota->free;
+  int64_t usable = use->reserve > 0 ? quota->idle : quota->free;
+  int64_t late_free
+      = use->has_classes ? quota->class_late_free : quota->late_free;
+
+  return use->is_late && late_free < usable ? late_free : usable;
 }
 
 /* Return whether this relay has used its share of TOTAL, the capacity that the
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -236,6 +236,26 @@
          / (group->mean_step_ms - service->idle_step_ms);
 }
 
+/* Return whether the group of UPSTREAM has opened more recently than a
+   response takes.  Until then it ends no requests, so that places which late
+   ones take are missing to all that arrive meanwhile.  */
+static bool
+upstream_is_filling (const fleet_t *fleet, const fleet_upstream_t *upstream)
+{
+  const fleet_service_t *service = upstream->service;
+  const fleet_group_t *group = upstream->group;
+  struct timespec now = clock_monotonic (fleet->clock);
+  double response_ms;
+
+  if (group == NULL || !service->has_engine)
+    return false;
+  response_ms = service_mean_events (service)
+                * fmax (group->mean_step_ms, service->idle_step_ms);
+  return (double)timespec_to_ms (
+             timespec_subtract (now, group->last_disrupted_at))
+         < response_ms;
+}
+
 /* Set the free capacity of UPSTREAM from REPORT.  A group that takes no steps
    has none.  */
 static void
@@ -248,7 +268,8 @@
   if (upstream->group != NULL && !upstream->group->is_open)
     quota_clear (upstream);
   else
-    quota_set (fleet, upstream, limit, current);
+    quota_set (fleet, upstream, limit, current,
+               upstream_is_filling (fleet, upstream));
 }
 
 /* Record the report of the engine at ADDRESS, which its pilot passed on.
--- a/relay/fleet_reserve.c
+++ b/relay/fleet_reserve.c
@@ -79,7 +79,10 @@
     return use;
   use.has_classes = true;
   if (request->is_guaranteed)
-    return use;
+    {
+      use.is_late = false;
+      return use;
+    }
   for (unsigned urgency = 0; urgency < reserved; urgency++)
     per_s += arrival_rate_at (&service->arrivals[urgency], now);
   use.reserve = per_s * REPORT_DELAY_MS / ms_per_s;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -18,6 +18,7 @@
   REPORT_MS = 100,
   STEP_MS = 50,
   SLOTS = 10,
+  RESPONSE_MS = 1000,
   FORM_MS = 2000,   /* until a group has formed */
   SILENCE_MS = 2000 /* after which a pilot counts as silent */
 };
@@ -531,6 +532,68 @@
   fixture_destroy (differing);
 }
 
+/* Let the group of FIXTURE, whose responses take RESPONSE_MS, open with nine
+   of ten slots in use at each rank, and return after how long a late request
+   is sent to it; -1 if none is.  URGENCIES differ in urgency.  */
+static int64_t
+time_until_late_is_sent (fixture_t *fixture, unsigned urgencies)
+{
+  fleet_report_t report = { .group = "g",
+                            .epoch = 1,
+                            .is_open = true,
+                            .running = SLOTS - 1,
+                            .slowdown = 1 };
+  service_rule_t *service = STAILQ_FIRST (&fixture->rules->services);
+  fleet_request_t late = { .service = "model",
+                           .route = fixture->route,
+                           .is_late = true,
+                           .work = { .zone = "a" } };
+  fleet_choice_t choice;
+
+  service->has_engine = true;
+  service->engine = (engine_profile_t){ .token_steps_per_pass = 1,
+                                        .step_ms = STEP_MS,
+                                        .prompt_tokens_per_ms = 1,
+                                        .typical_response_tokens
+                                        = (double)RESPONSE_MS / STEP_MS };
+  fleet_configure (fixture->fleet, fixture->rules);
+  for (int64_t ms = 0; ms < (int64_t)3 * RESPONSE_MS; ms += REPORT_MS)
+    {
+      for (unsigned urgency = 0; urgency < urgencies; urgency++)
+        fleet_count_request (fixture->fleet, "model", urgency);
+      report.step += REPORT_MS / STEP_MS;
+      for (unsigned i = 0; i < RANKS; i++)
+        {
+          char address[24];
+
+          snprintf (address, sizeof address, "10.0.0.%u:80", i);
+          fleet_record_report (fixture->fleet, address, &report);
+        }
+      if (fleet_choose (fixture->fleet, fixture, &late, &choice)
+          == FLEET_NO_SHORTAGE)
+        return ms;
+      fixture_advance_ms (fixture, REPORT_MS);
+    }
+  return -1;
+}
+
+/* When a group had opened, late requests of all classes took all its places,
+   and those that arrived until these ended were late as well.  Those of one
+   class have only a part of the places, as before.  */
+static void
+test_late_requests_do_not_fill_a_group (void **state)
+{
+  fixture_t *alike = fixture_create (0);
+  fixture_t *differing = fixture_create (0);
+
+  (void)state;
+  assert_in_range (time_until_late_is_sent (differing, 2), RESPONSE_MS,
+                   (int64_t)2 * RESPONSE_MS);
+  assert_int_equal (time_until_late_is_sent (alike, 1), -1);
+  fixture_destroy (alike);
+  fixture_destroy (differing);
+}
+
 static void
 test_expected_silence_depends_on_group_steps (void **state)
 {
@@ -664,6 +727,7 @@
     cmocka_unit_test (test_stalled_group_gets_no_requests),
     cmocka_unit_test (test_lost_group_is_known),
     cmocka_unit_test (test_group_is_lost_sooner_with_classes),
+    cmocka_unit_test (test_late_requests_do_not_fill_a_group),
     cmocka_unit_test (test_expected_silence_depends_on_group_steps),
     cmocka_unit_test (test_notices_hold_when_a_run_is_listed_again),
   };
