--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -63,6 +63,8 @@
   /* The same for requests that are likely to miss their response time
      objective (fleet_request_t.is_late); at most FREE.  */
   int64_t late_free;
+  /* The same where the requests of the service differ in urgency.  */
+  int64_t class_late_free;
   /* The part of FREE that can run at once, without being queued.  */
   int64_t idle;
   int64_t sent;
@@ -255,11 +257,12 @@
    (fleet_report.c).  */
 bool fleet_upstream_is_stalled (const fleet_t *fleet,
                                 const fleet_upstream_t *upstream);
-/* Whether the group of UPSTREAM has been closed for so long that no request
-   that waited for it in the queue was served.  */
+/* Whether the group of UPSTREAM has been closed for so long that a request
+   would wait for it in vain.  HAS_CLASSES: the requests of its service differ
+   in urgency.  */
 bool fleet_upstream_has_lost_group (const fleet_t *fleet,
                                     const fleet_upstream_t *upstream,
-                                    struct timespec now);
+                                    bool has_classes, struct timespec now);
 bool fleet_upstream_is_full (const fleet_t *fleet,
                              const fleet_upstream_t *upstream,
                              const quota_use_t *use, bool is_share_used);
@@ -287,7 +290,7 @@
 
 /* This relay's share of the free capacity of a service (fleet_quota.c).  */
 void quota_set (fleet_t *fleet, fleet_upstream_t *upstream, double limit,
-                double current);
+                double current, bool is_filling);
 void quota_clear (fleet_upstream_t *upstream);
 bool quota_is_known (const fleet_t *fleet, const fleet_upstream_t *upstream);
 void quota_count_sent (fleet_upstream_t *upstream);
