Relay: a read-only path through the choice of an upstream

The choice filled token buckets, drew the rounding of the share and learned from the request while it looked for an upstream, so that nobody could ask where a request would go without changing that.

--- a/include/plugins/pick.h
+++ b/include/plugins/pick.h
@@ -93,6 +93,10 @@
   void (*choose) (pick_t *pick, const pick_request_t *request,
                   const pick_candidate_t *const *candidates, size_t count,
                   struct timespec now, pick_choice_t *choice);
+  /* Return a copy of PICK that is owned by PARENT and will choose as PICK
+     would, so that a choice can be foretold, or NULL when memory is exhausted.
+     It is freed with PARENT.  NULL if the policy has no cheap copy.  */
+  pick_t *(*copy) (TALLOC_CTX *parent, const pick_t *pick);
   /* Handle a change of the prompt cache of the upstream NAME_HASH: BLOCKS
      were sent to it or reported as stored (IS_STORED), or were reported as
      evicted.  May be NULL.  */
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -4,12 +4,14 @@
 #include "kernel/histogram.h"
 #include "kernel/table.h"
 #include "relay/fleet.h"
+#include "relay/fleet_explanation.h"
 #include "relay/pass_model.h"
 
 #include <sys/queue.h>
 
 /* State shared by the source files of the fleet.  */
 typedef struct fleet_service fleet_service_t;
+typedef struct fleet_upstream fleet_upstream_t;
 
 /* An availability zone.  */
 typedef struct fleet_zone
@@ -37,18 +39,6 @@
   double failure_ratio; /* moving average of the share of failed requests */
 } upstream_health_t;
 
-/* How desirable an upstream is that can be chosen; one of a later value is
-   chosen only if there is none of an earlier one.  */
-typedef enum fleet_preference
-{
-  PREFER_WITHIN_SHARE, /* this relay's share of its capacity is not used */
-  PREFER_HEALTHY,
-  PREFER_SLOW,   /* slows down its group */
-  PREFER_SILENT, /* its machine may be frozen */
-  PREFER_EJECTED,
-  PREFERENCE_COUNT
-} fleet_preference_t;
-
 enum
 {
   QUOTA_UNITS_PER_REQUEST = 1000
@@ -80,6 +70,37 @@
   double reserve;
 } quota_use_t;
 
+/* What this relay may use of the capacity of all upstreams that a request may
+   use, in the units of fleet_quota_t.  */
+typedef struct quota_share
+{
+  int64_t free;    /* in all, for all relays */
+  int64_t share;   /* of this relay */
+  int64_t reserve; /* part of SHARE that is left to other requests */
+  int64_t rounding;
+  int64_t sent; /* since the last reports */
+} quota_share_t;
+
+/* The work of a request before an upstream is chosen.  */
+typedef struct work_sizing
+{
+  work_estimate_t estimate;
+  pick_request_t request; /* what the policy sees */
+  double mean_work_us;    /* of the service's requests, with this one */
+} work_sizing_t;
+
+/* The upstream that is found for a request, and why.  */
+typedef struct upstream_choice
+{
+  fleet_shortage_t shortage;  /* FLEET_NO_SHORTAGE if there are candidates */
+  fleet_upstream_t *upstream; /* NULL for none */
+  const char *reason;         /* a constant */
+  unsigned count;             /* of the candidates */
+  work_sizing_t sizing;       /* valid if there is an UPSTREAM */
+  quota_use_t use;
+  quota_share_t share;
+} upstream_choice_t;
+
 /* Rate of arrivals, as of its last update.  */
 typedef struct arrival_rate
 {
@@ -121,7 +142,7 @@
   uint64_t read_us; /* part of it until their prompts are read */
 } fleet_backlog_t;
 
-typedef struct fleet_upstream
+struct fleet_upstream
 {
   table_node_t node;
   table_node_t address_node;
@@ -155,7 +176,7 @@
   /* What the policy sees of the upstream.  Kept up to date; its strings belong
      to the upstream.  */
   pick_candidate_t candidate;
-} fleet_upstream_t;
+};
 
 struct fleet_service
 {
@@ -236,6 +257,8 @@
                                          const char *address);
 /* Return a random number from 0 to below 1.  */
 double fleet_random (fleet_t *fleet);
+/* Return the one that fleet_random will return next.  */
+double fleet_next_random (const fleet_t *fleet);
 fleet_service_t *fleet_find_service (const fleet_t *fleet, const char *name);
 fleet_zone_t *fleet_find_or_add_zone (fleet_t *fleet, const char *name);
 
@@ -243,14 +266,38 @@
    filled (fleet_cold.c).  */
 bool cold_start_is_active (const fleet_upstream_t *upstream,
                            struct timespec now);
-bool cold_start_has_token (const fleet_t *fleet, fleet_upstream_t *upstream,
+bool cold_start_has_token (const fleet_t *fleet,
+                           const fleet_upstream_t *upstream,
                            struct timespec now);
+void cold_start_refill (const fleet_t *fleet, fleet_upstream_t *upstream,
+                        struct timespec now);
 void cold_start_consume_token (fleet_upstream_t *upstream);
 /* REMAINING comes from each listing of the upstream.  When its zone returns to
    service, it is the service's cold time until the next listing.  */
 void cold_start_set_remaining (fleet_t *fleet, fleet_upstream_t *upstream,
                                struct timespec now, struct timespec remaining);
 
+/* The rules of choice, which change nothing but the policy; the table must be
+   locked (fleet_choice.c).  */
+upstream_choice_t choice_find (const fleet_t *fleet,
+                               const fleet_service_t *service,
+                               const fleet_request_t *request, pick_t *pick,
+                               struct timespec now);
+fleet_obstacle_t choice_obstacle (const fleet_t *fleet,
+                                  const fleet_upstream_t *upstream,
+                                  const fleet_request_t *request,
+                                  struct timespec now);
+fleet_obstacle_t choice_capacity_obstacle (const fleet_t *fleet,
+                                           const fleet_upstream_t *upstream,
+                                           const quota_use_t *use,
+                                           bool is_share_used);
+fleet_preference_t choice_preference (const fleet_t *fleet,
+                                      const fleet_upstream_t *upstream,
+                                      const quota_use_t *use,
+                                      struct timespec now);
+int64_t fleet_upstream_report_age_ms (const fleet_upstream_t *upstream,
+                                      struct timespec now);
+
 /* The load of an upstream and the state of its group, as last reported
    (fleet_report.c).  */
 bool fleet_upstream_is_stalled (const fleet_t *fleet,
@@ -293,8 +340,18 @@
 void quota_count_sent (fleet_upstream_t *upstream);
 void quota_add (const fleet_t *fleet, fleet_quota_t *total,
                 const fleet_upstream_t *upstream);
-bool quota_is_share_used (fleet_t *fleet, fleet_service_t *service,
-                          const fleet_quota_t *total, const quota_use_t *use);
+void quota_draw_rounding (fleet_t *fleet, fleet_service_t *service,
+                          struct timespec now);
+quota_share_t quota_share_at (const fleet_t *fleet,
+                              const fleet_service_t *service,
+                              const fleet_quota_t *total,
+                              const quota_use_t *use, struct timespec now);
+bool quota_is_share_used (const quota_share_t *share);
+int64_t quota_upstream_free (const fleet_upstream_t *upstream,
+                             const quota_use_t *use);
+int64_t quota_upstream_share (const fleet_t *fleet,
+                              const fleet_upstream_t *upstream,
+                              const quota_use_t *use);
 bool quota_is_upstream_full (const fleet_upstream_t *upstream,
                              const quota_use_t *use);
 bool quota_is_within_share (const fleet_t *fleet,
@@ -310,11 +367,13 @@
    locked.  */
 void service_set_engine (fleet_t *fleet, fleet_service_t *service,
                          const service_rule_t *rule);
-/* Estimate the work of REQUEST, set it in *SIZED, and return it.  */
-work_estimate_t work_estimate_request (fleet_t *fleet,
-                                       fleet_service_t *service,
-                                       const fleet_request_t *request,
-                                       pick_request_t *sized);
+/* Estimates the work of REQUEST without changing what is learned from it; see
+   work_use_sizing.  */
+work_sizing_t work_size_request (const fleet_t *fleet,
+                                 const fleet_service_t *service,
+                                 const fleet_request_t *request);
+void work_use_sizing (fleet_t *fleet, fleet_service_t *service,
+                      const work_sizing_t *sizing, struct timespec now);
 double service_mean_events (const fleet_service_t *service);
 void work_set_read_stretch (fleet_upstream_t *upstream);
 void work_show_spread (fleet_t *fleet, struct timespec now);
--- a/include/relay/work_model.h
+++ b/include/relay/work_model.h
@@ -57,6 +57,14 @@
                                      const engine_profile_t *engine,
                                      const work_request_t *request,
                                      struct timespec now);
+/* Return the same estimate without changing MODEL.  */
+work_estimate_t work_model_preview (const work_model_t *model,
+                                    const engine_profile_t *engine,
+                                    const work_request_t *request);
+/* Record that a request of ORIGIN, estimated with work_model_preview, is
+   sent.  */
+void work_model_use (work_model_t *model, uint64_t origin,
+                     struct timespec now);
 void work_model_record (work_model_t *model, const work_estimate_t *estimate,
                         const work_response_t *response, struct timespec now);
 /* Return the work that is left after EVENTS have been received.  */
--- a/plugins/pick/least_reported.c
+++ b/plugins/pick/least_reported.c
@@ -50,10 +50,17 @@
     }
 }
 
+static pick_t *
+least_reported_copy (TALLOC_CTX *parent, const pick_t *pick)
+{
+  return talloc_memdup (parent, pick, sizeof *pick);
+}
+
 static const pick_ops_t least_reported_ops = {
   .create = least_reported_create,
   .destroy = least_reported_destroy,
   .choose = least_reported_choose,
+  .copy = least_reported_copy,
 };
 
 PLUGIN_REGISTER (least_reported, PLUGIN_PICK, "least-reported",
--- a/plugins/pick/least_tokens.c
+++ b/plugins/pick/least_tokens.c
@@ -32,10 +32,17 @@
   choice->reason = "least-loaded";
 }
 
+static pick_t *
+least_tokens_copy (TALLOC_CTX *parent, const pick_t *pick)
+{
+  return talloc_memdup (parent, pick, sizeof *pick);
+}
+
 static const pick_ops_t least_tokens_ops = {
   .create = least_tokens_create,
   .destroy = least_tokens_destroy,
   .choose = least_tokens_choose,
+  .copy = least_tokens_copy,
 };
 
 PLUGIN_REGISTER (least_tokens, PLUGIN_PICK, "least-tokens",
--- a/plugins/pick/least_work.c
+++ b/plugins/pick/least_work.c
@@ -284,10 +284,17 @@
   choice->reason = "least-work";
 }
 
+static pick_t *
+least_work_copy (TALLOC_CTX *parent, const pick_t *pick)
+{
+  return talloc_memdup (parent, pick, sizeof *pick);
+}
+
 static const pick_ops_t least_work_ops = {
   .create = least_work_create,
   .destroy = least_work_destroy,
   .choose = least_work_choose,
+  .copy = least_work_copy,
 };
 
 PLUGIN_REGISTER (least_work, PLUGIN_PICK, "least-work",
--- a/plugins/pick/round_robin.c
+++ b/plugins/pick/round_robin.c
@@ -34,10 +34,17 @@
   choice->reason = "round-robin";
 }
 
+static pick_t *
+round_robin_copy (TALLOC_CTX *parent, const pick_t *pick)
+{
+  return talloc_memdup (parent, pick, sizeof *pick);
+}
+
 static const pick_ops_t round_robin_ops = {
   .create = round_robin_create,
   .destroy = round_robin_destroy,
   .choose = round_robin_choose,
+  .copy = round_robin_copy,
 };
 
 PLUGIN_REGISTER (round_robin, PLUGIN_PICK, "round-robin",
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -8,6 +8,22 @@
 /* Weight of the newest response in a service's mean response time.  */
 static const double response_time_weight = 0.05;
 
+static const fleet_shortage_t obstacle_shortages[OBSTACLE_COUNT] = {
+  [OBSTACLE_NONE] = FLEET_NO_SHORTAGE,
+  [OBSTACLE_DRAINING] = FLEET_NO_ALLOWED_UPSTREAM,
+  [OBSTACLE_REPLACED] = FLEET_NO_ALLOWED_UPSTREAM,
+  [OBSTACLE_ZONE_OUT] = FLEET_NO_ALLOWED_UPSTREAM,
+  [OBSTACLE_REGION] = FLEET_NO_ALLOWED_UPSTREAM,
+  [OBSTACLE_TRIED] = FLEET_NO_ALLOWED_UPSTREAM,
+  [OBSTACLE_NO_GROUP] = FLEET_NO_GROUP,
+  [OBSTACLE_PAUSED] = FLEET_ALL_PAUSED,
+  [OBSTACLE_STALLED] = FLEET_ALL_STALLED,
+  [OBSTACLE_COLD] = FLEET_ALL_COLD,
+  [OBSTACLE_LIMITED] = FLEET_ALL_LIMITED,
+  [OBSTACLE_SHARE_USED] = FLEET_ALL_FULL,
+  [OBSTACLE_FULL] = FLEET_ALL_FULL,
+};
+
 COUNTER_DEFINE (no_candidate, "siskin_fleet_no_candidate_total",
                 "Times that no upstream could be chosen");
 
@@ -22,20 +38,27 @@
   return false;
 }
 
-/* Return whether UPSTREAM is eligible for REQUEST, regardless of its load.  */
-static bool
-upstream_is_allowed (const fleet_upstream_t *upstream,
-                     const fleet_request_t *request)
+/* Return why UPSTREAM is not eligible for REQUEST, regardless of its load.  */
+static fleet_obstacle_t
+find_exclusion (const fleet_upstream_t *upstream,
+                const fleet_request_t *request)
 {
-  return !upstream->is_draining && !upstream->is_replaced
-         && !upstream->zone->is_out
-         && route_allows_region (request->route, upstream->zone->region)
-         && !request_has_tried (request, upstream->id);
+  if (upstream->is_draining)
+    return OBSTACLE_DRAINING;
+  if (upstream->is_replaced)
+    return OBSTACLE_REPLACED;
+  if (upstream->zone->is_out)
+    return OBSTACLE_ZONE_OUT;
+  if (!route_allows_region (request->route, upstream->zone->region))
+    return OBSTACLE_REGION;
+  return request_has_tried (request, upstream->id) ? OBSTACLE_TRIED
+                                                   : OBSTACLE_NONE;
 }
 
-static fleet_preference_t
-upstream_preference (const fleet_t *fleet, const fleet_upstream_t *upstream,
-                     const quota_use_t *use, struct timespec now)
+/* Return how desirable UPSTREAM is for a request with USE.  */
+fleet_preference_t
+choice_preference (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                   const quota_use_t *use, struct timespec now)
 {
   if (health_is_ejected (upstream, now))
     return PREFER_EJECTED;
@@ -49,27 +72,51 @@
   return PREFER_HEALTHY;
 }
 
-/* Return the reason why UPSTREAM cannot be chosen, or FLEET_NO_SHORTAGE.  Does
-   not consider its reported capacity.  */
-static fleet_shortage_t
-find_obstacle (const fleet_t *fleet, fleet_upstream_t *upstream,
-               const fleet_request_t *request, struct timespec now)
+/* Return the reason why UPSTREAM cannot be chosen, or OBSTACLE_NONE.  Does not
+   consider its reported capacity.  */
+fleet_obstacle_t
+choice_obstacle (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                 const fleet_request_t *request, struct timespec now)
 {
-  if (!upstream_is_allowed (upstream, request))
-    return FLEET_NO_ALLOWED_UPSTREAM;
+  fleet_obstacle_t exclusion = find_exclusion (upstream, request);
+
+  if (exclusion != OBSTACLE_NONE)
+    return exclusion;
   if (fleet_upstream_has_lost_group (fleet, upstream, now))
-    return FLEET_NO_GROUP;
+    return OBSTACLE_NO_GROUP;
   if (upstream_is_paused (upstream, now))
-    return FLEET_ALL_PAUSED;
+    return OBSTACLE_PAUSED;
   if (fleet_upstream_is_stalled (fleet, upstream))
-    return FLEET_ALL_STALLED;
+    return OBSTACLE_STALLED;
   if (!cold_start_has_token (fleet, upstream, now))
-    return FLEET_ALL_COLD;
+    return OBSTACLE_COLD;
   if (fleet->limits != NULL
       && !rate_limits_has_slot (fleet->limits, upstream->incarnation,
                                 &fleet->share))
-    return FLEET_ALL_LIMITED;
-  return FLEET_NO_SHORTAGE;
+    return OBSTACLE_LIMITED;
+  return OBSTACLE_NONE;
+}
+
+/* Return why UPSTREAM, which has no other obstacle, has no capacity for a
+   request with USE, or OBSTACLE_NONE.  */
+fleet_obstacle_t
+choice_capacity_obstacle (const fleet_t *fleet,
+                          const fleet_upstream_t *upstream,
+                          const quota_use_t *use, bool is_share_used)
+{
+  if (!fleet_upstream_is_full (fleet, upstream, use, is_share_used))
+    return OBSTACLE_NONE;
+  return fleet_upstream_is_full (fleet, upstream, use, false)
+             ? OBSTACLE_FULL
+             : OBSTACLE_SHARE_USED;
+}
+
+/* Raise *SHORTAGE to that of an upstream with OBSTACLE.  */
+static void
+raise_shortage (fleet_shortage_t *shortage, fleet_obstacle_t obstacle)
+{
+  if (obstacle_shortages[obstacle] > *shortage)
+    *shortage = obstacle_shortages[obstacle];
 }
 
 /* Collect the upstreams that REQUEST may use, whether or not they have
@@ -77,7 +124,7 @@
    none.  *TOTAL is the capacity of those that are in order, or of all if none
    is: what can't be used must not be shared.  */
 static unsigned
-collect_usable (fleet_t *fleet, fleet_service_t *service,
+collect_usable (const fleet_t *fleet, const fleet_service_t *service,
                 const fleet_request_t *request, const quota_use_t *use,
                 struct timespec now, fleet_quota_t *total,
                 fleet_shortage_t *shortage)
@@ -91,14 +138,13 @@
   *shortage = FLEET_NO_UPSTREAM;
   STAILQ_FOREACH (upstream, &service->upstreams, link)
     {
-      fleet_shortage_t obstacle
-          = find_obstacle (fleet, upstream, request, now);
+      fleet_obstacle_t obstacle
+          = choice_obstacle (fleet, upstream, request, now);
 
-      if (obstacle > *shortage)
-        *shortage = obstacle;
-      if (obstacle != FLEET_NO_SHORTAGE)
+      raise_shortage (shortage, obstacle);
+      if (obstacle != OBSTACLE_NONE)
         continue;
-      upstream->preference = upstream_preference (fleet, upstream, use, now);
+      upstream->preference = choice_preference (fleet, upstream, use, now);
       if (upstream->preference <= PREFER_HEALTHY)
         has_healthy = true;
       quota_add (fleet,
@@ -112,32 +158,32 @@
 }
 
 /* Collect the most desirable upstreams that can serve REQUEST as candidates
-   and return their number.  *SHORTAGE is the reason if there are
-   none.  */
+   and return their number.  CHOICE gets the capacity, and the shortage if
+   there are none.  */
 static unsigned
-collect_candidates (fleet_t *fleet, fleet_service_t *service,
+collect_candidates (const fleet_t *fleet, const fleet_service_t *service,
                     const fleet_request_t *request, struct timespec now,
-                    fleet_shortage_t *shortage)
+                    upstream_choice_t *choice)
 {
-  quota_use_t use = service_quota_use (service, request, now);
   fleet_quota_t total;
-  unsigned usable
-      = collect_usable (fleet, service, request, &use, now, &total, shortage);
-  bool is_share_used = quota_is_share_used (fleet, service, &total, &use);
+  unsigned usable;
+  bool is_share_used;
   fleet_preference_t best = PREFERENCE_COUNT;
   unsigned count = 0;
 
+  choice->use = service_quota_use (service, request, now);
+  usable = collect_usable (fleet, service, request, &choice->use, now, &total,
+                           &choice->shortage);
+  choice->share = quota_share_at (fleet, service, &total, &choice->use, now);
+  is_share_used = quota_is_share_used (&choice->share);
   for (unsigned i = 0; i < usable; i++)
     {
       fleet_upstream_t *upstream = fleet->candidate_upstreams[i];
+      fleet_obstacle_t obstacle = choice_capacity_obstacle (
+          fleet, upstream, &choice->use, is_share_used);
 
-      if (fleet_upstream_is_full (fleet, upstream, &use, is_share_used))
-        {
-          if (FLEET_ALL_FULL > *shortage)
-            *shortage = FLEET_ALL_FULL;
-          continue;
-        }
-      if (upstream->preference > best)
+      raise_shortage (&choice->shortage, obstacle);
+      if (obstacle != OBSTACLE_NONE || upstream->preference > best)
         continue;
       if (upstream->preference < best)
         count = 0;
@@ -159,8 +205,9 @@
 
 /* Return the age of the last load report of UPSTREAM in milliseconds, -1 if
    there is none.  */
-static int64_t
-upstream_report_age_ms (const fleet_upstream_t *upstream, struct timespec now)
+int64_t
+fleet_upstream_report_age_ms (const fleet_upstream_t *upstream,
+                              struct timespec now)
 {
   const pick_report_t *report = &upstream->candidate.report;
 
@@ -169,6 +216,57 @@
   return timespec_to_ms (timespec_subtract (now, report->at));
 }
 
+/* Find the upstream of SERVICE for REQUEST at NOW with PICK, which is the only
+   thing that this changes.  Without PICK it only finds the candidates.  */
+upstream_choice_t
+choice_find (const fleet_t *fleet, const fleet_service_t *service,
+             const fleet_request_t *request, pick_t *pick, struct timespec now)
+{
+  upstream_choice_t choice = { 0 };
+  pick_choice_t picked = { 0 };
+
+  choice.count = collect_candidates (fleet, service, request, now, &choice);
+  if (choice.count == 0)
+    return choice;
+  choice.shortage = FLEET_NO_SHORTAGE;
+  if (pick == NULL)
+    return choice;
+  choice.sizing = work_size_request (fleet, service, request);
+  service->ops->choose (pick, &choice.sizing.request, fleet->candidates,
+                        choice.count, now, &picked);
+  choice.upstream = fleet->candidate_upstreams[picked.index];
+  choice.reason = picked.reason;
+  return choice;
+}
+
+/* Bring what changes with time up to NOW before a choice.  */
+static void
+refresh_service (fleet_t *fleet, fleet_service_t *service, struct timespec now)
+{
+  fleet_upstream_t *upstream;
+
+  quota_draw_rounding (fleet, service, now);
+  STAILQ_FOREACH (upstream, &service->upstreams, link)
+    cold_start_refill (fleet, upstream, now);
+}
+
+/* Count the request that is sent to the upstream in FOUND.  */
+static void
+count_chosen (fleet_t *fleet, const upstream_choice_t *found,
+              const fleet_request_t *request, fleet_choice_t *choice,
+              struct timespec now)
+{
+  fleet_upstream_t *upstream = found->upstream;
+
+  work_use_sizing (fleet, upstream->service, &found->sizing, now);
+  cold_start_consume_token (upstream);
+  if (fleet->limits != NULL)
+    rate_limits_use_slot (fleet->limits, upstream->incarnation, &fleet->share);
+  upstream_count_request (upstream, &request->work);
+  work_add_request (upstream, &choice->work);
+  work_show_spread (fleet, now);
+}
+
 /* Implement fleet_choose; the table must be locked.  */
 static fleet_shortage_t
 fleet_choose_locked (fleet_t *fleet, TALLOC_CTX *parent,
@@ -176,41 +274,30 @@
 {
   struct timespec now = clock_monotonic (fleet->clock);
   fleet_service_t *service = fleet_find_service (fleet, request->service);
-  fleet_shortage_t shortage;
-  pick_request_t sized = request->work;
-  pick_choice_t pick_choice = { 0 };
-  work_estimate_t estimate;
-  fleet_upstream_t *upstream;
-  unsigned count;
+  const fleet_upstream_t *upstream;
+  upstream_choice_t found;
 
   if (service == NULL)
     return FLEET_NO_UPSTREAM;
-  count = collect_candidates (fleet, service, request, now, &shortage);
-  if (count == 0)
-    return shortage;
-  estimate = work_estimate_request (fleet, service, request, &sized);
-  service->ops->choose (service->pick, &sized, fleet->candidates, count, now,
-                        &pick_choice);
-  upstream = fleet->candidate_upstreams[pick_choice.index];
+  refresh_service (fleet, service, now);
+  found = choice_find (fleet, service, request, service->pick, now);
+  if (found.shortage != FLEET_NO_SHORTAGE)
+    return found.shortage;
+  upstream = found.upstream;
   *choice = (fleet_choice_t){
     .upstream = talloc_strdup (parent, upstream->id),
     .incarnation = upstream->incarnation,
     .address = talloc_strdup (parent, upstream->address),
     .zone = talloc_strdup (parent, upstream->zone->name),
-    .reason = pick_choice.reason,
+    .reason = found.reason,
     .is_cold = cold_start_is_active (upstream, now),
-    .candidates = count,
+    .candidates = found.count,
     .running = upstream->candidate.outstanding_requests,
-    .report_age_ms = upstream_report_age_ms (upstream, now),
-    .work.estimate = estimate,
+    .report_age_ms = fleet_upstream_report_age_ms (upstream, now),
+    .work.estimate = found.sizing.estimate,
     .backlog_us = upstream->backlog.work_us,
   };
-  cold_start_consume_token (upstream);
-  if (fleet->limits != NULL)
-    rate_limits_use_slot (fleet->limits, upstream->incarnation, &fleet->share);
-  upstream_count_request (upstream, &request->work);
-  work_add_request (upstream, &choice->work);
-  work_show_spread (fleet, now);
+  count_chosen (fleet, &found, request, choice, now);
   return FLEET_NO_SHORTAGE;
 }
 
--- a/relay/fleet_cold.c
+++ b/relay/fleet_cold.c
@@ -35,25 +35,46 @@
   return tokens > 1 + size ? fmod (tokens, 1) : tokens;
 }
 
+static bool
+cold_start_is_limited (const fleet_upstream_t *upstream, struct timespec now)
+{
+  return upstream->service->cold_rate > 0
+         && cold_start_is_active (upstream, now);
+}
+
+/* Return the tokens that the bucket of UPSTREAM holds at NOW.  */
+static double
+cold_tokens_at (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                struct timespec now)
+{
+  const cold_bucket_t *bucket = &upstream->cold;
+  double rate = cold_rate_per_relay (fleet, upstream);
+  double elapsed_s
+      = (double)timespec_to_us (timespec_subtract (now, bucket->filled_at))
+        / us_per_s;
+
+  return limit_tokens (bucket->tokens + elapsed_s * rate, rate);
+}
+
 /* Return whether UPSTREAM may get one more request from this relay now: it is
    not in cold start, or its bucket holds a token.  */
 bool
-cold_start_has_token (const fleet_t *fleet, fleet_upstream_t *upstream,
+cold_start_has_token (const fleet_t *fleet, const fleet_upstream_t *upstream,
                       struct timespec now)
 {
-  cold_bucket_t *bucket = &upstream->cold;
-  double rate = cold_rate_per_relay (fleet, upstream);
-  double elapsed_s;
+  return !cold_start_is_limited (upstream, now)
+         || cold_tokens_at (fleet, upstream, now) >= 1;
+}
 
-  if (upstream->service->cold_rate <= 0
-      || !cold_start_is_active (upstream, now))
-    return true;
-  elapsed_s
-      = (double)timespec_to_us (timespec_subtract (now, bucket->filled_at))
-        / us_per_s;
-  bucket->tokens = limit_tokens (bucket->tokens + elapsed_s * rate, rate);
-  bucket->filled_at = now;
-  return bucket->tokens >= 1;
+/* Add the tokens up to NOW to the bucket of UPSTREAM.  */
+void
+cold_start_refill (const fleet_t *fleet, fleet_upstream_t *upstream,
+                   struct timespec now)
+{
+  if (!cold_start_is_limited (upstream, now))
+    return;
+  upstream->cold.tokens = cold_tokens_at (fleet, upstream, now);
+  upstream->cold.filled_at = now;
 }
 
 /* Consume a token for a request to UPSTREAM.  */
--- a/relay/fleet_quota.c
+++ b/relay/fleet_quota.c
@@ -77,20 +77,35 @@
   total->sent += upstream->quota.sent;
 }
 
+static bool
+rounding_is_due (const fleet_service_t *service, struct timespec now)
+{
+  return timespec_to_ms (timespec_subtract (now, service->rounded_at))
+         >= ROUNDING_INTERVAL_MS;
+}
+
 /* Draw at random whether the share is rounded up or down, so that the shares
    of all relays add up to about the total.  */
-static void
-service_draw_rounding (fleet_t *fleet, fleet_service_t *service)
+void
+quota_draw_rounding (fleet_t *fleet, fleet_service_t *service,
+                     struct timespec now)
 {
-  struct timespec now = clock_monotonic (fleet->clock);
-
-  if (timespec_to_ms (timespec_subtract (now, service->rounded_at))
-      < ROUNDING_INTERVAL_MS)
+  if (!rounding_is_due (service, now))
     return;
   service->rounded_at = now;
   service->quota_rounding = capacity_units (fleet_random (fleet));
 }
 
+/* Return the rounding that a request at NOW gets.  */
+static int64_t
+service_rounding_at (const fleet_t *fleet, const fleet_service_t *service,
+                     struct timespec now)
+{
+  return rounding_is_due (service, now)
+             ? capacity_units (fleet_next_random (fleet))
+             : service->quota_rounding;
+}
+
 /* Return how much of QUOTA USE permits.  */
 static int64_t
 quota_usable (const fleet_quota_t *quota, const quota_use_t *use)
@@ -100,19 +115,47 @@
   return use->is_late && !use->has_classes ? quota->late_free : quota->free;
 }
 
-/* Return whether this relay has used its share of TOTAL, the capacity that the
+/* Return what this relay may use at NOW of TOTAL, the capacity that the
    upstreams of SERVICE have reported that the request may use.  */
+quota_share_t
+quota_share_at (const fleet_t *fleet, const fleet_service_t *service,
+                const fleet_quota_t *total, const quota_use_t *use,
+                struct timespec now)
+{
+  quota_share_t share
+      = { .free = quota_usable (total, use),
+          .share = quota_usable (total, use) / fleet->share.relays,
+          .reserve = capacity_units (use->reserve),
+          .rounding = service_rounding_at (fleet, service, now),
+          .sent = total->sent };
+
+  if (share.reserve > share.share - share.share / UNRESERVED_DIVISOR)
+    share.reserve = share.share - share.share / UNRESERVED_DIVISOR;
+  return share;
+}
+
+/* Return whether this relay has used its share.  */
 bool
-quota_is_share_used (fleet_t *fleet, fleet_service_t *service,
-                     const fleet_quota_t *total, const quota_use_t *use)
+quota_is_share_used (const quota_share_t *share)
+{
+  return share->sent + PER_REQUEST
+         > share->share - share->reserve + share->rounding;
+}
+
+/* Return the free capacity of UPSTREAM that USE permits.  */
+int64_t
+quota_upstream_free (const fleet_upstream_t *upstream, const quota_use_t *use)
 {
-  int64_t share = quota_usable (total, use) / fleet->share.relays;
-  int64_t reserve = capacity_units (use->reserve);
+  return quota_usable (&upstream->quota, use);
+}
 
-  if (reserve > share - share / UNRESERVED_DIVISOR)
-    reserve = share - share / UNRESERVED_DIVISOR;
-  service_draw_rounding (fleet, service);
-  return total->sent + PER_REQUEST > share - reserve + service->quota_rounding;
+/* Return this relay's share of the free capacity of UPSTREAM.  */
+int64_t
+quota_upstream_share (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                      const quota_use_t *use)
+{
+  return quota_upstream_free (upstream, use) / fleet->share.relays
+         + upstream->quota_rounding;
 }
 
 /* Return whether this relay has sent as many requests to UPSTREAM as it had
@@ -135,9 +178,6 @@
 quota_is_within_share (const fleet_t *fleet, const fleet_upstream_t *upstream,
                        const quota_use_t *use)
 {
-  const fleet_quota_t *quota = &upstream->quota;
-
-  return quota->sent + PER_REQUEST
-         <= quota_usable (quota, use) / fleet->share.relays
-                + upstream->quota_rounding;
+  return upstream->quota.sent + PER_REQUEST
+         <= quota_upstream_share (fleet, upstream, use);
 }
--- a/relay/fleet_report.c
+++ b/relay/fleet_report.c
@@ -52,15 +52,29 @@
   return group;
 }
 
+static uint64_t
+next_random_state (const fleet_t *fleet)
+{
+  return fleet->random_state * 6364136223846793005ULL + 1442695040888963407;
+}
+
+/* Return the random number that fleet_random will return next.  */
+double
+fleet_next_random (const fleet_t *fleet)
+{
+  static const double range = 4294967296.0;
+
+  return (double)(next_random_state (fleet) >> 32) / range;
+}
+
 /* Return a random number from 0 to below 1.  */
 double
 fleet_random (fleet_t *fleet)
 {
-  static const double range = 4294967296.0;
+  double number = fleet_next_random (fleet);
 
-  fleet->random_state
-      = fleet->random_state * 6364136223846793005ULL + 1442695040888963407;
-  return (double)(fleet->random_state >> 32) / range;
+  fleet->random_state = next_random_state (fleet);
+  return number;
 }
 
 /* Return the mean number of running requests per rank of GROUP.  */
--- a/relay/fleet_work.c
+++ b/relay/fleet_work.c
@@ -63,13 +63,11 @@
                       service->has_engine ? "least-work" : "least-tokens");
 }
 
-/* Include VALUE in *MEAN, which is 0 before the first.  */
-static void
-mean_add (double *mean, double value)
+/* Return MEAN, which is 0 before the first value, with VALUE included.  */
+static double
+mean_with (double mean, double value)
 {
-  if (*mean <= 0)
-    *mean = value;
-  *mean += mean_work_weight * (value - *mean);
+  return mean <= 0 ? value : mean + mean_work_weight * (value - mean);
 }
 
 /* Return the mean number of events of a response of SERVICE.  It is that of
@@ -85,19 +83,19 @@
          / fmax (engine->token_steps_per_pass, 1);
 }
 
-/* Return the mean work that is left of an outstanding request of SERVICE.  */
+/* Return the mean work that is left of an outstanding request of SERVICE,
+   whose new requests have MEAN_WORK_US.  */
 static double
-service_mean_work_left_us (const fleet_service_t *service)
+service_mean_work_left_us (const fleet_service_t *service, double mean_work_us)
 {
-  return ((double)service->backlog.work_us
-          + MEAN_WORK_REQUESTS * service->mean_work_us)
+  return ((double)service->backlog.work_us + MEAN_WORK_REQUESTS * mean_work_us)
          / (double)(service->backlog.requests + MEAN_WORK_REQUESTS);
 }
 
-/* Estimate the work of REQUEST to SERVICE, set it in *SIZED, and return it. */
-work_estimate_t
-work_estimate_request (fleet_t *fleet, fleet_service_t *service,
-                       const fleet_request_t *request, pick_request_t *sized)
+/* Estimate the work of REQUEST to SERVICE.  */
+work_sizing_t
+work_size_request (const fleet_t *fleet, const fleet_service_t *service,
+                   const fleet_request_t *request)
 {
   work_request_t work
       = { .origin = work_origin (request->route->name, request->account),
@@ -106,17 +104,29 @@
           .max_tokens = request->work.output_tokens,
           .past_events = request->past_events,
           .timeout_ms = timespec_to_ms (request->route->timeout) };
-  work_estimate_t estimate = work_model_estimate (
-      fleet->work, service->has_engine ? &service->engine : NULL, &work,
-      clock_monotonic (fleet->clock));
-
-  sized->work_us = work_left_us (&estimate, 0);
-  mean_add (&service->mean_work_us, (double)sized->work_us);
-  sized->read_us = estimate.read_us;
-  sized->mean_work_us = (uint64_t)service_mean_work_left_us (service);
+  work_sizing_t sizing = { .request = request->work };
+  pick_request_t *sized = &sizing.request;
+
+  sizing.estimate = work_model_preview (
+      fleet->work, service->has_engine ? &service->engine : NULL, &work);
+  sized->work_us = work_left_us (&sizing.estimate, 0);
+  sizing.mean_work_us
+      = mean_with (service->mean_work_us, (double)sized->work_us);
+  sized->read_us = sizing.estimate.read_us;
+  sized->mean_work_us
+      = (uint64_t)service_mean_work_left_us (service, sizing.mean_work_us);
   sized->mean_passes = service_mean_events (service);
   sized->entries = fleet->share.relays;
-  return estimate;
+  return sizing;
+}
+
+/* Record that the request of SIZING is sent to SERVICE.  */
+void
+work_use_sizing (fleet_t *fleet, fleet_service_t *service,
+                 const work_sizing_t *sizing, struct timespec now)
+{
+  service->mean_work_us = sizing->mean_work_us;
+  work_model_use (fleet->work, sizing->estimate.origin, now);
 }
 
 static void
@@ -194,7 +204,9 @@
                   - (double)candidate->requests_at_report;
 
   return (double)upstream->backlog.work_us
-         + fmax (others, 0) * service_mean_work_left_us (upstream->service);
+         + fmax (others, 0)
+               * service_mean_work_left_us (upstream->service,
+                                            upstream->service->mean_work_us);
 }
 
 /* Return the most work that is left at an upstream of SERVICE, relative to the
@@ -302,7 +314,8 @@
 service_record_output (fleet_service_t *service, const fleet_work_t *work)
 {
   if (!work->estimate.is_partial)
-    mean_add (&service->mean_events, (double)work->events);
+    service->mean_events
+        = mean_with (service->mean_events, (double)work->events);
   if (service->output_ratio != NULL)
     histogram_record_ratio (service->output_ratio,
                             (double)work->events / work->estimate.events);
--- a/relay/work_model.c
+++ b/relay/work_model.c
@@ -97,18 +97,27 @@
   talloc_free (model);
 }
 
+/* Return the index of the origin HASH in its set, or SET_ORIGINS if it is
+   unknown.  */
+static unsigned
+model_index (const work_model_t *model, uint64_t hash)
+{
+  const origin_t *set = model->origins[hash % MODEL_SETS];
+  unsigned i = 0;
+
+  while (i < SET_ORIGINS && !(set[i].is_used && set[i].hash == hash))
+    i++;
+  return i;
+}
+
 /* Return the origin HASH, or NULL if it is unknown.  */
 static origin_t *
 model_find (work_model_t *model, uint64_t hash)
 {
-  origin_t *set = model->origins[hash % MODEL_SETS];
+  unsigned index = model_index (model, hash);
 
-  for (unsigned i = 0; i < SET_ORIGINS; i++)
-    {
-      if (set[i].is_used && set[i].hash == hash)
-        return &set[i];
-    }
-  return NULL;
+  return index < SET_ORIGINS ? &model->origins[hash % MODEL_SETS][index]
+                             : NULL;
 }
 
 /* Return the origin HASH; a new one replaces the least recently used of its
@@ -212,12 +221,16 @@
   return ms * US_PER_MS < (double)max_us ? (uint64_t)(ms * US_PER_MS) : max_us;
 }
 
-/* Estimate the work of REQUEST.  */
+/* Estimate the work of REQUEST without changing MODEL.  */
 work_estimate_t
-work_model_estimate (work_model_t *model, const engine_profile_t *engine,
-                     const work_request_t *request, struct timespec now)
+work_model_preview (const work_model_t *model, const engine_profile_t *engine,
+                    const work_request_t *request)
 {
-  origin_t *origin = model_find (model, request->origin);
+  unsigned index = model_index (model, request->origin);
+  const origin_t *origin
+      = index < SET_ORIGINS
+            ? &model->origins[request->origin % MODEL_SETS][index]
+            : NULL;
   double prompt_tokens = (double)request->prompt_tokens;
   int64_t max_ms
       = request->timeout_ms > 0 ? request->timeout_ms : DEFAULT_TIMEOUT_MS;
@@ -225,8 +238,6 @@
       = { .origin = request->origin, .max_us = (uint64_t)max_ms * US_PER_MS };
   double output_tokens;
 
-  if (origin != NULL)
-    origin->used_at = now;
   if (engine == NULL)
     {
       if (origin != NULL)
@@ -243,6 +254,26 @@
   return estimate;
 }
 
+/* Record that a request of ORIGIN has been estimated, so that what is known of
+   others is replaced first.  */
+void
+work_model_use (work_model_t *model, uint64_t origin, struct timespec now)
+{
+  origin_t *known = model_find (model, origin);
+
+  if (known != NULL)
+    known->used_at = now;
+}
+
+/* Estimate the work of REQUEST, which is to be sent.  */
+work_estimate_t
+work_model_estimate (work_model_t *model, const engine_profile_t *engine,
+                     const work_request_t *request, struct timespec now)
+{
+  work_model_use (model, request->origin, now);
+  return work_model_preview (model, engine, request);
+}
+
 /* Return the events that are still expected after EVENTS have been received.
    They go from those expected at first, in a straight line, to the usual
    overrun once as many have been received: fewer if responses end as expected,
