--- a/common/daemon.c
+++ b/common/daemon.c
@@ -133,7 +133,9 @@
         settings_release (settings);
       return;
     }
-  http_reply_text (exchange, 404, "text/plain", "not found\n");
+  if (daemon->program->on_admin_request == NULL
+      || !daemon->program->on_admin_request (daemon->state, exchange))
+    http_reply_text (exchange, 404, "text/plain", "not found\n");
 }
 
 static const http_server_ops_t admin_ops = {
--- a/include/common/daemon.h
+++ b/include/common/daemon.h
@@ -2,6 +2,7 @@
 #define SISKIN_COMMON_DAEMON_H
 
 #include "common/config.h"
+#include "common/http_server.h"
 #include "common/node.h"
 #include "kernel/clock.h"
 #include "kernel/pool.h"
@@ -25,6 +26,10 @@
   /* Apply those settings in NEW_CONFIG that can change while the program runs.
      Called on worker 0.  NULL when none can.  */
   void (*reload) (void *state, const config_t *new_config);
+  /* Reply to a request to the admin server for a page of the program's own.
+     Returns false if there is no such page.  Called on worker 0.  NULL for
+     none.  */
+  bool (*on_admin_request) (void *state, http_exchange_t *exchange);
   /* Free STATE.  Called when no worker runs any more.  */
   void (*destroy) (void *state);
 } daemon_program_t;
--- a/include/relay/client_timeouts.h
+++ b/include/relay/client_timeouts.h
@@ -21,5 +21,10 @@
                                         const char *route,
                                         struct timespec limit,
                                         struct timespec client_timeout);
+/* Returns the same without recording a request.  */
+struct timespec client_timeouts_waited (client_timeouts_t *timeouts,
+                                        const char *route,
+                                        struct timespec limit,
+                                        struct timespec client_timeout);
 
 #endif
--- a/include/relay/request_queue.h
+++ b/include/relay/request_queue.h
@@ -75,6 +75,13 @@
                                              const char *service,
                                              unsigned urgency,
                                              struct timespec now);
+/* Returns how many queued requests for SERVICE of OTHER_URGENCY come before a
+   new one of URGENCY, which may be late already; those whose class has been
+   passed over too often aside.  */
+unsigned request_queue_count_before (const request_queue_t *queue,
+                                     const char *service,
+                                     unsigned other_urgency, unsigned urgency,
+                                     bool is_late, struct timespec now);
 void request_queue_retry (request_queue_t *queue, struct timespec now,
                           queue_try_t try, void *data);
 
--- a/relay/client_timeouts.c
+++ b/relay/client_timeouts.c
@@ -158,6 +158,27 @@
   return waited_us > MAX_DEVIATIONS * route->deviation_us ? waited_us : 0;
 }
 
+/* Return the time that the client of a request of ROUTE has waited before,
+   without recording the request.  */
+struct timespec
+client_timeouts_waited (client_timeouts_t *timeouts, const char *route,
+                        struct timespec limit, struct timespec client_timeout)
+{
+  int64_t waited_us = 0;
+  table_node_t *node;
+
+  if (timespec_to_us (limit) <= 0)
+    return (struct timespec){ 0, 0 };
+  table_lock (timeouts->routes);
+  node = table_find (timeouts->routes, route, strlen (route));
+  if (node != NULL)
+    waited_us = route_waited_us (CONTAINER_OF (node, route_timeout_t, node),
+                                 timespec_to_us (client_timeout),
+                                 timespec_to_us (limit));
+  table_unlock (timeouts->routes);
+  return timespec_from_us (waited_us);
+}
+
 /* Record a request of ROUTE and return the time that its client has waited
    before.  */
 struct timespec
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -7,24 +7,16 @@
 #include "relay/attempt_timeout.h"
 #include "relay/feed.h"
 #include "relay/request_digest.h"
+#include "relay/request_verdict.h"
 
 #include <string.h>
 
 enum
 {
-  DEFAULT_CLIENT_TIMEOUT_MS = 60000, /* if the client sends no deadline */
-  /* A request may be queued for its timeout divided by this at most.  */
-  QUEUE_TIME_DIVISOR = 2,
   /* Attempts beyond the route's limit, for upstreams that did not run the
      request.  */
   MAX_EXTRA_ATTEMPTS = 2,
   MAX_UNREACHABLE_ATTEMPTS = 6,
-  /* Retry-After is the remaining time divided by this; clients accept up to a
-     third of the remaining time.  */
-  RETRY_AFTER_DIVISOR = 4,
-  RETRY_AFTER_MIN_MS = 50,
-  /* A request is late once its objective divided by this has passed.  */
-  LATE_START_DIVISOR = 2,
   MAX_LOGGED_SEGMENTS = 16,
   US_PER_MS = 1000
 };
@@ -155,11 +147,7 @@
 struct timespec
 forward_default_retry_after (const forward_t *forward)
 {
-  int64_t remaining_ms = timespec_to_ms (forward_remaining_time (forward));
-  int64_t retry_ms = remaining_ms / RETRY_AFTER_DIVISOR;
-
-  return timespec_from_ms (retry_ms < RETRY_AFTER_MIN_MS ? RETRY_AFTER_MIN_MS
-                                                         : retry_ms);
+  return verdict_retry_after (forward_remaining_time (forward));
 }
 
 /* Fail the request with RELAY_NOT_RUN, as no upstream has run it or will run
@@ -303,31 +291,21 @@
     forward_abort (forward, FLEET_CLIENT_LEFT, RELAY_OUTCOME_UNKNOWN);
 }
 
-/* Set the deadline to the client's timeout or that of the route, whichever is
-   shorter, and limit the time that the request may be queued.  */
+/* Set the request's deadline, and limit the time that it may be queued.  */
 static void
 forward_set_deadline (forward_t *forward)
 {
   const relay_request_t *request = forward->request;
-  struct timespec client_timeout
-      = request->has_client_timeout
-            ? request->client_timeout
-            : timespec_from_ms (DEFAULT_CLIENT_TIMEOUT_MS);
-  struct timespec timeout = forward->route->timeout;
-  int64_t queue_ms;
-
-  if (timespec_to_ms (timeout) > 0
-      && timespec_compare (timeout, client_timeout) < 0)
-    client_timeout = timeout;
-  queue_ms = timespec_to_ms (client_timeout) / QUEUE_TIME_DIVISOR;
-  if (queue_ms > FLEET_MAX_QUEUE_MS)
-    queue_ms = FLEET_MAX_QUEUE_MS;
-  forward->deadline = timespec_add (forward->arrived_at, client_timeout);
+  struct timespec timeout = verdict_timeout (
+      forward->route,
+      request->has_client_timeout ? &request->client_timeout : NULL);
+
+  forward->deadline = timespec_add (forward->arrived_at, timeout);
   forward->queued.give_up_at
-      = timespec_add (forward->arrived_at, timespec_from_ms (queue_ms));
+      = timespec_add (forward->arrived_at, verdict_queue_time (timeout));
   forward->deadline_timer
-      = worker_timer_start (forward->relay_worker->worker, forward,
-                            client_timeout, forward_handle_deadline, forward);
+      = worker_timer_start (forward->relay_worker->worker, forward, timeout,
+                            forward_handle_deadline, forward);
 }
 
 /* End the request, which is not sent to another upstream.  WHY is for the
@@ -380,43 +358,29 @@
   return true;
 }
 
-/* All upstreams that may be used have asked for no requests.  Unless one takes
-   requests again while this one may be queued, end it at once, and tell its
-   client when to come back.  Returns whether it has ended.  */
-static bool
-forward_refuse_paused (forward_t *forward)
+/* Return what the verdict on the request depends on.  */
+static verdict_case_t
+forward_verdict_case (const forward_t *forward)
 {
-  const relay_t *relay = forward->relay_worker->relay;
-  struct timespec left
-      = fleet_pause_left (relay->fleet, forward->criteria.service);
-
-  if (timespec_compare (timespec_add (forward_now (forward), left),
-                        forward->queued.give_up_at)
-      < 0)
-    return false;
-  forward_give_up (forward, fleet_shortage_name (FLEET_ALL_PAUSED), left);
-  return true;
+  return (verdict_case_t){ .fleet = forward->relay_worker->relay->fleet,
+                           .queue = forward->relay_worker->queue,
+                           .service = forward->criteria.service,
+                           .urgency = forward->criteria.urgency,
+                           .now = forward_now (forward),
+                           .arrived_at = forward->arrived_at,
+                           .give_up_at = forward->queued.give_up_at,
+                           .deadline = forward->deadline,
+                           .has_waited = forward->has_waited };
 }
 
-/* Refuse the request, which has not been queued yet, if those before it in the
-   queue would take longer than it may be queued: it would wait in vain.
-   Returns whether it has ended.  */
-static bool
-forward_refuse_hopeless (forward_t *forward)
-{
-  struct timespec now = forward_now (forward);
-  struct timespec wait = request_queue_expected_wait (
-      forward->relay_worker->queue, forward->criteria.service,
-      forward->criteria.urgency, now);
-
-  if (forward->has_waited
-      || timespec_compare (timespec_add (now, wait),
-                           forward->queued.give_up_at)
-             < 0)
-    return false;
-  forward_give_up (forward, "queue-too-long",
-                   forward_default_retry_after (forward));
-  return true;
+/* Queue or end the request, which cannot be sent now, as VERDICT says.  */
+static queue_result_t
+forward_follow (forward_t *forward, const request_verdict_t *verdict)
+{
+  if (verdict->action == VERDICT_WAIT)
+    return forward_wait_or_fail (forward, verdict->is_temporary, verdict->why);
+  forward_give_up (forward, verdict->why, verdict->retry_after);
+  return QUEUE_ENDED;
 }
 
 /* No upstream can be chosen because of SHORTAGE.  Queue the request, or end it
@@ -424,20 +388,10 @@
 static queue_result_t
 forward_handle_shortage (forward_t *forward, fleet_shortage_t shortage)
 {
-  queue_result_t result;
+  verdict_case_t facts = forward_verdict_case (forward);
+  request_verdict_t verdict = verdict_on_shortage (&facts, shortage);
+  queue_result_t result = forward_follow (forward, &verdict);
 
-  if ((shortage == FLEET_ALL_PAUSED && forward_refuse_paused (forward))
-      || (shortage == FLEET_ALL_FULL && forward_refuse_hopeless (forward)))
-    return QUEUE_ENDED;
-  if (shortage == FLEET_NO_GROUP)
-    {
-      forward_give_up (forward, fleet_shortage_name (shortage),
-                       forward_default_retry_after (forward));
-      return QUEUE_ENDED;
-    }
-  result
-      = forward_wait_or_fail (forward, fleet_shortage_is_temporary (shortage),
-                              fleet_shortage_name (shortage));
   return result == QUEUE_WAITS && shortage == FLEET_ALL_FULL ? QUEUE_FULL
                                                              : result;
 }
@@ -541,19 +495,14 @@
 forward_find_route (forward_t *forward)
 {
   const relay_request_t *request = forward->request;
+  relay_failure_t failure;
 
   forward->rules = relay_rules (forward->relay_worker->relay);
-  if (forward->rules == NULL)
-    return RELAY_NO_RULES;
-  forward->route
-      = rules_route (forward->rules, request->host, request->target);
-  if (forward->route == NULL)
-    return RELAY_NO_ROUTE;
-  if (forward->rules->has_accounts && request->key[0] != '\0')
-    forward->account = rules_account_by_key (forward->rules, request->key);
-  if (forward->rules->has_accounts && forward->account == NULL
-      && !forward->route->is_public)
-    return RELAY_NO_ACCOUNT;
+  failure
+      = verdict_find_route (forward->rules, request->host, request->target,
+                            request->key, &forward->route, &forward->account);
+  if (failure != RELAY_FAILURE_COUNT)
+    return failure;
   forward->criteria.service
       = route_choose_target (forward->route, random_next ());
   return forward->criteria.service == NULL ? RELAY_NO_ROUTE
@@ -577,19 +526,16 @@
 static void
 forward_classify (forward_t *forward)
 {
-  int64_t late_ms
-      = timespec_to_ms (forward->route->objective) / LATE_START_DIVISOR;
+  struct timespec late_after = verdict_late_after (forward->route);
   struct timespec waited = forward_time_waited (forward);
 
   forward->criteria.urgency
       = rules_urgency (forward->rules, forward->route, forward->account);
   forward->queued.service = forward->criteria.service;
   forward->queued.urgency = forward->criteria.urgency;
-  forward->queued.late_from
-      = timespec_add (timespec_subtract (forward->arrived_at, waited),
-                      timespec_from_ms (late_ms));
-  forward->criteria.is_late
-      = late_ms > 0 && timespec_to_ms (waited) >= late_ms;
+  forward->queued.late_from = timespec_add (
+      timespec_subtract (forward->arrived_at, waited), late_after);
+  forward->criteria.is_late = verdict_is_late (forward->route, waited);
 }
 
 /* Set what the request is known by if its upstream crashes.  */
@@ -619,8 +565,10 @@
 
   if (forward_must_queue (forward))
     {
-      if (!forward_refuse_hopeless (forward))
-        forward_wait_or_fail (forward, true, "more-urgent-first");
+      verdict_case_t facts = forward_verdict_case (forward);
+      request_verdict_t verdict = verdict_on_more_urgent (&facts);
+
+      forward_follow (forward, &verdict);
     }
   else if (forward_dispatch (forward) == QUEUE_SENT)
     request_queue_count_sent (queue, service, urgency, forward_now (forward));
@@ -657,10 +605,7 @@
   failure = forward_find_route (forward);
   if (failure != RELAY_FAILURE_COUNT)
     {
-      forward_fail (forward, failure,
-                    failure == RELAY_NO_RULES
-                        ? timespec_from_ms (RETRY_AFTER_MIN_MS)
-                        : (struct timespec){ 0, 0 });
+      forward_fail (forward, failure, verdict_failure_retry_after (failure));
       return;
     }
   forward->criteria.route = forward->route;
--- a/relay/forward_queue.c
+++ b/relay/forward_queue.c
@@ -2,13 +2,11 @@
 
 #include "kernel/log.h"
 #include "kernel/table.h"
+#include "relay/request_verdict.h"
 
 enum
 {
-  QUEUE_RETRY_MS = 20, /* interval between attempts to send queued requests */
-  /* A request for which no upstream may be used waits this long: enough for a
-     refresh of the listings, which may show a new one.  */
-  UNUSABLE_QUEUE_MAX_MS = 100
+  QUEUE_RETRY_MS = 20 /* interval between attempts to send queued requests */
 };
 
 static void
@@ -38,28 +36,17 @@
   return clock_monotonic (relay_worker->relay->clock);
 }
 
-/* Return whether the request has waited for as long as it may.  An upstream
-   that is full, cold or stalled will take requests again, which IS_TEMPORARY
-   says; otherwise the client does better to come back.  */
-static bool
-forward_has_waited_enough (const forward_t *forward, bool is_temporary)
-{
-  struct timespec now = relay_worker_now (forward->relay_worker);
-  struct timespec age = timespec_subtract (now, forward->arrived_at);
-
-  return timespec_compare (now, forward->queued.give_up_at) >= 0
-         || (!is_temporary && timespec_to_ms (age) >= UNUSABLE_QUEUE_MAX_MS);
-}
-
 /* Queue the request until it can be sent, or end it if it has waited for too
-   long; see forward_has_waited_enough for IS_TEMPORARY.  WHY is for the log.
+   long; see verdict_wait_end for IS_TEMPORARY.  WHY is for the log.
    Returns QUEUE_WAITS or QUEUE_ENDED.  */
 queue_result_t
 forward_wait_or_fail (forward_t *forward, bool is_temporary, const char *why)
 {
   relay_worker_t *relay_worker = forward->relay_worker;
+  struct timespec wait_end = verdict_wait_end (
+      forward->arrived_at, forward->queued.give_up_at, is_temporary);
 
-  if (forward_has_waited_enough (forward, is_temporary)
+  if (timespec_compare (relay_worker_now (relay_worker), wait_end) >= 0
       || (forward->queued.class == NULL
           && !request_queue_add (relay_worker->queue, &forward->queued,
                                  relay_worker_now (relay_worker))))
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -9,6 +9,7 @@
 #include "relay/discovery.h"
 #include "relay/feed.h"
 #include "relay/forward.h"
+#include "relay/place_page.h"
 #include "relay/program.h"
 #include "relay/readiness.h"
 
@@ -373,6 +374,15 @@
     }
 }
 
+static bool
+relay_on_admin_request (void *state, http_exchange_t *exchange)
+{
+  if (strcmp (http_exchange_path (exchange), "/place") != 0)
+    return false;
+  place_page_reply (state, exchange);
+  return true;
+}
+
 static void
 relay_destroy (void *state)
 {
@@ -408,5 +418,6 @@
   .start = relay_start,
   .stop = relay_stop,
   .reload = relay_reload,
+  .on_admin_request = relay_on_admin_request,
   .destroy = relay_destroy,
 };
--- a/relay/request_queue.c
+++ b/relay/request_queue.c
@@ -113,6 +113,12 @@
   return created;
 }
 
+static bool
+request_is_late (const queued_request_t *request, struct timespec now)
+{
+  return timespec_compare (request->late_from, now) <= 0;
+}
+
 /* Queue REQUEST behind the others of its class.  Returns false when memory is
    exhausted.  */
 bool
@@ -247,6 +253,40 @@
   return timespec_from_ms ((int64_t)fmin (wait_ms, MAX_EXPECTED_WAIT_MS));
 }
 
+static unsigned
+class_count_on_time (const request_class_t *class, struct timespec now)
+{
+  const queued_request_t *request;
+  unsigned count = 0;
+
+  TAILQ_FOREACH (request, &class->requests, link)
+    {
+      if (!request_is_late (request, now))
+        count++;
+    }
+  return count;
+}
+
+/* Return how many queued requests for SERVICE of OTHER_URGENCY are tried
+   before a new one of URGENCY.  */
+unsigned
+request_queue_count_before (const request_queue_t *queue, const char *service,
+                            unsigned other_urgency, unsigned urgency,
+                            bool is_late, struct timespec now)
+{
+  const request_class_t *class;
+
+  LIST_FOREACH (class, &queue->classes, link)
+    {
+      if (class->urgency == other_urgency && class_is_of (class, service))
+        break;
+    }
+  if (class == NULL || other_urgency > urgency)
+    return 0;
+  return other_urgency < urgency || is_late ? class->count
+                                            : class_count_on_time (class, now);
+}
+
 /* Try REQUEST of CLASS, and count it if it was sent.  */
 static queue_result_t
 class_try (request_queue_t *queue, request_class_t *class,
@@ -262,12 +302,6 @@
   return result;
 }
 
-static bool
-request_is_late (const queued_request_t *request, struct timespec now)
-{
-  return timespec_compare (request->late_from, now) <= 0;
-}
-
 /* Try the requests of CLASS whose lateness is that of TURN, in order of
    arrival, until there is no capacity for one of them.  */
 static void
