--- a/tests/process/test_place.py
+++ b/tests/process/test_place.py
@@ -1,17 +1,19 @@
 """siskinctl place: where a relay would send a request now, and why, without
 sending it."""
 
+import contextlib
 import http.client
 import json
 import subprocess
 import unittest
 
 from cluster import BUILD, wait_until
-from platform_fixture import ACCOUNT, HOST, KEY, Platform, ask
+from platform_fixture import ACCOUNT, HOST, KEY, Caller, Platform, ask
 
 EXIT_ERROR = 1
 EXIT_USAGE = 64
 CHANGE_S = 5
+QUEUED = 3
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 # Together more than MAX_ANSWER_BYTES.
 LISTINGS = 2000
@@ -122,6 +124,42 @@
                 self.assertEqual(placement["why"], why)
         self.assertNotIn("key-unknown", self.relay.text())
 
+    def test_position_in_the_queue_is_told(self):
+        """All replicas are cold and take no request, so requests queue."""
+        def make_cold(config):
+            config["services"][1].update(cold_per_s=0.001)
+        self.platform.configure(make_cold)
+        for app in self.apps:
+            app.cold_left_ms = 20000
+            self.platform.run(app.publish())
+        wait_until(lambda: set(self.obstacles().values()) == {"cold"},
+                   CHANGE_S, "the cold start")
+        with contextlib.ExitStack() as stack:
+            for _ in range(QUEUED):
+                caller = stack.enter_context(Caller(self.relay))
+                caller.send("/check/x")
+            wait_until(lambda: self.place()["queue"]["before"] == QUEUED, 1.5,
+                       "the queue")
+            placement = self.place()
+        self.assertEqual(placement["action"], "wait")
+        self.assertEqual(placement["why"], "all-cold")
+        self.assertEqual(placement["queue"]["classes"][-1],
+                         {"urgency": placement["urgency"], "before": QUEUED})
+
+    def test_engines_are_shown_as_reported(self):
+        self.platform.start_group(ranks=3)
+        wait_until(lambda: [
+            upstream for upstream in self.place("/look/x")["upstreams"]
+            if upstream["capacity"] is not None], CHANGE_S, "the reports")
+        placement = self.place("/look/x", "hint=100", "output=500")
+        self.assertEqual(len(placement["upstreams"]), 3)
+        self.assertEqual(placement["expected_events"], 100 / 5)
+        self.assertGreater(placement["work_ms"], 0)
+        upstream = placement["upstreams"][0]
+        self.assertTrue(upstream["group"])
+        self.assertGreater(upstream["capacity"]["free"], 0)
+        self.assertGreaterEqual(upstream["report_age_ms"], 0)
+
     def test_bad_arguments(self):
         for arguments, error in (
                 ((HOST, "check"), "path must begin with a slash"),
--- a/tests/test_fleet_explain.c
+++ b/tests/test_fleet_explain.c
@@ -23,7 +23,8 @@
   RELAYS = 3,
   ROUNDS = 600,
   ROUND_MS = 17,
-  REPORT_ROUNDS = 6, /* between two reports */
+  REPORT_ROUNDS = 6,    /* between two reports */
+  LONG_PROMPT = 100000, /* tokens */
   EXPLAINED_TWICE = 2
 };
 
@@ -224,11 +225,29 @@
   return choice.upstream;
 }
 
-/* Let the time of a round pass, with reports now and then.  */
+/* Explain requests that are never made, at a time when none is: long ones, of
+   which the mean must not be learned.  */
 static void
-fixture_advance (fixture_t *fixture, unsigned round)
+fixture_ask_in_vain (fixture_t *fixture, unsigned round)
 {
-  clock_advance (fixture->clock, timespec_from_ms (ROUND_MS));
+  fleet_request_t request = fixture_request (fixture, round);
+  TALLOC_CTX *context = talloc_new (NULL);
+
+  request.work.prompt_tokens = LONG_PROMPT;
+  request.hinted_tokens = request.work.output_tokens;
+  fixture_explain (fixture, context, &request);
+  talloc_free (context);
+}
+
+/* Let the time of a round pass, with reports now and then.  If IS_ASKED,
+   explanations are asked for meanwhile.  */
+static void
+fixture_advance (fixture_t *fixture, unsigned round, bool is_asked)
+{
+  clock_advance (fixture->clock, timespec_from_ms (ROUND_MS / 2));
+  if (is_asked)
+    fixture_ask_in_vain (fixture, round);
+  clock_advance (fixture->clock, timespec_from_ms (ROUND_MS - ROUND_MS / 2));
   if (round % REPORT_ROUNDS != 0)
     return;
   for (unsigned i = 0; i < UPSTREAMS; i += 2)
@@ -256,8 +275,8 @@
       const char *asked_upstream;
       const char *other_upstream;
 
-      fixture_advance (asked, round);
-      fixture_advance (other, round);
+      fixture_advance (asked, round, true);
+      fixture_advance (other, round, false);
       fleet_count_request (asked->fleet, request.service, request.urgency);
       fleet_count_request (other->fleet, request.service, request.urgency);
       explanation = fixture_explain (asked, context, &request);
