Relay: fill the bucket of a cold upstream only when a token is used

A choice filled the buckets of all upstreams first, so that looking changes nothing, which made it pass over them twice.

--- a/ctl/commands/place.c
+++ b/ctl/commands/place.c
@@ -352,6 +352,11 @@
   if (argc < 4)
     return CTL_USAGE;
   question = json_pack ("{s:s,s:s}", "host", argv[2], "path", argv[3]);
+  if (question == NULL)
+    {
+      report_error (ctl, "host and path must be UTF-8");
+      return CTL_ERROR;
+    }
   for (int i = 4; i < argc && is_valid; i++)
     is_valid = place_read_argument (ctl, argv[i], question);
   if (is_valid)
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -269,9 +269,9 @@
 bool cold_start_has_token (const fleet_t *fleet,
                            const fleet_upstream_t *upstream,
                            struct timespec now);
-void cold_start_refill (const fleet_t *fleet, fleet_upstream_t *upstream,
-                        struct timespec now);
-void cold_start_consume_token (fleet_upstream_t *upstream);
+void cold_start_consume_token (const fleet_t *fleet,
+                               fleet_upstream_t *upstream,
+                               struct timespec now);
 /* REMAINING comes from each listing of the upstream.  When its zone returns to
    service, it is the service's cold time until the next listing.  */
 void cold_start_set_remaining (fleet_t *fleet, fleet_upstream_t *upstream,
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -239,17 +239,6 @@
   return choice;
 }
 
-/* Bring what changes with time up to NOW before a choice.  */
-static void
-refresh_service (fleet_t *fleet, fleet_service_t *service, struct timespec now)
-{
-  fleet_upstream_t *upstream;
-
-  quota_draw_rounding (fleet, service, now);
-  STAILQ_FOREACH (upstream, &service->upstreams, link)
-    cold_start_refill (fleet, upstream, now);
-}
-
 /* Count the request that is sent to the upstream in FOUND.  */
 static void
 count_chosen (fleet_t *fleet, const upstream_choice_t *found,
@@ -259,7 +248,7 @@
   fleet_upstream_t *upstream = found->upstream;
 
   work_use_sizing (fleet, upstream->service, &found->sizing, now);
-  cold_start_consume_token (upstream);
+  cold_start_consume_token (fleet, upstream, now);
   if (fleet->limits != NULL)
     rate_limits_use_slot (fleet->limits, upstream->incarnation, &fleet->share);
   upstream_count_request (upstream, &request->work);
@@ -279,7 +268,7 @@
 
   if (service == NULL)
     return FLEET_NO_UPSTREAM;
-  refresh_service (fleet, service, now);
+  quota_draw_rounding (fleet, service, now);
   found = choice_find (fleet, service, request, service->pick, now);
   if (found.shortage != FLEET_NO_SHORTAGE)
     return found.shortage;
--- a/relay/fleet_cold.c
+++ b/relay/fleet_cold.c
@@ -24,7 +24,8 @@
 
 /* Limit TOKENS to what the bucket holds at RATE.  If that is less than one
    token, as among many relays, a token can be used for as long as the bucket
-   takes to fill and is lost then.  */
+   takes to fill and is lost then.  The result does not depend on how often the
+   tokens were limited meanwhile.  */
 static double
 limit_tokens (double tokens, double rate)
 {
@@ -32,7 +33,7 @@
 
   if (size >= 1)
     return fmin (tokens, size);
-  return tokens > 1 + size ? fmod (tokens, 1) : tokens;
+  return tokens > 1 + size ? tokens - ceil (tokens - (1 + size)) : tokens;
 }
 
 static bool
@@ -66,23 +67,16 @@
          || cold_tokens_at (fleet, upstream, now) >= 1;
 }
 
-/* Add the tokens up to NOW to the bucket of UPSTREAM.  */
+/* Consume a token for a request to UPSTREAM at NOW.  */
 void
-cold_start_refill (const fleet_t *fleet, fleet_upstream_t *upstream,
-                   struct timespec now)
+cold_start_consume_token (const fleet_t *fleet, fleet_upstream_t *upstream,
+                          struct timespec now)
 {
   if (!cold_start_is_limited (upstream, now))
     return;
-  upstream->cold.tokens = cold_tokens_at (fleet, upstream, now);
-  upstream->cold.filled_at = now;
-}
-
-/* Consume a token for a request to UPSTREAM.  */
-void
-cold_start_consume_token (fleet_upstream_t *upstream)
-{
-  if (upstream->cold.tokens >= 1)
-    upstream->cold.tokens -= 1;
+  upstream->cold
+      = (cold_bucket_t){ .tokens = cold_tokens_at (fleet, upstream, now) - 1,
+                         .filled_at = now };
 }
 
 /* Set the remaining cold start time of UPSTREAM to REMAINING.  The bucket
--- a/tests/process/test_place.py
+++ b/tests/process/test_place.py
@@ -164,6 +164,7 @@
         for arguments, error in (
                 ((HOST, "check"), "path must begin with a slash"),
                 (("", "/check/x"), "host must not be empty"),
+                ((b"\xff", "/check/x"), "must be UTF-8"),
                 ((HOST, "/check/x", "prompt=many"), "not a number"),
                 ((HOST, "/check/x", "prompt=-1"), "not a number"),
                 ((HOST, "/check/x", "output=99999999999"), "from 0 to"),
