--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -89,6 +89,13 @@
   double mean_work_us;    /* of the service's requests, with this one */
 } work_sizing_t;
 
+/* What a choice sees of one upstream.  */
+typedef struct upstream_verdict
+{
+  fleet_obstacle_t obstacle;
+  fleet_preference_t preference;
+} upstream_verdict_t;
+
 /* The upstream that is found for a request, and why.  */
 typedef struct upstream_choice
 {
@@ -283,18 +290,11 @@
                                const fleet_service_t *service,
                                const fleet_request_t *request, pick_t *pick,
                                struct timespec now);
-fleet_obstacle_t choice_obstacle (const fleet_t *fleet,
-                                  const fleet_upstream_t *upstream,
-                                  const fleet_request_t *request,
-                                  struct timespec now);
-fleet_obstacle_t choice_capacity_obstacle (const fleet_t *fleet,
-                                           const fleet_upstream_t *upstream,
-                                           const quota_use_t *use,
-                                           bool is_share_used);
-fleet_preference_t choice_preference (const fleet_t *fleet,
-                                      const fleet_upstream_t *upstream,
-                                      const quota_use_t *use,
-                                      struct timespec now);
+upstream_verdict_t choice_verdict (const fleet_t *fleet,
+                                   const upstream_choice_t *choice,
+                                   const fleet_upstream_t *upstream,
+                                   const fleet_request_t *request,
+                                   struct timespec now);
 int64_t fleet_upstream_report_age_ms (const fleet_upstream_t *upstream,
                                       struct timespec now);
 
@@ -347,11 +347,9 @@
                               const fleet_quota_t *total,
                               const quota_use_t *use, struct timespec now);
 bool quota_is_share_used (const quota_share_t *share);
-int64_t quota_upstream_free (const fleet_upstream_t *upstream,
-                             const quota_use_t *use);
-int64_t quota_upstream_share (const fleet_t *fleet,
-                              const fleet_upstream_t *upstream,
-                              const quota_use_t *use);
+quota_share_t quota_upstream_share (const fleet_t *fleet,
+                                    const fleet_upstream_t *upstream,
+                                    const quota_use_t *use);
 bool quota_is_upstream_full (const fleet_upstream_t *upstream,
                              const quota_use_t *use);
 bool quota_is_within_share (const fleet_t *fleet,
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -56,9 +56,9 @@
 }
 
 /* Return how desirable UPSTREAM is for a request with USE.  */
-fleet_preference_t
-choice_preference (const fleet_t *fleet, const fleet_upstream_t *upstream,
-                   const quota_use_t *use, struct timespec now)
+static fleet_preference_t
+upstream_preference (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                     const quota_use_t *use, struct timespec now)
 {
   if (health_is_ejected (upstream, now))
     return PREFER_EJECTED;
@@ -74,9 +74,9 @@
 
 /* Return the reason why UPSTREAM cannot be chosen, or OBSTACLE_NONE.  Does not
    consider its reported capacity.  */
-fleet_obstacle_t
-choice_obstacle (const fleet_t *fleet, const fleet_upstream_t *upstream,
-                 const fleet_request_t *request, struct timespec now)
+static fleet_obstacle_t
+find_obstacle (const fleet_t *fleet, const fleet_upstream_t *upstream,
+               const fleet_request_t *request, struct timespec now)
 {
   fleet_obstacle_t exclusion = find_exclusion (upstream, request);
 
@@ -99,10 +99,9 @@
 
 /* Return why UPSTREAM, which has no other obstacle, has no capacity for a
    request with USE, or OBSTACLE_NONE.  */
-fleet_obstacle_t
-choice_capacity_obstacle (const fleet_t *fleet,
-                          const fleet_upstream_t *upstream,
-                          const quota_use_t *use, bool is_share_used)
+static fleet_obstacle_t
+find_capacity_obstacle (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                        const quota_use_t *use, bool is_share_used)
 {
   if (!fleet_upstream_is_full (fleet, upstream, use, is_share_used))
     return OBSTACLE_NONE;
@@ -139,12 +138,14 @@
   STAILQ_FOREACH (upstream, &service->upstreams, link)
     {
       fleet_obstacle_t obstacle
-          = choice_obstacle (fleet, upstream, request, now);
+          = find_obstacle (fleet, upstream, request, now);
 
-      raise_shortage (shortage, obstacle);
       if (obstacle != OBSTACLE_NONE)
-        continue;
-      upstream->preference = choice_preference (fleet, upstream, use, now);
+        {
+          raise_shortage (shortage, obstacle);
+          continue;
+        }
+      upstream->preference = upstream_preference (fleet, upstream, use, now);
       if (upstream->preference <= PREFER_HEALTHY)
         has_healthy = true;
       quota_add (fleet,
@@ -179,11 +180,15 @@
   for (unsigned i = 0; i < usable; i++)
     {
       fleet_upstream_t *upstream = fleet->candidate_upstreams[i];
-      fleet_obstacle_t obstacle = choice_capacity_obstacle (
+      fleet_obstacle_t obstacle = find_capacity_obstacle (
           fleet, upstream, &choice->use, is_share_used);
 
-      raise_shortage (&choice->shortage, obstacle);
-      if (obstacle != OBSTACLE_NONE || upstream->preference > best)
+      if (obstacle != OBSTACLE_NONE)
+        {
+          raise_shortage (&choice->shortage, obstacle);
+          continue;
+        }
+      if (upstream->preference > best)
         continue;
       if (upstream->preference < best)
         count = 0;
@@ -216,6 +221,23 @@
   return timespec_to_ms (timespec_subtract (now, report->at));
 }
 
+/* Return what CHOICE, for REQUEST at NOW, has seen of UPSTREAM.  */
+upstream_verdict_t
+choice_verdict (const fleet_t *fleet, const upstream_choice_t *choice,
+                const fleet_upstream_t *upstream,
+                const fleet_request_t *request, struct timespec now)
+{
+  upstream_verdict_t verdict
+      = { .obstacle = find_obstacle (fleet, upstream, request, now),
+          .preference
+          = upstream_preference (fleet, upstream, &choice->use, now) };
+
+  if (verdict.obstacle == OBSTACLE_NONE)
+    verdict.obstacle = find_capacity_obstacle (
+        fleet, upstream, &choice->use, quota_is_share_used (&choice->share));
+  return verdict;
+}
+
 /* Find the upstream of SERVICE for REQUEST at NOW with PICK, which is the only
    thing that this changes.  Without PICK it only finds the candidates.  */
 upstream_choice_t
--- a/relay/fleet_explain.c
+++ b/relay/fleet_explain.c
@@ -38,18 +38,27 @@
   return (double)units / QUOTA_UNITS_PER_REQUEST;
 }
 
+static capacity_explanation_t
+explain_share (const quota_share_t *share)
+{
+  return (capacity_explanation_t){
+    .is_known = true,
+    .free = units_to_requests (share->free),
+    .share = units_to_requests (share->share + share->rounding),
+    .sent = units_to_requests (share->sent),
+  };
+}
+
 static capacity_explanation_t
 explain_capacity (const fleet_t *fleet, const fleet_upstream_t *upstream,
                   const quota_use_t *use)
 {
+  quota_share_t share;
+
   if (!quota_is_known (fleet, upstream))
     return (capacity_explanation_t){ 0 };
-  return (capacity_explanation_t){
-    .is_known = true,
-    .free = units_to_requests (quota_upstream_free (upstream, use)),
-    .share = units_to_requests (quota_upstream_share (fleet, upstream, use)),
-    .sent = units_to_requests (upstream->quota.sent),
-  };
+  share = quota_upstream_share (fleet, upstream, use);
+  return explain_share (&share);
 }
 
 /* Describe UPSTREAM as FOUND, the choice for REQUEST, has seen it.  Returns
@@ -63,13 +72,15 @@
 {
   const pick_candidate_t *candidate = &upstream->candidate;
   const char *group = upstream->group == NULL ? "" : upstream->group->name;
+  upstream_verdict_t verdict
+      = choice_verdict (fleet, found, upstream, request, now);
 
   *explanation = (upstream_explanation_t){
     .id = talloc_strdup (parent, upstream->id),
     .zone = talloc_strdup (parent, upstream->zone->name),
     .group = talloc_strdup (parent, group),
-    .obstacle = choice_obstacle (fleet, upstream, request, now),
-    .preference = choice_preference (fleet, upstream, &found->use, now),
+    .obstacle = verdict.obstacle,
+    .preference = verdict.preference,
     .capacity = explain_capacity (fleet, upstream, &found->use),
     .outstanding_requests = candidate->outstanding_requests,
     .backlog_us = upstream->backlog.work_us,
@@ -78,9 +89,6 @@
     .slowdown = candidate->report.slowdown,
     .report_age_ms = fleet_upstream_report_age_ms (upstream, now),
   };
-  if (explanation->obstacle == OBSTACLE_NONE)
-    explanation->obstacle = choice_capacity_obstacle (
-        fleet, upstream, &found->use, quota_is_share_used (&found->share));
   return explanation->id != NULL && explanation->zone != NULL
          && explanation->group != NULL;
 }
@@ -120,18 +128,6 @@
   return true;
 }
 
-/* Return the capacity of all upstreams that FOUND took into account.  */
-static capacity_explanation_t
-explain_total (const upstream_choice_t *found)
-{
-  return (capacity_explanation_t){
-    .is_known = true,
-    .free = units_to_requests (found->share.free),
-    .share = units_to_requests (found->share.share + found->share.rounding),
-    .sent = units_to_requests (found->share.sent),
-  };
-}
-
 /* Implement fleet_explain for SERVICE; the table must be locked.  */
 static bool
 explain_service (const fleet_t *fleet, TALLOC_CTX *parent,
@@ -152,7 +148,7 @@
   explanation->candidates = found.count;
   explanation->estimate = sizing.estimate;
   explanation->work_us = sizing.request.work_us;
-  explanation->total = explain_total (&found);
+  explanation->total = explain_share (&found.share);
   explanation->reserve = units_to_requests (found.share.reserve);
   if (found.upstream != NULL)
     {
--- a/relay/fleet_quota.c
+++ b/relay/fleet_quota.c
@@ -142,20 +142,22 @@
          > share->share - share->reserve + share->rounding;
 }
 
-/* Return the free capacity of UPSTREAM that USE permits.  */
-int64_t
-quota_upstream_free (const fleet_upstream_t *upstream, const quota_use_t *use)
+static int64_t
+upstream_share (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                const quota_use_t *use)
 {
-  return quota_usable (&upstream->quota, use);
+  return quota_usable (&upstream->quota, use) / fleet->share.relays
+         + upstream->quota_rounding;
 }
 
-/* Return this relay's share of the free capacity of UPSTREAM.  */
-int64_t
+/* Return what this relay may use of the free capacity of UPSTREAM.  */
+quota_share_t
 quota_upstream_share (const fleet_t *fleet, const fleet_upstream_t *upstream,
                       const quota_use_t *use)
 {
-  return quota_upstream_free (upstream, use) / fleet->share.relays
-         + upstream->quota_rounding;
+  return (quota_share_t){ .free = quota_usable (&upstream->quota, use),
+                          .share = upstream_share (fleet, upstream, use),
+                          .sent = upstream->quota.sent };
 }
 
 /* Return whether this relay has sent as many requests to UPSTREAM as it had
@@ -179,5 +181,5 @@
                        const quota_use_t *use)
 {
   return upstream->quota.sent + PER_REQUEST
-         <= quota_upstream_share (fleet, upstream, use);
+         <= upstream_share (fleet, upstream, use);
 }
