--- a/relay/fleet_cold.c
+++ b/relay/fleet_cold.c
@@ -24,7 +24,8 @@
 
 /* Limit TOKENS to what the bucket holds at RATE.  If that is less than one
    token, as among many relays, a token can be used for as long as the bucket
-   takes to fill and is lost then.  */
+   takes to fill and is lost then.  The result does not depend on how often the
+   tokens were limited meanwhile.  */
 static double
 limit_tokens (double tokens, double rate)
 {
@@ -32,36 +33,50 @@
 
   if (size >= 1)
     return fmin (tokens, size);
-  return tokens > 1 + size ? fmod (tokens, 1) : tokens;
+  return tokens > 1 + size ? tokens - ceil (tokens - (1 + size)) : tokens;
+}
+
+static bool
+cold_start_is_limited (const fleet_upstream_t *upstream, struct timespec now)
+{
+  return upstream->service->cold_rate > 0
+         && cold_start_is_active (upstream, now);
+}
+
+/* Return the tokens that the bucket of UPSTREAM holds at NOW.  */
+static double
+cold_tokens_at (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                struct timespec now)
+{
+  const cold_bucket_t *bucket = &upstream->cold;
+  double rate = cold_rate_per_relay (fleet, upstream);
+  double elapsed_s
+      = (double)timespec_to_us (timespec_subtract (now, bucket->filled_at))
+        / us_per_s;
+
+  return limit_tokens (bucket->tokens + elapsed_s * rate, rate);
 }
 
 /* Return whether UPSTREAM may get one more request from this relay now: it is
    not in cold start, or its bucket holds a token.  */
 bool
-cold_start_has_token (const fleet_t *fleet, fleet_upstream_t *upstream,
+cold_start_has_token (const fleet_t *fleet, const fleet_upstream_t *upstream,
                       struct timespec now)
 {
-  cold_bucket_t *bucket = &upstream->cold;
-  double rate = cold_rate_per_relay (fleet, upstream);
-  double elapsed_s;
-
-  if (upstream->service->cold_rate <= 0
-      || !cold_start_is_active (upstream, now))
-    return true;
-  elapsed_s
-      = (double)timespec_to_us (timespec_subtract (now, bucket->filled_at))
-        / us_per_s;
-  bucket->tokens = limit_tokens (bucket->tokens + elapsed_s * rate, rate);
-  bucket->filled_at = now;
-  return bucket->tokens >= 1;
+  return !cold_start_is_limited (upstream, now)
+         || cold_tokens_at (fleet, upstream, now) >= 1;
 }
 
-/* Consume a token for a request to UPSTREAM.  */
+/* Consume a token for a request to UPSTREAM at NOW.  */
 void
-cold_start_consume_token (fleet_upstream_t *upstream)
+cold_start_consume_token (const fleet_t *fleet, fleet_upstream_t *upstream,
+                          struct timespec now)
 {
-  if (upstream->cold.tokens >= 1)
-    upstream->cold.tokens -= 1;
+  if (!cold_start_is_limited (upstream, now))
+    return;
+  upstream->cold
+      = (cold_bucket_t){ .tokens = cold_tokens_at (fleet, upstream, now) - 1,
+                         .filled_at = now };
 }
 
 /* Set the remaining cold start time of UPSTREAM to REMAINING.  The bucket
--- a/relay/fleet_quota.c
+++ b/relay/fleet_quota.c
@@ -82,20 +82,35 @@
   total->sent += upstream->quota.sent;
 }
 
+static bool
+rounding_is_due (const fleet_service_t *service, struct timespec now)
+{
+  return timespec_to_ms (timespec_subtract (now, service->rounded_at))
+         >= ROUNDING_INTERVAL_MS;
+}
+
 /* Draw at random whether the share is rounded up or down, so that the shares
    of all relays add up to about the total.  */
-static void
-service_draw_rounding (fleet_t *fleet, fleet_service_t *service)
+void
+quota_draw_rounding (fleet_t *fleet, fleet_service_t *service,
+                     struct timespec now)
 {
-  struct timespec now = clock_monotonic (fleet->clock);
-
-  if (timespec_to_ms (timespec_subtract (now, service->rounded_at))
-      < ROUNDING_INTERVAL_MS)
+  if (!rounding_is_due (service, now))
     return;
   service->rounded_at = now;
   service->quota_rounding = capacity_units (fleet_random (fleet));
 }
 
+/* Return the rounding that a request at NOW gets.  */
+static int64_t
+service_rounding_at (const fleet_t *fleet, const fleet_service_t *service,
+                     struct timespec now)
+{
+  return rounding_is_due (service, now)
+             ? capacity_units (fleet_next_random (fleet))
+             : service->quota_rounding;
+}
+
 /* Return how much of QUOTA USE permits.  */
 static int64_t
 quota_usable (const fleet_quota_t *quota, const quota_use_t *use)
@@ -107,19 +122,49 @@
   return use->is_late && late_free < usable ? late_free : usable;
 }
 
-/* Return whether this relay has used its share of TOTAL, the capacity that the
+/* Return what this relay may use at NOW of TOTAL, the capacity that the
    upstreams of SERVICE have reported that the request may use.  */
+quota_share_t
+quota_share_at (const fleet_t *fleet, const fleet_service_t *service,
+                const fleet_quota_t *total, const quota_use_t *use,
+                struct timespec now)
+{
+  quota_share_t share
+      = { .free = quota_usable (total, use),
+          .share = quota_usable (total, use) / fleet->share.relays,
+          .reserve = capacity_units (use->reserve),
+          .rounding = service_rounding_at (fleet, service, now),
+          .sent = total->sent };
+
+  if (share.reserve > share.share - share.share / UNRESERVED_DIVISOR)
+    share.reserve = share.share - share.share / UNRESERVED_DIVISOR;
+  return share;
+}
+
+/* Return whether this relay has used its share.  */
 bool
-quota_is_share_used (fleet_t *fleet, fleet_service_t *service,
-                     const fleet_quota_t *total, const quota_use_t *use)
+quota_is_share_used (const quota_share_t *share)
+{
+  return share->sent + PER_REQUEST
+         > share->share - share->reserve + share->rounding;
+}
+
+static int64_t
+upstream_share (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                const quota_use_t *use)
 {
-  int64_t share = quota_usable (total, use) / fleet->share.relays;
-  int64_t reserve = capacity_units (use->reserve);
+  return quota_usable (&upstream->quota, use) / fleet->share.relays
+         + upstream->quota_rounding;
+}
 
-  if (reserve > share - share / UNRESERVED_DIVISOR)
-    reserve = share - share / UNRESERVED_DIVISOR;
-  service_draw_rounding (fleet, service);
-  return total->sent + PER_REQUEST > share - reserve + service->quota_rounding;
+/* Return what this relay may use of the free capacity of UPSTREAM.  */
+quota_share_t
+quota_upstream_share (const fleet_t *fleet, const fleet_upstream_t *upstream,
+                      const quota_use_t *use)
+{
+  return (quota_share_t){ .free = quota_usable (&upstream->quota, use),
+                          .share = upstream_share (fleet, upstream, use),
+                          .sent = upstream->quota.sent };
 }
 
 /* Return whether this relay has sent as many requests to UPSTREAM as it had
@@ -142,9 +187,6 @@
 quota_is_within_share (const fleet_t *fleet, const fleet_upstream_t *upstream,
                        const quota_use_t *use)
 {
-  const fleet_quota_t *quota = &upstream->quota;
-
-  return quota->sent + PER_REQUEST
-         <= quota_usable (quota, use) / fleet->share.relays
-                + upstream->quota_rounding;
+  return upstream->quota.sent + PER_REQUEST
+         <= upstream_share (fleet, upstream, use);
 }
