--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -1,7 +1,6 @@
 #include "relay/fleet_state.h"
 
 #include "kernel/counter.h"
-#include "kernel/invariant.h"
 
 #include <string.h>
 
@@ -297,6 +296,8 @@
   if (found.shortage != FLEET_NO_SHORTAGE)
     return found.shortage;
   upstream = found.upstream;
+  if (upstream == NULL) /* there was no memory for the policy */
+    return FLEET_NO_UPSTREAM;
   *choice = (fleet_choice_t){
     .upstream = talloc_strdup (parent, upstream->id),
     .incarnation = upstream->incarnation,
--- a/tests/test_fleet_explain.c
+++ b/tests/test_fleet_explain.c
@@ -140,10 +140,10 @@
                             = is_plain ? fixture->plain : fixture->stream,
                             .urgency = round % 2,
                             .is_late = round % 5 == 0,
-                            .work = { .prompt_tokens = 100 * (round % 7),
+                            .work = { .prompt_tokens = 100ULL * (round % 7),
                                       .output_tokens = 1000,
                                       .zone = "a" },
-                            .hinted_tokens = 10 * (round % 11) };
+                            .hinted_tokens = 10ULL * (round % 11) };
 }
 
 static void
