Kernel: the choice of the holder to drop in a file of its own

Change: size classes and the choice among them are in memory_classes.c; memory_round_up is used by all three. memory_release and a field, which nothing used, are removed.

--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -114,22 +114,12 @@
   exchange_resume (exchange);
 }
 
-/* Return what to reserve for BYTES of body and reply.  */
-static size_t
-charge_for (size_t bytes)
-{
-  if (bytes <= UNCHARGED_BYTES)
-    return 0;
-  return (bytes + CHARGE_STEP_BYTES - 1) / CHARGE_STEP_BYTES
-         * CHARGE_STEP_BYTES;
-}
-
 /* Reserve memory for BYTES of body and reply in total, or release what is
    surplus.  Returns false if there is no room for more.  */
 static bool
 exchange_charge (http_exchange_t *exchange, size_t bytes)
 {
-  size_t target = charge_for (bytes);
+  size_t target = memory_round_up (bytes, UNCHARGED_BYTES, CHARGE_STEP_BYTES);
   size_t held = exchange->connection->memory.held - exchange->charged;
 
   if (target == exchange->charged)
--- a/common/link.c
+++ b/common/link.c
@@ -113,12 +113,8 @@
 static size_t
 link_charge (const link_t *link)
 {
-  size_t bytes = link->input_used + link->output_bytes;
-
-  if (bytes <= LINK_UNCHARGED_BYTES)
-    return 0;
-  return (bytes + LINK_CHARGE_STEP_BYTES - 1) / LINK_CHARGE_STEP_BYTES
-         * LINK_CHARGE_STEP_BYTES;
+  return memory_round_up (link->input_used + link->output_bytes,
+                          LINK_UNCHARGED_BYTES, LINK_CHARGE_STEP_BYTES);
 }
 
 /* The link waits for its peer while it holds much for it, and before the
--- a/include/kernel/memory_budget.h
+++ b/include/kernel/memory_budget.h
@@ -99,7 +99,11 @@
 /* Counts BYTES more for HOLDER even if there is no room, dropping others as
    far as possible: for what this process itself asks for.  */
 void memory_charge (memory_holder_t *holder, size_t bytes);
-void memory_release (memory_holder_t *holder, size_t bytes);
+/* Returns what to account for BYTES: nothing up to UNCHARGED_BYTES, otherwise
+   as many whole steps as they need, so that small objects and small changes do
+   not take the budget's lock.  */
+size_t memory_round_up (size_t bytes, size_t uncharged_bytes,
+                        size_t step_bytes);
 /* Reserves or releases the difference.  Returns false, and changes nothing, if
    that is refused.  */
 bool memory_set_held (memory_holder_t *holder, size_t bytes);
--- a/kernel/memory_budget.c
+++ b/kernel/memory_budget.c
@@ -1,7 +1,6 @@
-#include "kernel/memory_budget.h"
+#include "kernel/memory_state.h"
 
 #include "kernel/counter.h"
-#include "kernel/lock.h"
 #include "kernel/log.h"
 
 #include <malloc.h>
@@ -23,52 +22,9 @@
   /* Part of the descriptors for connections of peers.  The other half is for
      those to upstreams, as each request may need one, and for own use.  */
   CONNECTIONS_DIVISOR = 2,
-  /* Holders are listed by size, in classes that double.  */
-  FIRST_CLASS_BITS = 12, /* up to 4 KiB */
-  CLASS_COUNT = 16,
-  FIRST_LARGE_CLASS = 6, /* of 128 KiB and more */
-  /* Only a holder without progress for this long is dropped: it is longer than
-     a round trip and the time between two reads of a busy worker.  */
-  STALL_MIN_MS = 100,
   LOG_INTERVAL_MS = 1000
 };
 
-TAILQ_HEAD (holder_list, memory_holder);
-
-struct memory_worker
-{
-  memory_budget_t *budget;
-  struct holder_list chosen; /* to be dropped */
-  void (*wake) (void *data);
-  void *wake_data;
-};
-
-struct memory_budget
-{
-  const clock_source_t *clock;
-  lock_t *lock;
-  memory_limits_t limits;
-  size_t large_limit;
-  size_t held;
-  size_t large_held;
-  /* The parts of HELD and LARGE_HELD, and of CONNECTIONS, of holders that are
-     to be dropped.  */
-  size_t leaving;
-  size_t large_leaving;
-  unsigned connections;
-  unsigned connections_leaving;
-  /* Holders that wait for their peers, by size.  Each list is in the order of
-     LISTED_MS, except where a holder changed its class without progress.  */
-  struct holder_list waiting[CLASS_COUNT];
-  bool needs_trim; /* memory ran short since the last trim */
-  /* Since the last log line.  */
-  unsigned dropped_count;
-  unsigned refused_count;
-  int64_t logged_ms;
-  unsigned worker_count;
-  memory_worker_t workers[];
-};
-
 GAUGE_DEFINE (held_bytes, "siskin_memory_held_bytes", "Memory held for peers");
 GAUGE_DEFINE (limit_bytes, "siskin_memory_limit_bytes",
               "Memory that may be held for peers");
@@ -136,8 +92,7 @@
   budget->lock = lock_create (budget, LOCK_MEMORY, "memory");
   budget->limits = *limits;
   budget->large_limit = limits->bytes - limits->bytes / SMALL_PART_DIVISOR;
-  budget->worker_count = worker_count;
-  for (unsigned i = 0; i < CLASS_COUNT; i++)
+  for (unsigned i = 0; i < MEMORY_CLASS_COUNT; i++)
     TAILQ_INIT (&budget->waiting[i]);
   for (unsigned i = 0; i < worker_count; i++)
     {
@@ -209,29 +164,13 @@
   return timespec_to_ms (clock_monotonic (budget->clock));
 }
 
-static unsigned
-size_class (size_t bytes)
-{
-  unsigned class = 0;
-
-  while (class < CLASS_COUNT - 1 && bytes >> (FIRST_CLASS_BITS + class) > 0)
-    class ++;
-  return class;
-}
-
-static bool
-is_large (size_t bytes)
-{
-  return size_class (bytes) >= FIRST_LARGE_CLASS;
-}
-
 /* Add BYTES of a holder to what is HELD, of which LARGE_HELD are those of
    large ones.  */
 static void
 account_add (size_t bytes, size_t *held, size_t *large_held)
 {
   *held += bytes;
-  if (is_large (bytes))
+  if (memory_is_large (bytes))
     *large_held += bytes;
 }
 
@@ -239,46 +178,21 @@
 account_remove (size_t bytes, size_t *held, size_t *large_held)
 {
   *held -= bytes;
-  if (is_large (bytes))
+  if (memory_is_large (bytes))
     *large_held -= bytes;
 }
 
-/* Put HOLDER at the end of the list of its class if it may be dropped.  */
-static void
-holder_list (memory_holder_t *holder)
-{
-  memory_budget_t *budget = holder->owner->budget;
-
-  if (!holder->is_waiting || holder->is_chosen)
-    return;
-  holder->is_listed = true;
-  holder->listed_ms
-      = atomic_load_explicit (&holder->progressed_ms, memory_order_relaxed);
-  TAILQ_INSERT_TAIL (&budget->waiting[size_class (holder->held)], holder,
-                     link);
-}
-
-static void
-holder_unlist (memory_holder_t *holder)
-{
-  memory_budget_t *budget = holder->owner->budget;
-
-  if (!holder->is_listed)
-    return;
-  holder->is_listed = false;
-  TAILQ_REMOVE (&budget->waiting[size_class (holder->held)], holder, link);
-}
-
 /* Change what HOLDER holds to BYTES.  */
 static void
 holder_set_held (memory_holder_t *holder, size_t bytes)
 {
   memory_budget_t *budget = holder->owner->budget;
-  bool changes_class = size_class (bytes) != size_class (holder->held);
+  bool changes_class
+      = memory_size_class (bytes) != memory_size_class (holder->held);
   bool was_listed = holder->is_listed;
 
   if (changes_class)
-    holder_unlist (holder);
+    memory_holder_unlist (holder);
   account_remove (holder->held, &budget->held, &budget->large_held);
   account_add (bytes, &budget->held, &budget->large_held);
   if (holder->is_chosen)
@@ -288,73 +202,10 @@
     }
   holder->held = bytes;
   if (changes_class && was_listed)
-    holder_list (holder);
+    memory_holder_list (holder);
   counter_set (&held_bytes, (int64_t)budget->held);
 }
 
-/* Return the holder of CLASS that is longest without progress, or NULL.  Those
-   that have made progress since they were listed go to the end first.  */
-static memory_holder_t *
-class_first (memory_budget_t *budget, unsigned class)
-{
-  struct holder_list *list = &budget->waiting[class];
-  memory_holder_t *holder;
-
-  while ((holder = TAILQ_FIRST (list)) != NULL)
-    {
-      int64_t progressed_ms = atomic_load_explicit (&holder->progressed_ms,
-                                                    memory_order_relaxed);
-
-      if (progressed_ms <= holder->listed_ms)
-        break;
-      holder->listed_ms = progressed_ms;
-      TAILQ_REMOVE (list, holder, link);
-      TAILQ_INSERT_TAIL (list, holder, link);
-    }
-  return holder;
-}
-
-/* Return how much dropping HOLDER is preferred: by what it holds and for how
-   long without progress; for connections, only by the latter.  0 for one that
-   may make progress yet.  */
-static uint64_t
-holder_score (const memory_holder_t *holder, memory_reason_t reason,
-              int64_t now_ms)
-{
-  int64_t stalled_ms = now_ms - holder->listed_ms;
-
-  if (stalled_ms < STALL_MIN_MS)
-    return 0;
-  if (reason == MEMORY_REASON_CONNECTIONS)
-    return holder->is_connection ? (uint64_t)stalled_ms : 0;
-  return (uint64_t)stalled_ms * holder->held;
-}
-
-/* Return the holder to drop first, or NULL if none may be.  */
-static memory_holder_t *
-budget_choose (memory_budget_t *budget, const memory_holder_t *except,
-               memory_reason_t reason, int64_t now_ms)
-{
-  unsigned first_class = reason == MEMORY_REASON_LARGE ? FIRST_LARGE_CLASS : 0;
-  memory_holder_t *chosen = NULL;
-  uint64_t best = 0;
-
-  for (unsigned class = first_class; class < CLASS_COUNT; class ++)
-    {
-      memory_holder_t *holder = class_first (budget, class);
-      uint64_t score;
-
-      if (holder != NULL && holder == except)
-        holder = TAILQ_NEXT (holder, link);
-      score = holder == NULL ? 0 : holder_score (holder, reason, now_ms);
-      if (score <= best)
-        continue;
-      best = score;
-      chosen = holder;
-    }
-  return chosen;
-}
-
 /* Have HOLDER dropped by its worker.  */
 static void
 budget_drop (memory_budget_t *budget, memory_holder_t *holder,
@@ -363,7 +214,7 @@
   memory_worker_t *worker = holder->owner;
   bool was_empty = TAILQ_EMPTY (&worker->chosen);
 
-  holder_unlist (holder);
+  memory_holder_unlist (holder);
   holder->is_chosen = true;
   holder->is_drop_pending = true;
   holder->reason = reason;
@@ -396,11 +247,11 @@
       account_add (bytes, &held, &large_held);
       if (held > budget->limits.bytes)
         *reason = MEMORY_REASON_TOTAL;
-      else if (is_large (bytes) && large_held > budget->large_limit)
+      else if (memory_is_large (bytes) && large_held > budget->large_limit)
         *reason = MEMORY_REASON_LARGE;
       else
         break;
-      chosen = budget_choose (budget, holder, *reason, now_ms);
+      chosen = memory_budget_choose (budget, holder, *reason, now_ms);
       if (chosen == NULL)
         return false;
       budget_drop (budget, chosen, *reason);
@@ -469,8 +320,8 @@
   lock_acquire (budget->lock);
   if (budget->connections - budget->connections_leaving >= limit)
     {
-      chosen = budget_choose (budget, NULL, MEMORY_REASON_CONNECTIONS,
-                              budget_now_ms (budget));
+      chosen = memory_budget_choose (budget, NULL, MEMORY_REASON_CONNECTIONS,
+                                     budget_now_ms (budget));
       if (chosen != NULL)
         budget_drop (budget, chosen, MEMORY_REASON_CONNECTIONS);
       is_admitted = chosen != NULL
@@ -511,7 +362,7 @@
   holder->is_waiting = true;
   budget->connections++;
   counter_set (&open_connections, budget->connections);
-  holder_list (holder);
+  memory_holder_list (holder);
   lock_release (budget->lock);
 }
 
@@ -526,7 +377,7 @@
     return;
   lock_acquire (budget->lock);
   holder_set_held (holder, 0);
-  holder_unlist (holder);
+  memory_holder_unlist (holder);
   if (holder->is_drop_pending)
     TAILQ_REMOVE (&holder->owner->chosen, holder, link);
   if (holder->is_connection)
@@ -549,9 +400,9 @@
   lock_acquire (holder->owner->budget->lock);
   holder->is_waiting = is_waiting;
   if (is_waiting)
-    holder_list (holder);
+    memory_holder_list (holder);
   else
-    holder_unlist (holder);
+    memory_holder_unlist (holder);
   lock_release (holder->owner->budget->lock);
 }
 
@@ -588,11 +439,13 @@
   budget_unlock (budget);
 }
 
-/* Release BYTES of what HOLDER holds.  */
-void
-memory_release (memory_holder_t *holder, size_t bytes)
+/* Return what to account for BYTES, in steps of STEP_BYTES.  */
+size_t
+memory_round_up (size_t bytes, size_t uncharged_bytes, size_t step_bytes)
 {
-  memory_set_held (holder, holder->held - bytes);
+  if (bytes <= uncharged_bytes)
+    return 0;
+  return (bytes + step_bytes - 1) / step_bytes * step_bytes;
 }
 
 /* Change what HOLDER holds to BYTES.  Returns false if there is no room for
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -285,11 +285,9 @@
 static bool
 attempt_charge (forward_attempt_t *attempt, size_t bytes)
 {
-  size_t steps = (bytes + CHARGE_STEP_BYTES - 1) / CHARGE_STEP_BYTES;
-
-  return memory_set_held (&attempt->memory, bytes <= UNCHARGED_BYTES
-                                                ? 0
-                                                : steps * CHARGE_STEP_BYTES);
+  return memory_set_held (
+      &attempt->memory,
+      memory_round_up (bytes, UNCHARGED_BYTES, CHARGE_STEP_BYTES));
 }
 
 /* Buffer response data.  If the body exceeds the buffer limit, or memory is
@@ -303,7 +301,6 @@
   if (attempt_charge (attempt, attempt->body_size + size))
     larger = talloc_realloc (attempt, attempt->body, char,
                              attempt->body_size + size);
-
   if (larger != NULL)
     {
       memcpy (larger + attempt->body_size, bytes, size);
