Relay: the end of an attempt in a file of its own

Change: attempt_end.c has the result of an attempt, what is learned from it and the decision to send again. The log line of a sending, the failure to send and the criteria of a request are functions of their own. An alias of RULES_MAX_URGENCY is gone.

--- a/include/relay/forward.h
+++ b/include/relay/forward.h
@@ -86,6 +86,8 @@
   worker_timer_t *deadline_timer;
 };
 
+int64_t forward_ms_since (const forward_t *forward, struct timespec then);
+struct timespec forward_remaining_time (const forward_t *forward);
 /* Tries to send the request; frees it if the result is QUEUE_ENDED.  */
 queue_result_t forward_dispatch (forward_t *forward);
 /* Ends the request at the end of a planned stop.  A response that has begun is
@@ -97,9 +99,6 @@
 /* forward_fail with RELAY_NOT_RUN, for a request that no upstream has run: it
    was not sent, or every upstream has stated that it did not run it.  */
 void forward_fail_not_run (forward_t *forward, const char *why);
-void forward_finish_attempt (forward_t *forward, fleet_result_t result);
-void forward_cancel_attempt (forward_t *forward, fleet_result_t result);
-struct timespec forward_remaining_time (const forward_t *forward);
 /* Ends a request that is not sent to another upstream.  RETRY_AFTER applies if
    no upstream has run it.  */
 void forward_give_up (forward_t *forward, const char *why,
@@ -111,12 +110,23 @@
                                      const char *why);
 bool forward_must_queue (const forward_t *forward);
 void forward_retry_queued (relay_worker_t *relay_worker);
+
+/* One attempt, and its response (attempt.c).  */
+bool attempt_start (forward_t *forward, const fleet_choice_t *choice,
+                    TALLOC_CTX *choice_ctx);
+/* Returns how far ATTEMPT has got, as recorded for suspects.  */
+uint64_t attempt_progress (const forward_attempt_t *attempt);
+void forward_send_head (forward_t *forward, bool has_length);
+void forward_send_data (forward_t *forward, const char *bytes, size_t size);
+
+/* The end of an attempt (attempt_end.c).  */
+/* Operation of egress_events_t.  */
+void attempt_on_done (status_t status, egress_reach_t reach, void *data);
+void forward_finish_attempt (forward_t *forward, fleet_result_t result);
+void forward_cancel_attempt (forward_t *forward, fleet_result_t result);
 /* Returns whether the request may be sent again, and if so charges the retry
    budget.  CURRENT_ATTEMPTS is 1 while the attempt to be retried is still in
    progress, and 0 when it has ended.  */
 bool forward_reserve_retry (forward_t *forward, unsigned current_attempts);
 
-bool attempt_start (forward_t *forward, const fleet_choice_t *choice,
-                    TALLOC_CTX *choice_ctx);
-
 #endif
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -2,14 +2,12 @@
 
 #include "kernel/log.h"
 #include "relay/attempt_timeout.h"
-#include "relay/discovery.h"
 #include "relay/feed.h"
 
 #include <string.h>
 
 enum
 {
-  URGENCY_MAX = RULES_MAX_URGENCY,
   /* Added to the urgency of a late request; a higher value is served
      later.  */
   LATE_URGENCY_INCREMENT = 4,
@@ -33,13 +31,8 @@
   return http_status >= 200 && http_status < 300;
 }
 
-static bool
-status_is_failure (unsigned http_status)
-{
-  return http_status >= 500;
-}
-
-static void
+/* Send the head of the response to the client.  */
+void
 forward_send_head (forward_t *forward, bool has_length)
 {
   const forward_attempt_t *attempt = forward->attempt;
@@ -69,20 +62,8 @@
     forward->longest_gap_ms = gap_ms;
 }
 
-/* The upstream has answered the request whole, so it is not what crashes
-   upstreams.  */
-static void
-forward_record_answer (const forward_t *forward)
-{
-  relay_t *relay = forward->relay_worker->relay;
-
-  if (suspects_record_answer (relay->suspects, forward->segments,
-                              forward->segment_count))
-    feed_send_updates (relay->feed);
-}
-
 /* Return how far ATTEMPT has got.  */
-static uint64_t
+uint64_t
 attempt_progress (const forward_attempt_t *attempt)
 {
   if (attempt->http_status == 0)
@@ -122,7 +103,8 @@
                          attempt->event_count);
 }
 
-static void
+/* Send data of the response to the client.  */
+void
 forward_send_data (forward_t *forward, const char *bytes, size_t size)
 {
   if (size == 0)
@@ -361,177 +343,6 @@
   return true;
 }
 
-/* Return whether the response is complete after its call has ended with
-   STATUS.  A stream that has sent nothing and ends with its connection has
-   been broken off.  */
-static bool
-attempt_is_complete (const forward_attempt_t *attempt, status_t status)
-{
-  if (status != STATUS_OK)
-    return false;
-  if (attempt->events == NULL)
-    return true;
-  return event_stream_is_at_boundary (attempt->events)
-         && !(attempt->has_open_end && attempt->event_count == 0);
-}
-
-/* Return the result of an attempt that has ended, as recorded by the
-   fleet.  */
-static fleet_result_t
-attempt_result (const forward_attempt_t *attempt, bool is_complete,
-                egress_reach_t reach)
-{
-  if (reach != EGRESS_SENT)
-    return FLEET_UNREACHABLE;
-  if (attempt->is_out_of_memory)
-    return FLEET_CLIENT_LEFT;
-  if (attempt->is_misdirected)
-    return FLEET_MISDIRECTED;
-  if (attempt->is_not_run)
-    return FLEET_DECLINED;
-  if (!is_complete || !attempt->is_usable)
-    return FLEET_INTERRUPTED;
-  return status_is_failure (attempt->http_status) ? FLEET_FAILED
-                                                  : FLEET_SERVED;
-}
-
-/* The upstream broke the attempt off.  If it has crashed, the request may be
-   the reason.  */
-static void
-forward_record_broken_attempt (forward_t *forward)
-{
-  relay_t *relay = forward->relay_worker->relay;
-  const forward_attempt_t *attempt = forward->attempt;
-  crash_attempt_t broken = {
-    .request = forward->request->id,
-    .upstream = attempt->choice.upstream,
-    .address = attempt->choice.address,
-    .segments = forward->segments,
-    .segment_count = forward->segment_count,
-    .evidence = { .crash = attempt->choice.incarnation,
-                  .at = clock_monotonic (relay->clock),
-                  .progress = attempt_progress (attempt),
-                  .is_repeat = forward->broken_attempts++ > 0 },
-  };
-
-  forward->is_presumed_harmful
-      = suspects_would_prove (relay->suspects, &broken.evidence,
-                              broken.segments, broken.segment_count);
-  if (crashes_record_attempt (relay->crashes, &broken))
-    feed_send_updates (relay->feed);
-}
-
-/* Nothing listens at the upstream's address: its process has ended.  */
-static void
-forward_record_refused (const forward_t *forward)
-{
-  relay_t *relay = forward->relay_worker->relay;
-
-  if (crashes_confirm_address (relay->crashes,
-                               forward->attempt->choice.address))
-    feed_send_updates (relay->feed);
-}
-
-/* Count the attempt.  A misdirected one shows that the listings are outdated,
-   so the store is polled at once.  */
-static void
-forward_count_attempt (forward_t *forward, fleet_result_t result)
-{
-  if (result == FLEET_UNREACHABLE)
-    forward->unreachable_attempts++;
-  else
-    forward->sent_attempts++;
-  if (result == FLEET_MISDIRECTED)
-    discovery_refresh (forward->relay_worker->relay->discovery);
-  if (result != FLEET_UNREACHABLE && result != FLEET_MISDIRECTED
-      && result != FLEET_DECLINED)
-    forward->run_attempts++;
-}
-
-/* Send the complete buffered response to the client.  */
-static void
-forward_send_buffered (forward_t *forward, fleet_result_t result)
-{
-  forward_send_head (forward, true);
-  forward_send_data (forward, forward->attempt->body,
-                     forward->attempt->body_size);
-  forward_finish_attempt (forward, result);
-  forward_finish (forward, true);
-}
-
-/* The response that is being passed through to the client has ended.  If it is
-   incomplete, resume an event stream at another upstream where the route
-   allows it, otherwise truncate the client's response.  */
-static void
-forward_end_passthrough (forward_t *forward, fleet_result_t result,
-                         bool is_complete)
-{
-  bool is_out_of_memory = forward->attempt->is_out_of_memory;
-
-  forward_finish_attempt (forward, result);
-  if (is_complete)
-    forward_finish (forward, true);
-  else if (!is_out_of_memory && forward->has_events
-           && forward->route->is_resumable
-           && forward_reserve_retry (forward, 0))
-    forward_dispatch (forward);
-  else
-    forward_finish (forward, false);
-}
-
-/* The attempt returned no usable response, or a server error (5xx).  Retry if
-   possible; otherwise send the server error if there is one, or fail.  */
-static void
-forward_end_unusable (forward_t *forward, fleet_result_t result)
-{
-  bool has_response = result == FLEET_FAILED;
-
-  if (forward_reserve_retry (forward, 0))
-    {
-      forward_finish_attempt (forward, result);
-      forward_dispatch (forward);
-      return;
-    }
-  if (has_response)
-    {
-      forward_send_buffered (forward, result);
-      return;
-    }
-  forward_finish_attempt (forward, result);
-  if (forward->run_attempts > 0)
-    forward_fail (forward, RELAY_OUTCOME_UNKNOWN, (struct timespec){ 0, 0 });
-  else
-    forward_fail_not_run (forward, fleet_result_name (result));
-}
-
-/* The attempt has ended: complete the response, retry or fail.  */
-static void
-attempt_on_done (status_t status, egress_reach_t reach, void *data)
-{
-  forward_t *forward = data;
-  forward_attempt_t *attempt = forward->attempt;
-  bool is_complete = attempt_is_complete (attempt, status);
-  fleet_result_t result = attempt_result (attempt, is_complete, reach);
-
-  attempt->call = NULL;
-  forward_count_attempt (forward, result);
-  if (reach == EGRESS_REFUSED)
-    forward_record_refused (forward);
-  if (result == FLEET_INTERRUPTED)
-    forward_record_broken_attempt (forward);
-  else if (result == FLEET_SERVED || result == FLEET_FAILED)
-    forward_record_answer (forward);
-  if (status != STATUS_OK)
-    attempt->error = talloc_strdup (attempt, status_message ());
-  if (attempt->is_passthrough || forward->is_head_sent)
-    forward_end_passthrough (forward, result,
-                             is_complete && attempt->is_passthrough);
-  else if (result == FLEET_SERVED)
-    forward_send_buffered (forward, result);
-  else
-    forward_end_unusable (forward, result);
-}
-
 static const egress_events_t attempt_events = {
   .on_head = attempt_on_head,
   .on_data = attempt_on_data,
@@ -547,7 +358,7 @@
 
   if (forward->criteria.is_late)
     urgency += LATE_URGENCY_INCREMENT;
-  return urgency < URGENCY_MAX ? urgency : URGENCY_MAX;
+  return urgency < RULES_MAX_URGENCY ? urgency : RULES_MAX_URGENCY;
 }
 
 static int
--- a/relay/forward.c
+++ b/relay/forward.c
@@ -13,11 +13,6 @@
 
 enum
 {
-  /* Attempts beyond the route's limit, for upstreams that did not run the
-     request.  */
-  MAX_EXTRA_ATTEMPTS = 2,
-  MAX_UNREACHABLE_ATTEMPTS = 6,
-  MAX_LOGGED_SEGMENTS = 16,
   US_PER_MS = 1000
 };
 
@@ -61,8 +56,9 @@
   return clock_monotonic (forward->relay_worker->relay->clock);
 }
 
-static int64_t
-ms_since (const forward_t *forward, struct timespec then)
+/* Return the time since THEN, in milliseconds.  */
+int64_t
+forward_ms_since (const forward_t *forward, struct timespec then)
 {
   return timespec_to_ms (timespec_subtract (forward_now (forward), then));
 }
@@ -104,7 +100,7 @@
 forward_finish (forward_t *forward, bool is_complete)
 {
   int64_t first_ms = forward_first_data_ms (forward);
-  int64_t elapsed_ms = ms_since (forward, forward->arrived_at);
+  int64_t elapsed_ms = forward_ms_since (forward, forward->arrived_at);
 
   counter_add (is_complete ? &responses_complete : &responses_truncated, 1);
   histogram_record (&response_time, elapsed_ms);
@@ -134,7 +130,7 @@
              "unreachable=%u retry_after_ms=%lld",
              forward->request->id, forward->request->host,
              relay_failure_name (failure),
-             (long long)ms_since (forward, forward->arrived_at),
+             (long long)forward_ms_since (forward, forward->arrived_at),
              forward->sent_attempts, forward->run_attempts,
              forward->unreachable_attempts,
              (long long)timespec_to_ms (retry_after));
@@ -168,88 +164,6 @@
   forward_refuse (forward, why, forward_default_retry_after (forward));
 }
 
-/* Return the ids of the request's segments as text for the log, owned by
-   PARENT; of a long prompt the last ones.  */
-static const char *
-forward_segments_text (TALLOC_CTX *parent, const forward_t *forward)
-{
-  unsigned count = forward->segment_count;
-  unsigned first
-      = count > MAX_LOGGED_SEGMENTS ? count - MAX_LOGGED_SEGMENTS : 0;
-  char *text = talloc_strdup (parent, first == 0 ? "" : "...");
-
-  for (unsigned i = first; i < count; i++)
-    text = talloc_asprintf_append (text, "%s%llx", i == 0 ? "" : ",",
-                                   (unsigned long long)forward->segments[i]);
-  return text == NULL ? "" : text;
-}
-
-static void
-forward_log_attempt_end (const forward_t *forward, fleet_result_t result)
-{
-  const forward_attempt_t *attempt = forward->attempt;
-
-  log_event (
-      result == FLEET_SERVED ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE,
-      "attempt-ended",
-      "request=%s upstream=%s result=%s status=%u ms=%lld "
-      "silent_ms=%lld begun=%d events=%u segments=%s limit=%.3f error=\"%s\"",
-      forward->request->id, attempt->choice.upstream,
-      fleet_result_name (result), attempt->http_status,
-      (long long)ms_since (forward, attempt->sent_at),
-      (long long)(forward->is_watched
-                      ? ms_since (forward, forward->last_received_at)
-                      : 0),
-      forward->is_head_sent, attempt->event_count,
-      forward_segments_text (forward->attempt, forward), attempt->rate_limit,
-      attempt->error == NULL ? "" : attempt->error);
-}
-
-/* The work of ATTEMPT, which has ended with RESULT, is no longer outstanding.
-   Its last events may not have been recorded yet.  */
-static void
-forward_finish_work (const forward_t *forward, forward_attempt_t *attempt,
-                     fleet_result_t result)
-{
-  fleet_t *fleet = forward->relay_worker->relay->fleet;
-
-  fleet_record_events (fleet, &attempt->choice, attempt->event_count);
-  fleet_finish_work (fleet, &attempt->choice, result,
-                     ms_since (forward, attempt->sent_at));
-}
-
-/* Free the current attempt, which has ended, and record RESULT in the
-   fleet.  */
-void
-forward_finish_attempt (forward_t *forward, fleet_result_t result)
-{
-  forward_attempt_t *attempt = forward->attempt;
-
-  forward_log_attempt_end (forward, result);
-  forward->attempt = NULL;
-  forward->is_paused = false;
-  attempt_timeout_stop (forward);
-  forward_finish_work (forward, attempt, result);
-  fleet_release (forward->relay_worker->relay->fleet, attempt->choice.upstream,
-                 &forward->criteria.work, result,
-                 ms_since (forward, attempt->sent_at));
-  if (forward->criteria.tried_count < FLEET_MAX_TRIED)
-    forward->criteria.tried[forward->criteria.tried_count++]
-        = talloc_steal (forward, attempt->choice.upstream);
-  talloc_free (attempt);
-}
-
-/* Abort the current attempt, if any.  Not callable from the attempt's own
-   events.  */
-void
-forward_cancel_attempt (forward_t *forward, fleet_result_t result)
-{
-  if (forward->attempt == NULL)
-    return;
-  forward->relay_worker->relay->egress_ops->cancel (forward->attempt->call);
-  forward_finish_attempt (forward, result);
-}
-
 /* Abort the current attempt and end the request.  RAN_FAILURE is reported if
    an upstream may have run it.  */
 static void
@@ -396,6 +310,47 @@
                                                              : result;
 }
 
+/* Record that the request is about to be sent to CHOICE.  */
+static void
+forward_record_sending (const forward_t *forward, const fleet_choice_t *choice)
+{
+  if (forward->sent_attempts + forward->unreachable_attempts == 0)
+    histogram_record (&queue_time,
+                      forward_ms_since (forward, forward->arrived_at));
+  log_event (
+      LOG_LEVEL_INFO, "sent",
+      "request=%s service=%s urgency=%u late=%d upstream=%s zone=%s "
+      "reason=%s candidates=%u cold=%d running=%llu report_age_ms=%lld "
+      "rules=%llu send=%u after_ms=%lld left_ms=%lld work_ms=%llu "
+      "expected_events=%.1f backlog_ms=%llu",
+      forward->request->id, forward->criteria.service,
+      forward->criteria.urgency, forward->criteria.is_late, choice->upstream,
+      choice->zone, choice->reason, choice->candidates, choice->is_cold,
+      (unsigned long long)choice->running, (long long)choice->report_age_ms,
+      (unsigned long long)forward->rules->version, forward->sent_attempts + 1,
+      (long long)forward_ms_since (forward, forward->arrived_at),
+      (long long)timespec_to_ms (forward_remaining_time (forward)),
+      (unsigned long long)(choice->work.counted_us / US_PER_MS),
+      choice->work.estimate.events,
+      (unsigned long long)(choice->backlog_us / US_PER_MS));
+}
+
+/* The request cannot be sent to CHOICE, whose strings belong to CHOICE_CTX.
+   Frees FORWARD.  */
+static queue_result_t
+forward_fail_to_send (forward_t *forward, fleet_choice_t *choice,
+                      TALLOC_CTX *choice_ctx)
+{
+  fleet_t *fleet = forward->relay_worker->relay->fleet;
+
+  fleet_finish_work (fleet, choice, FLEET_CLIENT_LEFT, 0);
+  fleet_release (fleet, choice->upstream, &forward->criteria.work,
+                 FLEET_CLIENT_LEFT, 0);
+  talloc_free (choice_ctx);
+  forward_fail_not_run (forward, "cannot-send");
+  return QUEUE_ENDED;
+}
+
 /* Choose an upstream and send the request there.  If there is none, queue the
    request, or fail it if it has been queued for too long.  */
 queue_result_t
@@ -423,70 +378,10 @@
   if (suspects_record_sent (relay->suspects, forward->segments,
                             forward->segment_count))
     feed_send_updates (relay->feed);
-  if (forward->sent_attempts + forward->unreachable_attempts == 0)
-    histogram_record (&queue_time, ms_since (forward, forward->arrived_at));
-  log_event (
-      LOG_LEVEL_INFO, "sent",
-      "request=%s service=%s urgency=%u late=%d upstream=%s zone=%s "
-      "reason=%s candidates=%u cold=%d running=%llu report_age_ms=%lld "
-      "rules=%llu send=%u after_ms=%lld left_ms=%lld work_ms=%llu "
-      "expected_events=%.1f backlog_ms=%llu",
-      forward->request->id, forward->criteria.service,
-      forward->criteria.urgency, forward->criteria.is_late, choice.upstream,
-      choice.zone, choice.reason, choice.candidates, choice.is_cold,
-      (unsigned long long)choice.running, (long long)choice.report_age_ms,
-      (unsigned long long)forward->rules->version, forward->sent_attempts + 1,
-      (long long)ms_since (forward, forward->arrived_at),
-      (long long)timespec_to_ms (forward_remaining_time (forward)),
-      (unsigned long long)(choice.work.counted_us / US_PER_MS),
-      choice.work.estimate.events,
-      (unsigned long long)(choice.backlog_us / US_PER_MS));
+  forward_record_sending (forward, &choice);
   if (attempt_start (forward, &choice, choice_ctx))
     return QUEUE_SENT;
-  fleet_finish_work (relay->fleet, &choice, FLEET_CLIENT_LEFT, 0);
-  fleet_release (relay->fleet, choice.upstream, &forward->criteria.work,
-                 FLEET_CLIENT_LEFT, 0);
-  talloc_free (choice_ctx);
-  forward_fail_not_run (forward, "cannot-send");
-  return QUEUE_ENDED;
-}
-
-/* Return whether the request may be sent again, and if so charge the retry
-   budget.  CURRENT_ATTEMPTS is the number of attempts in progress (0 or 1),
-   which may have run the request but are not counted in SENT_ATTEMPTS and
-   RUN_ATTEMPTS yet.  */
-bool
-forward_reserve_retry (forward_t *forward, unsigned current_attempts)
-{
-  const route_t *route = forward->route;
-  unsigned run_attempts = forward->run_attempts + current_attempts;
-  const char *denial = NULL;
-
-  if (run_attempts > 0 && !route_is_repeatable (route))
-    denial = "not-repeatable";
-  else if (forward->is_presumed_harmful)
-    denial = "presumed-harmful";
-  else if ((run_attempts > 0 && run_attempts >= route->max_attempts)
-           || forward->sent_attempts + current_attempts
-                  >= route->max_attempts + MAX_EXTRA_ATTEMPTS)
-    denial = "attempts-used";
-  else if (forward->unreachable_attempts > MAX_UNREACHABLE_ATTEMPTS)
-    denial = "unreachable";
-  else if (timespec_to_ms (forward_remaining_time (forward)) <= 0)
-    denial = "no-time-left";
-  /* A request that has reached no upstream yet is not charged as a retry.  */
-  else if (forward->sent_attempts + current_attempts > 0
-           && !retry_budget_take (forward->relay_worker->relay->budget,
-                                  forward->criteria.service))
-    denial = "no-budget";
-  if (denial == NULL)
-    return true;
-  if (current_attempts == 0)
-    log_event (LOG_LEVEL_NOTICE, "no-repeat",
-               "request=%s why=%s sends=%u runs=%u attempts=%u",
-               forward->request->id, denial, forward->sent_attempts,
-               forward->run_attempts, route->max_attempts);
-  return false;
+  return forward_fail_to_send (forward, &choice, choice_ctx);
 }
 
 /* Find the request's route, account and service.  Returns RELAY_FAILURE_COUNT
@@ -509,6 +404,22 @@
                                            : RELAY_FAILURE_COUNT;
 }
 
+/* Set what the choice of an upstream depends on, but for the class of the
+   request.  */
+static void
+forward_set_criteria (forward_t *forward)
+{
+  forward->criteria.route = forward->route;
+  forward->criteria.work = (pick_request_t){
+    .prompt_tokens = forward->request->prompt_tokens,
+    .output_tokens = forward->request->output_tokens,
+    .zone = daemon_config (forward->relay_worker->relay->daemon)->zone,
+  };
+  forward->criteria.hinted_tokens = forward->request->hinted_tokens;
+  if (forward->account != NULL)
+    forward->criteria.account = forward->account->name;
+}
+
 /* Return for how long the client has waited before, with other requests.  */
 static struct timespec
 forward_time_waited (const forward_t *forward)
@@ -608,15 +519,7 @@
       forward_fail (forward, failure, verdict_failure_retry_after (failure));
       return;
     }
-  forward->criteria.route = forward->route;
-  forward->criteria.work = (pick_request_t){
-    .prompt_tokens = request->prompt_tokens,
-    .output_tokens = request->output_tokens,
-    .zone = daemon_config (relay_worker->relay->daemon)->zone,
-  };
-  forward->criteria.hinted_tokens = request->hinted_tokens;
-  if (forward->account != NULL)
-    forward->criteria.account = forward->account->name;
+  forward_set_criteria (forward);
   forward_set_deadline (forward);
   if (relay_stops_before (relay_worker->relay, forward->deadline))
     {
@@ -638,7 +541,7 @@
   counter_add (&clients_left, 1);
   log_event (LOG_LEVEL_NOTICE, "client-left", "request=%s ms=%lld sends=%u",
              forward->request->id,
-             (long long)ms_since (forward, forward->arrived_at),
+             (long long)forward_ms_since (forward, forward->arrived_at),
              forward->sent_attempts + (forward->attempt != NULL));
   forward_cancel_attempt (forward, FLEET_CLIENT_LEFT);
   talloc_free (forward);
