--- a/include/pilot/planning.h
+++ b/include/pilot/planning.h
@@ -62,8 +62,7 @@
    Returns false if a reply is ignored: it is of an earlier epoch, or does not
    fit the group.  */
 bool planning_handle_reply (planning_t *planning, unsigned rank,
-                            rank_query_t query, const rank_reply_t *reply,
-                            struct timespec now);
+                            rank_query_t query, const rank_reply_t *reply);
 /* Whether RANK is slow, and how many ranks are.  */
 bool planning_is_slow (const planning_t *planning, unsigned rank);
 unsigned planning_slow_ranks (const planning_t *planning);
--- a/include/pilot/switcher.h
+++ b/include/pilot/switcher.h
@@ -94,9 +94,8 @@
   /* Since any rank last advanced the phase, or, while idle, since the last
      report of the rank.  */
   int64_t ms;
-  int64_t
-      report_age_ms;  /* of the rank; -1: it has not reported in this term */
-  const char *reason; /* constant string for the log */
+  int64_t report_age_ms; /* of the rank; -1: no report in this term */
+  const char *reason;    /* constant string for the log */
 } switcher_wait_t;
 
 switcher_t *switcher_create (TALLOC_CTX *parent, unsigned rank_count,
--- a/include/pilot/switcher_state.h
+++ b/include/pilot/switcher_state.h
@@ -10,6 +10,10 @@
 
 enum
 {
+  /* Delay before a failed command or a permit request without a reply is sent
+     again.  */
+  SWITCHER_RESEND_DELAY_MS = 100,
+  SWITCHER_HOLD_TIMEOUT_MS = 2000,
   SWITCHER_NO_RANK = 0xffff,
   /* Fencing token = TERM * this + ROUND, and map version = TERM * this +
      SWITCHES, so that those of a later term are always higher.  Limits the
@@ -147,13 +151,11 @@
    all engines and enters SWITCHER_RECOVERING; if only the rank of DEPOSED does
    not reply, it may release the group without that rank meanwhile.
    switcher_recover (SWITCHER_RECOVERING) enters SWITCHER_DISARMING if the
-   ranks are not armed alike; otherwise it releases the group and calls
-   switcher_finish_recovery. switcher_disarm (SWITCHER_DISARMING) disarms all
-   armed ranks and then enters SWITCHER_RECOVERING again.
-   switcher_finish_recovery enters SWITCHER_IDLE and reports
-   SWITCHER_RECOVERED.  */
+   ranks are not armed alike; otherwise it releases the group, enters
+   SWITCHER_IDLE and reports SWITCHER_RECOVERED, or goes on with a switch
+   whose map was prepared early.  switcher_disarm (SWITCHER_DISARMING) disarms
+   all armed ranks and then enters SWITCHER_RECOVERING again.  */
 void switcher_claim (switcher_t *switcher, struct timespec now);
-void switcher_finish_recovery (switcher_t *switcher, struct timespec now);
 void switcher_recover (switcher_t *switcher, struct timespec now);
 void switcher_disarm (switcher_t *switcher, struct timespec now);
 /* The step after the newest one known.  */
@@ -162,14 +164,16 @@
 bool switcher_has_long_steps (const switcher_t *switcher);
 bool switcher_can_advance (const switcher_t *switcher);
 /* Preparing a map while the claim waits for some ranks.  */
-bool switcher_is_rank_missing (const switcher_t *switcher, unsigned rank);
 void switcher_begin_early (switcher_t *switcher);
-void switcher_note_claim (const switcher_t *switcher, rank_view_t *view,
-                          early_state_t early);
+void switcher_record_claim (const switcher_t *switcher, rank_view_t *view,
+                            early_state_t early);
 void switcher_prepare_early (switcher_t *switcher, struct timespec now);
 bool switcher_can_resume_early (switcher_t *switcher);
 void switcher_resume_early (switcher_t *switcher, struct timespec now);
 void switcher_abort (switcher_t *switcher, const char *reason,
                      struct timespec now);
+/* Aborts a switch for which ranks may be armed already.  */
+void switcher_abort_with_new_round (switcher_t *switcher, const char *reason,
+                                    struct timespec now);
 
 #endif
--- a/pilot/leader_planning.c
+++ b/pilot/leader_planning.c
@@ -145,8 +145,7 @@
   leader_t *leader = data;
 
   if (leader->planning == NULL
-      || planning_handle_reply (leader->planning, rank, query, reply,
-                                pilot_now (leader->pilot)))
+      || planning_handle_reply (leader->planning, rank, query, reply))
     return;
   if (query == RANK_QUERY_EXPERT_COUNTS)
     leader_log_ignored_reply (leader, rank, reply);
--- a/pilot/planning.c
+++ b/pilot/planning.c
@@ -148,13 +148,12 @@
    reply.  */
 bool
 planning_handle_reply (planning_t *planning, unsigned rank, rank_query_t query,
-                       const rank_reply_t *reply, struct timespec now)
+                       const rank_reply_t *reply)
 {
   bool is_valid
       = reply != NULL && reply->epoch == switcher_epoch (planning->switcher);
   bool is_used = true;
 
-  (void)now;
   if (query == RANK_QUERY_EXPERT_COUNTS)
     return handle_counts (planning, reply, is_valid);
   if (!planning->is_querying)
--- a/pilot/switcher_early.c
+++ b/pilot/switcher_early.c
@@ -5,13 +5,13 @@
   /* A rank that has not answered the claim of a round for this long is not
      waited for: the others prepare a map meanwhile.  The pilots of all ranks
      usually answer within some 60 ms.  */
-  CLAIM_PATIENCE_MS = 250
+  CLAIM_WAIT_MAX_MS = 250
 };
 
 /* Returns whether RANK has not answered the claim yet, or not reported after
    it.  */
-bool
-switcher_is_rank_missing (const switcher_t *switcher, unsigned rank)
+static bool
+is_rank_missing (const switcher_t *switcher, unsigned rank)
 {
   const rank_view_t *view = &switcher->ranks[rank];
 
@@ -24,14 +24,14 @@
 switcher_has_answered (const switcher_t *switcher, unsigned rank)
 {
   return switcher->phase != SWITCHER_CLAIMING
-         || !switcher_is_rank_missing (switcher, rank);
+         || !is_rank_missing (switcher, rank);
 }
 
 /* A command of the claim to the rank of VIEW was answered: the claim itself,
    or one to prepare a map early, whose outcome is then EARLY.  */
 void
-switcher_note_claim (const switcher_t *switcher, rank_view_t *view,
-                     early_state_t early)
+switcher_record_claim (const switcher_t *switcher, rank_view_t *view,
+                       early_state_t early)
 {
   if (switcher->phase != SWITCHER_CLAIMING)
     return;
@@ -62,12 +62,12 @@
   unsigned missing = 0;
 
   if (switcher->phase != SWITCHER_CLAIMING
-      || switcher_phase_ms (switcher, now) < CLAIM_PATIENCE_MS
-      || switcher_is_rank_missing (switcher, switcher->own_rank))
+      || switcher_phase_ms (switcher, now) < CLAIM_WAIT_MAX_MS
+      || is_rank_missing (switcher, switcher->own_rank))
     return false;
   for (unsigned i = 0; i < switcher->rank_count; i++)
     {
-      if (switcher_is_rank_missing (switcher, i))
+      if (is_rank_missing (switcher, i))
         missing++;
       else if (!is_unchanging (switcher, &switcher->ranks[i]))
         return false;
@@ -94,8 +94,7 @@
     {
       rank_view_t *view = &switcher->ranks[i];
 
-      if (view->early == EARLY_UNSENT
-          && !switcher_is_rank_missing (switcher, i)
+      if (view->early == EARLY_UNSENT && !is_rank_missing (switcher, i)
           && rank_view_can_resend (view, now))
         switcher_send_command (switcher, i, RANK_COMMAND_PREPARE, 0);
     }
--- a/pilot/switcher_takeover.c
+++ b/pilot/switcher_takeover.c
@@ -112,8 +112,8 @@
 
 /* Enters the idle phase: nothing of an earlier term or round is left.  A
    switch whose map was prepared early goes on instead.  */
-void
-switcher_finish_recovery (switcher_t *switcher, struct timespec now)
+static void
+finish_recovery (switcher_t *switcher, struct timespec now)
 {
   switcher->may_be_held = false;
   if (switcher_can_resume_early (switcher))
@@ -152,7 +152,7 @@
       return;
     }
   if (release_all (switcher, now))
-    switcher_finish_recovery (switcher, now);
+    finish_recovery (switcher, now);
 }
 
 /* Disarms all armed ranks, then returns to the recovery.  */
--- a/tests/expert_group.c
+++ b/tests/expert_group.c
@@ -97,7 +97,7 @@
   for (size_t i = 0; i < count; i++)
     numbers[i] = group->experts->counts[i] / group->pilots->rank_count;
   planning_handle_reply (group->planning, rank, RANK_QUERY_EXPERT_COUNTS,
-                         &reply, pilot_group_now (group->pilots));
+                         &reply);
   talloc_free (numbers);
 }
 
@@ -127,7 +127,7 @@
         }
     }
   planning_handle_reply (group->planning, rank, RANK_QUERY_HELD_EXPERTS,
-                         &reply, pilot_group_now (group->pilots));
+                         &reply);
 }
 
 static void
