HTTP: the reply in a file of its own

Change: http_reply.c has the reply; http_call_start is divided; both growing blocks use buffer_capacity_for.

--- a/common/buffer.c
+++ b/common/buffer.c
@@ -8,13 +8,20 @@
   STEP_BYTES = 64 * 1024
 };
 
-/* Return the capacity to give to a buffer of SIZE bytes.  Large ones grow by a
-   fixed step, since the allocator can extend them without a copy.  */
+/* Return the capacity to give to a buffer that holds SIZE bytes.  Large ones
+   grow by a fixed step, since the allocator can extend them without a
+   copy.  */
+size_t
+buffer_capacity_for (size_t size)
+{
+  return size < DOUBLING_MAX_BYTES / 2 ? size * 2 : size + STEP_BYTES;
+}
+
+/* Return the capacity to give to BUFFER for SIZE bytes.  */
 static size_t
 buffer_capacity (const buffer_t *buffer, size_t size)
 {
-  size_t capacity
-      = size < DOUBLING_MAX_BYTES / 2 ? size * 2 : size + STEP_BYTES;
+  size_t capacity = buffer_capacity_for (size);
 
   return capacity < buffer->limit ? capacity : buffer->limit;
 }
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -412,7 +412,7 @@
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
-/* Returns false when memory is exhausted.  */
+/* Set the body to be sent.  Returns false when memory is exhausted.  */
 static bool
 call_set_body (http_call_t *call, const http_call_options_t *options)
 {
@@ -469,16 +469,13 @@
   curl_easy_setopt (call->easy, CURLOPT_SOCKOPTDATA, call);
 }
 
-/* Start a call.  OPTIONS is copied; OPS must remain valid until the call ends.
-   The functions in OPS are called from the event loop, never within this
-   function.  Returns NULL with the status message set when the call cannot be
-   started; nothing was sent then.  */
-http_call_t *
-http_call_start (http_client_t *client, const http_call_options_t *options,
-                 const http_call_ops_t *ops, void *data)
+/* Return a call with OPTIONS that has no libcurl handle yet, or NULL when
+   memory is exhausted.  */
+static http_call_t *
+call_create (http_client_t *client, const http_call_options_t *options,
+             const http_call_ops_t *ops, void *data)
 {
   http_call_t *call = talloc_zero (client, http_call_t);
-  CURL *easy;
 
   if (call == NULL)
     return NULL;
@@ -493,13 +490,15 @@
   memory_holder_start (&call->memory, worker_memory (client->worker), NULL);
   memory_charge (&call->memory, CALL_BYTES);
   talloc_set_destructor (call, call_free);
-  easy = call->easy = curl_easy_init ();
-  if (easy == NULL || !call_set_body (call, options))
-    {
-      talloc_free (call);
-      status_set (STATUS_NO_MEMORY, "no memory for an HTTP call");
-      return NULL;
-    }
+  return call;
+}
+
+/* Set what is to be sent.  */
+static void
+call_set_request (http_call_t *call, const http_call_options_t *options)
+{
+  CURL *easy = call->easy;
+
   curl_easy_setopt (easy, CURLOPT_URL, options->url);
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
@@ -509,10 +508,22 @@
   if (strcasecmp (options->method, "HEAD") == 0)
     curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
   call_set_headers (call, options);
+  if (options->has_own_connection)
+    {
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+}
+
+/* Set the functions that libcurl calls.  */
+static void
+call_set_handlers (http_call_t *call)
+{
+  CURL *easy = call->easy;
+
   curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
   curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, call->error);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  call_set_timeouts (call, options);
   curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, call_handle_header);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
@@ -520,12 +531,31 @@
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, call_handle_send);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
-  if (options->has_own_connection)
+}
+
+/* Start a call.  OPTIONS is copied; OPS must remain valid until the call ends.
+   The functions in OPS are called from the event loop, never within this
+   function.  Returns NULL with the status message set when the call cannot be
+   started; nothing was sent then.  */
+http_call_t *
+http_call_start (http_client_t *client, const http_call_options_t *options,
+                 const http_call_ops_t *ops, void *data)
+{
+  http_call_t *call = call_create (client, options, ops, data);
+
+  if (call == NULL)
+    return NULL;
+  call->easy = curl_easy_init ();
+  if (call->easy == NULL || !call_set_body (call, options))
     {
-      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+      talloc_free (call);
+      status_set (STATUS_NO_MEMORY, "no memory for an HTTP call");
+      return NULL;
     }
-  if (curl_multi_add_handle (client->multi, easy) != CURLM_OK)
+  call_set_request (call, options);
+  call_set_handlers (call);
+  call_set_timeouts (call, options);
+  if (curl_multi_add_handle (client->multi, call->easy) != CURLM_OK)
     {
       talloc_free (call);
       status_set (STATUS_IO, "cannot start an HTTP call");
--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -1,7 +1,7 @@
 #include "common/http_exchange.h"
 
+#include "common/buffer.h"
 #include "kernel/counter.h"
-#include "kernel/log.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -11,22 +11,10 @@
 
 enum
 {
-  HTTP_REPLY_BLOCK_BYTES = 4 * 1024, /* read by libmicrohttpd at once */
   /* libmicrohttpd's record of a field of a request's header.  */
   HTTP_FIELD_RECORD_BYTES = 64,
   /* Of the connection's memory that is kept for the reply.  */
   HTTP_REPLY_MEMORY_BYTES = 8 * 1024,
-  /* What libmicrohttpd adds to the fields of a reply's header.  */
-  HTTP_REPLY_OVERHEAD_BYTES = 1024,
-  HTTP_BAD_GATEWAY = 502,
-  /* A body of this size and more grows by a fixed step.  The allocator moves
-     such blocks without a copy.  */
-  BODY_DOUBLING_MAX_BYTES = 64 * 1024,
-  BODY_STEP_BYTES = 64 * 1024,
-  /* Body and reply up to this size are not accounted, and more is in steps, so
-     that small requests and events do not take the budget's lock.  */
-  UNCHARGED_BYTES = 8 * 1024,
-  CHARGE_STEP_BYTES = 16 * 1024,
   REFUSAL_MAX_BYTES = 1024
 };
 
@@ -34,21 +22,16 @@
                 "HTTP requests received");
 COUNTER_DEFINE (exchanges_timed_out, "siskin_http_slow_requests_total",
                 "Requests cut off because they did not come whole in time");
-COUNTER_DEFINE (replies_replaced, "siskin_http_replies_replaced_total",
-                "Replies whose header was too large to send");
 COUNTER_DEFINE (exchanges_disconnected, "siskin_http_callers_gone_total",
                 "Callers that went away before their answer's end");
-
 COUNTER_DEFINE (bodies_too_large, "siskin_http_too_large_total",
                 "Requests refused because their body exceeds the limit");
 COUNTER_DEFINE (exchanges_refused, "siskin_http_no_memory_total",
                 "Requests refused for lack of memory");
-COUNTER_DEFINE (exchanges_cut, "siskin_http_cut_total",
-                "Replies cut for lack of memory because they were not read");
 
 /* Schedule EXCHANGE to be resumed if it is suspended.  */
-static void
-exchange_resume (http_exchange_t *exchange)
+void
+http_exchange_resume (http_exchange_t *exchange)
 {
   if (!exchange->is_suspended)
     return;
@@ -81,8 +64,9 @@
     exchange->server->ops->on_disconnect (exchange, exchange->server->data);
 }
 
-static int
-exchange_fd (const http_exchange_t *exchange)
+/* Return the descriptor of the connection.  */
+int
+http_exchange_fd (const http_exchange_t *exchange)
 {
   return MHD_get_connection_info (exchange->mhd_connection,
                                   MHD_CONNECTION_INFO_CONNECTION_FD)
@@ -99,7 +83,7 @@
   http_exchange_t *exchange = data;
   char byte;
   ssize_t received
-      = recv (exchange_fd (exchange), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+      = recv (http_exchange_fd (exchange), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
   (void)events;
   (void)event;
@@ -111,15 +95,16 @@
     return; /* data of the next request */
   exchange_report_disconnect (exchange);
   exchange->is_reply_begun = true;
-  exchange_resume (exchange);
+  http_exchange_resume (exchange);
 }
 
 /* Reserve memory for BYTES of body and reply in total, or release what is
    surplus.  Returns false if there is no room for more.  */
-static bool
-exchange_charge (http_exchange_t *exchange, size_t bytes)
+bool
+http_exchange_charge (http_exchange_t *exchange, size_t bytes)
 {
-  size_t target = memory_round_up (bytes, UNCHARGED_BYTES, CHARGE_STEP_BYTES);
+  size_t target
+      = memory_round_up (bytes, HTTP_UNCHARGED_BYTES, HTTP_CHARGE_STEP_BYTES);
   size_t held = exchange->connection->memory.held - exchange->charged;
 
   if (target == exchange->charged)
@@ -131,11 +116,11 @@
 }
 
 /* Update what is reserved after body or reply have become smaller.  */
-static void
-exchange_discharge (http_exchange_t *exchange)
+void
+http_exchange_discharge (http_exchange_t *exchange)
 {
-  exchange_charge (exchange,
-                   exchange->body_capacity + exchange->pending_bytes);
+  http_exchange_charge (exchange,
+                        exchange->body_capacity + exchange->pending_bytes);
 }
 
 static void
@@ -144,7 +129,7 @@
   TALLOC_FREE (exchange->body);
   exchange->body_size = 0;
   exchange->body_capacity = 0;
-  exchange_discharge (exchange);
+  http_exchange_discharge (exchange);
 }
 
 /* Refuse a request that has not been received whole.  libmicrohttpd accepts no
@@ -169,7 +154,7 @@
     return;
   exchange->connection->is_refused = true;
   if (size > 0 && (size_t)size < sizeof reply)
-    send (exchange_fd (exchange), reply, (size_t)size,
+    send (http_exchange_fd (exchange), reply, (size_t)size,
           MSG_DONTWAIT | MSG_NOSIGNAL);
   exchange_free_body (exchange);
 }
@@ -198,38 +183,6 @@
   return exchange->connection->is_refused && !exchange->is_dispatched;
 }
 
-static void
-exchange_free_chunks (http_exchange_t *exchange)
-{
-  reply_chunk_t *chunk;
-
-  while ((chunk = STAILQ_FIRST (&exchange->chunks)) != NULL)
-    {
-      STAILQ_REMOVE_HEAD (&exchange->chunks, link);
-      talloc_free (chunk);
-    }
-  exchange->pending_bytes = 0;
-}
-
-/* Give up a reply that the client does not read.  A reset also frees what the
-   system holds of it.  The owner learns of the disconnect from the event
-   loop.  */
-static void
-exchange_cut (http_exchange_t *exchange)
-{
-  static const struct linger reset_on_close = { .l_onoff = 1, .l_linger = 0 };
-
-  if (exchange->is_cut)
-    return;
-  exchange->is_cut = true;
-  counter_add (&exchanges_cut, 1);
-  exchange_free_chunks (exchange);
-  exchange->is_reply_aborted = true;
-  setsockopt (exchange_fd (exchange), SOL_SOCKET, SO_LINGER, &reset_on_close,
-              sizeof reset_on_close);
-  shutdown (exchange_fd (exchange), SHUT_RDWR);
-}
-
 /* Give up EXCHANGE to make room for others.  The caller closes the
    connection.  */
 void
@@ -238,7 +191,7 @@
   if (!exchange->is_dispatched)
     exchange_refuse_memory (exchange);
   else
-    exchange_cut (exchange);
+    http_exchange_cut (exchange);
 }
 
 static void
@@ -246,62 +199,10 @@
 {
   exchange->disconnect_event
       = tevent_add_fd (worker_events (exchange->server->worker), exchange,
-                       exchange_fd (exchange), TEVENT_FD_READ,
+                       http_exchange_fd (exchange), TEVENT_FD_READ,
                        exchange_handle_disconnect, exchange);
 }
 
-/* Once the request was received, the process waits for the client only while a
-   part of the reply is unread.  */
-static void
-exchange_update_waiting (http_exchange_t *exchange)
-{
-  memory_holder_set_waiting (&exchange->connection->memory,
-                             exchange->pending_bytes > UNCHARGED_BYTES);
-}
-
-/* Called by libmicrohttpd to read up to SIZE bytes of the reply's body.
-   Suspends the exchange when there is no data yet.  */
-static ssize_t
-exchange_read_reply (void *data, uint64_t position, char *buffer, size_t size)
-{
-  http_exchange_t *exchange = data;
-  size_t copied = 0;
-  reply_chunk_t *chunk;
-
-  (void)position;
-  while (copied < size && (chunk = STAILQ_FIRST (&exchange->chunks)) != NULL)
-    {
-      size_t part = chunk->size - chunk->consumed;
-
-      if (part > size - copied)
-        part = size - copied;
-      memcpy (buffer + copied, chunk->data + chunk->consumed, part);
-      chunk->consumed += part;
-      copied += part;
-      if (chunk->consumed < chunk->size)
-        continue;
-      STAILQ_REMOVE_HEAD (&exchange->chunks, link);
-      talloc_free (chunk);
-    }
-  exchange->pending_bytes -= copied;
-  if (copied > 0)
-    {
-      memory_holder_progress (&exchange->connection->memory);
-      exchange_discharge (exchange);
-      exchange_update_waiting (exchange);
-      if (exchange->server->ops->on_drained != NULL
-          && !exchange->is_reply_ended && !exchange->is_client_gone)
-        exchange->server->ops->on_drained (exchange, exchange->server->data);
-      return (ssize_t)copied;
-    }
-  if (exchange->is_reply_aborted)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  if (exchange->is_reply_ended)
-    return MHD_CONTENT_READER_END_OF_STREAM;
-  http_exchange_suspend (exchange);
-  return 0;
-}
-
 /* The request was not completely received in time.  Shutting the connection
    down makes libmicrohttpd complete the exchange.  */
 static void
@@ -312,7 +213,7 @@
   (void)worker;
   exchange->receive_timer = NULL;
   counter_add (&exchanges_timed_out, 1);
-  shutdown (exchange_fd (exchange), SHUT_RDWR);
+  shutdown (http_exchange_fd (exchange), SHUT_RDWR);
 }
 
 /* Create an exchange when libmicrohttpd has received the request line, and
@@ -348,7 +249,7 @@
   if (!memory_set_held (&connection->memory, HTTP_CONNECTION_MEMORY_BYTES))
     {
       exchange_refuse_memory (exchange);
-      shutdown (exchange_fd (exchange), SHUT_RDWR);
+      shutdown (http_exchange_fd (exchange), SHUT_RDWR);
     }
   return exchange;
 }
@@ -377,15 +278,9 @@
   return &exchange->headers;
 }
 
-/* Sizes of the fields of a header.  */
-typedef struct field_sizes
-{
-  size_t bytes; /* of names, values and separators */
-  size_t count;
-} field_sizes_t;
-
-static enum MHD_Result
-sizes_add_field (void *data, enum MHD_ValueKind kind, const char *name,
+/* Add a field to the sizes at DATA.  */
+enum MHD_Result
+field_sizes_add (void *data, enum MHD_ValueKind kind, const char *name,
                  const char *value)
 {
   static const size_t separators = sizeof ": \r\n" - 1;
@@ -408,7 +303,7 @@
       = { .bytes = strlen (exchange->method) + strlen (exchange->target) };
 
   MHD_get_connection_values (exchange->mhd_connection, MHD_HEADER_KIND,
-                             sizes_add_field, &sizes);
+                             field_sizes_add, &sizes);
   exchange->memory_used = sizes.bytes + sizes.count * HTTP_FIELD_RECORD_BYTES;
   exchange->is_head_too_large
       = sizes.bytes > exchange->server->limits.header_bytes
@@ -444,9 +339,7 @@
 static size_t
 exchange_body_capacity (const http_exchange_t *exchange, size_t needed)
 {
-  size_t capacity = needed < BODY_DOUBLING_MAX_BYTES / 2
-                        ? needed * 2
-                        : needed + BODY_STEP_BYTES;
+  size_t capacity = buffer_capacity_for (needed);
 
   if (exchange->body_length >= needed && capacity > exchange->body_length)
     capacity = exchange->body_length;
@@ -463,7 +356,7 @@
   if (needed <= exchange->body_capacity)
     return true;
   capacity = exchange_body_capacity (exchange, needed);
-  if (!exchange_charge (exchange, capacity + exchange->pending_bytes))
+  if (!http_exchange_charge (exchange, capacity + exchange->pending_bytes))
     return false;
   larger = talloc_realloc (exchange, exchange->body, char, capacity + 1);
   if (larger == NULL)
@@ -522,7 +415,7 @@
 {
   exchange->is_dispatched = true;
   TALLOC_FREE (exchange->receive_timer);
-  exchange_update_waiting (exchange);
+  http_exchange_update_waiting (exchange);
   exchange_watch_disconnect (exchange);
   if (exchange->is_head_too_large)
     {
@@ -538,23 +431,6 @@
   exchange->server->ops->on_request (exchange, exchange->server->data);
 }
 
-/* Pass the reply, whose status must be known, to libmicrohttpd, which reads
-   the body as it becomes available.  */
-enum MHD_Result
-http_exchange_queue_reply (http_exchange_t *exchange)
-{
-  enum MHD_Result result;
-
-  if (exchange->is_client_gone && exchange->response == NULL)
-    return MHD_NO;
-  exchange->is_reply_queued = true;
-  result = MHD_queue_response (exchange->mhd_connection, exchange->http_status,
-                               exchange->response);
-  MHD_destroy_response (exchange->response);
-  exchange->response = NULL;
-  return result;
-}
-
 /* Notify the owner that libmicrohttpd has completed the exchange, and free
    it.  */
 void
@@ -572,7 +448,7 @@
   if (exchange->response != NULL)
     MHD_destroy_response (exchange->response);
   server->open_exchanges--;
-  exchange_free_chunks (exchange);
+  http_exchange_free_chunks (exchange);
   exchange_free_body (exchange);
   exchange->connection->exchange = NULL;
   memory_holder_progress (&exchange->connection->memory);
@@ -639,143 +515,3 @@
 {
   return exchange->data;
 }
-
-static void
-exchange_create_response (http_exchange_t *exchange)
-{
-  if (exchange->response == NULL)
-    exchange->response = MHD_create_response_from_callback (
-        exchange->has_length ? exchange->length : MHD_SIZE_UNKNOWN,
-        HTTP_REPLY_BLOCK_BYTES, exchange_read_reply, exchange, NULL);
-}
-
-/* Send the reply with a Content-Length of LENGTH instead of chunked.  Must be
-   called before all other http_reply_* functions.  */
-void
-http_reply_length (http_exchange_t *exchange, uint64_t length)
-{
-  exchange->has_length = true;
-  exchange->length = length;
-}
-
-/* Add a header field to the reply.  Must be called before
-   http_reply_begin.  */
-void
-http_reply_header (http_exchange_t *exchange, const char *name,
-                   const char *value)
-{
-  exchange_create_response (exchange);
-  MHD_add_response_header (exchange->response, name, value);
-}
-
-/* Return whether the memory of the connection can hold the reply's header.  */
-static bool
-exchange_reply_fits (const http_exchange_t *exchange)
-{
-  field_sizes_t sizes = { .bytes = HTTP_REPLY_OVERHEAD_BYTES };
-
-  MHD_get_response_headers (exchange->response, sizes_add_field, &sizes);
-  return exchange->memory_used + sizes.bytes <= HTTP_CONNECTION_MEMORY_BYTES;
-}
-
-/* Replace the reply by an error that fits.  With the reply as it is,
-   libmicrohttpd would close the connection without any.  */
-static void
-exchange_replace_reply (http_exchange_t *exchange)
-{
-  static const char text[] = "the header of the answer is too large\n";
-
-  counter_add (&replies_replaced, 1);
-  log_event (LOG_LEVEL_WARN, "reply-replaced", "status=%u target=%s",
-             exchange->http_status, exchange->path);
-  MHD_destroy_response (exchange->response);
-  exchange->response = NULL;
-  exchange->http_status = HTTP_BAD_GATEWAY;
-  http_reply_length (exchange, sizeof text - 1);
-  exchange_create_response (exchange);
-  http_reply_data (exchange, text, sizeof text - 1);
-  exchange->is_reply_replaced = true;
-}
-
-/* Start the reply; the body follows with http_reply_data.  CONTENT_TYPE may be
-   NULL or "" for none.  */
-void
-http_reply_begin (http_exchange_t *exchange, unsigned http_status,
-                  const char *content_type)
-{
-  exchange_create_response (exchange);
-  if (content_type != NULL && content_type[0] != '\0')
-    MHD_add_response_header (exchange->response, "Content-Type", content_type);
-  exchange->http_status = http_status;
-  if (!exchange_reply_fits (exchange))
-    exchange_replace_reply (exchange);
-  exchange->is_reply_begun = true;
-  exchange_resume (exchange);
-}
-
-/* Append a copy of DATA to the reply's body.  Returns STATUS_NO_MEMORY on
-   failure; the reply is cut then.  */
-status_t
-http_reply_data (http_exchange_t *exchange, const char *data, size_t size)
-{
-  reply_chunk_t *chunk;
-
-  if (size == 0 || exchange->is_reply_replaced || exchange->is_cut)
-    return STATUS_OK;
-  chunk = exchange_charge (exchange, exchange->body_capacity
-                                         + exchange->pending_bytes + size)
-              ? talloc_size (exchange, sizeof *chunk + size)
-              : NULL;
-  if (chunk == NULL)
-    {
-      exchange_cut (exchange);
-      return status_set (STATUS_NO_MEMORY, "no memory for a reply");
-    }
-  chunk->size = size;
-  chunk->consumed = 0;
-  memcpy (chunk->data, data, size);
-  STAILQ_INSERT_TAIL (&exchange->chunks, chunk, link);
-  exchange->pending_bytes += size;
-  exchange_update_waiting (exchange);
-  if (exchange->is_reply_begun)
-    exchange_resume (exchange);
-  return STATUS_OK;
-}
-
-/* End the reply; the appended data is still sent.  */
-void
-http_reply_end (http_exchange_t *exchange)
-{
-  exchange->is_reply_ended = true;
-  TALLOC_FREE (exchange->disconnect_event);
-  exchange_resume (exchange);
-}
-
-/* Close the connection after the appended data was sent and before the end of
-   the reply, so that the client detects that the reply is incomplete.  */
-void
-http_reply_abort (http_exchange_t *exchange)
-{
-  exchange->is_reply_aborted = true;
-  exchange->is_reply_ended = true;
-  TALLOC_FREE (exchange->disconnect_event);
-  exchange_resume (exchange);
-}
-
-/* Send a complete reply with the null-terminated body TEXT.  */
-void
-http_reply_text (http_exchange_t *exchange, unsigned http_status,
-                 const char *content_type, const char *text)
-{
-  http_reply_begin (exchange, http_status, content_type);
-  http_reply_data (exchange, text, strlen (text));
-  http_reply_end (exchange);
-}
-
-/* Return the number of bytes of the reply's body that libmicrohttpd has not
-   read yet.  */
-size_t
-http_reply_pending (const http_exchange_t *exchange)
-{
-  return exchange->pending_bytes;
-}
--- a/include/common/buffer.h
+++ b/include/common/buffer.h
@@ -17,6 +17,8 @@
   memory_holder_t *memory; /* TEXT is counted there; NULL for nowhere */
 } buffer_t;
 
+/* Returns the capacity to give to a growing block that holds SIZE bytes.  */
+size_t buffer_capacity_for (size_t size);
 status_t buffer_append (TALLOC_CTX *parent, buffer_t *buffer,
                         const char *bytes, size_t size);
 
--- a/include/common/http_exchange.h
+++ b/include/common/http_exchange.h
@@ -19,6 +19,10 @@
      on until the connection is closed, since libmicrohttpd clears, and thereby
      uses, all of it between two requests.  */
   HTTP_IDLE_CONNECTION_BYTES = HTTP_CONNECTION_MEMORY_BYTES / 2,
+  /* Body and reply up to this size are not accounted, and more is in steps, so
+     that small requests and events do not take the budget's lock.  */
+  HTTP_UNCHARGED_BYTES = 8 * 1024,
+  HTTP_CHARGE_STEP_BYTES = 16 * 1024,
   HTTP_UNAVAILABLE = 503
 };
 
@@ -111,6 +115,13 @@
   size_t pending_bytes; /* total size of the unread data in CHUNKS */
 };
 
+/* Sizes of the fields of a header, for field_sizes_add.  */
+typedef struct field_sizes
+{
+  size_t bytes; /* of names, values and separators */
+  size_t count;
+} field_sizes_t;
+
 void http_server_schedule_resume (http_server_t *server);
 void http_server_end_exchange (const http_server_t *server,
                                const http_connection_t *connection);
@@ -123,8 +134,24 @@
 bool http_exchange_is_refused_early (const http_exchange_t *exchange);
 void http_exchange_drop (http_exchange_t *exchange);
 void http_exchange_dispatch (http_exchange_t *exchange);
-enum MHD_Result http_exchange_queue_reply (http_exchange_t *exchange);
 void http_exchange_suspend (http_exchange_t *exchange);
+/* Schedules EXCHANGE to be resumed if it is suspended.  */
+void http_exchange_resume (http_exchange_t *exchange);
 void http_exchange_finish (http_exchange_t *exchange);
+int http_exchange_fd (const http_exchange_t *exchange);
+/* Reserves memory for BYTES of body and reply in total, or releases what is
+   surplus.  Returns false if there is no room for more.  */
+bool http_exchange_charge (http_exchange_t *exchange, size_t bytes);
+/* Updates what is reserved after body or reply have become smaller.  */
+void http_exchange_discharge (http_exchange_t *exchange);
+enum MHD_Result field_sizes_add (void *data, enum MHD_ValueKind kind,
+                                 const char *name, const char *value);
+
+/* The reply (http_reply.c).  */
+enum MHD_Result http_exchange_queue_reply (http_exchange_t *exchange);
+/* Gives up a reply that the client does not read.  */
+void http_exchange_cut (http_exchange_t *exchange);
+void http_exchange_free_chunks (http_exchange_t *exchange);
+void http_exchange_update_waiting (http_exchange_t *exchange);
 
 #endif
