Links: the exchange of settings in a file of its own

Change: link_settings.c has what frame headers tell of the settings, and the request for newer ones.

--- a/common/link.c
+++ b/common/link.c
@@ -1,4 +1,4 @@
-#include "common/link.h"
+#include "common/link_state.h"
 
 #include "kernel/counter.h"
 #include "kernel/log.h"
@@ -6,7 +6,6 @@
 
 #include <arpa/inet.h>
 #include <string.h>
-#include <sys/queue.h>
 
 enum
 {
@@ -23,8 +22,7 @@
   = 32 * 1024 * 1024, /* maximum queued for a slow peer */
   LINK_HELLO_TIMEOUT_MS = 3000,
   LINK_PING_INTERVAL_MS = 1000,
-  LINK_RECEIVE_TIMEOUT_MS = 4000, /* a link without received data is closed */
-  CLOCK_OFFSET_WINDOW_MS = 60000  /* clocks hardly drift apart within it */
+  LINK_RECEIVE_TIMEOUT_MS = 4000 /* a link without received data is closed */
 };
 
 COUNTER_DEFINE (frames_sent, "siskin_frames_sent_total", "Frames sent");
@@ -35,51 +33,6 @@
 COUNTER_DEFINE (bad_peers, "siskin_bad_peers_total",
                 "Connections ended for a frame outside the protocol");
 
-typedef struct outgoing_frame
-{
-  STAILQ_ENTRY (outgoing_frame) link;
-  char *data;
-  size_t size;
-  size_t written;
-} outgoing_frame_t;
-
-struct link
-{
-  worker_t *worker;
-  node_t *node;
-  const link_ops_t *ops;
-  void *data;
-  stream_t *stream; /* NULL once closed */
-  worker_timer_t *timer;
-  bool is_connected; /* the stream is established */
-  bool has_hello;    /* the peer's FRAME_HELLO was received */
-  bool is_closed;
-  const char *close_reason;
-  char *peer_name;
-  char *peer_zone;
-  node_role_t peer_role;
-  uint64_t peer_incarnation;
-  struct timespec last_received;
-  uint64_t peer_sent_ms; /* newest received sent_ms, on the peer's clock */
-  uint64_t echo_ms;      /* newest sent_ms of ours that a settled peer had
-                            received, or 0 */
-  struct timespec last_sent;
-  /* Settings revisions: in the peer's last frame, the newest one requested on
-     this link, and one whose document was received on this link and was
-     invalid.  */
-  uint64_t reported_revision;
-  uint64_t requested_revision;
-  uint64_t rejected_revision;
-  bool has_clock_offset;
-  int64_t clock_offset_ms; /* upper bound of the peer's clock minus ours */
-  struct timespec clock_offset_at;
-  char *input;
-  size_t input_used;
-  STAILQ_HEAD (, outgoing_frame) output;
-  size_t output_bytes;
-  memory_holder_t memory; /* of input and output */
-};
-
 static void
 link_handle_close (worker_t *worker, void *data)
 {
@@ -193,16 +146,6 @@
   link_update_memory (link);
 }
 
-/* Return the time on this process's clock.  Never 0, which means no time in
-   frame headers.  */
-static uint64_t
-link_now_ms (const link_t *link)
-{
-  return (uint64_t)timespec_to_ms (
-             clock_monotonic (worker_clock (link->worker)))
-         + 1;
-}
-
 /* Queue FRAME for the peer.  Sets the members of the header that describe the
    sender.  Returns STATUS_UNAVAILABLE on a closed link, STATUS_TOO_LARGE for
    an oversized frame or when too much data is queued because the peer does not
@@ -246,118 +189,6 @@
   return STATUS_OK;
 }
 
-static void
-link_send_settings (link_t *link)
-{
-  settings_t *settings = node_settings (link->node);
-  frame_t frame = { .header = { .type = FRAME_SETTINGS } };
-
-  if (settings == NULL)
-    return;
-  frame.body.settings.revision = settings->revision;
-  frame.body.settings.document
-      = (blob_t){ settings->document, settings->document_size };
-  link_send (link, &frame);
-  settings_release (settings);
-}
-
-/* Call on_revision if the peer's settings revision has changed.  */
-static void
-link_report_revision (link_t *link, const frame_header_t *header)
-{
-  if (header->settings_revision == link->reported_revision)
-    return;
-  link->reported_revision = header->settings_revision;
-  if (link->ops->on_revision != NULL)
-    link->ops->on_revision (link, header->settings_revision,
-                            header->confirmed_age_ms, link->data);
-}
-
-/* Update the latest time at which this process is known to have reached the
-   peer.  A frame may have been in transit or unread for long, so its receipt
-   proves nothing.  But it was sent after the peer received the sent_ms of ours
-   that it echoes, so its information is no older than that.  Echoes of a peer
-   that is not settled are ignored, because shortly after its start or a
-   suspension its information may be as outdated as ours.  */
-static void
-link_update_echo (link_t *link, const frame_header_t *header)
-{
-  link->peer_sent_ms = header->sent_ms;
-  if (header->is_settled == 1 && header->echo_ms > link->echo_ms
-      && header->echo_ms <= link_now_ms (link))
-    link->echo_ms = header->echo_ms;
-}
-
-/* Update the upper bound of the clock offset.  The peer sent the frame after
-   it received the echoed sent_ms, so its clock is ahead of ours by at most the
-   difference of the two.  The smallest bound is kept for
-   CLOCK_OFFSET_WINDOW_MS.  */
-static void
-link_update_clock_offset (link_t *link, const frame_header_t *header)
-{
-  struct timespec now = clock_monotonic (worker_clock (link->worker));
-  int64_t offset = (int64_t)header->sent_ms - (int64_t)header->echo_ms;
-
-  if (header->echo_ms == 0)
-    return;
-  if (link->has_clock_offset && offset > link->clock_offset_ms
-      && timespec_to_ms (timespec_subtract (now, link->clock_offset_at))
-             < CLOCK_OFFSET_WINDOW_MS)
-    return;
-  link->has_clock_offset = true;
-  link->clock_offset_ms = offset;
-  link->clock_offset_at = now;
-}
-
-/* Report to the node that the peer's settings revision was confirmed, with the
-   maximum age of that confirmation.  The age includes the frame's time in
-   transit and the time that it waited while this process was frozen.  */
-static void
-link_confirm_revision (link_t *link, const frame_header_t *header)
-{
-  int64_t sent = (int64_t)header->sent_ms - link->clock_offset_ms;
-  int64_t transit = (int64_t)link_now_ms (link) - sent;
-
-  if (!link->has_clock_offset)
-    return;
-  node_confirm_settings (link->node, header->settings_revision,
-                         header->confirmed_age_ms
-                             + (uint64_t)(transit < 0 ? 0 : transit));
-}
-
-/* Confirm the peer's settings revision if it is ours too.  Request the peer's
-   settings if they are newer, unless they were invalid on this link or were
-   recently requested from another peer.  */
-static void
-link_request_newer_settings (link_t *link, const frame_header_t *header)
-{
-  frame_t request = { .header = { .type = FRAME_SETTINGS_REQUEST } };
-
-  link_confirm_revision (link, header);
-  if (header->settings_revision == link->rejected_revision
-      || !node_begin_settings_fetch (link->node, header->settings_revision))
-    return;
-  link->requested_revision = header->settings_revision;
-  link_send (link, &request);
-}
-
-static void
-link_adopt_settings (link_t *link, const frame_t *frame)
-{
-  const frame_settings_t *body = &frame->body.settings;
-
-  if (node_adopt_settings (link->node, body->document.data,
-                           body->document.size)
-      != STATUS_OK)
-    {
-      log_event (LOG_LEVEL_WARN, "settings-refused", "peer=%s error=\"%s\"",
-                 link_peer_name (link), status_message ());
-      link->rejected_revision = frame->header.settings_revision;
-      return;
-    }
-  link_request_newer_settings (link, &frame->header);
-}
-
 static void
 link_handle_hello (link_t *link, const frame_t *frame)
 {
@@ -690,13 +521,3 @@
 {
   return link->worker;
 }
-
-/* Return the latest time at which the peer is known to have received data from
-   this process, in milliseconds on the worker's clock; 0 when there is none.
-   The time is that of sending, and only counts when the peer was settled (see
-   frame_header_t).  */
-uint64_t
-link_last_contact_ms (const link_t *link)
-{
-  return link->echo_ms;
-}
