Relay: one rate of events for the queue and the reserve

Cause: request_queue.c and fleet_reserve.c had the same decaying rate, the class of a service was searched for in two places, and work_model_estimate was only called by tests. Change: event_rate.c has the rate, queue_find_class the search. What was work_model_preview is work_model_estimate; the tests record the sending as the fleet does. Result: unit tests pass, behaviour unchanged.

--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -3,6 +3,7 @@
 
 #include "kernel/histogram.h"
 #include "kernel/table.h"
+#include "relay/event_rate.h"
 #include "relay/fleet.h"
 #include "relay/fleet_explanation.h"
 #include "relay/pass_model.h"
@@ -110,13 +111,6 @@
   quota_share_t share;
 } upstream_choice_t;
 
-/* Rate of arrivals, as of its last update.  */
-typedef struct arrival_rate
-{
-  double per_s;
-  struct timespec updated_at;
-} arrival_rate_t;
-
 /* A group of upstreams, its ranks, that take their steps together.  */
 typedef struct fleet_group
 {
@@ -221,7 +215,7 @@
   STAILQ_HEAD (, fleet_upstream) upstreams;
   int64_t quota_rounding; /* below QUOTA_UNITS_PER_REQUEST; random */
   struct timespec rounded_at;
-  arrival_rate_t arrivals[RULES_MAX_URGENCY + 1]; /* by urgency */
+  event_rate_t arrivals[RULES_MAX_URGENCY + 1]; /* by urgency */
 };
 
 /* An upstream, from its start to its end, that has left.  */
--- a/include/relay/work_model.h
+++ b/include/relay/work_model.h
@@ -46,28 +46,22 @@
   int64_t elapsed_ms;
 } work_response_t;
 
-/* Return the time that the engine takes to read a prompt of TOKENS.  */
+/* Returns the time that the engine takes to read a prompt of TOKENS.  */
 double engine_read_ms (const engine_profile_t *engine, double tokens);
 uint64_t work_origin (const char *route, const char *account);
 work_model_t *work_model_create (TALLOC_CTX *parent);
 void work_model_destroy (work_model_t *model);
 /* ENGINE is NULL for a plain service, whose requests take the mean response
    time.  */
-work_estimate_t work_model_estimate (work_model_t *model,
+work_estimate_t work_model_estimate (const work_model_t *model,
                                      const engine_profile_t *engine,
-                                     const work_request_t *request,
-                                     struct timespec now);
-/* Return the same estimate without changing MODEL.  */
-work_estimate_t work_model_preview (const work_model_t *model,
-                                    const engine_profile_t *engine,
-                                    const work_request_t *request);
-/* Record that a request of ORIGIN, estimated with work_model_preview, is
-   sent.  */
+                                     const work_request_t *request);
+/* Records that a request of ORIGIN, whose work was estimated, is sent.  */
 void work_model_use (work_model_t *model, uint64_t origin,
                      struct timespec now);
 void work_model_record (work_model_t *model, const work_estimate_t *estimate,
                         const work_response_t *response, struct timespec now);
-/* Return the work that is left after EVENTS have been received.  */
+/* Returns the work that is left after EVENTS have been received.  */
 uint64_t work_left_us (const work_estimate_t *estimate, uint64_t events);
 
 #endif
--- a/relay/fleet_reserve.c
+++ b/relay/fleet_reserve.c
@@ -1,7 +1,5 @@
 #include "relay/fleet_state.h"
 
-#include <math.h>
-
 /* Capacity that is kept free for the more urgent requests of a service.  The
    load that it answers: less urgent requests that would take every place just
    before the urgent ones arrive, which then wait for one to end.  */
@@ -11,25 +9,13 @@
   /* From the sending of a request until the reports of its upstream show what
      is free after it, so that an urgent request can be sent instead of a less
      urgent one.  */
-  REPORT_DELAY_MS = 200,
-  /* Arrival rates are averaged over about this time.  */
-  RATE_WINDOW_MS = 1000
+  REPORT_DELAY_MS = 200
 };
 
 static const double ms_per_s = 1000;
 /* Below it, a rate counts as none.  */
 static const double min_rate_per_s = 0.05;
 
-/* Return the rate of arrivals at NOW, a second.  */
-static double
-arrival_rate_at (const arrival_rate_t *rate, struct timespec now)
-{
-  double elapsed_ms
-      = (double)timespec_to_ms (timespec_subtract (now, rate->updated_at));
-
-  return rate->per_s * exp (-elapsed_ms / RATE_WINDOW_MS);
-}
-
 /* Count a request for SERVICE of URGENCY that has arrived.  */
 void
 fleet_count_request (fleet_t *fleet, const char *service, unsigned urgency)
@@ -40,12 +26,7 @@
   table_lock (fleet->table);
   known = fleet_find_service (fleet, service);
   if (known != NULL)
-    {
-      arrival_rate_t *rate = &known->arrivals[urgency];
-
-      rate->per_s = arrival_rate_at (rate, now) + ms_per_s / RATE_WINDOW_MS;
-      rate->updated_at = now;
-    }
+    event_rate_count (&known->arrivals[urgency], now);
   table_unlock (fleet->table);
 }
 
@@ -57,7 +38,7 @@
 
   for (unsigned urgency = 0; urgency <= RULES_MAX_URGENCY; urgency++)
     {
-      if (arrival_rate_at (&service->arrivals[urgency], now) > min_rate_per_s)
+      if (event_rate_at (&service->arrivals[urgency], now) > min_rate_per_s)
         classes++;
     }
   return classes > 1;
@@ -84,7 +65,7 @@
       return use;
     }
   for (unsigned urgency = 0; urgency < reserved; urgency++)
-    per_s += arrival_rate_at (&service->arrivals[urgency], now);
+    per_s += event_rate_at (&service->arrivals[urgency], now);
   use.reserve = per_s * REPORT_DELAY_MS / ms_per_s;
   return use;
 }
--- a/relay/fleet_work.c
+++ b/relay/fleet_work.c
@@ -107,7 +107,7 @@
   work_sizing_t sizing = { .request = request->work };
   pick_request_t *sized = &sizing.request;
 
-  sizing.estimate = work_model_preview (
+  sizing.estimate = work_model_estimate (
       fleet->work, service->has_engine ? &service->engine : NULL, &work);
   sized->work_us = work_left_us (&sizing.estimate, 0);
   sizing.mean_work_us
--- a/relay/request_queue.c
+++ b/relay/request_queue.c
@@ -1,6 +1,7 @@
 #include "relay/request_queue.h"
 
 #include "kernel/clock.h"
+#include "relay/event_rate.h"
 
 #include <math.h>
 #include <string.h>
@@ -10,9 +11,6 @@
   /* A class that waits gets at least one of this many requests that are sent,
      so that more urgent classes can't starve it.  */
   GUARANTEED_TURN = 8,
-  /* The rate at which requests are sent is averaged over about this time.  It
-     tells the capacity for a class that has been waiting for as long.  */
-  RATE_WINDOW_MS = 1000,
   MAX_EXPECTED_WAIT_MS = 60000
 };
 
@@ -30,8 +28,9 @@
   unsigned passed_over;
   unsigned count;
   struct timespec waiting_since; /* valid unless it is empty */
-  double sent_per_s;             /* at SENT_AT, the last sending */
-  struct timespec sent_at;
+  /* Rate at which its requests are sent.  It tells the capacity for a class
+     that has been waiting for as long as it is averaged over.  */
+  event_rate_t sendings;
 } request_class_t;
 
 struct request_queue
@@ -200,15 +199,6 @@
   return false;
 }
 
-static double
-class_rate_at (const request_class_t *class, struct timespec now)
-{
-  double elapsed_ms
-      = (double)timespec_to_ms (timespec_subtract (now, class->sent_at));
-
-  return class->sent_per_s * exp (-elapsed_ms / RATE_WINDOW_MS);
-}
-
 /* Count a request for SERVICE of URGENCY that was sent: it has passed over
    the less urgent ones that are queued.  */
 void
@@ -223,33 +213,41 @@
         continue;
       if (class->urgency > urgency && class->count > 0)
         class->passed_over++;
-      if (class->urgency != urgency)
-        continue;
-      class->sent_per_s
-          = class_rate_at (class, now) + ms_per_s / RATE_WINDOW_MS;
-      class->sent_at = now;
+      if (class->urgency == urgency)
+        event_rate_count (&class->sendings, now);
     }
 }
 
-/* Return the time that a request for SERVICE of URGENCY is expected to wait,
-   or zero if that is not known.  */
-struct timespec
-request_queue_expected_wait (const request_queue_t *queue, const char *service,
-                             unsigned urgency, struct timespec now)
+/* Return the class of SERVICE and URGENCY, or NULL.  */
+static const request_class_t *
+queue_find_class (const request_queue_t *queue, const char *service,
+                  unsigned urgency)
 {
   const request_class_t *class;
-  double wait_ms;
 
   LIST_FOREACH (class, &queue->classes, link)
     {
       if (class->urgency == urgency && class_is_of (class, service))
         break;
     }
+  return class;
+}
+
+/* Return the time that a request for SERVICE of URGENCY is expected to wait,
+   or zero if that is not known.  */
+struct timespec
+request_queue_expected_wait (const request_queue_t *queue, const char *service,
+                             unsigned urgency, struct timespec now)
+{
+  const request_class_t *class = queue_find_class (queue, service, urgency);
+  double wait_ms;
+
   if (class == NULL || class->count == 0
       || timespec_to_ms (timespec_subtract (now, class->waiting_since))
-             < RATE_WINDOW_MS)
+             < EVENT_RATE_WINDOW_MS)
     return (struct timespec){ 0, 0 };
-  wait_ms = class->count * ms_per_s / fmax (class_rate_at (class, now), 1e-9);
+  wait_ms = class->count * ms_per_s
+            / fmax (event_rate_at (&class->sendings, now), 1e-9);
   return timespec_from_ms ((int64_t)fmin (wait_ms, MAX_EXPECTED_WAIT_MS));
 }
 
@@ -274,13 +272,9 @@
                             unsigned other_urgency, unsigned urgency,
                             bool is_late, struct timespec now)
 {
-  const request_class_t *class;
+  const request_class_t *class = queue_find_class (queue, service,
+                                                   other_urgency);
 
-  LIST_FOREACH (class, &queue->classes, link)
-    {
-      if (class->urgency == other_urgency && class_is_of (class, service))
-        break;
-    }
   if (class == NULL || other_urgency > urgency)
     return 0;
   return other_urgency < urgency || is_late ? class->count
--- a/relay/work_model.c
+++ b/relay/work_model.c
@@ -223,8 +223,8 @@
 
 /* Estimate the work of REQUEST without changing MODEL.  */
 work_estimate_t
-work_model_preview (const work_model_t *model, const engine_profile_t *engine,
-                    const work_request_t *request)
+work_model_estimate (const work_model_t *model, const engine_profile_t *engine,
+                     const work_request_t *request)
 {
   unsigned index = model_index (model, request->origin);
   const origin_t *origin
@@ -265,15 +265,6 @@
     known->used_at = now;
 }
 
-/* Estimate the work of REQUEST, which is to be sent.  */
-work_estimate_t
-work_model_estimate (work_model_t *model, const engine_profile_t *engine,
-                     const work_request_t *request, struct timespec now)
-{
-  work_model_use (model, request->origin, now);
-  return work_model_preview (model, engine, request);
-}
-
 /* Return the events that are still expected after EVENTS have been received.
    They go from those expected at first, in a straight line, to the usual
    overrun once as many have been received: fewer if responses end as expected,
--- a/tests/test_work_model.c
+++ b/tests/test_work_model.c
@@ -66,13 +66,22 @@
                            .timeout_ms = TIMEOUT_MS };
 }
 
+/* Return the estimate of REQUEST, which is sent then.  */
+static work_estimate_t
+estimate_sent (const fixture_t *fixture, const engine_profile_t *profile,
+               const work_request_t *request)
+{
+  work_model_use (fixture->model, request->origin, fixture->now);
+  return work_model_estimate (fixture->model, profile, request);
+}
+
 static work_estimate_t
 estimate (const fixture_t *fixture, const char *account,
           uint64_t hinted_tokens)
 {
   work_request_t request = request_of (account, hinted_tokens);
 
-  return work_model_estimate (fixture->model, &engine, &request, fixture->now);
+  return estimate_sent (fixture, &engine, &request);
 }
 
 /* COUNT responses of ACCOUNT have EVENTS events each.  */
@@ -225,8 +234,7 @@
                                  .max_tokens = counts[i / COUNTS / COUNTS],
                                  .past_events = counts[(i + 1) % COUNTS],
                                  .timeout_ms = TIMEOUT_MS };
-      work_estimate_t expected = work_model_estimate (fixture->model, &engine,
-                                                      &request, fixture->now);
+      work_estimate_t expected = estimate_sent (fixture, &engine, &request);
       work_response_t response = { .events = counts[i % COUNTS] };
 
       assert_true (expected.events >= 1);
@@ -244,8 +252,7 @@
   static const engine_profile_t empty = { 0 };
   fixture_t *fixture = *state;
   work_request_t request = request_of ("a", HINT);
-  work_estimate_t expected
-      = work_model_estimate (fixture->model, &empty, &request, fixture->now);
+  work_estimate_t expected = estimate_sent (fixture, &empty, &request);
 
   assert_int_equal (work_left_us (&expected, 0), 0);
 }
@@ -260,8 +267,7 @@
   work_estimate_t expected;
 
   request.past_events = 15;
-  expected
-      = work_model_estimate (fixture->model, &engine, &request, fixture->now);
+  expected = estimate_sent (fixture, &engine, &request);
   assert_about (expected.events, 5, 0);
   for (unsigned i = 0; i < RESPONSES; i++)
     work_model_record (fixture->model, &expected,
@@ -292,15 +298,13 @@
 {
   fixture_t *fixture = *state;
   work_request_t request = request_of ("a", 0);
-  work_estimate_t expected
-      = work_model_estimate (fixture->model, NULL, &request, fixture->now);
+  work_estimate_t expected = estimate_sent (fixture, NULL, &request);
 
   assert_int_equal (work_left_us (&expected, 0), 0);
   for (unsigned i = 0; i < RESPONSES; i++)
     work_model_record (fixture->model, &expected,
                        &(work_response_t){ .elapsed_ms = 40 }, fixture->now);
-  expected
-      = work_model_estimate (fixture->model, NULL, &request, fixture->now);
+  expected = estimate_sent (fixture, NULL, &request);
   assert_in_range (work_left_us (&expected, 0), 39000, 41000);
 }
 
