--- a/bench/relay_model.c
+++ b/bench/relay_model.c
@@ -53,6 +53,14 @@
   return now_ms >= span->start_ms && now_ms < span->end_ms;
 }
 
+/* Return the time of the virtual clock at AT_MS.  */
+struct timespec
+model_time (uint64_t at_ms)
+{
+  return timespec_add ((struct timespec){ .tv_sec = START_S },
+                       timespec_from_ms ((int64_t)at_ms));
+}
+
 /* Return the route of the class CLASS_INDEX.  */
 const route_t *
 model_route (const relay_model_t *model, unsigned class_index)
--- a/bench/relay_model_forward.c
+++ b/bench/relay_model_forward.c
@@ -1,24 +1,18 @@
 #include "bench/relay_model_state.h"
 
 #include "kernel/table.h"
+#include "relay/request_verdict.h"
 
 #include <stdlib.h>
 
-/* The way of a request through a relay.  Decides as relay/forward.c and
-   relay/forward_queue.c do, with the queue of production.  */
+/* The way of a request through a relay, with the queue and the verdicts of
+   production; what happens to a request follows relay/forward.c.  */
 
 enum
 {
-  /* As in relay/forward.c.  */
-  QUEUE_TIME_DIVISOR = 2,
+  /* As in relay/attempt_end.c.  */
   MAX_EXTRA_ATTEMPTS = 2,
-  RETRY_AFTER_DIVISOR = 4,
-  RETRY_AFTER_MIN_MS = 50,
-  LATE_START_DIVISOR = 2,
-  /* As in relay/forward_queue.c.  */
-  UNUSABLE_QUEUE_MAX_MS = 100,
-  /* Urgency in the queues of engines, as in relay/attempt.c.  */
-  URGENCY_MAX = 9,
+  /* Added to the urgency in the queues of engines, as in relay/attempt.c.  */
   LATE_URGENCY_INCREMENT = 4
 };
 
@@ -29,18 +23,6 @@
   return (int64_t)request->deadline_ms - (int64_t)model->now_ms;
 }
 
-/* Return the time after which the client of REQUEST may return if nothing
-   better is known.  */
-static int64_t
-request_default_retry_ms (const relay_model_t *model,
-                          const model_request_t *request)
-{
-  int64_t retry_ms
-      = request_time_left_ms (model, request) / RETRY_AFTER_DIVISOR;
-
-  return retry_ms < RETRY_AFTER_MIN_MS ? RETRY_AFTER_MIN_MS : retry_ms;
-}
-
 static void
 request_dequeue (model_request_t *request)
 {
@@ -50,23 +32,23 @@
   request->relay->queued_count--;
 }
 
+/* Refuse REQUEST; its client may return after RETRY_AFTER.  */
 static queue_result_t
-request_refuse (relay_model_t *model, model_request_t *request)
+request_refuse (relay_model_t *model, model_request_t *request,
+                struct timespec retry_after)
 {
   request_dequeue (request);
-  model_refuse (model, request, request_default_retry_ms (model, request));
+  model_refuse (model, request, timespec_to_ms (retry_after));
   return QUEUE_ENDED;
 }
 
-static bool
-request_has_waited_enough (const relay_model_t *model,
-                           const model_request_t *request, bool is_temporary)
+static queue_result_t
+request_refuse_by_default (relay_model_t *model, model_request_t *request)
 {
-  return timespec_compare (clock_monotonic (model->clock),
-                           request->queued.give_up_at)
-             >= 0
-         || (!is_temporary
-             && model->now_ms - request->arrived_ms >= UNUSABLE_QUEUE_MAX_MS);
+  int64_t left_ms = request_time_left_ms (model, request);
+
+  return request_refuse (model, request,
+                         verdict_retry_after (timespec_from_ms (left_ms)));
 }
 
 /* Queue REQUEST, or refuse it if it has waited for too long.  */
@@ -75,33 +57,48 @@
                       bool is_temporary)
 {
   model_relay_t *relay = request->relay;
+  struct timespec now = clock_monotonic (model->clock);
+  struct timespec end
+      = verdict_wait_end (model_time (request->arrived_ms),
+                          request->queued.give_up_at, is_temporary);
 
-  if (request_has_waited_enough (model, request, is_temporary))
-    return request_refuse (model, request);
+  if (timespec_compare (now, end) >= 0)
+    return request_refuse_by_default (model, request);
   if (request->queued.class == NULL)
     {
-      request_queue_add (relay->queue, &request->queued,
-                         clock_monotonic (model->clock));
+      request_queue_add (relay->queue, &request->queued, now);
       relay->queued_count++;
     }
   request->has_waited = true;
   return QUEUE_WAITS;
 }
 
-/* Return whether REQUEST, which has just arrived, would wait in vain.  */
-static bool
-request_is_hopeless (const relay_model_t *model,
-                     const model_request_t *request)
+/* Return what the verdict on REQUEST depends on.  */
+static verdict_case_t
+request_verdict_case (const relay_model_t *model,
+                      const model_request_t *request)
 {
-  struct timespec now = clock_monotonic (model->clock);
-  struct timespec wait = request_queue_expected_wait (
-      request->relay->queue, request->criteria.service,
-      request->criteria.urgency, now);
-
-  return !model->scenario.is_by_arrival && !request->has_waited
-         && timespec_compare (timespec_add (now, wait),
-                              request->queued.give_up_at)
-                >= 0;
+  return (verdict_case_t){
+    .fleet = request->relay->fleet,
+    .queue = request->relay->queue,
+    .service = request->criteria.service,
+    .urgency = request->criteria.urgency,
+    .now = clock_monotonic (model->clock),
+    .arrived_at = model_time (request->arrived_ms),
+    .give_up_at = request->queued.give_up_at,
+    .deadline = model_time (request->deadline_ms),
+    .has_waited = request->has_waited,
+  };
+}
+
+/* Queue or refuse REQUEST as VERDICT says.  */
+static queue_result_t
+request_follow (relay_model_t *model, model_request_t *request,
+                const request_verdict_t *verdict)
+{
+  return verdict->action == VERDICT_WAIT
+             ? request_wait_or_fail (model, request, verdict->is_temporary)
+             : request_refuse (model, request, verdict->retry_after);
 }
 
 /* No upstream can be chosen for REQUEST because of SHORTAGE.  */
@@ -109,15 +106,15 @@
 request_handle_shortage (relay_model_t *model, model_request_t *request,
                          fleet_shortage_t shortage)
 {
-  bool is_certain
-      = shortage == FLEET_NO_GROUP && !model->scenario.is_by_arrival;
+  verdict_case_t facts = request_verdict_case (model, request);
+  request_verdict_t verdict
+      = { .action = VERDICT_WAIT,
+          .is_temporary = fleet_shortage_is_temporary (shortage) };
   queue_result_t result;
 
-  if (is_certain
-      || (shortage == FLEET_ALL_FULL && request_is_hopeless (model, request)))
-    return request_refuse (model, request);
-  result = request_wait_or_fail (model, request,
-                                 fleet_shortage_is_temporary (shortage));
+  if (!model->scenario.is_by_arrival)
+    verdict = verdict_on_shortage (&facts, shortage);
+  result = request_follow (model, request, &verdict);
   return result == QUEUE_WAITS && shortage == FLEET_ALL_FULL ? QUEUE_FULL
                                                              : result;
 }
@@ -146,7 +143,7 @@
 
   if (request->criteria.is_late)
     urgency += LATE_URGENCY_INCREMENT;
-  return urgency < URGENCY_MAX ? urgency : URGENCY_MAX;
+  return urgency < RULES_MAX_URGENCY ? urgency : RULES_MAX_URGENCY;
 }
 
 /* Send REQUEST to the chosen upstream.  That it is declined is known at the
@@ -200,23 +197,20 @@
   const route_t *route = request->criteria.route;
   struct timespec now = clock_monotonic (model->clock);
   struct timespec waited = request_time_waited (model, request);
-  int64_t late_ms = timespec_to_ms (route->objective) / LATE_START_DIVISOR;
-  int64_t queue_ms
-      = request_time_left_ms (model, request) / QUEUE_TIME_DIVISOR;
+  int64_t left_ms = request_time_left_ms (model, request);
 
-  if (queue_ms > FLEET_MAX_QUEUE_MS)
-    queue_ms = FLEET_MAX_QUEUE_MS;
   request->criteria.urgency = model->scenario.is_by_arrival
                                   ? 0
                                   : rules_urgency (model->rules, route, NULL);
-  request->criteria.is_late = timespec_to_ms (waited) >= late_ms;
+  request->criteria.is_late = verdict_is_late (route, waited);
   request->criteria.is_guaranteed = false;
   request->queued = (queued_request_t){
     .service = request->criteria.service,
     .urgency = request->criteria.urgency,
     .late_from = timespec_add (timespec_subtract (now, waited),
-                               timespec_from_ms (late_ms)),
-    .give_up_at = timespec_add (now, timespec_from_ms (queue_ms)),
+                               verdict_late_after (route)),
+    .give_up_at
+    = timespec_add (now, verdict_queue_time (timespec_from_ms (left_ms))),
   };
 }
 
@@ -228,16 +222,16 @@
   const char *service = request->criteria.service;
   unsigned urgency = request->criteria.urgency;
 
-  if (!request_queue_has_more_urgent (queue, service, urgency))
+  if (request_queue_has_more_urgent (queue, service, urgency))
     {
-      if (request_dispatch (model, request) == QUEUE_SENT)
-        request_queue_count_sent (queue, service, urgency,
-                                  clock_monotonic (model->clock));
+      verdict_case_t facts = request_verdict_case (model, request);
+      request_verdict_t verdict = verdict_on_more_urgent (&facts);
+
+      request_follow (model, request, &verdict);
     }
-  else if (request_is_hopeless (model, request))
-    request_refuse (model, request);
-  else
-    request_wait_or_fail (model, request, true);
+  else if (request_dispatch (model, request) == QUEUE_SENT)
+    request_queue_count_sent (queue, service, urgency,
+                              clock_monotonic (model->clock));
 }
 
 /* REQUEST arrives at RELAY.  */
@@ -270,7 +264,7 @@
            || request_time_left_ms (model, request) <= 0
            || !retry_budget_take (request->relay->budget,
                                   request->criteria.service))
-    request_refuse (model, request);
+    request_refuse_by_default (model, request);
   else
     request_dispatch (model, request);
 }
@@ -327,7 +321,8 @@
 
   request_queue_retry (relay->queue, now, request_retry, model);
   while ((expired = request_queue_find_expired (relay->queue, now)) != NULL)
-    request_refuse (model, CONTAINER_OF (expired, model_request_t, queued));
+    request_refuse_by_default (
+        model, CONTAINER_OF (expired, model_request_t, queued));
   model->queue_times[range].ns += model_processor_ns () - started_ns;
   model->queue_times[range].sweeps++;
   model->queue_times[range].requests += count;
--- a/bench/relay_model_state.h
+++ b/bench/relay_model_state.h
@@ -187,6 +187,7 @@
 double model_random (relay_model_t *model);
 double model_random_normal (relay_model_t *model);
 bool model_span_covers (const relay_model_span_t *span, uint64_t now_ms);
+struct timespec model_time (uint64_t at_ms);
 const route_t *model_route (const relay_model_t *model, unsigned class_index);
 int64_t model_processor_ns (void);
 
