--- a/include/common/http_exchange.h
+++ b/include/common/http_exchange.h
@@ -7,7 +7,7 @@
 #include <microhttpd.h>
 #include <sys/queue.h>
 
-/* Internals shared by http_server.c and http_exchange.c.  */
+/* Internals shared by http_server.c, http_exchange.c and http_reply.c.  */
 
 enum
 {
--- a/include/kernel/lock.h
+++ b/include/kernel/lock.h
@@ -17,7 +17,8 @@
   LOCK_GROUPS,      /* lock-step groups and their expert maps */
   LOCK_UPSTREAMS,   /* upstreams known to this process */
   LOCK_RATE_LIMITS, /* limits that upstreams have named */
-  LOCK_ACCOUNTS,    /* queue shares by account, retry budgets by service */
+  LOCK_ACCOUNTS,    /* queue shares by account, retry budgets by service, and
+                       client timeouts by route */
   LOCK_ADMISSION,   /* the admission gate and its queue */
   LOCK_REQUESTS,    /* requests in flight */
   LOCK_CRASHES,     /* attempts that may show a crash */
