Comments and two long functions

Cause: the headers of the relay named load conditions in an unusual way, one comment described two functions, siskinctl place used bare numbers, and the fixture of the switcher had a function of 55 lines.

--- a/ctl/commands/place.c
+++ b/ctl/commands/place.c
@@ -10,6 +10,8 @@
   CALL_TIMEOUT_MS = 5000,
   MAX_ANSWER_BYTES = 4 * 1024 * 1024, /* a relay sends no more */
   MAX_KEY_BYTES = 1024,
+  MS_PER_S = 1000,
+  PERCENT = 100,
   HTTP_OK = 200,
   HTTP_NOT_FOUND = 404
 };
@@ -260,10 +262,10 @@
                  "Retry-After %.3f",
                  text_of (answer, "why"),
                  number_of (answer, "longest_wait_ms"),
-                 number_of (answer, "retry_after_ms") / 1000);
+                 number_of (answer, "retry_after_ms") / MS_PER_S);
   else if (number_of (answer, "retry_after_ms") > 0)
     report_line (ctl, "refused: %s; Retry-After %.3f", text_of (answer, "why"),
-                 number_of (answer, "retry_after_ms") / 1000);
+                 number_of (answer, "retry_after_ms") / MS_PER_S);
   else
     report_line (ctl, "refused: %s", text_of (answer, "why"));
 }
@@ -278,7 +280,7 @@
 
   report_line (ctl, "route %s, service %s (%.0f%% of the route), account %s",
                text_of (answer, "route"), text_of (answer, "service"),
-               number_of (answer, "service_share") * 100,
+               number_of (answer, "service_share") * PERCENT,
                text_of (answer, "account"));
   report_line (ctl, "urgency %.0f%s, timeout %.0f ms, waited %.0f ms before",
                number_of (answer, "urgency"),
--- a/include/relay/client_timeouts.h
+++ b/include/relay/client_timeouts.h
@@ -5,11 +5,11 @@
 #include <time.h>
 
 /* How long the clients of each route usually wait.  A client that sends a
-   request again, after a refusal or a lost connection, waits for less: the
-   rest of its time.  So a shorter timeout tells for how long a client has
-   waited before.  The load that it answers: after an outage, clients that come
-   back would count as new and make those late that are.  Callable from every
-   worker.  */
+   request again, after a refusal or a lost connection, waits only for the rest
+   of its time, so a shorter timeout shows for how long it has waited already.
+   It addresses the load condition after an outage: requests of clients that
+   come back would count as new, and make those late that are.  Callable from
+   every worker.  */
 typedef struct client_timeouts client_timeouts_t;
 
 client_timeouts_t *client_timeouts_create (TALLOC_CTX *parent);
--- a/include/relay/fleet.h
+++ b/include/relay/fleet.h
@@ -154,6 +154,7 @@
 void fleet_destroy (fleet_t *fleet);
 void fleet_add_zone (fleet_t *fleet, const char *zone, const char *region);
 void fleet_configure (fleet_t *fleet, const rules_t *rules);
+/* Returns false and does nothing if the service or the policy is unknown.  */
 bool fleet_set_policy (fleet_t *fleet, const char *name, const char *policy);
 void fleet_set_share (fleet_t *fleet, const rate_share_t *share);
 /* LIMITS must remain valid; without it no upstream has a limit.  */
--- a/include/relay/request_queue.h
+++ b/include/relay/request_queue.h
@@ -8,9 +8,9 @@
 #include <time.h>
 
 /* The requests of one worker that no upstream can take yet, and the order in
-   which they are tried again.  The load that it answers: more requests than
-   the upstreams of a service can run.  Independent of the encoding of
-   messages; belongs to one worker.  */
+   which they are tried again.  It addresses the load condition in which a
+   service gets more requests than its upstreams can run.  Independent of the
+   encoding of messages; belongs to one worker.  */
 typedef struct request_queue request_queue_t;
 
 struct request_class;
--- a/include/relay/request_verdict.h
+++ b/include/relay/request_verdict.h
@@ -56,9 +56,10 @@
                                  const struct timespec *client_timeout);
 struct timespec verdict_queue_time (struct timespec timeout);
 /* Returns the time after which a request of ROUTE is likely to miss its
-   objective, and whether one whose client has WAITED for that long on arrival
-   is.  */
+   objective.  */
 struct timespec verdict_late_after (const route_t *route);
+/* Returns whether a request of ROUTE is likely to miss its objective if its
+   client has WAITED before it arrived.  */
 bool verdict_is_late (const route_t *route, struct timespec waited);
 struct timespec verdict_retry_after (struct timespec remaining);
 /* Returns when a request that is queued is given up.  An upstream that is
--- a/relay/fleet_reserve.c
+++ b/relay/fleet_reserve.c
@@ -1,8 +1,8 @@
 #include "relay/fleet_state.h"
 
-/* Capacity that is kept free for the more urgent requests of a service.  The
-   load that it answers: less urgent requests that would take every place just
-   before the urgent ones arrive, which then wait for one to end.  */
+/* Capacity that is kept free for the more urgent requests of a service.  It
+   addresses the load condition in which less urgent requests would take every
+   place just before urgent ones arrive, which then wait for one to end.  */
 
 enum
 {
--- a/tests/switcher_fixture.c
+++ b/tests/switcher_fixture.c
@@ -266,6 +266,42 @@
                                      % SWITCHER_FIXTURE_REPORT_LAG_MS]);
 }
 
+/* A leader gets the outcome of a command.  */
+static void
+deliver_verdict (switcher_fixture_t *fixture,
+                 const switcher_fixture_message_t *message)
+{
+  switcher_fixture_leader_t *leader = message->leader;
+  unsigned rank = message->rank;
+
+  if ((message->verdict == RANK_DONE || message->verdict == RANK_CONFLICT)
+      && message->ticket > leader->finished[rank].ticket)
+    leader->finished[rank]
+        = (finished_command_t){ .ticket = message->ticket,
+                                .at = fixture_now (fixture) };
+  if (leader->is_paused) /* it stays queued in the leader's socket */
+    queue_verdict (fixture, message, message->verdict, POLL_INTERVAL_MS);
+  else
+    switcher_handle_verdict (leader->switcher, rank, message->ticket,
+                             message->verdict, fixture_now (fixture));
+}
+
+/* The pilot of a rank gets a request for a permit.  */
+static void
+deliver_permit_request (switcher_fixture_t *fixture,
+                        const switcher_fixture_message_t *message)
+{
+  unsigned rank = message->rank;
+  switcher_fixture_message_t *reply;
+
+  if (message->command.fence < fixture->latest_term[rank])
+    return;
+  fixture->granted_version[rank] = message->command.version;
+  reply = queue_message (fixture, message->leader, MESSAGE_PERMIT_REPLY, rank,
+                         network_delay_ms (fixture));
+  reply->command = message->command;
+}
+
 static void
 deliver (switcher_fixture_t *fixture,
          const switcher_fixture_message_t *message)
@@ -287,24 +323,10 @@
         simulated_engine_execute (&fixture->group, engine, &message->command);
       break;
     case MESSAGE_VERDICT:
-      if ((message->verdict == RANK_DONE || message->verdict == RANK_CONFLICT)
-          && message->ticket > leader->finished[rank].ticket)
-        leader->finished[rank]
-            = (finished_command_t){ .ticket = message->ticket,
-                                    .at = fixture_now (fixture) };
-      if (leader->is_paused) /* it stays queued in the leader's socket */
-        queue_verdict (fixture, message, message->verdict, POLL_INTERVAL_MS);
-      else
-        switcher_handle_verdict (leader->switcher, rank, message->ticket,
-                                 message->verdict, fixture_now (fixture));
+      deliver_verdict (fixture, message);
       break;
     case MESSAGE_PERMIT_REQUEST:
-      if (message->command.fence < fixture->latest_term[rank])
-        break;
-      fixture->granted_version[rank] = message->command.version;
-      reply = queue_message (fixture, leader, MESSAGE_PERMIT_REPLY, rank,
-                             network_delay_ms (fixture));
-      reply->command = message->command;
+      deliver_permit_request (fixture, message);
       break;
     case MESSAGE_PERMIT_REPLY:
       if (!leader->is_paused)
