One function each to set a policy and to find a connection's descriptor

Cause: fleet.c and fleet_work.c both replaced the policy of a service, one of them without a fallback when memory is exhausted; http_server.c and http_exchange.c both looked up the descriptor. Change: service_set_policy and http_connection_fd are used by both. A service keeps its policy when there is no memory for the new one; otherwise behaviour is unchanged.

--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -64,15 +64,6 @@
     exchange->server->ops->on_disconnect (exchange, exchange->server->data);
 }
 
-/* Return the descriptor of the connection.  */
-int
-http_exchange_fd (const http_exchange_t *exchange)
-{
-  return MHD_get_connection_info (exchange->mhd_connection,
-                                  MHD_CONNECTION_INFO_CONNECTION_FD)
-      ->connect_fd;
-}
-
 /* Detect that the client has closed the connection.  libmicrohttpd does not
    watch suspended connections, so the exchange does it.  */
 static void
@@ -82,8 +73,8 @@
 {
   http_exchange_t *exchange = data;
   char byte;
-  ssize_t received
-      = recv (http_exchange_fd (exchange), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  ssize_t received = recv (http_connection_fd (exchange->connection), &byte, 1,
+                           MSG_PEEK | MSG_DONTWAIT);
 
   (void)events;
   (void)event;
@@ -154,7 +145,7 @@
     return;
   exchange->connection->is_refused = true;
   if (size > 0 && (size_t)size < sizeof reply)
-    send (http_exchange_fd (exchange), reply, (size_t)size,
+    send (http_connection_fd (exchange->connection), reply, (size_t)size,
           MSG_DONTWAIT | MSG_NOSIGNAL);
   exchange_free_body (exchange);
 }
@@ -199,8 +190,8 @@
 {
   exchange->disconnect_event
       = tevent_add_fd (worker_events (exchange->server->worker), exchange,
-                       http_exchange_fd (exchange), TEVENT_FD_READ,
-                       exchange_handle_disconnect, exchange);
+                       http_connection_fd (exchange->connection),
+                       TEVENT_FD_READ, exchange_handle_disconnect, exchange);
 }
 
 /* The request was not completely received in time.  Shutting the connection
@@ -213,7 +204,7 @@
   (void)worker;
   exchange->receive_timer = NULL;
   counter_add (&exchanges_timed_out, 1);
-  shutdown (http_exchange_fd (exchange), SHUT_RDWR);
+  shutdown (http_connection_fd (exchange->connection), SHUT_RDWR);
 }
 
 /* Create an exchange when libmicrohttpd has received the request line, and
@@ -249,7 +240,7 @@
   if (!memory_set_held (&connection->memory, HTTP_CONNECTION_MEMORY_BYTES))
     {
       exchange_refuse_memory (exchange);
-      shutdown (http_exchange_fd (exchange), SHUT_RDWR);
+      shutdown (http_connection_fd (exchange->connection), SHUT_RDWR);
     }
   return exchange;
 }
--- a/common/http_reply.c
+++ b/common/http_reply.c
@@ -50,9 +50,9 @@
   counter_add (&exchanges_cut, 1);
   http_exchange_free_chunks (exchange);
   exchange->is_reply_aborted = true;
-  setsockopt (http_exchange_fd (exchange), SOL_SOCKET, SO_LINGER,
+  setsockopt (http_connection_fd (exchange->connection), SOL_SOCKET, SO_LINGER,
               &reset_on_close, sizeof reset_on_close);
-  shutdown (http_exchange_fd (exchange), SHUT_RDWR);
+  shutdown (http_connection_fd (exchange->connection), SHUT_RDWR);
 }
 
 /* Once the request was received, the process waits for the client only while a
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -109,8 +109,9 @@
   return timeout->tv_sec + (timeout->tv_nsec > 0 ? 1 : 0);
 }
 
-static int
-connection_fd (const http_connection_t *connection)
+/* Return the descriptor of CONNECTION.  */
+int
+http_connection_fd (const http_connection_t *connection)
 {
   return MHD_get_connection_info (connection->mhd_connection,
                                   MHD_CONNECTION_INFO_CONNECTION_FD)
@@ -121,7 +122,7 @@
 static void
 connection_close (const http_connection_t *connection)
 {
-  shutdown (connection_fd (connection), SHUT_RDWR);
+  shutdown (http_connection_fd (connection), SHUT_RDWR);
 }
 
 static int
@@ -154,7 +155,7 @@
   if (lingering == NULL)
     return;
   lingering->server = server;
-  lingering->fd = fcntl (connection_fd (connection), F_DUPFD_CLOEXEC, 0);
+  lingering->fd = fcntl (http_connection_fd (connection), F_DUPFD_CLOEXEC, 0);
   if (lingering->fd < 0)
     {
       talloc_free (lingering);
@@ -461,7 +462,8 @@
 {
   char byte;
 
-  return recv (connection_fd (connection), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
+  return recv (http_connection_fd (connection), &byte, 1,
+               MSG_PEEK | MSG_DONTWAIT)
          > 0;
 }
 
--- a/include/common/http_exchange.h
+++ b/include/common/http_exchange.h
@@ -123,6 +123,7 @@
 } field_sizes_t;
 
 void http_server_schedule_resume (http_server_t *server);
+int http_connection_fd (const http_connection_t *connection);
 void http_server_end_exchange (const http_server_t *server,
                                const http_connection_t *connection);
 void *http_exchange_create (void *data, const char *target,
@@ -138,7 +139,6 @@
 /* Schedules EXCHANGE to be resumed if it is suspended.  */
 void http_exchange_resume (http_exchange_t *exchange);
 void http_exchange_finish (http_exchange_t *exchange);
-int http_exchange_fd (const http_exchange_t *exchange);
 /* Reserves memory for BYTES of body and reply in total, or releases what is
    surplus.  Returns false if there is no room for more.  */
 bool http_exchange_charge (http_exchange_t *exchange, size_t bytes);
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -263,7 +263,9 @@
 /* Return the one that fleet_random will return next.  */
 double fleet_next_random (const fleet_t *fleet);
 fleet_service_t *fleet_find_service (const fleet_t *fleet, const char *name);
-fleet_zone_t *fleet_find_or_add_zone (fleet_t *fleet, const char *name);
+/* Returns false, and changes nothing, when memory is exhausted.  */
+bool service_set_policy (const fleet_t *fleet, fleet_service_t *service,
+                         const pick_ops_t *ops);
 
 /* Cold start of an upstream, whose requests are limited until its caches are
    filled (fleet_cold.c).  */
--- a/relay/fleet.c
+++ b/relay/fleet.c
@@ -148,7 +148,7 @@
 
 /* Return the zone NAME, which is added if it is unknown, or NULL when memory
    is exhausted.  The table must be locked.  */
-fleet_zone_t *
+static fleet_zone_t *
 fleet_find_or_add_zone (fleet_t *fleet, const char *name)
 {
   fleet_zone_t *zone;
@@ -212,6 +212,23 @@
   table_unlock (fleet->table);
 }
 
+/* Choose the upstreams of SERVICE by the policy OPS from now on.  What the
+   former policy has learned is lost.  Returns false, and changes nothing, when
+   memory is exhausted.  */
+bool
+service_set_policy (const fleet_t *fleet, fleet_service_t *service,
+                    const pick_ops_t *ops)
+{
+  pick_t *pick = ops->create (service, fleet->seed);
+
+  if (pick == NULL)
+    return false;
+  service->ops->destroy (service->pick);
+  service->ops = ops;
+  service->pick = pick;
+  return true;
+}
+
 /* Choose the upstreams of the service NAME with the policy POLICY from now on.
    Returns false if there is no such service or policy, or when memory is
    exhausted; then nothing changes.  */
@@ -220,20 +237,14 @@
 {
   const pick_ops_t *ops = plugin_ops (PLUGIN_PICK, policy);
   fleet_service_t *service;
-  pick_t *pick = NULL;
+  bool is_set;
 
   table_lock (fleet->table);
   service = fleet_find_service (fleet, name);
-  if (service != NULL && ops != NULL)
-    pick = ops->create (service, fleet->seed);
-  if (pick != NULL)
-    {
-      service->ops->destroy (service->pick);
-      service->ops = ops;
-      service->pick = pick;
-    }
+  is_set = service != NULL && ops != NULL
+           && service_set_policy (fleet, service, ops);
   table_unlock (fleet->table);
-  return pick != NULL;
+  return is_set;
 }
 
 /* Set this relay's share of the system-wide limits.  */
--- a/relay/fleet_work.c
+++ b/relay/fleet_work.c
@@ -26,21 +26,6 @@
               "Most work left at an upstream, relative to the mean of its "
               "service; the highest of all services");
 
-/* Use the policy NAME for SERVICE.  What the former one has learned is
-   lost.  */
-static void
-service_set_policy (const fleet_t *fleet, fleet_service_t *service,
-                    const char *name)
-{
-  const pick_ops_t *ops = plugin_ops (PLUGIN_PICK, name);
-
-  if (ops == NULL || ops == service->ops)
-    return;
-  service->ops->destroy (service->pick);
-  service->ops = ops;
-  service->pick = ops->create (service, fleet->seed);
-}
-
 /* Return whether the work of requests can be derived from ENGINE.  */
 static bool
 engine_has_costs (const engine_profile_t *engine)
@@ -53,14 +38,18 @@
 service_set_engine (fleet_t *fleet, fleet_service_t *service,
                     const service_rule_t *rule)
 {
+  const pick_ops_t *ops;
+
   service->has_engine = rule->has_engine && engine_has_costs (&rule->engine);
   service->engine = rule->engine;
   if (service->has_engine && service->output_ratio == NULL)
     service->output_ratio = histogram_create_ratio (
         service, "siskin_relay_output_ratio", "service", service->name,
         "Actual over expected length of a streamed answer");
-  service_set_policy (fleet, service,
-                      service->has_engine ? "least-work" : "least-tokens");
+  ops = plugin_ops (PLUGIN_PICK,
+                    service->has_engine ? "least-work" : "least-tokens");
+  if (ops != NULL && ops != service->ops)
+    service_set_policy (fleet, service, ops);
 }
 
 /* Return MEAN, which is 0 before the first value, with VALUE included.  */
