--- a/bench/pick_model.c
+++ b/bench/pick_model.c
@@ -15,7 +15,7 @@
 
 enum
 {
-  SAMPLED_CANDIDATES = 5 /* as in the production policies */
+  SAMPLED_CANDIDATES = 5 /* as in least-tokens */
 };
 
 static const relay_model_t *observed_model;
--- a/tests/process/test_memory_relay.py
+++ b/tests/process/test_memory_relay.py
@@ -25,10 +25,10 @@
         self.addCleanup(self.platform.__exit__, None, None, None)
 
         # No timeout may end the requests before all of them are there.
-        def be_patient(config):
+        def lengthen_timeouts(config):
             config["limits"].update(header_timeout_ms=LONG_MS,
                                     idle_timeout_ms=LONG_MS)
-        self.platform.configure(be_patient)
+        self.platform.configure(lengthen_timeouts)
         self.platform.add_replica("app")
         self.model = self.platform.add_replica("model", slots=2 * CLIENTS)
         self.relay = self.platform.start_relay(settings=crowd.LIMITS,
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -111,7 +111,7 @@
     QUEUE_PLACES = FLEET_FIXTURE_RANKS
   };
   fleet_fixture_t *fixture = fleet_fixture_create (0);
-  unsigned patient;
+  unsigned less_urgent;
 
   (void)state;
   for (unsigned i = 0; i < URGENT_PER_SECOND * 2; i++)
@@ -122,11 +122,11 @@
     }
   fleet_fixture_step_group (fixture, FLEET_FIXTURE_REPORT_MS,
                             FLEET_FIXTURE_STEP_MS);
-  patient = fixture_fill (fixture, 3, false);
-  assert_in_range (patient, IDLE_PLACES / 2, IDLE_PLACES - 5);
+  less_urgent = fixture_fill (fixture, 3, false);
+  assert_in_range (less_urgent, IDLE_PLACES / 2, IDLE_PLACES - 5);
   assert_in_range (fixture_fill (fixture, 0, false),
-                   IDLE_PLACES - patient + QUEUE_PLACES - 1,
-                   IDLE_PLACES - patient + QUEUE_PLACES + 1);
+                   IDLE_PLACES - less_urgent + QUEUE_PLACES - 1,
+                   IDLE_PLACES - less_urgent + QUEUE_PLACES + 1);
   fleet_fixture_destroy (fixture);
 }
 
--- a/tests/test_request_queue.c
+++ b/tests/test_request_queue.c
@@ -18,7 +18,7 @@
 enum
 {
   URGENT,
-  PATIENT,
+  LESS_URGENT,
   CLASSES,
   MAX_REQUESTS = 64,
   GUARANTEED_TURN = 8
@@ -100,7 +100,7 @@
 test_urgent_requests_come_first (void **state)
 {
   fixture_t *fixture = fixture_create ();
-  unsigned patient = fixture_add (fixture, "model", PATIENT, 20);
+  unsigned less_urgent = fixture_add (fixture, "model", LESS_URGENT, 20);
   unsigned first = fixture_add (fixture, "model", URGENT, 20);
   unsigned second = fixture_add (fixture, "model", URGENT, 20);
 
@@ -109,7 +109,7 @@
   assert_int_equal (fixture->sent[0], first);
   assert_int_equal (fixture->sent[1], second);
   fixture_retry (fixture, 10, 1);
-  assert_int_equal (fixture->sent[2], patient);
+  assert_int_equal (fixture->sent[2], less_urgent);
   assert_true (request_queue_is_empty (fixture->queue));
   talloc_free (fixture);
 }
@@ -135,7 +135,7 @@
 test_passed_over_class_gets_its_turn (void **state)
 {
   fixture_t *fixture = fixture_create ();
-  unsigned patient = fixture_add (fixture, "model", PATIENT, 20);
+  unsigned less_urgent = fixture_add (fixture, "model", LESS_URGENT, 20);
 
   (void)state;
   for (unsigned i = 0; i < 2 * GUARANTEED_TURN; i++)
@@ -144,8 +144,8 @@
       fixture_retry (fixture, 10, 1);
     }
   for (unsigned i = 0; i < GUARANTEED_TURN - 1; i++)
-    assert_int_not_equal (fixture->sent[i], patient);
-  assert_int_equal (fixture->sent[GUARANTEED_TURN - 1], patient);
+    assert_int_not_equal (fixture->sent[i], less_urgent);
+  assert_int_equal (fixture->sent[GUARANTEED_TURN - 1], less_urgent);
   talloc_free (fixture);
 }
 
@@ -160,14 +160,14 @@
   (void)state;
   fixture_add (fixture, "blocked", URGENT, 20);
   fixture_add (fixture, "blocked", URGENT, 20);
-  other = fixture_add (fixture, "plain", PATIENT, 20);
+  other = fixture_add (fixture, "plain", LESS_URGENT, 20);
   fixture_retry (fixture, 10, 1);
   assert_int_equal (fixture->tried_count, 3);
   assert_int_equal (fixture->sent[0], other);
   assert_true (
-      request_queue_has_more_urgent (fixture->queue, "blocked", PATIENT));
+      request_queue_has_more_urgent (fixture->queue, "blocked", LESS_URGENT));
   assert_false (
-      request_queue_has_more_urgent (fixture->queue, "plain", PATIENT));
+      request_queue_has_more_urgent (fixture->queue, "plain", LESS_URGENT));
   assert_false (
       request_queue_has_more_urgent (fixture->queue, "blocked", URGENT));
   talloc_free (fixture);
@@ -204,19 +204,21 @@
 
   (void)state;
   for (unsigned i = 0; i < QUEUED; i++)
-    fixture_add (fixture, "model", PATIENT, 20);
+    fixture_add (fixture, "model", LESS_URGENT, 20);
   wait = request_queue_expected_wait (fixture->queue, "model", URGENT, now);
   assert_int_equal (timespec_to_ms (wait), 0);
   for (unsigned i = 0; i < 5 * SENT_PER_S; i++)
     {
-      request_queue_count_sent (fixture->queue, "model", PATIENT, now);
+      request_queue_count_sent (fixture->queue, "model", LESS_URGENT, now);
       now = timespec_add (now, timespec_from_ms (1000 / SENT_PER_S));
     }
-  wait = request_queue_expected_wait (fixture->queue, "model", PATIENT, now);
+  wait = request_queue_expected_wait (fixture->queue, "model", LESS_URGENT,
+                                      now);
   assert_in_range (timespec_to_ms (wait), 2500, 3500);
   /* It has not been waiting for long enough to tell.  */
   now = (struct timespec){ .tv_sec = 1, .tv_nsec = 500000000 };
-  wait = request_queue_expected_wait (fixture->queue, "model", PATIENT, now);
+  wait = request_queue_expected_wait (fixture->queue, "model", LESS_URGENT,
+                                      now);
   assert_int_equal (timespec_to_ms (wait), 0);
   talloc_free (fixture);
 }
@@ -229,7 +231,7 @@
 
   (void)state;
   fixture_add (fixture, "model", URGENT, 20);
-  fixture_add (fixture, "model", PATIENT, 20);
+  fixture_add (fixture, "model", LESS_URGENT, 20);
   queued = &fixture->requests[1].queued;
   queued->give_up_at.tv_sec = 10;
   assert_null (request_queue_find_expired (fixture->queue,
--- a/tests/test_urgency.c
+++ b/tests/test_urgency.c
@@ -36,7 +36,7 @@
 {
   rules_t *rules = rules_create (1);
   const route_t *urgent = add_route (rules, "/a/", 0);
-  const route_t *patient = add_route (rules, "/b/", 7);
+  const route_t *less_urgent = add_route (rules, "/b/", 7);
   const client_account_t *first = add_account (rules, "first", -3);
   const client_account_t *second = add_account (rules, "second", 5);
 
@@ -44,9 +44,9 @@
   rules->has_accounts = true;
   rules_finish (rules);
   assert_int_equal (rules_urgency (rules, urgent, first), 0);
-  assert_int_equal (rules_urgency (rules, patient, first), 1);
+  assert_int_equal (rules_urgency (rules, less_urgent, first), 1);
   assert_int_equal (rules_urgency (rules, urgent, second), 2);
-  assert_int_equal (rules_urgency (rules, patient, second), 3);
+  assert_int_equal (rules_urgency (rules, less_urgent, second), 3);
   rules_release (rules);
 }
 
@@ -56,12 +56,12 @@
 {
   rules_t *rules = rules_create (1);
   const route_t *urgent = add_route (rules, "/a/", 1);
-  const route_t *patient = add_route (rules, "/b/", 2);
+  const route_t *less_urgent = add_route (rules, "/b/", 2);
 
   (void)state;
   rules_finish (rules);
   assert_true (rules_urgency (rules, urgent, NULL)
-               < rules_urgency (rules, patient, NULL));
+               < rules_urgency (rules, less_urgent, NULL));
   rules_release (rules);
 }
 
