--- a/bench/relay_model_engine.c
+++ b/bench/relay_model_engine.c
@@ -48,7 +48,7 @@
       chunk -= request->reading_tokens;
       part_ms += model_engine_read_ms (engine, request->reading_tokens,
                                        request->context_tokens)
-                 + engine_write_ms (engine, request->context_tokens);
+                 + model_engine_write_ms (engine, request->context_tokens);
     }
   return part_ms * rank->speed;
 }
@@ -272,7 +272,7 @@
   const relay_model_engine_t *engine = &model->scenario.engine;
   const relay_model_cost_t *cost = &model->scenario.cost;
   double tokens = cost->prompt_tokens + cost->events * engine->stride / 2;
-  double own_ms = model->options.slots * engine_write_ms (engine, tokens)
+  double own_ms = model->options.slots * model_engine_write_ms (engine, tokens)
                   + mean_read_ms (model);
 
   return cost->events
--- a/bench/relay_model_result.c
+++ b/bench/relay_model_result.c
@@ -2,12 +2,12 @@
 
 enum
 {
-  NS_PER_US = 1000
+  NS_PER_US = 1000,
+  TALLIES = 3 /* that a request counts in: all, its class, its account */
 };
 
-/* Add a time to TIMES.  */
-void
-model_times_add (model_times_t *times, double time_ms)
+static void
+times_add (model_times_t *times, double time_ms)
 {
   uint64_t bucket = (uint64_t)(time_ms / MODEL_TICK_MS);
 
@@ -35,15 +35,9 @@
 model_record_start (relay_model_t *model, const model_request_t *request)
 {
   if (request->is_counted)
-    model_times_add (&model->waits,
-                     (double)(model->now_ms - request->started_ms));
+    times_add (&model->waits, (double)(model->now_ms - request->started_ms));
 }
 
-enum
-{
-  TALLIES = 3 /* that a request counts in: all, its class, its account */
-};
-
 static void
 request_tallies (relay_model_t *model, const model_request_t *request,
                  model_tally_t *tallies[TALLIES])
@@ -73,8 +67,8 @@
 
   request_tallies (model, request, tallies);
   for (unsigned i = 0; i < TALLIES && request->is_counted; i++)
-    model_times_add (&tallies[i]->refusals,
-                     (double)(model->now_ms - request->arrived_ms));
+    times_add (&tallies[i]->refusals,
+               (double)(model->now_ms - request->arrived_ms));
 }
 
 static bool
@@ -112,9 +106,9 @@
     }
   if (!is_complete)
     return;
-  model_times_add (&model->first_events,
-                   request->first_event_ms - (double)request->started_ms);
-  model_times_add (&model->gaps, request->longest_gap_ms);
+  times_add (&model->first_events,
+             request->first_event_ms - (double)request->started_ms);
+  times_add (&model->gaps, request->longest_gap_ms);
 }
 
 static double
--- a/bench/relay_model_state.h
+++ b/bench/relay_model_state.h
@@ -199,8 +199,8 @@
 /* Work of requests at engines (relay_model_work.c).  */
 double model_engine_read_ms (const relay_model_engine_t *engine, double tokens,
                              double prompt_tokens);
-double engine_write_ms (const relay_model_engine_t *engine,
-                        double context_tokens);
+double model_engine_write_ms (const relay_model_engine_t *engine,
+                              double context_tokens);
 /* RELAY may be NULL.  */
 double model_expected_ms (const relay_model_t *model,
                           const model_upstream_t *upstream,
@@ -241,7 +241,6 @@
 /* Results (relay_model_result.c).  */
 /* An upstream begins to run REQUEST.  */
 void model_record_start (relay_model_t *model, const model_request_t *request);
-void model_times_add (model_times_t *times, double time_ms);
 void model_count_request (relay_model_t *model,
                           const model_request_t *request);
 void model_count_refusal (relay_model_t *model,
--- a/bench/relay_model_work.c
+++ b/bench/relay_model_work.c
@@ -24,7 +24,8 @@
 
 /* Return the cost in ms of writing an event with CONTEXT_TOKENS.  */
 double
-engine_write_ms (const relay_model_engine_t *engine, double context_tokens)
+model_engine_write_ms (const relay_model_engine_t *engine,
+                       double context_tokens)
 {
   return engine->stride
          * (engine->per_seq_ms
@@ -52,7 +53,8 @@
 
   TAILQ_FOREACH (request, requests, link)
     {
-      double write_ms = engine_write_ms (engine, request->context_tokens);
+      double write_ms
+          = model_engine_write_ms (engine, request->context_tokens);
 
       if (relay != NULL && request->relay != relay
           && model->now_ms - request->sent_ms
