--- a/include/kernel/memory_budget.h
+++ b/include/kernel/memory_budget.h
@@ -15,8 +15,8 @@
    docs/design/memory-budget.md.  */
 typedef struct memory_budget memory_budget_t;
 
-/* The part of a budget that belongs to one worker.  The functions below accept
-   NULL for it: nothing is counted then, and nothing refused.  */
+/* The part of a budget that belongs to one worker.  Connections and holders
+   accept NULL for it: nothing is counted then, and nothing refused.  */
 typedef struct memory_worker memory_worker_t;
 
 typedef struct memory_holder memory_holder_t;
