--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -102,7 +102,7 @@
 static void
 test_ended_requests_free_their_places (void **state)
 {
-  fixture_t *fixture = fixture_create (0);
+  fleet_fixture_t *fixture = fleet_fixture_create (0);
   fleet_request_t request = { .service = "model",
                               .route = fixture->route,
                               .work = { .zone = "a" } };
@@ -110,18 +110,19 @@
   fleet_choice_t choice;
 
   (void)state;
-  fixture_step_group (fixture, REPORT_MS, STEP_MS);
-  for (unsigned i = 0; i < RANKS * SLOTS * 2; i++)
+  fleet_fixture_step_group (fixture, FLEET_FIXTURE_REPORT_MS,
+                            FLEET_FIXTURE_STEP_MS);
+  for (unsigned i = 0; i < FLEET_FIXTURE_RANKS * FLEET_FIXTURE_SLOTS * 2; i++)
     {
-      fixture_advance_ms (fixture, 10);
+      fleet_fixture_advance_ms (fixture, 10);
       assert_int_equal (fleet_choose (fixture->fleet, ctx, &request, &choice),
                         FLEET_NO_SHORTAGE);
-      fixture_advance_ms (fixture, 5);
+      fleet_fixture_advance_ms (fixture, 5);
       fleet_release (fixture->fleet, choice.upstream, &request.work,
                      FLEET_SERVED, 5);
     }
   talloc_free (ctx);
-  fixture_destroy (fixture);
+  fleet_fixture_destroy (fixture);
 }
 
 /* A burst of less urgent requests took all places, and urgent ones that came a
