--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -189,7 +189,7 @@
                 for request in list(replica.runs)]
 
     def start_relay(self, name="front-a-1", zone="a", bootstrap=True,
-                    max_files=None):
+                    max_files=None, store_port=None):
         role = self.roles["relay"]
         ports = [free_port() for _ in range(4)]
         values = {
@@ -200,7 +200,8 @@
             "internal_ports": [ports[2], ports[3]],
             "bootstrap": bootstrap, "bounds": self.bounds,
             "limits": self.limits,
-            "platform": {"address": "127.0.0.1:%d" % self.store.port}}
+            "platform": {"address": "127.0.0.1:%d" % (
+                store_port or self.store.port)}}
         with open(os.path.join(ROOT, role["template"])) as stream:
             settings = render(stream.read(), values)
         path = os.path.join(self.folder, name + ".toml")
