--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -15,6 +15,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))))
@@ -36,6 +37,21 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def run_case(main):
+    """Exits with what MAIN returns, or with NOT_RUN if it could not run.
+    The processes that were started end in both cases."""
+    def stop(*_):
+        raise RuntimeError("the case was stopped")
+    signal.signal(signal.SIGTERM, stop)
+    try:
+        result = main()
+    except Exception as error:
+        traceback.print_exc()
+        print("the case could not run:", error, flush=True)
+        result = NOT_RUN
+    sys.exit(result)
+
+
 def free_port():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
