--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -37,6 +38,15 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def need_files(count):
+    """Lets this process, with its stand-ins and clients, open COUNT files."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY and hard < count:
+        raise RuntimeError("only %d files can be opened" % hard)
+    if soft != resource.RLIM_INFINITY and soft < count:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+
+
 def run_case(main):
     """Exits with what MAIN returns, or with NOT_RUN if it could not run.
     The processes that were started end in both cases."""
