--- a/common/store_mirror.c
+++ b/common/store_mirror.c
@@ -48,6 +48,7 @@
   bool is_call_outdated;
   bool is_destroyed; /* freed when the pending call ends */
   store_listener_t listener;
+  status_t failure; /* of the latest request; STATUS_OK if it succeeded */
   int64_t retry_ms;
   struct timespec last_response_at;
   struct timespec last_request_at;
@@ -104,19 +105,38 @@
                                       mirror_handle_timer, mirror);
 }
 
+/* Log that the latest request failed with STATUS, unless the one before it
+   did too.  */
+static void
+mirror_log_failure (store_mirror_t *mirror, status_t status)
+{
+  if (status != mirror->failure)
+    log_event (LOG_LEVEL_WARN, "store-request-failed",
+               "prefix=\"%s\" request=%s after=%lld ms=%lld status=%s "
+               "error=\"%s\"",
+               mirror->options.prefix,
+               mirror->needs_full_read ? "read" : "poll",
+               (long long)mirror->revision,
+               (long long)timespec_to_ms (timespec_subtract (
+                   mirror_now (mirror), mirror->last_request_at)),
+               status_name (status), status_message ());
+  mirror->failure = status;
+}
+
 /* Retry with exponential backoff.  */
 static void
-mirror_handle_failure (store_mirror_t *mirror, const char *reason)
+mirror_handle_failure (store_mirror_t *mirror, status_t status)
 {
   bool was_reachable = mirror->is_reachable;
 
+  mirror_log_failure (mirror, status);
   mirror->is_reachable = false;
   mirror_schedule_request (mirror, timespec_from_ms (mirror->retry_ms));
   mirror->retry_ms *= 2;
   if (mirror->retry_ms > RETRY_MAX_DELAY_MS)
     mirror->retry_ms = RETRY_MAX_DELAY_MS;
   if (was_reachable && mirror->ops->on_lost != NULL)
-    mirror->ops->on_lost (reason, mirror->data);
+    mirror->ops->on_lost (status_message (), mirror->data);
 }
 
 static void
@@ -126,6 +146,7 @@
   struct timespec outage = timespec_subtract (now, mirror->last_response_at);
 
   mirror->last_response_at = now;
+  mirror->failure = STATUS_OK;
   mirror->retry_ms = RETRY_MIN_DELAY_MS;
   if (mirror->is_reachable)
     return;
@@ -271,7 +292,7 @@
   if (status != STATUS_OK)
     {
       TALLOC_FREE (mirror->read_after);
-      mirror_handle_failure (mirror, status_message ());
+      mirror_handle_failure (mirror, status);
       return;
     }
   mirror_handle_response (mirror);
@@ -311,7 +332,7 @@
     }
   if (status != STATUS_OK)
     {
-      mirror_handle_failure (mirror, status_message ());
+      mirror_handle_failure (mirror, status);
       return;
     }
   mirror_handle_response (mirror);
@@ -372,7 +393,7 @@
   if (status == STATUS_OK)
     return;
   mirror->is_call_pending = false;
-  mirror_handle_failure (mirror, status_message ());
+  mirror_handle_failure (mirror, status);
 }
 
 /* The store was restored from a copy.  What is known stays until all keys have
