HTTP client: an answer whose status is not 100 to 599 is no answer

The agent also recorded it as the outcome of a booking's key, and the next request with the key got it again.

Cause: our code took the status from libcurl as it was.

Fix: the status line is checked where it is decoded, and the call fails as one whose bytes are no answer; the status of an agent's frame and of a recorded outcome, which earlier versions may have written, are checked too (test_call and test_journal failed before). It works for all callers, as all responses of HTTP come through the one client.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -304,8 +304,9 @@
 }
 
 /* Add a line of the response header.  A status line starts a new response: the
-   fields before it belong to an interim response (1xx) and are discarded.  */
-static void
+   fields before it belong to an interim response (1xx) and are discarded.
+   Returns false for a line that no answer has.  */
+static bool
 call_parse_header_line (http_call_t *call, const char *line, size_t size)
 {
   static const char status_line[] = "HTTP/";
@@ -319,11 +320,10 @@
           STAILQ_REMOVE_HEAD (&call->head.headers, link);
           talloc_free (header);
         }
-      return;
+      return http_status_line_is_valid (line, size);
     }
-  if (http_headers_add_line (&call->head.headers, call, line, size)
-      != STATUS_OK)
-    call->is_failed = true;
+  return http_headers_add_line (&call->head.headers, call, line, size)
+         == STATUS_OK;
 }
 
 /* Called by libcurl with each line of the response header.  */
@@ -345,8 +345,8 @@
       if (http_status >= 200)
         call_report_head (call);
     }
-  else
-    call_parse_header_line (call, bytes, length);
+  else if (!call_parse_header_line (call, bytes, length))
+    call->is_failed = true;
   return call->is_failed ? 0 : length;
 }
 
--- a/common/http_header.c
+++ b/common/http_header.c
@@ -4,6 +4,11 @@
 #include <string.h>
 #include <strings.h>
 
+enum
+{
+  STATUS_DIGITS = 3
+};
+
 /* Fields that apply to a single connection and are never forwarded.  */
 static const char *const hop_by_hop_names[] = {
   "Connection",
@@ -18,6 +23,34 @@
   NULL,
 };
 
+/* Return whether HTTP has a class for HTTP_STATUS.  */
+bool
+http_status_is_valid (uint64_t http_status)
+{
+  return http_status >= HTTP_STATUS_MIN && http_status <= HTTP_STATUS_MAX;
+}
+
+/* Return whether LINE, the first one of a response with its SIZE bytes, has a
+   valid status of three digits.  */
+bool
+http_status_line_is_valid (const char *line, size_t size)
+{
+  const char *end = line + size;
+  const char *text = memchr (line, ' ', size);
+  uint64_t http_status = 0;
+  unsigned digits = 0;
+
+  if (text == NULL)
+    return false;
+  for (text++; text < end && isdigit ((unsigned char)*text); text++)
+    {
+      http_status = http_status * 10 + (uint64_t)(*text - '0');
+      digits++;
+    }
+  return digits == STATUS_DIGITS && http_status_is_valid (http_status)
+         && (text == end || isspace ((unsigned char)*text));
+}
+
 /* Append a field with copies of NAME and VALUE to HEADERS.  The field is owned
    by PARENT.  Returns STATUS_NO_MEMORY on failure.  */
 status_t
--- a/entry/call_response.c
+++ b/entry/call_response.c
@@ -1,5 +1,6 @@
 #include "entry/call.h"
 
+#include "common/http_header.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
 
@@ -12,7 +13,7 @@
 };
 
 COUNTER_DEFINE (responses_inconsistent, "siskin_calls_crossed_total",
-                "Answers with a gap, an overlap or a wrong length");
+                "Answers with a gap, an overlap, a wrong length or status");
 COUNTER_DEFINE (calls_resumed, "siskin_calls_resumed_total",
                 "Answers taken up again after a lost connection");
 
@@ -34,6 +35,11 @@
 
   if (call->is_head_delivered)
     return;
+  if (!http_status_is_valid (head->http_status))
+    {
+      call_abort_response (call, "the answer has no valid status");
+      return;
+    }
   call->is_head_delivered = true;
   router_record_first_byte (
       call->entry_worker->entry->router, call->submit.service,
--- a/include/common/http_header.h
+++ b/include/common/http_header.h
@@ -4,6 +4,7 @@
 #include "kernel/status.h"
 
 #include <stdbool.h>
+#include <stdint.h>
 #include <sys/queue.h>
 #include <talloc.h>
 
@@ -19,6 +20,14 @@
 STAILQ_HEAD (http_headers, http_header);
 typedef struct http_headers http_headers_t;
 
+enum
+{
+  HTTP_STATUS_MIN = 100,
+  HTTP_STATUS_MAX = 599
+};
+
+bool http_status_is_valid (uint64_t http_status);
+bool http_status_line_is_valid (const char *line, size_t size);
 status_t http_headers_add (http_headers_t *headers, TALLOC_CTX *parent,
                            const char *name, const char *value);
 status_t http_headers_add_line (http_headers_t *headers, TALLOC_CTX *parent,
--- a/plugins/journal/claim_value.c
+++ b/plugins/journal/claim_value.c
@@ -1,6 +1,7 @@
 #include "plugins/journal/claim_value.h"
 
 #include "common/base64.h"
+#include "common/http_header.h"
 
 #include <ctype.h>
 #include <jansson.h>
@@ -80,20 +81,27 @@
   return talloc_strdup (parent, text == NULL ? "" : text);
 }
 
-static void
+/* Read the recorded response.  Returns false if it has no valid status.  */
+static bool
 record_parse (claim_value_t *value, const json_t *root)
 {
   claim_record_t *record = &value->record;
   const char *body = json_string_value (json_object_get (root, "body"));
+  json_int_t http_status
+      = json_integer_value (json_object_get (root, "http_status"));
 
-  record->http_status
-      = (unsigned)json_integer_value (json_object_get (root, "http_status"));
+  if (http_status < 0 || !http_status_is_valid ((uint64_t)http_status))
+    return false;
+  record->http_status = (unsigned)http_status;
   record->content_type = text_parse (value, root, "content_type");
   if (body != NULL)
     record->body = base64_decode_text (value, body, &record->body_size);
+  return true;
 }
 
-/* Parse TEXT into a value owned by PARENT, or return NULL if malformed.  */
+/* Parse TEXT into a value owned by PARENT, or return NULL if malformed.  The
+   outcome of a request whose recorded response can't be an answer is
+   unknown.  */
 claim_value_t *
 claim_value_parse (TALLOC_CTX *parent, const char *text)
 {
@@ -111,8 +119,8 @@
       = strtoull (text_parse (value, root, "fingerprint"), NULL, 16);
   value->claimed_at_ms
       = json_integer_value (json_object_get (root, "claimed_at_ms"));
-  if (value->state == CLAIM_STATE_FINISHED)
-    record_parse (value, root);
+  if (value->state == CLAIM_STATE_FINISHED && !record_parse (value, root))
+    value->state = CLAIM_STATE_UNKNOWN;
   json_decref (root);
   return value;
 }
--- a/tests/fake_agent.c
+++ b/tests/fake_agent.c
@@ -88,18 +88,26 @@
   assert_non_null (agent->listener);
 }
 
-/* Send the head of a response to the request that AGENT received last.  */
+/* Send the head of a response with HTTP_STATUS to the request that AGENT
+   received last.  */
 void
-fake_send_head (fake_agent_t *agent)
+fake_send_status (fake_agent_t *agent, uint64_t http_status)
 {
   frame_t frame
       = { .header = { .type = FRAME_HEAD, .request = agent->request } };
 
-  frame.body.head.http_status = 200;
+  frame.body.head.http_status = http_status;
   frame.body.head.content_type = "text/plain";
   link_send (agent->link, &frame);
 }
 
+/* Send the head of a successful response.  */
+void
+fake_send_head (fake_agent_t *agent)
+{
+  fake_send_status (agent, 200);
+}
+
 /* Send TEXT as the bytes at OFFSET of the response.  */
 void
 fake_send_chunk (fake_agent_t *agent, uint64_t offset, const char *text)
--- a/tests/fake_agent.h
+++ b/tests/fake_agent.h
@@ -31,6 +31,7 @@
                   worker_t *worker, clock_source_t *clock);
 void fake_create_node (fake_agent_t *agent);
 void fake_send_head (fake_agent_t *agent);
+void fake_send_status (fake_agent_t *agent, uint64_t http_status);
 void fake_send_chunk (fake_agent_t *agent, uint64_t offset, const char *text);
 void fake_send_end (fake_agent_t *agent, uint64_t length);
 void fake_refuse (fake_agent_t *agent, refusal_t refusal, outcome_t outcome);
--- a/tests/process/platform_replicas.py
+++ b/tests/process/platform_replicas.py
@@ -251,6 +251,29 @@
     return answer
 
 
+class StatusWriter:
+    """Passes bytes on to a writer, with other text as the status of the
+    response."""
+
+    def __init__(self, writer, status):
+        self.writer = writer
+        self.status = status
+
+    def __getattr__(self, name):
+        return getattr(self.writer, name)
+
+    def write(self, data):
+        self.writer.write(data.replace(b"HTTP/1.1 200 ",
+                                       b"HTTP/1.1 " + self.status + b" "))
+
+
+def with_status(status, answer=answer_normally):
+    """Answers as ANSWER does, but with the text STATUS as the status."""
+    async def answer_with_status(replica, request, writer):
+        return await answer(replica, request, StatusWriter(writer, status))
+    return answer_with_status
+
+
 async def decline(replica, request, writer):
     replica.runs.remove(request)
     writer.write(response_bytes(503, b"", [("Not-Run", "1")]))
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -71,6 +71,32 @@
   assert_int_equal (fixture->size, 0);
 }
 
+/* An agent of an earlier version passes on whatever status its upstream
+   sends.  */
+static void
+expect_no_response_with_status (fixture_t *fixture, uint64_t http_status)
+{
+  fake_agent_t *agent
+      = fixture_submit_to_agent (fixture, 1, true, LONG_DEADLINE_MS);
+
+  fake_send_status (agent, http_status);
+  fake_send_end (agent, 0);
+  fixture_expect_end (fixture, OUTCOME_RAN, REFUSAL_UPSTREAM);
+  assert_int_equal (fixture->heads, 0);
+}
+
+static void
+test_status_0_is_no_response (void **state)
+{
+  expect_no_response_with_status (*state, 0);
+}
+
+static void
+test_status_600_is_no_response (void **state)
+{
+  expect_no_response_with_status (*state, 600);
+}
+
 static void
 test_wrong_length_makes_the_response_incomplete (void **state)
 {
@@ -117,6 +143,10 @@
         fixture_tear_down),
     cmocka_unit_test_setup_teardown (test_missing_bytes_abort_the_response,
                                      fixture_set_up, fixture_tear_down),
+    cmocka_unit_test_setup_teardown (test_status_0_is_no_response,
+                                     fixture_set_up, fixture_tear_down),
+    cmocka_unit_test_setup_teardown (test_status_600_is_no_response,
+                                     fixture_set_up, fixture_tear_down),
     cmocka_unit_test_setup_teardown (
         test_wrong_length_makes_the_response_incomplete, fixture_set_up,
         fixture_tear_down),
--- a/tests/test_journal.c
+++ b/tests/test_journal.c
@@ -166,6 +166,28 @@
   talloc_free (read);
 }
 
+/* Agents of an earlier version recorded whatever status an upstream sent,
+   which a request repeated with its key would get as its answer.  */
+static void
+test_record_without_a_valid_status_is_no_outcome (void **state)
+{
+  static const unsigned statuses[] = { 0, 99, 600, 999 };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof statuses / sizeof statuses[0]; i++)
+    {
+      claim_value_t value = { .state = CLAIM_STATE_FINISHED,
+                              .claim_attempt_id = "agent/1/2",
+                              .record = { statuses[i], "text/plain", "", 0 } };
+      char *text = claim_value_format (NULL, &value);
+      claim_value_t *read = claim_value_parse (NULL, text);
+
+      assert_int_equal (read->state, CLAIM_STATE_UNKNOWN);
+      talloc_free (text);
+      talloc_free (read);
+    }
+}
+
 /* 2026-03-01 12:00:00 UTC  */
 static const struct timespec noon = { 1772366400, 0 };
 
@@ -212,6 +234,7 @@
     cmocka_unit_test (test_claims_are_batched),
     cmocka_unit_test (test_paths_do_not_collide),
     cmocka_unit_test (test_value_is_formatted_and_parsed),
+    cmocka_unit_test (test_record_without_a_valid_status_is_no_outcome),
     cmocka_unit_test (test_key_age_is_checked),
   };
 
