--- a/tests/process/platform_store.py
+++ b/tests/process/platform_store.py
@@ -7,6 +7,8 @@
 import urllib.parse
 
 PAGE_ITEMS = 500
+TRICKLE_GAP_S = 0.1
+TRICKLED_BYTES = 100_000
 MS_PER_S = 1000
 
 
@@ -64,7 +66,8 @@
         self.last_lease = 100
         self.sent_keys = {}  # how often the item of each key was sent
         self.changed = asyncio.Condition()
-        self.failure_mode = None  # "busy", "silent", "reset" or "refuse-some"
+        # "busy", "silent", "reset", "refuse-some" or "trickle"
+        self.failure_mode = None
         self.responses_to_drop = 0  # to writes, which are executed
         self.delay_s = 0
         self.calls = []
@@ -164,6 +167,8 @@
         if self.failure_mode == "reset":
             writer.transport.abort()
             return False
+        if self.failure_mode == "trickle":
+            await self.trickle(writer)
         if self.failure_mode == "busy":
             writer.write(response_bytes(503, fields=self.fields()))
             return True
@@ -178,6 +183,16 @@
         await writer.drain()
         return True
 
+    async def trickle(self, writer):
+        """Begins a response and sends a byte of it now and then."""
+        writer.write(response_bytes(
+            200, fields=[*self.fields(), ("Content-Length", TRICKLED_BYTES)],
+            length=False))
+        while True:
+            writer.write(b" ")
+            await writer.drain()
+            await asyncio.sleep(TRICKLE_GAP_S)
+
     def fields(self):
         return [("Store-Era", self.generation)]
 
--- a/tests/process/test_slow_store_link.py
+++ b/tests/process/test_slow_store_link.py
@@ -1,5 +1,6 @@
 """What relays and pilots read from the store takes longer on their link than
-the store's time-out: they must get it all the same."""
+the store's time-out: they must get it all the same, and give up only what
+stalls."""
 
 import time
 import unittest
@@ -39,17 +40,30 @@
         self.platform.add_replica("app")
         return self.platform.start_relay(store=self.link(bytes_per_s).url())
 
+    def expect_new_key(self, relay):
+        """Adds a key, which must be in force in time after an outage."""
+        self.platform.configure(
+            lambda config: config["tenants"][0]["keys"].append(NEW_KEY))
+        wait_until(lambda: ask(relay, "/check/", key=NEW_KEY).status == 200,
+                   STABLE_S + APPLY_S, "the key to be in force")
+
     def test_relay_catches_up_with_many_changes(self):
         relay = self.start_relay(BYTES_PER_S)
         self.platform.store.failure_mode = "reset"
         time.sleep(OUTAGE_S)
         for _ in range(VERSIONS):
             self.platform.configure()
-        self.platform.configure(
-            lambda config: config["tenants"][0]["keys"].append(NEW_KEY))
         self.platform.store.failure_mode = None
-        wait_until(lambda: ask(relay, "/check/", key=NEW_KEY).status == 200,
-                   STABLE_S + APPLY_S, "the key to be in force")
+        self.expect_new_key(relay)
+
+    def test_response_that_trickles_holds_nothing_up(self):
+        """A time limit for each part of a response alone would never end
+        it."""
+        relay = self.start_relay(BYTES_PER_S)
+        self.platform.store.failure_mode = "trickle"
+        time.sleep(OUTAGE_S)
+        self.platform.store.failure_mode = None
+        self.expect_new_key(relay)
 
     def test_relay_starts(self):
         relay = self.start_relay(NARROW_BYTES_PER_S)
