Agent: tell the entry what became of a request that it has cancelled

Cause: at its deadline the entry sends CANCEL and waits for the outcome, but the agent dropped its reference to the connection with CANCEL, so nothing was sent. Whether CANCEL or the agent's own deadline comes first is chance.

Evidence: job-ended outcome=not-run in the agent's log at 2.00 s in the failed runs, and nothing at the entry until 2.50 s.

--- a/agent/job.c
+++ b/agent/job.c
@@ -256,7 +256,8 @@
     job_offer (job);
 }
 
-/* Process a CANCEL: the entry no longer wants the response.  */
+/* Process a CANCEL: the entry no longer wants the response, but may wait for
+   the outcome.  */
 void
 job_cancel (agent_worker_t *agent_worker, const frame_t *frame)
 {
@@ -265,10 +266,7 @@
   table_lock (agent_worker->agent->jobs);
   job = job_find (agent_worker->agent, &frame->header.request);
   if (job != NULL)
-    {
-      job->output.link = NULL;
-      job_post_cancel_locked (job);
-    }
+    job_post_cancel_locked (job);
   table_unlock (agent_worker->agent->jobs);
 }
 
