Relay: a rejection that a client's header has caused says nothing about the replica

Cause: each 421 was taken for "another replica has this address now", and that was believed for as long as the listing named the same run.

Evidence: attempts that end with result=misdirected status=421, then why=none-allowed and sends=0 for requests of others.

Fix: a 421 tells of a replacement if it names another replica (Replica-Id), or if it names nobody and the request names no version. It is believed for 5 s, then one request tries again.

--- a/include/plugins/egress.h
+++ b/include/plugins/egress.h
@@ -61,7 +61,10 @@
      whether the upstream has ended or not.  */
   bool has_open_end;
   bool is_not_run; /* the upstream states that it did not run the request */
-  bool is_misdirected;  /* another upstream has the address now */
+  bool is_misdirected; /* another upstream has the address now */
+  /* The request was rejected for what its client asked for, or because another
+     upstream has the address now; the response doesn't tell which.  */
+  bool is_sender_unknown;
   bool is_body_encoded; /* a content coding was applied: the body is not as the
                            upstream produced it */
   egress_load_t load;
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -160,8 +160,10 @@
   int64_t heartbeat;            /* of its newest listing */
   bool is_draining;             /* its listing or a response says so */
   struct timespec paused_until; /* it wants no requests of this relay */
-  bool is_replaced;             /* another upstream responds at its address */
-  struct timespec cold_until;   /* monotonic */
+  /* Another upstream responded at its address, which is believed until then.
+   */
+  struct timespec replaced_until;
+  struct timespec cold_until; /* monotonic */
   cold_bucket_t cold;
   upstream_health_t health;
   fleet_group_t *group; /* NULL if none is known */
@@ -293,6 +295,8 @@
                                    const fleet_upstream_t *upstream,
                                    const fleet_request_t *request,
                                    struct timespec now);
+bool fleet_upstream_is_replaced (const fleet_upstream_t *upstream,
+                                 struct timespec now);
 int64_t fleet_upstream_report_age_ms (const fleet_upstream_t *upstream,
                                       struct timespec now);
 
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -180,7 +180,8 @@
 static bool
 head_is_of_chosen_upstream (const egress_head_t *head)
 {
-  return !head->is_misdirected && (head->is_from_upstream || head->is_not_run);
+  return !head->is_misdirected && !head->is_sender_unknown
+         && (head->is_from_upstream || head->is_not_run);
 }
 
 /* Record whether the upstream names a rate limit.  A refusal without one says
@@ -246,7 +247,7 @@
   attempt_record_rate_limit (forward, head);
   attempt_record_notice (forward, head);
   attempt_record_alive (forward, head);
-  if (head->load.is_known)
+  if (head->load.is_known && head_is_of_chosen_upstream (head))
     fleet_record_load (forward->relay_worker->relay->fleet,
                        attempt->choice.upstream, head->load.running,
                        head->load.waiting, head->load.slots);
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -7,6 +7,14 @@
 /* Weight of the newest response in a service's mean response time.  */
 static const double response_time_weight = 0.05;
 
+enum
+{
+  /* After this time an upstream that was found replaced is tried again if it
+     is still listed.  A listing ends within some seconds of its upstream, and
+     a request that reaches another one is rejected and sent elsewhere.  */
+  REPLACED_RETRY_MS = 5000
+};
+
 static const fleet_shortage_t obstacle_shortages[OBSTACLE_COUNT] = {
   [OBSTACLE_NONE] = FLEET_NO_SHORTAGE,
   [OBSTACLE_DRAINING] = FLEET_NO_ALLOWED_UPSTREAM,
@@ -37,14 +45,22 @@
   return false;
 }
 
+/* Return whether another upstream responds at the address of UPSTREAM.  */
+bool
+fleet_upstream_is_replaced (const fleet_upstream_t *upstream,
+                            struct timespec now)
+{
+  return timespec_compare (now, upstream->replaced_until) < 0;
+}
+
 /* Return why UPSTREAM is not eligible for REQUEST, regardless of its load.  */
 static fleet_obstacle_t
 find_exclusion (const fleet_upstream_t *upstream,
-                const fleet_request_t *request)
+                const fleet_request_t *request, struct timespec now)
 {
   if (upstream->is_draining)
     return OBSTACLE_DRAINING;
-  if (upstream->is_replaced)
+  if (fleet_upstream_is_replaced (upstream, now))
     return OBSTACLE_REPLACED;
   if (upstream->zone->is_out)
     return OBSTACLE_ZONE_OUT;
@@ -78,7 +94,7 @@
                const fleet_request_t *request, bool has_classes,
                struct timespec now)
 {
-  fleet_obstacle_t exclusion = find_exclusion (upstream, request);
+  fleet_obstacle_t exclusion = find_exclusion (upstream, request, now);
 
   if (exclusion != OBSTACLE_NONE)
     return exclusion;
@@ -369,7 +385,8 @@
         service_record_response_time (upstream->service, elapsed_ms);
     }
   if (upstream != NULL && result == FLEET_MISDIRECTED)
-    upstream->is_replaced = true;
+    upstream->replaced_until = timespec_add (
+        clock_monotonic (fleet->clock), timespec_from_ms (REPLACED_RETRY_MS));
   table_unlock (fleet->table);
 }
 
--- a/relay/fleet_work.c
+++ b/relay/fleet_work.c
@@ -202,7 +202,7 @@
    mean, or 0 if there is none.  Upstreams that get no requests don't
    count.  */
 static double
-service_spread (const fleet_service_t *service)
+service_spread (const fleet_service_t *service, struct timespec now)
 {
   const fleet_upstream_t *upstream;
   double most_us = 0;
@@ -213,7 +213,7 @@
     {
       double work_us = upstream_work_left_us (upstream);
 
-      if (upstream->is_draining || upstream->is_replaced
+      if (upstream->is_draining || fleet_upstream_is_replaced (upstream, now)
           || upstream->zone->is_out)
         continue;
       most_us = fmax (most_us, work_us);
@@ -237,7 +237,7 @@
   STAILQ_FOREACH (service, &fleet->services, link)
     {
       if (service->has_engine)
-        spread = fmax (spread, service_spread (service));
+        spread = fmax (spread, service_spread (service, now));
     }
   counter_set (&busiest_backlog, llround (spread * PERCENT));
 }
--- a/tests/process/platform_replicas.py
+++ b/tests/process/platform_replicas.py
@@ -111,7 +111,7 @@
             return True
         if request.headers.get("expect-replica") != self.id:
             self.misdirected += 1
-            writer.write(response_bytes(421))
+            writer.write(response_bytes(421, fields=[("Replica-Id", self.id)]))
             return True
         self.runs.append(request)
         answer_task = asyncio.ensure_future(self.answer(self, request, writer))
@@ -309,6 +309,21 @@
     return True
 
 
+def reject_version(names_itself):
+    """Rejects requests that expect other weights, as another replica at this
+    address would, and answers all others."""
+    async def answer(replica, request, writer):
+        if "expect-version" not in request.headers:
+            return await answer_normally(replica, request, writer)
+        replica.runs.remove(request)
+        writer.write(response_bytes(421, fields=[
+            ("Request-Id", request.headers["request-id"]),
+            *([("Replica-Id", replica.id)] if names_itself else [])]))
+        await writer.drain()
+        return True
+    return answer
+
+
 async def reset(replica, request, writer):
     writer.transport.abort()
     return False
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -12,6 +12,11 @@
 
 #include <cmocka.h>
 
+enum
+{
+  TRIED_AGAIN_MS = 5000 /* at the latest, after a rejection */
+};
+
 static void
 test_requests_spread_and_skip_tried_upstreams (void **state)
 {
@@ -31,6 +36,22 @@
   fleet_fixture_destroy (fixture);
 }
 
+/* Whatever makes an upstream reject requests that are meant for another one,
+   it would never be used again if that was believed for good.  */
+static void
+test_replaced_upstream_is_tried_again (void **state)
+{
+  fleet_fixture_t *fixture = fleet_fixture_create (0);
+  pick_request_t work = { 0 };
+
+  (void)state;
+  fleet_release (fixture->fleet, "u1", &work, FLEET_MISDIRECTED, 10);
+  assert_int_equal (fleet_fixture_count_chosen (fixture, 20, "u1"), 0);
+  fleet_fixture_advance_ms (fixture, TRIED_AGAIN_MS);
+  assert_true (fleet_fixture_count_chosen (fixture, 20, "u1") > 0);
+  fleet_fixture_destroy (fixture);
+}
+
 static void
 test_zone_out_gets_no_requests (void **state)
 {
@@ -380,6 +401,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_requests_spread_and_skip_tried_upstreams),
+    cmocka_unit_test (test_replaced_upstream_is_tried_again),
     cmocka_unit_test (test_zone_out_gets_no_requests),
     cmocka_unit_test (test_share_counts_usable_upstreams_only),
     cmocka_unit_test (test_ended_requests_free_their_places),
