Lease key: write on condition that the key is as this run knows it

Cause: a process wrote its key without a condition. A write of the run that was killed, carried out late, replaced the key of the next run, and the key went with the old lease; the new run only renewed its own.

Evidence: what the store holds in the case's record: lease 103 of the new run from 1.2 s on, 102 of the old run at 5.2 s, nothing from 9.2 s on.

Fix: each write has the condition that the key is absent or of the revision seen last; if it isn't, the store returns it and the process writes again. It works because a late write fails at the store itself, for relays and pilots alike, without another call. A relay counts itself also when its key is not known.

--- a/common/lease_key.c
+++ b/common/lease_key.c
@@ -18,7 +18,8 @@
 {
   worker_t *worker;
   lease_key_options_t options;
-  int64_t lease; /* ID of the lease; 0: none */
+  int64_t lease;    /* ID of the lease; 0: none */
+  int64_t revision; /* of the key, as far as is known; 0: it does not exist */
   bool is_written;
   bool is_value_changed; /* the value was set after the last write began */
   bool is_withdrawn;
@@ -95,6 +96,7 @@
   if (status == STATUS_NOT_FOUND)
     {
       key->lease = 0;
+      key->revision = 0;
       key->is_written = false;
     }
   lease_key_schedule_step (key, RETRY_DELAY_MS);
@@ -116,15 +118,39 @@
   lease_key_step (key);
 }
 
-/* Continue after a write.  A write without a response is retried, which is
-   safe because it stores the same value.  */
+/* Return whether ENTRY is what this process writes, from a write whose
+   response was lost.  */
+static bool
+lease_key_is_own_entry (const lease_key_t *key, const store_entry_t *entry)
+{
+  return entry != NULL && entry->lease == key->lease
+         && strcmp (entry->value, key->options.value) == 0;
+}
+
+/* The write found the key changed, by another run of this process or by an
+   earlier write of this one.  Returns whether it is as it should be.  */
+static bool
+lease_key_handle_conflict (lease_key_t *key, const store_entry_t *entry)
+{
+  key->revision = entry == NULL ? 0 : entry->mod_revision;
+  if (lease_key_is_own_entry (key, entry))
+    return true;
+  log_event (LOG_LEVEL_NOTICE, "registration-replaced",
+             "key=%s lease=%lld found_lease=%lld found_revision=%lld",
+             key->options.key, (long long)key->lease,
+             entry == NULL ? 0 : (long long)entry->lease,
+             (long long)key->revision);
+  return false;
+}
+
+/* Continue after a write.  A write without a response is retried: its
+   condition tells whether it has taken effect.  */
 static void
 lease_key_on_written (status_t status, const store_result_t *result,
                       void *data)
 {
   lease_key_t *key = data;
 
-  (void)result;
   if (!lease_key_end_call (key))
     return;
   if (status != STATUS_OK)
@@ -132,6 +158,13 @@
       lease_key_handle_failure (key, "write", status);
       return;
     }
+  if (result->succeeded)
+    key->revision = result->revision;
+  else if (!lease_key_handle_conflict (key, store_result_entry (result, 0)))
+    {
+      lease_key_step (key);
+      return;
+    }
   if (!key->is_written)
     log_event (LOG_LEVEL_NOTICE, "registered", "key=%s lease=%lld",
                key->options.key, (long long)key->lease);
@@ -156,6 +189,10 @@
     lease_key_schedule_renewal (key);
 }
 
+/* Write the key on condition that it is as it is known to be.  A write that
+   the store carries out late, after this process was restarted, would
+   otherwise replace the key of the new run, and take it away with its lease.
+ */
 static status_t
 lease_key_write (lease_key_t *key)
 {
@@ -163,8 +200,13 @@
   status_t status;
 
   key->is_value_changed = false;
+  if (key->revision == 0)
+    store_txn_if_absent (txn, key->options.key);
+  else
+    store_txn_if_revision (txn, key->options.key, key->revision);
   store_txn_then (txn, STORE_PUT, key->options.key, key->options.value)->lease
       = key->lease;
+  store_txn_else (txn, STORE_GET, key->options.key, NULL);
   status = key->options.store_ops->transact (key->options.store, txn,
                                              lease_key_on_written, key);
   store_txn_destroy (txn);
@@ -204,6 +246,7 @@
   lease_key_t *key = data;
 
   key->lease = 0;
+  key->revision = 0;
   key->is_written = false;
   key->is_call_outdated = key->is_call_pending;
   if (!key->is_call_pending)
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -209,7 +209,8 @@
 
 /* Count the relays that share the system's limits.  A relay whose key has
    disappeared recently still counts: it may only have lost its connection to
-   the store, and all relays together must stay within the limits.  */
+   the store, and all relays together must stay within the limits.  This one
+   counts whether its key is known or not.  */
 static void
 discovery_count_relays (discovery_t *discovery)
 {
@@ -217,7 +218,7 @@
   struct timespec retention = timespec_from_ms (GONE_RELAY_RETENTION_MS);
   const char *own_name = daemon_config (discovery->relay->daemon)->name;
   relay_key_t *key = LIST_FIRST (&discovery->relays);
-  rate_share_t share = { 0 };
+  rate_share_t share = { .relays = 1 };
   bool has_gone = false;
 
   while (key != NULL)
@@ -234,7 +235,8 @@
       else
         {
           has_gone = has_gone || key->is_gone;
-          share.relays++;
+          if (strcmp (key->name, own_name) != 0)
+            share.relays++;
           if (strcmp (key->name, own_name) < 0)
             share.position++;
         }
