--- a/common/lease_key.c
+++ b/common/lease_key.c
@@ -190,9 +190,8 @@
 }
 
 /* Write the key on condition that it is as it is known to be.  A write that
-   the store carries out late, after this process was restarted, would
-   otherwise replace the key of the new run, and take it away with its lease.
- */
+   the store carries out late would otherwise replace the key of a later run of
+   this process, and take it away with its lease.  */
 static status_t
 lease_key_write (lease_key_t *key)
 {
--- a/include/relay/fleet_state.h
+++ b/include/relay/fleet_state.h
@@ -160,8 +160,7 @@
   int64_t heartbeat;            /* of its newest listing */
   bool is_draining;             /* its listing or a response says so */
   struct timespec paused_until; /* it wants no requests of this relay */
-  /* Another upstream responded at its address, which is believed until then.
-   */
+  /* Another upstream is taken to be at its address until then.  */
   struct timespec replaced_until;
   struct timespec cold_until; /* monotonic */
   cold_bucket_t cold;
--- a/relay/fleet_choice.c
+++ b/relay/fleet_choice.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  /* After this time an upstream that was found replaced is tried again if it
+  /* An upstream that was found replaced is tried again after this time if it
      is still listed.  A listing ends within some seconds of its upstream, and
      a request that reaches another one is rejected and sent elsewhere.  */
   REPLACED_RETRY_MS = 5000
