--- a/tests/test_lease_key.c
+++ b/tests/test_lease_key.c
@@ -97,10 +97,10 @@
   .keep_alive = fake_keep_alive,
 };
 
-/* Carry out write NUMBER, if its condition holds.  Its sender gets the
+/* Apply write NUMBER, if its condition holds.  Its sender gets the
    response unless that IS_LOST.  */
 static void
-carry_out (fixture_t *fixture, unsigned number, bool is_lost)
+apply_write (fixture_t *fixture, unsigned number, bool is_lost)
 {
   store_t *store = &fixture->store;
   const sent_write_t *write = &store->writes[number];
@@ -202,8 +202,8 @@
 
   kill_run (fixture, start_run (fixture));
   start_run (fixture);
-  carry_out (fixture, 1, false);
-  carry_out (fixture, 0, false);
+  apply_write (fixture, 1, false);
+  apply_write (fixture, 0, false);
   assert_int_equal (store->lease, 2);
   end_lease (store, 1);
   assert_string_equal (store->value, "zone");
@@ -216,10 +216,10 @@
   store_t *store = &fixture->store;
 
   kill_run (fixture, start_run (fixture));
-  carry_out (fixture, 0, false);
+  apply_write (fixture, 0, false);
   start_run (fixture);
-  carry_out (fixture, 1, false);
-  carry_out (fixture, 2, false);
+  apply_write (fixture, 1, false);
+  apply_write (fixture, 2, false);
   assert_int_equal (store->lease, 2);
   end_lease (store, 1);
   assert_string_equal (store->value, "zone");
@@ -231,9 +231,9 @@
   fixture_t *fixture = *state;
 
   start_run (fixture);
-  carry_out (fixture, 0, true);
+  apply_write (fixture, 0, true);
   scheduler_run_for (fixture->scheduler, timespec_from_ms (RETRY_MS));
-  carry_out (fixture, 1, false);
+  apply_write (fixture, 1, false);
   scheduler_run_for (fixture->scheduler, timespec_from_ms (RETRY_MS));
   assert_int_equal (fixture->store.sent, 2);
   assert_int_equal (fixture->store.lease, 1);
@@ -247,7 +247,7 @@
   fixture_t *fixture = *state;
   lease_key_t *key = start_run (fixture);
 
-  carry_out (fixture, 0, false);
+  apply_write (fixture, 0, false);
   lease_key_set_value (key, "second");
   scheduler_run_for (fixture->scheduler, timespec_from_ms (1));
   fixture->store.writes[1].done (status_set (STATUS_IO, "no response"), NULL,
@@ -255,8 +255,8 @@
   fixture->store.writes[1].done = NULL;
   lease_key_set_value (key, "third");
   scheduler_run_for (fixture->scheduler, timespec_from_ms (RETRY_MS));
-  carry_out (fixture, 2, false);
-  carry_out (fixture, 1, false);
+  apply_write (fixture, 2, false);
+  apply_write (fixture, 1, false);
   assert_string_equal (fixture->store.value, "third");
 }
 
