--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,110 +1,102 @@
-"""The store cuts watches that have been waiting for a while.  Replicas leave
-one after another: their entries are removed, and they serve on for longer than
-drain_ms.  The relay sends them requests for too long."""
+"""A relay is partitioned from the store for some seconds.  Right after the
+partition has healed, the entry of a replica that leaves is removed.  Once the
+relay is in touch again, it still sends requests to that replica."""
 
-from harness import (BOUNDS, Program, Record, ZONES, ask, asyncio,
+from harness import (BOUNDS, Program, Proxy, Record, ZONES, ask, asyncio,
                      configuration, json, main, new_id, os, platform_replicas,
                      platform_store, route, shutil, tempfile, wait_ready)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-WATCH_CUT_S = 0.9        # a watch that has waited for so long is cut
+BEAT_S = 1.2
 CALM_S = 4.0
-LEAVES = 20
-LEAVE_AFTER_S = 2.0      # after its successor has been listed
-NEXT_AFTER_S = 1.37
-ASK_INTERVAL_S = 0.02
+CUT_S = 3.7
+REMOVED_AFTER_S = 0.8   # after the partition has healed
+EXITS_AFTER_S = 2.9     # after its entry was removed: drain_ms and some more
+ASK_INTERVAL_S = 0.05
+RUN_S = 5.0             # from the end of the partition
+WORK_S = 0.3
+WINDOW_S = BOUNDS["stability_window_ms"] / 1000
 DRAIN_S = BOUNDS["drain_ms"] / 1000
-NO_BEAT_S = 3600         # an entry changes when more than its sequence does
-
-
-class Store(platform_store.Store):
-    """Cuts watches that wait for longer than WATCH_CUT_S."""
-
-    cuts = 0
-
-    async def handle(self, request, writer):
-        if not TROUBLE or request.path != "/api/kv-watch":
-            return await super().handle(request, writer)
-        answer = asyncio.ensure_future(super().handle(request, writer))
-        done, _ = await asyncio.wait({answer}, timeout=WATCH_CUT_S)
-        if done:
-            return answer.result()
-        answer.cancel()
-        self.cuts += 1
-        writer.transport.abort()
-        return False
 
 
 async def case():
     record = Record(os.path.join(os.path.dirname(__file__), "record.txt"))
     folder = tempfile.mkdtemp(prefix="review-15-")
-    store = Store()
+    store = platform_store.Store()
     await store.start()
+    proxy = Proxy(("127.0.0.1", store.port))
+    await proxy.start()
     arrivals = []
 
     async def answer(replica, request, writer):
-        arrivals.append((record.now(), replica.id,
-                         request.headers["request-id"]))
+        request_id = request.headers["request-id"]
+        arrivals.append((record.now(), replica.id, request_id))
+        record.write("replica %s runs %s", replica.id, request_id)
+        await asyncio.sleep(WORK_S)
         return await platform_replicas.answer_normally(replica, request,
                                                        writer)
-
-    async def add_replica(zone):
+    replicas = []
+    for zone in ZONES:
         replica = platform_replicas.Replica(store, "registry-app", zone,
-                                            publish_interval_s=NO_BEAT_S)
+                                            publish_interval_s=BEAT_S)
         replica.answer = answer
         await replica.start()
-        return replica
-    zones = list(ZONES)
-    replicas = [await add_replica(zone) for zone in zones]
-    rules = configuration(3, [
-        route("/lookup/", "idempotent", "registry-app")],
-        {"registry-app": {}})
+        replicas.append(replica)
+    rules = configuration(
+        3, [route("/issue/", "non_idempotent", "registry-app",
+                  max_attempts=1)], {"registry-app": {}})
     await store.write({"op/config": (json.dumps(rules).encode(), 0)})
     relay = Program("relay", "front-1", "manchester",
-                    "127.0.0.1:%d" % store.port, folder)
-    gone = {}
+                    "127.0.0.1:%d" % proxy.port, folder)
+    sent = {}
 
-    async def lookup():
+    async def issue():
         request_id = new_id()
-        status = (await ask(relay, "/lookup/one", request_id=request_id))[0]
-        record.write("client got %s for %s", status, request_id)
-
-    async def replace_replicas():
-        for number in range(LEAVES):
-            replicas.append(await add_replica(zones[number % len(zones)]))
-            await asyncio.sleep(LEAVE_AFTER_S)
-            leaving = replicas.pop(0)
-            leaving.publish_task.cancel()
-            await store.write({}, ["servers/" + leaving.id])
-            gone[leaving.id] = record.now()
-            record.write("the store has acknowledged that %s is gone",
-                         leaving.id)
-            await asyncio.sleep(NEXT_AFTER_S)
-        await asyncio.sleep(DRAIN_S + 1)
+        sent[request_id] = record.now()
+        record.write("client sends %s", request_id)
+        status = (await ask(relay, "/issue/one", method="POST", body=b"x",
+                            request_id=request_id))[0]
+        record.write("client gets %s for %s", status, request_id)
+        return request_id, status
     try:
         await wait_ready([relay])
         await asyncio.sleep(CALM_S)
-        replacing = asyncio.ensure_future(replace_replicas())
+        proxy.watch_sent.clear()
+        await proxy.watch_sent.wait()
+        if TROUBLE:
+            record.write("the relay is partitioned from the store")
+            proxy.cut()
+        await asyncio.sleep(CUT_S)
+        proxy.heal()
+        healed_at = record.now()
+        record.write("the partition has healed")
+        await asyncio.sleep(REMOVED_AFTER_S)
+        leaving = replicas[0]
+        leaving.publish_task.cancel()
+        await store.write({}, ["servers/" + leaving.id])
+        gone_at = record.now()
+        record.write("the store has acknowledged that %s is gone", leaving.id)
         tasks = []
-        while not replacing.done():
-            tasks.append(asyncio.ensure_future(lookup()))
+        has_exited = False
+        while record.now() < healed_at + RUN_S:
+            tasks.append(asyncio.ensure_future(issue()))
             await asyncio.sleep(ASK_INTERVAL_S)
-        await replacing
-        await asyncio.gather(*tasks)
+            if not has_exited and record.now() > gone_at + EXITS_AFTER_S:
+                has_exited = True
+                record.write("%s exits", leaving.id)
+                leaving.close()
+        answers = dict([await task for task in tasks])
     finally:
         relay.end()
         shutil.rmtree(folder)
-    late = [(replica, at - gone[replica]) for at, replica, _ in arrivals
-            if replica in gone and at > gone[replica] + DRAIN_S]
-    for replica, seconds in late:
-        record.write("a request reached %s %.3f s after it was gone", replica,
-                     seconds)
-    text = ("%d of %d requests reached %d of %d replicas later than drain_ms "
-            "after the store had acknowledged that they are gone, up to "
-            "%.2f s; %d watches were cut"
-            % (len(late), len(arrivals), len({replica for replica, _ in late}),
-               len(gone), max([seconds for _, seconds in late], default=0),
-               store.cuts))
+    late = [request_id for at, replica, request_id in arrivals
+            if replica == leaving.id and at > gone_at + DRAIN_S
+            and sent[request_id] > healed_at + WINDOW_S]
+    lost = [request_id for request_id in late if answers[request_id] != 200]
+    text = ("%d of %d requests reached %s later than drain_ms after the store "
+            "had acknowledged that it is gone, sent when the relay was in "
+            "touch; %d of them were lost as it exited"
+            % (len(late), len(sent), leaving.id, len(lost)))
     record.write("%s", text)
     print(text)
     return 1 if late else 0
